--- /dev/null
+++ b/cmd/azurethread/main.go
@@ -0,0 +1,4 @@
+// Command azurethread is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/decide/block/address.go
@@ -0,0 +1,89 @@
+package block
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The address widths that keys hold. An IPv6 network of one client is a /64,
+// so the upper half of an IPv6 address tells clients apart and the lower half
+// is not kept.
+const (
+	width4 = 32
+	width6 = 64
+)
+
+// key is an address: all of an IPv4 one, or the upper half of an IPv6 one.
+type key interface{ uint32 | uint64 }
+
+func key4(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func key6(a netip.Addr) uint64 {
+	b := a.As16()
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func prefix4(k uint32, bits uint8) netip.Prefix {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], k)
+	return netip.PrefixFrom(netip.AddrFrom4(b), int(bits))
+}
+
+func prefix6(k uint64, bits uint8) netip.Prefix {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], k)
+	return netip.PrefixFrom(netip.AddrFrom16(b), int(bits))
+}
+
+// checkPrefix refuses prefixes that a table does not hold.
+func checkPrefix(p netip.Prefix) error {
+	switch {
+	case !p.IsValid():
+		return fmt.Errorf("%w: %s", ErrPrefix, p)
+	case p.Addr().Is4In6():
+		return fmt.Errorf("%w: %s is an IPv4 address mapped to IPv6", ErrPrefix, p)
+	case p != p.Masked():
+		return fmt.Errorf("%w: %s has bits set after its length", ErrPrefix, p)
+	case p.Addr().Is6() && p.Bits() > width6:
+		return fmt.Errorf("%w: %s is longer than /%d", ErrPrefix, p, width6)
+	}
+	return nil
+}
+
+// Hash returns the number by which a block is placed in shares and choices.
+// It depends on the prefix alone, so every daemon and every process of a
+// daemon computes the same one.
+func Hash(p netip.Prefix) uint64 {
+	var b [17]byte
+	a := p.Addr().As16()
+	copy(b[:], a[:])
+	b[16] = byte(p.Bits())
+	return xxhash.Sum64(b[:])
+}
+
+// The blocks assumed for addresses that no block holds: the networks that one
+// site's clients commonly share.
+const (
+	implied4 = 24
+	implied6 = 48
+)
+
+// Implied returns the block that stands for an address which no block holds.
+func Implied(a netip.Addr) netip.Prefix {
+	a = a.Unmap().WithZone("")
+	bits := implied6
+	if a.Is4() {
+		bits = implied4
+	}
+	p, err := a.Prefix(bits)
+	if err != nil {
+		return netip.Prefix{} // a is the zero Addr
+	}
+	return p
+}
--- /dev/null
+++ b/decide/block/blocktest/blocktest.go
@@ -0,0 +1,163 @@
+// Package blocktest makes tables of client blocks for tests and benchmarks:
+// about seven blocks in ten are IPv4 networks of /20 to /26 and the others
+// IPv6 networks of /44 to /56, some of them nested, in runs with gaps as
+// address space is handed out.
+package blocktest
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/azurethread/azurethread/decide/block"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Topology returns a topology of regions named r00, r01, ... that share
+// domains named r00-d0, r01-d0, ... evenly.
+func Topology(regions, domains int) block.Topology {
+	t := make(block.Topology, regions)
+	for i := range domains {
+		r := RegionName(i % regions)
+		t[r] = append(t[r], fleet.Domain(fmt.Sprintf("%s-d%d", r, i/regions)))
+	}
+	return t
+}
+
+// RegionName returns the name of region i.
+func RegionName(i int) fleet.Region { return fleet.Region(fmt.Sprintf("r%02d", i)) }
+
+// Blocks returns n distinct blocks in ascending order, the same for the same
+// arguments. Their homes are drawn from regions regions without a preference
+// of domains where topology is nil, and with two preferred domains otherwise.
+func Blocks(n, regions int, topology block.Topology, seed uint64) []block.Block {
+	g := generator{rng: rand.New(rand.NewPCG(seed, 0)), regions: regions, topology: topology}
+	v4 := n - n*3/10
+	g.blocks = make([]block.Block, 0, n)
+	// The gaps are set so that the blocks cover the space from 1.0.0.0 up to
+	// about 223.0.0.0 and 2400::/16.
+	g.walk4(v4, uint64(222<<24)/uint64(v4+1))
+	g.walk6(n-v4, uint64(1<<48)/uint64(n-v4+1))
+	return g.blocks
+}
+
+// Table builds a table of Blocks.
+func Table(n, regions int, topology block.Topology, seed uint64) *block.Table {
+	b := block.NewBuilder(nil)
+	for _, x := range Blocks(n, regions, topology, seed) {
+		if err := b.Add(x.Prefix, x.Home); err != nil {
+			panic(err) // the generator makes valid prefixes only
+		}
+	}
+	t, err := b.Build()
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+// Addrs returns n addresses of clients in random blocks of t.
+func Addrs(t *block.Table, n int, seed uint64) []netip.Addr {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	prefixes := make([]netip.Prefix, 0, t.Len())
+	for p := range t.All() {
+		prefixes = append(prefixes, p)
+	}
+	addrs := make([]netip.Addr, n)
+	for i := range addrs {
+		addrs[i] = Addr(prefixes[rng.IntN(len(prefixes))], rng.Uint64())
+	}
+	return addrs
+}
+
+// Addr returns the address of p that x chooses.
+func Addr(p netip.Prefix, x uint64) netip.Addr {
+	if p.Addr().Is4() {
+		b := p.Addr().As4()
+		v := binary.BigEndian.Uint32(b[:]) | uint32(x)&(uint32(1<<(32-p.Bits()))-1)
+		binary.BigEndian.PutUint32(b[:], v)
+		return netip.AddrFrom4(b)
+	}
+	b := p.Addr().As16()
+	v := binary.BigEndian.Uint64(b[:]) | x&(uint64(1<<(64-p.Bits()))-1)
+	binary.BigEndian.PutUint64(b[:], v)
+	binary.BigEndian.PutUint64(b[8:], x)
+	return netip.AddrFrom16(b)
+}
+
+// generator walks up the address space.
+type generator struct {
+	rng      *rand.Rand
+	regions  int
+	topology block.Topology
+	blocks   []block.Block
+	home     block.Home
+	run      int // blocks left in the current run of one home
+}
+
+func (g *generator) walk4(n int, step uint64) {
+	at := uint64(1 << 24)
+	for i := 0; i < n; i++ {
+		bits := g.pick(24, 24, 24, 24, 24, 23, 22, 26, 20, 22)
+		size := uint64(1) << (32 - bits)
+		at = (at + size - 1) &^ (size - 1)
+		var b [4]byte
+		binary.BigEndian.PutUint32(b[:], uint32(at))
+		g.emit(netip.PrefixFrom(netip.AddrFrom4(b), bits))
+		if bits < 24 && i+1 < n && g.rng.IntN(4) == 0 {
+			g.emit(netip.PrefixFrom(netip.AddrFrom4(b), 24))
+			i++
+		}
+		at = g.next(at+size, uint64(1<<24)+uint64(i+1)*step)
+	}
+}
+
+func (g *generator) walk6(n int, step uint64) {
+	const base = 0x2400 << 48
+	at := uint64(base)
+	for i := 0; i < n; i++ {
+		bits := g.pick(48, 48, 48, 48, 56, 56, 56, 52, 44, 48)
+		size := uint64(1) << (64 - bits)
+		at = (at + size - 1) &^ (size - 1)
+		var b [16]byte
+		binary.BigEndian.PutUint64(b[:], at)
+		g.emit(netip.PrefixFrom(netip.AddrFrom16(b), bits))
+		at = g.next(at+size, base+uint64(i+1)*step)
+	}
+}
+
+// next returns where the next block may start: mostly right behind the last
+// one, and now and then as far ahead as due.
+func (g *generator) next(end, due uint64) uint64 {
+	if end < due && g.rng.IntN(16) == 0 {
+		return due
+	}
+	return end
+}
+
+func (g *generator) pick(choices ...int) int { return choices[g.rng.IntN(len(choices))] }
+
+// emit adds a block; runs of neighbouring blocks share one home.
+func (g *generator) emit(p netip.Prefix) {
+	if g.run == 0 {
+		g.run = 1 + g.rng.IntN(8)
+		g.home = g.newHome()
+	}
+	g.run--
+	g.blocks = append(g.blocks, block.Block{Prefix: p, Home: g.home})
+}
+
+func (g *generator) newHome() block.Home {
+	r := RegionName(g.rng.IntN(g.regions))
+	domains := g.topology[r]
+	if len(domains) == 0 {
+		return block.Home{Region: r}
+	}
+	i := g.rng.IntN(len(domains))
+	h := block.Home{Region: r, Domains: []fleet.Domain{domains[i]}}
+	if j := (i + 1) % len(domains); j != i {
+		h.Domains = append(h.Domains, domains[j])
+	}
+	return h
+}
--- /dev/null
+++ b/decide/block/build.go
@@ -0,0 +1,138 @@
+package block
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+)
+
+// MaxBlocks is the largest number of blocks in a table. It bounds the memory
+// that a faulty source can make a daemon take.
+const MaxBlocks = 1 << 24
+
+// Builder collects blocks for a Table.
+type Builder struct {
+	topology Topology
+	homes    *homeSet
+	v4       []draft[uint32]
+	v6       []draft[uint64]
+	line     int
+}
+
+// draft is an entry with the line it came from, for error reports.
+type draft[K key] struct {
+	start K
+	line  uint32
+	home  HomeID
+	bits  uint8
+}
+
+// NewBuilder returns a Builder that accepts the names of topology.
+func NewBuilder(topology Topology) *Builder {
+	return &Builder{topology: topology, homes: newHomeSet(nil)}
+}
+
+// Add adds a block. The n-th call counts as line n in errors.
+func (b *Builder) Add(p netip.Prefix, h Home) error {
+	b.line++
+	id, err := b.home(h)
+	if err == nil {
+		err = b.add(p, id)
+	}
+	if err != nil {
+		return &SourceError{Line: b.line, Err: err}
+	}
+	return nil
+}
+
+// home checks h and returns its number.
+func (b *Builder) home(h Home) (HomeID, error) {
+	if err := b.topology.check(h); err != nil {
+		return 0, err
+	}
+	return b.homes.id(h)
+}
+
+// add adds a block of the current line.
+func (b *Builder) add(p netip.Prefix, id HomeID) error {
+	if err := checkPrefix(p); err != nil {
+		return err
+	}
+	if len(b.v4)+len(b.v6) >= MaxBlocks {
+		return fmt.Errorf("%w: more than %d blocks", ErrTooLarge, MaxBlocks)
+	}
+	line, bits := uint32(b.line), uint8(p.Bits())
+	if p.Addr().Is4() {
+		b.v4 = append(b.v4, draft[uint32]{key4(p.Addr()), line, id, bits})
+	} else {
+		b.v6 = append(b.v6, draft[uint64]{key6(p.Addr()), line, id, bits})
+	}
+	return nil
+}
+
+// Build returns the table and empties the Builder. It fails with a
+// *ConflictError where one prefix was given two different homes; the same
+// block given twice is accepted.
+func (b *Builder) Build() (*Table, error) {
+	e4, err := entriesOf(b, b.v4, prefix4)
+	if err != nil {
+		return nil, err
+	}
+	b.v4 = nil // the drafts are as large as the table: let them go early
+	e6, err := entriesOf(b, b.v6, prefix6)
+	if err != nil {
+		return nil, err
+	}
+	b.v6 = nil
+	t := &Table{
+		v4:    newPages(e4),
+		v6:    newPages(e6),
+		homes: b.homes.homes,
+		sums:  b.homes.sums,
+	}
+	t.sum = sumOf(&t.v4, t.sums) + sumOf(&t.v6, t.sums)
+	b.homes = newHomeSet(nil)
+	return t, nil
+}
+
+// entriesOf sorts drafts and turns them into entries without duplicates.
+func entriesOf[K key](b *Builder, drafts []draft[K], prefix func(K, uint8) netip.Prefix) ([]entry[K], error) {
+	slices.SortFunc(drafts, func(x, y draft[K]) int {
+		if c := cmp.Compare(x.start, y.start); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(x.bits, y.bits); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.line, y.line)
+	})
+	entries := make([]entry[K], 0, len(drafts))
+	for i, d := range drafts {
+		if i == 0 || d.start != drafts[i-1].start || d.bits != drafts[i-1].bits {
+			entries = append(entries, entry[K]{start: d.start, home: d.home, bits: d.bits, up: outside})
+			continue
+		}
+		if e := drafts[i-1]; e.home != d.home {
+			return nil, &ConflictError{
+				Prefix: prefix(d.start, d.bits),
+				Line:   int(d.line), First: int(e.line),
+				Home: b.homes.homes[d.home], Earlier: b.homes.homes[e.home],
+			}
+		}
+	}
+	return entries, nil
+}
+
+func sumOf[K key](t *pages[K], homes []uint64) uint64 {
+	var sum uint64
+	t.all(func(e *entry[K]) bool {
+		sum += e.sum(homes)
+		return true
+	})
+	return sum
+}
+
+func (e *entry[K]) sum(homes []uint64) uint64 {
+	return entrySum(widthOf[K](), uint64(e.start), e.bits, homes[e.home])
+}
--- /dev/null
+++ b/decide/block/chunk.go
@@ -0,0 +1,270 @@
+package block
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxChunk is the largest size of a chunk in bytes. The platform's service
+// holds values up to a megabyte; the difference is left to what wraps a chunk.
+const MaxChunk = 1_000_000 - 16<<10
+
+// Manifest lists the chunks of one table. It is written after them, with a
+// compare-and-swap, so a reader that sees it finds every chunk.
+type Manifest struct {
+	Chunks []uint64 // Key of each chunk, in order
+	Blocks int      // number of blocks in all chunks
+	Sum    uint64   // Table.Sum
+}
+
+// ChunkKey is the name of a chunk: the hash of its content. A chunk whose
+// blocks have not changed keeps its key and need not be written or read again.
+func ChunkKey(chunk []byte) uint64 { return xxhash.Sum64(chunk) }
+
+// A chunk is
+//
+//	version  1 byte
+//	homes    uvarint count, then each as uvarint length and "region domain,..."
+//	blocks   until the end: family and length (1 byte), home (uvarint),
+//	         start minus the start before (uvarint; IPv6: the upper 64 bits)
+//
+// The length byte is the prefix length for IPv4 and 64 plus it for IPv6. The
+// first start of a chunk and of a family is counted from zero.
+const (
+	chunkVersion = 1
+	family6      = 64
+)
+
+// cutMask makes a chunk end after a block whose hash has these bits zero, one
+// in 2^17. Ends then depend on blocks and not on positions, so that an added
+// block changes its own chunk and not all that follow.
+const cutMask = 1<<17 - 1
+
+// chunkWriter collects one chunk.
+type chunkWriter struct {
+	table *Table
+	limit int
+	ids   map[HomeID]uint64 // numbers within the chunk
+	homes []byte
+	body  []byte
+	last  uint64
+	last6 bool
+}
+
+// EncodeChunks writes t as chunks of at most limit bytes each; limit is at
+// most MaxChunk and must have room for one block.
+func EncodeChunks(t *Table, limit int) ([][]byte, Manifest, error) {
+	m := Manifest{Blocks: t.Len(), Sum: t.Sum()}
+	var chunks [][]byte
+	w := chunkWriter{table: t, limit: min(limit, MaxChunk)}
+	w.reset()
+	flush := func() {
+		chunk := w.bytes()
+		chunks = append(chunks, chunk)
+		m.Chunks = append(m.Chunks, ChunkKey(chunk))
+		w.reset()
+	}
+	for p, id := range t.All() {
+		if !w.add(p, id) {
+			flush()
+			if !w.add(p, id) {
+				return nil, Manifest{}, fmt.Errorf("%w: a block does not fit %d bytes", ErrTooLarge, w.limit)
+			}
+		}
+		if Hash(p)&cutMask == 0 {
+			flush()
+		}
+	}
+	if len(w.body) > 0 {
+		flush()
+	}
+	return chunks, m, nil
+}
+
+func (w *chunkWriter) reset() {
+	w.ids = make(map[HomeID]uint64)
+	w.homes, w.body = nil, nil
+	w.last, w.last6 = 0, false
+}
+
+// overhead bounds the version and the count of homes.
+const overhead = 1 + binary.MaxVarintLen32
+
+// add appends a block, or reports false and changes nothing where the chunk
+// has no room for it.
+func (w *chunkWriter) add(p netip.Prefix, id HomeID) bool {
+	n, known := w.ids[id]
+	home := ""
+	if !known {
+		n = uint64(len(w.ids))
+		home = homeText(w.table.Home(id))
+	}
+	need := len(home) + 3*binary.MaxVarintLen64
+	if overhead+len(w.homes)+len(w.body)+need > w.limit {
+		return false
+	}
+	if !known {
+		w.ids[id] = n
+		w.homes = binary.AppendUvarint(w.homes, uint64(len(home)))
+		w.homes = append(w.homes, home...)
+	}
+	start, length := packed(p)
+	if p.Addr().Is6() && !w.last6 {
+		w.last, w.last6 = 0, true
+	}
+	w.body = append(w.body, length)
+	w.body = binary.AppendUvarint(w.body, n)
+	w.body = binary.AppendUvarint(w.body, start-w.last)
+	w.last = start
+	return true
+}
+
+// packed returns a block's start and length byte.
+func packed(p netip.Prefix) (start uint64, length byte) {
+	if p.Addr().Is4() {
+		return uint64(key4(p.Addr())), byte(p.Bits())
+	}
+	return key6(p.Addr()), byte(family6 + p.Bits())
+}
+
+func (w *chunkWriter) bytes() []byte {
+	out := make([]byte, 0, overhead+len(w.homes)+len(w.body))
+	out = append(out, chunkVersion)
+	out = binary.AppendUvarint(out, uint64(len(w.ids)))
+	out = append(out, w.homes...)
+	return append(out, w.body...)
+}
+
+// DecodeChunks builds a table from the chunks of a manifest, in its order. A
+// missing, altered or surplus chunk refuses the whole.
+func DecodeChunks(m Manifest, chunks [][]byte, topology Topology) (*Table, error) {
+	if len(chunks) != len(m.Chunks) {
+		return nil, fmt.Errorf("%w: %d chunks, %d stated", ErrTruncated, len(chunks), len(m.Chunks))
+	}
+	b := NewBuilder(topology)
+	for i, chunk := range chunks {
+		if key := ChunkKey(chunk); key != m.Chunks[i] {
+			return nil, fmt.Errorf("%w: chunk %d is %016x, %016x stated", ErrTruncated, i+1, key, m.Chunks[i])
+		}
+		if err := decodeChunk(b, chunk); err != nil {
+			return nil, fmt.Errorf("chunk %d: %w", i+1, err)
+		}
+	}
+	t, err := b.Build()
+	if err != nil {
+		return nil, err
+	}
+	if t.Len() != m.Blocks || t.Sum() != m.Sum {
+		return nil, fmt.Errorf("%w: %d blocks with checksum %016x, %d with %016x stated",
+			ErrTruncated, t.Len(), t.Sum(), m.Blocks, m.Sum)
+	}
+	return t, nil
+}
+
+// chunkReader reads the fields of a chunk; after a fault it returns zeros.
+type chunkReader struct {
+	rest []byte
+	bad  bool
+}
+
+func (r *chunkReader) byte() byte {
+	if len(r.rest) == 0 {
+		r.bad = true
+		return 0
+	}
+	b := r.rest[0]
+	r.rest = r.rest[1:]
+	return b
+}
+
+func (r *chunkReader) uvarint() uint64 {
+	x, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		r.bad = true
+		r.rest = nil
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return x
+}
+
+func (r *chunkReader) text() string {
+	n := r.uvarint()
+	if n > uint64(len(r.rest)) {
+		r.bad = true
+		return ""
+	}
+	s := string(r.rest[:n])
+	r.rest = r.rest[n:]
+	return s
+}
+
+func decodeChunk(b *Builder, chunk []byte) error {
+	r := chunkReader{rest: chunk}
+	if v := r.byte(); v != chunkVersion {
+		return fmt.Errorf("%w: version %d", ErrSyntax, v)
+	}
+	ids, err := decodeHomes(b, &r)
+	if err != nil {
+		return err
+	}
+	var last uint64
+	last6 := false
+	for len(r.rest) > 0 {
+		b.line++
+		length, home, step := r.byte(), r.uvarint(), r.uvarint()
+		if r.bad || home >= uint64(len(ids)) {
+			return &SourceError{Line: b.line, Err: fmt.Errorf("%w: chunk ends early or names no home", ErrSyntax)}
+		}
+		if length >= family6 && !last6 {
+			last, last6 = 0, true
+		}
+		last += step
+		p, err := unpacked(last, length)
+		if err == nil {
+			err = b.add(p, ids[home])
+		}
+		if err != nil {
+			return &SourceError{Line: b.line, Err: err}
+		}
+	}
+	return nil
+}
+
+func decodeHomes(b *Builder, r *chunkReader) ([]HomeID, error) {
+	n := r.uvarint()
+	if n > uint64(len(r.rest)) {
+		return nil, fmt.Errorf("%w: %d homes in %d bytes", ErrSyntax, n, len(r.rest))
+	}
+	ids := make([]HomeID, 0, n)
+	for range n {
+		text := r.text()
+		if r.bad {
+			return nil, fmt.Errorf("%w: chunk ends within its homes", ErrSyntax)
+		}
+		h, err := parseHome(text)
+		if err != nil {
+			return nil, err
+		}
+		id, err := b.home(h)
+		if err != nil {
+			return nil, err
+		}
+		ids = append(ids, id)
+	}
+	return ids, nil
+}
+
+// unpacked is the inverse of packed.
+func unpacked(start uint64, length byte) (netip.Prefix, error) {
+	if length >= family6 {
+		return prefix6(start, length-family6), nil
+	}
+	if start > 1<<width4-1 || length > width4 {
+		return netip.Prefix{}, fmt.Errorf("%w: start %d, length %d", ErrPrefix, start, length)
+	}
+	return prefix4(uint32(start), length), nil
+}
--- /dev/null
+++ b/decide/block/diff.go
@@ -0,0 +1,76 @@
+package block
+
+import "net/netip"
+
+// Diff returns the delta that leads from one table to another.
+func Diff(from, to *Table) Delta {
+	d := Delta{From: from.Sum(), To: to.Sum()}
+	if from == nil {
+		from = &Table{}
+	}
+	if to == nil {
+		to = &Table{}
+	}
+	same := sameHomes(from, to)
+	diffPages(&d, to, &from.v4, &to.v4, same, prefix4)
+	diffPages(&d, to, &from.v6, &to.v6, same, prefix6)
+	return d
+}
+
+// sameHomes returns the test whether a home of one table equals one of another.
+func sameHomes(from, to *Table) func(HomeID, HomeID) bool {
+	set := newHomeSet(from.homes)
+	ids := make([]HomeID, len(to.homes))
+	found := make([]bool, len(to.homes))
+	for i, h := range to.homes {
+		ids[i], found[i] = set.ids[homeText(h)]
+	}
+	return func(a, b HomeID) bool { return found[b] && ids[b] == a }
+}
+
+// cursor walks over the entries of one address family.
+type cursor[K key] struct {
+	pages []page[K]
+	at    int // index in pages[0]
+}
+
+// entry returns the entry under the cursor, or nil at the end.
+func (c *cursor[K]) entry() *entry[K] {
+	if len(c.pages) == 0 {
+		return nil
+	}
+	return &c.pages[0].entries[c.at]
+}
+
+func (c *cursor[K]) next() {
+	c.at++
+	if c.at == len(c.pages[0].entries) {
+		c.pages, c.at = c.pages[1:], 0
+	}
+}
+
+// diffPages walks both families in step and notes what differs.
+func diffPages[K key](
+	d *Delta, table *Table, from, to *pages[K], same func(HomeID, HomeID) bool, prefix func(K, uint8) netip.Prefix,
+) {
+	a, b := cursor[K]{pages: from.pages}, cursor[K]{pages: to.pages}
+	for {
+		x, y := a.entry(), b.entry()
+		switch {
+		case x == nil && y == nil:
+			return
+		case y == nil || x != nil && x.before(y):
+			d.Remove = append(d.Remove, prefix(x.start, x.bits))
+			a.next()
+		case x == nil || y.before(x):
+			d.Set = append(d.Set, Block{prefix(y.start, y.bits), table.Home(y.home)})
+			b.next()
+		default:
+			if !same(x.home, y.home) {
+				d.Set = append(d.Set, Block{prefix(y.start, y.bits), table.Home(y.home)})
+			}
+			a.next()
+			b.next()
+		}
+	}
+}
--- /dev/null
+++ b/decide/block/errors.go
@@ -0,0 +1,79 @@
+package block
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Reasons for which a source or a delta is refused. Errors returned by this
+// package wrap one of them.
+var (
+	// ErrPrefix says that a prefix is malformed, has host bits set, or is an
+	// IPv6 prefix longer than /64.
+	ErrPrefix = errors.New("invalid prefix")
+	// ErrConflict says that one prefix is given two different homes.
+	ErrConflict = errors.New("prefix with two different homes")
+	// ErrUnknownName says that a region or failure domain is not in the Topology.
+	ErrUnknownName = errors.New("unknown region or failure domain")
+	// ErrSyntax says that a line or chunk cannot be decoded.
+	ErrSyntax = errors.New("malformed source")
+	// ErrTruncated says that a source ends early, lacks chunks, or differs
+	// from the count or checksum that it states.
+	ErrTruncated = errors.New("source is truncated or altered")
+	// ErrTooLarge says that a source exceeds the number of blocks or homes
+	// that a table holds, or that a chunk exceeds its size.
+	ErrTooLarge = errors.New("source is too large")
+	// ErrBase says that a delta was made for another table.
+	ErrBase = errors.New("delta does not fit this table")
+)
+
+var errTooManyHomes = fmt.Errorf("%w: more than %d distinct homes", ErrTooLarge, maxHomes)
+
+// SourceError is a refusal with the place of the fault.
+type SourceError struct {
+	Line int // line of a text source, or number of the block added; from 1
+	Err  error
+}
+
+// Error implements error.
+func (e *SourceError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
+
+// Unwrap returns the reason.
+func (e *SourceError) Unwrap() error { return e.Err }
+
+// ConflictError is a prefix that stands in a source twice.
+type ConflictError struct {
+	Prefix        netip.Prefix
+	Line          int // of the second mention
+	First         int // line of the first mention
+	Home, Earlier Home
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("line %d: %v: %s is %q here and %q in line %d",
+		e.Line, ErrConflict, e.Prefix, homeText(e.Home), homeText(e.Earlier), e.First)
+}
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
+// UnknownNameError is a name that the Topology does not hold.
+type UnknownNameError struct {
+	Region fleet.Region
+	Domain fleet.Domain // empty where the region itself is unknown
+}
+
+// Error implements error.
+func (e *UnknownNameError) Error() string {
+	if e.Domain == "" {
+		return fmt.Sprintf("%v: region %q", ErrUnknownName, e.Region)
+	}
+	return fmt.Sprintf("%v: failure domain %q in region %q", ErrUnknownName, e.Domain, e.Region)
+}
+
+// Unwrap returns ErrUnknownName.
+func (e *UnknownNameError) Unwrap() error { return ErrUnknownName }
--- /dev/null
+++ b/decide/block/home.go
@@ -0,0 +1,92 @@
+package block
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Home is where the clients of a block belong.
+type Home struct {
+	Region fleet.Region
+	// Domains are failure domains of Region in order of preference; empty
+	// means that all of them serve the block equally well.
+	Domains []fleet.Domain
+}
+
+// HomeID numbers a Home within one Table and the tables patched from it.
+type HomeID uint16
+
+// maxHomes is the number of distinct homes that a HomeID can tell apart.
+const maxHomes = 1 << 16
+
+// Topology lists the failure domains of every region that a source may name.
+// A nil Topology accepts every name.
+type Topology map[fleet.Region][]fleet.Domain
+
+// check reports the first name of h that t does not hold.
+func (t Topology) check(h Home) error {
+	if t == nil {
+		return nil
+	}
+	domains, ok := t[h.Region]
+	if !ok {
+		return &UnknownNameError{Region: h.Region}
+	}
+	for _, d := range h.Domains {
+		if !slices.Contains(domains, d) {
+			return &UnknownNameError{Region: h.Region, Domain: d}
+		}
+	}
+	return nil
+}
+
+// homeSet numbers homes in the order in which they are first seen.
+type homeSet struct {
+	homes []Home
+	sums  []uint64 // checksum of each home, by HomeID
+	ids   map[string]HomeID
+}
+
+func newHomeSet(homes []Home) *homeSet {
+	s := &homeSet{ids: make(map[string]HomeID, len(homes))}
+	for _, h := range homes {
+		// Homes of a table are distinct and within the limit already.
+		_, _ = s.id(h)
+	}
+	return s
+}
+
+// id returns the number of h, adding it where it is new.
+func (s *homeSet) id(h Home) (HomeID, error) {
+	k := homeText(h)
+	if id, ok := s.ids[k]; ok {
+		return id, nil
+	}
+	if len(s.homes) == maxHomes {
+		return 0, errTooManyHomes
+	}
+	id := HomeID(len(s.homes))
+	h.Domains = slices.Clone(h.Domains)
+	s.homes = append(s.homes, h)
+	s.sums = append(s.sums, xxhash.Sum64String(k))
+	s.ids[k] = id
+	return id, nil
+}
+
+// homeText is the home as the text form writes it: "region domain,domain".
+func homeText(h Home) string {
+	var b strings.Builder
+	b.WriteString(string(h.Region))
+	b.WriteByte(' ')
+	for i, d := range h.Domains {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(string(d))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/decide/block/patch.go
@@ -0,0 +1,198 @@
+package block
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+)
+
+// Block is one prefix with its home.
+type Block struct {
+	Prefix netip.Prefix
+	Home   Home
+}
+
+// Delta changes one table into the next.
+type Delta struct {
+	From   uint64         // Table.Sum before
+	To     uint64         // Table.Sum after
+	Set    []Block        // added blocks, and those whose home has changed
+	Remove []netip.Prefix // removed blocks
+}
+
+// change is one step of a delta in the terms of one address family.
+type change[K key] struct {
+	entry  entry[K]
+	remove bool
+}
+
+// Patch returns the table that d makes of t; t stays as it is. It fails where
+// d was made for another table, names a prefix twice, removes a prefix that is
+// not there, or does not lead to the checksum it states; nothing of the delta
+// is applied then. Names are checked against topology.
+//
+// The new table shares the memory of all untouched pages with t.
+func (t *Table) Patch(d Delta, topology Topology) (*Table, error) {
+	if t.Sum() != d.From {
+		return nil, fmt.Errorf("%w: made for %016x, table is %016x", ErrBase, d.From, t.Sum())
+	}
+	if t == nil {
+		t = &Table{}
+	}
+	homes := newHomeSet(t.homes)
+	c4, c6, err := changesOf(d, homes, topology)
+	if err != nil {
+		return nil, err
+	}
+	next := &Table{homes: homes.homes, sums: homes.sums, sum: t.sum}
+	if next.v4, err = patchPages(&t.v4, c4, homes.sums, &next.sum, prefix4); err != nil {
+		return nil, err
+	}
+	if next.v6, err = patchPages(&t.v6, c6, homes.sums, &next.sum, prefix6); err != nil {
+		return nil, err
+	}
+	if next.Len() > MaxBlocks {
+		return nil, fmt.Errorf("%w: more than %d blocks", ErrTooLarge, MaxBlocks)
+	}
+	if next.sum != d.To {
+		return nil, fmt.Errorf("%w: leads to %016x instead of %016x", ErrTruncated, next.sum, d.To)
+	}
+	return next, nil
+}
+
+// changesOf checks a delta and sorts its changes by address family.
+func changesOf(d Delta, homes *homeSet, topology Topology) ([]change[uint32], []change[uint64], error) {
+	var c4 []change[uint32]
+	var c6 []change[uint64]
+	add := func(p netip.Prefix, id HomeID, remove bool) error {
+		if err := checkPrefix(p); err != nil {
+			return err
+		}
+		bits := uint8(p.Bits())
+		if p.Addr().Is4() {
+			c4 = append(c4, change[uint32]{entry[uint32]{key4(p.Addr()), id, bits, outside}, remove})
+		} else {
+			c6 = append(c6, change[uint64]{entry[uint64]{key6(p.Addr()), id, bits, outside}, remove})
+		}
+		return nil
+	}
+	for _, b := range d.Set {
+		if err := topology.check(b.Home); err != nil {
+			return nil, nil, err
+		}
+		id, err := homes.id(b.Home)
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := add(b.Prefix, id, false); err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, p := range d.Remove {
+		if err := add(p, 0, true); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err := sortChanges(c4, prefix4); err != nil {
+		return nil, nil, err
+	}
+	return c4, c6, sortChanges(c6, prefix6)
+}
+
+// sortChanges brings changes into the order of entries.
+func sortChanges[K key](changes []change[K], prefix func(K, uint8) netip.Prefix) error {
+	slices.SortFunc(changes, func(a, b change[K]) int {
+		return cmp.Or(cmp.Compare(a.entry.start, b.entry.start), cmp.Compare(a.entry.bits, b.entry.bits))
+	})
+	for i := 1; i < len(changes); i++ {
+		if e := &changes[i].entry; e.samePrefix(&changes[i-1].entry) {
+			return fmt.Errorf("%w: delta names %s twice", ErrConflict, prefix(e.start, e.bits))
+		}
+	}
+	return nil
+}
+
+// patchPages applies sorted changes to t and adds their part to sum.
+func patchPages[K key](
+	t *pages[K], changes []change[K], homes []uint64, sum *uint64, prefix func(K, uint8) netip.Prefix,
+) (pages[K], error) {
+	if len(changes) == 0 {
+		return *t, nil
+	}
+	list := make([]page[K], 0, len(t.pages)+1)
+	for i := range t.pages {
+		mine := changes
+		if i+1 < len(t.pages) {
+			mine = changes[:countBefore(changes, &t.pages[i+1].entries[0])]
+		}
+		changes = changes[len(mine):]
+		if len(mine) == 0 {
+			list = append(list, t.pages[i])
+			continue
+		}
+		entries, err := merge(t.pages[i].entries, mine, homes, sum, prefix)
+		if err != nil {
+			return pages[K]{}, err
+		}
+		list = appendSplit(list, entries)
+	}
+	if len(t.pages) == 0 {
+		entries, err := merge(nil, changes, homes, sum, prefix)
+		if err != nil {
+			return pages[K]{}, err
+		}
+		list = appendSplit(list, entries)
+	}
+	return assemble(list), nil
+}
+
+// countBefore returns how many of the sorted changes come before e.
+func countBefore[K key](changes []change[K], e *entry[K]) int {
+	n := 0
+	for n < len(changes) && changes[n].entry.before(e) {
+		n++
+	}
+	return n
+}
+
+// merge returns a copy of entries with the changes applied.
+func merge[K key](
+	entries []entry[K], changes []change[K], homes []uint64, sum *uint64, prefix func(K, uint8) netip.Prefix,
+) ([]entry[K], error) {
+	out := make([]entry[K], 0, len(entries)+len(changes))
+	for _, c := range changes {
+		for len(entries) > 0 && entries[0].before(&c.entry) {
+			out = append(out, entries[0])
+			entries = entries[1:]
+		}
+		present := len(entries) > 0 && entries[0].samePrefix(&c.entry)
+		if present {
+			*sum -= entries[0].sum(homes)
+			entries = entries[1:]
+		}
+		switch {
+		case !c.remove:
+			*sum += c.entry.sum(homes)
+			out = append(out, c.entry)
+		case !present:
+			return nil, fmt.Errorf("%w: %s to be removed is not there", ErrBase, prefix(c.entry.start, c.entry.bits))
+		}
+	}
+	return append(out, entries...), nil
+}
+
+// appendSplit appends entries to list as pages of at most pageMax entries.
+func appendSplit[K key](list []page[K], entries []entry[K]) []page[K] {
+	for len(entries) > 0 {
+		n := len(entries)
+		if n > pageMax {
+			n = min(pageFill, n)
+		}
+		p := page[K]{entries: entries[:n:n]}
+		p.link()
+		list = append(list, p)
+		entries = entries[n:]
+	}
+	return list
+}
--- /dev/null
+++ b/decide/block/text.go
@@ -0,0 +1,218 @@
+package block
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// The text form has one block a line,
+//
+//	prefix region [domain[,domain]...]
+//
+// with fields separated by spaces or tabs. Empty lines and lines that begin
+// with # are skipped. The last line is
+//
+//	end COUNT CHECKSUM
+//
+// where COUNT is the number of blocks and CHECKSUM the xxHash64 (seed 0), in
+// 16 hexadecimal digits, of every byte before that line. Without it, a file
+// cut at the end of a line would pass for a smaller table, and the clients of
+// the missing blocks would be steered by the default.
+const endWord = "end"
+
+// maxLine bounds a line of a text source, in bytes.
+const maxLine = 64 << 10
+
+// textReader reads one text source.
+type textReader struct {
+	builder *Builder
+	sum     *xxhash.Digest
+	homes   map[string]HomeID // by the text after the prefix
+	blocks  int
+	ended   bool
+}
+
+// Load reads a text source whole. Errors are *SourceError or *ConflictError
+// and name the line.
+func Load(r io.Reader, topology Topology) (*Table, error) {
+	t := textReader{
+		builder: NewBuilder(topology),
+		sum:     xxhash.New(),
+		homes:   make(map[string]HomeID),
+	}
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, maxLine), maxLine)
+	s.Split(scanRawLines)
+	for s.Scan() {
+		t.builder.line++
+		if err := t.line(s.Bytes()); err != nil {
+			return nil, &SourceError{Line: t.builder.line, Err: err}
+		}
+	}
+	if err := t.finish(s.Err()); err != nil {
+		return nil, &SourceError{Line: t.builder.line + 1, Err: err}
+	}
+	return t.builder.Build()
+}
+
+// finish checks that the source has ended as it should.
+func (t *textReader) finish(err error) error {
+	switch {
+	case errors.Is(err, bufio.ErrTooLong):
+		return fmt.Errorf("%w: line longer than %d bytes", ErrSyntax, maxLine)
+	case err != nil:
+		return err
+	case !t.ended:
+		return fmt.Errorf("%w: no %q line", ErrTruncated, endWord)
+	}
+	return nil
+}
+
+// scanRawLines splits like bufio.ScanLines and keeps the line ends, which are
+// part of the checksum.
+func scanRawLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i+1], nil
+	}
+	if atEOF && len(data) > 0 {
+		return len(data), data, nil
+	}
+	return 0, nil, nil
+}
+
+func (t *textReader) line(raw []byte) error {
+	text := bytes.TrimSpace(raw)
+	if t.ended && len(text) > 0 {
+		return fmt.Errorf("%w: text after the %q line", ErrSyntax, endWord)
+	}
+	if word, rest, ok := cutField(text); ok && string(word) == endWord {
+		return t.end(rest)
+	}
+	// Digest.Write never fails.
+	_, _ = t.sum.Write(raw)
+	if len(text) == 0 || text[0] == '#' {
+		return nil
+	}
+	return t.block(text)
+}
+
+// cutField splits text after its first field.
+func cutField(text []byte) (field, rest []byte, ok bool) {
+	i := bytes.IndexAny(text, " \t")
+	if i < 0 {
+		return text, nil, false
+	}
+	return text[:i], bytes.TrimLeft(text[i:], " \t"), true
+}
+
+func (t *textReader) block(text []byte) error {
+	field, rest, ok := cutField(text)
+	if !ok {
+		return fmt.Errorf("%w: want \"prefix region [domain,...]\"", ErrSyntax)
+	}
+	p, err := netip.ParsePrefix(string(field))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrPrefix, err)
+	}
+	id, known := t.homes[string(rest)]
+	if !known {
+		if id, err = t.home(string(rest)); err != nil {
+			return err
+		}
+	}
+	t.blocks++
+	return t.builder.add(p, id)
+}
+
+// home reads the text after a prefix that was not met before.
+func (t *textReader) home(text string) (HomeID, error) {
+	h, err := parseHome(text)
+	if err != nil {
+		return 0, err
+	}
+	id, err := t.builder.home(h)
+	if err != nil {
+		return 0, err
+	}
+	t.homes[text] = id
+	return id, nil
+}
+
+func parseHome(text string) (Home, error) {
+	fields := strings.Fields(text)
+	if len(fields) == 0 || len(fields) > 2 {
+		return Home{}, fmt.Errorf("%w: want \"prefix region [domain,...]\"", ErrSyntax)
+	}
+	h := Home{Region: fleet.Region(fields[0])}
+	if len(fields) == 1 {
+		return h, nil
+	}
+	for name := range strings.SplitSeq(fields[1], ",") {
+		if name == "" {
+			return Home{}, fmt.Errorf("%w: empty name in %q", ErrSyntax, fields[1])
+		}
+		h.Domains = append(h.Domains, fleet.Domain(name))
+	}
+	return h, nil
+}
+
+// end checks the last line against what was read.
+func (t *textReader) end(rest []byte) error {
+	fields := bytes.Fields(rest)
+	if len(fields) != 2 {
+		return fmt.Errorf("%w: want \"%s COUNT CHECKSUM\"", ErrSyntax, endWord)
+	}
+	count, err := strconv.Atoi(string(fields[0]))
+	if err != nil {
+		return fmt.Errorf("%w: count %q", ErrSyntax, fields[0])
+	}
+	sum, err := strconv.ParseUint(string(fields[1]), 16, 64)
+	if err != nil {
+		return fmt.Errorf("%w: checksum %q", ErrSyntax, fields[1])
+	}
+	if count != t.blocks {
+		return fmt.Errorf("%w: %d blocks, %d stated", ErrTruncated, t.blocks, count)
+	}
+	if got := t.sum.Sum64(); got != sum {
+		return fmt.Errorf("%w: checksum %016x, %016x stated", ErrTruncated, got, sum)
+	}
+	t.ended = true
+	return nil
+}
+
+// Write writes t in the text form, in the order of Table.All.
+func Write(w io.Writer, t *Table) error {
+	sum := xxhash.New()
+	out := bufio.NewWriter(io.MultiWriter(w, sum))
+	texts := make([]string, t.Homes())
+	for i := range texts {
+		texts[i] = strings.TrimSpace(homeText(t.Home(HomeID(i))))
+	}
+	var line []byte
+	for p, id := range t.All() {
+		line = p.AppendTo(line[:0])
+		line = append(line, ' ')
+		line = append(line, texts[id]...)
+		line = append(line, '\n')
+		if _, err := out.Write(line); err != nil {
+			return fmt.Errorf("block: write table: %w", err)
+		}
+	}
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("block: write table: %w", err)
+	}
+	if _, err := fmt.Fprintf(w, "%s %d %016x\n", endWord, t.Len(), sum.Sum64()); err != nil {
+		return fmt.Errorf("block: write table: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/decide/change/apply_test.go
@@ -0,0 +1,238 @@
+package change
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+var start0 = clock.FromWall(time.Date(2026, 3, 1, 22, 0, 0, 0, time.UTC))
+
+// sample holds a service in use, one unused, and a shift in each state that
+// the refusals below need.
+func sample() catalogue.Catalogue {
+	shift := func(id string, st catalogue.ShiftState, from, to fleet.Region, most catalogue.Share) catalogue.Shift {
+		return catalogue.Shift{
+			ID: id, Owner: "team", Author: "ana", Class: catalogue.Rehearsal, Service: "lookup",
+			From: from, To: to, Limits: catalogue.Limits{MaxShare: most}, State: st, Revision: 5,
+		}
+	}
+	ended := shift("ended", catalogue.Approved, "hye", "", 100)
+	ended.Limits.Window.End = start0.Wall()
+	later := shift("later", catalogue.Running, "hye", "", 100)
+	later.Limits.Window.Start = start0.Wall().Add(time.Hour)
+	alarm := shift("alarm", catalogue.Approved, "kriti", "", 3000)
+	alarm.Class = catalogue.Emergency
+	return catalogue.Catalogue{
+		Revision: 9,
+		Services: []catalogue.Service{{Name: "lookup", Revision: 3}, {Name: "spare", Revision: 4}},
+		Shifts: []catalogue.Shift{
+			shift("draft", catalogue.Draft, "attiki", "kriti", 3000),
+			shift("moving", catalogue.Running, "attiki", "kriti", 8000),
+			shift("beside", catalogue.Approved, "attiki", "makedonia", 3000),
+			shift("back", catalogue.Approved, "makedonia", "attiki", 3000),
+			shift("onward", catalogue.Approved, "kriti", "makedonia", 3000),
+			alarm, ended, later,
+		},
+	}
+}
+
+func ref(kind Kind, id string, expect uint64) Operation {
+	return Operation{ID: "op", Operator: "ben", Kind: kind, Shift: &ShiftRef{ID: id, Expect: expect}}
+}
+
+func step(id string, share catalogue.Share) Operation {
+	return Operation{ID: "op", Operator: RunnerName, Kind: KindAdvance, Advance: &Advance{ID: id, Expect: 5, Share: share, SteppedAt: int64(start0)}}
+}
+
+func TestApplyRefuses(t *testing.T) {
+	own := ref(KindApprove, "draft", 5)
+	own.Operator = "ana"
+	remove := Operation{ID: "op", Operator: "ben", Kind: KindRemoveService, RemoveService: &RemoveService{Name: "lookup", Expect: 3}}
+	for _, c := range []struct {
+		name  string
+		op    Operation
+		code  Code
+		field string
+	}{
+		{"approval by the author", own, OwnEntry, "approved_by"},
+		{"start of a draft", ref(KindStart, "draft", 5), WrongState, "state"},
+		{"resume of a running shift", ref(KindResume, "moving", 5), WrongState, "state"},
+		{"removal of a running shift", ref(KindRemove, "moving", 5), WrongState, "state"},
+		{"roll-back of a draft", ref(KindRollBack, "draft", 0), WrongState, "state"},
+		{"more than the whole region", ref(KindStart, "beside", 5), Overlap, "limits.max_share"},
+		{"into a region being emptied", ref(KindStart, "back", 5), Overlap, "to"},
+		{"out of a region being filled", ref(KindStart, "onward", 5), Overlap, "from"},
+		{"start after the window", ref(KindStart, "ended", 5), OutOfWindow, "limits.window.end"},
+		{"step before the window", step("later", 10), OutOfWindow, "limits.window"},
+		{"step above the cap", step("moving", 8001), OverCap, "share"},
+		{"step too large", step("moving", 501), OverStep, "share"},
+		{"service in use", remove, InUse, "service"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Apply(sample(), c.op, start0)
+			var r *Refused
+			is.True(errors.As(err, &r))
+			is.Equal(r.Code, c.code)
+			is.Equal(r.Field, c.field)
+		})
+	}
+	t.Run("an emergency may empty a region being filled", func(t *testing.T) {
+		is := is.New(t)
+		_, err := Apply(sample(), ref(KindStart, "alarm", 5), start0)
+		is.NoErr(err)
+	})
+}
+
+func TestApplyFindsConflicts(t *testing.T) {
+	put := func(name fleet.ServiceName, expect uint64) Operation {
+		return Operation{ID: "op", Operator: "ben", Kind: KindPutService, PutService: &PutService{Service: catalogue.Service{Name: name}, Expect: expect}}
+	}
+	for _, c := range []struct {
+		name  string
+		op    Operation
+		found uint64
+	}{
+		{"service there already", put("lookup", 0), 3},
+		{"service changed", put("lookup", 2), 3},
+		{"service gone", put("other", 2), 0},
+		{"shift changed", ref(KindApprove, "draft", 4), 5},
+		{"approval without a version", ref(KindApprove, "draft", 0), 5},
+		{"shift gone", ref(KindPause, "other", 0), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Apply(sample(), c.op, start0)
+			var e *Conflict
+			is.True(errors.As(err, &e))
+			is.Equal(e.Found, c.found)
+			is.Equal(c.found != 0, e.CurrentShift != nil || e.CurrentService != nil)
+		})
+	}
+}
+
+func TestApplyListsEveryInvalidField(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", MaxNameLen+1)
+	op := Operation{ID: "op", Operator: "ana", Kind: KindAddShift, AddShift: &AddShift{Entry: Entry{
+		ID: "March!", Owner: long, Class: "trial", Service: "unknown", From: "attiki", To: "attiki",
+		Limits: catalogue.Limits{
+			MaxShare: 10001, Step: 10002, MinHeadroom: 10001, MaxErrorShare: 10001,
+			Interval: catalogue.Duration(MaxInterval + 1), MaxP99: -1,
+			Window: catalogue.Window{Start: start0.Wall(), End: start0.Wall()},
+		},
+	}}}
+	_, err := Apply(sample(), op, start0)
+	var e *Invalid
+	is.True(errors.As(err, &e))
+	var paths []string
+	for _, f := range e.Fields {
+		paths = append(paths, f.Path)
+	}
+	is.Equal(strings.Join(paths, " "), "id owner class service to limits.max_share limits.step "+
+		"limits.min_headroom limits.max_error_share limits.interval limits.max_p99 limits.window.end")
+
+	op.Shift = &ShiftRef{}
+	op.ID, op.Operator = "", long
+	_, err = Apply(sample(), op, start0)
+	is.Equal(err.Error(), `invalid: id: must be 1 to 64 characters; operator: must be 1 to 64 characters; kind: "add-shift" needs its own payload and no other`)
+}
+
+// TestApplyKeepsInvariants runs random operations and asserts what must hold
+// after each: the input is untouched, accepted changes take the next revision,
+// no share passes its cap, and only what a second operator approved moves.
+func TestApplyKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := sample()
+		c.Shifts = nil
+		now := start0
+		for range 60 {
+			op := drawOperation(t, c)
+			before, _ := json.Marshal(c)
+			next, err := Apply(c, op, now)
+			after, _ := json.Marshal(c)
+			if string(before) != string(after) {
+				t.Fatalf("%+v changed its input:\n%s\n%s", op, before, after)
+			}
+			if err != nil && !reflect.DeepEqual(next, c) {
+				t.Fatalf("a failed operation returned another catalogue")
+			}
+			if err == nil && next.Revision != c.Revision+1 {
+				t.Fatalf("revision %d follows %d", next.Revision, c.Revision)
+			}
+			c = next
+			for _, s := range c.Shifts {
+				checkShift(t, s)
+			}
+			now = now.Add(20 * time.Second)
+		}
+	})
+}
+
+func checkShift(t *rapid.T, s catalogue.Shift) {
+	if s.Share > s.Limits.MaxShare || (s.Share > 0 && !s.State.Moves()) {
+		t.Fatalf("%s moves %d of at most %d in state %s", s.ID, s.Share, s.Limits.MaxShare, s.State)
+	}
+	if s.State == catalogue.Draft {
+		return
+	}
+	if s.ApprovedBy == "" || (s.Class.NeedsSecondOperator() && s.ApprovedBy == s.Author) {
+		t.Fatalf("%s is %s, written by %q, approved by %q", s.ID, s.State, s.Author, s.ApprovedBy)
+	}
+}
+
+// drawOperation draws an operation that often, not always, fits the catalogue.
+func drawOperation(t *rapid.T, c catalogue.Catalogue) Operation {
+	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id")
+	op := Operation{ID: "op", Operator: rapid.SampledFrom([]string{"ana", "ben"}).Draw(t, "by")}
+	op.Kind = rapid.SampledFrom([]Kind{
+		KindAddShift, KindChangeShift, KindApprove, KindApprove, KindStart, KindStart, KindPause,
+		KindResume, KindRollBack, KindRemove, KindAdvance, KindAdvance, KindAdvance,
+	}).Draw(t, "kind")
+	s, _ := c.Shift(id)
+	expect := s.Revision
+	if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
+		expect = 0
+	}
+	e := Entry{ID: id, Owner: "team", From: "attiki", To: "kriti"}
+	e.Class = rapid.SampledFrom([]catalogue.Class{catalogue.Rehearsal, catalogue.Emergency}).Draw(t, "class")
+	e.Limits.MaxShare = catalogue.Share(rapid.IntRange(0, 2000).Draw(t, "max"))
+	switch op.Kind {
+	case KindAddShift:
+		op.AddShift = &AddShift{Entry: e}
+	case KindChangeShift:
+		op.ChangeShift = &ChangeShift{Entry: e, Expect: expect}
+	case KindAdvance:
+		op.Operator = RunnerName
+		share := int(s.Share) + rapid.IntRange(-200, 700).Draw(t, "rise")
+		op.Advance = &Advance{
+			ID: id, Expect: expect, Share: catalogue.Share(max(share, 0)),
+			SteppedAt: s.SteppedAt + int64(40*time.Second), Done: rapid.Bool().Draw(t, "done"),
+		}
+	default:
+		op.Shift = &ShiftRef{ID: id, Expect: expect}
+	}
+	return op
+}
+
+func TestOperationSurvivesJSON(t *testing.T) {
+	is := is.New(t)
+	for _, op := range []Operation{ref(KindPause, "a", 3), step("a", 7)} {
+		raw, err := json.Marshal(op)
+		is.NoErr(err)
+		var back Operation
+		is.NoErr(json.Unmarshal(raw, &back))
+		is.Equal(back, op)
+	}
+}
--- /dev/null
+++ b/decide/change/transition.go
@@ -0,0 +1,198 @@
+package change
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+)
+
+// transition moves a shift through its life cycle.
+func transition(c *catalogue.Catalogue, op Operation, now clock.Time) error {
+	i := shiftAt(c, op.Shift.ID)
+	if i < 0 {
+		return shiftConflict(c, i, op, op.Shift.Expect, nil)
+	}
+	s := c.Shifts[i]
+	if s.Revision != op.Shift.Expect && !anyVersion(op) {
+		return shiftConflict(c, i, op, op.Shift.Expect, nil)
+	}
+	var err error
+	switch op.Kind {
+	case KindApprove:
+		err = approve(&s, op)
+	case KindStart:
+		err = start(c, &s, now)
+	case KindPause:
+		err = pause(&s, op)
+	case KindResume:
+		err = resume(&s)
+	case KindRollBack:
+		err = rollBack(&s, op)
+	}
+	if err != nil {
+		return err
+	}
+	put(c, i, s)
+	return nil
+}
+
+// anyVersion reports whether op applies to whatever version it finds. An
+// operator who stops a shift must not lose a race against the runner, which
+// writes the entry at every step.
+func anyVersion(op Operation) bool {
+	return op.Shift.Expect == 0 && (op.Kind == KindPause || op.Kind == KindRollBack)
+}
+
+// need refuses unless the shift is in one of the given states.
+func need(s *catalogue.Shift, op Kind, states ...catalogue.ShiftState) error {
+	for _, st := range states {
+		if s.State == st {
+			return nil
+		}
+	}
+	return refuse(WrongState, "state", "%s needs a shift in state %s, and it is %s", op, list(states), s.State)
+}
+
+func list(states []catalogue.ShiftState) string {
+	text := string(states[0])
+	for _, s := range states[1:] {
+		text += " or " + string(s)
+	}
+	return text
+}
+
+func approve(s *catalogue.Shift, op Operation) error {
+	if err := need(s, op.Kind, catalogue.Draft); err != nil {
+		return err
+	}
+	if s.Class.NeedsSecondOperator() && s.Author == op.Operator {
+		return refuse(OwnEntry, "approved_by", "class %s needs another operator than the author %q", s.Class, s.Author)
+	}
+	s.State = catalogue.Approved
+	s.ApprovedBy = op.Operator
+	return nil
+}
+
+func start(c *catalogue.Catalogue, s *catalogue.Shift, now clock.Time) error {
+	if err := need(s, KindStart, catalogue.Approved); err != nil {
+		return err
+	}
+	if end := s.Limits.Window.End; !end.IsZero() && !now.Wall().Before(end) {
+		return refuse(OutOfWindow, "limits.window.end", "the window ended at %s", end.UTC().Format(time.RFC3339))
+	}
+	if err := overlap(c, s); err != nil {
+		return err
+	}
+	s.State = catalogue.Running
+	s.Share = 0
+	s.SteppedAt = 0
+	s.Hold = ""
+	return nil
+}
+
+// overlap refuses a shift that makes no sense beside one that moves already:
+// together they would move more than the whole of a region's traffic, or move
+// traffic into a region that is being emptied.
+func overlap(c *catalogue.Catalogue, s *catalogue.Shift) error {
+	total := int(s.Limits.MaxShare)
+	for _, o := range c.Shifts {
+		if o.ID == s.ID || !o.State.Moves() || !sameService(o, *s) {
+			continue
+		}
+		if o.From == s.To {
+			return refuse(Overlap, "to", "shift %q empties region %q", o.ID, s.To)
+		}
+		// In an emergency the receiver itself may have to be emptied.
+		if o.To == s.From && s.Class != catalogue.Emergency {
+			return refuse(Overlap, "from", "shift %q moves traffic into region %q", o.ID, s.From)
+		}
+		if o.From == s.From {
+			total += int(o.Limits.MaxShare)
+		}
+	}
+	if total > catalogue.ShareUnit {
+		return refuse(Overlap, "limits.max_share", "with the shifts that move already, %d of %d would leave region %q", total, catalogue.ShareUnit, s.From)
+	}
+	return nil
+}
+
+func sameService(a, b catalogue.Shift) bool {
+	return a.Service == "" || b.Service == "" || a.Service == b.Service
+}
+
+func pause(s *catalogue.Shift, op Operation) error {
+	if err := need(s, op.Kind, catalogue.Running); err != nil {
+		return err
+	}
+	s.State = catalogue.Paused
+	s.Hold = op.Shift.Reason
+	return nil
+}
+
+func resume(s *catalogue.Shift) error {
+	if err := need(s, KindResume, catalogue.Paused); err != nil {
+		return err
+	}
+	s.State = catalogue.Running
+	s.Hold = ""
+	return nil
+}
+
+func rollBack(s *catalogue.Shift, op Operation) error {
+	if err := need(s, op.Kind, catalogue.Running, catalogue.Paused, catalogue.Done); err != nil {
+		return err
+	}
+	s.State = catalogue.RolledBack
+	s.Share = 0
+	s.Hold = op.Shift.Reason
+	return nil
+}
+
+// advance records a step of the runner. The runner's own plan keeps the limits
+// too; they are checked again here because this is the last point before the
+// write, and a runner that was paused or has a fault must not get past it.
+func advance(c *catalogue.Catalogue, op Operation, now clock.Time) error {
+	a := op.Advance
+	if op.Operator != RunnerName {
+		return refuse(NotRunner, "operator", "only the shift runner advances a shift")
+	}
+	i := shiftAt(c, a.ID)
+	if i < 0 || c.Shifts[i].Revision != a.Expect {
+		return shiftConflict(c, i, op, a.Expect, nil)
+	}
+	s := c.Shifts[i]
+	if err := need(&s, op.Kind, catalogue.Running); err != nil {
+		return err
+	}
+	if err := withinLimits(s, *a, now); err != nil {
+		return err
+	}
+	s.Share = a.Share
+	s.SteppedAt = a.SteppedAt
+	s.Hold = a.Hold
+	if a.Done {
+		s.State = catalogue.Done
+	}
+	put(c, i, s)
+	return nil
+}
+
+func withinLimits(s catalogue.Shift, a Advance, now clock.Time) error {
+	l := s.Limits.WithDefaults()
+	switch {
+	case a.Share > l.MaxShare:
+		return refuse(OverCap, "share", "%d is above max_share %d", a.Share, l.MaxShare)
+	case a.Done && a.Share != l.MaxShare:
+		return refuse(WrongState, "done", "share %d has not reached max_share %d", a.Share, l.MaxShare)
+	case a.Share <= s.Share:
+		return nil
+	case a.Share-s.Share > l.Step:
+		return refuse(OverStep, "share", "a rise from %d to %d is above step %d", s.Share, a.Share, l.Step)
+	case !l.Window.Contains(now.Wall()):
+		return refuse(OutOfWindow, "limits.window", "%s is outside the window", now.Wall().Format(time.RFC3339))
+	case s.SteppedAt != 0 && time.Duration(a.SteppedAt-s.SteppedAt) < time.Duration(l.Interval):
+		return refuse(TooSoon, "stepped_at", "%s since the last step, and interval is %s", time.Duration(a.SteppedAt-s.SteppedAt), time.Duration(l.Interval))
+	}
+	return nil
+}
--- /dev/null
+++ b/decide/config/chase.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// chase asks peers for content that they are known to hold, one at a time.
+type chase struct {
+	heard      uint64     // highest revision heard of, whether or not its content came
+	heardSince clock.Time // when heard first exceeded what is in force
+	candidates []candidate
+	asked      fleet.VMID // peer whose answer is awaited; empty if none
+	deadline   clock.Time // when another peer is asked
+	full       bool       // ask for a snapshot: a delta didn't fit
+}
+
+// candidate is a peer that holds better content.
+type candidate struct {
+	id    fleet.VMID
+	point Point
+}
+
+// beats reports whether p replaces q where both are offered: the higher
+// revision does, and under one revision the greater hash.
+func (p Point) beats(q Point) bool {
+	if p.Revision != q.Revision {
+		return p.Revision > q.Revision
+	}
+	return p.Hash > q.Hash
+}
+
+// hear notes that a peer holds p.
+func (s *State) hear(from fleet.VMID, p Point) {
+	c := &s.chase
+	held := s.point()
+	if !p.beats(held) {
+		return
+	}
+	if p.Revision > c.heard {
+		c.heard = p.Revision
+		c.heardSince = s.now
+	}
+	if s.held != nil && p.Revision == held.Revision {
+		c.full = true
+	}
+	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return x.id == from })
+	if len(c.candidates) == maxCandidates {
+		c.candidates = slices.Delete(c.candidates, 0, 1)
+	}
+	c.candidates = append(c.candidates, candidate{id: from, point: p})
+}
+
+// settle forgets the peers that hold nothing better than p.
+func (c *chase) settle(p Point) {
+	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return !x.point.beats(p) })
+	c.heard = max(c.heard, p.Revision)
+	c.asked = ""
+	c.full = false
+}
+
+// pending reports whether content of a higher revision than held is still
+// being asked for.
+func (c *chase) pending(held uint64, now clock.Time) bool {
+	return c.heard > held && now.Sub(c.heardSince) < ChaseLimit
+}
+
+func (c *chase) wake() clock.Time {
+	if c.asked == "" {
+		return clock.Never
+	}
+	return c.deadline
+}
+
+// dueChase asks the best candidate, and gives up on one that didn't answer.
+func (s *State) dueChase(out *Ready) {
+	c := &s.chase
+	if c.asked != "" && s.now.Before(c.deadline) {
+		return
+	}
+	if c.asked != "" {
+		s.dropCandidate(c.asked)
+	}
+	if len(c.candidates) == 0 || (s.held == nil && !s.join.collected(s.now)) {
+		return
+	}
+	best := c.candidates[0]
+	for _, x := range c.candidates[1:] {
+		if x.point.beats(best.point) {
+			best = x
+		}
+	}
+	w := &Want{Format: Format, Have: s.point().Revision}
+	if c.full {
+		w.Have = 0
+	}
+	c.asked = best.id
+	c.deadline = s.now.Add(WantTimeout)
+	s.send(best.id, w, out)
+}
+
+func (s *State) dropCandidate(id fleet.VMID) {
+	c := &s.chase
+	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return x.id == id })
+	c.asked = ""
+}
+
+// want answers a peer that is behind.
+func (s *State) want(from fleet.VMID, m *Want, out *Ready) {
+	if s.held == nil {
+		return
+	}
+	if m.Have >= s.held.cat.Revision {
+		s.send(from, s.makeDigest(), out)
+		return
+	}
+	if d, ok := s.history.since(m.Have, s.held, MaxDeltaEntries); ok && m.Have > 0 {
+		d.Age = s.age()
+		s.send(from, d, out)
+		return
+	}
+	if !s.gossip.maySnapshot(from, s.now) {
+		return
+	}
+	for _, part := range snapshotOf(s.held, s.age()) {
+		s.send(from, part, out)
+	}
+}
+
+// delta takes a Delta.
+func (s *State) delta(from fleet.VMID, d *Delta, out *Ready) {
+	p := Point{Revision: d.To, Hash: d.Hash}
+	if s.held == nil || d.From > s.held.cat.Revision {
+		s.hear(from, p)
+		return
+	}
+	if d.To <= s.held.cat.Revision {
+		s.compare(from, p, d.Age)
+		return
+	}
+	c, err := s.held.apply(d)
+	if err != nil {
+		// The base differs from the sender's, or the delta is damaged: only
+		// a snapshot helps.
+		s.refuse(err)
+		s.hear(from, p)
+		s.chase.full = true
+		return
+	}
+	s.adoptFrom(from, c, out)
+	s.confirmByPeer(p, d.Age)
+}
+
+// snapshot takes one part of a Snapshot.
+func (s *State) snapshot(from fleet.VMID, m *Snapshot, out *Ready) {
+	p := Point{Revision: m.Revision, Hash: m.Hash}
+	if !p.beats(s.point()) {
+		s.compare(from, p, m.Age)
+		return
+	}
+	c, err := s.parts.add(m)
+	if err != nil {
+		s.refuse(err)
+		return
+	}
+	if c == nil {
+		return
+	}
+	if s.held == nil {
+		at := s.now.Add(-m.Age.Duration())
+		s.offerJoin(offer{content: c, confirmed: m.Age != Unknown, at: at}, out)
+		return
+	}
+	s.adoptFrom(from, c, out)
+	s.confirmByPeer(p, m.Age)
+}
+
+// compare notes what it means that a peer holds p, which doesn't beat what is
+// in force or is only known by its hash.
+func (s *State) compare(from fleet.VMID, p Point, age Age) {
+	held := s.point()
+	switch {
+	case p == held:
+		s.confirmByPeer(p, age)
+	case p.Revision == held.Revision && p.Revision > 0:
+		s.counters.Diverged++
+		s.hear(from, p)
+	default:
+		s.hear(from, p)
+	}
+}
--- /dev/null
+++ b/decide/config/confirm.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+)
+
+// confirmation is the last proof that the revision in force was the
+// platform's newest.
+type confirmation struct {
+	known   bool
+	at      clock.Time // instant of the platform read behind it
+	settled clock.Time // before it, confirmations of peers are ignored
+}
+
+// wake returns when the daemon becomes cut off.
+func (c *confirmation) wake(now clock.Time) clock.Time {
+	if !c.known || now.Sub(c.at) > CutOffAfter {
+		return clock.Never
+	}
+	return c.at.Add(CutOffAfter + 1)
+}
+
+// confirmHeld notes that the platform's newest was p at the instant at, if
+// that is what is in force.
+func (s *State) confirmHeld(p Point, at clock.Time) {
+	if s.held == nil || p != s.held.point() {
+		return
+	}
+	if !s.confirm.known || at.After(s.confirm.at) {
+		s.confirm.known = true
+		s.confirm.at = clock.Min(at, s.now)
+	}
+}
+
+// confirmByPeer notes a confirmation passed on by a peer.
+func (s *State) confirmByPeer(p Point, age Age) {
+	if age == Unknown || s.now.Before(s.confirm.settled) {
+		return
+	}
+	s.confirmHeld(p, s.now.Add(-age.Duration()))
+}
+
+// age returns the age of the confirmation for messages.
+func (s *State) age() Age {
+	if !s.confirm.known {
+		return Unknown
+	}
+	return toAge(s.now.Sub(s.confirm.at))
+}
+
+// toAge rounds up, so that an age isn't understated at each hop.
+func toAge(d time.Duration) Age {
+	d = min(max(d, 0), maxAge-time.Millisecond)
+	return Age((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Age returns how long ago the revision in force was last known to be the
+// platform's newest, and false if it never was.
+func (s *State) Age(now clock.Time) (time.Duration, bool) {
+	return now.Sub(s.confirm.at), s.confirm.known
+}
+
+// CutOff reports whether nothing has confirmed the configuration for
+// CutOffAfter: neither the platform nor a peer that has reached it.
+func (s *State) CutOff(now clock.Time) bool {
+	age, known := s.Age(now)
+	return !known || age > CutOffAfter
+}
+
+// Base returns the catalogue to build the next write on, and the floor that
+// its revision must exceed. It returns false while this daemon is joining, or
+// has heard of a higher revision whose content it is still asking for: a
+// write on an older base would silently undo accepted changes.
+func (s *State) Base(now clock.Time) (Base, bool) {
+	b := Base{Catalogue: s.Catalogue(), Floor: max(s.point().Revision, s.chase.heard)}
+	joined := s.held != nil || !now.Before(s.join.deadline)
+	return b, joined && !s.chase.pending(s.point().Revision, now)
+}
--- /dev/null
+++ b/decide/config/content.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Hash returns the content hash of c. It doesn't depend on the order of the
+// entries: it is the sum of the entries' hashes, so that a delta updates it in
+// time proportional to the delta.
+func Hash(c *catalogue.Catalogue) (uint64, error) {
+	n, err := newContent(c)
+	if err != nil {
+		return 0, err
+	}
+	return n.hash(), nil
+}
+
+// content is a catalogue in canonical form: entries sorted by id and times in
+// UTC. It is immutable.
+type content struct {
+	cat *catalogue.Catalogue
+	sum uint64 // of the entries' hashes
+}
+
+// newContent returns the canonical form of c, which it doesn't change.
+func newContent(c *catalogue.Catalogue) (*content, error) {
+	n := &catalogue.Catalogue{
+		Revision: c.Revision,
+		Services: slices.Clone(c.Services),
+		Shifts:   slices.Clone(c.Shifts),
+	}
+	canonicalise(n.Shifts)
+	slices.SortFunc(n.Services, compareServices)
+	slices.SortFunc(n.Shifts, compareShifts)
+	if err := checkUnique(n); err != nil {
+		return nil, err
+	}
+	sum, err := sumEntries(n.Services, n.Shifts)
+	if err != nil {
+		return nil, err
+	}
+	return &content{cat: n, sum: sum}, nil
+}
+
+// hash returns the content hash: revision and entries.
+func (c *content) hash() uint64 {
+	return c.sum + xxhash.Sum64String(fmt.Sprintf("revision %d", c.cat.Revision))
+}
+
+// point returns the revision with its hash.
+func (c *content) point() Point {
+	return Point{Revision: c.cat.Revision, Hash: c.hash()}
+}
+
+func compareServices(a, b catalogue.Service) int { return cmp.Compare(a.Name, b.Name) }
+
+func compareShifts(a, b catalogue.Shift) int { return cmp.Compare(a.ID, b.ID) }
+
+// canonicalise puts the times of shifts in UTC: msgpack decodes into the local
+// zone, and one instant in two zones would hash differently.
+func canonicalise(shifts []catalogue.Shift) {
+	for i := range shifts {
+		w := &shifts[i].Limits.Window
+		w.Start = w.Start.UTC()
+		w.End = w.End.UTC()
+	}
+}
+
+func checkUnique(c *catalogue.Catalogue) error {
+	for i := 1; i < len(c.Services); i++ {
+		if c.Services[i].Name == c.Services[i-1].Name {
+			return fmt.Errorf("config: service %q twice", c.Services[i].Name)
+		}
+	}
+	for i := 1; i < len(c.Shifts); i++ {
+		if c.Shifts[i].ID == c.Shifts[i-1].ID {
+			return fmt.Errorf("config: shift %q twice", c.Shifts[i].ID)
+		}
+	}
+	return nil
+}
+
+func sumEntries(services []catalogue.Service, shifts []catalogue.Shift) (uint64, error) {
+	var sum uint64
+	for i := range services {
+		h, err := hashEntry("service", &services[i])
+		if err != nil {
+			return 0, err
+		}
+		sum += h
+	}
+	for i := range shifts {
+		h, err := hashEntry("shift", &shifts[i])
+		if err != nil {
+			return 0, err
+		}
+		sum += h
+	}
+	return sum, nil
+}
+
+func hashEntry(kind string, entry any) (uint64, error) {
+	b, err := json.Marshal(entry)
+	if err != nil {
+		return 0, fmt.Errorf("config: %s: %w", kind, err)
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(kind)
+	_, _ = d.Write(b)
+	return d.Sum64(), nil
+}
+
+// apply returns c with the changes of d, or an error if the result isn't the
+// content that d was made from.
+func (c *content) apply(d *Delta) (*content, error) {
+	shifts := slices.Clone(d.Shifts)
+	canonicalise(shifts)
+	n := &catalogue.Catalogue{Revision: d.To}
+	var dropped catalogue.Catalogue
+	n.Services, dropped.Services = merge(c.cat.Services, d.Services, d.RemovedServices, compareServices, serviceName)
+	n.Shifts, dropped.Shifts = merge(c.cat.Shifts, shifts, d.RemovedShifts, compareShifts, shiftID)
+	if err := checkUnique(n); err != nil {
+		return nil, err
+	}
+	added, err := sumEntries(d.Services, shifts)
+	if err != nil {
+		return nil, err
+	}
+	gone, err := sumEntries(dropped.Services, dropped.Shifts)
+	if err != nil {
+		return nil, err
+	}
+	out := &content{cat: n, sum: c.sum + added - gone}
+	if out.hash() != d.Hash {
+		return nil, errHash
+	}
+	return out, nil
+}
+
+func serviceName(s catalogue.Service) fleet.ServiceName { return s.Name }
+
+func shiftID(s catalogue.Shift) string { return s.ID }
+
+// merge returns the sorted entries of old without removed and with changed,
+// and the entries of old that this dropped.
+func merge[E any, K cmp.Ordered](old, changed []E, removed []K, compare func(a, b E) int, key func(E) K) (merged, dropped []E) {
+	out := make(map[K]bool, len(changed)+len(removed))
+	for _, k := range removed {
+		out[k] = true
+	}
+	for _, e := range changed {
+		out[key(e)] = true
+	}
+	merged = make([]E, 0, len(old)+len(changed))
+	for _, e := range old {
+		if out[key(e)] {
+			dropped = append(dropped, e)
+			continue
+		}
+		merged = append(merged, e)
+	}
+	merged = append(merged, changed...)
+	slices.SortFunc(merged, compare)
+	return merged, dropped
+}
+
+// diff returns the keys that changed or were added from old to new, and those
+// that were removed. Both are sorted by key.
+func diff[E comparable, K cmp.Ordered](old, new []E, key func(E) K) (changed, removed []K) {
+	i := 0
+	for _, n := range new {
+		for i < len(old) && key(old[i]) < key(n) {
+			removed = append(removed, key(old[i]))
+			i++
+		}
+		if i < len(old) && key(old[i]) == key(n) {
+			if old[i] != n {
+				changed = append(changed, key(n))
+			}
+			i++
+			continue
+		}
+		changed = append(changed, key(n))
+	}
+	for ; i < len(old); i++ {
+		removed = append(removed, key(old[i]))
+	}
+	return changed, removed
+}
--- /dev/null
+++ b/decide/config/doc.go
@@ -0,0 +1,54 @@
+// Package config decides how the catalogue of one revision reaches every
+// daemon, and that none of them ever goes back.
+//
+// # Where revisions come from
+//
+// The platform's compare-and-swap accepts each revision once. This package
+// never writes; it learns of revisions from three sources: its own reads of
+// the platform, its daemon's own accepted writes, and messages of peers.
+//
+// # Readers
+//
+// A watch for every daemon would cost the platform one call a daemon and a
+// change. Instead the live members of a failure domain are ranked by a hash of
+// their ids (rendezvous hashing), and the first ReadersPerDomain watch. A
+// member of a later rank takes over when it has had no sign for a while that
+// enough members of better rank read successfully; how long it waits, and how
+// far apart its attempts are, grows with its rank, so that an outage of the
+// platform doesn't turn the whole fleet into readers. Two readers too many
+// are harmless: they only cost calls.
+//
+// # Spread
+//
+// A daemon that learns of a revision from the platform, from its own write or
+// from another failure domain becomes the root of a push: the Delta goes down
+// a tree of fan-out TreeFanOut over the members of its own domain, and to the
+// readers of a few other domains chosen at random, which do the same there. So
+// a domain that has lost the platform hears from the others. Each reader has
+// its own tree, with other inner nodes, so one dead member costs no delivery.
+// Changes within MinPushInterval are merged into one Delta.
+//
+// Readers send a Digest (revision, content hash, age of the confirmation)
+// down the same tree every BeaconInterval; it is their heartbeat as readers.
+// Every daemon also sends a Digest to random peers. Whoever finds itself
+// behind asks with Want, and gets a Delta or the parts of a Snapshot. Every
+// Delta and Snapshot is checked against its content hash after it has been
+// put together, so a wrong base or a lost part is never applied.
+//
+// # Never back
+//
+// A revision below the one in force is never applied. A platform that comes
+// back with older data is reported (PlatformBehind), and the daemon asks for
+// its own newer catalogue to be written back (RestorePlatform). Two contents
+// under one revision are reported, and the one with the greater hash wins
+// everywhere.
+//
+// # Age
+//
+// Each daemon knows the age of the last successful platform read that
+// confirmed the revision in force, made by itself or by others. Beyond
+// CutOffAfter it says that it is cut off, and keeps what it has.
+//
+// State is a pure state machine: no clock, no I/O, and randomness only from
+// its seed.
+package config
--- /dev/null
+++ b/decide/config/gossip.go
@@ -0,0 +1,232 @@
+package config
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// snapshotPause is the least time between two snapshots to one peer. A peer
+// that asks in a loop would otherwise turn small messages into large ones.
+const snapshotPause = WantTimeout / 2
+
+// gossip is the exchange of digests, and what is remembered of each peer for
+// it.
+type gossip struct {
+	nextDigest clock.Time
+	nextCross  clock.Time
+	nextBeacon clock.Time
+	digests    int
+	beaconSeq  map[fleet.VMID]uint64     // last digest passed on, by root
+	pushedTo   map[fleet.VMID]uint64     // last revision passed on, by root
+	snapshotAt map[fleet.VMID]clock.Time // last snapshot sent, by peer
+}
+
+func (g *gossip) wake() clock.Time {
+	return clock.Min(g.nextDigest, clock.Min(g.nextCross, g.nextBeacon))
+}
+
+// forget drops what is kept of members that are gone, so that a fleet whose
+// members are replaced all the time doesn't fill the memory.
+func (g *gossip) forget(v view) {
+	for id := range g.beaconSeq {
+		if !v.isOwn(id) {
+			delete(g.beaconSeq, id)
+		}
+	}
+	for id := range g.pushedTo {
+		if !v.isOwn(id) {
+			delete(g.pushedTo, id)
+		}
+	}
+	clear(g.snapshotAt)
+}
+
+// firstBeacon reports whether a digest of root wasn't passed on before.
+func (g *gossip) firstBeacon(root fleet.VMID, seq uint64) bool {
+	return rises(&g.beaconSeq, root, seq)
+}
+
+// firstPush reports whether a push of root wasn't passed on before.
+func (g *gossip) firstPush(root fleet.VMID, to uint64) bool {
+	return rises(&g.pushedTo, root, to)
+}
+
+func rises(m *map[fleet.VMID]uint64, id fleet.VMID, n uint64) bool {
+	if *m == nil {
+		*m = map[fleet.VMID]uint64{}
+	}
+	if n <= (*m)[id] {
+		return false
+	}
+	(*m)[id] = n
+	return true
+}
+
+func (g *gossip) maySnapshot(to fleet.VMID, now clock.Time) bool {
+	if at, ok := g.snapshotAt[to]; ok && now.Sub(at) < snapshotPause {
+		return false
+	}
+	if g.snapshotAt == nil {
+		g.snapshotAt = map[fleet.VMID]clock.Time{}
+	}
+	g.snapshotAt[to] = now
+	return true
+}
+
+func (s *State) makeDigest() *Digest {
+	p := s.point()
+	return &Digest{
+		Format:   Format,
+		Revision: p.Revision,
+		Hash:     p.Hash,
+		Age:      s.age(),
+		ReadAge:  s.read.age(s.now),
+	}
+}
+
+func (s *State) makeBeacon() *Digest {
+	d := s.makeDigest()
+	d.Root = s.cfg.Self
+	d.Seq = uint64(s.now)
+	return d
+}
+
+// leads reports whether this daemon is one of the readers of its domain, by
+// rank or because it took over.
+func (s *State) leads() bool {
+	byRank := s.view.rank >= 0 && s.view.rank < ReadersPerDomain
+	return byRank || s.read.working(s.now)
+}
+
+func (s *State) dueGossip(out *Ready) {
+	g := &s.gossip
+	if !s.now.Before(g.nextBeacon) {
+		g.nextBeacon = s.now.Add(BeaconInterval)
+		s.sendBeacon(out)
+	}
+	if !s.now.Before(g.nextDigest) {
+		g.nextDigest = s.now.Add(s.around(DigestInterval))
+		s.sendDigest(out)
+	}
+	if !s.now.Before(g.nextCross) {
+		g.nextCross = s.now.Add(s.around(CrossDigestInterval))
+		if s.leads() {
+			s.sendDigestTo(s.randomCross(1), out)
+		}
+	}
+}
+
+// around returns a random duration from 3/4 to 5/4 of d. Equal intervals
+// would let daemons fall into step.
+func (s *State) around(d time.Duration) time.Duration {
+	return d*3/4 + s.jitter(d/2)
+}
+
+func (s *State) sendBeacon(out *Ready) {
+	if s.held == nil || !s.leads() {
+		return
+	}
+	m := s.makeBeacon()
+	for _, to := range s.view.treeChildren(s.cfg.Self) {
+		s.send(to, m, out)
+	}
+}
+
+func (s *State) sendDigest(out *Ready) {
+	s.gossip.digests++
+	to := s.randomOwn(1)
+	if len(to) == 0 || (!s.leads() && s.gossip.digests%CrossDigestEvery == 0) {
+		to = s.randomCross(1)
+	}
+	s.sendDigestTo(to, out)
+}
+
+func (s *State) sendDigestTo(to []fleet.VMID, out *Ready) {
+	if s.held == nil {
+		return
+	}
+	for _, id := range to {
+		s.send(id, s.makeDigest(), out)
+	}
+}
+
+// digest takes a Digest.
+func (s *State) digest(from fleet.VMID, m *Digest, out *Ready) {
+	if m.Root != "" {
+		s.beacon(m, out)
+	}
+	if s.held == nil {
+		s.hear(from, Point{Revision: m.Revision, Hash: m.Hash})
+		s.joinAnswer(out)
+		return
+	}
+	if m.Ask {
+		s.send(from, s.makeDigest(), out)
+		return
+	}
+	p := Point{Revision: m.Revision, Hash: m.Hash}
+	s.compare(from, p, m.Age)
+	if s.point().beats(p) && (m.Root == "" || m.Root == from) {
+		s.help(from, p, out)
+	}
+}
+
+// beacon notes a sign of a reader and passes it down the tree.
+func (s *State) beacon(m *Digest, out *Ready) {
+	if m.Root == s.cfg.Self || !s.view.isOwn(m.Root) {
+		return
+	}
+	if !s.gossip.firstBeacon(m.Root, m.Seq) {
+		return
+	}
+	if m.ReadAge != Unknown {
+		s.read.sign(m.Root, s.now.Add(-m.ReadAge.Duration()))
+	}
+	for _, to := range s.view.treeChildren(m.Root) {
+		s.send(to, m, out)
+	}
+}
+
+// help sends a peer that is behind what it lacks, or a digest that makes it
+// ask.
+func (s *State) help(to fleet.VMID, p Point, out *Ready) {
+	if p.Revision < s.held.cat.Revision && p.Revision > 0 {
+		if d, ok := s.history.since(p.Revision, s.held, MaxPushEntries); ok {
+			d.Age = s.age()
+			s.send(to, d, out)
+			return
+		}
+	}
+	s.send(to, s.makeDigest(), out)
+}
+
+// randomOwn returns up to n members of the own domain but self.
+func (s *State) randomOwn(n int) []fleet.VMID {
+	all := s.view.own.all
+	out := make([]fleet.VMID, 0, n)
+	for _, i := range s.rng.Perm(len(all)) {
+		if len(out) == n {
+			break
+		}
+		if all[i] != s.cfg.Self {
+			out = append(out, all[i])
+		}
+	}
+	return out
+}
+
+// randomCross returns one reader of each of up to n other domains.
+func (s *State) randomCross(n int) []fleet.VMID {
+	out := make([]fleet.VMID, 0, n)
+	for _, i := range s.rng.Perm(len(s.view.others)) {
+		if len(out) == n {
+			break
+		}
+		if r := s.view.others[i].readers(); len(r) > 0 {
+			out = append(out, r[s.rng.IntN(len(r))])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/decide/config/history.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// change records which entries one step of revisions touched.
+type change struct {
+	from, to uint64
+	services []fleet.ServiceName
+	shifts   []string
+}
+
+// history holds the last changes, oldest first, each beginning where the one
+// before it ended.
+type history struct {
+	changes []change
+}
+
+// record adds the change from old to new.
+func (h *history) record(old, new *content) {
+	c := change{from: old.cat.Revision, to: new.cat.Revision}
+	changed, removed := diff(old.cat.Services, new.cat.Services, serviceName)
+	c.services = append(changed, removed...)
+	changedShifts, removedShifts := diff(old.cat.Shifts, new.cat.Shifts, shiftID)
+	c.shifts = append(changedShifts, removedShifts...)
+	h.changes = append(h.changes, c)
+	if n := len(h.changes) - MaxHistory; n > 0 {
+		h.changes = slices.Delete(h.changes, 0, n)
+	}
+}
+
+// clear forgets everything: the content was replaced under its revision.
+func (h *history) clear() { h.changes = nil }
+
+// since returns the Delta from revision have to now, or false if the history
+// doesn't reach back to it or the Delta would exceed limit entries. have may
+// lie inside a recorded change, since entries are whole.
+func (h *history) since(have uint64, now *content, limit int) (*Delta, bool) {
+	first := slices.IndexFunc(h.changes, func(c change) bool { return c.to > have })
+	if first < 0 || h.changes[first].from > have {
+		return nil, false
+	}
+	var services []fleet.ServiceName
+	var shifts []string
+	for _, c := range h.changes[first:] {
+		services = append(services, c.services...)
+		shifts = append(shifts, c.shifts...)
+	}
+	services = sortedSet(services)
+	shifts = sortedSet(shifts)
+	if len(services)+len(shifts) > limit {
+		return nil, false
+	}
+	d := &Delta{Format: Format, From: have, To: now.cat.Revision, Hash: now.hash()}
+	d.Services, d.RemovedServices = pick(now.cat.Services, services, serviceName)
+	d.Shifts, d.RemovedShifts = pick(now.cat.Shifts, shifts, shiftID)
+	return d, true
+}
+
+func sortedSet[K cmp.Ordered](ks []K) []K {
+	slices.Sort(ks)
+	return slices.Compact(ks)
+}
+
+// pick returns the entries of the given keys, and the keys without entry.
+func pick[E any, K cmp.Ordered](entries []E, keys []K, key func(E) K) (found []E, missing []K) {
+	for _, k := range keys {
+		i, ok := slices.BinarySearchFunc(entries, k, func(e E, k K) int { return cmp.Compare(key(e), k) })
+		if ok {
+			found = append(found, entries[i])
+			continue
+		}
+		missing = append(missing, k)
+	}
+	return found, missing
+}
+
+// snapshotOf cuts c into parts.
+func snapshotOf(c *content, age Age) []*Snapshot {
+	services, shifts := c.cat.Services, c.cat.Shifts
+	total := len(services) + len(shifts)
+	n := max(1, (total+MaxPartEntries-1)/MaxPartEntries)
+	out := make([]*Snapshot, 0, n)
+	for p := range n {
+		s := &Snapshot{Format: Format, Revision: c.cat.Revision, Hash: c.hash(), Age: age, Part: p, Parts: n}
+		room := MaxPartEntries
+		s.Services, services = cut(services, room)
+		s.Shifts, shifts = cut(shifts, room-len(s.Services))
+		out = append(out, s)
+	}
+	return out
+}
+
+func cut[E any](es []E, n int) (head, rest []E) {
+	n = min(n, len(es))
+	return es[:n], es[n:]
+}
+
+// assembly collects the parts of one snapshot.
+type assembly struct {
+	point Point
+	parts []*Snapshot
+	left  int
+}
+
+// add takes one part and returns the content once all are there. A part of
+// another snapshot starts anew.
+func (a *assembly) add(s *Snapshot) (*content, error) {
+	p := Point{Revision: s.Revision, Hash: s.Hash}
+	if a.point != p || len(a.parts) != s.Parts {
+		*a = assembly{point: p, parts: make([]*Snapshot, s.Parts), left: s.Parts}
+	}
+	if a.parts[s.Part] == nil {
+		a.parts[s.Part] = s
+		a.left--
+	}
+	if a.left > 0 {
+		return nil, nil
+	}
+	return a.finish()
+}
+
+func (a *assembly) finish() (*content, error) {
+	c := &catalogue.Catalogue{Revision: a.point.Revision}
+	for _, s := range a.parts {
+		c.Services = append(c.Services, s.Services...)
+		c.Shifts = append(c.Shifts, s.Shifts...)
+	}
+	want := a.point.Hash
+	*a = assembly{}
+	n, err := newContent(c)
+	if err != nil {
+		return nil, err
+	}
+	if n.hash() != want {
+		return nil, errHash
+	}
+	return n, nil
+}
--- /dev/null
+++ b/decide/config/member.go
@@ -0,0 +1,152 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Member is one entry VM as membership knows it.
+type Member struct {
+	ID          fleet.VMID
+	Domain      fleet.Domain
+	Incarnation fleet.Incarnation
+	State       fleet.State
+}
+
+// scored is a member with its place in some ranking.
+type scored struct {
+	id    fleet.VMID
+	score uint64
+}
+
+// domainView holds the members of one failure domain that are not dead.
+type domainView struct {
+	name   fleet.Domain
+	all    []fleet.VMID // live and leaving
+	ranked []fleet.VMID // live, best rank first
+}
+
+// view is the membership as the spread uses it.
+type view struct {
+	self     fleet.VMID
+	own      domainView
+	others   []domainView // sorted by name
+	rank     int          // of self among the live of its domain; -1 while it is leaving
+	children map[fleet.VMID][]fleet.VMID
+}
+
+// newView builds the view of self from membership. Self is always part of it,
+// since membership may not list its own daemon.
+func newView(self Member, members []Member) view {
+	byDomain := map[fleet.Domain][]Member{self.Domain: nil}
+	for _, m := range members {
+		if m.ID == self.ID {
+			self.State = m.State
+			continue
+		}
+		if m.State != fleet.Dead {
+			byDomain[m.Domain] = append(byDomain[m.Domain], m)
+		}
+	}
+	byDomain[self.Domain] = append(byDomain[self.Domain], self)
+	v := view{self: self.ID, children: map[fleet.VMID][]fleet.VMID{}}
+	for name, ms := range byDomain {
+		if name == self.Domain {
+			v.own = newDomainView(name, ms)
+			continue
+		}
+		v.others = append(v.others, newDomainView(name, ms))
+	}
+	slices.SortFunc(v.others, func(a, b domainView) int { return cmp.Compare(a.name, b.name) })
+	v.rank = slices.Index(v.own.ranked, self.ID)
+	return v
+}
+
+func newDomainView(name fleet.Domain, ms []Member) domainView {
+	d := domainView{name: name}
+	for _, m := range ms {
+		d.all = append(d.all, m.ID)
+		if m.State == fleet.Live {
+			d.ranked = append(d.ranked, m.ID)
+		}
+	}
+	slices.Sort(d.all)
+	d.all = slices.Compact(d.all)
+	d.ranked = rankBy(string(name), d.ranked)
+	d.ranked = slices.Compact(d.ranked)
+	return d
+}
+
+// readers returns the first ReadersPerDomain members by rank.
+func (d domainView) readers() []fleet.VMID {
+	return d.ranked[:min(ReadersPerDomain, len(d.ranked))]
+}
+
+// isOwn reports whether id is a known member of the own domain.
+func (v *view) isOwn(id fleet.VMID) bool {
+	_, found := slices.BinarySearch(v.own.all, id)
+	return found
+}
+
+// treeChildren returns the members that self forwards a push of root to. The
+// order of the tree depends on the root, so that the two readers of a domain
+// lean on different inner nodes.
+func (v *view) treeChildren(root fleet.VMID) []fleet.VMID {
+	if c, ok := v.children[root]; ok {
+		return c
+	}
+	c := v.findChildren(root)
+	v.children[root] = c
+	return c
+}
+
+func (v *view) findChildren(root fleet.VMID) []fleet.VMID {
+	rest := make([]fleet.VMID, 0, len(v.own.all))
+	for _, id := range v.own.all {
+		if id != root {
+			rest = append(rest, id)
+		}
+	}
+	order := append([]fleet.VMID{root}, rankBy(string(root), rest)...)
+	at := slices.Index(order, v.self)
+	if at < 0 {
+		return nil
+	}
+	first := TreeFanOut*at + 1
+	last := min(first+TreeFanOut, len(order))
+	if first >= last {
+		return nil
+	}
+	return order[first:last]
+}
+
+// rankBy orders ids by a hash of salt and id: rendezvous hashing, where the
+// loss of one member moves no other pair of members.
+func rankBy(salt string, ids []fleet.VMID) []fleet.VMID {
+	s := make([]scored, len(ids))
+	for i, id := range ids {
+		s[i] = scored{id: id, score: hashPair(salt, string(id))}
+	}
+	slices.SortFunc(s, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	out := make([]fleet.VMID, len(s))
+	for i := range s {
+		out[i] = s[i].id
+	}
+	return out
+}
+
+// hashPair hashes two strings; the zero byte keeps "ab","c" and "a","bc" apart.
+func hashPair(a, b string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(a)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(b)
+	return d.Sum64()
+}
--- /dev/null
+++ b/decide/config/net_test.go
@@ -0,0 +1,386 @@
+package config
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// network joins a handful of States with a platform under one fake clock.
+type network struct {
+	now   clock.Time
+	rng   *rand.Rand
+	seq   int
+	queue deliveries
+	nodes []*node // by id
+	byID  map[fleet.VMID]*node
+
+	loss       float64
+	minDelay   time.Duration
+	maxDelay   time.Duration
+	cut        map[[2]fleet.Domain]bool // domains that can't reach each other
+	cutStore   map[fleet.Domain]bool    // domains that can't reach the platform
+	storeDown  bool
+	store      store
+	calls      int // platform calls
+	messages   int
+	sizeOf     func(Message) int // nil: bytes are not counted
+	bytes      int
+	contents   map[uint64]uint64 // hash first seen in force, by revision
+	violations []string
+}
+
+// store is the platform's document. Each value ever accepted stays in history.
+type store struct {
+	index   uint64
+	cat     *catalogue.Catalogue
+	lineage []Point
+}
+
+// node is one daemon; a restart replaces its State.
+type node struct {
+	id          fleet.VMID
+	domain      fleet.Domain
+	incarnation fleet.Incarnation
+	st          *State
+	ready       Ready
+	wake        clock.Time
+	revision    uint64 // applied by this process
+	hash        uint64
+	appliedAt   clock.Time
+	watch       *WatchPlatform
+	restored    int
+}
+
+type delivery struct {
+	at  clock.Time
+	seq int
+	to  *node
+	st  *State // the process it is for
+	ev  Event
+	do  func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at != d[j].at {
+		return d[i].at < d[j].at
+	}
+	return d[i].seq < d[j].seq
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// newNetwork starts perDomain daemons in each of domains "a", "b", ..., over a
+// platform holding one service at revision 1.
+func newNetwork(seed uint64, domains, perDomain int) *network {
+	n := &network{
+		now:      clock.Time(time.Hour),
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		byID:     map[fleet.VMID]*node{},
+		minDelay: time.Millisecond,
+		maxDelay: 3 * time.Millisecond,
+		cut:      map[[2]fleet.Domain]bool{},
+		cutStore: map[fleet.Domain]bool{},
+		contents: map[uint64]uint64{},
+	}
+	n.set(&catalogue.Catalogue{Revision: 1, Services: []catalogue.Service{{Name: "calc-lookup", Revision: 1}}})
+	for d := range domains {
+		for i := range perDomain {
+			domain := fleet.Domain(fmt.Sprintf("%c", 'a'+d))
+			if domains > 26 {
+				domain = fleet.Domain(fmt.Sprintf("d%02d", d))
+			}
+			v := &node{id: fleet.VMID(fmt.Sprintf("%s%d", domain, i)), domain: domain}
+			n.nodes = append(n.nodes, v)
+			n.byID[v.id] = v
+		}
+	}
+	for _, v := range n.nodes {
+		n.start(v)
+	}
+	return n
+}
+
+// start begins a new process of v, which knows nothing.
+func (n *network) start(v *node) {
+	v.incarnation++
+	v.revision, v.hash = 0, 0
+	v.watch = nil
+	v.st = New(Config{Self: v.id, Domain: v.domain, Incarnation: v.incarnation, Seed: n.rng.Uint64()})
+	n.announce()
+}
+
+func (n *network) stop(v *node) {
+	v.st = nil
+	n.announce()
+}
+
+// announce tells every daemon the membership, a little later to each.
+func (n *network) announce() {
+	var ms []Member
+	for _, v := range n.nodes {
+		m := Member{ID: v.id, Domain: v.domain, Incarnation: v.incarnation}
+		if v.st == nil {
+			m.State = fleet.Dead
+		}
+		ms = append(ms, m)
+	}
+	for _, v := range n.nodes {
+		if v.st != nil {
+			n.deliver(v, &Members{Members: ms}, n.delay())
+		}
+	}
+}
+
+func (n *network) delay() time.Duration {
+	return n.minDelay + time.Duration(n.rng.Int64N(int64(n.maxDelay-n.minDelay)+1))
+}
+
+func (n *network) deliver(to *node, ev Event, after time.Duration) {
+	n.seq++
+	heap.Push(&n.queue, delivery{at: n.now.Add(after), seq: n.seq, to: to, st: to.st, ev: ev})
+}
+
+// run passes time.
+func (n *network) run(d time.Duration) {
+	until := n.now.Add(d)
+	for {
+		v, at := n.nextWake()
+		if len(n.queue) > 0 && !n.queue[0].at.After(at) {
+			x := n.queue[0]
+			if x.at.After(until) {
+				break
+			}
+			heap.Pop(&n.queue)
+			n.now = max(n.now, x.at)
+			if x.to.st == x.st && x.st != nil {
+				n.step(x.to, x.ev)
+			}
+			continue
+		}
+		if v == nil || at.After(until) {
+			break
+		}
+		n.now = max(n.now, at)
+		n.step(v, &Tick{})
+	}
+	n.now = until
+}
+
+func (n *network) nextWake() (*node, clock.Time) {
+	var first *node
+	at := clock.Never
+	for _, v := range n.nodes {
+		if v.st != nil && v.wake.Before(at) {
+			first, at = v, v.wake
+		}
+	}
+	return first, at
+}
+
+func (n *network) step(v *node, ev Event) {
+	v.st.Step(n.now, ev, &v.ready)
+	v.wake = v.ready.Wake
+	for _, a := range v.ready.Apply {
+		n.applied(v, a.Catalogue)
+	}
+	for _, s := range v.ready.Send {
+		n.send(v, s)
+	}
+	for _, w := range v.ready.Watch {
+		n.watch(v, w)
+	}
+	for _, f := range v.ready.Fetch {
+		n.fetch(v, f.Seq)
+	}
+	for range v.ready.Stop {
+		v.watch = nil
+	}
+	for _, r := range v.ready.Restore {
+		n.restore(v, r.Catalogue)
+	}
+}
+
+// applied checks the invariants of everything that comes into force.
+func (n *network) applied(v *node, c *catalogue.Catalogue) {
+	h, err := Hash(c)
+	if err != nil {
+		n.violate("%s: %v", v.id, err)
+	}
+	if c.Revision < v.revision {
+		n.violate("%s fell from %d to %d", v.id, v.revision, c.Revision)
+	}
+	if first, ok := n.contents[c.Revision]; ok && first != h {
+		n.violate("%s holds other content at %d", v.id, c.Revision)
+	}
+	n.contents[c.Revision] = h
+	v.revision, v.hash, v.appliedAt = c.Revision, h, n.now
+}
+
+func (n *network) violate(format string, args ...any) {
+	n.violations = append(n.violations, fmt.Sprintf(format, args...))
+}
+
+func (n *network) send(from *node, s Send) {
+	n.messages++
+	if n.sizeOf != nil {
+		n.bytes += n.sizeOf(s.Msg)
+	}
+	to := n.byID[s.To]
+	if to == nil || to.st == nil || n.parted(from.domain, to.domain) || n.rng.Float64() < n.loss {
+		return
+	}
+	n.deliver(to, &PeerMessage{From: from.id, Msg: s.Msg}, n.delay())
+}
+
+func (n *network) parted(a, b fleet.Domain) bool {
+	return n.cut[[2]fleet.Domain{a, b}] || n.cut[[2]fleet.Domain{b, a}]
+}
+
+func (n *network) reaches(v *node) bool {
+	return !n.storeDown && !n.cutStore[v.domain]
+}
+
+func (n *network) fetch(v *node, seq uint64) {
+	n.calls++
+	if !n.reaches(v) {
+		n.deliver(v, &PlatformRead{Seq: seq}, time.Second)
+		return
+	}
+	n.deliver(v, n.document(seq, n.now), 2*n.delay())
+}
+
+func (n *network) document(seq uint64, asked clock.Time) *PlatformRead {
+	ev := &PlatformRead{Seq: seq, Index: n.store.index, Confirmed: asked, Result: ReadNotFound}
+	if n.store.cat != nil {
+		ev.Result = ReadDocument
+		ev.Catalogue = n.store.cat
+		ev.Lineage = n.store.lineage
+	}
+	return ev
+}
+
+func (n *network) watch(v *node, w WatchPlatform) {
+	if !n.reaches(v) || w.After != n.store.index {
+		n.fetch(v, w.Seq)
+		return
+	}
+	n.calls++
+	v.watch = &w
+	quiet := &PlatformRead{Seq: w.Seq, Result: ReadNotModified, Confirmed: n.now.Add(w.Wait)}
+	n.deliver(v, quiet, w.Wait+n.delay())
+}
+
+// set puts a new document into the store and answers the watches on it.
+func (n *network) set(c *catalogue.Catalogue) {
+	h, err := Hash(c)
+	if err != nil {
+		n.violate("platform: %v", err)
+	}
+	n.store.index++
+	n.store.cat = c
+	n.store.lineage = append(slices.Clone(n.store.lineage), Point{Revision: c.Revision, Hash: h})
+	for _, v := range n.nodes {
+		if v.watch == nil || v.st == nil {
+			continue
+		}
+		seq := v.watch.Seq
+		v.watch = nil
+		if n.reaches(v) {
+			n.deliver(v, n.document(seq, n.now), n.delay())
+		}
+	}
+}
+
+// write makes a change through v as store.Writer does, and reports whether it
+// was accepted. The answer may be lost.
+func (n *network) write(v *node, id string, loseAnswer bool) bool {
+	base, ok := v.st.Base(n.now)
+	if !ok || !n.reaches(v) {
+		return false
+	}
+	from := n.store.cat
+	if from == nil || (base.Catalogue != nil && base.Catalogue.Revision > from.Revision) {
+		from = base.Catalogue
+	}
+	c := &catalogue.Catalogue{Services: from.Services}
+	c.Revision = max(from.Revision+1, base.Floor+1, uint64(n.now)/uint64(time.Millisecond))
+	c.Shifts = slices.DeleteFunc(slices.Clone(from.Shifts), func(s catalogue.Shift) bool { return s.ID == id })
+	// Each third change of an entry removes it, so that removals spread too.
+	if c.Revision%3 != 0 || len(c.Shifts) == len(from.Shifts) {
+		c.Shifts = append(c.Shifts, catalogue.Shift{ID: id, Revision: c.Revision, Owner: "statikos"})
+	}
+	n.set(c)
+	if !loseAnswer {
+		n.deliver(v, &Accepted{Catalogue: c, Confirmed: n.now}, n.delay())
+	}
+	return true
+}
+
+// restore does what store.Writer.Restore does.
+func (n *network) restore(v *node, c *catalogue.Catalogue) {
+	n.calls++
+	if !n.reaches(v) || (n.store.cat != nil && n.store.cat.Revision >= c.Revision) {
+		return
+	}
+	v.restored++
+	n.set(c)
+}
+
+// rollBack puts the store back to older data, with its index.
+func (n *network) rollBack(old store) {
+	n.store = old
+	n.store.lineage = slices.Clone(old.lineage)
+}
+
+// heal mends everything and starts whoever is down.
+func (n *network) heal() {
+	n.loss = 0
+	n.storeDown = false
+	clear(n.cut)
+	clear(n.cutStore)
+	for _, v := range n.nodes {
+		if v.st == nil {
+			n.start(v)
+		}
+	}
+}
+
+// settled returns what is missing for all daemons to hold the platform's
+// document.
+func (n *network) settled() error {
+	if len(n.violations) > 0 {
+		return fmt.Errorf("%v", n.violations)
+	}
+	want, err := Hash(n.store.cat)
+	if err != nil {
+		return err
+	}
+	for _, v := range n.nodes {
+		if v.st == nil {
+			continue
+		}
+		if v.revision != n.store.cat.Revision || v.hash != want {
+			return fmt.Errorf("%s holds %d, the platform %d", v.id, v.revision, n.store.cat.Revision)
+		}
+		if st := v.st.Status(n.now); st.CutOff || st.PlatformBehind {
+			return fmt.Errorf("%s: %+v", v.id, st)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/decide/config/random_test.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// convergeWithin bounds the time from healing to agreement: the longest
+// backoff of a reader, the wait before older data is replaced, and a few
+// rounds of digests.
+const convergeWithin = 30 * time.Second
+
+// TestRandomFaults: symptom: two daemons steer by different catalogues, or one
+// goes back. Sequence: any mix of changes with lost answers, restarts, lost and
+// reordered messages, partitions, outages and a platform put back to older
+// data. Cause: whatever rule of this package the mix breaks. The network
+// checks after every step that no process applies a lower revision and that no
+// two hold different content at one revision.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 4).Draw(t, "domains")
+		per := rapid.IntRange((5+domains-1)/domains, 12/domains).Draw(t, "per")
+		n := newNetwork(rapid.Uint64().Draw(t, "seed"), domains, per)
+		n.maxDelay = rapid.SampledFrom([]time.Duration{2, 60, 300}).Draw(t, "delay") * time.Millisecond
+		n.run(3 * time.Second)
+		old := n.store
+		for i := range rapid.IntRange(5, 40).Draw(t, "steps") {
+			old = n.disturb(t, i, old)
+			n.run(rapid.SampledFrom([]time.Duration{2, 50, 700, 6000, 45000}).Draw(t, "wait") * time.Millisecond)
+		}
+		n.heal()
+		n.run(convergeWithin)
+		if err := n.settled(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// disturb brings about one random event, and returns the data that a later
+// rollback goes back to.
+func (n *network) disturb(t *rapid.T, i int, old store) store {
+	v := rapid.SampledFrom(n.nodes).Draw(t, "node")
+	w := rapid.SampledFrom(n.nodes).Draw(t, "other")
+	switch what := rapid.IntRange(0, 11).Draw(t, "what"); what {
+	case 0, 1, 2, 3:
+		if v.st != nil {
+			n.write(v, fmt.Sprintf("s%d", i%7), rapid.Bool().Draw(t, "lose"))
+		}
+	case 4:
+		n.stop(v)
+	case 5:
+		n.stop(v)
+		n.start(v)
+	case 6:
+		n.cut[[2]fleet.Domain{v.domain, w.domain}] = v.domain != w.domain
+	case 7:
+		n.cutStore[v.domain] = !n.cutStore[v.domain]
+	case 8:
+		n.storeDown = !n.storeDown
+	case 9:
+		n.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
+	case 10:
+		if rapid.Bool().Draw(t, "back") {
+			n.rollBack(old)
+		}
+		return n.store
+	case 11:
+		for _, x := range n.nodes {
+			if x.domain == v.domain {
+				n.stop(x)
+				n.start(x)
+			}
+		}
+	}
+	return old
+}
--- /dev/null
+++ b/decide/detect/compare_test.go
@@ -0,0 +1,95 @@
+package detect_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/detect"
+	"github.com/azurethread/azurethread/decide/detect/detecttest"
+)
+
+const ms = time.Millisecond
+
+type candidate struct {
+	name string
+	make func() detect.Detector
+}
+
+func fixed(name string, d time.Duration) candidate {
+	return candidate{name, func() detect.Detector { return detect.NewFixed(d) }}
+}
+
+func phi(name string, c detect.PhiConfig) candidate {
+	return candidate{name, func() detect.Detector { return detect.NewPhi(c) }}
+}
+
+func relative(name string, c detect.RelativeConfig) candidate {
+	return candidate{name, func() detect.Detector { return detect.NewRelative(c) }}
+}
+
+func answerCandidates() []candidate {
+	hard := 3 * time.Second
+	classic := detect.PhiConfig{Phi: 8, MinSilence: 20 * ms, MaxSilence: hard}
+	long := classic
+	long.LogNormal = true
+	lag := detect.RelativeConfig{Bound: 8, BoundMax: 256, MinSilence: 20 * ms, MaxSilence: hard}
+	return []candidate{
+		fixed("fixed-250ms", 250*ms), fixed("fixed-1s", time.Second), fixed("fixed-3s", hard),
+		phi("phi", classic), phi("phi-long-tail", long),
+		relative("relative", lag),
+		{"default", func() detect.Detector { return detect.ForAnswers(hard) }},
+	}
+}
+
+func peerCandidates() []candidate {
+	hard := 6 * time.Second
+	rounds := detect.RelativeConfig{Pace: detect.ByRound, Bound: 3, BoundMax: 8, MinSilence: 500 * ms, MaxSilence: hard}
+	classic := detect.PhiConfig{Phi: 8, MinSilence: 500 * ms, MaxSilence: hard}
+	gated := classic
+	gated.Gate = 16
+	return []candidate{
+		fixed("fixed-1.5s", 1500*ms), fixed("fixed-2.5s", 2500*ms), fixed("fixed-6s", hard),
+		phi("phi", classic), phi("phi-gate", gated),
+		relative("relative", rounds),
+		{"default", func() detect.Detector { return detect.ForHeartbeats(500 * ms) }},
+	}
+}
+
+// seeds is how many traces each scenario is scored on.
+const seeds = 5
+
+// BenchmarkCompare scores every candidate on the same traces:
+// go test -bench Compare -benchtime 1x ./decide/detect
+func BenchmarkCompare(b *testing.B) {
+	compare(b, detecttest.Connections(), answerCandidates())
+	compare(b, detecttest.Targets(), answerCandidates())
+	compare(b, detecttest.Peers(), peerCandidates())
+}
+
+func compare(b *testing.B, sources []detecttest.Source, candidates []candidate) {
+	for _, source := range sources {
+		var traces []detecttest.Trace
+		for seed := range uint64(seeds) {
+			traces = append(traces, source.Generate(seed))
+		}
+		for _, c := range candidates {
+			b.Run(traces[0].Name+"/"+c.name, func(b *testing.B) { score(b, traces, c) })
+		}
+	}
+}
+
+func score(b *testing.B, traces []detecttest.Trace, c candidate) {
+	var result detecttest.Result
+	for b.Loop() {
+		result = detecttest.Result{}
+		for _, trace := range traces {
+			result.Add(detecttest.Score(c.make(), trace))
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(result.Quantile(0.5).Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(result.Quantile(0.99).Milliseconds()), "p99-ms")
+	b.ReportMetric(float64(result.Missed), "missed")
+	b.ReportMetric(result.FalsePerHour(), "false/h")
+	b.ReportMetric(result.FalsePerThousand(), "false/1000")
+}
--- /dev/null
+++ b/decide/detect/detecttest/generate.go
@@ -0,0 +1,234 @@
+package detecttest
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/detect"
+)
+
+// Pause is an interval in which answers or heartbeats are held back.
+type Pause struct {
+	Every time.Duration // mean time between pauses; 0: none
+	Mean  time.Duration // mean length, exponentially distributed
+}
+
+// Requests describes requests to a group of connections or targets.
+type Requests struct {
+	Name       string
+	Members    int           // connections or targets
+	Capacity   int           // requests a member takes at once
+	Rate       float64       // requests a second, over the group
+	Length     time.Duration // of the trace
+	Median     time.Duration // of the latency
+	Sigma      float64       // of the logarithm of the latency
+	LongShare  float64       // share of requests with a Pareto tail instead
+	LongMost   time.Duration // longest latency of these
+	Stops      int           // members that stop, spread over the trace
+	Slow       float64       // latency factor in the second half, of all members; 0: 1
+	Cold       float64       // latency factor of member 0 for ColdLength from a third of the trace on; 0: 1
+	ColdLength time.Duration
+	PauseAll   Pause // holds back every answer
+	PauseOne   Pause // holds back the answers of one member
+}
+
+// Heartbeats describes peers that each send heartbeats at one interval.
+type Heartbeats struct {
+	Name     string
+	Members  int
+	Interval time.Duration
+	Jitter   time.Duration // mean extra delay, exponentially distributed
+	Loss     float64       // share lost
+	Length   time.Duration
+	Stops    int
+	PauseAll Pause // the observer pauses
+	PauseOne Pause // one peer pauses
+}
+
+// start is the first instant of every generated trace.
+const start = clock.Time(time.Second)
+
+type pauses []struct{ from, to clock.Time }
+
+func (p Pause) generate(r *rand.Rand, length time.Duration) pauses {
+	var all pauses
+	if p.Every == 0 {
+		return all
+	}
+	end := start.Add(length)
+	for at := start; ; {
+		at = at.Add(exponential(r, p.Every))
+		if at >= end {
+			return all
+		}
+		to := at.Add(exponential(r, p.Mean))
+		all = append(all, struct{ from, to clock.Time }{at, to})
+		at = to
+	}
+}
+
+// after returns t, or the end of the pause that holds t.
+func (p pauses) after(t clock.Time) clock.Time {
+	for _, i := range p {
+		if i.from <= t && t < i.to {
+			return i.to
+		}
+	}
+	return t
+}
+
+func exponential(r *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(r.ExpFloat64() * float64(mean))
+}
+
+// Generate returns the trace for a seed. A stopped connection or target takes
+// requests until it is full and answers none; a fresh member with a new
+// number takes its place.
+func (q Requests) Generate(seed uint64) Trace {
+	r := rand.New(rand.NewPCG(seed, uint64(len(q.Name))))
+	g := requestRun{Requests: q, rand: r, all: q.PauseAll.generate(r, q.Length)}
+	for id := range q.Members {
+		g.add(detect.ID(id))
+	}
+	stops := stopTimes(r, q.Stops, q.Length)
+	end := start.Add(q.Length)
+	for at := start; at < end; at = at.Add(exponential(r, time.Duration(float64(time.Second)/q.Rate))) {
+		for len(stops) > 0 && stops[0] <= at {
+			g.stop(stops[0])
+			stops = stops[1:]
+		}
+		g.release(at)
+		g.send(at)
+	}
+	return finish(q.Name, g.events, end)
+}
+
+type load struct {
+	id      detect.ID
+	stopped bool
+	busy    []clock.Time // when each request in flight will be answered
+	pauses  pauses
+}
+
+type requestRun struct {
+	Requests
+	rand    *rand.Rand
+	all     pauses
+	members []*load // live and stopped ones that still take requests
+	events  []Event
+	last    detect.ID
+}
+
+func (g *requestRun) add(id detect.ID) {
+	g.members = append(g.members, &load{id: id, pauses: g.PauseOne.generate(g.rand, g.Length)})
+	g.last = id
+}
+
+// stop stops a member drawn by lot. What it has not answered yet it never will.
+func (g *requestRun) stop(at clock.Time) {
+	m := g.members[g.rand.IntN(len(g.members))]
+	if m.stopped {
+		return
+	}
+	m.stopped = true
+	g.events = slices.DeleteFunc(g.events, func(e Event) bool {
+		return e.ID == m.id && e.Kind == Done && e.At > at
+	})
+	g.events = append(g.events, Event{At: at, Kind: Stop, ID: m.id})
+	g.add(g.last + 1)
+}
+
+// release frees what has been answered by at.
+func (g *requestRun) release(at clock.Time) {
+	for _, m := range g.members {
+		if !m.stopped {
+			m.busy = slices.DeleteFunc(m.busy, func(t clock.Time) bool { return t <= at })
+		}
+	}
+	g.members = slices.DeleteFunc(g.members, func(m *load) bool {
+		return m.stopped && len(m.busy) >= g.Capacity
+	})
+}
+
+// send gives a request to the less loaded of two members drawn by lot; with
+// both full, the request is refused and leaves no event.
+func (g *requestRun) send(at clock.Time) {
+	m := g.members[g.rand.IntN(len(g.members))]
+	if o := g.members[g.rand.IntN(len(g.members))]; len(o.busy) < len(m.busy) {
+		m = o
+	}
+	if len(m.busy) >= g.Capacity {
+		return
+	}
+	done := m.pauses.after(g.all.after(at.Add(g.latency(at, m.id))))
+	m.busy = append(m.busy, done)
+	g.events = append(g.events, Event{At: at, Kind: Sent, ID: m.id})
+	if !m.stopped {
+		g.events = append(g.events, Event{At: done, Kind: Done, ID: m.id})
+	}
+}
+
+func (g *requestRun) latency(at clock.Time, id detect.ID) time.Duration {
+	seconds := g.Median.Seconds() * math.Exp(g.Sigma*g.rand.NormFloat64())
+	if g.rand.Float64() < g.LongShare {
+		pareto := g.Median.Seconds() * math.Pow(1-g.rand.Float64(), -1/1.1)
+		seconds = min(4*pareto, g.LongMost.Seconds())
+	}
+	since := at.Sub(start)
+	if g.Slow > 0 && since > g.Length/2 {
+		seconds *= g.Slow
+	}
+	cold := g.Length / 3
+	if g.Cold > 0 && id == 0 && since > cold && since < cold+g.ColdLength {
+		seconds *= g.Cold
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Generate returns the trace for a seed.
+func (h Heartbeats) Generate(seed uint64) Trace {
+	r := rand.New(rand.NewPCG(seed, uint64(len(h.Name))))
+	all := h.PauseAll.generate(r, h.Length)
+	stops := stopTimes(r, h.Stops, h.Length)
+	var events []Event
+	for i := range h.Members {
+		id := detect.ID(i)
+		end := start.Add(h.Length)
+		if i < len(stops) {
+			end = stops[i]
+			events = append(events, Event{At: end, Kind: Stop, ID: id})
+		}
+		own := h.PauseOne.generate(r, h.Length)
+		events = append(events, Event{At: start, Kind: Sent, ID: id})
+		phase := time.Duration(r.Float64() * float64(h.Interval))
+		for at := start.Add(phase); at < end; at = own.after(at).Add(h.Interval) {
+			if r.Float64() < h.Loss {
+				continue
+			}
+			arrival := all.after(own.after(at).Add(exponential(r, h.Jitter)))
+			events = append(events, Event{At: arrival, Kind: Heard, ID: id})
+		}
+	}
+	return finish(h.Name, events, start.Add(h.Length))
+}
+
+// stopTimes returns instants in the second to the last but one tenth of a trace.
+func stopTimes(r *rand.Rand, n int, length time.Duration) []clock.Time {
+	times := make([]clock.Time, n)
+	for i := range times {
+		times[i] = start.Add(length/10 + time.Duration(r.Float64()*0.8*float64(length)))
+	}
+	slices.Sort(times)
+	return times
+}
+
+// finish sorts the events and cuts those after the end.
+func finish(name string, events []Event, end clock.Time) Trace {
+	events = slices.DeleteFunc(events, func(e Event) bool { return e.At > end })
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return Trace{Name: name, Events: events}
+}
--- /dev/null
+++ b/decide/detect/detecttest/score.go
@@ -0,0 +1,158 @@
+package detecttest
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/detect"
+)
+
+// Result is how a detector did on one or more traces.
+type Result struct {
+	Detections []time.Duration // from the stop, or the first request after it, to the suspicion
+	Missed     int             // stopped members that owed an answer and were not suspected by the end
+	False      int             // suspicions that a later sign of life refuted
+	Sent       int             // requests, or heartbeats that came
+	Length     time.Duration   // of the traces
+}
+
+// Add joins the result of another trace.
+func (r *Result) Add(o Result) {
+	r.Detections = append(r.Detections, o.Detections...)
+	r.Missed += o.Missed
+	r.False += o.False
+	r.Sent += o.Sent
+	r.Length += o.Length
+}
+
+// Quantile returns the q-quantile of the detection times, or -1 without any.
+func (r *Result) Quantile(q float64) time.Duration {
+	if len(r.Detections) == 0 {
+		return -1
+	}
+	slices.Sort(r.Detections)
+	return r.Detections[min(len(r.Detections)-1, int(q*float64(len(r.Detections))))]
+}
+
+// FalsePerHour returns the false suspicions in an hour of trace.
+func (r *Result) FalsePerHour() float64 { return float64(r.False) / r.Length.Hours() }
+
+// FalsePerThousand returns the false suspicions in a thousand requests.
+func (r *Result) FalsePerThousand() float64 { return 1000 * float64(r.False) / float64(r.Sent) }
+
+type truth struct {
+	waiting   int
+	suspected bool
+	stopped   bool
+	gone      bool
+	from      clock.Time // when a stopped member first owed an answer
+	due       clock.Time // when to ask the detector next
+}
+
+type scorer struct {
+	detector detect.Detector
+	members  []truth
+	asked    []detect.ID // members that owe an answer
+	result   Result
+}
+
+// Score replays a trace. A stopped member is forgotten once it is suspected,
+// as a caller would replace it. The detector is asked about a member only when
+// Due says so, as a caller would set its timers.
+func Score(d detect.Detector, t Trace) Result {
+	s := scorer{detector: d, result: Result{Length: t.Duration()}}
+	for _, e := range t.Events {
+		s.runTimers(e.At)
+		s.apply(e)
+	}
+	for _, m := range s.members {
+		if m.stopped && m.waiting > 0 && !m.gone {
+			s.result.Missed++
+		}
+	}
+	return s.result
+}
+
+func (s *scorer) apply(e Event) {
+	for int(e.ID) >= len(s.members) {
+		s.members = append(s.members, truth{})
+	}
+	m := &s.members[e.ID]
+	if m.gone {
+		return
+	}
+	defer s.arm(e.At, e.ID)
+	switch e.Kind {
+	case Sent:
+		s.detector.Sent(e.At, e.ID)
+		if m.waiting == 0 {
+			m.from = max(m.from, e.At)
+			s.asked = append(s.asked, e.ID)
+		}
+		m.waiting++
+		s.result.Sent++
+	case Heard:
+		s.refute(m)
+		s.detector.Heard(e.At, e.ID)
+		s.result.Sent++
+	case Done:
+		s.refute(m)
+		s.detector.Done(e.At, e.ID)
+		m.waiting--
+		if m.waiting == 0 {
+			s.drop(e.ID)
+		}
+	case Stop:
+		m.stopped = true
+		m.from = e.At
+	}
+}
+
+func (s *scorer) refute(m *truth) {
+	if m.suspected {
+		s.result.False++
+	}
+	m.suspected = false
+}
+
+func (s *scorer) drop(id detect.ID) {
+	s.asked = slices.DeleteFunc(s.asked, func(o detect.ID) bool { return o == id })
+}
+
+// arm sets the timer of a member after an event about it.
+func (s *scorer) arm(now clock.Time, id detect.ID) {
+	s.members[id].due = s.detector.Due(now, id)
+}
+
+// runTimers asks about every member that is due before until, in order of time.
+func (s *scorer) runTimers(until clock.Time) {
+	for {
+		first, at := detect.ID(-1), until
+		for _, id := range s.asked {
+			if due := s.members[id].due; due < at {
+				first, at = id, due
+			}
+		}
+		if first < 0 {
+			return
+		}
+		s.ask(at, first)
+	}
+}
+
+func (s *scorer) ask(now clock.Time, id detect.ID) {
+	m := &s.members[id]
+	if !s.detector.Suspect(now, id) {
+		m.due = s.detector.Due(now, id)
+		return
+	}
+	m.suspected = true
+	m.due = clock.Never
+	if m.stopped {
+		s.result.Detections = append(s.result.Detections, now.Sub(m.from))
+		s.detector.Forget(id)
+		m.gone = true
+		s.drop(id)
+	}
+}
--- /dev/null
+++ b/decide/detect/doc.go
@@ -0,0 +1,43 @@
+// Package detect tells silent connections, targets and entry VMs from slow
+// ones.
+//
+// A connection can go silent for good while new ones to the same target work:
+// something between the two ends has lost track of it, and no error ever
+// comes. A target can stop answering without closing its connections. An
+// entry VM can die, or a link to it can lose one direction. In each case the
+// only sign is that what was owed does not come, and the same sign is given
+// by a pause, a cold cache or a slow region, which must not be taken for a
+// failure: ejecting what is merely slow moves its load onto the rest.
+//
+// # Groups
+//
+// One Detector watches one group of siblings that should behave alike: the
+// connections to one target, the targets of one service in a failure domain,
+// or the peers that send heartbeats. Its caller reports what is sent, heard,
+// completed and abandoned, and asks at the instants that Due returns. Silence
+// counts only while an answer is owed; an idle connection is never suspected.
+//
+// # Lag behind siblings
+//
+// A group has a logical clock that its progress moves. The lag of a member is
+// how far the clock has moved since the member's silence began. While nobody
+// progresses no lag grows, so a silence common to all raises no suspicion of
+// any one of them until a maximum that is plain time.
+//
+// For heartbeats the clock counts rounds as the fastest peer completes them,
+// and a peer is suspected when its lag passes a bound that rises by one with
+// each suspicion that proves false, up to a maximum. The rule and the bound
+// follow R. Macêdo, "Adaptive Failure Detection in Logical Time: The Eventual
+// Relative-Speed Model over Causal Blocks"; the shortest round, which keeps a
+// burst of delayed heartbeats from counting as many rounds, is our addition.
+//
+// For answers, lag alone measured worse than phi accrual fitted to long tails:
+// with many requests a second a single long answer is overtaken by hundreds.
+// There the lag is only a gate: a silence must be improbable, and siblings
+// must have answered requests that were sent later.
+//
+// # What is no silence
+//
+// A reset or refused connection is an error event, known at once; it needs no
+// detector. A member that was replaced is dropped with Forget.
+package detect
--- /dev/null
+++ b/decide/detect/relative.go
@@ -0,0 +1,125 @@
+package detect
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+)
+
+// Pace says what moves the logical clock of a group.
+type Pace uint8
+
+const (
+	// ByAnswer advances the clock with every answer of any member. It suits
+	// members that are used in turn, such as connections and targets.
+	ByAnswer Pace = iota
+	// ByRound advances the clock when a member that has already contributed
+	// to the current round contributes again, so that the fastest member sets
+	// the pace. It suits members that all report at one interval.
+	ByRound
+)
+
+// RelativeConfig sets a Relative detector.
+type RelativeConfig struct {
+	Pace       Pace
+	MinRound   time.Duration // with ByRound, rounds are at least this long
+	Bound      int64         // lag tolerated at first, in answers or rounds
+	BoundMax   int64         // the lag bound never rises above this
+	MinSilence time.Duration // shorter silences are never suspected
+	MaxSilence time.Duration // longer silences are suspected whatever the lag
+}
+
+// Relative suspects a member whose lag behind its siblings passes an adaptive
+// bound. When no member progresses the lag of none grows, so a pause or a
+// slowdown of them all is suspected only at MaxSilence.
+type Relative struct {
+	config RelativeConfig
+	group  group
+	bound  int64      // the adaptive lag bound
+	ticked clock.Time // when the logical clock last advanced
+}
+
+// NewRelative returns a detector for one group.
+func NewRelative(c RelativeConfig) *Relative {
+	return &Relative{config: c, bound: c.Bound}
+}
+
+// Sent implements Detector.
+func (r *Relative) Sent(now clock.Time, id ID) { r.group.sent(now, id, r.mark()) }
+
+// Heard implements Detector.
+func (r *Relative) Heard(now clock.Time, id ID) {
+	r.learn(now, id)
+	r.advance(now, id)
+	r.group.heard(now, id, r.mark())
+}
+
+// Done implements Detector.
+func (r *Relative) Done(now clock.Time, id ID) {
+	r.Heard(now, id)
+	r.group.settle(now, id)
+}
+
+// Abandoned implements Detector.
+func (r *Relative) Abandoned(now clock.Time, id ID) { r.group.settle(now, id) }
+
+// Suspect implements Detector.
+func (r *Relative) Suspect(now clock.Time, id ID) bool {
+	silence := r.group.silence(now, id)
+	return silence > r.config.MaxSilence || r.lags(silence, id)
+}
+
+// Due implements Detector. Progress of siblings can bring a suspicion forward
+// at any event, so a silence past MinSilence is asked about every poll.
+func (r *Relative) Due(now clock.Time, id ID) clock.Time {
+	if r.group.waiting(id) && r.Suspect(now, id) {
+		return now
+	}
+	latest := r.group.due(now, id, r.config.MaxSilence)
+	return clock.Min(latest, r.group.next(now, id, r.config.MinSilence))
+}
+
+// Forget implements Detector.
+func (r *Relative) Forget(id ID) { r.group.forget(id) }
+
+// LagBound returns the current adaptive bound, in answers or rounds.
+func (r *Relative) LagBound() int64 { return r.bound }
+
+// lags reports whether id is behind its siblings by more than the bound.
+func (r *Relative) lags(silence time.Duration, id ID) bool {
+	return silence > r.config.MinSilence && r.group.lag(id) > r.bound
+}
+
+// learn raises the bound by one when a member that would have been suspected
+// for its lag gives a sign of life.
+func (r *Relative) learn(now clock.Time, id ID) {
+	if r.lags(r.group.silence(now, id), id) {
+		r.bound = min(r.bound+1, r.config.BoundMax)
+	}
+}
+
+// advance moves the logical clock for a sign of life of id.
+//
+// After the observer itself has paused, it reads the heartbeats of the pause
+// all at once, those of one peer before those of the next. Without MinRound
+// the first peer would run several rounds ahead in one instant, and the
+// others would be suspected together.
+func (r *Relative) advance(now clock.Time, id ID) {
+	if r.config.Pace == ByRound {
+		if r.group.member(id).mark < r.group.tick || now.Sub(r.ticked) < r.config.MinRound {
+			return
+		}
+	}
+	r.group.tick++
+	r.ticked = now
+}
+
+// mark returns the logical instant from which the lag of id counts. Answers
+// to requests that were sent before are no sign that id is being overtaken,
+// so with ByAnswer as many answers as are owed pass first.
+func (r *Relative) mark() int64 {
+	if r.config.Pace == ByRound {
+		return r.group.tick
+	}
+	return r.group.tick + r.group.owed
+}
--- /dev/null
+++ b/decide/dispatch/expire.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// expire does everything that is due at the instant of the step.
+func (s *State) expire() {
+	if s.now >= s.nextTest {
+		s.resume()
+	}
+	for s.lingering.earliest() <= s.now {
+		s.endLingering()
+	}
+	for s.timers.earliest() <= s.now {
+		s.due(s.timers[0])
+	}
+}
+
+// endLingering frees the slot of a cancelled attempt whose end the transport
+// didn't report.
+func (s *State) endLingering() {
+	e := s.lingering.pop()
+	a := s.attempts.find(e.attempt, e.req)
+	if a == nil {
+		return
+	}
+	v := a.svc
+	s.release(a)
+	s.drain(v)
+}
+
+// due handles the timer of r.
+func (s *State) due(r *request) {
+	if r.n == 0 {
+		s.giveUp(r, verdict.ReasonDeadline, retryAfter(s.expectedWait(r.svc, r.svc.queue.Len())))
+		return
+	}
+	if s.now >= r.deadline {
+		s.giveUp(r, verdict.ReasonDeadline, 0)
+		return
+	}
+	if s.suspectSilent(r) {
+		return
+	}
+	if s.now >= s.hedgeAt(r) {
+		s.hedge(r)
+	}
+	s.schedule(r)
+}
+
+// suspectSilent looks at the attempts of r that are unanswered for too long.
+// It reports whether r has been dealt with.
+func (s *State) suspectSilent(r *request) bool {
+	for i := 0; i < r.n; i++ {
+		a := r.current[i]
+		if s.now < a.silentAt {
+			continue
+		}
+		if !s.silent(r, a) {
+			a.silentAt = s.now.Add(s.silence(r, 0))
+			continue
+		}
+		s.abandon(r, a)
+		return true
+	}
+	return false
+}
+
+// silent reports whether the connection of a is to be given up: others have
+// been answered since, so neither this entry VM nor the whole service stands
+// still, and the request can go elsewhere.
+func (s *State) silent(r *request, a *attempt) bool {
+	if r.svc.lastAnswer <= a.sentAt {
+		return false
+	}
+	return r.n > 1 || !r.idempotent || s.mayRepeat(r)
+}
+
+// abandon cancels an attempt on a silent connection and sends r elsewhere if
+// that does no harm.
+func (s *State) abandon(r *request, a *attempt) {
+	t, l, sentAt, v := a.target, a.link, a.sentAt, a.svc
+	hedged := r.n > 1
+	v.detector.Observe(s.now.Sub(sentAt))
+	s.cancel(a, true)
+	r.joined = verdict.Join(r.joined, verdict.MayHaveRun)
+	if t != nil {
+		r.avoid = t
+		if t.outlier.LastAnswer() < sentAt {
+			s.targetFailed(t)
+		}
+	} else {
+		r.avoidVM = l.vm
+		s.linkFailed(l)
+	}
+	switch {
+	case hedged:
+		s.schedule(r)
+	case r.idempotent:
+		s.again(r)
+	default:
+		s.giveUp(r, verdict.ReasonSilent, 0)
+	}
+}
--- /dev/null
+++ b/decide/dispatch/membership.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/limit"
+	"github.com/azurethread/azurethread/decide/retry"
+	"github.com/azurethread/azurethread/decide/target"
+)
+
+// The slots and connections of a target that states none.
+const (
+	defaultSlots       = 1
+	defaultConnections = 330
+)
+
+// service returns the service of the given name, made when it is new.
+func (s *State) service(name fleet.ServiceName) *service {
+	if v := s.byName[name]; v != nil {
+		return v
+	}
+	v := &service{
+		name:     name,
+		detector: s.opts.NewDetector(),
+		budget:   retry.NewBudget(max(s.lim.RepeatShare, 0), s.repeatBurst()),
+	}
+	s.byName[name] = v
+	s.services = append(s.services, v)
+	slices.SortFunc(s.services, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+	return v
+}
+
+func (s *State) repeatBurst() int {
+	if s.lim.RepeatShare < 0 {
+		return 0
+	}
+	return s.lim.RepeatBurst
+}
+
+func (s *State) setServices(list []catalogue.Service) {
+	for _, v := range s.services {
+		v.listed = false
+	}
+	for _, c := range list {
+		s.service(c.Name).configure(c)
+	}
+}
+
+func (s *State) setTargets(list []fleet.Target) {
+	for _, v := range s.services {
+		v.targets = v.targets[:0]
+	}
+	for _, t := range s.targets {
+		t.listed = false // the same for each, so the map's order doesn't matter
+	}
+	for i := range list {
+		s.setTarget(&list[i])
+	}
+	s.forgetTargets()
+	s.settled = true
+	for _, v := range s.services {
+		slices.SortFunc(v.targets, func(a, b *targetState) int { return cmp.Compare(a.id, b.id) })
+	}
+	s.partition()
+	s.drainAll()
+}
+
+func (s *State) setTarget(f *fleet.Target) {
+	if s.opts.Domain != "" && f.Domain != s.opts.Domain {
+		return
+	}
+	t := s.targets[f.ID]
+	if t != nil && t.listed {
+		return // listed twice
+	}
+	if t == nil || t.svc.name != f.Service {
+		t = &targetState{id: f.ID, svc: s.service(f.Service)}
+		s.targets[f.ID] = t
+		s.initTarget(t, f)
+	}
+	if f.Slots != t.declared {
+		t.declared = f.Slots
+		t.slots = max(f.Slots, defaultSlots)
+	}
+	t.accepts = f.Connections
+	t.listed = true
+	t.leaving = f.State != fleet.Live
+	t.svc.targets = append(t.svc.targets, t)
+	if t.outlier.Standing() == target.Ejected {
+		s.suspend(t, t.outlier.Until()) // it was unlisted, and forgotten there
+	}
+}
+
+// initTarget sets the limit of a target not known before. One that appears
+// while this entry VM runs has just started and has cold caches.
+func (s *State) initTarget(t *targetState, f *fleet.Target) {
+	t.declared = f.Slots
+	t.slots = max(f.Slots, defaultSlots)
+	if s.settled {
+		t.limit = limit.Cold(t.slots)
+	} else {
+		t.limit = limit.Full(t.slots)
+	}
+}
+
+// forgetTargets drops targets that are gone and hold no request.
+func (s *State) forgetTargets() {
+	for id, t := range s.targets {
+		if !t.listed && t.inFlight == 0 {
+			delete(s.targets, id)
+		}
+	}
+}
+
+func (s *State) setPeers(p Peers) {
+	p.Count = max(p.Count, 1)
+	if p == s.peers {
+		return
+	}
+	s.peers = p
+	s.partition()
+	s.drainAll()
+}
+
+// partition deals out the slots and connections of all targets among the
+// entry VMs of the domain.
+func (s *State) partition() {
+	for _, v := range s.services {
+		s.partitionService(v)
+	}
+}
+
+func (s *State) partitionService(v *service) {
+	v.free = newBitset(len(v.targets))
+	v.capacity = 0
+	slots, connections := 0, 0
+	for i, t := range v.targets {
+		t.index = i
+		t.granted = 0
+		t.share = 0
+		if t.leaving {
+			continue
+		}
+		total := t.accepts
+		if total <= 0 {
+			total = defaultConnections
+		}
+		t.share = limit.Share(t.slots, slots, s.peers.Count, s.peers.Rank)
+		t.connections = limit.Share(total, connections, s.peers.Count, s.peers.Rank)
+		t.limit.SetSlots(t.share)
+		slots += t.slots
+		connections += total
+	}
+	for _, t := range v.targets {
+		s.refresh(t)
+	}
+}
+
+// refresh brings granted and what depends on it up to date after a change of
+// anything that grant looks at, or of inFlight.
+func (s *State) refresh(t *targetState) {
+	g := t.grant(s.now, s.opts.Ungated)
+	if !t.listed {
+		t.granted = 0
+		return
+	}
+	t.svc.capacity += g - t.granted
+	t.granted = g
+	t.svc.free.set(t.index, t.inFlight < g)
+}
--- /dev/null
+++ b/decide/dispatch/ready.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// Send hands a request to a target of the own failure domain.
+type Send struct {
+	Req      RequestID
+	Attempt  AttemptID
+	Target   fleet.TargetID
+	Deadline clock.Time
+}
+
+// Forward hands a request to an entry VM elsewhere.
+type Forward struct {
+	Req      RequestID
+	Attempt  AttemptID
+	VM       fleet.VMID
+	Deadline clock.Time
+}
+
+// Deliver passes the answer of an attempt to the caller. It is the request's
+// final effect.
+type Deliver struct {
+	Req     RequestID
+	Attempt AttemptID
+}
+
+// Reply gives the caller an error. It is the request's final effect.
+type Reply struct {
+	Req        RequestID
+	Verdict    verdict.Verdict
+	Reason     verdict.Reason
+	RetryAfter time.Duration // 0 when there is nothing to say
+}
+
+// Cancel ends an attempt whose answer is no longer wanted.
+type Cancel struct {
+	Req     RequestID
+	Attempt AttemptID
+	// Replace says that the attempt's connection is suspected silent: close
+	// it and open another.
+	Replace bool
+}
+
+// Probe asks for a Health event about a target.
+type Probe struct{ Target fleet.TargetID }
+
+// Violation is a broken invariant: a defect of this package.
+type Violation struct {
+	Invariant string
+	Detail    string
+}
+
+// Ready holds the effects of Step. The transport carries out Cancels before
+// Sends and Forwards, and may carry out the rest in any order.
+type Ready struct {
+	Sends      []Send
+	Forwards   []Forward
+	Delivers   []Deliver
+	Replies    []Reply
+	Cancels    []Cancel
+	Probes     []Probe
+	Violations []Violation
+	// Wake is when the next Tick is due; clock.Never when none is.
+	Wake clock.Time
+}
+
+// Reset empties r and keeps its memory.
+func (r *Ready) Reset() {
+	r.Sends = r.Sends[:0]
+	r.Forwards = r.Forwards[:0]
+	r.Delivers = r.Delivers[:0]
+	r.Replies = r.Replies[:0]
+	r.Cancels = r.Cancels[:0]
+	r.Probes = r.Probes[:0]
+	r.Violations = r.Violations[:0]
+	r.Wake = clock.Never
+}
--- /dev/null
+++ b/decide/dispatch/request.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/queue"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// maxCurrent is how many attempts of a request can be current at once: the
+// first one and a hedge.
+const maxCurrent = 2
+
+// request is one accepted request until its final effect.
+type request struct {
+	id         RequestID
+	svc        *service
+	node       queue.Node[*request]
+	block      uint64
+	bytes      int64
+	arrived    clock.Time
+	deadline   clock.Time
+	hops       uint8
+	idempotent bool // as the catalogue said on arrival
+	hedged     bool
+
+	attempts int             // sends and forwards so far
+	joined   verdict.Verdict // of all ended attempts; NotRun before any
+	current  [maxCurrent]*attempt
+	n        int          // used part of current
+	avoid    *targetState // target of the last failed attempt
+	avoidVM  *remoteVM    // entry VM of the last failed forward
+
+	wake  clock.Time
+	timer int // index in timers, or notTimed
+}
+
+// drop takes a out of the current attempts and reports whether it was one.
+func (r *request) drop(a *attempt) bool {
+	for i := 0; i < r.n; i++ {
+		if r.current[i] != a {
+			continue
+		}
+		r.n--
+		r.current[i] = r.current[r.n]
+		r.current[r.n] = nil
+		return true
+	}
+	return false
+}
+
+// attempt is one send or forward from its start until its connection is free
+// again. It may outlive its request: the slot it takes is used until then.
+type attempt struct {
+	id       AttemptID
+	reqID    RequestID
+	req      *request // nil once its answer is no longer wanted
+	svc      *service
+	target   *targetState // nil for a forward
+	link     *link        // nil for a send
+	borrowed bool
+	sentAt   clock.Time
+	silentAt clock.Time // when the connection is suspected next
+	expires  clock.Time // of a cancelled attempt: when it counts as ended
+}
+
+// attempts gives out attempt ids and finds attempts by them. An id is an index
+// into the table with a generation above it, so that finding one needs no map
+// and an id is never given out twice.
+type attempts struct {
+	slots []*attempt
+	free  []uint32
+}
+
+const indexBits = 32
+
+// start returns a new attempt.
+func (t *attempts) start() *attempt {
+	if len(t.free) == 0 {
+		i := uint32(len(t.slots))
+		t.slots = append(t.slots, &attempt{id: AttemptID(i)})
+		t.free = append(t.free, i)
+	}
+	i := t.free[len(t.free)-1]
+	t.free = t.free[:len(t.free)-1]
+	a := t.slots[i]
+	a.id += 1 << indexBits
+	return a
+}
+
+// find returns the attempt of the given id if it belongs to the request and
+// hasn't ended, else nil.
+func (t *attempts) find(id AttemptID, req RequestID) *attempt {
+	i := id & (1<<indexBits - 1)
+	if i >= AttemptID(len(t.slots)) {
+		return nil
+	}
+	a := t.slots[i]
+	if a.id != id || a.reqID != req || a.svc == nil {
+		return nil
+	}
+	return a
+}
+
+// end frees a; its id is never found again.
+func (t *attempts) end(a *attempt) {
+	*a = attempt{id: a.id}
+	t.free = append(t.free, uint32(a.id&(1<<indexBits-1)))
+}
+
+// running returns how many attempts have not ended.
+func (t *attempts) running() int { return len(t.slots) - len(t.free) }
+
+// lingering is the queue of cancelled attempts by the instant they count as
+// ended. All wait for the same time, so it is in order by itself.
+type lingering struct {
+	ring  []lingerer
+	first int
+	n     int
+}
+
+type lingerer struct {
+	attempt AttemptID
+	req     RequestID
+	expires clock.Time
+}
+
+func (l *lingering) push(e lingerer) {
+	if l.n == len(l.ring) {
+		l.grow()
+	}
+	l.ring[(l.first+l.n)%len(l.ring)] = e
+	l.n++
+}
+
+func (l *lingering) grow() {
+	bigger := make([]lingerer, max(2*len(l.ring), 16))
+	for i := 0; i < l.n; i++ {
+		bigger[i] = l.ring[(l.first+i)%len(l.ring)]
+	}
+	l.ring, l.first = bigger, 0
+}
+
+func (l *lingering) earliest() clock.Time {
+	if l.n == 0 {
+		return clock.Never
+	}
+	return l.ring[l.first].expires
+}
+
+func (l *lingering) pop() lingerer {
+	e := l.ring[l.first]
+	l.first = (l.first + 1) % len(l.ring)
+	l.n--
+	return e
+}
--- /dev/null
+++ b/decide/dispatch/send.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// nonIdempotentPatience multiplies the bound of silence for non-idempotent
+// requests. Giving such a request up turns an answer that may still come into
+// an unknown outcome, so only a far longer silence justifies it.
+const nonIdempotentPatience = 3
+
+// trySend sends r to a local target if one has a free slot.
+func (s *State) trySend(r *request) bool {
+	t, borrowed := s.choose(r)
+	if t == nil {
+		return false
+	}
+	return s.send(r, t, borrowed)
+}
+
+// send hands r to t. It reports false, and does nothing, when that would
+// break an invariant.
+func (s *State) send(r *request, t *targetState, borrowed bool) bool {
+	if !s.maySend(r, t) {
+		return false
+	}
+	s.dequeue(r)
+	a := s.startAttempt(r)
+	a.target = t
+	a.borrowed = borrowed
+	a.silentAt = s.now.Add(s.silence(r, 0))
+	t.inFlight++
+	t.svc.inFlight++
+	s.refresh(t)
+	s.out.Sends = append(s.out.Sends, Send{Req: r.id, Attempt: a.id, Target: t.id, Deadline: r.deadline})
+	s.schedule(r)
+	return true
+}
+
+// forward hands r to the entry VM of l.
+func (s *State) forward(r *request, l *link) {
+	if !s.mayForward(r) {
+		return
+	}
+	s.dequeue(r)
+	a := s.startAttempt(r)
+	a.link = l
+	a.silentAt = s.now.Add(s.silence(r, l.vm.rtt))
+	l.inFlight++
+	l.vm.inFlight++
+	// The other entry VM must give up early enough for its answer to be here
+	// in time.
+	deadline := max(r.deadline-clock.Time(l.vm.rtt/2), s.now)
+	s.out.Forwards = append(s.out.Forwards, Forward{Req: r.id, Attempt: a.id, VM: l.vm.id, Deadline: deadline})
+	s.schedule(r)
+}
+
+func (s *State) startAttempt(r *request) *attempt {
+	a := s.attempts.start()
+	a.reqID = r.id
+	a.req = r
+	a.svc = r.svc
+	a.sentAt = s.now
+	a.expires = clock.Never
+	r.attempts++
+	r.current[r.n] = a
+	r.n++
+	return a
+}
+
+// silence returns how long an attempt may stay unanswered.
+func (s *State) silence(r *request, rtt time.Duration) time.Duration {
+	d := r.svc.detector.Bound() + 2*rtt
+	if !r.idempotent {
+		d *= nonIdempotentPatience
+	}
+	return d
+}
+
+// schedule sets the timer of a request with current attempts.
+func (s *State) schedule(r *request) {
+	at := r.deadline
+	for i := 0; i < r.n; i++ {
+		at = min(at, r.current[i].silentAt)
+	}
+	s.timers.set(r, min(at, s.hedgeAt(r)))
+}
+
+// hedgeAt returns when a second attempt of r is worth its cost.
+func (s *State) hedgeAt(r *request) clock.Time {
+	if !r.idempotent || r.hedged || r.n != 1 || s.lim.HedgeMin < 0 || s.opts.Ungated {
+		return clock.Never
+	}
+	a := r.current[0]
+	p95 := r.svc.tail.P95()
+	if p95 == 0 || a.target == nil {
+		return clock.Never
+	}
+	return a.sentAt.Add(max(p95, s.lim.HedgeMin))
+}
+
+// hedge sends r a second time when that takes nothing from others: there is a
+// free slot at another target, nobody waits, and the budget has to spare.
+func (s *State) hedge(r *request) {
+	r.hedged = true
+	v := r.svc
+	if v.queue.Len() > 0 || r.attempts >= s.lim.MaxAttempts {
+		return
+	}
+	r.avoid = r.current[0].target
+	t, borrowed := s.choose(r)
+	if t == nil || borrowed || t == r.avoid || !v.budget.SpendSpare() {
+		return
+	}
+	s.send(r, t, false)
+}
+
+// drainAll serves all queues after a change of what targets may take.
+func (s *State) drainAll() {
+	for _, v := range s.services {
+		s.drain(v)
+	}
+}
+
+// drain sends waiting requests while there are slots.
+func (s *State) drain(v *service) {
+	for n := v.queue.Front(); n != nil; n = v.queue.Front() {
+		r := n.Item
+		if s.now >= s.latestStart(r) {
+			s.giveUp(r, verdict.ReasonDeadline, retryAfter(s.expectedWait(v, v.queue.Len())))
+			continue
+		}
+		if s.trySend(r) {
+			continue
+		}
+		if v.capacity > 0 {
+			return
+		}
+		l := s.pickLink(r, longWait)
+		if l == nil {
+			return
+		}
+		s.forward(r, l)
+	}
+}
+
+// finish ends r after its final effect and cancels attempts still current.
+func (s *State) finish(r *request) {
+	s.dequeue(r)
+	for r.n > 0 {
+		a := r.current[0]
+		s.cancel(a, s.now >= a.silentAt)
+	}
+	s.timers.remove(r)
+	delete(s.requests, r.id)
+	*r = request{timer: notTimed}
+	r.node.Item = r
+	s.pool = append(s.pool, r)
+}
+
+// cancel ends the interest in a; its slot stays taken until the transport
+// reports the end, or for the grace period.
+func (s *State) cancel(a *attempt, replace bool) {
+	s.out.Cancels = append(s.out.Cancels, Cancel{Req: a.reqID, Attempt: a.id, Replace: replace})
+	a.req.drop(a)
+	a.req = nil
+	a.expires = s.now.Add(s.lim.CancelGrace)
+	s.lingering.push(lingerer{attempt: a.id, req: a.reqID, expires: a.expires})
+}
+
+// release frees what a holds, and a itself.
+func (s *State) release(a *attempt) {
+	if a.req != nil {
+		a.req.drop(a)
+	}
+	if t := a.target; t != nil {
+		t.inFlight--
+		t.svc.inFlight--
+		s.checkReleased(t)
+		s.refresh(t)
+	}
+	if l := a.link; l != nil {
+		l.inFlight--
+		l.vm.inFlight--
+	}
+	s.attempts.end(a)
+}
+
+// deliver passes on the answer of a.
+func (s *State) deliver(r *request, id AttemptID) {
+	s.out.Delivers = append(s.out.Delivers, Deliver{Req: r.id, Attempt: id})
+	s.finish(r)
+}
+
+// giveUp answers r with an error. Attempts still running may yet run, so the
+// verdict counts them.
+func (s *State) giveUp(r *request, reason verdict.Reason, after time.Duration) {
+	v := r.joined
+	if r.n > 0 {
+		v = verdict.Join(v, verdict.MayHaveRun)
+	}
+	s.out.Replies = append(s.out.Replies, Reply{Req: r.id, Verdict: v, Reason: reason, RetryAfter: after})
+	s.finish(r)
+}
--- /dev/null
+++ b/decide/dispatch/service.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/limit"
+	"github.com/azurethread/azurethread/decide/queue"
+	"github.com/azurethread/azurethread/decide/retry"
+	"github.com/azurethread/azurethread/decide/target"
+)
+
+// usualUnknown stands for a service's latency before the first answer.
+const usualUnknown = 50 * time.Millisecond
+
+// service is what State holds for one service.
+type service struct {
+	name       fleet.ServiceName
+	listed     bool // in the catalogue
+	idempotent bool
+	deferrable bool
+	timeout    time.Duration
+
+	targets  []*targetState // sorted by id
+	free     bitset         // targets with a free slot
+	capacity int            // sum of granted
+	inFlight int            // sends that have not ended
+	queue    queue.FIFO[*request]
+	links    []*link // sorted by VM
+
+	mean       target.Mean
+	tail       target.Quantiles
+	detector   Detector
+	budget     retry.Budget
+	lastAnswer clock.Time // of any target or entry VM
+	turn       int        // of RoundRobin
+}
+
+// usual returns the expected latency of a send in ns.
+func (v *service) usual() float64 { return v.mean.Value(float64(usualUnknown)) }
+
+// configure takes over what the catalogue says.
+func (v *service) configure(c catalogue.Service) {
+	v.listed = true
+	v.idempotent = c.Idempotent
+	v.deferrable = c.Priority != catalogue.Interactive
+	v.timeout = time.Duration(c.Timeout)
+	if v.timeout == 0 {
+		v.timeout = catalogue.DefaultTimeout
+	}
+}
+
+// targetState is what State holds for one target of the own failure domain.
+type targetState struct {
+	id       fleet.TargetID
+	svc      *service
+	index    int  // in svc.targets
+	listed   bool // in the last Targets event
+	leaving  bool // as the list says
+	declared int  // slots as the list says
+	slots    int  // slots in force: declared, or fewer when the target says so
+	share    int  // slots of this entry VM
+	inFlight int
+	granted  int // requests this entry VM may have in flight without borrowing
+
+	limit       limit.Adaptive
+	borrow      limit.Borrow
+	mean        target.Mean
+	outlier     target.Outlier
+	brief       bool       // the present ejection doesn't count against the bound
+	pausedUntil clock.Time // after a refusal
+	waiting     bool       // in State.suspended
+	healthyAt   clock.Time // last good health report
+
+	accepts     int // connections the target accepts from all entry VMs
+	connections int // this entry VM's part of them
+	open        int // as reported by Connection events
+}
+
+// grant computes granted.
+func (t *targetState) grant(now clock.Time, ungated bool) int {
+	if t.leaving || !t.listed || now < t.pausedUntil {
+		return 0
+	}
+	if ungated {
+		return max(t.connections, 1)
+	}
+	switch t.outlier.Standing() {
+	case target.Ejected:
+		return 0
+	case target.Testing:
+		return min(t.share, 1)
+	default:
+		return min(t.limit.Limit(), t.connections)
+	}
+}
+
+// remoteVM is what State holds for one other entry VM.
+type remoteVM struct {
+	id       fleet.VMID
+	rtt      time.Duration
+	inFlight int
+	outlier  target.Outlier
+	seen     bool // in the Remotes event at hand
+}
+
+// link is one service at one other entry VM.
+type link struct {
+	vm       *remoteVM
+	svc      *service
+	window   limit.Window
+	mean     target.Mean // latency of forwards, round trip included
+	inFlight int
+	seen     bool
+}
--- /dev/null
+++ b/decide/dispatch/standing.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/limit"
+	"github.com/azurethread/azurethread/decide/target"
+)
+
+const (
+	// maxEjectedShare is the part of a service's targets that may be ejected
+	// whatever the load, as 1/maxEjectedShare; one may be always.
+	maxEjectedShare = 3
+	// briefEjection spaces the tests of a target that fails but may not be
+	// ejected for longer.
+	briefEjection = 100 * time.Millisecond
+	// probeWait is how long a non-idempotent service waits for a health
+	// report before it asks again.
+	probeWait = time.Second
+)
+
+// targetFailed records a failed request at t and ejects t when it is an
+// outlier.
+func (s *State) targetFailed(t *targetState) {
+	if t.outlier.Failed() {
+		s.eject(t)
+	}
+	s.refresh(t)
+}
+
+// eject takes t out of use. When too many are out already, failing requests
+// are more likely due to something that all targets share, and the rest could
+// not bear the load: t is then only left alone briefly between two tests.
+func (s *State) eject(t *targetState) {
+	if t.outlier.Standing() == target.Ejected {
+		return
+	}
+	t.brief = !s.mayEject(t)
+	t.outlier.Eject(s.now, s.rng)
+	if t.brief {
+		t.outlier.Postpone(s.now.Add(briefEjection))
+	}
+	t.mean.Forget()
+	s.suspend(t, t.outlier.Until())
+	s.refresh(t)
+}
+
+// mayEject reports whether t may be ejected for longer.
+func (s *State) mayEject(t *targetState) bool {
+	v := t.svc
+	out := 1
+	for _, o := range v.targets {
+		if o != t && o.outlier.Standing() == target.Ejected && !o.brief {
+			out++
+		}
+	}
+	if out <= max(len(v.targets)/maxEjectedShare, 1) {
+		return true
+	}
+	return v.capacity-t.granted >= v.inFlight+v.queue.Len()
+}
+
+// pause gives t nothing for a while after it refused a request.
+func (s *State) pause(t *targetState, d time.Duration) {
+	t.pausedUntil = max(t.pausedUntil, s.now.Add(d))
+	s.suspend(t, t.pausedUntil)
+	s.refresh(t)
+}
+
+// suspend makes State look at t again at the given instant.
+func (s *State) suspend(t *targetState, until clock.Time) {
+	if !t.waiting {
+		t.waiting = true
+		s.suspended = append(s.suspended, t)
+	}
+	s.nextTest = min(s.nextTest, until)
+}
+
+// resume looks at all suspended targets and lets back in those whose time has
+// come.
+func (s *State) resume() {
+	s.nextTest = clock.Never
+	kept := s.suspended[:0]
+	for _, t := range s.suspended {
+		if at := s.resumeTarget(t); at != clock.Never {
+			s.nextTest = min(s.nextTest, at)
+			kept = append(kept, t)
+		} else {
+			t.waiting = false
+		}
+	}
+	clear(s.suspended[len(kept):])
+	s.suspended = kept
+	s.drainAll()
+}
+
+// resumeTarget returns when to look at t again, clock.Never for not at all.
+func (s *State) resumeTarget(t *targetState) clock.Time {
+	if !t.listed {
+		return clock.Never
+	}
+	if t.outlier.Standing() == target.Ejected && s.now >= t.outlier.Until() {
+		s.endEjection(t)
+	}
+	s.refresh(t)
+	next := clock.Never
+	if t.outlier.Standing() == target.Ejected {
+		next = t.outlier.Until()
+	}
+	if s.now < t.pausedUntil {
+		next = min(next, t.pausedUntil)
+	}
+	return next
+}
+
+// endEjection lets t take test requests. A failed test of a non-idempotent
+// service is a submission with an unknown outcome, so there a good health
+// report has to come first.
+func (s *State) endEjection(t *targetState) {
+	if !t.brief {
+		s.out.Probes = append(s.out.Probes, Probe{Target: t.id})
+	}
+	if !t.brief && !t.svc.idempotent && !s.healthySince(t) {
+		t.outlier.Postpone(s.now.Add(probeWait))
+		return
+	}
+	if t.share == 0 && !s.opts.Ungated {
+		t.outlier.Restore() // only borrowed, and only when it reports free slots
+		return
+	}
+	t.outlier.Test()
+}
+
+// healthySince reports whether t has been reported well within the last probe.
+func (s *State) healthySince(t *targetState) bool {
+	return t.healthyAt != 0 && s.now.Sub(t.healthyAt) <= probeWait
+}
+
+// health handles a target's own statement. It never brings a target back by
+// itself, and takes one out only where no request has lately been answered.
+func (s *State) health(e *Health) {
+	t := s.targets[e.Target]
+	if t == nil || !t.listed {
+		return
+	}
+	s.loadReport(t, e.InFlight, e.Slots, e.Age)
+	switch {
+	case e.OK:
+		t.healthyAt = max(t.healthyAt, s.now.Add(-e.Age))
+	case t.outlier.Standing() == target.InUse && !t.outlier.Outvoted(s.now):
+		s.eject(t)
+	}
+	if e.Cold && !t.mean.Known() && t.outlier.Standing() == target.InUse {
+		t.limit = limit.Cold(t.share)
+	}
+	s.refresh(t)
+	s.drain(t.svc)
+}
+
+// connection handles the opening and closing of connections. An idle
+// connection that went silent says nothing about the target as long as others
+// are answered; the requests on them decide.
+func (s *State) connection(e *Connection) {
+	t := s.targets[e.Target]
+	if t == nil {
+		return
+	}
+	switch e.Event {
+	case Opened:
+		t.open++
+	default:
+		t.open = max(t.open-1, 0)
+	}
+}
--- /dev/null
+++ b/decide/dispatch/state.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/queue"
+	"github.com/azurethread/azurethread/decide/target"
+)
+
+// State decides about the requests of one entry VM. It is not safe for
+// concurrent use.
+type State struct {
+	opts   Options
+	lim    Limits
+	policy target.Policy
+	rng    *rand.Rand
+
+	now clock.Time // of the step at hand
+	out *Ready     // of the step at hand
+
+	services  []*service // sorted by name
+	byName    map[fleet.ServiceName]*service
+	targets   map[fleet.TargetID]*targetState
+	vms       map[fleet.VMID]*remoteVM
+	vmCount   int // other entry VMs in the last Remotes event
+	peers     Peers
+	settled   bool // a Targets event has been seen
+	suspended []*targetState
+	nextTest  clock.Time // when a suspended target or entry VM is due
+	stopping  bool
+
+	requests  map[RequestID]*request
+	pool      []*request
+	attempts  attempts
+	lingering lingering
+	timers    timers
+	gate      queue.Gate
+
+	violations uint64
+}
+
+// seedStream tells this generator's stream from others with the same seed.
+const seedStream = 0x646973_7061746368
+
+// New returns a State that knows no services, targets or other entry VMs yet.
+// It panics when o.Validate reports an error.
+func New(o Options) *State {
+	policy, err := target.ParsePolicy(o.Policy)
+	if err != nil {
+		panic(err)
+	}
+	if o.NewDetector == nil {
+		o.NewDetector = func() Detector { return new(tailDetector) }
+	}
+	lim := o.Limits.WithDefaults()
+	return &State{
+		opts:     o,
+		lim:      lim,
+		policy:   policy,
+		rng:      rand.New(rand.NewPCG(o.Seed, seedStream)),
+		byName:   make(map[fleet.ServiceName]*service),
+		targets:  make(map[fleet.TargetID]*targetState),
+		vms:      make(map[fleet.VMID]*remoteVM),
+		peers:    Peers{Count: 1},
+		nextTest: clock.Never,
+		requests: make(map[RequestID]*request),
+		gate: queue.Gate{
+			MaxItems:        lim.QueueItems,
+			MaxBytes:        lim.QueueBytes,
+			DeferrableShare: lim.DeferrableShare,
+		},
+	}
+}
+
+// Step applies one event at the instant now and appends its effects to out,
+// which the caller has Reset. An instant before the last step's counts as
+// that one.
+func (s *State) Step(now clock.Time, ev Event, out *Ready) {
+	s.now = max(now, s.now)
+	s.out = out
+	s.apply(ev)
+	s.expire()
+	out.Wake = s.wake()
+	if s.opts.Audit {
+		s.audit()
+	}
+	s.out = nil
+}
+
+func (s *State) apply(ev Event) {
+	switch e := ev.(type) {
+	case *Arrive:
+		s.arrive(e)
+	case *Answered:
+		s.answered(e)
+	case *Failed:
+		s.failed(e)
+	case *CallerGone:
+		s.callerGone(e.Req)
+	case *Tick:
+	case *Stop:
+		s.stopping = true
+	case *Targets:
+		s.setTargets(e.List)
+	case *Peers:
+		s.setPeers(*e)
+	case *Services:
+		s.setServices(e.List)
+	case *Remotes:
+		s.setRemotes(e.List)
+	case *Health:
+		s.health(e)
+	case *Connection:
+		s.connection(e)
+	}
+}
+
+// wake returns when the next Tick is due.
+func (s *State) wake() clock.Time {
+	return min(s.timers.earliest(), s.lingering.earliest(), s.nextTest)
+}
+
+// Pending returns how many requests have no final effect yet. A leaving entry
+// VM may exit when it is 0.
+func (s *State) Pending() int { return len(s.requests) }
+
+// InFlight returns how many attempts have not ended, the cancelled ones
+// included.
+func (s *State) InFlight() int { return s.attempts.running() }
--- /dev/null
+++ b/decide/dispatch/timers.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import "github.com/azurethread/azurethread/decide/clock"
+
+// timers is a binary heap of requests by the instant they need attention.
+type timers []*request
+
+// notTimed is the heap index of a request without a timer.
+const notTimed = -1
+
+// earliest returns when the first request is due.
+func (h timers) earliest() clock.Time {
+	if len(h) == 0 {
+		return clock.Never
+	}
+	return h[0].wake
+}
+
+// set makes r due at the given instant.
+func (h *timers) set(r *request, at clock.Time) {
+	r.wake = at
+	if r.timer == notTimed {
+		r.timer = len(*h)
+		*h = append(*h, r)
+	}
+	h.up(r.timer)
+	h.down(r.timer)
+}
+
+// remove drops the timer of r, if any.
+func (h *timers) remove(r *request) {
+	i := r.timer
+	if i == notTimed {
+		return
+	}
+	last := len(*h) - 1
+	h.swap(i, last)
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	r.timer = notTimed
+	if i < last {
+		h.up(i)
+		h.down(i)
+	}
+}
+
+func (h timers) swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].timer = i
+	h[j].timer = j
+}
+
+func (h timers) less(i, j int) bool {
+	if h[i].wake != h[j].wake {
+		return h[i].wake < h[j].wake
+	}
+	return h[i].id < h[j].id
+}
+
+func (h timers) up(i int) {
+	for i > 0 {
+		p := (i - 1) / 2
+		if !h.less(i, p) {
+			return
+		}
+		h.swap(i, p)
+		i = p
+	}
+}
+
+func (h timers) down(i int) {
+	for {
+		c := 2*i + 1
+		if c >= len(h) {
+			return
+		}
+		if c+1 < len(h) && h.less(c+1, c) {
+			c++
+		}
+		if !h.less(c, i) {
+			return
+		}
+		h.swap(i, c)
+		i = c
+	}
+}
--- /dev/null
+++ b/decide/engine/event.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"github.com/azurethread/azurethread/decide/block"
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/dispatch"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// Event is one of the pointer types of this file, or an event of one of the
+// packages that the engine composes.
+type Event any
+
+// Call is a request of a caller, or of another entry VM when Hops is not 0.
+type Call struct {
+	Req       dispatch.RequestID
+	Service   fleet.ServiceName
+	Token     string // one-time token; may be empty
+	Block     uint64 // hash of the client's block
+	Deadline  clock.Time
+	Hops      uint8
+	BodyBytes int64
+}
+
+// Tick passes time; it is due at Ready.Wake.
+type Tick struct{}
+
+// Machines is a newer version of the platform's lagging machine list.
+type Machines struct{ List fleet.List }
+
+// Catalogue is a newer configuration.
+type Catalogue struct{ Catalogue *catalogue.Catalogue }
+
+// Blocks is a newer table of client blocks.
+type Blocks struct{ Table *block.Table }
+
+// Refusal is the final error answer to a request that was not dispatched.
+type Refusal struct {
+	dispatch.Reply
+	// Ask names the entry VM that knows what became of the token; empty: none.
+	Ask fleet.VMID
+	// Answer is the HTTP status that an earlier send of the token was
+	// answered with; 0: none.
+	Answer int
+}
+
+// refuse returns the refusal of a request that has provably not run.
+func refuse(req dispatch.RequestID, r verdict.Reason) Refusal {
+	return Refusal{Reply: dispatch.Reply{Req: req, Verdict: verdict.NotRun, Reason: r}}
+}
--- /dev/null
+++ b/decide/limit/adaptive.go
@@ -0,0 +1,53 @@
+package limit
+
+// The steps of Adaptive.
+const (
+	shedFactor = 0.7  // kept of the limit after a refusal
+	slowFactor = 0.95 // kept of the limit after an answer that was far too slow
+	minLimit   = 1
+)
+
+// Adaptive is the number of requests a target can work on at once, as learnt
+// from its refusals and latency. It lies between 1 and the target's slots.
+type Adaptive struct {
+	limit float64
+	slots int
+}
+
+// Full returns a limit that starts at all slots.
+func Full(slots int) Adaptive { return Adaptive{limit: float64(slots), slots: slots} }
+
+// Cold returns a limit that starts at 1. A new or restarted target has cold
+// caches; given its full share at once, it would make every request slow.
+func Cold(slots int) Adaptive { return Adaptive{limit: min(minLimit, float64(slots)), slots: slots} }
+
+// SetSlots changes the upper bound. A limit that stood at the old bound
+// follows it upwards.
+func (a *Adaptive) SetSlots(slots int) {
+	if slots > a.slots && a.limit >= float64(a.slots) {
+		a.limit = float64(slots)
+	}
+	a.slots = slots
+	a.limit = min(a.limit, float64(slots))
+}
+
+// Limit returns the present limit.
+func (a *Adaptive) Limit() int { return int(a.limit) }
+
+// Answered records an answer in ordinary time. The limit grows by one after
+// as many answers as it allows at once.
+func (a *Adaptive) Answered() {
+	if a.limit < float64(a.slots) {
+		a.limit = min(a.limit+1/max(a.limit, minLimit), float64(a.slots))
+	}
+}
+
+// Slow records an answer that took much longer than the service's usual.
+func (a *Adaptive) Slow() { a.lower(slowFactor) }
+
+// Shed records a refusal for lack of capacity.
+func (a *Adaptive) Shed() { a.lower(shedFactor) }
+
+func (a *Adaptive) lower(factor float64) {
+	a.limit = min(max(a.limit*factor, minLimit), float64(a.slots))
+}
--- /dev/null
+++ b/decide/limit/window.go
@@ -0,0 +1,80 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+)
+
+// Window bounds the forwards in flight to another entry VM.
+//
+// Reports of headroom are about a second old, and every other entry VM sees
+// the same ones. If all of them filled the headroom they see, the receiver
+// would get many times what it can bear, refuse most of it, report itself
+// full, and be left empty a second later. Three rules prevent this: each
+// sender starts from its part of the headroom, drawn at random so that parts
+// below one request are right on average; the window grows only as forwards
+// are answered and is halved by a refusal; and the headroom reported, less
+// with age, bounds it above.
+type Window struct {
+	size     float64
+	headroom float64    // reported
+	at       clock.Time // when the report was made
+	known    bool
+	included int        // own forwards in flight when the report came in
+	until    clock.Time // nothing before, after a refusal
+	pause    time.Duration
+}
+
+// The bounds of the pause after a refusal.
+const (
+	minRefusalPause = 10 * time.Millisecond
+	maxRefusalPause = time.Second
+)
+
+// Report records headroom stated at the instant at, with inFlight own
+// forwards in flight now and senders entry VMs that may forward there.
+func (w *Window) Report(headroom int, at clock.Time, inFlight, senders int, rng *rand.Rand) {
+	if w.known && at < w.at {
+		return
+	}
+	w.known = true
+	w.at = at
+	w.headroom = max(float64(headroom), 0)
+	w.included = inFlight
+	part := w.headroom / float64(max(senders, 1))
+	whole := float64(int(part))
+	if rng.Float64() < part-whole {
+		whole++
+	}
+	w.size = min(max(w.size, whole), w.headroom)
+}
+
+// Answered records a forward that was answered, and with it that the receiver
+// had room.
+func (w *Window) Answered() {
+	w.size += 1 / max(w.size, 1)
+	w.pause /= 2
+}
+
+// Refused records a refusal for lack of capacity.
+func (w *Window) Refused(now clock.Time, rtt time.Duration) {
+	w.size /= 2
+	w.pause = min(max(2*w.pause, rtt, minRefusalPause), maxRefusalPause)
+	w.until = now.Add(w.pause)
+}
+
+// Room returns how many forwards may be added to the inFlight own ones. A
+// report of the age horizon or more leaves no room.
+func (w *Window) Room(now clock.Time, inFlight int, horizon time.Duration) float64 {
+	if !w.known || now < w.until {
+		return 0
+	}
+	trust := 1 - float64(now.Sub(w.at))/float64(horizon)
+	if trust <= 0 {
+		return 0
+	}
+	since := float64(max(inFlight-w.included, 0))
+	return min(w.size-float64(inFlight), w.headroom*trust-since)
+}
--- /dev/null
+++ b/decide/member/fact.go
@@ -0,0 +1,304 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// rumour is a fact still to be carried by pings and answers.
+type rumour struct {
+	id   fleet.VMID
+	left int
+}
+
+// age is the time since t in ms, as it goes on the wire.
+func age(now, t clock.Time) uint32 {
+	ms := now.Sub(t) / time.Millisecond
+	return uint32(min(max(ms, 0), math.MaxUint32))
+}
+
+// since is the instant that a received age stands for.
+func since(now clock.Time, ms uint32) clock.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// fact states what is known of r. With full it carries the addresses.
+func (s *State) fact(r *record, full bool) Fact {
+	f := Fact{
+		ID:          r.vm.ID,
+		Incarnation: r.vm.Incarnation,
+		Refutations: r.refutations,
+	}
+	switch {
+	case r.dead():
+		f.Status, f.Age = Dead, age(s.now, r.diedAt)
+	case r.suspected():
+		f.Status, f.Age = Suspected, age(s.now, r.suspectedAt)
+	case r.vm.State == fleet.Leaving:
+		f.Status = Leaving
+	}
+	if full {
+		f.Site = r.vm.Site
+		f.CallAddr = r.vm.CallAddr
+		f.PeerAddr = r.vm.PeerAddr
+		f.AdminAddr = r.vm.AdminAddr
+	}
+	return f
+}
+
+// applyFact merges a statement about a VM of the own domain.
+func (s *State) applyFact(f *Fact) {
+	if f.ID == s.self.vm.ID {
+		s.applyOwn(f)
+		return
+	}
+	r := s.byID[f.ID]
+	if r == nil {
+		s.learn(f)
+		return
+	}
+	switch c := compareAge(f, r); {
+	case c < 0:
+		return
+	case c > 0:
+		s.renew(r, f)
+	default:
+		s.applySame(r, f)
+	}
+}
+
+// compareAge orders a fact against a record by incarnation and refutations.
+func compareAge(f *Fact, r *record) int {
+	if c := cmp.Compare(f.Incarnation, r.vm.Incarnation); c != 0 {
+		return c
+	}
+	return cmp.Compare(f.Refutations, r.refutations)
+}
+
+// learn adds a VM not known so far. Without addresses it could not be
+// reached, and a dead one needs no record.
+func (s *State) learn(f *Fact) {
+	if f.Status == Dead || f.PeerAddr == "" {
+		return
+	}
+	r := &record{rank: rank(f.ID), vm: fleet.VM{
+		ID:     f.ID,
+		Region: s.self.vm.Region,
+		Domain: s.self.vm.Domain,
+	}}
+	at, _ := slices.BinarySearchFunc(s.members, r, compareRecords)
+	s.members = slices.Insert(s.members, at, r)
+	s.byID[f.ID] = r
+	r.heard = s.now
+	s.renew(r, f)
+}
+
+// renew replaces what is known of r by a newer fact.
+func (s *State) renew(r *record, f *Fact) {
+	wasDead := r.dead()
+	r.vm.Incarnation = f.Incarnation
+	r.refutations = f.Refutations
+	r.suspectedAt = 0
+	if f.PeerAddr != "" {
+		r.vm.Site = f.Site
+		r.vm.CallAddr = f.CallAddr
+		r.vm.PeerAddr = f.PeerAddr
+		r.vm.AdminAddr = f.AdminAddr
+	}
+	if wasDead {
+		r.heard = s.now
+	}
+	r.vm.State = fleet.Live
+	switch f.Status {
+	case Suspected:
+		r.suspectedAt = since(s.now, f.Age)
+	case Leaving:
+		r.vm.State = fleet.Leaving
+	case Dead:
+		s.die(r, since(s.now, f.Age))
+	}
+	s.rowsChanged = true
+	s.carry(r.vm.ID)
+}
+
+// applySame merges a fact of the same incarnation and refutation count.
+func (s *State) applySame(r *record, f *Fact) {
+	if r.dead() {
+		return
+	}
+	switch f.Status {
+	case Suspected:
+		if !r.suspected() {
+			s.suspectSince(r, since(s.now, f.Age))
+		}
+	case Leaving:
+		if r.vm.State == fleet.Live {
+			r.vm.State = fleet.Leaving
+			s.rowsChanged = true
+			s.carry(r.vm.ID)
+		}
+	case Dead:
+		s.applyDeath(r, f)
+	}
+}
+
+// applyDeath takes another VM's word that r is dead, unless this VM has just
+// heard from r: after a partition one side still holds the other dead, and
+// believing it would drop living VMs until each has refuted. Then r is only
+// suspected, and asked.
+func (s *State) applyDeath(r *record, f *Fact) {
+	if s.now.Sub(r.heard) > freshFor {
+		s.die(r, since(s.now, f.Age))
+		return
+	}
+	if !r.suspected() {
+		s.suspectSince(r, s.now)
+		s.ask(r.vm.ID)
+	}
+}
+
+func (s *State) suspectSince(r *record, t clock.Time) {
+	r.suspectedAt = t
+	s.carry(r.vm.ID)
+}
+
+func (s *State) die(r *record, t clock.Time) {
+	r.vm.State = fleet.Dead
+	r.suspectedAt = 0
+	r.diedAt = t
+	s.rowsChanged = true
+	s.carry(r.vm.ID)
+}
+
+// applyOwn refutes what others say wrongly about this VM.
+func (s *State) applyOwn(f *Fact) {
+	own := s.self
+	if f.Incarnation > own.vm.Incarnation {
+		s.supersede(f)
+		return
+	}
+	if f.Incarnation < own.vm.Incarnation || f.Refutations < own.refutations {
+		return
+	}
+	wrong := f.Status == Suspected || f.Status == Dead
+	if !wrong && f.Refutations == own.refutations {
+		return
+	}
+	own.refutations = f.Refutations + 1
+	s.rowsChanged = true
+	s.carry(own.vm.ID)
+	if s.now.Sub(s.lastRefuted) >= refuteEvery {
+		s.lastRefuted = s.now
+		s.tell(s.fact(own, true))
+	}
+}
+
+// supersede handles a higher incarnation under the own id. While joining it
+// is an earlier process whose clock was ahead, so this one takes a higher
+// number; later it is a newer process, and this one must give way.
+func (s *State) supersede(f *Fact) {
+	if s.joined {
+		s.superseded = s.superseded || f.Status != Dead
+		return
+	}
+	s.self.vm.Incarnation = f.Incarnation + 1
+	s.self.refutations = 0
+	s.carry(s.self.vm.ID)
+}
+
+// suspect starts the suspicion of r by this VM's own finding and tells all.
+func (s *State) suspect(r *record) {
+	if r.dead() || r.suspected() {
+		return
+	}
+	s.suspectSince(r, s.now)
+	s.tell(s.fact(r, false))
+}
+
+// expireSuspicions declares dead what nobody refuted in time. Every member
+// does so by itself, so no further message is needed.
+func (s *State) expireSuspicions() {
+	for _, r := range s.members {
+		if r.suspected() && r.suspectedAt.Add(s.o.SuspectFor) <= s.now {
+			s.die(r, s.now)
+		}
+	}
+}
+
+// forget drops dead VMs once no late fact about them can come.
+func (s *State) forget() {
+	keep := s.members[:0]
+	for _, r := range s.members {
+		if r.dead() && r.diedAt.Add(tombstoneFor) <= s.now {
+			delete(s.byID, r.vm.ID)
+			continue
+		}
+		keep = append(keep, r)
+	}
+	clear(s.members[len(keep):])
+	s.members = keep
+}
+
+// carry lets pings and answers carry the fact about id for some rounds.
+func (s *State) carry(id fleet.VMID) {
+	left := piggybackRounds * bits.Len(uint(len(s.members)))
+	for i := range s.gossip {
+		if s.gossip[i].id == id {
+			s.gossip[i].left = left
+			return
+		}
+	}
+	s.gossip = append(s.gossip, rumour{id: id, left: left})
+}
+
+// carried takes facts for one message, least often carried first; about is
+// included first if the receiver itself may have to refute it.
+func (s *State) carried(about fleet.VMID) []Fact {
+	var out []Fact
+	if r := s.byID[about]; r != nil && (r.dead() || r.suspected()) {
+		out = append(out, s.fact(r, false))
+	}
+	if len(s.gossip) == 0 {
+		return out
+	}
+	slices.SortStableFunc(s.gossip, func(a, b rumour) int { return cmp.Compare(b.left, a.left) })
+	for i := range s.gossip[:min(piggybackFacts, len(s.gossip))] {
+		s.gossip[i].left--
+		if r := s.byID[s.gossip[i].id]; r != nil {
+			out = append(out, s.fact(r, !r.dead() && !r.suspected()))
+		}
+	}
+	s.gossip = slices.DeleteFunc(s.gossip, func(g rumour) bool { return g.left <= 0 })
+	return out
+}
+
+// memberHash condenses the table of the own domain, without the suspicions
+// that come and go and without the dead.
+func (s *State) memberHash() uint32 {
+	var h uint64
+	for _, r := range s.members {
+		if r.dead() {
+			continue
+		}
+		v := r.rank ^ uint64(r.vm.Incarnation)*fnvPrime
+		v ^= uint64(r.refutations)<<8 | uint64(r.vm.State)
+		h ^= mix(v)
+	}
+	return uint32(h)
+}
+
+func (s *State) liveMembers() int {
+	n := 0
+	for _, r := range s.members {
+		if r.vm.State == fleet.Live {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/decide/member/news.go
@@ -0,0 +1,244 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// extent is how far this VM hands news on.
+type extent uint8
+
+const (
+	toDomain extent = iota // the members of the own domain
+	toRegion               // and the representatives of the region's other domains
+	toAll                  // and those of the other regions
+)
+
+type newsRow struct {
+	row Row
+	to  extent
+}
+
+type newsReach struct {
+	reach Reach
+	at    clock.Time // when it was measured
+	to    extent
+}
+
+// news gathers what must be told at once.
+type news struct {
+	at      clock.Time // zero if empty
+	facts   []Fact
+	rows    []newsRow
+	reaches []newsReach
+}
+
+func (n *news) due() clock.Time {
+	if n.at == 0 {
+		return clock.Never
+	}
+	return n.at
+}
+
+func (n *news) arm(at clock.Time) {
+	if n.at == 0 {
+		n.at = at
+	}
+}
+
+func (n *news) clear() {
+	*n = news{facts: n.facts[:0], rows: n.rows[:0], reaches: n.reaches[:0]}
+}
+
+func (n *news) addRow(at clock.Time, row Row, to extent) {
+	n.rows = slices.DeleteFunc(n.rows, func(r newsRow) bool { return r.row.Domain == row.Domain })
+	n.rows = append(n.rows, newsRow{row: row, to: to})
+	n.arm(at)
+}
+
+func (n *news) addReach(at clock.Time, r newsReach) {
+	n.reaches = slices.DeleteFunc(n.reaches, func(o newsReach) bool { return sameKey(&o.reach, &r.reach) })
+	n.reaches = append(n.reaches, r)
+	n.arm(at)
+}
+
+// drop removes what another representative has handed on.
+func (n *news) drop(m *Spread) {
+	n.rows = slices.DeleteFunc(n.rows, func(r newsRow) bool {
+		return slices.ContainsFunc(m.Rows, func(o Row) bool {
+			return o.Domain == r.row.Domain && o.Version >= r.row.Version
+		})
+	})
+	n.reaches = slices.DeleteFunc(n.reaches, func(r newsReach) bool {
+		return slices.ContainsFunc(m.Reaches, func(o Reach) bool { return sameKey(&o, &r.reach) })
+	})
+	if len(n.rows) == 0 && len(n.reaches) == 0 && len(n.facts) == 0 {
+		n.clear()
+	}
+}
+
+// tell sends a fact to every member of the own domain.
+func (s *State) tell(f Fact) {
+	s.news.facts = slices.DeleteFunc(s.news.facts, func(o Fact) bool { return o.ID == f.ID })
+	s.news.facts = append(s.news.facts, f)
+	s.news.arm(s.now.Add(flushDelay))
+}
+
+// flush sends the news that are due.
+func (s *State) flush(out *Ready) {
+	for _, n := range []*news{&s.news, &s.backup} {
+		if n.due() <= s.now {
+			s.sendNews(n, out)
+			n.clear()
+		}
+	}
+}
+
+func (s *State) sendNews(n *news, out *Ready) {
+	if m := s.spreadOf(n, toDomain, HopMember); m != nil {
+		m.Facts = slices.Clone(n.facts)
+		for _, r := range s.members {
+			if r != s.self && !r.dead() {
+				s.send(r.vm, m, ScopeNone, out)
+			}
+		}
+	}
+	if m := s.spreadOf(n, toRegion, HopDomain); m != nil {
+		for _, d := range s.otherDomains() {
+			s.push(d, m, out)
+		}
+	}
+	if m := s.spreadOf(n, toAll, HopRegion); m != nil {
+		for _, reps := range s.otherRegions() {
+			s.push(reps, m, out)
+		}
+	}
+}
+
+// spreadOf collects the news that go at least as far as to; nil if none do.
+// Facts stay inside the domain.
+func (s *State) spreadOf(n *news, to extent, hop Hop) *Spread {
+	m := &Spread{Hop: hop}
+	for _, r := range n.rows {
+		if r.to >= to {
+			m.Rows = append(m.Rows, r.row)
+		}
+	}
+	for _, r := range n.reaches {
+		if r.to >= to {
+			r.reach.Age = age(s.now, r.at)
+			m.Reaches = append(m.Reaches, r.reach)
+		}
+	}
+	if len(m.Rows)+len(m.Reaches) == 0 && (to > toDomain || len(n.facts) == 0) {
+		return nil
+	}
+	return m
+}
+
+// push sends m to the first representatives; all but one are its backups.
+func (s *State) push(reps []fleet.VM, m *Spread, out *Ready) {
+	for i, vm := range reps[:min(pushCopies, len(reps))] {
+		c := *m
+		c.Backup = i > 0
+		s.send(vm, &c, ScopeNone, out)
+	}
+}
+
+// otherDomains returns the representatives of each other domain of the region.
+func (s *State) otherDomains() [][]fleet.VM {
+	var out [][]fleet.VM
+	for _, r := range s.rows {
+		if r.row.Region == s.self.vm.Region && r.row.Domain != s.self.vm.Domain {
+			out = append(out, r.row.reps())
+		}
+	}
+	return out
+}
+
+// otherRegions returns, for each other region, the first representatives of
+// its domains, so that the copies of a push go to different domains.
+func (s *State) otherRegions() [][]fleet.VM {
+	var out [][]fleet.VM
+	for _, region := range s.regions() {
+		if region != s.self.vm.Region {
+			out = append(out, s.regionReps(region))
+		}
+	}
+	return out
+}
+
+// regionReps returns the representatives of a region's domains: the first of
+// each domain, then the second of each, and so on.
+func (s *State) regionReps(region fleet.Region) []fleet.VM {
+	var domains [][]fleet.VM
+	most := 0
+	for _, r := range s.rows {
+		if r.row.Region == region {
+			reps := r.row.reps()
+			domains = append(domains, reps)
+			most = max(most, len(reps))
+		}
+	}
+	var out []fleet.VM
+	for i := range most {
+		for _, reps := range domains {
+			if i < len(reps) {
+				out = append(out, reps[i])
+			}
+		}
+	}
+	return out
+}
+
+// regions returns every known region once, in order.
+func (s *State) regions() []fleet.Region {
+	var out []fleet.Region
+	for _, r := range s.rows {
+		out = append(out, r.row.Region)
+	}
+	for i := range s.contacts {
+		out = append(out, s.contacts[i].vm.Region)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// spread takes news and hands them on as far as its Hop says.
+func (s *State) spread(m *Message, b *Spread) {
+	for i := range b.Facts {
+		s.applyFact(&b.Facts[i])
+	}
+	if b.Hop == HopMember {
+		s.backup.drop(b)
+	}
+	n, at := &s.news, s.now.Add(flushDelay)
+	if b.Backup {
+		n, at = &s.backup, s.now.Add(backupDelay)
+	}
+	to, ok := b.Hop.extent()
+	for _, row := range b.Rows {
+		if s.applyRow(row) && ok {
+			n.addRow(at, row, to)
+		}
+	}
+	for _, r := range b.Reaches {
+		if s.applyReach(&r) && ok {
+			n.addReach(at, newsReach{reach: r, at: since(s.now, r.Age), to: to})
+		}
+	}
+}
+
+// extent is how far the receiver of this hop hands on; false for not at all.
+func (h Hop) extent() (extent, bool) {
+	switch h {
+	case HopDomain:
+		return toDomain, true
+	case HopRegion:
+		return toRegion, true
+	default:
+		return toDomain, false
+	}
+}
--- /dev/null
+++ b/decide/member/options.go
@@ -0,0 +1,108 @@
+package member
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Options are the protocol's settings. A zero field takes its default.
+type Options struct {
+	// Seeds are entry VMs to contact before the platform's list has come.
+	Seeds []fleet.VM
+
+	ProbeEvery      time.Duration // between pings to the ring's successors
+	RandomEvery     time.Duration // between pings to a random member or listed VM
+	DirectTimeout   time.Duration // to answer a ping
+	IndirectTimeout time.Duration // to answer a ping through relays
+	SuspectFor      time.Duration // to refute a suspicion
+	Monitors        int           // successors that each VM pings
+	Relays          int           // VMs asked to ping one that doesn't answer
+	WatchEvery      time.Duration // between exchanges with a watched domain or region
+	WatchTimeout    time.Duration // to answer a Watch
+}
+
+// The defaults of Options.
+const (
+	DefaultProbeEvery      = time.Second
+	DefaultRandomEvery     = 2 * time.Second
+	DefaultDirectTimeout   = 250 * time.Millisecond
+	DefaultIndirectTimeout = 250 * time.Millisecond
+	DefaultSuspectFor      = 800 * time.Millisecond
+	DefaultMonitors        = 2
+	DefaultRelays          = 3
+	DefaultWatchEvery      = time.Second
+	DefaultWatchTimeout    = 400 * time.Millisecond
+)
+
+const (
+	// flushDelay gathers news that arises together into one message.
+	flushDelay = 20 * time.Millisecond
+	// backupDelay is how long the second representative waits for the first
+	// to hand news on.
+	backupDelay = 150 * time.Millisecond
+	// joinTimeout ends the wait for an answer of a neighbour at start.
+	joinTimeout = time.Second
+	// joinEvery is the time between two attempts to find a neighbour.
+	joinEvery = 250 * time.Millisecond
+	// syncEvery bounds the exchange of tables with neighbours.
+	syncEvery = time.Second
+	// mismatchFor is how long hashes must differ before tables are exchanged:
+	// news in transit makes them differ for an instant.
+	mismatchFor = 500 * time.Millisecond
+	// tombstoneFor keeps a dead VM, so that late facts don't revive it.
+	tombstoneFor = 30 * time.Second
+	// freshFor is how long having heard from a VM outweighs others' word
+	// that it is dead.
+	freshFor = time.Second
+	// listedGrace keeps a VM that left the platform's list as a contact.
+	listedGrace = time.Minute
+	// reachFor keeps a statement about reachability.
+	reachFor = 20 * time.Second
+	// pauseGap is how late a step may be before the process itself is taken
+	// to have been paused.
+	pauseGap = 300 * time.Millisecond
+	// refuteEvery bounds how often a VM refutes at its own expense.
+	refuteEvery = 100 * time.Millisecond
+	// reportPerVM scales the time between two reports of a VM with the size
+	// of the domain, so that a representative's cost stays level.
+	reportPerVM = 70 * time.Millisecond
+	reportMin   = time.Second
+	// vouchFor keeps entry VMs that the other half of a parted domain lists.
+	vouchFor = 8 * time.Second
+	// vouchEvery is the time between two rows of an author of a parted domain.
+	vouchEvery = 3 * time.Second
+
+	pushCopies        = 2  // representatives told of news in each domain or region
+	piggybackFacts    = 3  // facts carried by one ping or answer
+	piggybackRounds   = 3  // multiplied by log2 of the members: how often a fact is carried
+	membersPerRep     = 8  // VMs that one representative collects from
+	maxReps           = 12 // representatives of one domain
+	minReps           = 2
+	watchFallbacks    = 3  // further representatives asked before a watched one is unreachable
+	probesPerTimeout  = 2  // further successors pinged when one is silent
+	maxReachesCarried = 24 // statements carried by one message
+)
+
+func (o Options) withDefaults() Options {
+	setDuration(&o.ProbeEvery, DefaultProbeEvery)
+	setDuration(&o.RandomEvery, DefaultRandomEvery)
+	setDuration(&o.DirectTimeout, DefaultDirectTimeout)
+	setDuration(&o.IndirectTimeout, DefaultIndirectTimeout)
+	setDuration(&o.SuspectFor, DefaultSuspectFor)
+	setDuration(&o.WatchEvery, DefaultWatchEvery)
+	setDuration(&o.WatchTimeout, DefaultWatchTimeout)
+	if o.Monitors == 0 {
+		o.Monitors = DefaultMonitors
+	}
+	if o.Relays == 0 {
+		o.Relays = DefaultRelays
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
--- /dev/null
+++ b/decide/member/probe.go
@@ -0,0 +1,327 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// stage is how far a probe has got.
+type stage uint8
+
+const (
+	direct   stage = iota // pinged, waiting for the answer
+	indirect              // relays were asked
+	relayed               // pinged for another VM
+)
+
+// probe is a ping whose answer has not come.
+type probe struct {
+	seq      uint32
+	target   fleet.VM
+	started  clock.Time
+	deadline clock.Time
+	stage    stage
+	ring     bool       // a ring successor: a silent one widens the search
+	asker    fleet.VMID // for relayed
+	askerSeq uint32
+}
+
+func (s *State) nextSeq() uint32 {
+	s.seq++
+	return s.seq
+}
+
+// probeRing pings the next live successors. Suspected ones on the way are
+// pinged as well but not counted.
+func (s *State) probeRing(out *Ready) {
+	s.probeFrom(s.indexOf(s.self), s.o.Monitors, out)
+}
+
+// probeFrom pings up to n unsuspected VMs that follow position at.
+func (s *State) probeFrom(at, n int, out *Ready) {
+	for step := 1; step < len(s.members) && n > 0; step++ {
+		r := s.members[(at+step)%len(s.members)]
+		if r == s.self || r.dead() {
+			continue
+		}
+		s.probe(r.vm, true, out)
+		if !r.suspected() {
+			n--
+		}
+	}
+}
+
+func (s *State) indexOf(r *record) int {
+	at, _ := slices.BinarySearchFunc(s.members, r, compareRecords)
+	return at
+}
+
+// probe pings a VM unless one of its pings is still unanswered.
+func (s *State) probe(vm fleet.VM, ring bool, out *Ready) {
+	for i := range s.probes {
+		if s.probes[i].target.ID == vm.ID && s.probes[i].stage != relayed {
+			return
+		}
+	}
+	p := probe{
+		seq:      s.nextSeq(),
+		target:   vm,
+		started:  s.now,
+		deadline: s.now.Add(s.o.DirectTimeout),
+		ring:     ring,
+	}
+	s.probes = append(s.probes, p)
+	s.sendPing(p.seq, vm, nil, out)
+}
+
+func (s *State) sendPing(seq uint32, to fleet.VM, fact *Fact, out *Ready) {
+	m := &Ping{Seq: seq}
+	if s.neighbour(to) {
+		m.Members, m.Rows, m.Facts = s.memberHash(), s.rowHash(), s.carried(to.ID)
+	}
+	if fact != nil {
+		m.Facts = append(m.Facts, *fact)
+	}
+	s.send(to, m, ScopeNone, out)
+}
+
+// neighbour reports whether a VM is of the own domain, as far as is known:
+// hashes and facts are for those alone.
+func (s *State) neighbour(vm fleet.VM) bool {
+	return vm.Domain == s.self.vm.Domain
+}
+
+// probeRandom pings the next VM of a random order over the members, the dead
+// ones and the listed ones that are no members. The last two find each other
+// again after a partition, when both sides hold the other dead.
+func (s *State) probeRandom(out *Ready) {
+	for range 2 {
+		for len(s.order) > 0 {
+			id := s.order[len(s.order)-1]
+			s.order = s.order[:len(s.order)-1]
+			if vm, ok := s.address(id); ok {
+				s.probe(vm, false, out)
+				return
+			}
+		}
+		s.shuffle()
+	}
+}
+
+func (s *State) shuffle() {
+	for _, r := range s.members {
+		if r != s.self {
+			s.order = append(s.order, r.vm.ID)
+		}
+	}
+	for i := range s.contacts {
+		c := &s.contacts[i]
+		if c.vm.Domain == s.self.vm.Domain && s.byID[c.vm.ID] == nil {
+			s.order = append(s.order, c.vm.ID)
+		}
+	}
+	s.rng.Shuffle(len(s.order), func(i, j int) {
+		s.order[i], s.order[j] = s.order[j], s.order[i]
+	})
+}
+
+// address finds where to send to a VM: a member, a contact, or one that
+// another domain offers.
+func (s *State) address(id fleet.VMID) (fleet.VM, bool) {
+	if id == s.self.vm.ID {
+		return fleet.VM{}, false
+	}
+	if r := s.byID[id]; r != nil {
+		return r.vm, true
+	}
+	if at, ok := s.findContact(id); ok {
+		return s.contacts[at].vm, true
+	}
+	return s.offered(id)
+}
+
+func (s *State) findContact(id fleet.VMID) (int, bool) {
+	return slices.BinarySearchFunc(s.contacts, id, func(c contact, id fleet.VMID) int {
+		return cmp.Compare(c.vm.ID, id)
+	})
+}
+
+func (s *State) addContact(vm fleet.VM) {
+	if vm.ID == s.self.vm.ID || vm.ID == "" || vm.PeerAddr == "" {
+		return
+	}
+	at, ok := s.findContact(vm.ID)
+	if !ok {
+		s.contacts = slices.Insert(s.contacts, at, contact{})
+	}
+	s.contacts[at] = contact{vm: vm, listed: s.now}
+	if !ok && vm.Domain == s.self.vm.Domain && s.byID[vm.ID] == nil {
+		s.order = append(s.order, vm.ID)
+		s.due.random = s.now
+	}
+}
+
+// dropContacts forgets what the list no longer names. Seeds go the same way
+// once a list has come.
+func (s *State) dropContacts() {
+	s.contacts = slices.DeleteFunc(s.contacts, func(c contact) bool {
+		return s.now.Sub(c.listed) > listedGrace
+	})
+}
+
+func (s *State) ping(m *Message, p *Ping, out *Ready) {
+	for i := range p.Facts {
+		s.applyFact(&p.Facts[i])
+	}
+	to, ok := s.address(m.From)
+	if !ok {
+		to = fleet.VM{ID: m.From}
+	}
+	a := &Ack{Seq: p.Seq}
+	if s.neighbour(to) {
+		a.Members, a.Rows, a.Facts = s.memberHash(), s.rowHash(), s.carried(to.ID)
+	}
+	s.send(to, a, ScopeNone, out)
+	s.compareHashes(m, p.Members, p.Rows, out)
+}
+
+func (s *State) ack(m *Message, a *Ack, out *Ready) {
+	for i := range a.Facts {
+		s.applyFact(&a.Facts[i])
+	}
+	at := slices.IndexFunc(s.probes, func(p probe) bool { return p.seq == a.Seq })
+	if at < 0 {
+		return
+	}
+	p := s.probes[at]
+	s.probes = slices.Delete(s.probes, at, at+1)
+	if p.stage == relayed {
+		s.send(fleet.VM{ID: p.asker}, &Ack{Seq: p.askerSeq}, ScopeNone, out)
+		return
+	}
+	if m.From != p.target.ID {
+		return // a relay's answer carries no hashes
+	}
+	s.compareHashes(m, a.Members, a.Rows, out)
+}
+
+// pingReq pings a VM for another one whose own ping had no answer.
+func (s *State) pingReq(m *Message, q *PingReq, out *Ready) {
+	to := fleet.VM{
+		ID:       q.Target.ID,
+		PeerAddr: q.Target.PeerAddr,
+	}
+	if vm, ok := s.address(to.ID); ok {
+		to = vm
+	}
+	p := probe{
+		seq:      s.nextSeq(),
+		target:   to,
+		started:  s.now,
+		deadline: s.now.Add(s.o.IndirectTimeout),
+		stage:    relayed,
+		asker:    m.From,
+		askerSeq: q.Seq,
+	}
+	s.probes = append(s.probes, p)
+	var f *Fact
+	if q.Fact.ID != "" {
+		f = &q.Fact
+	}
+	s.sendPing(p.seq, to, f, out)
+}
+
+// expireProbes moves each overdue probe on: from direct to indirect, from
+// indirect to a suspicion.
+func (s *State) expireProbes(out *Ready) {
+	for i := 0; i < len(s.probes); {
+		p := s.probes[i]
+		if p.deadline > s.now {
+			i++
+			continue
+		}
+		if p.stage == direct && s.askRelays(&s.probes[i], out) {
+			i++
+			continue
+		}
+		s.probes = slices.Delete(s.probes, i, i+1)
+		if p.stage == indirect {
+			s.unanswered(&p)
+		}
+	}
+}
+
+// askRelays turns an unanswered ping into requests to other VMs. It reports
+// false if the probe is over: the target was heard from in the meantime, so
+// only its answers to us are lost, or it is no member.
+func (s *State) askRelays(p *probe, out *Ready) bool {
+	r := s.byID[p.target.ID]
+	if r == nil || r.dead() || r.heard > p.started {
+		return false
+	}
+	p.stage = indirect
+	p.deadline = s.now.Add(s.o.IndirectTimeout)
+	q := PingReq{Seq: p.seq, Target: RowVM{ID: r.vm.ID, PeerAddr: r.vm.PeerAddr}}
+	if r.suspected() {
+		q.Fact = s.fact(r, false)
+	}
+	for _, to := range s.relays(r) {
+		m := q
+		s.send(to, &m, ScopeNone, out)
+	}
+	if p.ring {
+		s.probeFrom(s.indexOf(r), probesPerTimeout, out)
+	}
+	return true
+}
+
+// relays chooses VMs to ping target: of the own domain at random, and where
+// they are too few, of the region's other domains.
+func (s *State) relays(target *record) []fleet.VM {
+	var ids []fleet.VM
+	for _, r := range s.members {
+		if r != s.self && r != target && !r.dead() && !r.suspected() {
+			ids = append(ids, r.vm)
+		}
+	}
+	s.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	if len(ids) < s.o.Relays {
+		ids = append(ids, s.neighbours(1)...)
+	}
+	return ids[:min(len(ids), s.o.Relays)]
+}
+
+func (s *State) unanswered(p *probe) {
+	r := s.byID[p.target.ID]
+	if r == nil || r.heard > p.started {
+		return
+	}
+	s.suspect(r)
+}
+
+// sendFailed hastens the probe of a VM that no connection reaches.
+func (s *State) sendFailed(to fleet.VMID, out *Ready) {
+	for i := range s.probes {
+		p := &s.probes[i]
+		if p.target.ID == to && p.stage == direct {
+			p.deadline = s.now
+			return
+		}
+	}
+	if r := s.byID[to]; r != nil && !r.dead() && !r.suspected() {
+		s.probe(r.vm, false, out)
+	}
+}
+
+// ask makes the next run ping a VM.
+func (s *State) ask(id fleet.VMID) {
+	s.order = append(s.order, id)
+	s.due.random = s.now
+}
+
+func (s *State) send(to fleet.VM, m Msg, scope Scope, out *Ready) {
+	out.Sends = append(out.Sends, Send{To: to, Msg: m, Scope: scope})
+}
--- /dev/null
+++ b/decide/member/rank.go
@@ -0,0 +1,63 @@
+package member
+
+import (
+	"cmp"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+func hashString(h uint64, s string) uint64 {
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * fnvPrime
+	}
+	return h
+}
+
+// mix spreads the bits of h, so that ids that differ in the last letter get
+// unrelated ranks (the finaliser of splitmix64).
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// rank orders the VMs of a domain, the same way at every VM.
+func rank(id fleet.VMID) uint64 {
+	return mix(hashString(fnvOffset, string(id)))
+}
+
+// score is the ranked hash of a VM for a duty; the VM of the highest score
+// has it. Loss of a VM moves only the duties that it had.
+func score(id fleet.VMID, duty string) uint64 {
+	return mix(hashString(hashString(fnvOffset, string(id))^fnvPrime, duty))
+}
+
+// highest returns the index of the VM with the highest score for duty, or -1.
+func highest(ids []fleet.VMID, duty string) int {
+	best, at := uint64(0), -1
+	for i, id := range ids {
+		sc := score(id, duty)
+		if at < 0 || sc > best || (sc == best && id < ids[at]) {
+			best, at = sc, i
+		}
+	}
+	return at
+}
+
+func compareRecords(a, b *record) int {
+	if c := cmp.Compare(a.rank, b.rank); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.vm.ID, b.vm.ID)
+}
+
+// repCount is the number of representatives of a domain with n live VMs.
+func repCount(n int) int {
+	want := (n + membersPerRep - 1) / membersPerRep
+	return min(n, max(minReps, min(maxReps, want)))
+}
--- /dev/null
+++ b/decide/member/row.go
@@ -0,0 +1,282 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// rowState is a domain's row as held here. Rows are kept in order of domain.
+type rowState struct {
+	row  Row
+	hash uint64
+}
+
+// vouch is an entry VM of the own domain that this VM holds dead but another
+// author of the domain offers: the domain is parted. Publishing it as well
+// keeps the two authors' rows alike; without it the halves would replace each
+// other's rows for ever, and other domains would lose one half of the living
+// at each turn.
+type vouch struct {
+	by    fleet.VMID
+	vm    RowVM
+	until clock.Time
+}
+
+func (s *State) findRow(d fleet.Domain) (int, bool) {
+	return slices.BinarySearchFunc(s.rows, d, func(r *rowState, d fleet.Domain) int {
+		return cmp.Compare(r.row.Domain, d)
+	})
+}
+
+func (s *State) rowVersion(d fleet.Domain) uint64 {
+	if at, ok := s.findRow(d); ok {
+		return s.rows[at].row.Version
+	}
+	return 0
+}
+
+// putRow stores a row if it is newer than the one held.
+func (s *State) putRow(row Row) bool {
+	at, ok := s.findRow(row.Domain)
+	if ok && s.rows[at].row.Version >= row.Version {
+		return false
+	}
+	if !ok && len(s.rows) >= MaxRows {
+		return false
+	}
+	r := &rowState{row: row, hash: mix(hashString(fnvOffset, string(row.Domain)) ^ row.Version*fnvPrime)}
+	if ok {
+		s.rows[at] = r
+		return true
+	}
+	s.rows = slices.Insert(s.rows, at, r)
+	return true
+}
+
+// applyRow takes a row of another VM. It reports whether it was news.
+func (s *State) applyRow(row Row) bool {
+	if row.Domain != s.self.vm.Domain {
+		return s.putRow(row)
+	}
+	if row.Author == s.self.vm.ID {
+		return false
+	}
+	at, ok := s.findRow(row.Domain)
+	mine := ok && s.rows[at].row.Author == s.self.vm.ID
+	if !s.putRow(row) {
+		return false
+	}
+	if mine {
+		s.vouchFor(&row)
+	}
+	s.rowsChanged = true
+	return true
+}
+
+// vouchFor keeps what another author of the own domain, which this VM holds
+// dead, offers after this VM's own row. Only what that author itself holds
+// live counts, or two halves could keep a dead VM listed by each other's word.
+func (s *State) vouchFor(row *Row) {
+	author := s.byID[row.Author]
+	if author != nil && !author.dead() {
+		return
+	}
+	s.vouched = slices.DeleteFunc(s.vouched, func(v vouch) bool { return v.by == row.Author })
+	for _, v := range row.VMs[:min(int(row.Own), len(row.VMs))] {
+		r := s.byID[v.ID]
+		if r == nil || r.dead() {
+			s.vouched = append(s.vouched, vouch{by: row.Author, vm: v, until: s.now.Add(vouchFor)})
+		}
+	}
+}
+
+func (s *State) rowHash() uint32 {
+	var h uint64
+	for _, r := range s.rows {
+		h ^= r.hash
+	}
+	return uint32(h)
+}
+
+// reps returns the ids of the representatives of the own domain, the author
+// first.
+func (s *State) reps() []fleet.VMID {
+	var ids []fleet.VMID
+	n := repCount(s.liveMembers())
+	for _, r := range s.members {
+		if r.vm.State == fleet.Live && len(ids) < n {
+			ids = append(ids, r.vm.ID)
+		}
+	}
+	return ids
+}
+
+// isAuthor reports whether this VM publishes the domain's row.
+func (s *State) isAuthor() bool {
+	if !s.joined {
+		return false
+	}
+	for _, r := range s.members {
+		if r.vm.State == fleet.Live {
+			return r == s.self
+		}
+	}
+	return s.onlyLeaving()
+}
+
+// onlyLeaving reports whether this VM is the first of a domain without any
+// live VM: somebody has to publish that none is left.
+func (s *State) onlyLeaving() bool {
+	for _, r := range s.members {
+		if !r.dead() {
+			return r == s.self
+		}
+	}
+	return false
+}
+
+// refreshOwnRow publishes the domain's row if this VM is its author and the
+// row held says something else.
+func (s *State) refreshOwnRow() {
+	s.expireVouches()
+	if !s.isAuthor() || !s.publishDue() {
+		return
+	}
+	s.rowsChanged = false
+	row := s.buildRow()
+	at, ok := s.findRow(row.Domain)
+	if ok && len(s.vouched) == 0 && sameRow(&s.rows[at].row, &row) {
+		return
+	}
+	s.published = s.now
+	row.Version = max(uint64(s.now/clock.Time(time.Millisecond)), s.rowVersion(row.Domain)+1)
+	s.putRow(row)
+	s.news.addRow(s.now.Add(flushDelay), row, toAll)
+}
+
+// publishDue reports whether the row must be looked at. In a parted domain
+// the authors take turns slowly, also without a change: each renews the
+// other's vouches.
+func (s *State) publishDue() bool {
+	if len(s.vouched) == 0 {
+		return s.rowsChanged
+	}
+	return s.published.Add(vouchEvery) <= s.now
+}
+
+func (s *State) expireVouches() {
+	n := len(s.vouched)
+	s.vouched = slices.DeleteFunc(s.vouched, func(v vouch) bool {
+		r := s.byID[v.vm.ID]
+		return v.until <= s.now || (r != nil && !r.dead())
+	})
+	if len(s.vouched) != n {
+		s.rowsChanged = true
+	}
+}
+
+func (s *State) buildRow() Row {
+	row := Row{
+		Region: s.self.vm.Region,
+		Domain: s.self.vm.Domain,
+		Author: s.self.vm.ID,
+	}
+	for _, r := range s.members {
+		switch r.vm.State {
+		case fleet.Live:
+			row.Live++
+			row.offer(rowVM(&r.vm))
+			row.Own = uint32(len(row.VMs))
+		case fleet.Leaving:
+			row.Leaving++
+		}
+	}
+	for _, v := range s.vouched {
+		row.Live++
+		row.offer(v.vm)
+	}
+	return row
+}
+
+func (r *Row) offer(v RowVM) {
+	if len(r.VMs) < RowVMs {
+		r.VMs = append(r.VMs, v)
+	}
+}
+
+func rowVM(vm *fleet.VM) RowVM {
+	return RowVM{
+		ID:          vm.ID,
+		Incarnation: vm.Incarnation,
+		Site:        vm.Site,
+		CallAddr:    vm.CallAddr,
+		PeerAddr:    vm.PeerAddr,
+	}
+}
+
+// sameRow compares two rows' content in any order of their VMs: two authors
+// of a parted domain list them in different order.
+func sameRow(a, b *Row) bool {
+	if a.Live != b.Live || a.Leaving != b.Leaving || len(a.VMs) != len(b.VMs) {
+		return false
+	}
+	for _, v := range a.VMs {
+		if !slices.Contains(b.VMs, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// vm returns what a row says about one of its VMs.
+func (r *Row) vm(v RowVM) fleet.VM {
+	return fleet.VM{
+		ID:          v.ID,
+		Region:      r.Region,
+		Domain:      r.Domain,
+		Site:        v.Site,
+		CallAddr:    v.CallAddr,
+		PeerAddr:    v.PeerAddr,
+		Incarnation: v.Incarnation,
+	}
+}
+
+// reps returns the representatives among the row's VMs.
+func (r *Row) reps() []fleet.VM {
+	n := min(len(r.VMs), repCount(int(r.Live)))
+	out := make([]fleet.VM, 0, n)
+	for _, v := range r.VMs[:n] {
+		out = append(out, r.vm(v))
+	}
+	return out
+}
+
+// offered finds a VM that another domain offers.
+func (s *State) offered(id fleet.VMID) (fleet.VM, bool) {
+	for _, r := range s.rows {
+		for _, v := range r.row.VMs {
+			if v.ID == id {
+				return r.row.vm(v), true
+			}
+		}
+	}
+	return fleet.VM{}, false
+}
+
+// neighbours returns the first n representatives of each other domain of the
+// region.
+func (s *State) neighbours(n int) []fleet.VM {
+	var out []fleet.VM
+	for _, r := range s.rows {
+		if r.row.Region != s.self.vm.Region || r.row.Domain == s.self.vm.Domain {
+			continue
+		}
+		reps := r.row.reps()
+		out = append(out, reps[:min(n, len(reps))]...)
+	}
+	return out
+}
