--- /dev/null
+++ b/decide/member/state.go
@@ -0,0 +1,302 @@
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// record is what is known of a VM of the own domain.
+type record struct {
+	vm          fleet.VM // State is Live, Leaving or Dead
+	refutations uint32
+	rank        uint64
+	suspectedAt clock.Time // zero unless suspected
+	heard       clock.Time // last message received from it
+	diedAt      clock.Time // set when State is Dead
+	said        fleet.State       // state last reported,
+	saidAs      fleet.Incarnation // of this process,
+	reported    bool              // if any
+}
+
+func (r *record) suspected() bool { return r.suspectedAt != 0 }
+
+func (r *record) dead() bool { return r.vm.State == fleet.Dead }
+
+// contact is a VM named by the platform's list or the seeds.
+type contact struct {
+	vm     fleet.VM
+	listed clock.Time // last time the list or the seeds named it
+}
+
+// timer instants of the periodic duties.
+type schedule struct {
+	probe  clock.Time
+	random clock.Time
+	report clock.Time
+	watch  clock.Time
+	join   clock.Time // end of joining; Never once joined
+}
+
+// State is the membership as one entry VM sees it. It isn't safe for
+// concurrent use.
+type State struct {
+	o    Options
+	self *record
+	rng  *rand.Rand
+
+	members  []*record // of the own domain, self included, in ring order
+	byID     map[fleet.VMID]*record
+	contacts []contact // in order of id
+	rows     []*rowState
+	reaches  []reachState
+	watches  []watch
+	probes   []probe
+	gossip   []rumour
+	vouched  []vouch
+
+	due     schedule
+	started bool
+	joined  bool
+	now     clock.Time
+	wake    clock.Time
+	seq     uint32
+
+	news         news
+	backup       news
+	order        []fleet.VMID // random-order targets not yet pinged
+	mismatch     []mismatch
+	lastSync     clock.Time
+	lastRefuted  clock.Time
+	reportTry    int
+	rowsChanged  bool // own row must be compared with the members
+	groupHash    uint64
+	superseded   bool
+	claims       bool       // statements about reachability have changed
+	far          []fleet.VM // of other domains, as last reported
+	farSeen      uint64     // hash of what far was made from
+	published    clock.Time // when the own row was last published
+}
+
+// New returns the state of the entry VM self, whose Incarnation must be
+// higher than that of every earlier process under the same id; its start
+// instant in nanoseconds serves. The seed drives the random order.
+func New(self fleet.VM, seed uint64, o Options) *State {
+	self.State = fleet.Live
+	r := &record{vm: self, rank: rank(self.ID)}
+	s := &State{
+		o:       o.withDefaults(),
+		self:    r,
+		rng:     rand.New(rand.NewPCG(seed, r.rank)),
+		members: []*record{r},
+		byID:    map[fleet.VMID]*record{self.ID: r},
+		wake:    clock.Never,
+	}
+	s.due.join = clock.Never
+	return s
+}
+
+// Step takes one event and fills out with its effects. Events must come with
+// instants that don't fall.
+func (s *State) Step(now clock.Time, ev Event, out *Ready) {
+	out.reset()
+	s.start(now)
+	s.forgivePause(now)
+	s.now = now
+	switch e := ev.(type) {
+	case *Listed:
+		s.listed(e.List)
+	case *Message:
+		s.message(e, out)
+	case *SendFailed:
+		s.sendFailed(e.To, out)
+	case *Leave:
+		s.leave()
+	case *Tick:
+	}
+	s.run(out)
+	s.report(out)
+	s.wake = s.nextWake()
+	out.Wake = s.wake
+}
+
+// start sets the first instants of the duties, spread by the seed so that
+// VMs that start together don't act in step.
+func (s *State) start(now clock.Time) {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.now = now
+	s.due.probe = now.Add(s.upTo(s.o.ProbeEvery))
+	s.due.random = now
+	s.due.report = now.Add(s.upTo(reportMin))
+	s.due.watch = now.Add(s.upTo(s.o.WatchEvery))
+	s.due.join = now.Add(joinTimeout)
+	s.self.heard = now
+	s.rowsChanged = true
+	for _, vm := range s.o.Seeds {
+		s.addContact(vm)
+	}
+}
+
+func (s *State) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(d)))
+}
+
+// forgivePause moves all deadlines when this process itself stood still.
+// Symptom without it: a VM that was paused for seconds wakes up and suspects
+// everybody, since every answer is overdue although it lies in the inbox.
+func (s *State) forgivePause(now clock.Time) {
+	late := now.Sub(s.wake)
+	if s.wake == clock.Never || late < pauseGap {
+		return
+	}
+	for i := range s.probes {
+		s.probes[i].deadline = s.probes[i].deadline.Add(late)
+	}
+	for i := range s.watches {
+		s.watches[i].delay(late)
+	}
+	for _, r := range s.members {
+		if r.suspected() {
+			r.suspectedAt = r.suspectedAt.Add(late)
+		}
+	}
+}
+
+// run performs every duty that is due.
+func (s *State) run(out *Ready) {
+	s.finishJoin()
+	s.expireProbes(out)
+	s.expireSuspicions()
+	s.forget()
+	if s.due.probe <= s.now {
+		s.due.probe = s.now.Add(s.o.ProbeEvery)
+		s.probeRing(out)
+	}
+	if s.due.random <= s.now {
+		s.runRandom(out)
+	}
+	if s.due.report <= s.now {
+		s.due.report = s.now.Add(s.ReportEvery())
+		s.reportLoad(out)
+	}
+	s.runWatches(out)
+	s.refreshOwnRow()
+	s.flush(out)
+}
+
+func (s *State) runRandom(out *Ready) {
+	if !s.joined {
+		s.due.random = s.now.Add(joinEvery)
+		s.joinThrough(out)
+		return
+	}
+	s.due.random = s.now.Add(s.o.RandomEvery)
+	s.probeRandom(out)
+}
+
+// ReportEvery is the time between two load reports of a VM: longer in a
+// larger domain.
+func (s *State) ReportEvery() time.Duration {
+	return max(reportMin, time.Duration(s.liveMembers())*reportPerVM)
+}
+
+func (s *State) nextWake() clock.Time {
+	w := clock.Min(s.due.probe, s.due.random)
+	w = clock.Min(w, clock.Min(s.due.report, s.due.join))
+	w = clock.Min(w, clock.Min(s.news.due(), s.backup.due()))
+	for i := range s.probes {
+		w = clock.Min(w, s.probes[i].deadline)
+	}
+	for _, r := range s.members {
+		if r.suspected() {
+			w = clock.Min(w, r.suspectedAt.Add(s.o.SuspectFor))
+		}
+	}
+	return clock.Min(w, s.nextWatch())
+}
+
+// finishJoin ends joining once a neighbour answered or none did in time.
+// Until then this VM takes no duty: one that knows only itself would publish
+// a row that hides the rest of its domain.
+func (s *State) finishJoin() {
+	if s.joined || s.now < s.due.join {
+		return
+	}
+	s.joinDone()
+}
+
+func (s *State) joinDone() {
+	if s.joined {
+		return
+	}
+	s.joined = true
+	s.due.join = clock.Never
+	s.rowsChanged = true
+	s.tell(s.fact(s.self, true))
+}
+
+func (s *State) leave() {
+	if s.self.vm.State == fleet.Leaving {
+		return
+	}
+	s.self.vm.State = fleet.Leaving
+	s.rowsChanged = true
+	s.tell(s.fact(s.self, true))
+}
+
+// listed takes the platform's list as a set of contacts. It lags, so it
+// neither revives nor removes a member.
+func (s *State) listed(l fleet.List) {
+	for _, vm := range l.VMs {
+		if vm.State != fleet.Dead {
+			s.addContact(vm)
+		}
+	}
+	s.dropContacts()
+}
+
+func (s *State) message(m *Message, out *Ready) {
+	if m.From == s.self.vm.ID || m.Msg == nil {
+		return
+	}
+	s.heardFrom(m)
+	switch b := m.Msg.(type) {
+	case *Ping:
+		s.ping(m, b, out)
+	case *Ack:
+		s.ack(m, b, out)
+	case *PingReq:
+		s.pingReq(m, b, out)
+	case *Sync:
+		s.sync(m, b, out)
+	case *SyncAck:
+		s.syncAck(m, b)
+	case *Spread:
+		s.spread(m, b)
+	case *Report:
+		s.answerReport(m, out)
+	case *ReportAck:
+		s.reportTry = 0
+		s.applyReaches(b.Reaches)
+	case *Partial:
+		s.partial(m, b, out)
+	case *Watch:
+		s.watched(m, b, out)
+	case *WatchAck:
+		s.watchAck(m, b)
+	}
+}
+
+// heardFrom notes direct evidence that a process lives.
+func (s *State) heardFrom(m *Message) {
+	r := s.byID[m.From]
+	if r == nil || m.Incarnation < r.vm.Incarnation {
+		return
+	}
+	r.heard = s.now
+}
--- /dev/null
+++ b/decide/member/view.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// DomainView is what is known of one failure domain.
+type DomainView struct {
+	Region    fleet.Region
+	Domain    fleet.Domain
+	Reachable bool
+	Live      int
+	Leaving   int
+	// VMs are live entry VMs there: all of the own domain, at most RowVMs of
+	// another.
+	VMs []fleet.VM
+}
+
+// Self returns this VM as it presents itself.
+func (s *State) Self() fleet.VM { return s.self.vm }
+
+// Joined reports whether the own domain's members are known, or that there
+// are none to be found.
+func (s *State) Joined() bool { return s.joined }
+
+// Members appends every VM of the own domain that is not dead, this one
+// included, in a stable order.
+func (s *State) Members(dst []fleet.VM) []fleet.VM {
+	for _, r := range s.members {
+		if !r.dead() {
+			dst = append(dst, r.vm)
+		}
+	}
+	return dst
+}
+
+// VM returns what is known of an entry VM, also of a dead one of the own
+// domain.
+func (s *State) VM(id fleet.VMID) (fleet.VM, bool) {
+	if r := s.byID[id]; r != nil {
+		return r.vm, true
+	}
+	return s.offered(id)
+}
+
+// Domains appends a view of every known domain, in order of name.
+func (s *State) Domains(dst []DomainView) []DomainView {
+	from := len(dst)
+	dst = append(dst, s.ownView())
+	for _, r := range s.rows {
+		if r.row.Domain == s.self.vm.Domain {
+			continue
+		}
+		v := DomainView{
+			Region:    r.row.Region,
+			Domain:    r.row.Domain,
+			Reachable: s.domainReachable(r.row.Region, r.row.Domain),
+			Live:      int(r.row.Live),
+			Leaving:   int(r.row.Leaving),
+		}
+		for _, m := range r.row.VMs {
+			v.VMs = append(v.VMs, r.row.vm(m))
+		}
+		dst = append(dst, v)
+	}
+	slices.SortFunc(dst[from:], func(a, b DomainView) int { return cmp.Compare(a.Domain, b.Domain) })
+	return dst
+}
+
+func (s *State) ownView() DomainView {
+	v := DomainView{
+		Region:    s.self.vm.Region,
+		Domain:    s.self.vm.Domain,
+		Reachable: true,
+	}
+	for _, r := range s.members {
+		switch r.vm.State {
+		case fleet.Live:
+			v.Live++
+			v.VMs = append(v.VMs, r.vm)
+		case fleet.Leaving:
+			v.Leaving++
+		}
+	}
+	return v
+}
+
+// report fills the rest of out: the changes since the last step.
+func (s *State) report(out *Ready) {
+	out.Superseded = s.superseded
+	out.Group = s.groupChanged()
+	for _, r := range s.members {
+		if !r.reported || r.said != r.vm.State || r.saidAs != r.vm.Incarnation {
+			r.reported, r.said, r.saidAs = true, r.vm.State, r.vm.Incarnation
+			out.Changed = append(out.Changed, r.vm)
+		}
+	}
+	s.reportFar(out)
+}
+
+// reportFar compares the VMs that other domains offer with those reported
+// before.
+func (s *State) reportFar(out *Ready) {
+	h := s.farHash()
+	if h == s.farSeen {
+		return
+	}
+	s.farSeen = h
+	var next []fleet.VM
+	for _, r := range s.rows {
+		if r.row.Domain == s.self.vm.Domain {
+			continue
+		}
+		state := fleet.Live
+		if !s.domainReachable(r.row.Region, r.row.Domain) {
+			state = fleet.Dead
+		}
+		for _, v := range r.row.VMs {
+			vm := r.row.vm(v)
+			vm.State = state
+			next = append(next, vm)
+		}
+	}
+	slices.SortFunc(next, func(a, b fleet.VM) int { return cmp.Compare(a.ID, b.ID) })
+	s.diffFar(next, out)
+	s.far = next
+}
+
+func (s *State) diffFar(next []fleet.VM, out *Ready) {
+	i := 0
+	for _, vm := range next {
+		for i < len(s.far) && s.far[i].ID < vm.ID {
+			out.Changed = append(out.Changed, withdrawn(s.far[i]))
+			i++
+		}
+		if i < len(s.far) && s.far[i].ID == vm.ID {
+			if s.far[i] != vm {
+				out.Changed = append(out.Changed, vm)
+			}
+			i++
+			continue
+		}
+		out.Changed = append(out.Changed, vm)
+	}
+	for ; i < len(s.far); i++ {
+		out.Changed = append(out.Changed, withdrawn(s.far[i]))
+	}
+}
+
+func withdrawn(vm fleet.VM) fleet.VM {
+	vm.State = fleet.Leaving
+	return vm
+}
+
+// farHash tells cheaply whether anything about other domains has changed.
+func (s *State) farHash() uint64 {
+	var h uint64
+	for _, r := range s.rows {
+		v := r.hash
+		if !s.domainReachable(r.row.Region, r.row.Domain) {
+			v = ^v
+		}
+		h ^= mix(v)
+	}
+	return h + uint64(len(s.rows))
+}
--- /dev/null
+++ b/decide/member/watch.go
@@ -0,0 +1,310 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// What a watcher last said about its item.
+const (
+	saidNothing = iota
+	saidReachable
+	saidUnreachable
+)
+
+// watch is this VM's duty to keep in touch with another domain or region.
+type watch struct {
+	item     item
+	assigned bool // by ranked hash; otherwise it verifies a claim
+	seq      uint32
+	waiting  bool
+	fallback bool // further representatives have been asked
+	asked    fleet.VMID
+	deadline clock.Time
+	turn     int
+	lastSaid int
+}
+
+func (w *watch) delay(d time.Duration) {
+	if w.waiting {
+		w.deadline = w.deadline.Add(d)
+	}
+}
+
+// extent is how far a finding is told: that a neighbour is unreachable, to
+// all, since its own region may be unable to say so; that a region is, in the
+// own region; the check of others' claim, in the own domain.
+func (w *watch) extent(s *State) extent {
+	switch {
+	case !w.assigned:
+		return toDomain
+	case w.item.domain != "":
+		return toAll
+	default:
+		return toRegion
+	}
+}
+
+func compareItems(a, b item) int {
+	if c := cmp.Compare(a.region, b.region); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.domain, b.domain)
+}
+
+// runWatches starts the exchanges that are due and moves overdue ones on.
+func (s *State) runWatches(out *Ready) {
+	for i := range s.watches {
+		w := &s.watches[i]
+		if w.waiting && w.deadline <= s.now {
+			s.watchOverdue(w, out)
+		}
+	}
+	due := s.due.watch <= s.now
+	if !due && !s.claims {
+		return
+	}
+	s.claims = false
+	s.expireReaches()
+	s.assignWatches()
+	if due {
+		s.due.watch = s.now.Add(s.o.WatchEvery)
+	}
+	for i := range s.watches {
+		w := &s.watches[i]
+		if !w.waiting && (due || w.lastSaid == saidNothing && !w.assigned) {
+			s.startWatch(w, out)
+		}
+	}
+}
+
+func (s *State) nextWatch() clock.Time {
+	next := s.due.watch
+	if s.claims {
+		next = s.now
+	}
+	for i := range s.watches {
+		if s.watches[i].waiting {
+			next = clock.Min(next, s.watches[i].deadline)
+		}
+	}
+	return next
+}
+
+// assignWatches brings the duties in line with the present representatives
+// and claims.
+func (s *State) assignWatches() {
+	var next []watch
+	if s.joined && s.self.vm.State == fleet.Live {
+		next = s.duties()
+	}
+	for i := range next {
+		at, ok := slices.BinarySearchFunc(s.watches, next[i].item, func(w watch, it item) int {
+			return compareItems(w.item, it)
+		})
+		if ok {
+			kept := s.watches[at]
+			kept.assigned = next[i].assigned
+			next[i] = kept
+		}
+	}
+	s.watches = next
+}
+
+// duties returns the watches of this VM in order of their items.
+func (s *State) duties() []watch {
+	reps := s.reps()
+	if !slices.Contains(reps, s.self.vm.ID) {
+		return nil
+	}
+	all := slices.Clone(reps)
+	for _, vm := range s.neighbours(maxReps) {
+		if s.domainReachable(vm.Region, vm.Domain) {
+			all = append(all, vm.ID)
+		}
+	}
+	var out []watch
+	for _, it := range s.items() {
+		among, duty := all, "region:"+string(it.region)
+		if it.domain != "" {
+			among, duty = reps, "domain:"+string(it.domain)
+		}
+		own := it.domain == "" || it.region == s.self.vm.Region
+		w := watch{item: it, assigned: own && s.mine(among, duty)}
+		if w.assigned || (s.claimed(it) && s.mine(reps, duty)) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (s *State) mine(ids []fleet.VMID, duty string) bool {
+	at := highest(ids, duty)
+	return at >= 0 && ids[at] == s.self.vm.ID
+}
+
+// items returns every other region and every other domain, in order.
+func (s *State) items() []item {
+	var out []item
+	add := func(region fleet.Region, d fleet.Domain) {
+		if d != s.self.vm.Domain {
+			out = append(out, item{region: region, domain: d})
+		}
+		if region != s.self.vm.Region {
+			out = append(out, item{region: region})
+		}
+	}
+	for _, r := range s.rows {
+		add(r.row.Region, r.row.Domain)
+	}
+	for i := range s.contacts {
+		add(s.contacts[i].vm.Region, s.contacts[i].vm.Domain)
+	}
+	slices.SortFunc(out, compareItems)
+	return slices.Compact(out)
+}
+
+// candidates returns whom a watch can ask. Contacts serve while no row of the
+// item is known.
+func (s *State) candidates(it item) []fleet.VM {
+	var out []fleet.VM
+	if it.domain == "" {
+		out = s.regionReps(it.region)
+	} else if at, ok := s.findRow(it.domain); ok {
+		out = s.rows[at].row.reps()
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for i := range s.contacts {
+		vm := s.contacts[i].vm
+		if vm.Region == it.region && (it.domain == "" || vm.Domain == it.domain) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (s *State) startWatch(w *watch, out *Ready) {
+	c := s.candidates(w.item)
+	if len(c) == 0 {
+		return
+	}
+	w.seq = s.nextSeq()
+	w.waiting = true
+	w.fallback = false
+	w.deadline = s.now.Add(s.o.WatchTimeout)
+	to := c[w.turn%len(c)]
+	w.asked = to.ID
+	w.turn++
+	s.sendWatch(w, to, out)
+}
+
+func (s *State) sendWatch(w *watch, to fleet.VM, out *Ready) {
+	scope := ScopeFar
+	if w.item.region == s.self.vm.Region {
+		scope = ScopeRegion
+	}
+	s.send(to, &Watch{
+		Seq:      w.seq,
+		Region:   s.self.vm.Region,
+		Domain:   s.self.vm.Domain,
+		Versions: s.versionsOf(w.item.region),
+		Reaches:  s.carriedReaches(true),
+	}, scope, out)
+}
+
+func (s *State) versionsOf(region fleet.Region) []Version {
+	var out []Version
+	for _, r := range s.rows {
+		if r.row.Region == region {
+			out = append(out, Version{Domain: r.row.Domain, Version: r.row.Version})
+		}
+	}
+	return out
+}
+
+// watchOverdue asks further representatives, and after those gives the item
+// up as unreachable: one VM that doesn't answer may have died, all of them
+// have not.
+func (s *State) watchOverdue(w *watch, out *Ready) {
+	if w.fallback {
+		w.waiting = false
+		if s.known(w.item) {
+			s.measured(w, false)
+		}
+		return
+	}
+	w.fallback = true
+	w.deadline = s.now.Add(s.o.WatchTimeout)
+	c := s.candidates(w.item)
+	if len(c) > 1 {
+		c = slices.DeleteFunc(c, func(vm fleet.VM) bool { return vm.ID == w.asked })
+	}
+	for _, vm := range c[:min(len(c), watchFallbacks)] {
+		s.sendWatch(w, vm, out)
+	}
+}
+
+// known reports whether a row tells of the item. Without one it offers
+// nothing that could be withdrawn.
+func (s *State) known(it item) bool {
+	return slices.ContainsFunc(s.rows, func(r *rowState) bool {
+		return r.row.Region == it.region && (it.domain == "" || it.domain == r.row.Domain)
+	})
+}
+
+// watched answers a Watch with the rows of the own region that the watcher
+// lacks.
+func (s *State) watched(m *Message, b *Watch, out *Ready) {
+	s.applyReaches(b.Reaches)
+	a := &WatchAck{
+		Seq:     b.Seq,
+		Region:  s.self.vm.Region,
+		Domain:  s.self.vm.Domain,
+		Reaches: s.carriedReaches(true),
+	}
+	for _, r := range s.rows {
+		if r.row.Region == s.self.vm.Region && r.row.Version > versionIn(b.Versions, r.row.Domain) {
+			a.Rows = append(a.Rows, r.row)
+		}
+	}
+	to, ok := s.address(m.From)
+	if !ok {
+		to = fleet.VM{ID: m.From, Region: b.Region, Domain: b.Domain}
+	}
+	scope := ScopeFar
+	if b.Region == s.self.vm.Region {
+		scope = ScopeRegion
+	}
+	s.send(to, a, scope, out)
+}
+
+func versionIn(vs []Version, d fleet.Domain) uint64 {
+	for _, v := range vs {
+		if v.Domain == d {
+			return v.Version
+		}
+	}
+	return 0
+}
+
+func (s *State) watchAck(m *Message, b *WatchAck) {
+	s.applyReaches(b.Reaches)
+	for _, row := range b.Rows {
+		if s.applyRow(row) {
+			s.news.addRow(s.now.Add(flushDelay), row, toRegion)
+		}
+	}
+	for i := range s.watches {
+		w := &s.watches[i]
+		if w.waiting && w.seq == b.Seq {
+			w.waiting = false
+			s.measured(w, true)
+		}
+	}
+}
--- /dev/null
+++ b/decide/retry/backoff.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff doubles a pause from Min to Max.
+type Backoff struct {
+	Min, Max time.Duration
+
+	next time.Duration
+}
+
+// Next returns the pause to make now, drawn between three quarters and the
+// whole of the nominal one, so that entry VMs which saw the same failure
+// don't all test the machine at once.
+func (b *Backoff) Next(rng *rand.Rand) time.Duration {
+	if b.next < b.Min {
+		b.next = b.Min
+	}
+	d := b.next
+	b.next = min(2*b.next, b.Max)
+	return d - time.Duration(rng.Float64()*float64(d)/4)
+}
+
+// Reset starts again from Min.
+func (b *Backoff) Reset() { b.next = 0 }
--- /dev/null
+++ b/decide/steer/doc.go
@@ -0,0 +1,34 @@
+// Package steer answers look-ups: which entry VMs a client's caller should
+// use, in which order, and for how long.
+//
+// # The decision
+//
+// A View is an immutable picture of blocks, entry VMs, weights and traffic
+// shifts. A daemon builds a new one whenever one of these changes and puts it
+// in the place of the old one; look-ups never wait.
+//
+// A look-up finds the client's block and by it the home region. A traffic
+// shift may move the block to another region. Inside the region the block is
+// placed by weighted rendezvous hashing: every entry VM draws a number from
+// the hash of block and VM, and the best draw of each failure domain is scaled
+// by the domain's weight. A client moves only when the VM it uses is gone,
+// when a VM with a better draw arrives, or when its domain's weight falls; all
+// others stay, so caches stay warm and nothing else in the answer changes.
+// Domains that the block prefers are asked first: a domain of weight w
+// (0 to 1) keeps the share w of the blocks that prefer it, always the same
+// ones, and passes the others on.
+//
+// The entry VMs of an answer span at least two failure domains wherever two
+// have live entry VMs. If the home region has fewer, the others come from the
+// region that rendezvous over the regions' weights puts next, so the clients
+// of a lost region spread over all others by what these can bear.
+//
+// # Weights change slowly
+//
+// Load reports lag, and callers keep an answer until its time to live ends.
+// Weights that followed each report at once would move load before the effect
+// of the last move could be seen, and the domains would overshoot in turn.
+// Damper therefore turns reports of headroom into weights that ignore small
+// differences, move in bounded steps, and move again only on a report measured
+// after the last step could have taken effect.
+package steer
--- /dev/null
+++ b/decide/steer/lookup.go
@@ -0,0 +1,182 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/block"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Times to live of answers.
+const (
+	// TTLSteady is given while nothing moves. It bounds how long a caller
+	// keeps using an entry VM that has left or an outdated weight.
+	TTLSteady = 20 * time.Second
+	// TTLMoving is given while a shift steps the client's traffic, while the
+	// chosen domain is nearly full, and to clients away from their home
+	// region, so that the next change reaches callers soon.
+	TTLMoving = 5 * time.Second
+)
+
+// NearlyFull is the weight at or below which a domain counts as nearly full.
+const NearlyFull = FullWeight / 2
+
+// MaxChoices is the largest number of entry VMs in an answer.
+const MaxChoices = 8
+
+// Choice is one entry VM of an answer.
+type Choice struct {
+	VM     fleet.VMID
+	Addr   string // host:port for callers
+	Region fleet.Region
+	Domain fleet.Domain
+	Site   fleet.Site
+}
+
+// Answer is the result of a look-up. The choices are in the slice that the
+// caller has handed in.
+type Answer struct {
+	N      int           // number of choices; 0 when no entry VM is live
+	TTL    time.Duration // how long the caller may keep the answer
+	Home   fleet.Region  // the client's own region
+	Region fleet.Region  // the region of the first choice; empty when N is 0
+	// Block is the hash of the client's block; shares of traffic are counted
+	// by it.
+	Block uint64
+	// Known is false for clients that no block holds.
+	Known bool
+	// Moved is true where the shift ShiftID sends the client to Region.
+	Moved   bool
+	ShiftID string
+}
+
+// client is what a look-up knows about the client's block.
+type client struct {
+	hash  uint64
+	home  homeRef
+	known bool
+}
+
+// Lookup fills out with entry VMs for a client of service, best first, and
+// describes them. It uses at most MaxChoices elements of out, should be given
+// at least two, and allocates nothing.
+func (v *View) Lookup(service fleet.ServiceName, addr netip.Addr, out []Choice) Answer {
+	out = out[:min(len(out), MaxChoices)]
+	c := v.client(addr)
+	row := v.row(service)
+	a := Answer{Home: c.home.name, Block: c.hash, Known: c.known, TTL: TTLSteady}
+
+	target, preferred := c.home.region, c.home.domains
+	if to, id, moved := v.shifted(service, c, row); moved {
+		target, preferred = to, nil
+		a.Moved, a.ShiftID = true, id
+	}
+	if target < 0 {
+		target = v.nextRegion(c, row, -1)
+		a.TTL = TTLMoving
+	}
+	if target < 0 || len(out) == 0 {
+		return a
+	}
+	var r ranking
+	v.rank(&r, target, c.hash, v.weights[row], preferred)
+	a.N = v.fill(out, &r, c, row, target)
+	a.Region = v.regions[target].name
+	if v.moving(service, c.home.name) || v.weights[row][r.at[0].domain] <= NearlyFull {
+		a.TTL = TTLMoving
+	}
+	return a
+}
+
+// client finds the block of addr and its home.
+func (v *View) client(addr netip.Addr) client {
+	if m, ok := v.blocks.Lookup(addr); ok {
+		return client{hash: block.Hash(m.Prefix), home: v.homes[m.Home], known: true}
+	}
+	return client{
+		hash: block.Hash(block.Implied(addr)),
+		home: homeRef{region: v.self, name: v.selfName},
+	}
+}
+
+// row returns the index of the service's weights.
+func (v *View) row(service fleet.ServiceName) int {
+	if i, ok := v.byService[service]; ok {
+		return i
+	}
+	return len(v.weights) - 1
+}
+
+// shifted returns the region to which a traffic shift moves the client.
+//
+// A shift whose receiver has no live entry VM moves nobody: its clients would
+// find nothing there, while their home region may still serve them.
+func (v *View) shifted(service fleet.ServiceName, c client, row int) (to int, id string, moved bool) {
+	if v.shifts == nil {
+		return -1, "", false
+	}
+	name, id, moved := v.shifts.Region(service, c.home.name, c.hash)
+	if !moved {
+		return -1, "", false
+	}
+	if name == "" {
+		to = v.nextRegion(c, row, c.home.region)
+	} else {
+		to = v.regionIndex(name)
+	}
+	return to, id, to >= 0
+}
+
+// moving reports whether a running shift takes traffic of service out of home.
+func (v *View) moving(service fleet.ServiceName, home fleet.Region) bool {
+	for i := range v.running {
+		r := &v.running[i]
+		if r.From == home && (r.Service == "" || r.Service == service) {
+			return true
+		}
+	}
+	return false
+}
+
+// fill writes the choices: the best entry VM of each domain, then the second
+// ones. Where the region has one domain only, the last choice is in another
+// region, so that the loss of a domain leaves the caller somewhere to go.
+func (v *View) fill(out []Choice, r *ranking, c client, row, target int) int {
+	local := out
+	if r.n == 1 && len(out) > 1 {
+		local = out[:len(out)-1]
+	}
+	n := v.fillLocal(local, r)
+	if r.n > 1 || n == len(out) {
+		return n
+	}
+	other := v.nextRegion(c, row, target)
+	if other < 0 && c.home.region != target {
+		// The client was moved and there is no third region. Home still
+		// beats an answer that one domain's loss makes useless.
+		other = c.home.region
+	}
+	if other < 0 {
+		return n
+	}
+	var far ranking
+	v.rank(&far, other, c.hash, v.weights[row], nil)
+	out[n] = v.vms[far.at[0].best]
+	return n + 1
+}
+
+func (v *View) fillLocal(out []Choice, r *ranking) int {
+	n := 0
+	for i := 0; i < r.n && n < len(out); i++ {
+		out[n] = v.vms[r.at[i].best]
+		n++
+	}
+	for i := 0; i < r.n && n < len(out); i++ {
+		if s := r.at[i].second; s >= 0 {
+			out[n] = v.vms[s]
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/decide/token/token.go
@@ -0,0 +1,171 @@
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"hash"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Header is the HTTP header that carries a token, in requests and in answers
+// that hand out a fresh one.
+const Header = "Azurethread-Token"
+
+// MaxLifetime is the longest time a token is accepted ahead of its expiry.
+// It bounds how long a record is held when a minter's clock runs ahead.
+const MaxLifetime = 10 * time.Minute
+
+// MaxVMID is the longest VMID, in bytes, that a token can name.
+const MaxVMID = 64
+
+// NonceSize is the size in bytes of the random part of a token.
+const NonceSize = 16
+
+// The layout of a token before base64url: version, length of the VMID, VMID,
+// incarnation, nonce, expiry in nanoseconds, truncated HMAC-SHA256 of it all.
+const (
+	version     = 1
+	macSize     = 16
+	headSize    = 2
+	fixedSize   = headSize + 8 + NonceSize + 8 + macSize
+	maxRaw      = fixedSize + MaxVMID
+	maxEncoded  = (maxRaw*8 + 5) / 6
+	macDomain   = "azurethread token 1\x00"
+	minKeyBytes = 16
+)
+
+var encoding = base64.RawURLEncoding.Strict()
+
+// ID identifies a token. It is the token's MAC, so two tokens that differ in
+// any field differ in ID, even if a minter repeats a nonce.
+type ID [macSize]byte
+
+// Fields are the contents of a token.
+type Fields struct {
+	VM          fleet.VMID        // entry VM that may admit the token
+	Incarnation fleet.Incarnation // process of that entry VM
+	Nonce       [NonceSize]byte   // random, given by the caller of Mint
+	Expiry      clock.Time        // from here on the token is not admitted
+}
+
+// Minter makes and checks tokens under one key, reusing its buffers. It is
+// not safe for concurrent use.
+type Minter struct {
+	mac  hash.Hash
+	head []byte // macDomain, kept as bytes to spare an allocation a token
+	raw  [maxRaw]byte
+	text [maxEncoded]byte
+	sum  [sha256.Size]byte
+}
+
+// NewMinter returns a Minter for the key that all entry VMs share. A key
+// shorter than 16 bytes is the caller's mistake; settings are checked before.
+func NewMinter(key []byte) *Minter {
+	return &Minter{mac: hmac.New(sha256.New, key), head: []byte(macDomain)}
+}
+
+// KeyLongEnough reports whether key may be used to mint tokens.
+func KeyLongEnough(key []byte) bool { return len(key) >= minKeyBytes }
+
+// Mint returns a token as text. Randomness is an input: the nonce must come
+// from a source that callers cannot guess and that does not repeat. It returns
+// "", which no Ledger admits, if vm is empty or longer than MaxVMID.
+func Mint(key []byte, vm fleet.VMID, inc fleet.Incarnation, nonce [NonceSize]byte, expiry clock.Time) string {
+	f := Fields{VM: vm, Incarnation: inc, Nonce: nonce, Expiry: expiry}
+	return NewMinter(key).Mint(f)
+}
+
+// Mint returns the token of the given fields, as the function Mint does.
+func (m *Minter) Mint(f Fields) string {
+	if len(f.VM) == 0 || len(f.VM) > MaxVMID {
+		return ""
+	}
+	b := append(m.raw[:0], version, byte(len(f.VM)))
+	b = append(b, f.VM...)
+	b = binary.BigEndian.AppendUint64(b, uint64(f.Incarnation))
+	b = append(b, f.Nonce[:]...)
+	b = binary.BigEndian.AppendUint64(b, uint64(f.Expiry))
+	b = append(b, m.sign(b)...)
+	return string(encoding.AppendEncode(m.text[:0], b))
+}
+
+// ID returns the identity of a token, and false if this key did not make it.
+func (m *Minter) ID(tok string) (ID, bool) {
+	b, ok := m.verify(tok)
+	if !ok {
+		return ID{}, false
+	}
+	return idOf(b), true
+}
+
+// Parse returns the contents of a token, and false if this key did not make it.
+func (m *Minter) Parse(tok string) (Fields, bool) {
+	b, ok := m.verify(tok)
+	if !ok {
+		return Fields{}, false
+	}
+	p := partsOf(b)
+	f := Fields{VM: fleet.VMID(p.vm), Incarnation: p.incarnation, Expiry: p.expiry}
+	copy(f.Nonce[:], p.nonce)
+	return f, true
+}
+
+// sign returns the truncated MAC of b; it is valid until the next call.
+func (m *Minter) sign(b []byte) []byte {
+	m.mac.Reset()
+	m.mac.Write(m.head)
+	m.mac.Write(b)
+	return m.mac.Sum(m.sum[:0])[:macSize]
+}
+
+// verify returns the bytes of an authentic token; they are valid until the
+// next call. Anybody can send any text here.
+func (m *Minter) verify(tok string) ([]byte, bool) {
+	if len(tok) > maxEncoded {
+		return nil, false
+	}
+	n, err := encoding.Decode(m.raw[:], m.text[:copy(m.text[:], tok)])
+	// The decoder skips line breaks; a token has one spelling only.
+	if err != nil || encoding.EncodedLen(n) != len(tok) {
+		return nil, false
+	}
+	b := m.raw[:n]
+	if n < fixedSize || b[0] != version || n != fixedSize+int(b[1]) {
+		return nil, false
+	}
+	signed := b[:n-macSize]
+	if !hmac.Equal(m.sign(signed), b[n-macSize:]) {
+		return nil, false
+	}
+	return b, true
+}
+
+// parts are the contents of a token, in place.
+type parts struct {
+	vm          []byte
+	incarnation fleet.Incarnation
+	nonce       []byte
+	expiry      clock.Time
+}
+
+// partsOf splits verified bytes.
+func partsOf(b []byte) parts {
+	vmEnd := headSize + int(b[1])
+	nonceEnd := vmEnd + 8 + NonceSize
+	return parts{
+		vm:          b[headSize:vmEnd],
+		incarnation: fleet.Incarnation(binary.BigEndian.Uint64(b[vmEnd:])),
+		nonce:       b[vmEnd+8 : nonceEnd],
+		expiry:      clock.Time(binary.BigEndian.Uint64(b[nonceEnd:])),
+	}
+}
+
+// idOf returns the ID of verified bytes.
+func idOf(b []byte) ID {
+	return ID(b[len(b)-macSize:])
+}
--- /dev/null
+++ b/operate/client/client.go
@@ -0,0 +1,242 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/admin"
+)
+
+// maxAnswer bounds the bytes of an answer that are read.
+const maxAnswer = 64 << 20
+
+// Client speaks to one entry VM. It is safe for concurrent use.
+type Client struct {
+	base    string // scheme://host:port
+	token   string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client of the entry VM at addr, host:port or an http or https
+// URL without a path. The timeout bounds each request but watches.
+func New(addr, token string, timeout time.Duration) (*Client, error) {
+	base, err := baseOf(addr)
+	if err != nil {
+		return nil, err
+	}
+	// Entry VMs are reached by IP number; no proxy stands between.
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext}
+	return &Client{base: base, token: token, timeout: timeout, http: &http.Client{Transport: transport}}, nil
+}
+
+func baseOf(addr string) (string, error) {
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	u, err := url.Parse(addr)
+	if err != nil || u.Port() == "" || u.Hostname() == "" {
+		return "", fmt.Errorf("address %q is not host:port", addr)
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || strings.Trim(u.Path, "/") != "" {
+		return "", fmt.Errorf("address %q is not an http or https URL without a path", addr)
+	}
+	return u.Scheme + "://" + u.Host, nil
+}
+
+// call is one request on its way.
+type call struct {
+	method string
+	path   string // with query
+	id     string // operation id; empty for reads
+	body   any
+}
+
+// read asks a question.
+func read[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var out T
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return out, c.do(ctx, call{method: http.MethodGet, path: path}, &out)
+}
+
+// change sends a change under a new operation id.
+func (c *Client) change(ctx context.Context, method, path string, body any) (admin.Accepted, error) {
+	var out admin.Accepted
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	k := call{method: method, path: admin.Prefix + path, id: uuid.NewString(), body: body}
+	if err := c.do(ctx, k, &out); err != nil {
+		return admin.Accepted{}, err
+	}
+	if !out.Settled {
+		return out, &UnknownOutcome{Operation: k.id}
+	}
+	return out, nil
+}
+
+func (c *Client) do(ctx context.Context, k call, out any) error {
+	req, err := c.request(ctx, k)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.lost(k, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return c.lost(k, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return failed(k, resp.StatusCode, raw)
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return c.lost(k, fmt.Errorf("the answer is not the JSON expected: %w", err))
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
+	var body io.Reader
+	if k.body != nil {
+		raw, err := json.Marshal(k.body)
+		if err != nil {
+			return nil, fmt.Errorf("encoding the request: %w", err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, body)
+	if err != nil {
+		return nil, fmt.Errorf("making the request: %w", err)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	if k.id != "" {
+		req.Header.Set(admin.OperationHeader, k.id)
+	}
+	return req, nil
+}
+
+// lost classifies a request without a usable answer. Only a failed dial proves
+// that no byte of a change was sent; after that the entry VM may have made it.
+func (c *Client) lost(k call, err error) error {
+	var op *net.OpError
+	dialed := errors.As(err, &op) && op.Op == "dial"
+	if k.id == "" || dialed {
+		return &Unreachable{Addr: c.base, Err: err}
+	}
+	return &UnknownOutcome{Operation: k.id, Err: err}
+}
+
+// failed reads an error answer. A body of another form, say of a machine in
+// between, decodes to the verdict may-have-run.
+func failed(k call, status int, raw []byte) error {
+	e := &APIError{Status: status}
+	if json.Unmarshal(raw, &e.Body) != nil || e.Body.Code == "" {
+		e.Body = admin.Error{Code: admin.CodeInternal, Message: "unexpected answer with status " + strconv.Itoa(status)}
+	}
+	if k.id != "" && e.Body.Verdict != verdict.NotRun {
+		return &UnknownOutcome{Operation: k.id, Err: e}
+	}
+	return e
+}
+
+// Catalogue returns the catalogue in force at the entry VM.
+func (c *Client) Catalogue(ctx context.Context) (catalogue.Catalogue, error) {
+	return read[catalogue.Catalogue](ctx, c, admin.Prefix+"catalogue")
+}
+
+// Shift returns one traffic shift.
+func (c *Client) Shift(ctx context.Context, id string) (catalogue.Shift, error) {
+	return read[catalogue.Shift](ctx, c, admin.Prefix+"shifts/"+url.PathEscape(id))
+}
+
+// Status returns what the entry VM knows of the system.
+func (c *Client) Status(ctx context.Context) (admin.Status, error) {
+	return read[admin.Status](ctx, c, admin.Prefix+"status")
+}
+
+// InForce says how far a revision has spread.
+func (c *Client) InForce(ctx context.Context, revision uint64) (admin.InForce, error) {
+	return read[admin.InForce](ctx, c, admin.Prefix+"inforce?revision="+strconv.FormatUint(revision, 10))
+}
+
+// Settle says what became of an operation.
+func (c *Client) Settle(ctx context.Context, operation string) (admin.Outcome, error) {
+	return read[admin.Outcome](ctx, c, admin.Prefix+"operations/"+url.PathEscape(operation))
+}
+
+// Watch returns once the revision at the entry VM is above after, or when wait
+// has passed.
+func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (admin.Watch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	var out admin.Watch
+	path := fmt.Sprintf("%swatch?after=%d&wait=%s", admin.Prefix, after, wait)
+	return out, c.do(ctx, call{method: http.MethodGet, path: path}, &out)
+}
+
+// PutService adds a service, or replaces the one at revision expect.
+func (c *Client) PutService(ctx context.Context, s catalogue.Service, expect uint64) (admin.Accepted, error) {
+	body := change.PutService{Service: s, Expect: expect}
+	return c.change(ctx, http.MethodPut, "services/"+url.PathEscape(string(s.Name)), body)
+}
+
+// RemoveService removes the service at revision expect.
+func (c *Client) RemoveService(ctx context.Context, name string, expect uint64) (admin.Accepted, error) {
+	return c.change(ctx, http.MethodDelete, fmt.Sprintf("services/%s?expect=%d", url.PathEscape(name), expect), nil)
+}
+
+// AddShift adds a traffic shift as a draft.
+func (c *Client) AddShift(ctx context.Context, e change.Entry) (admin.Accepted, error) {
+	return c.change(ctx, http.MethodPost, "shifts", change.AddShift{Entry: e})
+}
+
+// ChangeShift replaces the content of the traffic shift at revision expect.
+func (c *Client) ChangeShift(ctx context.Context, e change.Entry, expect uint64) (admin.Accepted, error) {
+	body := change.ChangeShift{Entry: e, Expect: expect}
+	return c.change(ctx, http.MethodPut, "shifts/"+url.PathEscape(e.ID), body)
+}
+
+// RemoveShift removes the traffic shift at revision expect.
+func (c *Client) RemoveShift(ctx context.Context, id string, expect uint64) (admin.Accepted, error) {
+	return c.change(ctx, http.MethodDelete, fmt.Sprintf("shifts/%s?expect=%d", url.PathEscape(id), expect), nil)
+}
+
+// Action is a life-cycle step of a traffic shift, as the API's path names it.
+type Action string
+
+// The actions.
+const (
+	Approve  Action = "approve"
+	Start    Action = "start"
+	Pause    Action = "pause"
+	Resume   Action = "resume"
+	RollBack Action = "rollback"
+)
+
+// AnyVersion reports whether the action may go without an expected revision.
+func (a Action) AnyVersion() bool { return a == Pause || a == RollBack }
+
+// Act takes a life-cycle step of a traffic shift.
+func (c *Client) Act(ctx context.Context, a Action, id string, body admin.ShiftAction) (admin.Accepted, error) {
+	return c.change(ctx, http.MethodPost, "shifts/"+url.PathEscape(id)+"/"+string(a), body)
+}
--- /dev/null
+++ b/operate/entryfile/file.go
@@ -0,0 +1,105 @@
+package entryfile
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// The bounds of a file. The parser recurses, so nesting is bounded before it
+// runs: a file of opening brackets alone would otherwise exhaust the stack,
+// which ends the process rather than returning an error.
+const (
+	MaxSize  = 1 << 20 // bytes
+	maxDepth = 64      // bracket nesting and indentation steps
+)
+
+// File is the content of one file.
+type File struct {
+	Services []catalogue.Service
+	Shifts   []change.Entry
+}
+
+// Error is one thing wrong with a file.
+type Error struct {
+	Line    int    // 1-based; 0: the file as a whole
+	Path    string // such as "shifts[0].limits.max_share"; "" for the file
+	Message string
+}
+
+// Error implements error.
+func (e Error) Error() string {
+	text := e.Message
+	if e.Path != "" {
+		text = e.Path + ": " + text
+	}
+	if e.Line > 0 {
+		text = fmt.Sprintf("line %d: %s", e.Line, text)
+	}
+	return text
+}
+
+// Errors is everything wrong with a file, in the order of its lines.
+type Errors []Error
+
+// Error implements error, one line an error.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, x := range e {
+		lines[i] = x.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads a file and checks its content. Services of the file count as
+// known; known says which others exist, and nil trusts every name. The error
+// is an Errors.
+func Parse(data []byte, known change.Known) (File, error) {
+	var d decoder
+	f := d.file(data)
+	if !d.unreadable {
+		d.check(f, known)
+	}
+	if len(d.errs) > 0 {
+		return File{}, d.sorted()
+	}
+	return f, nil
+}
+
+// check applies the catalogue's rules, and those that hold within a file.
+func (d *decoder) check(f File, known change.Known) {
+	services := make(map[fleet.ServiceName]bool, len(f.Services))
+	for i, s := range f.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		d.addAll(path, change.CheckService(s))
+		if s.Name != "" && services[s.Name] {
+			d.addAt(path+".name", "service %q stands twice in this file", s.Name)
+		}
+		services[s.Name] = true
+	}
+	ids := make(map[string]bool, len(f.Shifts))
+	for i, e := range f.Shifts {
+		path := fmt.Sprintf("shifts[%d]", i)
+		d.addAll(path, change.CheckEntry(e, func(n fleet.ServiceName) bool {
+			return services[n] || known == nil || known(n)
+		}))
+		if e.ID != "" && ids[e.ID] {
+			d.addAt(path+".id", "shift %q stands twice in this file", e.ID)
+		}
+		ids[e.ID] = true
+	}
+}
+
+// addAll takes the errors of a check, but for fields that could not be read:
+// their zero values say nothing.
+func (d *decoder) addAll(path string, errs []change.FieldError) {
+	for _, e := range errs {
+		at := path + "." + e.Path
+		if !d.failed(at) {
+			d.addAt(at, "%s", e.Message)
+		}
+	}
+}
--- /dev/null
+++ b/serve/admin/handler.go
@@ -0,0 +1,170 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// Changer carries out operations. Its errors are those of change.Apply, or a
+// *verdict.Error: NotRun where the change was certainly not made, MayHaveRun
+// where that is not known.
+type Changer interface {
+	Change(ctx context.Context, op change.Operation) (Accepted, error)
+}
+
+// Settler says what became of an operation. An id that it has never heard of
+// is MayHaveRun until the platform proves otherwise. An error means that the
+// question could not be put.
+type Settler interface {
+	Settle(ctx context.Context, operation string) (Outcome, error)
+}
+
+// Viewer tells what this entry VM knows. Catalogue returns nil until a
+// catalogue has been received; what it returns is never changed.
+type Viewer interface {
+	Catalogue() *catalogue.Catalogue
+	Status() Status
+	InForce(ctx context.Context, revision uint64) InForce
+}
+
+// Config is what a Handler needs. All fields but Stopping and ChangeTimeout
+// must be set.
+type Config struct {
+	Changer   Changer
+	Settler   Settler
+	Viewer    Viewer
+	Operators Operators
+	Auditor   Auditor
+	// NewOperationID makes the id of a change that came without one.
+	NewOperationID func() string
+	// Stopping, once closed, ends waiting watches, so that a stop is not
+	// held up by them.
+	Stopping <-chan struct{}
+	// ChangeTimeout bounds one change; zero means DefaultChangeTimeout.
+	ChangeTimeout time.Duration
+}
+
+// The bounds of the API.
+const (
+	MaxBody              = 1 << 20 // bytes of a request body
+	MaxWatches           = 16      // long polls at once; each holds a worker
+	MaxWatchWait         = 30 * time.Second
+	DefaultWatchWait     = 10 * time.Second
+	DefaultChangeTimeout = 5 * time.Second
+	watchPoll            = 50 * time.Millisecond
+)
+
+// Handler serves the administration API.
+type Handler struct {
+	cfg     Config
+	mux     *http.ServeMux
+	watches chan struct{} // one token a waiting watch
+}
+
+// New returns the handler of all routes under Prefix.
+func New(cfg Config) *Handler {
+	if cfg.ChangeTimeout == 0 {
+		cfg.ChangeTimeout = DefaultChangeTimeout
+	}
+	h := &Handler{cfg: cfg, mux: http.NewServeMux(), watches: make(chan struct{}, MaxWatches)}
+	h.readRoutes()
+	h.changeRoutes()
+	h.route("", "", func(*request) (reply, error) {
+		return reply{}, fail(http.StatusNotFound, CodeNotFound, "no such route or method")
+	})
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// request is one authenticated request on its way.
+type request struct {
+	*http.Request
+	operator string
+	record   Record
+}
+
+// reply is a success.
+type reply struct {
+	status int
+	body   any
+}
+
+// ok answers 200 with body.
+func ok(body any) (reply, error) { return reply{http.StatusOK, body}, nil }
+
+// endpoint serves one route.
+type endpoint func(*request) (reply, error)
+
+// route registers fn; an empty method is every method.
+func (h *Handler) route(method, path string, fn endpoint) {
+	pattern := Prefix + path
+	if method != "" {
+		pattern = method + " " + pattern
+	}
+	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		h.serve(w, r, path, fn)
+	})
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, path string, fn endpoint) {
+	q := &request{Request: r}
+	q.record = Record{Remote: r.RemoteAddr, Method: r.Method, Route: path}
+	out, err := h.run(q, fn)
+	status, body := out.status, out.body
+	q.record.Outcome = "ok"
+	v := verdict.Ran
+	if err != nil {
+		f := failureOf(err, q.record.Operation)
+		status, body, v = f.status, &f.body, f.body.Verdict
+		q.record.Outcome = string(f.body.Code)
+	}
+	if status == http.StatusAccepted {
+		v = verdict.MayHaveRun
+		q.record.Outcome = string(CodeOutcomeUnknown)
+	}
+	q.record.Status = status
+	// The record precedes the answer: whoever holds the answer can rely on
+	// the record being there.
+	h.cfg.Auditor.Audit(q.record)
+	write(w, status, v, body)
+}
+
+func (h *Handler) run(q *request, fn endpoint) (reply, error) {
+	name, known := h.cfg.Operators.authenticate(q.Request)
+	if !known {
+		return reply{}, fail(http.StatusUnauthorized, CodeUnauthenticated, "a valid bearer token is needed")
+	}
+	q.operator = name
+	q.record.Operator = name
+	return fn(q)
+}
+
+func write(w http.ResponseWriter, status int, v verdict.Verdict, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+		raw = []byte(`{"code":"internal","message":"the answer could not be encoded","verdict":"may-have-run"}`)
+		v = verdict.MayHaveRun
+	}
+	raw = append(raw, '\n')
+	hd := w.Header()
+	hd.Set("Content-Type", "application/json")
+	hd.Set("Content-Length", strconv.Itoa(len(raw)))
+	hd.Set("Cache-Control", "no-store")
+	hd.Set(verdict.Header, v.String())
+	if status == http.StatusUnauthorized {
+		hd.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(status)
+	// A failed write means that the client is gone; it asks again.
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/serve/admin/reads.go
@@ -0,0 +1,166 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+)
+
+func (h *Handler) readRoutes() {
+	h.route("GET", "catalogue", h.getCatalogue)
+	h.route("GET", "services", h.getServices)
+	h.route("GET", "shifts", h.getShifts)
+	h.route("GET", "shifts/{id}", h.getShift)
+	h.route("GET", "status", h.getStatus)
+	h.route("GET", "inforce", h.getInForce)
+	h.route("GET", "watch", h.getWatch)
+	h.route("GET", "operations/{id}", h.getOperation)
+}
+
+// catalogue returns the catalogue in force, or the failure that says that
+// there is none yet.
+func (h *Handler) catalogue() (*catalogue.Catalogue, error) {
+	c := h.cfg.Viewer.Catalogue()
+	if c == nil {
+		return nil, fail(http.StatusServiceUnavailable, CodeNotReady, "no catalogue has been received yet")
+	}
+	return c, nil
+}
+
+func (h *Handler) getCatalogue(*request) (reply, error) {
+	c, err := h.catalogue()
+	if err != nil {
+		return reply{}, err
+	}
+	return ok(c)
+}
+
+func (h *Handler) getServices(*request) (reply, error) {
+	c, err := h.catalogue()
+	if err != nil {
+		return reply{}, err
+	}
+	return ok(Services{Revision: c.Revision, Services: notNil(c.Services)})
+}
+
+func (h *Handler) getShifts(*request) (reply, error) {
+	c, err := h.catalogue()
+	if err != nil {
+		return reply{}, err
+	}
+	return ok(Shifts{Revision: c.Revision, Shifts: notNil(c.Shifts)})
+}
+
+// notNil makes an empty list encode as [] rather than null.
+func notNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
+func (h *Handler) getShift(q *request) (reply, error) {
+	c, err := h.catalogue()
+	if err != nil {
+		return reply{}, err
+	}
+	s, found := c.Shift(q.PathValue("id"))
+	if !found {
+		return reply{}, fail(http.StatusNotFound, CodeNotFound, "no such shift at revision "+strconv.FormatUint(c.Revision, 10))
+	}
+	return ok(s)
+}
+
+func (h *Handler) getStatus(*request) (reply, error) { return ok(h.cfg.Viewer.Status()) }
+
+func (h *Handler) getInForce(q *request) (reply, error) {
+	rev, err := q.number("revision")
+	if err != nil {
+		return reply{}, err
+	}
+	return ok(h.cfg.Viewer.InForce(q.Context(), rev))
+}
+
+func (h *Handler) getOperation(q *request) (reply, error) {
+	ctx, cancel := context.WithTimeout(q.Context(), h.cfg.ChangeTimeout)
+	defer cancel()
+	id := q.PathValue("id")
+	out, err := h.cfg.Settler.Settle(ctx, id)
+	q.record.Operation = id
+	if err != nil {
+		return reply{}, err
+	}
+	return ok(out)
+}
+
+// getWatch answers once the revision in force is above "after", or when "wait"
+// has passed. A revision is looked at rather than waited for: the Viewer stays
+// a plain snapshot, and a late sight of 50 ms matters to no reader.
+func (h *Handler) getWatch(q *request) (reply, error) {
+	after, err := q.number("after")
+	if err != nil {
+		return reply{}, err
+	}
+	wait, err := q.wait()
+	if err != nil {
+		return reply{}, err
+	}
+	select {
+	case h.watches <- struct{}{}:
+		defer func() { <-h.watches }()
+	default:
+		return reply{}, fail(http.StatusTooManyRequests, CodeTooManyWatches, "too many watches wait here already")
+	}
+	changed := h.await(q.Context(), after, wait)
+	s := h.cfg.Viewer.Status()
+	return ok(Watch{Revision: s.Revision, Changed: changed, Status: s})
+}
+
+func (h *Handler) await(ctx context.Context, after uint64, wait time.Duration) bool {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	tick := time.NewTicker(watchPoll)
+	defer tick.Stop()
+	for {
+		if c := h.cfg.Viewer.Catalogue(); c != nil && c.Revision > after {
+			return true
+		}
+		select {
+		case <-tick.C:
+		case <-end.C:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-h.cfg.Stopping:
+			return false
+		}
+	}
+}
+
+// number reads a decimal query parameter; an absent one is zero.
+func (q *request) number(name string) (uint64, error) {
+	text := q.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fail(http.StatusBadRequest, CodeBadRequest, "query parameter "+name+" must be a whole number")
+	}
+	return n, nil
+}
+
+func (q *request) wait() (time.Duration, error) {
+	text := q.URL.Query().Get("wait")
+	if text == "" {
+		return DefaultWatchWait, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 || d > MaxWatchWait {
+		return 0, fail(http.StatusBadRequest, CodeBadRequest, "query parameter wait must be a duration of at most "+MaxWatchWait.String())
+	}
+	return d, nil
+}
--- /dev/null
+++ b/serve/daemon/answer.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// errorBody is the JSON body of every error answer.
+type errorBody struct {
+	Verdict      verdict.Verdict `json:"verdict"`
+	Reason       verdict.Reason  `json:"reason"`
+	Message      string          `json:"message"`
+	RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
+	// Ask names the entry VM that knows what became of the token.
+	Ask     fleet.VMID `json:"ask,omitempty"`
+	AskAddr string     `json:"ask_addr,omitempty"`
+	// Answered is the status that an earlier send of the token got.
+	Answered int `json:"answered,omitempty"`
+	// Alternatives are other entry VMs to use, when this one is leaving.
+	Alternatives []string `json:"alternatives,omitempty"`
+	// Token replaces the spent one after not-run.
+	Token string `json:"token,omitempty"`
+}
+
+// failure is one reason's status and text.
+type failure struct {
+	status  int
+	message string
+}
+
+var failures = map[verdict.Reason]failure{
+	verdict.ReasonUnknownService:   {http.StatusNotFound, "The catalogue holds no such service."},
+	verdict.ReasonNotReady:         {http.StatusServiceUnavailable, "This entry VM has no configuration yet."},
+	verdict.ReasonStopping:         {http.StatusServiceUnavailable, "This entry VM is leaving. Use another one."},
+	verdict.ReasonOverload:         {http.StatusServiceUnavailable, "There is no capacity for the request now."},
+	verdict.ReasonQueueFull:        {http.StatusServiceUnavailable, "The queue is full."},
+	verdict.ReasonDeadline:         {http.StatusGatewayTimeout, "The deadline passes before an answer can be had."},
+	verdict.ReasonNoTarget:         {http.StatusServiceUnavailable, "No target of the service can take work."},
+	verdict.ReasonConnect:          {http.StatusBadGateway, "No connection to a target could be opened."},
+	verdict.ReasonConnectionLost:   {http.StatusBadGateway, "The connection to the target was lost."},
+	verdict.ReasonSilent:           {http.StatusBadGateway, "The target did not answer in time."},
+	verdict.ReasonAnswerCut:        {http.StatusBadGateway, "The target's answer was not whole."},
+	verdict.ReasonShed:             {http.StatusServiceUnavailable, "The targets refused the request."},
+	verdict.ReasonBodyTooLarge:     {http.StatusRequestEntityTooLarge, "The request body is larger than the limit."},
+	verdict.ReasonBadRequest:       {http.StatusBadRequest, "The request is malformed."},
+	verdict.ReasonTokenRequired:    {http.StatusPreconditionRequired, "The service is not idempotent: send a one-time token from a look-up."},
+	verdict.ReasonTokenInvalid:     {http.StatusUnauthorized, "The token was not made by this system."},
+	verdict.ReasonTokenElsewhere:   {http.StatusConflict, "The token belongs to another entry VM, which must be asked."},
+	verdict.ReasonTokenUsed:        {http.StatusConflict, "The token has been used."},
+	verdict.ReasonTokenExpired:     {http.StatusGone, "The token has expired."},
+	verdict.ReasonHopLimit:         {http.StatusServiceUnavailable, "The request may not be forwarded again."},
+	verdict.ReasonRetriesExhausted: {http.StatusBadGateway, "No attempt succeeded."},
+	verdict.ReasonInternal:         {http.StatusInternalServerError, "The entry VM failed to handle the request."},
+}
+
+func failureOf(r verdict.Reason) failure {
+	f, ok := failures[r]
+	if !ok {
+		f = failures[verdict.ReasonInternal]
+	}
+	return f
+}
+
+// encodeError returns status, header and body of an error answer.
+func encodeError(e errorBody) (int, http.Header, []byte) {
+	f := failureOf(e.Reason)
+	e.Message = f.message
+	b, err := json.Marshal(e)
+	if err != nil {
+		b = []byte("{}") // errorBody holds nothing that cannot be encoded
+	}
+	h := http.Header{
+		"Content-Type":  {"application/json"},
+		verdict.Header:  {e.Verdict.String()},
+		headerReason:    {string(e.Reason)},
+		"Cache-Control": {"no-store"},
+	}
+	if e.RetryAfterMs > 0 {
+		wait := time.Duration(e.RetryAfterMs) * time.Millisecond
+		seconds := int64((wait + time.Second - 1) / time.Second)
+		h[headerRetry] = []string{strconv.FormatInt(seconds, 10)}
+		h[headerRetryMs] = []string{strconv.FormatInt(e.RetryAfterMs, 10)}
+	}
+	if e.Token != "" {
+		h[headerToken] = []string{e.Token}
+	}
+	return f.status, h, b
+}
+
+// refusalByStatus is the answer to messages that inbound refuses itself.
+func refusalByStatus(status int) (http.Header, []byte) {
+	reason := verdict.ReasonBadRequest
+	switch status {
+	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		reason = verdict.ReasonBodyTooLarge
+	case http.StatusServiceUnavailable:
+		reason = verdict.ReasonStopping
+	}
+	_, h, b := encodeError(errorBody{Verdict: verdict.NotRun, Reason: reason})
+	return h, b
+}
--- /dev/null
+++ b/serve/daemon/daemon.go
@@ -0,0 +1,327 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/dispatch"
+	"github.com/azurethread/azurethread/decide/engine"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/token"
+	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/outbound"
+	"github.com/azurethread/azurethread/serve/platform"
+	"github.com/azurethread/azurethread/serve/settings"
+)
+
+// Platform is what the daemon needs of the platform.
+type Platform interface {
+	platform.Store
+	platform.Machines
+}
+
+// Daemon is one entry VM.
+type Daemon struct {
+	set      *settings.Settings
+	log      *logrus.Entry
+	platform Platform
+	self     fleet.VM
+	epoch    epoch
+
+	core    *Core
+	calls   calls
+	metrics *metrics
+	tracer  *tracer
+	pool    *outbound.Pool
+	callers *inbound.Server
+	admin   *nbhttp.Server
+	view    atomic.Pointer[steer.View]
+	config  atomic.Pointer[catalogue.Catalogue]
+	leaving atomic.Bool
+	minters sync.Pool
+
+	// Addresses, touched only between steps of the core.
+	targets map[fleet.TargetID]fleet.Target
+	vms     map[fleet.VMID]fleet.VM
+
+	ctx    context.Context // ends when the daemon stops
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// epoch turns the monotonic clock into instants that never fall.
+type epoch struct {
+	wall clock.Time
+	at   time.Time
+}
+
+func newEpoch() epoch {
+	t := time.Now()
+	return epoch{wall: clock.FromWall(t), at: t}
+}
+
+func (e epoch) now() clock.Time { return e.wall.Add(time.Since(e.at)) }
+
+func (d *Daemon) now() clock.Time { return d.epoch.now() }
+
+// Start provisions a daemon and begins to serve. Nothing is left running when
+// it returns an error.
+func Start(set *settings.Settings, p Platform, log *logrus.Logger) (*Daemon, error) {
+	d := &Daemon{
+		set:      set,
+		log:      log.WithField("vm", set.ID),
+		platform: p,
+		epoch:    newEpoch(),
+		metrics:  newMetrics(),
+		targets:  make(map[fleet.TargetID]fleet.Target),
+		vms:      make(map[fleet.VMID]fleet.VM),
+	}
+	d.calls.byID = make(map[dispatch.RequestID]*call)
+	d.minters.New = func() any { return token.NewMinter([]byte(set.FleetKey)) }
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	if err := d.provision(); err != nil {
+		d.cleanup()
+		return nil, err
+	}
+	d.run()
+	d.log.WithFields(logrus.Fields{
+		"call_addr": d.self.CallAddr, "admin_addr": d.self.AdminAddr, "peer_addr": d.self.PeerAddr,
+		"region": set.Region, "domain": set.Domain,
+	}).Info("entry VM started")
+	return d, nil
+}
+
+func (d *Daemon) provision() error {
+	var err error
+	if d.tracer, err = newTracer(d.set.TraceExporter, d.set.TraceSample); err != nil {
+		return err
+	}
+	d.pool, err = outbound.NewPool(outbound.Options{
+		DialTimeout:    d.set.DialTimeout,
+		IdleTimeout:    outboundIdle,
+		MaxAnswerBytes: d.set.MaxAnswerBytes,
+		Now:            d.now,
+		Dial:           net.DialTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	gate := &gate{}
+	d.callers, err = inbound.Listen(d.set.CallAddr, gate, inbound.Options{
+		MaxHeadBytes: d.set.MaxHeadBytes,
+		MaxBodyBytes: d.set.MaxBodyBytes,
+		ReadTimeout:  d.set.ReadTimeout,
+		IdleTimeout:  d.set.IdleTimeout,
+		WriteTimeout: d.set.WriteTimeout,
+		Refusal:      refusalByStatus,
+	})
+	if err != nil {
+		return fmt.Errorf("daemon: --call-addr: %w", err)
+	}
+	if err := d.provisionAdmin(); err != nil {
+		return fmt.Errorf("daemon: --admin-addr: %w", err)
+	}
+	d.self = d.describe()
+	d.newCore()
+	gate.open(d)
+	return nil
+}
+
+// outboundIdle is how long a free connection to a target is kept. It is
+// shorter than the idle timeouts usual at servers, so that the target seldom
+// closes a connection just as a request is written to it.
+const outboundIdle = 15 * time.Second
+
+// gate holds requests back until the daemon is ready to serve them.
+type gate struct{ d atomic.Pointer[Daemon] }
+
+func (g *gate) open(d *Daemon) { g.d.Store(d) }
+
+// Serve implements inbound.Handler.
+func (g *gate) Serve(x *inbound.Exchange) {
+	if d := g.d.Load(); d != nil {
+		d.Serve(x)
+		return
+	}
+	h, b := refusalByStatus(http.StatusServiceUnavailable)
+	x.Respond(http.StatusServiceUnavailable, h, b)
+}
+
+// describe returns this entry VM as others are to know it. The incarnation is
+// the start's wall clock: a restart takes a higher one without any store.
+func (d *Daemon) describe() fleet.VM {
+	return fleet.VM{
+		ID:          d.set.ID,
+		Region:      d.set.Region,
+		Domain:      d.set.Domain,
+		Site:        d.set.Site,
+		CallAddr:    orElse(d.set.CallAdvertise, d.callers.Addr()),
+		PeerAddr:    orElse(d.set.PeerAdvertise, d.set.PeerAddr),
+		AdminAddr:   orElse(d.set.AdminAdvertise, d.adminAddr()),
+		Incarnation: fleet.Incarnation(d.now()),
+	}
+}
+
+func orElse(v, def string) string {
+	if v != "" {
+		return v
+	}
+	return def
+}
+
+func (d *Daemon) newCore() {
+	seed := d.set.Seed
+	if seed == 0 {
+		seed = uint64(d.now())
+	}
+	eng := engine.New(engine.Options{
+		Self:     d.self,
+		FleetKey: []byte(d.set.FleetKey),
+		Dispatch: dispatch.Options{
+			VM:     d.self.ID,
+			Domain: d.self.Domain,
+			Region: d.self.Region,
+			Seed:   seed,
+			Policy: d.set.Policy,
+		},
+	})
+	d.vms[d.self.ID] = d.self
+	d.view.Store(steer.New(steer.Inputs{Self: d.self.Region, VMs: []fleet.VM{d.self}}))
+	d.core = newCore(d.now, eng, d)
+}
+
+// run starts the daemon's loops.
+func (d *Daemon) run() {
+	d.loop(d.watchMachines)
+	d.loop(d.watchCatalogue)
+}
+
+func (d *Daemon) loop(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// CallAddr returns the address for callers.
+func (d *Daemon) CallAddr() string { return d.self.CallAddr }
+
+// AdminAddr returns the address for operators.
+func (d *Daemon) AdminAddr() string { return d.self.AdminAddr }
+
+// Violations returns how many broken invariants have been seen.
+func (d *Daemon) Violations() int64 { return d.metrics.violations.Load() }
+
+// Stop shuts the daemon down: it leaves the look-ups, refuses new requests as
+// not-run and lets the ones in flight end. It returns an error when ctx ended
+// before they did.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.leaving.Store(true)
+	d.log.Info("entry VM is leaving")
+	d.core.Post(&dispatch.Stop{})
+	d.announceLeaving()
+	select {
+	case <-time.After(d.set.LeaveDelay):
+	case <-ctx.Done():
+	}
+	err := d.callers.Stop(ctx)
+	d.cleanup()
+	if err != nil {
+		d.log.WithError(err).Error("stopped with requests in flight")
+		return err
+	}
+	d.log.Info("entry VM stopped")
+	return nil
+}
+
+// cleanup ends everything that provision and run have started.
+func (d *Daemon) cleanup() {
+	d.cancel()
+	if d.admin != nil {
+		d.admin.Stop()
+	}
+	d.wg.Wait()
+	if d.core != nil {
+		d.core.Close()
+	}
+	if d.callers != nil {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = d.callers.Stop(ended) // a second Stop only closes what is left
+	}
+	if d.pool != nil {
+		d.pool.Close()
+	}
+	if d.tracer != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), traceFlush)
+		defer cancel()
+		if err := d.tracer.close(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			d.log.WithError(err).Warn("traces were not all exported")
+		}
+	}
+}
+
+// traceFlush bounds the export of the last traces.
+const traceFlush = 2 * time.Second
+
+// violation counts and logs a broken invariant. It does not end the process:
+// callers are still better served than not.
+func (d *Daemon) violation(v dispatch.Violation) {
+	d.metrics.violations.Add(1)
+	d.log.WithFields(logrus.Fields{"invariant": v.Invariant, "detail": v.Detail}).Error("invariant broken")
+}
+
+// tokenLifetime is how long a token of a look-up can be used.
+const tokenLifetime = time.Minute
+
+// mint makes a token that only the process of vm admits.
+func (d *Daemon) mint(vm fleet.VM, now clock.Time) string {
+	m := d.minters.Get().(*token.Minter)
+	defer d.minters.Put(m)
+	f := token.Fields{VM: vm.ID, Incarnation: vm.Incarnation, Expiry: now.Add(tokenLifetime)}
+	if _, err := rand.Read(f.Nonce[:]); err != nil {
+		return "" // no token is better than one that can be guessed
+	}
+	return m.Mint(f)
+}
+
+// mintFor makes the tokens of a look-up for one entry VM.
+func (d *Daemon) mintFor(id fleet.VMID, now clock.Time, n int) []string {
+	vm, ok := d.incarnation(id)
+	if !ok || n == 0 {
+		return nil
+	}
+	out := make([]string, n)
+	for i := range out {
+		out[i] = d.mint(vm, now)
+	}
+	return out
+}
+
+// alternatives names other entry VMs to a caller that is sent away.
+func (d *Daemon) alternatives(service fleet.ServiceName, client netip.Addr) []string {
+	var choices [steer.MaxChoices]steer.Choice
+	a := d.view.Load().Lookup(service, client, choices[:])
+	var out []string
+	for _, c := range choices[:a.N] {
+		if c.VM != d.self.ID {
+			out = append(out, c.Addr)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/serve/daemon/metrics.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// metrics counts what the daemon does. Every number is in the expvar map that
+// the administration interface serves at /debug/vars.
+type metrics struct {
+	lookups    atomic.Int64
+	attempts   atomic.Int64
+	forwarded  atomic.Int64
+	replaced   atomic.Int64
+	callerGone atomic.Int64
+	violations atomic.Int64
+	verdicts   [3]atomic.Int64
+	reasons    *expvar.Map
+	vars       *expvar.Map
+}
+
+// newMetrics makes a map that is not published: a process may hold more than
+// one daemon, as the demo does, and expvar's names are global.
+func newMetrics() *metrics {
+	m := &metrics{reasons: new(expvar.Map).Init(), vars: new(expvar.Map).Init()}
+	gauge := func(name string, v *atomic.Int64) {
+		m.vars.Set(name, expvar.Func(func() any { return v.Load() }))
+	}
+	gauge("lookups", &m.lookups)
+	gauge("attempts", &m.attempts)
+	gauge("forwarded", &m.forwarded)
+	gauge("connections_replaced", &m.replaced)
+	gauge("callers_gone", &m.callerGone)
+	gauge("invariant_violations", &m.violations)
+	for v := range m.verdicts {
+		gauge("answers_"+verdict.Verdict(v).String(), &m.verdicts[v])
+	}
+	m.vars.Set("error_answers", m.reasons)
+	return m
+}
+
+// reply counts a final answer.
+func (m *metrics) reply(v verdict.Verdict, r verdict.Reason) {
+	m.verdicts[v].Add(1)
+	if r != verdict.ReasonNone {
+		m.reasons.Add(string(r), 1)
+	}
+}
+
+// set adds a number read when the metrics are.
+func (m *metrics) set(name string, f func() any) { m.vars.Set(name, expvar.Func(f)) }
--- /dev/null
+++ b/serve/daemon/pages.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/engine"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/token"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/inbound"
+)
+
+// lookupAnswer is the JSON body of a look-up's answer.
+type lookupAnswer struct {
+	Service  fleet.ServiceName `json:"service"`
+	Revision uint64            `json:"revision"`
+	TTLMs    int64             `json:"ttl_ms"`
+	Home     fleet.Region      `json:"home"`
+	Region   fleet.Region      `json:"region"`
+	Shift    string            `json:"shift,omitempty"`
+	EntryVMs []lookupVM        `json:"entry_vms"`
+}
+
+type lookupVM struct {
+	ID     fleet.VMID   `json:"id"`
+	Addr   string       `json:"addr"`
+	Region fleet.Region `json:"region"`
+	Domain fleet.Domain `json:"domain"`
+	Tokens []string     `json:"tokens,omitempty"`
+}
+
+// maxTokens bounds the tokens of one look-up, for each entry VM answered.
+const maxTokens = 64
+
+// servePage serves everything that is not a call.
+func (d *Daemon) servePage(x *inbound.Exchange) {
+	path, query, _ := strings.Cut(x.URI, "?")
+	q, err := url.ParseQuery(query)
+	if err != nil || (x.Method != http.MethodGet && x.Method != http.MethodHead) {
+		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest})
+		return
+	}
+	switch path {
+	case pathLookup:
+		d.lookup(x, q)
+	case pathOutcome:
+		d.outcome(x, q.Get("token"))
+	case pathReady:
+		d.readiness(x)
+	default:
+		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest})
+	}
+}
+
+// lookup answers which entry VMs a client should use.
+func (d *Daemon) lookup(x *inbound.Exchange, q url.Values) {
+	service := fleet.ServiceName(q.Get("service"))
+	client, ok := clientOf(q.Get("client"), x.Remote)
+	tokens, tokensOK := countOf(q.Get("tokens"))
+	if service == "" || !ok || !tokensOK {
+		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest})
+		return
+	}
+	view := d.view.Load()
+	cat := d.config.Load()
+	if cat == nil {
+		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonNotReady, RetryAfterMs: notReadyRetryMs})
+		return
+	}
+	s, known := cat.Service(service)
+	if !known {
+		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonUnknownService})
+		return
+	}
+	if s.Idempotent {
+		tokens = 0
+	}
+	var choices [steer.MaxChoices]steer.Choice
+	a := view.Lookup(service, client, choices[:])
+	out := lookupAnswer{
+		Service:  service,
+		Revision: cat.Revision,
+		TTLMs:    a.TTL.Milliseconds(),
+		Home:     a.Home,
+		Region:   a.Region,
+		Shift:    a.ShiftID,
+		EntryVMs: make([]lookupVM, a.N),
+	}
+	now := d.now()
+	for i, c := range choices[:a.N] {
+		out.EntryVMs[i] = lookupVM{ID: c.VM, Addr: c.Addr, Region: c.Region, Domain: c.Domain}
+		out.EntryVMs[i].Tokens = d.mintFor(c.VM, now, tokens)
+	}
+	d.metrics.lookups.Add(1)
+	respondJSON(x, http.StatusOK, out)
+}
+
+// notReadyRetryMs is when a caller of an entry VM without a configuration
+// should ask again, in milliseconds.
+const notReadyRetryMs = 500
+
+// clientOf reads the client's address or block; empty means the caller itself.
+func clientOf(v string, remote netip.Addr) (netip.Addr, bool) {
+	if v == "" {
+		return remote, true
+	}
+	if p, err := netip.ParsePrefix(v); err == nil {
+		return p.Addr().Unmap(), true
+	}
+	a, err := netip.ParseAddr(v)
+	return a.Unmap(), err == nil
+}
+
+// countOf reads the number of tokens asked for; 1 when not stated.
+func countOf(v string) (int, bool) {
+	if v == "" {
+		return 1, true
+	}
+	n, err := strconv.Atoi(v)
+	return n, err == nil && n >= 0 && n <= maxTokens
+}
+
+// outcomeAnswer is the JSON body of the answer about a token.
+type outcomeAnswer struct {
+	Status       string          `json:"status"`
+	Verdict      verdict.Verdict `json:"verdict"`
+	Pending      bool            `json:"pending"`
+	Answered     int             `json:"answered,omitempty"`
+	Ask          fleet.VMID      `json:"ask,omitempty"`
+	AskAddr      string          `json:"ask_addr,omitempty"`
+	Lost         bool            `json:"lost,omitempty"`
+	RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
+}
+
+// outcome tells a caller what became of its token. The engine is asked on a
+// goroutine of its own, as waiting would hold up the poller.
+func (d *Daemon) outcome(x *inbound.Exchange, tok string) {
+	go func() {
+		var a token.Admission
+		var addr string
+		ok := d.core.Ask(func(now clock.Time, e *engine.Engine) {
+			a = e.Outcome(now, tok)
+			addr = d.vms[a.VM].CallAddr
+		})
+		if !ok {
+			d.refuse(x, errorBody{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonStopping})
+			return
+		}
+		respondJSON(x, http.StatusOK, outcomeAnswer{
+			Status:       a.Status.String(),
+			Verdict:      a.Verdict,
+			Pending:      a.Pending,
+			Answered:     a.Answer,
+			Ask:          a.VM,
+			AskAddr:      addr,
+			Lost:         a.Lost,
+			RetryAfterMs: a.RetryAfter.Milliseconds(),
+		})
+	}()
+}
+
+// readinessAnswer is the JSON body of the readiness page.
+type readinessAnswer struct {
+	Ready    bool   `json:"ready"`
+	Leaving  bool   `json:"leaving"`
+	Revision uint64 `json:"revision"`
+}
+
+func (d *Daemon) readiness(x *inbound.Exchange) {
+	a := readinessAnswer{Leaving: d.leaving.Load()}
+	if cat := d.config.Load(); cat != nil {
+		a.Revision = cat.Revision
+		a.Ready = !a.Leaving
+	}
+	status := http.StatusOK
+	if !a.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	respondJSON(x, status, a)
+}
+
+func respondJSON(x *inbound.Exchange, status int, body any) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		status, b = http.StatusInternalServerError, []byte("{}")
+	}
+	x.Respond(status, http.Header{"Content-Type": {"application/json"}}, b)
+}
--- /dev/null
+++ b/serve/daemon/request.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Paths of the callers' interface.
+const (
+	pathCall    = "/v1/call/"   // /v1/call/<service>/<path at the target>
+	pathLookup  = "/v1/lookup"  // ?service=S&client=IP&tokens=N
+	pathOutcome = "/v1/outcome" // ?token=T
+	pathReady   = "/v1/ready"
+)
+
+// Header fields of the callers' interface and of forwarded requests.
+const (
+	headerToken    = "Azurethread-Token"       // one-time token of a non-idempotent request
+	headerDeadline = "Azurethread-Deadline-Ms" // time left, in milliseconds
+	headerHops     = "Azurethread-Hops"        // times the request has been forwarded
+	headerBlock    = "Azurethread-Block"       // hash of the client's block, on forwarded requests
+	headerReason   = "Azurethread-Reason"      // why a request was refused or failed
+	headerRefused  = "Azurethread-Refused"     // a target's own word that it has not run a request
+	headerLoad     = "Azurethread-Load"        // in flight/slots of the answering target
+	headerRetry    = "Retry-After"             // seconds
+	headerRetryMs  = "Azurethread-Retry-After-Ms"
+)
+
+// hopByHop are the fields that belong to one connection and are not passed on.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+}
+
+// endToEnd removes from h the fields of one connection, those named by
+// Connection included.
+func endToEnd(h http.Header) {
+	for _, v := range h["Connection"] {
+		for _, f := range strings.Split(v, ",") {
+			h.Del(strings.TrimSpace(f))
+		}
+	}
+	for _, f := range hopByHop {
+		delete(h, f)
+	}
+}
+
+// splitCall takes the service and the path at the target out of a request's
+// URI. ok is false for another path or an empty service.
+func splitCall(uri string) (service fleet.ServiceName, path string, ok bool) {
+	rest, found := strings.CutPrefix(uri, pathCall)
+	if !found {
+		return "", "", false
+	}
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		end = len(rest)
+	}
+	name, err := url.PathUnescape(rest[:end])
+	if err != nil || name == "" {
+		return "", "", false
+	}
+	path = rest[end:]
+	if path == "" || path[0] != '/' {
+		path = "/" + path
+	}
+	return fleet.ServiceName(name), path, true
+}
+
+// deadlineOf reads the time the caller still waits; 0 when it states none. ok
+// is false for a malformed value.
+func deadlineOf(h http.Header, now clock.Time) (deadline clock.Time, ok bool) {
+	v := h.Get(headerDeadline)
+	if v == "" {
+		return 0, true
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms < 0 || ms > maxDeadlineMs {
+		return 0, false
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), true
+}
+
+// maxDeadlineMs is the longest wait a caller may state: one hour.
+const maxDeadlineMs = int64(time.Hour / time.Millisecond)
+
+// left states a deadline as time left, for the next hop.
+func left(deadline, now clock.Time) string {
+	ms := max(deadline.Sub(now).Milliseconds(), 0)
+	return strconv.FormatInt(ms, 10)
+}
--- /dev/null
+++ b/serve/inbound/conn.go
@@ -0,0 +1,254 @@
+package inbound
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// conn is one caller's connection. The poller's goroutine parses; answers may
+// come from any goroutine.
+type conn struct {
+	s      *Server
+	nbc    *nbio.Conn
+	parser *nbhttp.Parser
+	remote netip.Addr
+
+	// Parsing state, touched only while the parser runs.
+	req       *Exchange
+	headBytes int
+	inBody    bool
+
+	mu      sync.Mutex
+	current *Exchange
+	waiting []*Exchange // pipelined requests behind current
+	closing bool        // close once current is answered
+	closed  bool
+
+	queued   atomic.Int64 // bytes handed to nbio
+	written  atomic.Int64 // bytes that nbio has handed to the kernel
+	draining atomic.Bool  // close when written reaches queued
+	discard  atomic.Bool  // drop what still arrives
+}
+
+// errRefused tells the parser's caller that an answer has been sent and the
+// connection is to be closed.
+var errRefused = errors.New("inbound: message refused")
+
+// onData feeds the parser and answers a message it refuses.
+func (c *conn) onData(_ *nbio.Conn, data []byte) {
+	if c.discard.Load() {
+		return
+	}
+	if !c.inBody {
+		c.headBytes += len(data)
+		if c.req == nil {
+			c.armHeadTimeout()
+		}
+	}
+	if !c.inBody && c.headBytes > c.s.opts.MaxHeadBytes+len(data) {
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
+	err := c.parser.Parse(data)
+	switch {
+	case err == nil || errors.Is(err, errRefused):
+	case errors.Is(err, nbhttp.ErrTooLong):
+		c.refuse(http.StatusRequestEntityTooLarge)
+	default:
+		c.refuse(http.StatusBadRequest)
+	}
+}
+
+// armHeadTimeout bounds the time from the first byte of a message to its end.
+// Without it, a caller that sends a byte now and then holds a connection and
+// its buffers for ever; the connections gauge would grow without requests.
+func (c *conn) armHeadTimeout() {
+	c.mu.Lock()
+	idle := c.current == nil
+	c.mu.Unlock()
+	if idle {
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.ReadTimeout))
+	}
+}
+
+// refuse answers a message that cannot be taken and closes the connection.
+// While an earlier exchange is in flight its answer must come first, so only
+// the closing is noted.
+func (c *conn) refuse(status int) {
+	c.mu.Lock()
+	if c.closed || c.closing {
+		c.mu.Unlock()
+		return
+	}
+	c.closing = true
+	busy := c.current != nil
+	c.mu.Unlock()
+	if busy {
+		return
+	}
+	x := &Exchange{c: c}
+	x.close = true
+	h, body := c.s.opts.Refusal(status)
+	c.write(x, status, h, body)
+	c.linger()
+}
+
+// lingerTime is how long a refused caller may take to read the refusal.
+const lingerTime = time.Second
+
+// linger drops what the caller still sends and closes a little later. Closing
+// at once with unread data in the receive buffer would make the kernel send a
+// reset, which can destroy the refusal before the caller has read it: the
+// caller would then see a broken connection in place of a verdict.
+func (c *conn) linger() {
+	c.discard.Store(true)
+	_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+// dispatch takes a parsed request: it is served at once, or waits behind the
+// one in flight.
+func (c *conn) dispatch(x *Exchange) {
+	c.mu.Lock()
+	if c.closing || c.closed {
+		c.mu.Unlock()
+		return
+	}
+	if c.current != nil {
+		if len(c.waiting) >= maxPipelined {
+			c.closing = true
+			c.mu.Unlock()
+			return
+		}
+		c.waiting = append(c.waiting, x)
+		c.mu.Unlock()
+		return
+	}
+	c.current = x
+	c.mu.Unlock()
+	c.serve(x)
+}
+
+// maxPipelined bounds the requests a caller may send ahead of its answers.
+const maxPipelined = 16
+
+func (c *conn) serve(x *Exchange) {
+	_ = c.nbc.SetReadDeadline(time.Time{})
+	if !c.s.begin() {
+		// Stop has been called: say so, and let the caller go elsewhere.
+		h, body := c.s.opts.Refusal(http.StatusServiceUnavailable)
+		x.close = true
+		x.Respond(http.StatusServiceUnavailable, h, body)
+		return
+	}
+	x.counted = true
+	c.s.handler.Serve(x)
+}
+
+// write sends an answer.
+func (c *conn) write(x *Exchange, status int, h http.Header, body []byte) {
+	b := buffers.Get().(*bytes.Buffer)
+	b.Reset()
+	c.mu.Lock()
+	closing := c.closing || x.close || c.s.stopping.Load()
+	c.mu.Unlock()
+	encodeHead(b, status, h, len(body), closing)
+	sendBody := x.Method != http.MethodHead && bodyAllowed(status)
+	if sendBody && len(body) <= maxPooledBuffer {
+		b.Write(body)
+	}
+	err := c.send(b.Bytes())
+	if err == nil && sendBody && len(body) > maxPooledBuffer {
+		err = c.send(body)
+	}
+	if err == nil && c.pending() {
+		_ = c.nbc.SetWriteDeadline(time.Now().Add(c.s.opts.WriteTimeout))
+	}
+	if b.Cap() <= 2*maxPooledBuffer {
+		buffers.Put(b)
+	}
+}
+
+func (c *conn) send(b []byte) error {
+	c.queued.Add(int64(len(b)))
+	_, err := c.nbc.Write(b)
+	return err
+}
+
+// pending reports whether bytes handed to nbio still wait for the kernel.
+func (c *conn) pending() bool { return c.written.Load() < c.queued.Load() }
+
+// onWritten is told of n bytes taken by the kernel. nbio holds the
+// connection's lock during the call, so closing is left to a goroutine.
+func (c *conn) onWritten(n int) {
+	c.written.Add(int64(n))
+	if c.draining.Load() && !c.pending() {
+		go c.nbc.Close()
+	}
+}
+
+// finished ends an exchange and starts the next pipelined one.
+func (c *conn) finished(x *Exchange) {
+	if x.counted {
+		c.s.end()
+	}
+	c.mu.Lock()
+	if c.current != x {
+		c.mu.Unlock()
+		return
+	}
+	c.current = nil
+	done := c.closing || x.close || c.s.stopping.Load()
+	var next *Exchange
+	if !done && len(c.waiting) > 0 {
+		next = c.waiting[0]
+		c.waiting = c.waiting[1:]
+		c.current = next
+	}
+	c.mu.Unlock()
+	switch {
+	case done:
+		c.close()
+	case next != nil:
+		c.serve(next)
+	default:
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.IdleTimeout))
+	}
+}
+
+// close shuts the connection once everything written has reached the kernel.
+// nbio's Close drops what is still queued: closing at once would cut a large
+// answer short for a caller that reads slowly.
+func (c *conn) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.discard.Store(true)
+	c.draining.Store(true)
+	if !c.pending() {
+		_ = c.nbc.Close()
+	}
+}
+
+// onClose is called once when the connection has gone.
+func (c *conn) onClose() {
+	c.mu.Lock()
+	c.closed = true
+	x := c.current
+	waiting := c.waiting
+	c.waiting = nil
+	c.mu.Unlock()
+	if x != nil {
+		x.abandon()
+	}
+	for _, w := range waiting {
+		w.abandon()
+	}
+}
--- /dev/null
+++ b/serve/inbound/exchange.go
@@ -0,0 +1,120 @@
+package inbound
+
+import (
+	"bytes"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+)
+
+// Request is one whole request of a caller.
+type Request struct {
+	Method string
+	URI    string // path and query as sent
+	Header http.Header
+	Body   []byte
+	Remote netip.Addr // the caller's address
+	close  bool       // the caller asked for the connection to be closed
+	http10 bool
+}
+
+// Exchange is one request and the answer it will get.
+type Exchange struct {
+	Request
+	c *conn
+
+	mu       sync.Mutex
+	gone     bool
+	answered bool
+	onGone   func()
+	counted  bool // included in the server's count of exchanges in flight
+}
+
+// OnGone registers f to be called once if the caller closes its connection
+// before the answer. It is called at once if that has happened already.
+func (x *Exchange) OnGone(f func()) {
+	x.mu.Lock()
+	gone := x.gone
+	x.onGone = f
+	x.mu.Unlock()
+	if gone {
+		f()
+	}
+}
+
+// Respond answers the exchange. The first call wins; later ones report false,
+// as does a call for a caller that has gone. Header names connection-level
+// fields only through this package: Connection, Content-Length and
+// Transfer-Encoding in h are ignored.
+func (x *Exchange) Respond(status int, h http.Header, body []byte) bool {
+	x.mu.Lock()
+	if x.answered {
+		x.mu.Unlock()
+		return false
+	}
+	x.answered = true
+	gone := x.gone
+	x.mu.Unlock()
+	if !gone {
+		x.c.write(x, status, h, body)
+	}
+	x.c.finished(x)
+	return !gone
+}
+
+// abandon marks the caller as gone.
+func (x *Exchange) abandon() {
+	x.mu.Lock()
+	if x.gone || x.answered {
+		x.mu.Unlock()
+		return
+	}
+	x.gone = true
+	f := x.onGone
+	x.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// skipped are the response fields that this package writes itself.
+var skipped = map[string]bool{
+	"Connection":        true,
+	"Content-Length":    true,
+	"Transfer-Encoding": true,
+	"Keep-Alive":        true,
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// maxPooledBuffer keeps one large answer from pinning its buffer for good.
+const maxPooledBuffer = 64 << 10
+
+// bodyAllowed reports whether an answer of this status carries a body.
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// encodeHead writes the status line and the header fields.
+func encodeHead(b *bytes.Buffer, status int, h http.Header, length int, closing bool) {
+	b.WriteString("HTTP/1.1 ")
+	b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(status), 10))
+	b.WriteByte(' ')
+	text := http.StatusText(status)
+	if text == "" {
+		text = "Status"
+	}
+	b.WriteString(text)
+	b.WriteString("\r\n")
+	_ = h.WriteSubset(b, skipped) // a bytes.Buffer does not fail
+	if bodyAllowed(status) {
+		b.WriteString("Content-Length: ")
+		b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(length), 10))
+		b.WriteString("\r\n")
+	}
+	if closing {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+}
--- /dev/null
+++ b/serve/inbound/processor.go
@@ -0,0 +1,107 @@
+package inbound
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// The methods below implement nbhttp.Processor, the parser's callbacks.
+
+// OnMethod implements nbhttp.Processor.
+func (c *conn) OnMethod(_ *nbhttp.Parser, method string) {
+	c.req = &Exchange{c: c}
+	c.req.Method = method
+	c.req.Header = make(http.Header, headerHint)
+	c.req.Remote = c.remote
+}
+
+// headerHint is the usual number of header fields of a request.
+const headerHint = 8
+
+// OnURL implements nbhttp.Processor.
+func (c *conn) OnURL(_ *nbhttp.Parser, uri string) error {
+	c.req.URI = uri
+	return nil
+}
+
+// OnProto implements nbhttp.Processor.
+func (c *conn) OnProto(_ *nbhttp.Parser, proto string) error {
+	switch proto {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		c.req.http10 = true
+	default:
+		return nbhttp.ErrInvalidHTTPVersion
+	}
+	return nil
+}
+
+// OnStatus implements nbhttp.Processor.
+func (c *conn) OnStatus(*nbhttp.Parser, int, string) {}
+
+// OnHeader implements nbhttp.Processor.
+func (c *conn) OnHeader(_ *nbhttp.Parser, key, value string) {
+	c.req.Header[key] = append(c.req.Header[key], value)
+}
+
+// OnContentLength implements nbhttp.Processor. It ends the head.
+func (c *conn) OnContentLength(_ *nbhttp.Parser, length int) {
+	c.inBody = true
+	if length > c.s.opts.MaxBodyBytes {
+		// Refused before the body is read: nothing of it is kept.
+		c.refuse(http.StatusRequestEntityTooLarge)
+		return
+	}
+	if length > 0 && strings.EqualFold(c.req.Header.Get("Expect"), "100-continue") {
+		_, _ = c.nbc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+// OnBody implements nbhttp.Processor.
+func (c *conn) OnBody(_ *nbhttp.Parser, data []byte) error {
+	if len(c.req.Body)+len(data) > c.s.opts.MaxBodyBytes {
+		c.refuse(http.StatusRequestEntityTooLarge)
+		return errRefused
+	}
+	c.req.Body = append(c.req.Body, data...)
+	return nil
+}
+
+// OnTrailerHeader implements nbhttp.Processor. Trailers are not passed on.
+func (c *conn) OnTrailerHeader(*nbhttp.Parser, string, string) {}
+
+// OnComplete implements nbhttp.Processor.
+func (c *conn) OnComplete(*nbhttp.Parser) {
+	x := c.req
+	c.req = nil
+	c.inBody = false
+	c.headBytes = 0
+	if x == nil {
+		return
+	}
+	x.close = wantsClose(&x.Request)
+	c.dispatch(x)
+}
+
+// Close implements nbhttp.Processor.
+func (c *conn) Close(*nbhttp.Parser, error) {}
+
+// Clean implements nbhttp.Processor.
+func (c *conn) Clean(*nbhttp.Parser) {}
+
+// wantsClose reports whether the caller ends the connection after this answer.
+func wantsClose(r *Request) bool {
+	keep := false
+	for _, v := range r.Header["Connection"] {
+		for _, f := range strings.Split(v, ",") {
+			f = strings.TrimSpace(f)
+			if strings.EqualFold(f, "close") {
+				return true
+			}
+			keep = keep || strings.EqualFold(f, "keep-alive")
+		}
+	}
+	return r.http10 && !keep
+}
--- /dev/null
+++ b/serve/inbound/server.go
@@ -0,0 +1,245 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// Handler serves exchanges. Serve is called on a poller's goroutine and must
+// not block; the answer may come later from any goroutine.
+type Handler interface {
+	Serve(x *Exchange)
+}
+
+// Options of a Server. All are required.
+type Options struct {
+	MaxHeadBytes int           // request line and header fields
+	MaxBodyBytes int           // request body
+	ReadTimeout  time.Duration // from the first byte of a request to its last
+	IdleTimeout  time.Duration // between requests on one connection
+	WriteTimeout time.Duration // for a caller to take an answer
+	// Refusal gives the header and body of an answer that this package sends
+	// itself, with the verdict not-run: 400, 413, 431 or 503.
+	Refusal func(status int) (http.Header, []byte)
+}
+
+// Server accepts callers' connections.
+type Server struct {
+	opts     Options
+	handler  Handler
+	engine   *nbhttp.Engine
+	listener net.Listener
+	stopping atomic.Bool
+	accepted sync.WaitGroup
+
+	stopEngine sync.Once // nbio panics when it is stopped twice
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	inFlight int
+	idle     chan struct{} // closed when stopping and inFlight is zero
+}
+
+// Listen starts a server on addr, a host:port.
+func Listen(addr string, h Handler, opts Options) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("inbound: %w", err)
+	}
+	s := &Server{
+		opts:     opts,
+		handler:  h,
+		listener: ln,
+		conns:    make(map[*conn]struct{}),
+		idle:     make(chan struct{}),
+	}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name:      "inbound",
+		ReadLimit: opts.MaxBodyBytes + opts.MaxHeadBytes + nbio.DefaultReadBufferSize,
+	})
+	s.engine.OnClose(s.onClose)
+	s.engine.OnWrittenSize(onWritten)
+	if err := s.engine.Start(); err != nil {
+		_ = ln.Close()
+		return nil, fmt.Errorf("inbound: %w", err)
+	}
+	s.accepted.Add(1)
+	go s.accept()
+	return s, nil
+}
+
+// Addr returns the address listened on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// acceptBackoff is the pause after a failed accept, such as one for want of
+// file descriptors: without it the loop would spin on the same error.
+const acceptBackoff = 20 * time.Millisecond
+
+func (s *Server) accept() {
+	defer s.accepted.Done()
+	for {
+		nc, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptBackoff)
+			continue
+		}
+		if err := s.add(nc); err != nil {
+			_ = nc.Close()
+		}
+	}
+}
+
+// add hands an accepted connection to the poller.
+func (s *Server) add(nc net.Conn) error {
+	remote := remoteAddr(nc)
+	nbc, err := nbio.NBConn(nc)
+	if err != nil {
+		return fmt.Errorf("inbound: %w", err)
+	}
+	c := &conn{s: s, nbc: nbc, remote: remote}
+	c.parser = nbhttp.NewParser(nbc, s.engine, c, false, runInline)
+	nbc.SetSession(c.parser)
+	nbc.OnData(c.onData)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	if _, err := s.engine.AddConn(nbc); err != nil {
+		s.forget(c)
+		return fmt.Errorf("inbound: %w", err)
+	}
+	_ = nbc.SetReadDeadline(time.Now().Add(s.opts.IdleTimeout))
+	return nil
+}
+
+// runInline runs the parser's completion on the poller's goroutine: handlers
+// do not block, so a hand-over to a goroutine pool would only add its wake-up.
+func runInline(f func()) bool {
+	f()
+	return true
+}
+
+func remoteAddr(nc net.Conn) netip.Addr {
+	ap, err := netip.ParseAddrPort(nc.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap()
+}
+
+func (s *Server) onClose(nc net.Conn, _ error) {
+	nbc, ok := nc.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	if c := connOf(nbc); c != nil {
+		s.forget(c)
+		c.onClose()
+	}
+}
+
+func onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	if c := connOf(nbc); c != nil {
+		c.onWritten(n)
+	}
+}
+
+// connOf finds this package's part of a connection; nil for one that has not
+// been set up completely.
+func connOf(nbc *nbio.Conn) *conn {
+	p, ok := nbc.Session().(*nbhttp.Parser)
+	if !ok {
+		return nil
+	}
+	c, _ := p.Processor.(*conn)
+	return c
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// begin counts an exchange in; it reports false once the server stops.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping.Load() {
+		return false
+	}
+	s.inFlight++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	s.signalIdle()
+}
+
+// signalIdle must be called with mu held.
+func (s *Server) signalIdle() {
+	if !s.stopping.Load() || s.inFlight > 0 {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
+// Stop refuses new requests and waits until the ones in flight are answered
+// or ctx ends, and then closes everything. New connections are still answered
+// with a refusal until then, so that callers learn at once to go elsewhere.
+func (s *Server) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping.Store(true)
+	s.signalIdle()
+	s.mu.Unlock()
+	var err error
+	select {
+	case <-s.idle:
+		s.flush(ctx)
+	case <-ctx.Done():
+		err = fmt.Errorf("inbound: requests still in flight: %w", ctx.Err())
+	}
+	_ = s.listener.Close()
+	s.accepted.Wait()
+	s.stopEngine.Do(s.engine.Stop)
+	return err
+}
+
+// flushPause is the time given to the kernel and nbio to pass on answers
+// already written; connections close themselves after their last answer.
+const flushPause = 100 * time.Millisecond
+
+func (s *Server) flush(ctx context.Context) {
+	t := time.NewTimer(flushPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/serve/outbound/call.go
@@ -0,0 +1,117 @@
+package outbound
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// Request is one request to send. Header must hold end-to-end fields only.
+type Request struct {
+	Method string
+	URI    string // path and query
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is one whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Done receives the outcome of a call: exactly one of the two is not nil. It
+// runs on a poller's goroutine and must not block.
+type Done func(*Answer, *verdict.Error)
+
+// Call is one request under way.
+type Call struct {
+	req  *Request
+	done Done
+
+	mu       sync.Mutex
+	c        *conn // connection the request was handed to
+	finished bool
+}
+
+// finish reports the outcome; only the first one counts.
+func (k *Call) finish(a *Answer, err *verdict.Error) {
+	k.mu.Lock()
+	if k.finished {
+		k.mu.Unlock()
+		return
+	}
+	k.finished = true
+	k.mu.Unlock()
+	k.done(a, err)
+}
+
+// attach notes the connection that is about to get the request. It reports
+// false when the call has been cancelled meanwhile.
+func (k *Call) attach(c *conn) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.finished {
+		return false
+	}
+	k.c = c
+	return true
+}
+
+// Cancel gives the call up. Before the request was handed to a connection the
+// outcome is not-run; afterwards the connection is closed, which also tells
+// the receiver, and the outcome is may-have-run.
+func (k *Call) Cancel(reason verdict.Reason) {
+	k.mu.Lock()
+	if k.finished {
+		k.mu.Unlock()
+		return
+	}
+	k.finished = true
+	c := k.c
+	k.mu.Unlock()
+	if c == nil {
+		k.done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason})
+		return
+	}
+	c.nbc.Close()
+	k.done(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason})
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// maxPooledBuffer keeps one large request from pinning its buffer for good.
+const maxPooledBuffer = 64 << 10
+
+// skipped are the request fields that this package writes itself.
+var skipped = map[string]bool{
+	"Host":              true,
+	"Connection":        true,
+	"Content-Length":    true,
+	"Transfer-Encoding": true,
+	"Keep-Alive":        true,
+	"Expect":            true,
+}
+
+// encode writes the request in one piece, so that a connection gets either
+// nothing or as much as the kernel takes.
+func encode(b *bytes.Buffer, addr string, r *Request) {
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(addr)
+	b.WriteString("\r\n")
+	_ = r.Header.WriteSubset(b, skipped) // a bytes.Buffer does not fail
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		b.WriteString("Content-Length: ")
+		b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(len(r.Body)), 10))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+}
--- /dev/null
+++ b/serve/outbound/conn.go
@@ -0,0 +1,199 @@
+package outbound
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// conn is one connection to a receiver.
+type conn struct {
+	p      *peer
+	nbc    *nbio.Conn
+	parser *nbhttp.Parser
+	call   *Call // request in flight; guarded by p.mu
+	since  clock.Time
+
+	// Parsing state, touched only while the parser runs.
+	answer  *Answer
+	framed  bool // the head says how the body ends
+	noReuse bool
+}
+
+// start writes the request of k.
+func (c *conn) start(k *Call) {
+	if !k.attach(c) {
+		c.p.release(c)
+		return
+	}
+	b := buffers.Get().(*bytes.Buffer)
+	b.Reset()
+	encode(b, c.p.addr, k.req)
+	_, err := c.nbc.Write(b.Bytes())
+	if b.Cap() <= 2*maxPooledBuffer {
+		buffers.Put(b)
+	}
+	if err == nil {
+		return
+	}
+	// nbio refuses with net.ErrClosed before it touches the socket; any other
+	// error may have come after some bytes had left.
+	v := verdict.MayHaveRun
+	if errors.Is(err, net.ErrClosed) {
+		v = verdict.NotRun
+	}
+	k.finish(nil, &verdict.Error{Verdict: v, Reason: verdict.ReasonConnectionLost, Err: err})
+	c.nbc.Close()
+}
+
+// onData feeds the parser; an answer it cannot read ends the connection.
+func (c *conn) onData(_ *nbio.Conn, data []byte) {
+	if err := c.parser.Parse(data); err != nil {
+		c.nbc.CloseWithError(err)
+	}
+}
+
+// onClose is called once when the connection has gone.
+func (c *conn) onClose(err error) {
+	c.p.closed()
+	k := c.p.drop(c)
+	if k == nil {
+		return
+	}
+	reason := verdict.ReasonConnectionLost
+	if c.answer != nil {
+		// The answer had begun: what there is of it is never handed on as
+		// whole, and whether the request ran to its end is not known.
+		reason = verdict.ReasonAnswerCut
+	}
+	k.finish(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason, Err: err})
+}
+
+// The methods below implement nbhttp.Processor, the parser's callbacks.
+
+// OnMethod implements nbhttp.Processor.
+func (c *conn) OnMethod(*nbhttp.Parser, string) {}
+
+// OnURL implements nbhttp.Processor.
+func (c *conn) OnURL(*nbhttp.Parser, string) error { return nil }
+
+// OnProto implements nbhttp.Processor.
+func (c *conn) OnProto(_ *nbhttp.Parser, proto string) error {
+	if !c.p.busy(c) {
+		return errUnsolicited
+	}
+	c.answer = &Answer{Header: make(http.Header, headerHint)}
+	c.framed = false
+	c.noReuse = proto != "HTTP/1.1"
+	return nil
+}
+
+// headerHint is the usual number of header fields of an answer.
+const headerHint = 8
+
+// OnStatus implements nbhttp.Processor.
+func (c *conn) OnStatus(_ *nbhttp.Parser, code int, _ string) { c.answer.Status = code }
+
+// OnHeader implements nbhttp.Processor.
+func (c *conn) OnHeader(_ *nbhttp.Parser, key, value string) {
+	switch key {
+	case "Content-Length", "Transfer-Encoding":
+		c.framed = true
+	case "Connection":
+		c.noReuse = c.noReuse || value == "close"
+	}
+	c.answer.Header[key] = append(c.answer.Header[key], value)
+}
+
+// OnContentLength implements nbhttp.Processor. It ends the head.
+func (c *conn) OnContentLength(_ *nbhttp.Parser, length int) {
+	if length > c.p.pool.opts.MaxAnswerBytes {
+		c.fail(verdict.Ran, verdict.ReasonAnswerCut, errAnswerTooLong)
+		return
+	}
+	if length > 0 {
+		c.answer.Body = make([]byte, 0, length)
+	}
+	if length > 0 && c.answer.Status == http.StatusNotModified {
+		// The length of a 304 describes the entity, not a body that follows;
+		// the parser would wait for that body until the deadline.
+		c.noReuse = true
+		c.complete()
+	}
+}
+
+var (
+	errAnswerTooLong = errors.New("outbound: answer longer than the limit")
+	errUnframed      = errors.New("outbound: answer without a length")
+	errUnsolicited   = errors.New("outbound: answer without a request")
+)
+
+// OnBody implements nbhttp.Processor.
+func (c *conn) OnBody(_ *nbhttp.Parser, data []byte) error {
+	if c.answer == nil {
+		return nil
+	}
+	if len(c.answer.Body)+len(data) > c.p.pool.opts.MaxAnswerBytes {
+		c.fail(verdict.Ran, verdict.ReasonAnswerCut, errAnswerTooLong)
+		return errAnswerTooLong
+	}
+	c.answer.Body = append(c.answer.Body, data...)
+	return nil
+}
+
+// OnTrailerHeader implements nbhttp.Processor. Trailers are not passed on.
+func (c *conn) OnTrailerHeader(*nbhttp.Parser, string, string) {}
+
+// OnComplete implements nbhttp.Processor.
+func (c *conn) OnComplete(*nbhttp.Parser) { c.complete() }
+
+// complete hands a whole answer on and frees the connection.
+func (c *conn) complete() {
+	a := c.answer
+	if a == nil {
+		return
+	}
+	if a.Status < http.StatusOK {
+		c.answer = nil // interim answer; the final one follows
+		return
+	}
+	if !c.framed && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		// The end of such an answer is the end of the connection, which looks
+		// the same when the receiver dies: wholeness cannot be told, and the
+		// parser reports it complete with no body at all.
+		c.fail(verdict.Ran, verdict.ReasonAnswerCut, errUnframed)
+		return
+	}
+	c.answer = nil
+	k := c.p.release(c)
+	if k != nil {
+		k.finish(a, nil)
+	}
+}
+
+// fail ends the call in flight and the connection.
+func (c *conn) fail(v verdict.Verdict, r verdict.Reason, err error) {
+	c.answer = nil
+	k := c.p.drop(c)
+	if k != nil {
+		k.finish(nil, &verdict.Error{Verdict: v, Reason: r, Err: err})
+	}
+	c.nbc.Close()
+}
+
+// Close implements nbhttp.Processor.
+func (c *conn) Close(*nbhttp.Parser, error) {}
+
+// Clean implements nbhttp.Processor.
+func (c *conn) Clean(*nbhttp.Parser) {}
+
+// idleFor returns how long the connection has been free.
+func (c *conn) idleFor(now clock.Time) time.Duration { return now.Sub(c.since) }
--- /dev/null
+++ b/serve/platform/store.go
@@ -0,0 +1,281 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// wireEntry is an entry as the service writes it; []byte is base64 in JSON.
+type wireEntry struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	Session     string `json:",omitempty"`
+}
+
+func (w wireEntry) entry() Entry {
+	return Entry{Key: w.Key, Value: w.Value, Index: w.ModifyIndex, Lease: LeaseID(w.Session)}
+}
+
+// wireSession is a session as the service reads and writes it.
+type wireSession struct {
+	ID        string `json:",omitempty"`
+	TTL       string `json:",omitempty"`
+	LockDelay string `json:",omitempty"`
+	Behavior  string `json:",omitempty"`
+}
+
+// noLockDelay switches off the pause that the service puts between the end of
+// one holder and the start of the next; the compared index protects writes.
+const noLockDelay = "0s"
+
+func keyPath(key string) string {
+	parts := strings.Split(key, "/")
+	for i, p := range parts {
+		parts[i] = url.PathEscape(p)
+	}
+	return "/v1/kv/" + strings.Join(parts, "/")
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	return c.get(ctx, call{method: http.MethodGet, path: keyPath(key), limit: maxAnswerSize}, key)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
+	r := call{method: http.MethodGet, path: keyPath(key), limit: maxAnswerSize}
+	r.block(after, wait)
+	e, err := c.get(ctx, r, key)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return Entry{}, err
+	}
+	if after != 0 && e.Index == after {
+		return Entry{}, ErrNotModified
+	}
+	return e, err
+}
+
+func (c *Client) get(ctx context.Context, r call, key string) (Entry, error) {
+	a, err := c.do(ctx, r)
+	if err != nil {
+		return Entry{}, err
+	}
+	if a.status == http.StatusNotFound {
+		return Entry{Key: key, Index: a.index}, absent(a)
+	}
+	es, err := decodeEntries(a.body)
+	if err != nil {
+		return Entry{}, err
+	}
+	if len(es) != 1 || es[0].Key != key {
+		err := fmt.Errorf("platform: asked for key %q, answered with %d others", key, len(es))
+		return Entry{}, failure(verdict.MayHaveRun, verdict.ReasonInternal, err)
+	}
+	return es[0], nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
+	r := call{
+		method: http.MethodGet,
+		path:   keyPath(prefix),
+		query:  url.Values{"recurse": {"true"}},
+		limit:  maxListSize,
+	}
+	a, err := c.do(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if a.status == http.StatusNotFound {
+		if err := absent(a); !errors.Is(err, ErrNotFound) {
+			return nil, err
+		}
+		return nil, nil
+	}
+	return decodeEntries(a.body)
+}
+
+// absent reads a 404. Another program at the service's address also answers
+// 404; a daemon that took it for the service's word would believe that there
+// is no catalogue. Only the service sends an index with it.
+func absent(a answer) error {
+	if a.index == 0 {
+		err := errors.New("platform: status 404 without an index: not the key-value service")
+		return failure(verdict.NotRun, verdict.ReasonInternal, err)
+	}
+	return ErrNotFound
+}
+
+func decodeEntries(body []byte) ([]Entry, error) {
+	var ws []wireEntry
+	if err := json.Unmarshal(body, &ws); err != nil {
+		return nil, failure(verdict.MayHaveRun, verdict.ReasonInternal, fmt.Errorf("platform: entries: %w", err))
+	}
+	es := make([]Entry, 0, len(ws))
+	for _, w := range ws {
+		es = append(es, w.entry())
+	}
+	return es, nil
+}
+
+// CompareAndSwap implements Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, error) {
+	if len(value) > MaxValueSize {
+		return 0, ErrTooLarge
+	}
+	r := call{
+		method: http.MethodPut,
+		path:   keyPath(key),
+		query:  url.Values{"cas": {strconv.FormatUint(index, 10)}},
+		body:   value,
+		limit:  maxAnswerSize,
+	}
+	ok, err := c.accepted(ctx, r)
+	if err != nil {
+		return 0, err
+	}
+	if !ok {
+		return 0, c.conflict(ctx, key)
+	}
+	return c.indexOf(ctx, key, value), nil
+}
+
+// accepted sends a write and reads its true or false.
+func (c *Client) accepted(ctx context.Context, r call) (bool, error) {
+	a, err := c.do(ctx, r)
+	if err != nil {
+		return false, err
+	}
+	text := string(bytes.TrimSpace(a.body))
+	if a.status != http.StatusOK || (text != "true" && text != "false") {
+		err := fmt.Errorf("platform: status %d, answer %.40q to a write", a.status, text)
+		return false, failure(verdict.MayHaveRun, verdict.ReasonInternal, err)
+	}
+	return text == "true", nil
+}
+
+// indexOf learns the index of an accepted write. It returns 0 when somebody
+// else has replaced the entry since: reporting the index of the other write
+// would let the next compare-and-swap overwrite it unseen.
+func (c *Client) indexOf(ctx context.Context, key string, value []byte) uint64 {
+	e, err := c.Get(ctx, key)
+	if err != nil || !bytes.Equal(e.Value, value) {
+		return 0
+	}
+	return e.Index
+}
+
+func (c *Client) conflict(ctx context.Context, key string) error {
+	e, err := c.Get(ctx, key)
+	switch {
+	case err == nil:
+		return &ConflictError{Key: key, Current: e, Known: true, Exists: true}
+	case errors.Is(err, ErrNotFound):
+		return &ConflictError{Key: key, Known: true}
+	default:
+		return &ConflictError{Key: key}
+	}
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, index uint64) error {
+	r := call{method: http.MethodDelete, path: keyPath(key), limit: maxAnswerSize}
+	if index != 0 {
+		r.query = url.Values{"cas": {strconv.FormatUint(index, 10)}}
+	}
+	ok, err := c.accepted(ctx, r)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return c.conflict(ctx, key)
+	}
+	return nil
+}
+
+// GrantLease implements Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	ttl = max(ttl, MinLeaseTTL)
+	body, err := json.Marshal(wireSession{TTL: ttl.String(), LockDelay: noLockDelay, Behavior: "release"})
+	if err != nil {
+		return "", failure(verdict.NotRun, verdict.ReasonInternal, err)
+	}
+	a, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/create", body: body, limit: maxAnswerSize})
+	if err != nil {
+		return "", err
+	}
+	var s wireSession
+	if err := json.Unmarshal(a.body, &s); err != nil || s.ID == "" {
+		err := fmt.Errorf("platform: status %d, no session in answer", a.status)
+		return "", failure(verdict.MayHaveRun, verdict.ReasonInternal, err)
+	}
+	return LeaseID(s.ID), nil
+}
+
+// RenewLease implements Store.
+func (c *Client) RenewLease(ctx context.Context, id LeaseID) error {
+	a, err := c.do(ctx, call{method: http.MethodPut, path: sessionPath("renew", id), limit: maxAnswerSize})
+	if err != nil {
+		return err
+	}
+	if a.status == http.StatusNotFound {
+		return ErrLeaseLost
+	}
+	return nil
+}
+
+// RevokeLease implements Store.
+func (c *Client) RevokeLease(ctx context.Context, id LeaseID) error {
+	_, err := c.do(ctx, call{method: http.MethodPut, path: sessionPath("destroy", id), limit: maxAnswerSize})
+	return err
+}
+
+func sessionPath(verb string, id LeaseID) string {
+	return "/v1/session/" + verb + "/" + url.PathEscape(string(id))
+}
+
+// Acquire implements Store.
+func (c *Client) Acquire(ctx context.Context, key string, value []byte, lease LeaseID) (uint64, bool, error) {
+	if len(value) > MaxValueSize {
+		return 0, false, ErrTooLarge
+	}
+	r := call{
+		method: http.MethodPut,
+		path:   keyPath(key),
+		query:  url.Values{"acquire": {string(lease)}},
+		body:   value,
+		limit:  maxAnswerSize,
+	}
+	held, err := c.accepted(ctx, r)
+	if err != nil {
+		return 0, false, leaseError(err)
+	}
+	if !held {
+		return 0, false, nil
+	}
+	return c.indexOf(ctx, key, value), true, nil
+}
+
+// invalidSession is the text with which the service refuses, under status
+// 500, to lock a key for a session that it does not know.
+const invalidSession = "invalid session"
+
+// leaseError tells a lapsed lease from other failures of Acquire.
+func leaseError(err error) error {
+	var status *statusError
+	if errors.As(err, &status) && strings.Contains(status.text, invalidSession) {
+		return ErrLeaseLost
+	}
+	return err
+}
--- /dev/null
+++ b/standin/platform/data.go
@@ -0,0 +1,156 @@
+package platform
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	api "github.com/azurethread/azurethread/serve/platform"
+)
+
+// firstIndex is the index that the service reports for a key that it has
+// never held. The published API never reports 0, which would not block.
+const firstIndex = 1
+
+// lease is a session of the published API.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+}
+
+// data is the content of the service. It has no locks and reads no clock.
+type data struct {
+	index   uint64 // of the newest change
+	entries map[string]api.Entry
+	deleted map[string]uint64 // index of the deletion of an absent key
+	leases  map[api.LeaseID]lease
+	granted uint64 // number of leases ever granted
+}
+
+func newData() data {
+	return data{
+		index:   firstIndex,
+		entries: map[string]api.Entry{},
+		deleted: map[string]uint64{},
+		leases:  map[api.LeaseID]lease{},
+	}
+}
+
+func (d *data) clone() data {
+	c := *d
+	c.entries = maps.Clone(d.entries)
+	c.deleted = maps.Clone(d.deleted)
+	c.leases = maps.Clone(d.leases)
+	return c
+}
+
+// get returns the entry, or the index to wait after and false.
+func (d *data) get(key string) (api.Entry, bool) {
+	if e, ok := d.entries[key]; ok {
+		e.Value = slices.Clone(e.Value)
+		return e, true
+	}
+	return api.Entry{Key: key, Index: max(firstIndex, d.deleted[key])}, false
+}
+
+func (d *data) list(prefix string) []api.Entry {
+	var es []api.Entry
+	for _, key := range slices.Sorted(maps.Keys(d.entries)) {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		e, _ := d.get(key)
+		es = append(es, e)
+	}
+	return es
+}
+
+func (d *data) put(key string, value []byte, id api.LeaseID) uint64 {
+	d.index++
+	delete(d.deleted, key)
+	d.entries[key] = api.Entry{Key: key, Value: slices.Clone(value), Index: d.index, Lease: id}
+	return d.index
+}
+
+// compareAndSwap returns the new index, or 0 when the compare failed.
+func (d *data) compareAndSwap(key string, value []byte, index uint64) uint64 {
+	e, ok := d.entries[key]
+	if ok != (index != 0) || (ok && e.Index != index) {
+		return 0
+	}
+	return d.put(key, value, e.Lease)
+}
+
+// remove reports false when the compare failed. An index of 0 removes the
+// entry whatever its index.
+func (d *data) remove(key string, index uint64) bool {
+	e, ok := d.entries[key]
+	if !ok {
+		return true
+	}
+	if index != 0 && e.Index != index {
+		return false
+	}
+	d.index++
+	delete(d.entries, key)
+	d.deleted[key] = d.index
+	return true
+}
+
+func (d *data) grant(ttl time.Duration, now time.Time) api.LeaseID {
+	d.granted++
+	id := api.LeaseID(fmt.Sprintf("lease-%d", d.granted))
+	d.leases[id] = lease{ttl: ttl, deadline: now.Add(ttl)}
+	return id
+}
+
+func (d *data) renew(id api.LeaseID, now time.Time) bool {
+	l, ok := d.leases[id]
+	if !ok {
+		return false
+	}
+	l.deadline = now.Add(l.ttl)
+	d.leases[id] = l
+	return true
+}
+
+// revoke ends a lease. What it held stays, without a holder.
+func (d *data) revoke(id api.LeaseID) {
+	if _, ok := d.leases[id]; !ok {
+		return
+	}
+	delete(d.leases, id)
+	for _, key := range slices.Sorted(maps.Keys(d.entries)) {
+		if e := d.entries[key]; e.Lease == id {
+			d.put(key, e.Value, "")
+		}
+	}
+}
+
+// expire revokes the leases that have lapsed and reports whether any had.
+func (d *data) expire(now time.Time) bool {
+	var lapsed []api.LeaseID
+	for id, l := range d.leases {
+		if !now.Before(l.deadline) {
+			lapsed = append(lapsed, id)
+		}
+	}
+	slices.Sort(lapsed)
+	for _, id := range lapsed {
+		d.revoke(id)
+	}
+	return len(lapsed) > 0
+}
+
+// acquire returns the new index, or 0 when another lease holds the key.
+func (d *data) acquire(key string, value []byte, id api.LeaseID) (uint64, error) {
+	if _, ok := d.leases[id]; !ok {
+		return 0, api.ErrLeaseLost
+	}
+	if e := d.entries[key]; e.Lease != "" && e.Lease != id {
+		return 0, nil
+	}
+	return d.put(key, value, id), nil
+}
--- /dev/null
+++ b/standin/platform/endpoint.go
@@ -0,0 +1,350 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	api "github.com/azurethread/azurethread/serve/platform"
+)
+
+const (
+	keyPrefix = "/v1/kv/"
+	// listenTries and listenPause bound the wait for the port to be free
+	// again after a Refusing outage.
+	listenTries = 50
+	listenPause = 20 * time.Millisecond
+	// lapsedLease is the published API's text for an unknown session.
+	lapsedLease = "invalid session"
+)
+
+// Endpoint is one address at which the service answers HTTP.
+type Endpoint struct {
+	server *Server
+	addr   string
+
+	switching sync.Mutex // held during SetOutage and close
+	mu        sync.Mutex
+	http      *http.Server // nil while refusing
+	outage    Outage
+	changed   chan struct{}
+}
+
+// Endpoint opens a further address. Its outage can be set apart from the
+// others', as when one failure domain is cut off from the service.
+func (s *Server) Endpoint(addr string) (*Endpoint, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("standin platform: %w", err)
+	}
+	e := &Endpoint{server: s, addr: l.Addr().String(), changed: make(chan struct{})}
+	e.serve(l)
+	s.mu.Lock()
+	s.endpoints = append(s.endpoints, e)
+	s.mu.Unlock()
+	return e, nil
+}
+
+// Addr returns the endpoint's host:port.
+func (e *Endpoint) Addr() string { return e.addr }
+
+func (e *Endpoint) serve(l net.Listener) {
+	h := &http.Server{Handler: e.handler()}
+	e.mu.Lock()
+	e.http = h
+	e.mu.Unlock()
+	go h.Serve(l) // returns at close
+}
+
+// SetOutage sets the outage of this endpoint alone.
+func (e *Endpoint) SetOutage(o Outage) error {
+	e.switching.Lock()
+	defer e.switching.Unlock()
+	e.mu.Lock()
+	previous := e.outage
+	e.outage = o
+	close(e.changed)
+	e.changed = make(chan struct{})
+	e.mu.Unlock()
+	switch {
+	case o == Refusing && previous != Refusing:
+		return e.shut()
+	case o != Refusing && previous == Refusing:
+		return e.reopen()
+	}
+	return nil
+}
+
+func (e *Endpoint) reopen() error {
+	var err error
+	for range listenTries {
+		var l net.Listener
+		if l, err = net.Listen("tcp", e.addr); err == nil {
+			e.serve(l)
+			return nil
+		}
+		time.Sleep(listenPause)
+	}
+	return fmt.Errorf("standin platform: reopen: %w", err)
+}
+
+// shut closes the listener and cuts all connections.
+func (e *Endpoint) shut() error {
+	e.mu.Lock()
+	h := e.http
+	e.http = nil
+	e.mu.Unlock()
+	if h == nil {
+		return nil
+	}
+	return h.Close()
+}
+
+func (e *Endpoint) close() error {
+	e.switching.Lock()
+	defer e.switching.Unlock()
+	return e.shut()
+}
+
+// state implements gate.
+func (e *Endpoint) state() (Outage, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.outage, e.changed
+}
+
+func (e *Endpoint) handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+keyPrefix, e.getKey)
+	m.HandleFunc("PUT "+keyPrefix, e.putKey)
+	m.HandleFunc("DELETE "+keyPrefix, e.deleteKey)
+	m.HandleFunc("PUT /v1/session/create", e.createSession)
+	m.HandleFunc("PUT /v1/session/renew/{id}", e.renewSession)
+	m.HandleFunc("PUT /v1/session/destroy/{id}", e.destroySession)
+	m.HandleFunc("GET /v1/machines", e.getMachines)
+	return m
+}
+
+// refuse answers an error of an operation. Where the connection is to be cut
+// it aborts the handler, which closes the connection without an answer.
+func refuse(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, api.ErrTooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	case errors.Is(err, api.ErrLeaseLost):
+		http.Error(w, lapsedLease, http.StatusInternalServerError)
+	case errors.Is(err, errTTL):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// blocking reads the index and wait of a blocking query.
+func blocking(q url.Values) (after uint64, wait time.Duration, err error) {
+	if q.Get("index") == "" {
+		return 0, 0, nil
+	}
+	after, err = strconv.ParseUint(q.Get("index"), 10, 64)
+	if err != nil {
+		return 0, 0, err
+	}
+	if q.Get("wait") == "" {
+		return after, maxWait, nil
+	}
+	wait, err = time.ParseDuration(q.Get("wait"))
+	return after, wait, err
+}
+
+// wireEntry is an entry in the published API's form.
+type wireEntry struct {
+	Key         string
+	Value       []byte
+	Flags       uint64
+	ModifyIndex uint64
+	Session     string `json:",omitempty"`
+}
+
+func answerEntries(w http.ResponseWriter, es []api.Entry, index uint64) {
+	w.Header().Set(api.IndexHeader, strconv.FormatUint(index, 10))
+	if len(es) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	ws := make([]wireEntry, 0, len(es))
+	for _, e := range es {
+		ws = append(ws, wireEntry{Key: e.Key, Value: e.Value, ModifyIndex: e.Index, Session: string(e.Lease)})
+	}
+	answerJSON(w, ws)
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error here means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (e *Endpoint) getKey(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, keyPrefix)
+	q := r.URL.Query()
+	if q.Has("recurse") {
+		e.getPrefix(w, r, key)
+		return
+	}
+	after, wait, err := blocking(q)
+	if err != nil || key == "" {
+		http.Error(w, "bad key, index or wait", http.StatusBadRequest)
+		return
+	}
+	entry, found, err := e.server.get(r.Context(), e, key, after, wait)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	var es []api.Entry
+	if found {
+		es = append(es, entry)
+	}
+	answerEntries(w, es, entry.Index)
+}
+
+func (e *Endpoint) getPrefix(w http.ResponseWriter, r *http.Request, prefix string) {
+	es, err := e.server.list(r.Context(), e, prefix)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	index := uint64(firstIndex)
+	for _, entry := range es {
+		index = max(index, entry.Index)
+	}
+	answerEntries(w, es, index)
+}
+
+// body reads a value, one byte beyond the limit at most. It is read before
+// the call is held, since net/http notices a client that has gone only when
+// the body has been read.
+func body(r *http.Request) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(r.Body, api.MaxValueSize+1))
+}
+
+func (e *Endpoint) putKey(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, keyPrefix)
+	q := r.URL.Query()
+	value, err := body(r)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if key == "" || q.Has("cas") == q.Has("acquire") {
+		http.Error(w, "want a key and either cas or acquire", http.StatusBadRequest)
+		return
+	}
+	var next uint64
+	if q.Has("acquire") {
+		next, err = e.server.acquire(r.Context(), e, key, value, api.LeaseID(q.Get("acquire")))
+	} else {
+		index, bad := strconv.ParseUint(q.Get("cas"), 10, 64)
+		if bad != nil {
+			http.Error(w, "bad cas", http.StatusBadRequest)
+			return
+		}
+		next, err = e.server.compareAndSwap(r.Context(), e, key, value, index)
+	}
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answerJSON(w, next != 0)
+}
+
+func (e *Endpoint) deleteKey(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, keyPrefix)
+	var index uint64
+	if q := r.URL.Query(); q.Has("cas") {
+		var err error
+		if index, err = strconv.ParseUint(q.Get("cas"), 10, 64); err != nil {
+			http.Error(w, "bad cas", http.StatusBadRequest)
+			return
+		}
+	}
+	ok, err := e.server.remove(r.Context(), e, key, index)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answerJSON(w, ok)
+}
+
+// wireSession is a session in the published API's form.
+type wireSession struct {
+	ID  string
+	TTL string
+}
+
+func (e *Endpoint) createSession(w http.ResponseWriter, r *http.Request) {
+	value, err := body(r)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	var s wireSession
+	if err := json.Unmarshal(value, &s); err != nil {
+		http.Error(w, "bad session", http.StatusBadRequest)
+		return
+	}
+	ttl, err := time.ParseDuration(s.TTL)
+	if err != nil {
+		http.Error(w, "bad TTL", http.StatusBadRequest)
+		return
+	}
+	id, err := e.server.grant(r.Context(), e, ttl)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answerJSON(w, wireSession{ID: string(id), TTL: s.TTL})
+}
+
+func (e *Endpoint) renewSession(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	ok, err := e.server.renew(r.Context(), e, api.LeaseID(id))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if !ok {
+		http.Error(w, "session not found", http.StatusNotFound)
+		return
+	}
+	answerJSON(w, []wireSession{{ID: id}})
+}
+
+func (e *Endpoint) destroySession(w http.ResponseWriter, r *http.Request) {
+	if err := e.server.revoke(r.Context(), e, api.LeaseID(r.PathValue("id"))); err != nil {
+		refuse(w, err)
+		return
+	}
+	answerJSON(w, true)
+}
+
+func (e *Endpoint) getMachines(w http.ResponseWriter, r *http.Request) {
+	after, wait, err := blocking(r.URL.Query())
+	if err != nil {
+		http.Error(w, "bad index or wait", http.StatusBadRequest)
+		return
+	}
+	l, err := e.server.machineList(r.Context(), e, after, wait)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	w.Header().Set(api.IndexHeader, strconv.FormatUint(l.Version, 10))
+	answerJSON(w, l)
+}
--- /dev/null
+++ b/standin/platform/view.go
@@ -0,0 +1,252 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+	api "github.com/azurethread/azurethread/serve/platform"
+)
+
+// View is the service as one client sees it, in process. It obeys the
+// server's switches, and has an outage of its own for a client that is cut
+// off alone. It implements the Store and Machines interfaces.
+type View struct {
+	server *Server
+
+	mu      sync.Mutex
+	outage  Outage
+	changed chan struct{}
+}
+
+var (
+	_ api.Store    = (*View)(nil)
+	_ api.Machines = (*View)(nil)
+)
+
+// Store returns a new in-process view.
+func (s *Server) Store() *View {
+	return &View{server: s, changed: make(chan struct{})}
+}
+
+// SetOutage sets the outage of this view alone.
+func (v *View) SetOutage(o Outage) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.outage = o
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// state implements gate.
+func (v *View) state() (Outage, <-chan struct{}) {
+	v.mu.Lock()
+	own, ownChanged := v.outage, v.changed
+	v.mu.Unlock()
+	if own != Up {
+		return own, ownChanged
+	}
+	v.server.mu.Lock()
+	defer v.server.mu.Unlock()
+	return v.server.outage, v.server.changed
+}
+
+// reach fails like a refused connection.
+func (v *View) reach() error {
+	if o, _ := v.state(); o == Refusing {
+		return failure(verdict.NotRun, verdict.ReasonConnect, errCut)
+	}
+	return nil
+}
+
+// call runs f as a client's call: errors of the transport become verdicts,
+// and an outage that begins ends the call.
+func (v *View) call(ctx context.Context, f func(ctx context.Context) error) error {
+	if err := ctx.Err(); err != nil {
+		return failure(verdict.NotRun, endReason(err), err)
+	}
+	if err := v.reach(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go v.cutWhenRefusing(ctx, cancel)
+	return v.verdictOf(ctx, f(ctx))
+}
+
+// cutWhenRefusing ends a call as the closing of its connection would.
+func (v *View) cutWhenRefusing(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
+		o, changed := v.state()
+		if o == Refusing {
+			cancel(errCut)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (v *View) verdictOf(ctx context.Context, err error) error {
+	switch {
+	case err == nil, errors.Is(err, api.ErrTooLarge), errors.Is(err, api.ErrLeaseLost):
+		return err
+	case errors.Is(err, errCut), errors.Is(context.Cause(ctx), errCut):
+		return failure(verdict.MayHaveRun, verdict.ReasonConnectionLost, errCut)
+	default:
+		return failure(verdict.MayHaveRun, endReason(err), err)
+	}
+}
+
+func endReason(err error) verdict.Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return verdict.ReasonDeadline
+	}
+	return verdict.ReasonCallerGone
+}
+
+func failure(v verdict.Verdict, r verdict.Reason, err error) error {
+	return &verdict.Error{Verdict: v, Reason: r, Err: err}
+}
+
+// Get implements Store.
+func (v *View) Get(ctx context.Context, key string) (api.Entry, error) {
+	return v.Watch(ctx, key, 0, 0)
+}
+
+// Watch implements Store.
+func (v *View) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (api.Entry, error) {
+	var e api.Entry
+	var found bool
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		e, found, err = v.server.get(ctx, v, key, after, wait)
+		return err
+	})
+	switch {
+	case err != nil:
+		return api.Entry{}, err
+	case after != 0 && e.Index == after:
+		return api.Entry{}, api.ErrNotModified
+	case !found:
+		return e, api.ErrNotFound
+	default:
+		return e, nil
+	}
+}
+
+// List implements Store.
+func (v *View) List(ctx context.Context, prefix string) ([]api.Entry, error) {
+	var es []api.Entry
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		es, err = v.server.list(ctx, v, prefix)
+		return err
+	})
+	return es, err
+}
+
+// CompareAndSwap implements Store.
+func (v *View) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, error) {
+	var next uint64
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		next, err = v.server.compareAndSwap(ctx, v, key, value, index)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	if next == 0 {
+		return 0, v.conflict(ctx, key)
+	}
+	return next, nil
+}
+
+func (v *View) conflict(ctx context.Context, key string) error {
+	e, err := v.Get(ctx, key)
+	switch {
+	case err == nil:
+		return &api.ConflictError{Key: key, Current: e, Known: true, Exists: true}
+	case errors.Is(err, api.ErrNotFound):
+		return &api.ConflictError{Key: key, Known: true}
+	default:
+		return &api.ConflictError{Key: key}
+	}
+}
+
+// Delete implements Store.
+func (v *View) Delete(ctx context.Context, key string, index uint64) error {
+	var ok bool
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		ok, err = v.server.remove(ctx, v, key, index)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return v.conflict(ctx, key)
+	}
+	return nil
+}
+
+// GrantLease implements Store.
+func (v *View) GrantLease(ctx context.Context, ttl time.Duration) (api.LeaseID, error) {
+	var id api.LeaseID
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		id, err = v.server.grant(ctx, v, max(ttl, v.server.minTTL))
+		return err
+	})
+	return id, err
+}
+
+// RenewLease implements Store.
+func (v *View) RenewLease(ctx context.Context, id api.LeaseID) error {
+	var ok bool
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		ok, err = v.server.renew(ctx, v, id)
+		return err
+	})
+	if err == nil && !ok {
+		return api.ErrLeaseLost
+	}
+	return err
+}
+
+// RevokeLease implements Store.
+func (v *View) RevokeLease(ctx context.Context, id api.LeaseID) error {
+	return v.call(ctx, func(ctx context.Context) error { return v.server.revoke(ctx, v, id) })
+}
+
+// Acquire implements Store.
+func (v *View) Acquire(ctx context.Context, key string, value []byte, lease api.LeaseID) (uint64, bool, error) {
+	var next uint64
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		next, err = v.server.acquire(ctx, v, key, value, lease)
+		return err
+	})
+	if err != nil {
+		return 0, false, err
+	}
+	return next, next != 0, nil
+}
+
+// Machines implements Machines.
+func (v *View) Machines(ctx context.Context, after uint64, wait time.Duration) (fleet.List, error) {
+	var l fleet.List
+	err := v.call(ctx, func(ctx context.Context) (err error) {
+		l, err = v.server.machineList(ctx, v, after, wait)
+		return err
+	})
+	if err != nil {
+		return fleet.List{}, err
+	}
+	if after != 0 && l.Version == after {
+		return fleet.List{}, api.ErrNotModified
+	}
+	return l, nil
+}
--- /dev/null
+++ b/standin/target/handler.go
@@ -0,0 +1,220 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurethread/azurethread/standin/payload"
+)
+
+// maxAnswer bounds the answer that a request may ask for, in bytes.
+const maxAnswer = 64 << 20
+
+func (s *Server) handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /healthz", s.healthz)
+	m.HandleFunc("GET /loadz", s.loadz)
+	m.HandleFunc("/", s.work)
+	return m
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	_, healthy := s.reports.show(time.Now())
+	s.mu.Unlock()
+	if !healthy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) loadz(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	load, _ := s.reports.show(time.Now())
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(load) // an error means that the client has gone
+}
+
+// work runs one request.
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	if !s.accept() {
+		w.Header().Set(payload.RefusedHeader, payload.RefusedNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	hash := payload.NewHash()
+	if _, err := io.Copy(hash, r.Body); err != nil {
+		s.release(false, func(st *Stats) { st.BrokenBodies++ })
+		http.Error(w, "body ends early", http.StatusBadRequest)
+		return
+	}
+	if !s.takeSlot(ctx) {
+		s.release(false, s.endedBy(ctx))
+		w.Header().Set(payload.RefusedHeader, payload.RefusedNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !s.execute(ctx, r.Header.Get(payload.IDHeader)) {
+		s.release(true, s.endedBy(ctx))
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	s.answer(w, r, hash.String())
+}
+
+// withDeadline bounds the request by its deadline header, if it has one.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get(payload.DeadlineHeader), 10, 64)
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// endedBy counts why ctx ended. The end by a crash is counted there.
+func (s *Server) endedBy(ctx context.Context) func(*Stats) {
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	return func(st *Stats) {
+		switch {
+		case expired:
+			st.Expired++
+		case s.http != nil:
+			st.Cancelled++
+		}
+	}
+}
+
+// accept takes a request in, or refuses it.
+func (s *Server) accept() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Arrived++
+	if s.idle != nil {
+		s.stats.RefusedLeaving++
+		s.stats.LastArrival = time.Since(s.leftAt)
+		return false
+	}
+	if s.inFlight >= s.options.Slots {
+		s.stats.Overfull++
+	}
+	if s.inFlight >= s.options.Slots+s.options.Queue {
+		s.stats.Shed++
+		return false
+	}
+	s.inFlight++
+	s.stats.HighWater = max(s.stats.HighWater, s.inFlight)
+	s.report(time.Now())
+	return true
+}
+
+// takeSlot waits for a slot; it reports false when ctx ended first.
+func (s *Server) takeSlot(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.working++
+	s.report(time.Now())
+	return true
+}
+
+// execute runs the request for its service time; it reports false when ctx
+// ended it.
+func (s *Server) execute(ctx context.Context, id string) bool {
+	s.mu.Lock()
+	s.stats.Started++
+	if id != "" {
+		s.executions[id]++
+	}
+	d := s.timer.next(time.Now())
+	s.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// release gives a request up, with its slot if it has one.
+func (s *Server) release(slot bool, count func(*Stats)) {
+	if slot {
+		<-s.slots
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if slot {
+		s.working--
+	}
+	count(&s.stats)
+	s.report(time.Now())
+	s.settle()
+}
+
+// answer releases the slot and then answers. In this order, because the
+// sender may send its next request as soon as it has the answer; a slot
+// released later would let that one find the target full when it is not.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, hash string) {
+	s.beginAnswer()
+	defer s.endAnswer()
+	id := r.Header.Get(payload.IDHeader)
+	n, err := strconv.Atoi(r.Header.Get(payload.SizeHeader))
+	if err != nil || n < 0 || n > maxAnswer {
+		n = payload.DefaultSize
+	}
+	h := w.Header()
+	h.Set(payload.IDHeader, id)
+	h.Set(payload.HashHeader, hash)
+	h.Set("Content-Type", "application/octet-stream")
+	if r.Header.Get(payload.ChunkedHeader) == "" {
+		h.Set("Content-Length", strconv.Itoa(n))
+	}
+	if s.takeCut() {
+		_ = payload.Write(w, id, n/2)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	// An error means that the client has gone; there is nobody to tell.
+	_ = payload.Write(w, id, n)
+}
+
+func (s *Server) beginAnswer() {
+	s.mu.Lock()
+	s.answering++ // before the release, so that a leaving target is not empty yet
+	s.mu.Unlock()
+	s.release(true, func(st *Stats) { st.Completed++ })
+}
+
+func (s *Server) endAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answering--
+	s.settle()
+}
+
+func (s *Server) takeCut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cutLeft <= 0 {
+		return false
+	}
+	s.cutLeft--
+	s.stats.CutAnswers++
+	return true
+}
--- /dev/null
+++ b/standin/target/listener.go
@@ -0,0 +1,140 @@
+package target
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// listener tracks the connections of one target and enforces its limit.
+type listener struct {
+	net.Listener
+	limit int // 0 is none
+
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	highWater int
+	refused   uint64 // connections beyond the limit
+}
+
+func newListener(l net.Listener, limit int) *listener {
+	return &listener{Listener: l, limit: limit, conns: map[*conn]struct{}{}}
+}
+
+// Accept implements net.Listener. A connection beyond the limit is closed at
+// once.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked := l.track(c); tracked != nil {
+			return tracked, nil
+		}
+		c.Close()
+	}
+}
+
+func (l *listener) track(c net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limit > 0 && len(l.conns) >= l.limit {
+		l.refused++
+		return nil
+	}
+	t := &conn{Conn: c, owner: l}
+	l.conns[t] = struct{}{}
+	l.highWater = max(l.highWater, len(l.conns))
+	return t
+}
+
+func (l *listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// silence makes n connections silent, or all if n is negative, and returns
+// how many it was.
+func (l *listener) silence(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	done := 0
+	for c := range l.conns {
+		if done == n {
+			break
+		}
+		if !c.silent.Swap(true) {
+			done++
+		}
+	}
+	return done
+}
+
+// reset closes all connections so that the peers see a reset.
+func (l *listener) reset() {
+	l.mu.Lock()
+	var conns []*conn
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		if t, ok := c.Conn.(*net.TCPConn); ok {
+			t.SetLinger(0) // best effort: a plain close serves too
+		}
+		c.Close()
+	}
+}
+
+// conn is a connection that can go silent: what the peer sends on it is taken
+// and dropped, and nothing reaches the peer, not even an end.
+type conn struct {
+	net.Conn
+	owner  *listener
+	silent atomic.Bool
+	once   sync.Once
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() { c.owner.forget(c) })
+	if c.silent.Load() {
+		return c.abandon()
+	}
+	return c.Conn.Close()
+}
+
+// abandon keeps a silent connection open below, as a lost one would be, until
+// the peer closes it. Closing it would tell the peer what it can't know.
+func (c *conn) abandon() error {
+	go func() {
+		buf := make([]byte, 1024)
+		for {
+			if _, err := c.Conn.Read(buf); err != nil {
+				c.Conn.Close()
+				return
+			}
+		}
+	}()
+	return nil
+}
