--- /dev/null
+++ b/operate/e2e/hop_bench_test.go
@@ -0,0 +1,147 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// hopTarget answers every request with n bytes and never limits anything, so
+// that the benchmarks see the hop alone.
+func hopTarget(b *testing.B, n int) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	body := make([]byte, n)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", fmt.Sprint(n))
+		_, _ = w.Write(body)
+	})}
+	go s.Serve(ln)
+	b.Cleanup(func() { s.Close() })
+	return ln.Addr().String()
+}
+
+// BenchmarkHop compares a call straight to the target with one through an
+// entry VM, at the same number of connections and in the same run.
+func BenchmarkHop(b *testing.B) {
+	addr := hopTarget(b, 128)
+	e := startEntry(b, entryOptions{
+		targets:  []fleet.Target{{ID: "t1", Service: "calc", Addr: addr, Slots: 1024, Connections: 4096}},
+		services: []catalogue.Service{{Name: "calc", Idempotent: true, Priority: catalogue.Interactive}},
+	})
+	for _, callers := range []int{1, 16} {
+		b.Run(fmt.Sprintf("direct/callers=%d", callers), func(b *testing.B) {
+			runCallers(b, callers, "http://"+addr+"/x")
+		})
+		b.Run(fmt.Sprintf("entry/callers=%d", callers), func(b *testing.B) {
+			runCallers(b, callers, "http://"+e.CallAddr()+"/v1/call/calc/x")
+		})
+	}
+}
+
+// runCallers issues b.N requests over callers connections and reports the
+// median and p99.
+func runCallers(b *testing.B, callers int, url string) {
+	b.ReportAllocs()
+	tr := &http.Transport{MaxIdleConnsPerHost: callers, MaxConnsPerHost: callers}
+	defer tr.CloseIdleConnections()
+	client := &http.Client{Transport: tr}
+	var mu sync.Mutex
+	var all []time.Duration
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	for c := range callers {
+		n := b.N / callers
+		if c < b.N%callers {
+			n++
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			mine := make([]time.Duration, 0, n)
+			for range n {
+				t := time.Now()
+				if err := fetch(client, url); err != nil {
+					b.Error(err)
+					return
+				}
+				mine = append(mine, time.Since(t))
+			}
+			mu.Lock()
+			all = append(all, mine...)
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+	b.StopTimer()
+	if len(all) == 0 {
+		return
+	}
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-µs")
+}
+
+func fetch(c *http.Client, url string) error {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// BenchmarkIdleConnections reports the memory that 4,000 callers' idle
+// connections take, both ends of each being in this process.
+func BenchmarkIdleConnections(b *testing.B) {
+	const connections = 4000
+	e := startEntry(b, entryOptions{})
+	for range b.N {
+		before := heap()
+		conns := make([]net.Conn, 0, connections)
+		for range connections {
+			c, err := net.Dial("tcp", e.CallAddr())
+			if err != nil {
+				b.Fatal(err)
+			}
+			conns = append(conns, c)
+		}
+		waitFor(b, func() bool { return e.Connections() == connections })
+		b.ReportMetric(float64(heap()-before)/connections, "heap-bytes/conn")
+		b.ReportMetric(float64(runtime.NumGoroutine()), "goroutines")
+		for _, c := range conns {
+			c.Close()
+		}
+		waitFor(b, func() bool { return e.Connections() == 0 })
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
--- /dev/null
+++ b/serve/admin/admintest/memory.go
@@ -0,0 +1,126 @@
+// Package admintest holds an in-memory catalogue behind the interfaces of
+// package admin, for tests of the API and of its clients.
+package admintest
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/admin"
+)
+
+// Memory is a Changer, Settler and Viewer over one catalogue in memory. Its
+// fields may be set before use; afterwards call Update.
+type Memory struct {
+	// Now is the instant of every change.
+	Now time.Time
+	// Lose makes the answers of changes get lost after they were made.
+	Lose bool
+	// Down makes the platform unreachable: changes fail with not-run.
+	Down bool
+	// Silent makes questions about operations fail.
+	Silent bool
+	// Lagging are the entry VMs that never apply a revision.
+	Lagging []fleet.VMID
+
+	mu   sync.Mutex
+	cat  *catalogue.Catalogue
+	made map[string]uint64 // revision by operation id
+}
+
+// New returns a Memory that holds an empty catalogue.
+func New() *Memory {
+	return &Memory{
+		Now:  time.Date(2026, 3, 1, 22, 0, 0, 0, time.UTC),
+		cat:  &catalogue.Catalogue{},
+		made: make(map[string]uint64),
+	}
+}
+
+// Update changes the switches of m while it is in use.
+func (m *Memory) Update(set func(*Memory)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	set(m)
+}
+
+// Forget drops the catalogue, as of an entry VM that has just started.
+func (m *Memory) Forget() { m.cat = nil }
+
+// Change implements admin.Changer.
+func (m *Memory) Change(_ context.Context, op change.Operation) (admin.Accepted, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Down {
+		return admin.Accepted{}, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect}
+	}
+	next, err := change.Apply(*m.cat, op, clock.FromWall(m.Now))
+	if err != nil {
+		return admin.Accepted{}, err
+	}
+	m.cat = &next
+	m.made[op.ID] = next.Revision
+	if m.Lose {
+		return admin.Accepted{}, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}
+	}
+	return admin.Accepted{Operation: op.ID, Revision: next.Revision, Settled: true}, nil
+}
+
+// Settle implements admin.Settler.
+func (m *Memory) Settle(_ context.Context, operation string) (admin.Outcome, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Silent {
+		return admin.Outcome{}, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: errors.New("platform is silent")}
+	}
+	if r, ok := m.made[operation]; ok {
+		return admin.Outcome{Operation: operation, Verdict: verdict.Ran, Revision: r}, nil
+	}
+	return admin.Outcome{Operation: operation, Verdict: verdict.NotRun}, nil
+}
+
+// Catalogue implements admin.Viewer.
+func (m *Memory) Catalogue() *catalogue.Catalogue {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cat
+}
+
+// Status implements admin.Viewer.
+func (m *Memory) Status() admin.Status {
+	s := admin.Status{
+		VM: "entry-1", Region: "attiki", Domain: "attiki-1", PlatformReachable: true,
+		Members: []admin.Member{{VM: "entry-1", Region: "attiki", Domain: "attiki-1", State: fleet.Live.String()}},
+		Loads: []admin.Load{{
+			Region: "kriti", Service: "calc-lookup", InFlight: 12, Capacity: 48,
+			Headroom: 7500, Age: catalogue.Duration(200 * time.Millisecond),
+		}},
+	}
+	c := m.Catalogue()
+	if c == nil {
+		return s
+	}
+	s.Revision = c.Revision
+	for _, x := range c.Shifts {
+		s.Shifts = append(s.Shifts, admin.ShiftStatus{
+			ID: x.ID, State: x.State, Service: x.Service, From: x.From, To: x.To,
+			Share: x.Share, Moved: x.Share, MaxShare: x.Limits.MaxShare, Hold: x.Hold,
+		})
+	}
+	return s
+}
+
+// InForce implements admin.Viewer.
+func (m *Memory) InForce(_ context.Context, revision uint64) admin.InForce {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	const total = 3
+	return admin.InForce{Revision: revision, Applied: total - len(m.Lagging), Total: total, Missing: append([]fleet.VMID{}, m.Lagging...)}
+}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -224,6 +224,12 @@
 // AdminAddr returns the address for operators.
 func (d *Daemon) AdminAddr() string { return d.self.AdminAddr }
 
+// Ready reports whether a configuration is in force here.
+func (d *Daemon) Ready() bool { return d.config.Load() != nil && !d.leaving.Load() }
+
+// Connections returns the number of callers' open connections.
+func (d *Daemon) Connections() int { return d.callers.Connections() }
+
 // Violations returns how many broken invariants have been seen.
 func (d *Daemon) Violations() int64 { return d.metrics.violations.Load() }
 
--- /dev/null
+++ b/serve/peer/body.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/tinylib/msgp/msgp"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/load"
+	"github.com/azurethread/azurethread/decide/member"
+)
+
+// Kind numbers the messages of all packages on the wire.
+type Kind uint8
+
+// The ranges of kinds. Numbers are never reused.
+const (
+	// KindMember is the first of 32 kinds: KindMember + member.Msg.Kind().
+	KindMember Kind = 0
+	// KindLoad is a load.Report.
+	KindLoad Kind = 32
+	// KindConfig is the first of 32 kinds of the configuration protocol.
+	KindConfig Kind = 64
+	// KindTest is the first kind that no daemon uses.
+	KindTest Kind = 240
+)
+
+// Body is one encoded message.
+type Body struct {
+	Kind Kind
+	Data []byte
+}
+
+// Envelope is what one frame brings from another entry VM.
+type Envelope struct {
+	From            fleet.VMID
+	FromIncarnation fleet.Incarnation
+	Seq             uint64 // number of the frame on its connection
+	Bodies          []Body
+}
+
+const (
+	// MaxBodies bounds the messages of one frame.
+	MaxBodies = 64
+	// MaxBody bounds one encoded message.
+	MaxBody = 1 << 20
+	// MaxMemberBody bounds a membership or load message. Decoding turns a
+	// byte into up to about 150 bytes of structs, so this bounds what a
+	// faulty peer can make us allocate.
+	MaxMemberBody = 128 << 10
+)
+
+// Errors of decoding.
+var (
+	ErrMalformed = errors.New("peer: malformed message")
+	ErrTooLarge  = errors.New("peer: message too large")
+	ErrKind      = errors.New("peer: unexpected kind of message")
+)
+
+var encoders = sync.Pool{New: func() any {
+	e := msgpack.NewEncoder(nil)
+	e.SetCustomStructTag("json")
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	return e
+}}
+
+var decoders = sync.Pool{New: func() any {
+	d := msgpack.NewDecoder(nil)
+	d.SetCustomStructTag("json")
+	return d
+}}
+
+// Encode encodes a struct whose fields have json tags. Structs become arrays
+// of their fields' values, so fields may only be added together with a new
+// kind or a new Version.
+func Encode(kind Kind, v any) (Body, error) {
+	var buf bytes.Buffer
+	e := encoders.Get().(*msgpack.Encoder)
+	defer encoders.Put(e)
+	e.ResetWriter(&buf)
+	if err := e.Encode(v); err != nil {
+		return Body{}, fmt.Errorf("peer: encode kind %d: %w", kind, err)
+	}
+	if buf.Len() > MaxBody {
+		return Body{}, fmt.Errorf("%w: kind %d has %d bytes", ErrTooLarge, kind, buf.Len())
+	}
+	return Body{Kind: kind, Data: buf.Bytes()}, nil
+}
+
+// Decode fills v, a pointer to a struct, from a body of at most limit bytes.
+//
+// The structure is walked once before it is decoded: the decoder allocates
+// what an array's header announces, so a few bytes that announce four billion
+// elements would otherwise take all memory.
+func Decode(b Body, limit int, v any) error {
+	if len(b.Data) > limit {
+		return fmt.Errorf("%w: kind %d has %d bytes", ErrTooLarge, b.Kind, len(b.Data))
+	}
+	rest, err := msgp.Skip(b.Data)
+	if err != nil {
+		return fmt.Errorf("%w: kind %d: %w", ErrMalformed, b.Kind, err)
+	}
+	if len(rest) > 0 {
+		return fmt.Errorf("%w: kind %d has %d bytes too many", ErrMalformed, b.Kind, len(rest))
+	}
+	d := decoders.Get().(*msgpack.Decoder)
+	defer decoders.Put(d)
+	d.ResetReader(bytes.NewReader(b.Data))
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%w: kind %d: %w", ErrMalformed, b.Kind, err)
+	}
+	return nil
+}
+
+// EncodeMember encodes a membership message.
+func EncodeMember(m member.Msg) (Body, error) {
+	return Encode(KindMember+Kind(m.Kind()), m)
+}
+
+// IsMember reports whether a body is a membership message.
+func (b Body) IsMember() bool { return b.Kind < KindLoad }
+
+// DecodeMember decodes and validates a membership message.
+func DecodeMember(b Body) (member.Msg, error) {
+	m := member.NewMsg(uint8(b.Kind - KindMember))
+	if m == nil {
+		return nil, fmt.Errorf("%w: %d", ErrKind, b.Kind)
+	}
+	if err := Decode(b, MaxMemberBody, m); err != nil {
+		return nil, err
+	}
+	if err := m.Validate(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return m, nil
+}
+
+// EncodeLoad encodes a load report.
+func EncodeLoad(r *load.Report) (Body, error) { return Encode(KindLoad, r) }
+
+// DecodeLoad decodes and validates a load report.
+func DecodeLoad(b Body) (*load.Report, error) {
+	if b.Kind != KindLoad {
+		return nil, fmt.Errorf("%w: %d", ErrKind, b.Kind)
+	}
+	r := new(load.Report)
+	if err := Decode(b, MaxMemberBody, r); err != nil {
+		return nil, err
+	}
+	if err := r.Validate(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/serve/peer/frame.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+const (
+	// Version is the version of the frame format and of all messages in it.
+	Version = 1
+	// MaxFrame bounds the length that a frame may state: the largest message
+	// and room for others beside it.
+	MaxFrame = MaxBody + 64<<10
+
+	lengthSize = 4
+	headSize   = 2 // version and type
+	macSize    = 16
+	minFrame   = headSize + macSize
+	nonceSize  = 16
+	// maxHello bounds a frame of a sender that has not proved to know the key.
+	maxHello = 1 << 10
+	// FrameOverhead is the size of a frame beyond its payload.
+	FrameOverhead = lengthSize + headSize + macSize
+)
+
+type frameType uint8
+
+const (
+	typeHello frameType = 1
+	typeData  frameType = 2
+)
+
+// Errors for which a connection is closed.
+var (
+	ErrFrameSize    = errors.New("peer: frame size out of bounds")
+	ErrFrameVersion = errors.New("peer: unknown frame version")
+	ErrFrameType    = errors.New("peer: unexpected frame type")
+	ErrWrongKey     = errors.New("peer: hello not made with the shared key")
+	ErrFrameMAC     = errors.New("peer: frame replayed, reordered or forged")
+	ErrMisdirected  = errors.New("peer: hello for another VM")
+)
+
+// splitter cuts a byte stream into frames.
+type splitter struct {
+	buf   []byte
+	limit int
+}
+
+// push appends data and calls f with each complete frame, without its length.
+// The frame is valid only during the call.
+func (s *splitter) push(data []byte, f func(frame []byte) error) error {
+	s.buf = append(s.buf, data...)
+	rest := s.buf
+	for len(rest) >= lengthSize {
+		n := int(binary.BigEndian.Uint32(rest))
+		if n < minFrame || n > s.limit {
+			return fmt.Errorf("%w: %d bytes, at most %d", ErrFrameSize, n, s.limit)
+		}
+		if len(rest) < lengthSize+n {
+			break
+		}
+		if err := f(rest[lengthSize : lengthSize+n]); err != nil {
+			return err
+		}
+		rest = rest[lengthSize+n:]
+	}
+	s.keep(rest)
+	return nil
+}
+
+// keep moves the incomplete rest to the front, and gives back the memory of
+// an unusually large frame.
+func (s *splitter) keep(rest []byte) {
+	const large = 64 << 10
+	if len(rest) == 0 && cap(s.buf) > large {
+		s.buf = nil
+		return
+	}
+	s.buf = append(s.buf[:0], rest...)
+}
+
+// open checks the head of a frame and returns its type, payload and mac.
+func open(frame []byte) (frameType, []byte, []byte, error) {
+	if frame[0] != Version {
+		return 0, nil, nil, fmt.Errorf("%w: %d", ErrFrameVersion, frame[0])
+	}
+	at := len(frame) - macSize
+	return frameType(frame[1]), frame[headSize:at], frame[at:], nil
+}
+
+// seal builds a frame around a payload; sum computes the MAC of head and
+// payload.
+func seal(t frameType, payload []byte, sum func(b []byte) []byte) []byte {
+	out := make([]byte, lengthSize, FrameOverhead+len(payload))
+	binary.BigEndian.PutUint32(out, uint32(minFrame+len(payload)))
+	out = append(out, Version, byte(t))
+	out = append(out, payload...)
+	return append(out, sum(out[lengthSize:])...)
+}
+
+// hello is the payload of the first frame of each side.
+type hello struct {
+	ID          fleet.VMID        `json:"id"`
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	Wants       fleet.VMID        `json:"wants"` // empty in the answer
+	Nonce       []byte            `json:"nonce"`
+}
+
+// helloMAC binds a hello to the shared key and, in the answer, to the nonce
+// of the hello that it answers.
+func helloMAC(key, answered []byte) func(b []byte) []byte {
+	return func(b []byte) []byte {
+		m := hmac.New(sha256.New, key)
+		m.Write([]byte("azurethread hello"))
+		m.Write(answered)
+		m.Write(b)
+		return m.Sum(nil)[:macSize]
+	}
+}
+
+// The labels of the keys of the two directions.
+const (
+	fromDialler  = "azurethread from dialler"
+	fromAccepter = "azurethread from accepter"
+)
+
+// channel authenticates the data frames of one direction.
+type channel struct {
+	mac hash.Hash
+	seq uint64 // number of the last frame
+	buf [sha256.Size]byte
+}
+
+func newChannel(key []byte, label string, dialler, accepter []byte) *channel {
+	m := hmac.New(sha256.New, key)
+	m.Write([]byte(label))
+	m.Write(dialler)
+	m.Write(accepter)
+	return &channel{mac: hmac.New(sha256.New, m.Sum(nil))}
+}
+
+// sum returns the MAC of the next frame. It is valid until the next call.
+func (c *channel) sum(b []byte) []byte {
+	c.seq++
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], c.seq)
+	c.mac.Reset()
+	c.mac.Write(n[:])
+	c.mac.Write(b)
+	return c.mac.Sum(c.buf[:0])[:macSize]
+}
+
+// verify checks the MAC of the next frame received. Head and payload are the
+// part of the frame before its mac.
+func (c *channel) verify(headAndPayload, mac []byte) error {
+	if !hmac.Equal(c.sum(headAndPayload), mac) {
+		return ErrFrameMAC
+	}
+	return nil
+}
+
+// appendData encodes the payload of a data frame: the number of the last
+// frame with messages that was received, and the messages.
+func appendData(ack uint64, bodies []Body) ([]byte, error) {
+	var buf bytes.Buffer
+	e := encoders.Get().(*msgpack.Encoder)
+	defer encoders.Put(e)
+	e.ResetWriter(&buf)
+	err := errors.Join(e.EncodeArrayLen(2), e.EncodeUint(ack), e.EncodeArrayLen(len(bodies)))
+	for _, b := range bodies {
+		err = errors.Join(err, e.EncodeArrayLen(2), e.EncodeUint(uint64(b.Kind)), e.EncodeBytes(b.Data))
+	}
+	return buf.Bytes(), err
+}
+
+// decodeData decodes the payload of a data frame.
+func decodeData(payload []byte) (ack uint64, bodies []Body, err error) {
+	d := decoders.Get().(*msgpack.Decoder)
+	defer decoders.Put(d)
+	r := bytes.NewReader(payload)
+	d.ResetReader(r)
+	if err := arrayLen(d, 2); err != nil {
+		return 0, nil, err
+	}
+	if ack, err = d.DecodeUint64(); err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	n, err := d.DecodeArrayLen()
+	if err != nil || n < 0 || n > MaxBodies {
+		return 0, nil, fmt.Errorf("%w: %d messages", ErrMalformed, n)
+	}
+	for range n {
+		b, err := decodeBody(d, r)
+		if err != nil {
+			return 0, nil, err
+		}
+		bodies = append(bodies, b)
+	}
+	if r.Len() > 0 {
+		return 0, nil, fmt.Errorf("%w: %d bytes after the messages", ErrMalformed, r.Len())
+	}
+	return ack, bodies, nil
+}
+
+func decodeBody(d *msgpack.Decoder, r *bytes.Reader) (Body, error) {
+	if err := arrayLen(d, 2); err != nil {
+		return Body{}, err
+	}
+	kind, err := d.DecodeUint8()
+	if err != nil {
+		return Body{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	n, err := d.DecodeBytesLen()
+	if err != nil || n < 0 || n > r.Len() {
+		return Body{}, fmt.Errorf("%w: body of %d bytes", ErrMalformed, n)
+	}
+	data := make([]byte, n)
+	if err := d.ReadFull(data); err != nil {
+		return Body{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return Body{Kind: Kind(kind), Data: data}, nil
+}
+
+func arrayLen(d *msgpack.Decoder, want int) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil || n != want {
+		return fmt.Errorf("%w: array of %d, not %d", ErrMalformed, n, want)
+	}
+	return nil
+}
