--- /dev/null
+++ b/decide/shift/table.go
@@ -0,0 +1,69 @@
+package shift
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Table answers where shifts send a block of clients. It is immutable and safe
+// for concurrent use.
+type Table struct {
+	routes map[fleet.Region][]route
+}
+
+// route is one moving shift, ready for look-ups.
+type route struct {
+	id      string
+	service fleet.ServiceName // empty: every service
+	to      fleet.Region      // empty: every other region
+	salt    salt
+	share   catalogue.Share
+}
+
+// NewTable builds the table of the shifts that move traffic in c.
+func NewTable(c *catalogue.Catalogue) *Table {
+	t := &Table{routes: make(map[fleet.Region][]route)}
+	for _, s := range moving(c) {
+		if s.Share == 0 {
+			continue
+		}
+		r := route{id: s.ID, service: s.Service, to: s.To, salt: saltOf(s.ID), share: s.Share}
+		t.routes[s.From] = append(t.routes[s.From], r)
+	}
+	return t
+}
+
+// Region returns where the block of clients at home in the given region is
+// sent for a service, and by which shift. If moved is true and to is empty,
+// the shift sends it to any other region, by weight. It allocates nothing.
+func (t *Table) Region(service fleet.ServiceName, home fleet.Region, block uint64) (to fleet.Region, shiftID string, moved bool) {
+	for i := range t.routes[home] {
+		r := &t.routes[home][i]
+		if r.service != "" && r.service != service {
+			continue
+		}
+		if r.salt.position(block) < r.share {
+			return r.to, r.id, true
+		}
+	}
+	return "", "", false
+}
+
+// moving returns the shifts of c that move traffic, in the order of their ids,
+// which is the order in which they take blocks and headroom.
+func moving(c *catalogue.Catalogue) []catalogue.Shift {
+	if c == nil {
+		return nil
+	}
+	var out []catalogue.Shift
+	for _, s := range c.Shifts {
+		if s.State.Moves() {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b catalogue.Shift) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/decide/steer/slopes_test.go
@@ -0,0 +1,424 @@
+package steer_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/block"
+	"github.com/azurethread/azurethread/decide/block/blocktest"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/steer/slope"
+	"github.com/azurethread/azurethread/decide/steer/steertest"
+)
+
+var slopesPath = flag.String("slopes", "", "measure the cost of look-ups and write it to this file")
+
+const slopesCommand = "go test -run TestWriteSlopes -timeout 30m ./decide/steer -slopes docs/capacity/lookup.json"
+
+// repeats is how often each duration is measured; the median counts.
+const repeats = 5
+
+// TestWriteSlopes measures and writes the series of docs/capacity/lookup.json.
+// It takes some minutes and a machine that does nothing else.
+func TestWriteSlopes(t *testing.T) {
+	if *slopesPath == "" {
+		t.Skip("measures only with -slopes FILE")
+	}
+	r := recorder{t: t, date: time.Now().UTC().Format(time.DateOnly)}
+	r.swap() // first, while nothing else has grown the process
+	r.blocks()
+	r.sites()
+	r.patches()
+	r.views()
+	r.moves()
+	r.write()
+}
+
+type recorder struct {
+	t      *testing.T
+	date   string
+	series []slope.Series
+}
+
+func (r *recorder) add(name, title, unit, x string, points ...slope.Point) {
+	r.series = append(r.series, slope.Series{
+		Name: name, Title: title, Unit: unit, X: x, Points: points,
+		Command: slopesCommand, Cores: runtime.GOMAXPROCS(0), Date: r.date,
+	})
+	r.t.Logf("%s [%s by %s]: %v", name, unit, x, points)
+}
+
+func (r *recorder) write() {
+	text, err := json.MarshalIndent(slope.File{Series: r.series}, "", "  ")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	path := *slopesPath
+	if !filepath.IsAbs(path) {
+		path = filepath.Join("..", "..", path) // tests run in their own folder
+	}
+	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// median runs measure several times.
+func median(measure func() float64) float64 {
+	var all []float64
+	for range repeats {
+		all = append(all, measure())
+	}
+	slices.Sort(all)
+	return all[repeats/2]
+}
+
+// seconds measures the duration of f.
+func seconds(f func()) float64 {
+	start := time.Now()
+	f()
+	return time.Since(start).Seconds()
+}
+
+func medianLookup(v *steer.View, addrs []netip.Addr) float64 {
+	return median(func() float64 {
+		b := testing.Benchmark(benchLookup(v, addrs))
+		return float64(b.T.Nanoseconds()) / float64(b.N)
+	})
+}
+
+// blocks varies the number of blocks at the letter's fleet.
+func (r *recorder) blocks() {
+	var lookup, find, bytes, build, chunked, chunkBytes []slope.Point
+	for _, n := range []int{144_000, 288_000, 575_000, 1_150_000, letterBlocks, 2 * letterBlocks} {
+		x := float64(n)
+		list := blocktest.Blocks(n, steertest.Letter.Topology(), true, 1)
+		build = append(build, slope.Point{X: x, Y: 1e3 * median(func() float64 {
+			return seconds(func() { tableOf(list) })
+		})})
+		tab := tableOf(list)
+		list = nil
+		addrs := blocktest.Addrs(tab, benchAddrs, 1)
+		v := steer.New(steertest.Letter.Inputs(tab))
+		lookup = append(lookup, slope.Point{X: x, Y: medianLookup(v, addrs)})
+		find = append(find, slope.Point{X: x, Y: medianFind(tab, addrs)})
+		bytes = append(bytes, slope.Point{X: x, Y: float64(tab.Bytes())})
+		chunks, m, err := block.EncodeChunks(tab, block.MaxChunk)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		chunkBytes = append(chunkBytes, slope.Point{X: x, Y: float64(sizeOf(chunks))})
+		chunked = append(chunked, slope.Point{X: x, Y: 1e3 * median(func() float64 {
+			return seconds(func() { r.decode(m, chunks) })
+		})})
+	}
+	r.add("lookup/blocks", "look-up decision", "ns", "blocks", lookup...)
+	r.add("find/blocks", "search of the table alone", "ns", "blocks", find...)
+	r.add("table/blocks", "memory of the table", "bytes", "blocks", bytes...)
+	r.add("build/blocks", "build of the table from blocks in memory", "ms", "blocks", build...)
+	r.add("chunks/blocks", "size of all chunks", "bytes", "blocks", chunkBytes...)
+	r.add("decode/blocks", "build of the table from chunks", "ms", "blocks", chunked...)
+}
+
+func (r *recorder) decode(m block.Manifest, chunks [][]byte) *block.Table {
+	tab, err := block.DecodeChunks(m, chunks, steertest.Letter.Topology())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return tab
+}
+
+func sizeOf(chunks [][]byte) int {
+	n := 0
+	for _, c := range chunks {
+		n += len(c)
+	}
+	return n
+}
+
+func medianFind(tab *block.Table, addrs []netip.Addr) float64 {
+	return median(func() float64 {
+		b := testing.Benchmark(func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				tab.Lookup(addrs[i&(benchAddrs-1)])
+			}
+		})
+		return float64(b.T.Nanoseconds()) / float64(b.N)
+	})
+}
+
+// sites varies the fleet at the letter's blocks and regions.
+func (r *recorder) sites() {
+	var preferred, free []slope.Point
+	for _, prefer := range []bool{true, false} {
+		tab := blocktest.Table(letterBlocks, steertest.Letter.Topology(), prefer, 1)
+		addrs := blocktest.Addrs(tab, benchAddrs, 1)
+		for _, n := range []int{118, 235, 470, 940, 1880} {
+			size := steertest.Letter
+			size.Sites, size.VMs = n, n*steertest.Letter.VMs/steertest.Letter.Sites
+			p := slope.Point{X: float64(n), Y: medianLookup(steer.New(size.Inputs(tab)), addrs)}
+			if prefer {
+				preferred = append(preferred, p)
+			} else {
+				free = append(free, p)
+			}
+		}
+	}
+	r.add("lookup/sites", "look-up decision", "ns", "sites", preferred...)
+	r.add("lookup-free/sites", "look-up decision without preferred domains", "ns", "sites", free...)
+}
+
+// patches varies the number of blocks that a delta changes.
+func (r *recorder) patches() {
+	topology := steertest.Letter.Topology()
+	blocks := blocktest.Blocks(letterBlocks, topology, true, 1)
+	tab := tableOf(blocks)
+	var points []slope.Point
+	for _, n := range patchSizes {
+		d := deltaOf(tab, blocks, n)
+		points = append(points, slope.Point{X: float64(n), Y: 1e3 * median(func() float64 {
+			return seconds(func() {
+				if _, err := tab.Patch(d, nil); err != nil {
+					r.t.Fatal(err)
+				}
+			})
+		})})
+	}
+	r.add("patch/changed", "patch of the table at 2.3 M blocks", "ms", "changed blocks", points...)
+}
+
+// views varies the number of entry VMs.
+func (r *recorder) views() {
+	tab := blocktest.Table(letterBlocks, steertest.Letter.Topology(), true, 1)
+	var build, memory []slope.Point
+	for _, n := range []int{412, 825, 1650, 3300, 6600} {
+		size := steertest.Letter
+		size.VMs = n
+		in := size.Inputs(tab)
+		build = append(build, slope.Point{X: float64(n), Y: 1e6 * median(func() float64 {
+			return seconds(func() { steer.New(in) })
+		})})
+		before := heapInUse()
+		v := steer.New(in)
+		memory = append(memory, slope.Point{X: float64(n), Y: float64(heapInUse() - before)})
+		runtime.KeepAlive(v)
+	}
+	r.add("view/vms", "build of a view", "us", "entry VMs", build...)
+	r.add("view-bytes/vms", "memory of a view beside the table", "bytes", "entry VMs", memory...)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// swap measures the memory of a process that holds a table, and its peak while
+// it loads the next one from each kind of source.
+func (r *recorder) swap() {
+	text := r.textFile()
+	chunks, m := r.chunks()
+	debug.FreeOSMemory()
+	base := r.status("VmRSS")
+	held := r.loadFile(text)
+	debug.FreeOSMemory()
+	resident := r.status("VmRSS") - base
+	r.add("resident/once", "resident memory of a table of 2.3 M blocks", "bytes", "blocks",
+		slope.Point{X: letterBlocks, Y: resident})
+
+	r.resetPeak()
+	next := r.loadFile(text)
+	r.add("swap-text/once", "peak of resident memory while a table is loaded from a file beside another", "bytes", "blocks",
+		slope.Point{X: letterBlocks, Y: r.status("VmHWM") - base})
+	runtime.KeepAlive(held)
+	held, next = next, nil
+
+	debug.FreeOSMemory()
+	r.resetPeak()
+	next = r.decode(m, chunks)
+	r.add("swap-chunks/once", "the same from chunks, which are held in memory", "bytes", "blocks",
+		slope.Point{X: letterBlocks, Y: r.status("VmHWM") - base + float64(sizeOf(chunks))})
+	runtime.KeepAlive(held)
+	runtime.KeepAlive(next)
+}
+
+func (r *recorder) textFile() string {
+	path := filepath.Join(r.t.TempDir(), "blocks.txt")
+	f, err := os.Create(path)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	tab := blocktest.Table(letterBlocks, steertest.Letter.Topology(), true, 1)
+	if err := block.Write(f, tab); err != nil {
+		r.t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		r.t.Fatal(err)
+	}
+	return path
+}
+
+func (r *recorder) chunks() ([][]byte, block.Manifest) {
+	tab := blocktest.Table(letterBlocks, steertest.Letter.Topology(), true, 1)
+	chunks, m, err := block.EncodeChunks(tab, block.MaxChunk)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.add("chunk-count/once", "number of chunks of a table of 2.3 M blocks", "chunks", "blocks",
+		slope.Point{X: letterBlocks, Y: float64(len(chunks))})
+	return chunks, m
+}
+
+func (r *recorder) loadFile(path string) *block.Table {
+	f, err := os.Open(path)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer f.Close()
+	tab, err := block.Load(f, steertest.Letter.Topology())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return tab
+}
+
+// resetPeak makes the kernel count this process's VmHWM anew.
+func (r *recorder) resetPeak() {
+	if err := os.WriteFile("/proc/self/clear_refs", []byte("5"), 0); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// status reads a size from /proc/self/status, in bytes.
+func (r *recorder) status(field string) float64 {
+	text, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	found := regexp.MustCompile(field + `:\s+(\d+) kB`).FindSubmatch(text)
+	if found == nil {
+		r.t.Fatalf("no %s in %s", field, bytes.TrimSpace(text))
+	}
+	kb, err := strconv.ParseFloat(string(found[1]), 64)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return kb * 1024
+}
+
+// moves measures which clients move, over all blocks of the letter's fleet.
+func (r *recorder) moves() {
+	for _, prefer := range []bool{true, false} {
+		suffix, kind := "", ""
+		if !prefer {
+			suffix, kind = "-free", " without preferred domains"
+		}
+		in := steertest.Letter.Inputs(blocktest.Table(letterBlocks, steertest.Letter.Topology(), prefer, 1))
+		m := moves{r: r, in: in, addrs: blocktest.Addrs(in.Blocks, 2_000_000, 2), suffix: suffix, kind: kind}
+		m.before = m.firsts()
+		m.spread()
+		m.siteLoss()
+		m.weightChange()
+	}
+}
+
+type moves struct {
+	r            *recorder
+	in           steer.Inputs
+	addrs        []netip.Addr
+	before       []steer.Choice
+	suffix, kind string
+}
+
+func (m *moves) firsts() []steer.Choice {
+	v := steer.New(m.in)
+	out := make([]steer.Choice, len(m.addrs))
+	for i, a := range m.addrs {
+		v.Lookup(service, a, out[i:i+1])
+	}
+	return out
+}
+
+func (m *moves) one(name, title, unit string, y float64) {
+	m.r.add(name+m.suffix+"/once", title+m.kind, unit, "sites", slope.Point{X: float64(steertest.Letter.Sites), Y: y})
+}
+
+// spread compares the load of the sites, each VM taken as equally strong.
+func (m *moves) spread() {
+	clients := make(map[fleet.Site]float64)
+	for _, c := range m.before {
+		clients[c.Site]++
+	}
+	vms := make(map[fleet.Site]float64)
+	for _, vm := range m.in.VMs {
+		vms[vm.Site]++
+	}
+	mean := float64(len(m.addrs)) / float64(len(m.in.VMs))
+	worst := 0.0
+	for site, n := range clients {
+		worst = max(worst, n/vms[site]/mean)
+	}
+	m.one("spread", "clients per entry VM, most loaded site to mean", "ratio", worst)
+}
+
+// siteLoss takes out each of some sites in turn.
+func (m *moves) siteLoss() {
+	const lost = 47 // every 20th site
+	moved, others := 0.0, 0.0
+	vms := m.in.VMs
+	for i := range lost {
+		site := vms[i*20].Site
+		m.in.VMs = slices.Clone(vms)
+		for j := range m.in.VMs {
+			if m.in.VMs[j].Site == site {
+				m.in.VMs[j].State = fleet.Dead
+			}
+		}
+		for j, c := range m.firsts() {
+			switch {
+			case m.before[j].Site == site:
+				moved++
+			case c != m.before[j]:
+				others++
+			}
+		}
+	}
+	m.in.VMs = vms
+	total := float64(lost * len(m.addrs))
+	sites := float64(steertest.Letter.Sites)
+	m.one("site-loss", "clients moved by the loss of a site, in parts of the ideal 1/sites", "ratio", (moved+others)/total*sites)
+	m.one("site-loss-others", "clients of other sites moved by it, in parts of 1/sites", "ratio", others/total*sites)
+}
+
+// weightChange lowers the weight of one domain by 1%.
+func (m *moves) weightChange() {
+	key := steer.DomainService{Domain: "r05-d1", Service: service}
+	m.in.Weights = map[steer.DomainService]steer.Weight{key: steer.FullWeight / 100 * 99}
+	moved, others, mine := 0.0, 0.0, 0.0
+	for j, c := range m.firsts() {
+		if m.before[j].Domain == key.Domain {
+			mine++
+		}
+		switch {
+		case c == m.before[j]:
+		case m.before[j].Domain == key.Domain:
+			moved++
+		default:
+			others++
+		}
+	}
+	m.one("weight-change", "clients of a domain moved by 1% less weight, in parts of its clients", "ratio", moved/mine)
+	m.one("weight-change-others", "clients of other domains moved by it", "clients", others)
+}
--- a/decide/steer/weight.go
+++ b/decide/steer/weight.go
@@ -16,20 +16,21 @@
 
 // The rule by which a Damper turns headroom into weights.
 //
-// The band between LowHeadroom and HighHeadroom is wider than the largest
-// step: a step changes a domain's load by at most StepDown of what it is
-// offered, so it cannot carry the headroom from one side of the band to the
-// other, and weights come to rest instead of swinging.
+// Between LowHeadroom and HighHeadroom a weight rests. A step multiplies the
+// weight, and with it the load, and no step is large enough to carry the load
+// from one side of that band to the other: at most 0.75 of the capacity times
+// 1.1 stays below 0.9, and at least 0.9 times 0.9, or 0.98 times 0.8, stays
+// above 0.75. So weights come to rest instead of swinging, whatever the load.
 const (
-	// LowHeadroom is the free share of capacity below which the weight falls.
+	// LowHeadroom is the free share of capacity below which the weight falls
+	// by a tenth.
 	LowHeadroom = 0.10
-	// HighHeadroom is the free share of capacity above which it rises.
+	// NoHeadroom is the one below which it falls by a fifth.
+	NoHeadroom = 0.02
+	// HighHeadroom is the one above which it rises by a tenth.
 	HighHeadroom = 0.25
-	// StepDown is how far a weight falls at once.
-	StepDown Weight = FullWeight / 10
-	// StepUp is how far a weight rises at once. Rising is slower, since the
-	// load that returns meets cold caches.
-	StepUp Weight = FullWeight / 20
+	// AmpleHeadroom is the one above which it rises by a quarter.
+	AmpleHeadroom = 0.50
 	// MinWeight keeps a little traffic on a domain, without which its
 	// headroom could not be measured again.
 	MinWeight Weight = FullWeight / 50
@@ -79,13 +80,16 @@
 // nextWeight applies one step. Headroom that is not a number changes nothing.
 func nextWeight(w Weight, headroom float64) Weight {
 	switch {
+	case headroom < NoHeadroom:
+		w -= w / 5
 	case headroom < LowHeadroom:
-		return max(MinWeight, w-min(w, StepDown))
+		w -= w / 10
+	case headroom > AmpleHeadroom:
+		w += w / 4
 	case headroom > HighHeadroom:
-		return min(FullWeight, w+StepUp)
-	default:
-		return w
+		w += w / 10
 	}
+	return min(FullWeight, max(MinWeight, w))
 }
 
 // Weights returns a copy of the weights that are not FullWeight.
--- /dev/null
+++ b/operate/capacity/control.go
@@ -0,0 +1,88 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/steer/slope"
+)
+
+// fleetPoint is a measurement of control traffic at one size of the fleet, as
+// the benchmark of serve/peer writes them: several costs at one point, with
+// several sizes of which each group of points varies one.
+type fleetPoint struct {
+	Name string `json:"name"` // the size that is varied, or the name of a single point
+	X    struct {
+		Members float64 `json:"members"`
+		Domains float64 `json:"domains"`
+		Regions float64 `json:"regions"`
+	} `json:"x"`
+	Y struct {
+		BytesPerS     float64 `json:"bytes_per_s"`
+		MaxBytesPerS  float64 `json:"max_bytes_per_s"`
+		MsgsPerS      float64 `json:"msgs_per_s"`
+		MaxMsgsPerS   float64 `json:"max_msgs_per_s"`
+		CPUMicrosPerS float64 `json:"cpu_us_per_s"`
+		StateBytes    float64 `json:"state_bytes"`
+	} `json:"y"`
+	Cores int    `json:"cores"`
+	Date  string `json:"date"`
+}
+
+const controlCommand = "AZURETHREAD_CAPACITY_MEMBER=docs/capacity/member.json go test -run TestCapacityPoints -timeout 30m ./serve/peer"
+
+// controlSeries splits such points into series named "<cost>/<varied size>".
+func controlSeries(text []byte) ([]slope.Series, error) {
+	var points []fleetPoint
+	if err := json.Unmarshal(text, &points); err != nil {
+		return nil, fmt.Errorf("points of a fleet: %w", err)
+	}
+	var all []slope.Series
+	for _, p := range points {
+		for _, s := range p.costs() {
+			i := slices.IndexFunc(all, func(o slope.Series) bool { return o.Name == s.Name })
+			if i < 0 {
+				all = append(all, s)
+				continue
+			}
+			all[i].Points = append(all[i].Points, s.Points...)
+		}
+	}
+	return all, nil
+}
+
+// costs returns the costs of a point as series of one point each.
+func (p *fleetPoint) costs() []slope.Series {
+	x, label := p.varied()
+	list := []struct {
+		name, title, unit string
+		y                 float64
+	}{
+		{"control-bytes", "control sent at rest by a daemon, mean", "bytes/s", p.Y.BytesPerS},
+		{"control-max-bytes", "control sent at rest by the daemon that sends most", "bytes/s", p.Y.MaxBytesPerS},
+		{"control-msgs", "messages sent at rest by a daemon, mean", "/s", p.Y.MsgsPerS},
+		{"control-cpu", "processor time at rest of a daemon's reducers", "us/s", p.Y.CPUMicrosPerS},
+		{"control-state", "memory of a daemon's membership and load", "bytes", p.Y.StateBytes},
+	}
+	var out []slope.Series
+	for _, c := range list {
+		out = append(out, slope.Series{
+			Name: c.name + "/" + p.Name, Title: c.title, Unit: c.unit, X: label,
+			Points:  []slope.Point{{X: x, Y: c.y}},
+			Command: controlCommand, Cores: p.Cores, Date: p.Date,
+		})
+	}
+	return out
+}
+
+func (p *fleetPoint) varied() (x float64, label string) {
+	switch p.Name {
+	case "domains":
+		return p.X.Domains, "domains"
+	case "regions":
+		return p.X.Regions, "regions"
+	default:
+		return p.X.Members, "members of a domain"
+	}
+}
--- /dev/null
+++ b/operate/capacity/data.go
@@ -0,0 +1,85 @@
+package capacity
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/azurethread/azurethread/decide/steer/slope"
+)
+
+// embedded holds copies of docs/capacity/*.json; a test keeps them equal.
+//
+//go:embed data/*.json
+var embedded embed.FS
+
+// committed returns the series that came with the program.
+func committed() ([]slope.Series, error) {
+	names, err := fs.Glob(embedded, "data/*.json")
+	if err != nil {
+		return nil, fmt.Errorf("capacity: %w", err)
+	}
+	var all []slope.Series
+	for _, name := range names {
+		text, err := embedded.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("capacity: %w", err)
+		}
+		if all, err = appendSeries(all, name, text); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// fromFiles returns the series of the named files.
+func fromFiles(names []string) ([]slope.Series, error) {
+	var all []slope.Series
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("capacity: %w", err)
+		}
+		if all, err = appendSeries(all, name, text); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// appendSeries decodes a file and refuses series that are empty or stand in
+// two files, of which one would silently win.
+func appendSeries(all []slope.Series, name string, text []byte) ([]slope.Series, error) {
+	series, err := decode(text)
+	if err != nil {
+		return nil, fmt.Errorf("capacity: %s: %w", name, err)
+	}
+	for _, s := range series {
+		if s.Name == "" || len(s.Points) == 0 {
+			return nil, fmt.Errorf("capacity: %s: series %q has no name or no points", name, s.Name)
+		}
+		if slices.ContainsFunc(all, func(o slope.Series) bool { return o.Name == s.Name }) {
+			return nil, fmt.Errorf("capacity: %s: series %q is there twice", name, s.Name)
+		}
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b slope.Series) int { return strings.Compare(a.Name, b.Name) })
+	return all, nil
+}
+
+// decode reads either shape of file: a slope.File, or a list of fleet points.
+func decode(text []byte) ([]slope.Series, error) {
+	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("[")) {
+		return controlSeries(text)
+	}
+	var f slope.File
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("series: %w", err)
+	}
+	return f.Series, nil
+}
--- /dev/null
+++ b/operate/capacity/model.go
@@ -0,0 +1,186 @@
+package capacity
+
+import (
+	"fmt"
+
+	"github.com/azurethread/azurethread/decide/steer/slope"
+)
+
+// basis says where a figure comes from.
+type basis string
+
+const (
+	measured     basis = "measured"     // the size lies within the measured ones
+	extrapolated basis = "extrapolated" // the line is used beyond them
+	derived      basis = "derived"      // arithmetic on sizes and settings alone
+	assumed      basis = "assumed"      // a setting or property not measured here
+	notMeasured  basis = "not measured" // its series is missing
+)
+
+// weaker returns the basis of a figure made of two others.
+func weaker(a, b basis) basis {
+	order := []basis{measured, derived, extrapolated, assumed, notMeasured}
+	for i := len(order) - 1; i >= 0; i-- {
+		if a == order[i] || b == order[i] {
+			return order[i]
+		}
+	}
+	return notMeasured
+}
+
+// figure is a value with its basis.
+type figure struct {
+	value float64
+	basis basis
+}
+
+// arithmetic returns a figure that follows from sizes and settings.
+func arithmetic(v float64) figure { return figure{v, derived} }
+
+func (f figure) times(g figure) figure    { return figure{f.value * g.value, weaker(f.basis, g.basis)} }
+func (f figure) plus(g figure) figure     { return figure{f.value + g.value, weaker(f.basis, g.basis)} }
+func (f figure) scaled(by float64) figure { return figure{f.value * by, f.basis} }
+
+// unit is how a figure is shown.
+type unit string
+
+const (
+	unitBytes   unit = "B"
+	unitPerSec  unit = "/s"
+	unitBytesPS unit = "B/s"
+	unitCore    unit = "of a core"
+	unitSeconds unit = "s"
+	unitRatio   unit = ""
+	unitCount   unit = "count"
+)
+
+// row is one line of a role's table.
+type row struct {
+	quantity  string
+	figure    figure
+	unit      unit
+	bound     float64 // 0: none is set
+	mechanism string
+}
+
+// margin is the bound in multiples of the figure, or 0 where there is none.
+func (r row) margin() float64 {
+	if r.bound == 0 || r.figure.value == 0 || r.figure.basis == notMeasured {
+		return 0
+	}
+	return r.bound / r.figure.value
+}
+
+// role is a part of the system and what it needs.
+type role struct {
+	name string
+	note string
+	rows []row
+}
+
+// model holds the fitted series and the sizes.
+type model struct {
+	sizes  Sizes
+	series map[string]slope.Series
+	fits   map[string]fit
+}
+
+func newModel(sizes Sizes, series []slope.Series) *model {
+	m := &model{sizes: sizes, series: make(map[string]slope.Series), fits: make(map[string]fit)}
+	for _, s := range series {
+		m.series[s.Name] = s
+		if f, ok := newFit(s); ok {
+			m.fits[s.Name] = f
+		}
+	}
+	return m
+}
+
+// at returns the fitted figure of a series at size x.
+func (m *model) at(name string, x float64) figure {
+	f, ok := m.fits[name]
+	if !ok {
+		return figure{basis: notMeasured}
+	}
+	b := measured
+	if !f.covers(x) {
+		b = extrapolated
+	}
+	return figure{f.at(x), b}
+}
+
+// once returns the figure of a series of a single point; it counts as
+// measured only at the size of that point.
+func (m *model) once(name string, x float64) figure {
+	s, ok := m.series[name]
+	if !ok {
+		return figure{basis: notMeasured}
+	}
+	if y, ok := s.At(x); ok {
+		return figure{y, measured}
+	}
+	p := s.Points[0]
+	return figure{p.Y * x / p.X, extrapolated}
+}
+
+// format writes a figure with its unit.
+func (r row) format(v float64) string {
+	switch r.unit {
+	case unitBytes, unitBytesPS:
+		return bytesText(v) + suffix(r.unit)
+	case unitCore:
+		return fmt.Sprintf("%.2g%% of a core", v*100)
+	case unitSeconds:
+		return secondsText(v)
+	case unitRatio:
+		return fmt.Sprintf("%.3g", v)
+	default:
+		return countText(v) + suffix(r.unit)
+	}
+}
+
+func suffix(u unit) string {
+	switch u {
+	case unitPerSec, unitBytesPS:
+		return "/s"
+	default:
+		return ""
+	}
+}
+
+func bytesText(v float64) string {
+	switch {
+	case v >= 1e9:
+		return fmt.Sprintf("%.3g GB", v/1e9)
+	case v >= 1e6:
+		return fmt.Sprintf("%.3g MB", v/1e6)
+	case v >= 1e3:
+		return fmt.Sprintf("%.3g KB", v/1e3)
+	default:
+		return fmt.Sprintf("%.3g B", v)
+	}
+}
+
+func secondsText(v float64) string {
+	switch {
+	case v < 1e-6:
+		return fmt.Sprintf("%.3g ns", v*1e9)
+	case v < 1e-3:
+		return fmt.Sprintf("%.3g us", v*1e6)
+	case v < 1:
+		return fmt.Sprintf("%.3g ms", v*1e3)
+	default:
+		return fmt.Sprintf("%.3g s", v)
+	}
+}
+
+func countText(v float64) string {
+	switch {
+	case v >= 1e6:
+		return fmt.Sprintf("%.3g M", v/1e6)
+	case v >= 1000:
+		return fmt.Sprintf("%.0f", v)
+	default:
+		return fmt.Sprintf("%.3g", v)
+	}
+}
--- /dev/null
+++ b/operate/capacity/plot.go
@@ -0,0 +1,99 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // registers the format
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 14 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// figureOf is one plot: measured points and fitted lines of some series that
+// share their axes.
+type figureOf struct {
+	file   string
+	title  string
+	series []string
+}
+
+var figures = []figureOf{
+	{"lookup-blocks.svg", "Look-up decision by blocks", []string{"lookup/blocks", "find/blocks"}},
+	{"lookup-sites.svg", "Look-up decision by sites", []string{"lookup/sites", "lookup-free/sites"}},
+	{"table-blocks.svg", "Memory of the table of blocks", []string{"table/blocks"}},
+	{"control-members.svg", "Control traffic sent by members of a domain", []string{"control-bytes/members", "control-max-bytes/members"}},
+}
+
+// plot writes the figures whose series are there.
+func (m *model) plot(folder string) error {
+	for _, f := range figures {
+		p := plot.New()
+		p.Title.Text = f.title
+		p.Legend.Top, p.Legend.Left = true, true
+		drawn := 0
+		for i, name := range f.series {
+			if line, ok := m.fits[name]; ok {
+				if err := draw(p, line, i); err != nil {
+					return err
+				}
+				drawn++
+			}
+		}
+		if drawn == 0 {
+			continue
+		}
+		if err := save(p, filepath.Join(folder, f.file)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// draw adds the points and the line of a series to p.
+func draw(p *plot.Plot, f fit, i int) error {
+	p.X.Label.Text, p.Y.Label.Text = f.series.X, f.series.Unit
+	p.Y.Min = 0
+	points := make(plotter.XYs, len(f.series.Points))
+	for j, x := range f.series.Points {
+		points[j] = plotter.XY(x)
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return fmt.Errorf("capacity: plot %s: %w", f.series.Name, err)
+	}
+	scatter.Shape, scatter.Color = plotutil.Shape(i), plotutil.Color(i)
+	line := plotter.NewFunction(f.at)
+	line.XMin, line.XMax = f.span()
+	line.Color = plotutil.Color(i)
+	p.Add(scatter, line)
+	p.Legend.Add(f.series.Title, scatter, line)
+	return nil
+}
+
+func save(p *plot.Plot, path string) error {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return fmt.Errorf("capacity: plot %s: %w", path, err)
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	if _, err := w.WriteTo(f); err != nil {
+		_ = f.Close() // the write's error is the one to report
+		return fmt.Errorf("capacity: plot %s: %w", path, err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	return nil
+}
--- a/operate/client/client.go
+++ b/operate/client/client.go
@@ -72,7 +72,8 @@
 	var out T
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return out, c.do(ctx, call{method: http.MethodGet, path: path}, &out)
+	err := c.do(ctx, call{method: http.MethodGet, path: path}, &out)
+	return out, err
 }
 
 // change sends a change under a new operation id.
@@ -150,7 +151,7 @@
 // between, decodes to the verdict may-have-run.
 func failed(k call, status int, raw []byte) error {
 	e := &APIError{Status: status}
-	if json.Unmarshal(raw, &e.Body) != nil || e.Body.Code == "" {
+	if json.Unmarshal(raw, &e.Body) != nil || e.Body.Message == "" {
 		e.Body = admin.Error{Code: admin.CodeInternal, Message: "unexpected answer with status " + strconv.Itoa(status)}
 	}
 	if k.id != "" && e.Body.Verdict != verdict.NotRun {
@@ -191,7 +192,8 @@
 	defer cancel()
 	var out admin.Watch
 	path := fmt.Sprintf("%swatch?after=%d&wait=%s", admin.Prefix, after, wait)
-	return out, c.do(ctx, call{method: http.MethodGet, path: path}, &out)
+	err := c.do(ctx, call{method: http.MethodGet, path: path}, &out)
+	return out, err
 }
 
 // PutService adds a service, or replaces the one at revision expect.
--- /dev/null
+++ b/operate/client/lookup.go
@@ -0,0 +1,38 @@
+package client
+
+import (
+	"context"
+	"net/url"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// lookupPath is the look-up of the callers' interface.
+const lookupPath = "/v1/lookup"
+
+// Lookup is the answer of a look-up.
+type Lookup struct {
+	Service  fleet.ServiceName `json:"service"`
+	Revision uint64            `json:"revision"` // catalogue revision it was answered from
+	TTLMs    int64             `json:"ttl_ms"`   // how long a caller may keep it, in milliseconds
+	Home     fleet.Region      `json:"home"`     // the client's own region
+	Region   fleet.Region      `json:"region"`   // region it is steered to
+	Shift    string            `json:"shift,omitempty"`
+	EntryVMs []LookupVM        `json:"entry_vms"` // best first
+}
+
+// LookupVM is one entry VM to use.
+type LookupVM struct {
+	ID     fleet.VMID   `json:"id"`
+	Addr   string       `json:"addr"` // host:port
+	Region fleet.Region `json:"region"`
+	Domain fleet.Domain `json:"domain"`
+}
+
+// Lookup asks which entry VMs a client, an address or a block, should use for
+// a service. The Client must be one of an entry VM's caller address. No
+// one-time tokens are asked for.
+func (c *Client) Lookup(ctx context.Context, service, client string) (Lookup, error) {
+	q := url.Values{"service": {service}, "client": {client}, "tokens": {"0"}}
+	return read[Lookup](ctx, c, lookupPath+"?"+q.Encode())
+}
--- /dev/null
+++ b/operate/command/service.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"io"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/operate/entryfile"
+	"github.com/azurethread/azurethread/operate/render"
+	"github.com/azurethread/azurethread/serve/admin"
+)
+
+func (s *settings) serviceCommand() *cobra.Command {
+	cmd := group("service", "Read and change the services of the catalogue")
+	cmd.AddCommand(s.listServices(), s.putServices(), s.removeService())
+	return cmd
+}
+
+func (s *settings) listServices() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the services",
+		Args:  exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := s.client()
+			if err != nil {
+				return err
+			}
+			cat, err := c.Catalogue(cmd.Context())
+			if err != nil {
+				return err
+			}
+			page := admin.Services{Revision: cat.Revision, Services: cat.Services}
+			return s.print(cmd.OutOrStdout(), page, func(w io.Writer) { render.Services(w, cat.Services) })
+		},
+	}
+}
+
+func (s *settings) putServices() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "put -f FILE",
+		Short: "Add or replace the services of a file",
+		Args:  exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return s.withFile(cmd, file, func(ctx context.Context, e *edit, cat catalogue.Catalogue, f entryfile.File) error {
+				if len(f.Services) == 0 {
+					return usagef("%s holds no services", file)
+				}
+				return putAll(ctx, e, cat, f.Services)
+			})
+		},
+	}
+	fileFlag(cmd, &file)
+	return cmd
+}
+
+// putAll puts the services that differ from what the catalogue has.
+func putAll(ctx context.Context, e *edit, cat catalogue.Catalogue, list []catalogue.Service) error {
+	for _, x := range list {
+		old, _ := cat.Service(x.Name)
+		x.Revision = old.Revision
+		if x == old {
+			continue
+		}
+		put := func() (admin.Accepted, error) { return e.c.PutService(ctx, x, old.Revision) }
+		if err := e.made(ctx, "put", string(x.Name), put); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// putMissing puts the services that the catalogue lacks, and leaves the others
+// as they are: a file of shifts must not change how a service is treated.
+func putMissing(ctx context.Context, e *edit, cat catalogue.Catalogue, list []catalogue.Service) error {
+	missing := slices.DeleteFunc(slices.Clone(list), func(x catalogue.Service) bool {
+		_, known := cat.Service(x.Name)
+		return known
+	})
+	return putAll(ctx, e, cat, missing)
+}
+
+func (s *settings) removeService() *cobra.Command {
+	return &cobra.Command{
+		Use:   "remove NAME",
+		Short: "Remove a service that no traffic shift names",
+		Args:  exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return s.edit(cmd, func(ctx context.Context, e *edit) error {
+				cat, err := e.c.Catalogue(ctx)
+				if err != nil {
+					return err
+				}
+				name := args[0]
+				expect := revisionOf(cat, name)
+				return e.made(ctx, "remove", name, func() (admin.Accepted, error) { return e.c.RemoveService(ctx, name, expect) })
+			})
+		},
+	}
+}
+
+// revisionOf returns the revision of a service, 0 where there is none.
+func revisionOf(c catalogue.Catalogue, name string) uint64 {
+	s, _ := c.Service(fleet.ServiceName(name))
+	return s.Revision
+}
--- a/operate/entryfile/file.go
+++ b/operate/entryfile/file.go
@@ -25,9 +25,9 @@
 
 // Error is one thing wrong with a file.
 type Error struct {
-	Line    int    // 1-based; 0: the file as a whole
-	Path    string // such as "shifts[0].limits.max_share"; "" for the file
-	Message string
+	Line    int    `json:"line"` // 1-based; 0: the file as a whole
+	Path    string `json:"path"` // such as "shifts[0].limits.max_share"; "" for the file
+	Message string `json:"message"`
 }
 
 // Error implements error.
--- a/operate/entryfile/file_test.go
+++ b/operate/entryfile/file_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// The file shown on the operators' page passes as it stands there.
+func TestDocumentedFileIsValid(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operators/catalogue.md")
+	is.NoErr(err)
+	_, rest, found := strings.Cut(string(page), "```yaml\n")
+	is.True(found)
+	sample, _, found := strings.Cut(rest, "```")
+	is.True(found)
+	f, err := Parse([]byte(sample), nil)
+	is.NoErr(err)
+	is.Equal(len(f.Services)+len(f.Shifts), 2)
+}
+
 // Symptom: an operator corrects one error after another, a run of the check
 // each. Sequence: a file has faults of every sort, in spelling, type and
 // content. Cause: decoders stop at the first error; here all come at once,
--- a/serve/admin/audit.go
+++ b/serve/admin/audit.go
@@ -43,8 +43,10 @@
 		"outcome":  r.Outcome,
 		"status":   r.Status,
 	}
-	if r.Kind != "" {
+	if r.Operation != "" {
 		f["operation"] = r.Operation
+	}
+	if r.Kind != "" {
 		f["kind"] = r.Kind
 		f["entry"] = r.Entry
 		f["revision"] = r.Revision
--- a/serve/admin/handler_test.go
+++ b/serve/admin/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/azurethread/azurethread/decide/change"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/admin"
 	"github.com/azurethread/azurethread/serve/admin/admintest"
@@ -230,8 +232,8 @@
 	})
 	is.NoErr(s.Start())
 	defer s.Stop()
-	call := func(method, path, body string) string {
-		r, err := http.NewRequest(method, "http://"+ln.Addr().String()+admin.Prefix+path, strings.NewReader(body))
+	get := func(path string) string {
+		r, err := http.NewRequest("GET", "http://"+ln.Addr().String()+admin.Prefix+path, nil)
 		is.NoErr(err)
 		r.Header.Set("Authorization", "Bearer "+anaToken)
 		resp, err := http.DefaultClient.Do(r)
@@ -241,10 +243,12 @@
 		is.NoErr(err)
 		return string(raw)
 	}
-	time.AfterFunc(100*time.Millisecond, func() { call("PUT", "services/calc-lookup", serviceBody) })
-	is.True(strings.Contains(call("GET", "watch?after=0&wait=30s", ""), `"revision":1,"changed":true`))
+	put := change.Operation{ID: "op", Operator: "ana", Kind: change.KindPutService, PutService: &change.PutService{}}
+	put.PutService.Service.Name = "calc-lookup"
+	time.AfterFunc(100*time.Millisecond, func() { _, _ = mem.Change(context.Background(), put) })
+	is.True(strings.Contains(get("watch?after=0&wait=30s"), `"revision":1,"changed":true`))
 	time.AfterFunc(100*time.Millisecond, func() { close(stopping) })
-	is.True(strings.Contains(call("GET", "watch?after=1&wait=30s", ""), `"changed":false`))
+	is.True(strings.Contains(get("watch?after=1&wait=30s"), `"changed":false`))
 }
 
 func discard() *logrus.Logger {
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -230,7 +230,7 @@
 	for i := range p.Probes {
 		d.probe(p.Probes[i].Target)
 	}
-	d.executeControl(now, r)
+	d.executeControl(r)
 }
 
 // send hands a call to a target.
--- a/serve/daemon/control.go
+++ b/serve/daemon/control.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/azurethread/azurethread/decide/catalogue"
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/engine"
@@ -17,7 +16,42 @@
 )
 
 // executeControl carries out the effects that are not about requests.
-func (d *Daemon) executeControl(clock.Time, *engine.Ready) {}
+func (d *Daemon) executeControl(r *engine.Ready) {
+	if r.Catalogue != nil {
+		d.config.Store(r.Catalogue)
+		d.log.WithField("revision", r.Catalogue.Revision).Info("configuration in force")
+	}
+	if r.VMs != nil {
+		d.learnVMs(r.VMs)
+	}
+	for i := range r.Peers {
+		d.sendPeer(r.Peers[i])
+	}
+	d.readPlatform(r)
+	if r.Superseded {
+		d.log.Error("another process runs under this entry VM's id with a later start")
+	}
+}
+
+// knownVMs is an immutable set of entry VMs, for use outside of the core.
+type knownVMs struct{ byID map[fleet.VMID]fleet.VM }
+
+// learnVMs notes where entry VMs are reached and which process runs there.
+func (d *Daemon) learnVMs(vms []fleet.VM) {
+	k := &knownVMs{byID: make(map[fleet.VMID]fleet.VM, len(vms)+1)}
+	for _, vm := range vms {
+		k.byID[vm.ID] = vm
+	}
+	k.byID[d.self.ID] = d.self
+	d.vms = k.byID
+	d.known.Store(k)
+}
+
+// incarnation finds the process that tokens for an entry VM are bound to.
+func (d *Daemon) incarnation(id fleet.VMID) (fleet.VM, bool) {
+	vm, ok := d.known.Load().byID[id]
+	return vm, ok && vm.Incarnation != 0
+}
 
 // Waits of the loops that read the platform.
 const (
@@ -49,58 +83,22 @@
 			}
 		default:
 			version = l.Version
+			d.learnTargets(l.Targets)
 			d.core.Post(&engine.Machines{List: l})
-			d.addresses(l)
 		}
 	}
 }
 
-// addresses notes where machines are reached.
-func (d *Daemon) addresses(l fleet.List) {
+// learnTargets notes where targets are reached. Ones that have left the list
+// stay, as requests to them may be in flight.
+func (d *Daemon) learnTargets(ts []fleet.Target) {
 	d.core.Ask(func(clock.Time, *engine.Engine) {
-		for _, t := range l.Targets {
+		for _, t := range ts {
 			d.targets[t.ID] = t
 		}
-		for _, vm := range l.VMs {
-			d.vms[vm.ID] = vm
-		}
 	})
 }
 
-// catalogueKey is where the platform holds the catalogue.
-const catalogueKey = "azurethread/catalogue"
-
-func (d *Daemon) watchCatalogue() {
-	var index uint64
-	for d.ctx.Err() == nil {
-		e, err := d.platform.Watch(d.ctx, catalogueKey, index, watchWait)
-		switch {
-		case errors.Is(err, platform.ErrNotModified):
-		case err != nil:
-			if !d.pause() {
-				return
-			}
-		default:
-			index = e.Index
-			var c catalogue.Catalogue
-			if json.Unmarshal(e.Value, &c) == nil {
-				d.config.Store(&c)
-				d.core.Post(&engine.Catalogue{Catalogue: &c})
-			}
-		}
-	}
-}
-
-// incarnation finds the process that tokens for an entry VM are bound to.
-func (d *Daemon) incarnation(id fleet.VMID) (fleet.VM, bool) {
-	if id == d.self.ID {
-		return d.self, true
-	}
-	return fleet.VM{}, false
-}
-
-func (d *Daemon) announceLeaving() {}
-
 // loadPage is a target's load endpoint.
 type loadPage struct {
 	InFlight int  `json:"in_flight"`
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -20,10 +20,12 @@
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/steer"
 	"github.com/azurethread/azurethread/decide/token"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/outbound"
+	"github.com/azurethread/azurethread/serve/peer"
 	"github.com/azurethread/azurethread/serve/platform"
 	"github.com/azurethread/azurethread/serve/settings"
 )
@@ -48,8 +50,12 @@
 	tracer  *tracer
 	pool    *outbound.Pool
 	callers *inbound.Server
+	peers   *peer.Transport
+	link    peer.Link // nil outside of tests
+	started atomic.Bool
 	admin   *nbhttp.Server
 	view    atomic.Pointer[steer.View]
+	known   atomic.Pointer[knownVMs]
 	config  atomic.Pointer[catalogue.Catalogue]
 	leaving atomic.Bool
 	minters sync.Pool
@@ -57,10 +63,16 @@
 	// Addresses, touched only between steps of the core.
 	targets map[fleet.TargetID]fleet.Target
 	vms     map[fleet.VMID]fleet.VM
+	watch   map[uint64]context.CancelFunc // reads of the platform under way
 
-	ctx    context.Context // ends when the daemon stops
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	reader     plainReader
+	platformUp atomic.Bool
+
+	peerAddr  string
+	adminAddr string
+	ctx       context.Context // ends when the daemon stops
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // epoch turns the monotonic clock into instants that never fall.
@@ -89,6 +101,7 @@
 		metrics:  newMetrics(),
 		targets:  make(map[fleet.TargetID]fleet.Target),
 		vms:      make(map[fleet.VMID]fleet.VM),
+		watch:    make(map[uint64]context.CancelFunc),
 	}
 	d.calls.byID = make(map[dispatch.RequestID]*call)
 	d.minters.New = func() any { return token.NewMinter([]byte(set.FleetKey)) }
@@ -135,8 +148,13 @@
 	if err := d.provisionAdmin(); err != nil {
 		return fmt.Errorf("daemon: --admin-addr: %w", err)
 	}
-	d.self = d.describe()
+	inc := fleet.Incarnation(d.now())
+	if err := d.provisionPeers(inc); err != nil {
+		return fmt.Errorf("daemon: --peer-addr: %w", err)
+	}
+	d.self = d.describe(inc)
 	d.newCore()
+	d.started.Store(true)
 	gate.open(d)
 	return nil
 }
@@ -163,16 +181,16 @@
 
 // describe returns this entry VM as others are to know it. The incarnation is
 // the start's wall clock: a restart takes a higher one without any store.
-func (d *Daemon) describe() fleet.VM {
+func (d *Daemon) describe(inc fleet.Incarnation) fleet.VM {
 	return fleet.VM{
 		ID:          d.set.ID,
 		Region:      d.set.Region,
 		Domain:      d.set.Domain,
 		Site:        d.set.Site,
 		CallAddr:    orElse(d.set.CallAdvertise, d.callers.Addr()),
-		PeerAddr:    orElse(d.set.PeerAdvertise, d.set.PeerAddr),
-		AdminAddr:   orElse(d.set.AdminAdvertise, d.adminAddr()),
-		Incarnation: fleet.Incarnation(d.now()),
+		PeerAddr:    orElse(d.set.PeerAdvertise, d.peerAddr),
+		AdminAddr:   orElse(d.set.AdminAdvertise, d.adminAddr),
+		Incarnation: inc,
 	}
 }
 
@@ -191,23 +209,21 @@
 	eng := engine.New(engine.Options{
 		Self:     d.self,
 		FleetKey: []byte(d.set.FleetKey),
-		Dispatch: dispatch.Options{
-			VM:     d.self.ID,
-			Domain: d.self.Domain,
-			Region: d.self.Region,
-			Seed:   seed,
-			Policy: d.set.Policy,
-		},
+		Seed:     seed,
+		Dispatch: dispatch.Options{Policy: d.set.Policy},
+		NearRTT:  d.set.NearRTT,
+		FarRTT:   d.set.FarRTT,
 	})
-	d.vms[d.self.ID] = d.self
+	d.learnVMs([]fleet.VM{d.self})
 	d.view.Store(steer.New(steer.Inputs{Self: d.self.Region, VMs: []fleet.VM{d.self}}))
+	d.reader = plainReader{d}
 	d.core = newCore(d.now, eng, d)
 }
 
 // run starts the daemon's loops.
 func (d *Daemon) run() {
+	d.core.Post(&engine.Tick{})
 	d.loop(d.watchMachines)
-	d.loop(d.watchCatalogue)
 }
 
 func (d *Daemon) loop(f func()) {
@@ -240,7 +256,7 @@
 	d.leaving.Store(true)
 	d.log.Info("entry VM is leaving")
 	d.core.Post(&dispatch.Stop{})
-	d.announceLeaving()
+	d.core.Post(&member.Leave{})
 	select {
 	case <-time.After(d.set.LeaveDelay):
 	case <-ctx.Done():
@@ -262,6 +278,11 @@
 		d.admin.Stop()
 	}
 	d.wg.Wait()
+	if d.peers != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), peerFlush)
+		defer cancel()
+		_ = d.peers.Close(ctx) // what is not flushed is repaired by the peers
+	}
 	if d.core != nil {
 		d.core.Close()
 	}
@@ -282,6 +303,9 @@
 	}
 }
 
+// peerFlush bounds the sending of the last messages to other entry VMs.
+const peerFlush = 500 * time.Millisecond
+
 // traceFlush bounds the export of the last traces.
 const traceFlush = 2 * time.Second
 
--- a/serve/daemon/metrics.go
+++ b/serve/daemon/metrics.go
@@ -16,6 +16,8 @@
 	replaced   atomic.Int64
 	callerGone atomic.Int64
 	violations atomic.Int64
+	badBodies  atomic.Int64
+	unsent     atomic.Int64
 	verdicts   [3]atomic.Int64
 	reasons    *expvar.Map
 	vars       *expvar.Map
@@ -34,6 +36,8 @@
 	gauge("connections_replaced", &m.replaced)
 	gauge("callers_gone", &m.callerGone)
 	gauge("invariant_violations", &m.violations)
+	gauge("peer_messages_refused", &m.badBodies)
+	gauge("peer_messages_unsent", &m.unsent)
 	for v := range m.verdicts {
 		gauge("answers_"+verdict.Verdict(v).String(), &m.verdicts[v])
 	}
--- /dev/null
+++ b/serve/daemon/peers.go
@@ -0,0 +1,120 @@
+package daemon
+
+import (
+	"github.com/azurethread/azurethread/decide/config"
+	"github.com/azurethread/azurethread/decide/engine"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
+	"github.com/azurethread/azurethread/serve/peer"
+)
+
+// provisionPeers starts the transport between entry VMs.
+func (d *Daemon) provisionPeers(inc fleet.Incarnation) error {
+	var err error
+	d.peers, err = peer.New(peer.Options{
+		ID:          d.set.ID,
+		Incarnation: inc,
+		Key:         []byte(d.set.FleetKey),
+		Link:        d.link,
+	}, d.received, d.sendFailed)
+	if err != nil {
+		return err
+	}
+	d.peerAddr, err = d.peers.Listen(d.set.PeerAddr)
+	return err
+}
+
+// received decodes what a frame brought. A body that cannot be read is counted
+// and left out; the frame's MAC has shown that a member of the fleet sent it,
+// so the fault is a defect or another release, not an attack.
+func (d *Daemon) received(from fleet.VMID, env peer.Envelope) {
+	m := &engine.PeerMessage{From: from, Incarnation: env.FromIncarnation}
+	for _, b := range env.Bodies {
+		if err := decodeBody(b, m); err != nil {
+			d.metrics.badBodies.Add(1)
+			d.log.WithError(err).WithField("from", from).Debug("message of another entry VM refused")
+			continue
+		}
+		if b.Kind == peer.KindLoad {
+			continue // goes with the body behind it
+		}
+		d.post(m)
+		m = &engine.PeerMessage{From: from, Incarnation: env.FromIncarnation}
+	}
+	if m.Load != nil {
+		d.post(m)
+	}
+}
+
+// decodeBody fills the part of m that b holds.
+func decodeBody(b peer.Body, m *engine.PeerMessage) error {
+	var err error
+	switch {
+	case b.IsMember():
+		m.Member, err = peer.DecodeMember(b)
+	case b.Kind == peer.KindLoad:
+		m.Load, err = peer.DecodeLoad(b)
+	case b.Kind == peer.KindConfig:
+		m.Config, err = decodeConfig(b)
+	default:
+		err = peer.ErrKind
+	}
+	return err
+}
+
+func decodeConfig(b peer.Body) (config.Message, error) {
+	var body config.Body
+	if err := peer.Decode(b, peer.MaxBody, &body); err != nil {
+		return nil, err
+	}
+	return body.Message()
+}
+
+// post hands an event of a peer to the core, which does not exist yet while
+// the daemon is being provisioned.
+func (d *Daemon) post(ev engine.Event) {
+	if d.started.Load() {
+		d.core.Post(ev)
+	}
+}
+
+func (d *Daemon) sendFailed(to fleet.VMID) { d.post(&member.SendFailed{To: to}) }
+
+// sendPeer sends a message to another entry VM. Messages are repeated or
+// repaired by the protocols above, so one that cannot be sent is only counted.
+func (d *Daemon) sendPeer(s engine.PeerSend) {
+	bodies, err := encodeBodies(s)
+	if err == nil {
+		err = d.peers.Send(s.To, bodies...)
+	}
+	if err != nil {
+		d.metrics.unsent.Add(1)
+	}
+}
+
+// encodeBodies puts the load report before the message it rides on.
+func encodeBodies(s engine.PeerSend) ([]peer.Body, error) {
+	var bodies []peer.Body
+	if s.Load != nil {
+		b, err := peer.EncodeLoad(s.Load)
+		if err != nil {
+			return nil, err
+		}
+		bodies = append(bodies, b)
+	}
+	if s.Member != nil {
+		b, err := peer.EncodeMember(s.Member)
+		if err != nil {
+			return nil, err
+		}
+		bodies = append(bodies, b)
+	}
+	if s.Config != nil {
+		b, err := peer.Encode(peer.KindConfig, config.NewBody(s.Config))
+		if err != nil {
+			return nil, err
+		}
+		bodies = append(bodies, b)
+	}
+	return bodies, nil
+}
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -22,9 +22,10 @@
 	remote netip.Addr
 
 	// Parsing state, touched only while the parser runs.
-	req       *Exchange
-	headBytes int
-	inBody    bool
+	req        *Exchange
+	headBytes  int // received since the last message ended, the body aside
+	fieldBytes int // header fields parsed
+	inBody     bool
 
 	mu      sync.Mutex
 	current *Exchange
@@ -53,12 +54,11 @@
 			c.armHeadTimeout()
 		}
 	}
-	if !c.inBody && c.headBytes > c.s.opts.MaxHeadBytes+len(data) {
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-		return
-	}
 	err := c.parser.Parse(data)
 	switch {
+	case err == nil && !c.inBody && c.headBytes > c.s.opts.MaxHeadBytes:
+		// One endless line: the parser calls nothing back until it ends.
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	case err == nil || errors.Is(err, errRefused):
 	case errors.Is(err, nbhttp.ErrTooLong):
 		c.refuse(http.StatusRequestEntityTooLarge)
--- /dev/null
+++ b/serve/inbound/inbound_test.go
@@ -0,0 +1,233 @@
+package inbound
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// handlerFunc adapts a function to Handler.
+type handlerFunc func(x *Exchange)
+
+func (f handlerFunc) Serve(x *Exchange) { f(x) }
+
+func echo(x *Exchange) { x.Respond(http.StatusOK, nil, append([]byte(x.URI+" "), x.Body...)) }
+
+const (
+	testHead = 4 << 10
+	testBody = 64 << 10
+)
+
+func listen(t *testing.T, h handlerFunc) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", h, Options{
+		MaxHeadBytes: testHead,
+		MaxBodyBytes: testBody,
+		ReadTimeout:  300 * time.Millisecond,
+		IdleTimeout:  time.Minute,
+		WriteTimeout: time.Minute,
+		Refusal: func(int) (http.Header, []byte) {
+			return http.Header{"Azurethread-Verdict": {"not-run"}}, []byte("refused")
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = s.Stop(ctx)
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+// read returns the next answer and its body.
+func read(t *testing.T, r *bufio.Reader, method string) (*http.Response, string) {
+	t.Helper()
+	res, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(b)
+}
+
+// Symptom: a caller sees a broken connection in place of an answer, and cannot
+// tell whether its request ran.
+// Sequence: it sends a message that is malformed or over a limit.
+// Cause: nbhttp closes such connections without an answer.
+func TestRefusedMessages(t *testing.T) {
+	for name, c := range map[string]struct {
+		send   string
+		status int
+	}{
+		"malformed method":  {"G@T / HTTP/1.1\r\n\r\n", 400},
+		"malformed version": {"GET / HTTP/9.x\r\n\r\n", 400},
+		"malformed field":   {"GET / HTTP/1.1\r\n(field): x\r\n\r\n", 400},
+		"bad length":        {"POST / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", 400},
+		"two lengths":       {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: gzip\r\n\r\n", 400},
+		"head too long":     {"GET / HTTP/1.1\r\nX: " + strings.Repeat("a", 3*testHead), 431},
+		"many fields":       {"GET / HTTP/1.1\r\n" + strings.Repeat("X: aaaaaaaaaa\r\n", testHead/8), 431},
+		"body too long":     {"POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\nabc", 413},
+		"chunks too long":   {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("a", 0x20000) + "\r\n0\r\n\r\n", 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := listen(t, func(*Exchange) { t.Error("the handler got a refused request") })
+			conn, r := dial(t, s)
+			go func() { _, _ = io.WriteString(conn, c.send) }()
+			res, _ := read(t, r, http.MethodGet)
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(res.Header.Get("Azurethread-Verdict"), "not-run")
+			_, err := r.ReadByte()
+			is.True(err != nil) // the connection is closed behind the refusal
+		})
+	}
+}
+
+// Symptom: a request runs with half its body, or a connection is held for
+// ever.
+// Sequence: the caller stops sending in the middle of the head or of the body.
+// Cause: a lost caller, or one that means harm.
+func TestCutRequests(t *testing.T) {
+	for _, send := range []string{
+		"GET / HTTP/1.1\r\nX: ",
+		"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+	} {
+		is := is.New(t)
+		s := listen(t, func(*Exchange) { t.Error("the handler got half a request") })
+		conn, r := dial(t, s)
+		_, err := io.WriteString(conn, send)
+		is.NoErr(err)
+		_, err = r.ReadByte()
+		is.Equal(err, io.EOF) // closed by the read timeout
+	}
+}
+
+// Symptom: answers swapped between two requests of one caller.
+// Sequence: it pipelines a slow request and a fast one.
+// Cause: answers are written when they come, not in the order of requests.
+func TestPipelined(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, func(x *Exchange) {
+		if x.URI == "/slow" {
+			time.AfterFunc(50*time.Millisecond, func() { echo(x) })
+			return
+		}
+		echo(x)
+	})
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, "POST /slow HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET /fast HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	_, b := read(t, r, http.MethodPost)
+	is.Equal(b, "/slow ab")
+	_, b = read(t, r, http.MethodGet)
+	is.Equal(b, "/fast ")
+}
+
+// Symptom: targets work for callers that have long gone.
+// Sequence: a caller closes its connection before the answer.
+// Cause: nbhttp does not cancel a request's context then.
+func TestCallerGone(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	s := listen(t, func(x *Exchange) { x.OnGone(func() { close(gone) }) })
+	conn, _ := dial(t, s)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	is.NoErr(conn.Close())
+	<-gone
+}
+
+// Symptom: a large answer is cut short.
+// Sequence: the caller reads slowly and asked for the connection to be closed
+// after the answer, so closing starts while most of it is queued.
+// Cause: nbio's Close drops what has not reached the kernel.
+func TestLargeAnswerThenClose(t *testing.T) {
+	is := is.New(t)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 8<<20/16)
+	s := listen(t, func(x *Exchange) { x.Respond(http.StatusOK, nil, body) })
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	res, b := read(t, r, http.MethodGet)
+	is.True(res.Close)         // said so
+	is.True(b == string(body)) // whole
+}
+
+// Symptom: a planned stop cuts requests in flight.
+// Sequence: a stop begins while one request is at work and another connection
+// is idle.
+// Cause: nbhttp's Shutdown closes connections under requests.
+func TestStopWaits(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	began := make(chan struct{})
+	s := listen(t, func(x *Exchange) {
+		close(began)
+		go func() {
+			<-release
+			echo(x)
+		}()
+	})
+	busy, br := dial(t, s)
+	idle, ir := dial(t, s)
+	_, err := io.WriteString(busy, "GET /work HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	<-began
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	for !s.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.WriteString(idle, "GET /late HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	res, _ := read(t, ir, http.MethodGet)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(res.Header.Get("Azurethread-Verdict"), "not-run")
+	close(release)
+	_, b := read(t, br, http.MethodGet)
+	is.Equal(b, "/work ")
+	is.NoErr(<-stopped)
+}
+
+// Statuses without a standard text are passed on; nbhttp sends 200 for them.
+func TestStatuses(t *testing.T) {
+	is := is.New(t)
+	status := http.StatusOK
+	s := listen(t, func(x *Exchange) { x.Respond(status, http.Header{"X-A": {"1", "2"}}, []byte("b")) })
+	conn, r := dial(t, s)
+	for _, status = range []int{200, 204, 299, 304, 599} {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+		is.NoErr(err)
+		res, b := read(t, r, http.MethodGet)
+		is.Equal(res.StatusCode, status)
+		is.Equal(res.Header["X-A"], []string{"1", "2"})
+		is.Equal(b == "b", bodyAllowed(status))
+	}
+}
--- a/serve/inbound/processor.go
+++ b/serve/inbound/processor.go
@@ -43,6 +43,11 @@
 
 // OnHeader implements nbhttp.Processor.
 func (c *conn) OnHeader(_ *nbhttp.Parser, key, value string) {
+	c.fieldBytes += len(key) + len(value)
+	if c.fieldBytes > c.s.opts.MaxHeadBytes {
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	c.req.Header[key] = append(c.req.Header[key], value)
 }
 
@@ -78,6 +83,7 @@
 	c.req = nil
 	c.inBody = false
 	c.headBytes = 0
+	c.fieldBytes = 0
 	if x == nil {
 		return
 	}
--- a/serve/peer/body.go
+++ b/serve/peer/body.go
@@ -29,6 +29,22 @@
 	KindTest Kind = 240
 )
 
+// quiet reports whether messages of a kind need no acknowledgement, because
+// they answer another message or ride on one. Acknowledging those as well
+// would add a frame to each exchange.
+func (k Kind) quiet() bool {
+	return k == KindLoad || (k < KindLoad && member.Answers(uint8(k-KindMember)))
+}
+
+func allQuiet(bodies []Body) bool {
+	for _, b := range bodies {
+		if !b.Kind.quiet() {
+			return false
+		}
+	}
+	return true
+}
+
 // Body is one encoded message.
 type Body struct {
 	Kind Kind
--- /dev/null
+++ b/serve/peer/conn.go
@@ -0,0 +1,288 @@
+package peer
+
+import (
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// conn is one connection. Its fields are guarded by Transport.mu, except
+// split, which only the poller's goroutine of this connection uses.
+type conn struct {
+	t       *Transport
+	nb      *nbio.Conn
+	dialled bool
+	opened  time.Time
+	heard   time.Time
+	split   splitter
+	closed  bool
+
+	peer        fleet.VMID // wanted when dialled, else from the hello
+	incarnation fleet.Incarnation
+	nonce       []byte
+	out, in     *channel // nil until the hellos were exchanged
+	ready       bool     // the other side has proved to know the key
+
+	unacked      []sent // frames to be acknowledged, in order
+	unackedBytes int
+	received     uint64    // last frame to be acknowledged
+	ackDue       time.Time // zero if everything is acknowledged
+
+	silenced bool // by Link
+	delayed  []delayedFrame
+}
+
+// sent is a frame in transit.
+type sent struct {
+	seq    uint64
+	size   int
+	bodies int
+	at     time.Time
+}
+
+type delayedFrame struct {
+	due   time.Time
+	frame []byte
+}
+
+func newConn(t *Transport, nb *nbio.Conn, now time.Time) *conn {
+	c := &conn{t: t, nb: nb, opened: now, heard: now, nonce: make([]byte, nonceSize)}
+	c.split.limit = maxHello
+	if _, err := rand.Read(c.nonce); err != nil {
+		panic(fmt.Sprintf("peer: no randomness: %v", err)) // never returned since Go 1.24
+	}
+	return c
+}
+
+// data takes bytes from the poller and returns the envelopes in them.
+func (c *conn) data(b []byte) ([]Envelope, error) {
+	var envs []Envelope
+	err := c.split.push(b, func(frame []byte) error {
+		c.t.mu.Lock()
+		defer c.t.mu.Unlock()
+		env, ok, err := c.frame(frame)
+		if ok {
+			envs = append(envs, env)
+		}
+		return err
+	})
+	return envs, err
+}
+
+// frame takes one frame. It reports true if it brought messages.
+func (c *conn) frame(frame []byte) (Envelope, bool, error) {
+	if c.closed {
+		return Envelope{}, false, nil
+	}
+	t, payload, mac, err := open(frame)
+	if err != nil {
+		return Envelope{}, false, err
+	}
+	c.heard = c.t.now()
+	c.t.stats.FramesReceived++
+	c.t.stats.BytesReceived += uint64(lengthSize + len(frame))
+	switch {
+	case c.in == nil && t == typeHello:
+		return Envelope{}, false, c.hello(frame[:len(frame)-macSize], payload, mac)
+	case c.in != nil && t == typeData:
+		return c.message(frame[:len(frame)-macSize], payload, mac)
+	default:
+		return Envelope{}, false, fmt.Errorf("%w: %d", ErrFrameType, t)
+	}
+}
+
+// hello takes the other side's hello.
+func (c *conn) hello(signed, payload, mac []byte) error {
+	var answered []byte
+	if c.dialled {
+		answered = c.nonce
+	}
+	if !equal(helloMAC(c.t.o.Key, answered)(signed), mac) {
+		return ErrWrongKey
+	}
+	var h hello
+	if err := Decode(Body{Data: payload}, maxHello, &h); err != nil {
+		return err
+	}
+	if len(h.Nonce) != nonceSize || h.ID == "" {
+		return fmt.Errorf("%w: hello without nonce or id", ErrMalformed)
+	}
+	if c.dialled {
+		return c.answered(&h)
+	}
+	return c.greeted(&h)
+}
+
+// answered completes the handshake on the side that dialled.
+func (c *conn) answered(h *hello) error {
+	if h.ID != c.peer {
+		return fmt.Errorf("%w: reached %s in place of %s", ErrMisdirected, h.ID, c.peer)
+	}
+	c.incarnation = h.Incarnation
+	c.out = newChannel(c.t.o.Key, fromDialler, c.nonce, h.Nonce)
+	c.in = newChannel(c.t.o.Key, fromAccepter, c.nonce, h.Nonce)
+	c.establish()
+	// An empty frame proves at once to the other side that we know the key.
+	c.sendAck()
+	c.t.connected(c)
+	return nil
+}
+
+// greeted answers the hello of the side that dialled. That hello may be a
+// recording: only a data frame makes the connection ready.
+func (c *conn) greeted(h *hello) error {
+	if h.Wants != c.t.o.ID {
+		return fmt.Errorf("%w: %s wants %s", ErrMisdirected, h.ID, h.Wants)
+	}
+	c.peer = h.ID
+	c.incarnation = h.Incarnation
+	c.out = newChannel(c.t.o.Key, fromAccepter, h.Nonce, c.nonce)
+	c.in = newChannel(c.t.o.Key, fromDialler, h.Nonce, c.nonce)
+	return c.sendHello("", h.Nonce)
+}
+
+func (c *conn) establish() {
+	c.ready = true
+	c.split.limit = MaxFrame
+}
+
+func (c *conn) sendHello(wants fleet.VMID, answered []byte) error {
+	b, err := Encode(0, &hello{
+		ID:          c.t.o.ID,
+		Incarnation: c.t.o.Incarnation,
+		Wants:       wants,
+		Nonce:       c.nonce,
+	})
+	if err != nil {
+		return err
+	}
+	c.write(seal(typeHello, b.Data, helloMAC(c.t.o.Key, answered)))
+	return nil
+}
+
+// message takes a data frame.
+func (c *conn) message(signed, payload, mac []byte) (Envelope, bool, error) {
+	if err := c.in.verify(signed, mac); err != nil {
+		return Envelope{}, false, err
+	}
+	ack, bodies, err := decodeData(payload)
+	if err != nil {
+		return Envelope{}, false, err
+	}
+	if !c.ready {
+		c.establish()
+		c.t.connected(c)
+	}
+	c.acknowledge(ack)
+	if len(bodies) == 0 {
+		return Envelope{}, false, nil
+	}
+	if !allQuiet(bodies) {
+		c.oweAck()
+	}
+	env := Envelope{
+		From:            c.peer,
+		FromIncarnation: c.incarnation,
+		Seq:             c.in.seq,
+		Bodies:          bodies,
+	}
+	return env, true, nil
+}
+
+// oweAck notes that the frame just received has to be acknowledged.
+func (c *conn) oweAck() {
+	c.received = c.in.seq
+	if c.ackDue.IsZero() {
+		c.ackDue = c.heard.Add(c.t.o.AckDelay)
+	}
+}
+
+// acknowledge drops the frames that the other side has.
+func (c *conn) acknowledge(seq uint64) {
+	n := 0
+	for n < len(c.unacked) && c.unacked[n].seq <= seq {
+		c.unackedBytes -= c.unacked[n].size
+		n++
+	}
+	c.unacked = append(c.unacked[:0], c.unacked[n:]...)
+	if n > 0 {
+		c.t.drain(c.peer)
+	}
+}
+
+// send writes messages in one frame.
+func (c *conn) send(bodies []Body) error {
+	payload, err := appendData(c.received, bodies)
+	if err != nil {
+		return fmt.Errorf("peer: encode frame: %w", err)
+	}
+	frame := seal(typeData, payload, c.out.sum)
+	c.ackDue = time.Time{}
+	if !allQuiet(bodies) {
+		c.unacked = append(c.unacked, sent{
+			seq:    c.out.seq,
+			size:   len(frame),
+			bodies: len(bodies),
+			at:     c.t.now(),
+		})
+		c.unackedBytes += len(frame)
+	}
+	c.write(frame)
+	return nil
+}
+
+func (c *conn) sendAck() {
+	if c.send(nil) == nil {
+		c.t.stats.AcksSent++
+	}
+}
+
+// silentFor is how long the oldest frame in transit has waited.
+func (c *conn) silentFor(now time.Time) time.Duration {
+	if len(c.unacked) == 0 {
+		return 0
+	}
+	return now.Sub(c.unacked[0].at)
+}
+
+// write hands a frame to the connection, by way of Link if there is one.
+func (c *conn) write(frame []byte) {
+	c.t.stats.FramesSent++
+	c.t.stats.BytesSent += uint64(len(frame))
+	if c.t.o.Link == nil {
+		c.writeNow(frame)
+		return
+	}
+	delay, ok := c.t.o.Link.Pass(c.t.o.ID, c.peer)
+	if !ok || c.silenced {
+		c.silenced = true
+		return
+	}
+	if delay == 0 && len(c.delayed) == 0 {
+		c.writeNow(frame)
+		return
+	}
+	c.delayed = append(c.delayed, delayedFrame{due: c.t.now().Add(delay), frame: frame})
+	time.AfterFunc(delay, c.writeDelayed)
+}
+
+func (c *conn) writeDelayed() {
+	c.t.mu.Lock()
+	defer c.t.mu.Unlock()
+	now := c.t.now()
+	for len(c.delayed) > 0 && !c.delayed[0].due.After(now) && !c.closed {
+		c.writeNow(c.delayed[0].frame)
+		c.delayed = c.delayed[1:]
+	}
+}
+
+// writeNow never blocks: nbio keeps what the socket doesn't take, and the
+// window bounds how much that is. An error closes the connection, which is
+// handled there.
+func (c *conn) writeNow(frame []byte) {
+	_, _ = c.nb.Write(frame)
+}
--- /dev/null
+++ b/serve/peer/options.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Options are the settings of a Transport. A zero duration or size takes its
+// default.
+type Options struct {
+	ID          fleet.VMID
+	Incarnation fleet.Incarnation
+	// Key is the secret that all entry VMs share; at least MinKey bytes.
+	Key []byte
+
+	DialTimeout  time.Duration // to get a connection
+	HelloTimeout time.Duration // to complete the handshake
+	AckDelay     time.Duration // before a frame is acknowledged by an empty one
+	SilentAfter  time.Duration // unacknowledged, before a replacement is dialled
+	LostAfter    time.Duration // unacknowledged, before a connection is given up
+	IdleAfter    time.Duration // without any frame, before a connection is closed
+	BackoffMin   time.Duration // after a first failure to connect
+	BackoffMax   time.Duration // after many
+	QueueFor     time.Duration // that a message waits for a connection
+	QueueBytes   int           // that wait for a VM; beyond it the oldest go
+	WindowBytes  int           // unacknowledged on one connection
+	Connections  int           // accepted at once
+
+	// Link, if set, may hold frames back; for tests.
+	Link Link
+}
+
+// The defaults of Options.
+const (
+	DefaultDialTimeout  = time.Second
+	DefaultHelloTimeout = time.Second
+	DefaultAckDelay     = 40 * time.Millisecond
+	DefaultSilentAfter  = 500 * time.Millisecond
+	DefaultLostAfter    = 1500 * time.Millisecond
+	DefaultIdleAfter    = 3 * time.Minute
+	DefaultBackoffMin   = 50 * time.Millisecond
+	DefaultBackoffMax   = time.Second
+	DefaultQueueFor     = 3 * time.Second
+	DefaultQueueBytes   = MaxFrame + 256<<10
+	DefaultWindowBytes  = MaxFrame + 256<<10
+	DefaultConnections  = 4096
+	// MinKey is the least length of the shared key.
+	MinKey = 16
+)
+
+// maintainEvery is the resolution of the durations above.
+const maintainEvery = 20 * time.Millisecond
+
+// Errors of New and Send.
+var (
+	ErrKey       = errors.New("peer: shared key too short")
+	ErrID        = errors.New("peer: no VM id")
+	ErrNoAddress = errors.New("peer: no address and no connection")
+	ErrClosed    = errors.New("peer: transport closed")
+)
+
+// Link decides what becomes of a frame on its way to another VM: it arrives
+// after delay, or it never does. Once a frame is lost, its connection stays
+// silent for good, as a real one would after something between the two ends
+// has forgotten it.
+type Link interface {
+	Pass(from, to fleet.VMID) (delay time.Duration, ok bool)
+}
+
+func (o Options) withDefaults() Options {
+	setDuration(&o.DialTimeout, DefaultDialTimeout)
+	setDuration(&o.HelloTimeout, DefaultHelloTimeout)
+	setDuration(&o.AckDelay, DefaultAckDelay)
+	setDuration(&o.SilentAfter, DefaultSilentAfter)
+	setDuration(&o.LostAfter, DefaultLostAfter)
+	setDuration(&o.IdleAfter, DefaultIdleAfter)
+	setDuration(&o.BackoffMin, DefaultBackoffMin)
+	setDuration(&o.BackoffMax, DefaultBackoffMax)
+	setDuration(&o.QueueFor, DefaultQueueFor)
+	setInt(&o.QueueBytes, DefaultQueueBytes)
+	setInt(&o.WindowBytes, DefaultWindowBytes)
+	setInt(&o.Connections, DefaultConnections)
+	return o
+}
+
+func setDuration(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
+
+func setInt(n *int, def int) {
+	if *n == 0 {
+		*n = def
+	}
+}
--- /dev/null
+++ b/serve/peer/transport.go
@@ -0,0 +1,578 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Handler takes what another entry VM sent. Calls for one connection come in
+// order; those for several may come at once, so it has to be safe for
+// concurrent use, and it must not block.
+type Handler func(from fleet.VMID, env Envelope)
+
+// Failed is told that no connection to a VM could be had or that it was
+// given up. It may come from any goroutine.
+type Failed func(to fleet.VMID)
+
+// Transport connects one entry VM with others. Its methods are safe for
+// concurrent use.
+type Transport struct {
+	o       Options
+	handle  Handler
+	failed  Failed
+	engine  *nbio.Engine
+	stop    chan struct{}
+	stopped sync.WaitGroup
+
+	mu       sync.Mutex
+	stats    Stats
+	draining bool // Close has begun
+	remotes  map[fleet.VMID]*remote
+	conns    map[*conn]struct{}
+	accepted int
+	closing  bool
+}
+
+// remote is another entry VM.
+type remote struct {
+	vm       fleet.VM
+	cur      *conn // the connection in use; nil while there is none
+	dialling bool
+	failures int
+	nextDial time.Time
+	queue    []queued
+	bytes    int
+}
+
+// queued is a Send that waits for a connection or for its window.
+type queued struct {
+	bodies []Body
+	size   int
+	at     time.Time
+}
+
+// New returns a transport that doesn't listen yet. failed may be nil.
+func New(o Options, handle Handler, failed Failed) (*Transport, error) {
+	if len(o.Key) < MinKey {
+		return nil, fmt.Errorf("%w: %d bytes, at least %d", ErrKey, len(o.Key), MinKey)
+	}
+	if o.ID == "" {
+		return nil, ErrID
+	}
+	if failed == nil {
+		failed = func(fleet.VMID) {}
+	}
+	return &Transport{
+		o:       o.withDefaults(),
+		handle:  handle,
+		failed:  failed,
+		stop:    make(chan struct{}),
+		remotes: make(map[fleet.VMID]*remote),
+		conns:   make(map[*conn]struct{}),
+	}, nil
+}
+
+// Listen starts the transport on a TCP address and returns the address with
+// the port in use.
+func (t *Transport) Listen(addr string) (string, error) {
+	t.engine = nbio.NewEngine(nbio.Config{
+		Name:    "peer " + string(t.o.ID),
+		Network: "tcp",
+		Addrs:   []string{addr},
+		NPoller: 1,
+		// Frames between entry VMs are small; the buffer is one a poller.
+		ReadBufferSize: 16 << 10,
+		// A peer that asks without reading the answers must not fill our
+		// memory: beyond this nbio closes its connection.
+		MaxWriteBufferSize: 2 * t.o.WindowBytes,
+	})
+	t.engine.OnOpen(t.onOpen)
+	t.engine.OnData(t.onData)
+	t.engine.OnClose(t.onClose)
+	if err := t.engine.Start(); err != nil {
+		return "", fmt.Errorf("peer: listen on %s: %w", addr, err)
+	}
+	t.stopped.Add(1)
+	go t.maintainLoop()
+	return t.engine.Addrs[0], nil
+}
+
+func (t *Transport) now() time.Time { return time.Now() }
+
+// Stats returns the present counters.
+func (t *Transport) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats
+	s.Connections = uint64(len(t.conns))
+	for _, r := range t.remotes {
+		for _, q := range r.queue {
+			s.QueuedBodies += uint64(len(q.bodies))
+		}
+	}
+	return s
+}
+
+// Send hands messages for one entry VM over, to go in one frame. It never
+// blocks; an error says that they were not even queued. Delivery is not
+// assured.
+func (t *Transport) Send(to fleet.VM, bodies ...Body) error {
+	size := 0
+	for _, b := range bodies {
+		size += len(b.Data) + bodyOverhead
+	}
+	if len(bodies) > MaxBodies || size > MaxFrame-FrameOverhead-dataOverhead {
+		return fmt.Errorf("%w: %d messages, %d bytes", ErrTooLarge, len(bodies), size)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining {
+		return ErrClosed
+	}
+	r, err := t.remote(to)
+	if err != nil {
+		return err
+	}
+	t.enqueue(r, queued{bodies: bodies, size: size, at: t.now()})
+	t.drain(to.ID)
+	t.dialIfNeeded(r)
+	return nil
+}
+
+const (
+	// bodyOverhead is the most that a body's encoding adds to its data.
+	bodyOverhead = 1 + 2 + 5
+	// dataOverhead is the most that the rest of a data frame's payload takes.
+	dataOverhead = 1 + 9 + 3
+	// mergeBytes bounds a frame made of several queued Sends.
+	mergeBytes = 64 << 10
+)
+
+// remote finds or makes the entry for a VM. A higher incarnation than that of
+// the connection in use means that its process is gone.
+func (t *Transport) remote(to fleet.VM) (*remote, error) {
+	r := t.remotes[to.ID]
+	if r == nil {
+		if to.PeerAddr == "" {
+			return nil, fmt.Errorf("%w: %s", ErrNoAddress, to.ID)
+		}
+		r = &remote{vm: to}
+		t.remotes[to.ID] = r
+	}
+	if to.PeerAddr == "" && r.cur == nil && r.vm.PeerAddr == "" {
+		return nil, fmt.Errorf("%w: %s", ErrNoAddress, to.ID)
+	}
+	if to.PeerAddr != "" && to.Incarnation >= r.vm.Incarnation {
+		if to.PeerAddr != r.vm.PeerAddr {
+			r.nextDial, r.failures = time.Time{}, 0
+		}
+		r.vm = to
+	}
+	if r.cur != nil && r.cur.incarnation < to.Incarnation {
+		t.closeConn(r.cur)
+	}
+	return r, nil
+}
+
+func (t *Transport) enqueue(r *remote, q queued) {
+	r.queue = append(r.queue, q)
+	r.bytes += q.size
+	for r.bytes > t.o.QueueBytes && len(r.queue) > 1 {
+		t.dropOldest(r)
+	}
+}
+
+func (t *Transport) dropOldest(r *remote) {
+	t.stats.Dropped += uint64(len(r.queue[0].bodies))
+	t.dequeue(r)
+}
+
+func (t *Transport) dequeue(r *remote) {
+	r.bytes -= r.queue[0].size
+	r.queue[0] = queued{}
+	r.queue = r.queue[1:]
+}
+
+// drain sends what waits for a VM, as far as the window of its connection
+// goes. Waiting messages are merged into fewer frames.
+func (t *Transport) drain(id fleet.VMID) {
+	r := t.remotes[id]
+	if r == nil {
+		return
+	}
+	for len(r.queue) > 0 && r.cur != nil && !r.cur.closed {
+		if r.cur.unackedBytes > 0 && r.cur.unackedBytes+r.queue[0].size > t.o.WindowBytes {
+			return
+		}
+		if err := r.cur.send(t.merge(r)); err != nil {
+			t.stats.Dropped++
+		}
+	}
+}
+
+func (t *Transport) merge(r *remote) []Body {
+	first := r.queue[0]
+	bodies, size := first.bodies, first.size
+	t.dequeue(r)
+	for len(r.queue) > 0 {
+		next := r.queue[0]
+		if size+next.size > mergeBytes || len(bodies)+len(next.bodies) > MaxBodies {
+			break
+		}
+		bodies = append(bodies[:len(bodies):len(bodies)], next.bodies...)
+		size += next.size
+		t.dequeue(r)
+	}
+	return bodies
+}
+
+// dialIfNeeded starts a connection if there is none, or if the one in use has
+// gone silent.
+func (t *Transport) dialIfNeeded(r *remote) {
+	now := t.now()
+	needed := r.cur == nil && len(r.queue) > 0
+	needed = needed || (r.cur != nil && r.cur.silentFor(now) > t.o.SilentAfter)
+	if !needed || r.dialling || t.closing || r.vm.PeerAddr == "" || now.Before(r.nextDial) {
+		return
+	}
+	r.dialling = true
+	t.stats.Dials++
+	t.stopped.Add(1)
+	go t.dial(r.vm)
+}
+
+// dial runs in a goroutine of its own, since connecting blocks.
+func (t *Transport) dial(vm fleet.VM) {
+	defer t.stopped.Done()
+	nb, err := nbio.DialTimeout("tcp", vm.PeerAddr, t.o.DialTimeout)
+	if err != nil {
+		t.dialFailed(vm.ID)
+		return
+	}
+	c := newConn(t, nb, t.now())
+	c.dialled = true
+	c.peer = vm.ID
+	nb.SetSession(c)
+	if !t.admit(c) {
+		_ = nb.Close()
+		return
+	}
+	if _, err := t.engine.AddConn(nb); err != nil {
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+		t.dialFailed(vm.ID)
+		return
+	}
+	t.mu.Lock()
+	err = c.sendHello(vm.ID, nil)
+	t.mu.Unlock()
+	if err != nil {
+		_ = nb.CloseWithError(err)
+	}
+}
+
+func (t *Transport) dialFailed(id fleet.VMID) {
+	t.mu.Lock()
+	r := t.remotes[id]
+	if r != nil {
+		t.backOff(r)
+	}
+	t.mu.Unlock()
+	t.failed(id)
+}
+
+// backOff delays the next dial, doubling the wait from one failure to the
+// next.
+func (t *Transport) backOff(r *remote) {
+	t.stats.DialsFailed++
+	r.dialling = false
+	wait := t.o.BackoffMin << min(r.failures, 16)
+	r.nextDial = t.now().Add(min(wait, t.o.BackoffMax))
+	r.failures++
+}
+
+// admit registers a new connection unless there are too many.
+func (t *Transport) admit(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing {
+		return false
+	}
+	if !c.dialled && t.accepted >= t.o.Connections {
+		t.stats.RefusedConnections++
+		return false
+	}
+	if !c.dialled {
+		t.accepted++
+	}
+	t.conns[c] = struct{}{}
+	return true
+}
+
+// onOpen is called by nbio for each connection; those dialled have a session
+// already.
+func (t *Transport) onOpen(nb *nbio.Conn) {
+	if nb.Session() != nil {
+		return
+	}
+	c := newConn(t, nb, t.now())
+	if !t.admit(c) {
+		_ = nb.Close()
+		return
+	}
+	nb.SetSession(c)
+}
+
+func (t *Transport) onData(nb *nbio.Conn, b []byte) {
+	c, ok := nb.Session().(*conn)
+	if !ok {
+		return
+	}
+	envs, err := c.data(b)
+	for _, env := range envs {
+		t.handle(env.From, env)
+	}
+	if err == nil {
+		return
+	}
+	t.mu.Lock()
+	t.stats.refuse(err)
+	t.mu.Unlock()
+	_ = nb.CloseWithError(err)
+}
+
+// onClose is called by nbio once for each connection, in a goroutine of its
+// own.
+func (t *Transport) onClose(nb *nbio.Conn, _ error) {
+	c, ok := nb.Session().(*conn)
+	if !ok {
+		return
+	}
+	if t.forget(c) {
+		t.failed(c.peer)
+	}
+}
+
+// forget removes a closed connection. It reports true if that leaves a VM
+// without one that it had or was to get.
+func (t *Transport) forget(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.closed = true
+	if _, ok := t.conns[c]; !ok {
+		return false
+	}
+	delete(t.conns, c)
+	if !c.dialled {
+		t.accepted--
+	}
+	r := t.remotes[c.peer]
+	if r == nil || t.closing {
+		return false
+	}
+	if c.dialled && !c.ready {
+		t.backOff(r)
+		return true
+	}
+	if r.cur != c {
+		return false
+	}
+	r.cur = nil
+	t.stats.Lost++
+	t.countUnconfirmed(c)
+	t.dialIfNeeded(r)
+	return true
+}
+
+func (t *Transport) countUnconfirmed(c *conn) {
+	for _, s := range c.unacked {
+		t.stats.Unconfirmed += uint64(s.bodies)
+	}
+}
+
+// connected makes a connection that has completed the handshake the one in
+// use. A silent one is closed; any other one closes once idle, since both
+// sides may have dialled at once and must not each close what the other uses.
+func (t *Transport) connected(c *conn) {
+	r := t.remotes[c.peer]
+	if r == nil {
+		r = &remote{vm: fleet.VM{ID: c.peer, Incarnation: c.incarnation}}
+		t.remotes[c.peer] = r
+	}
+	if c.dialled {
+		r.dialling = false
+	}
+	r.failures = 0
+	r.nextDial = time.Time{}
+	old := r.cur
+	if old != nil && old.incarnation > c.incarnation {
+		return
+	}
+	r.cur = c
+	if old != nil && old.silentFor(t.now()) > t.o.SilentAfter {
+		t.stats.Replaced++
+		t.countUnconfirmed(old)
+		t.closeConn(old)
+	}
+	t.drain(c.peer)
+}
+
+// closeConn closes a connection for a reason of our own.
+func (t *Transport) closeConn(c *conn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	delete(t.conns, c)
+	if !c.dialled {
+		t.accepted--
+	}
+	if r := t.remotes[c.peer]; r != nil && r.cur == c {
+		r.cur = nil
+	}
+	_ = c.nb.Close()
+}
+
+func (t *Transport) maintainLoop() {
+	defer t.stopped.Done()
+	tick := time.NewTicker(maintainEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-tick.C:
+			for _, id := range t.maintain() {
+				t.failed(id)
+			}
+		}
+	}
+}
+
+// maintain does what is due and returns the VMs whose connection it gave up.
+func (t *Transport) maintain() []fleet.VMID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var lost []fleet.VMID
+	for c := range t.conns {
+		if t.maintainConn(c, now) {
+			lost = append(lost, c.peer)
+		}
+	}
+	for id, r := range t.remotes {
+		t.expireQueue(r, now)
+		t.dialIfNeeded(r)
+		if r.cur == nil && !r.dialling && len(r.queue) == 0 && now.Sub(r.nextDial) > t.o.IdleAfter {
+			delete(t.remotes, id)
+		}
+	}
+	return lost
+}
+
+// maintainConn reports true if it gave the connection of a VM up.
+func (t *Transport) maintainConn(c *conn, now time.Time) bool {
+	if !c.ready {
+		return t.maintainHello(c, now)
+	}
+	if !c.ackDue.IsZero() && !now.Before(c.ackDue) {
+		c.sendAck()
+	}
+	if c.silentFor(now) > t.o.LostAfter {
+		t.stats.Lost++
+		t.countUnconfirmed(c)
+		current := t.remotes[c.peer] != nil && t.remotes[c.peer].cur == c
+		t.closeConn(c)
+		return current
+	}
+	if now.Sub(c.heard) > t.o.IdleAfter {
+		t.stats.Idled++
+		t.closeConn(c)
+	}
+	return false
+}
+
+// maintainHello closes a connection whose handshake takes too long: one that
+// sends its hello byte by byte, or never, would hold its place for ever.
+func (t *Transport) maintainHello(c *conn, now time.Time) bool {
+	if now.Sub(c.opened) <= t.o.HelloTimeout {
+		return false
+	}
+	t.stats.HelloTimeouts++
+	t.closeConn(c)
+	if r := t.remotes[c.peer]; c.dialled && r != nil {
+		t.backOff(r)
+		return true
+	}
+	return false
+}
+
+func (t *Transport) expireQueue(r *remote, now time.Time) {
+	for len(r.queue) > 0 && now.Sub(r.queue[0].at) > t.o.QueueFor {
+		t.dropOldest(r)
+	}
+}
+
+// Close refuses further Sends, waits until what was sent is acknowledged or
+// ctx ends, and closes all connections. The error says that ctx ended first.
+func (t *Transport) Close(ctx context.Context) error {
+	t.mu.Lock()
+	again := t.draining
+	t.draining = true
+	t.mu.Unlock()
+	if again {
+		return ErrClosed
+	}
+	if t.engine == nil {
+		return nil
+	}
+	err := t.flush(ctx)
+	t.mu.Lock()
+	t.closing = true
+	t.mu.Unlock()
+	close(t.stop)
+	t.stopped.Wait()
+	t.engine.Stop()
+	return err
+}
+
+func (t *Transport) flush(ctx context.Context) error {
+	tick := time.NewTicker(maintainEvery / 4)
+	defer tick.Stop()
+	for {
+		if t.flushed() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("peer: close: %w", ctx.Err())
+		case <-tick.C:
+		}
+	}
+}
+
+func (t *Transport) flushed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.remotes {
+		if len(r.queue) > 0 {
+			return false
+		}
+	}
+	for c := range t.conns {
+		if len(c.unacked) > 0 || !c.ackDue.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+func equal(a, b []byte) bool { return hmac.Equal(a, b) }
--- a/serve/settings/read.go
+++ b/serve/settings/read.go
@@ -87,6 +87,8 @@
 		ProbeInterval:  r.duration(keyProbeInterval),
 		Policy:         r.text(keyPolicy),
 		Seed:           r.unsigned(keySeed),
+		NearRTT:        r.duration(keyNearRTT),
+		FarRTT:         r.duration(keyFarRTT),
 		LogLevel:       r.text(keyLogLevel),
 		TraceExporter:  r.text(keyTraceExporter),
 		TraceSample:    r.float(keyTraceSample),
--- a/serve/settings/settings.go
+++ b/serve/settings/settings.go
@@ -56,6 +56,8 @@
 	ProbeInterval  time.Duration
 	Policy         string
 	Seed           uint64
+	NearRTT        time.Duration
+	FarRTT         time.Duration
 
 	LogLevel      string
 	TraceExporter string
@@ -90,6 +92,8 @@
 	keyProbeInterval  = "probe-interval"
 	keyPolicy         = "policy"
 	keySeed           = "seed"
+	keyNearRTT        = "near-rtt"
+	keyFarRTT         = "far-rtt"
 	keyLogLevel       = "log-level"
 	keyTraceExporter  = "trace-exporter"
 	keyTraceSample    = "trace-sample"
@@ -125,6 +129,8 @@
 	f.Duration(keyProbeInterval, time.Second, "between two reads of a target's health endpoint")
 	f.String(keyPolicy, "", "target choice; empty: the default policy (the others are baselines for comparison)")
 	f.Uint64(keySeed, 0, "seed of random choices; 0: from the process's start")
+	f.Duration(keyNearRTT, 3*time.Millisecond, "round trip to entry VMs of other failure domains in this region")
+	f.Duration(keyFarRTT, 110*time.Millisecond, "round trip to entry VMs in other regions")
 	f.String(keyLogLevel, "info", "least level logged: debug, info, warning or error")
 	f.String(keyTraceExporter, "none", "where traces go: none or stdout")
 	f.Float64(keyTraceSample, 0.01, "share of requests traced when the caller has not decided, 0 to 1")
@@ -184,6 +190,8 @@
 	c.positive(keyWriteTimeout, int64(s.WriteTimeout))
 	c.positive(keyDialTimeout, int64(s.DialTimeout))
 	c.positive(keyStopTimeout, int64(s.StopTimeout))
+	c.positive(keyNearRTT, int64(s.NearRTT))
+	c.positive(keyFarRTT, int64(s.FarRTT))
 	c.positive(keyProbeInterval, int64(s.ProbeInterval))
 	c.check(s.LeaveDelay >= 0 && s.LeaveDelay < s.StopTimeout, keyLeaveDelay, "must be from 0 to less than --"+keyStopTimeout)
 	_, err := logrus.ParseLevel(s.LogLevel)
--- /dev/null
+++ b/standin/caller/load.go
@@ -0,0 +1,200 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+const (
+	// DefaultMaxInFlight bounds the requests of a load at once.
+	DefaultMaxInFlight = 4096
+	// idPrefixLength is the part of a UUID that tells loads apart.
+	idPrefixLength = 8
+)
+
+// Kind is one kind of request in a load.
+type Kind struct {
+	Service    fleet.ServiceName
+	Path       string
+	Idempotent bool
+	Weight     float64 // relative to the other kinds
+	BodySize   int     // bytes of the request's body
+	Size       int     // bytes of the answer
+	Deadline   time.Duration
+}
+
+// Load is an open-loop load: requests arrive as a Poisson process, whether or
+// not earlier ones have been answered.
+type Load struct {
+	Callers []*Caller // each request takes one at random
+	Kinds   []Kind
+	Rate    float64 // requests a second
+	// For and Count bound the load; at least one must be set.
+	For   time.Duration
+	Count int
+	// MaxInFlight bounds the requests at once; zero means
+	// DefaultMaxInFlight. Arrivals beyond it are counted as dropped and not
+	// sent.
+	MaxInFlight int
+	Seed        uint64
+}
+
+// Run is a load under way.
+type Run struct {
+	load     Load
+	prefix   string
+	rand     *rand.Rand
+	total    float64 // of the kinds' weights
+	bodies   [][]byte
+	requests sync.WaitGroup
+	finished chan struct{}
+
+	mu       sync.Mutex
+	inFlight int
+	report   *Report
+}
+
+// Start begins the load. It ends by its bounds or with ctx; the requests then
+// in flight are waited for.
+func (l Load) Start(ctx context.Context) (*Run, error) {
+	if err := l.validate(); err != nil {
+		return nil, err
+	}
+	if l.MaxInFlight == 0 {
+		l.MaxInFlight = DefaultMaxInFlight
+	}
+	r := &Run{
+		load:     l,
+		prefix:   uuid.NewString()[:idPrefixLength],
+		rand:     rand.New(rand.NewPCG(l.Seed, seedStream)),
+		finished: make(chan struct{}),
+		report:   newReport(),
+	}
+	for _, k := range l.Kinds {
+		r.total += k.Weight
+		r.bodies = append(r.bodies, make([]byte, k.BodySize))
+	}
+	go r.generate(ctx)
+	return r, nil
+}
+
+func (l Load) validate() error {
+	switch {
+	case len(l.Callers) == 0 || len(l.Kinds) == 0:
+		return fmt.Errorf("caller: load without callers or kinds")
+	case l.Rate <= 0:
+		return fmt.Errorf("caller: load with rate %v", l.Rate)
+	case l.For <= 0 && l.Count <= 0:
+		return fmt.Errorf("caller: load without bound")
+	}
+	for _, k := range l.Kinds {
+		if k.Weight <= 0 {
+			return fmt.Errorf("caller: load of %s with weight %v", k.Service, k.Weight)
+		}
+	}
+	return nil
+}
+
+// generate starts the requests at their planned arrivals. An arrival that it
+// is late for starts at once.
+func (r *Run) generate(ctx context.Context) {
+	defer close(r.finished)
+	defer r.requests.Wait()
+	start := time.Now()
+	var at time.Duration
+	for i := 0; r.load.Count <= 0 || i < r.load.Count; i++ {
+		at += time.Duration(r.rand.ExpFloat64() / r.load.Rate * float64(time.Second))
+		if r.load.For > 0 && at > r.load.For {
+			return
+		}
+		arrival := start.Add(at)
+		if !sleepUntil(ctx, arrival) {
+			return
+		}
+		c := r.load.Callers[r.rand.IntN(len(r.load.Callers))]
+		req := r.request(i)
+		if !r.begin() {
+			continue
+		}
+		// A load that ends early leaves the requests in flight alone.
+		go r.do(context.WithoutCancel(ctx), c, req, arrival)
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	return sleep(ctx, d)
+}
+
+func (r *Run) request(i int) Request {
+	k := r.pick()
+	kind := r.load.Kinds[k]
+	return Request{
+		ID:         fmt.Sprintf("%s-%d", r.prefix, i),
+		Service:    kind.Service,
+		Path:       kind.Path,
+		Idempotent: kind.Idempotent,
+		Body:       r.bodies[k],
+		Size:       kind.Size,
+		Deadline:   kind.Deadline,
+	}
+}
+
+// pick chooses a kind by weight.
+func (r *Run) pick() int {
+	x := r.rand.Float64() * r.total
+	for i, k := range r.load.Kinds {
+		x -= k.Weight
+		if x < 0 {
+			return i
+		}
+	}
+	return len(r.load.Kinds) - 1
+}
+
+func (r *Run) begin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inFlight >= r.load.MaxInFlight {
+		r.report.Dropped++
+		return false
+	}
+	r.inFlight++
+	r.report.InFlightHigh = max(r.report.InFlightHigh, r.inFlight)
+	r.requests.Add(1)
+	return true
+}
+
+func (r *Run) do(ctx context.Context, c *Caller, req Request, arrival time.Time) {
+	defer r.requests.Done()
+	late := time.Since(arrival)
+	o := c.Do(ctx, req)
+	o.Latency += late
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+	r.report.add(o)
+}
+
+// Counts returns the counts so far, for a display of progress.
+func (r *Run) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.report.Counts
+}
+
+// Wait waits for the end of the load and of all its requests.
+func (r *Run) Wait() *Report {
+	<-r.finished
+	return r.report
+}
--- /dev/null
+++ b/standin/caller/lookup.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// maxLookupSize bounds the answer to a look-up, in bytes.
+const maxLookupSize = 1 << 20
+
+// errNoEntryVM means that no entry VM could be chosen for a request.
+var errNoEntryVM = errors.New("caller: no entry VM")
+
+// EntryVM is one entry VM in the answer to a look-up.
+type EntryVM struct {
+	ID     fleet.VMID   `json:"id"`
+	Addr   string       `json:"addr"`
+	Region fleet.Region `json:"region"`
+	Domain fleet.Domain `json:"domain"`
+	Tokens []string     `json:"tokens"`
+}
+
+// Lookup is the answer to a look-up.
+type Lookup struct {
+	Service  fleet.ServiceName `json:"service"`
+	Revision uint64            `json:"revision"`
+	TTL      int64             `json:"ttl_ms"`
+	EntryVMs []EntryVM         `json:"entry_vms"`
+}
+
+// lookup is a cached Lookup. Its tokens are used up.
+type lookup struct {
+	Lookup
+	expires time.Time
+}
+
+// route is the choice of an entry VM for one send.
+type route struct {
+	vm    EntryVM
+	token string // empty for an idempotent request
+}
+
+// Lookup asks for the entry VMs of a service, without the cache. Entry
+// addresses that fail are passed over.
+func (c *Caller) Lookup(ctx context.Context, service fleet.ServiceName) (Lookup, error) {
+	var errs []error
+	for round := range lookupRounds {
+		if round > 0 && !sleep(ctx, lookupPause) {
+			break
+		}
+		for _, addr := range c.options.EntryAddrs {
+			l, err := c.ask(ctx, addr, service)
+			if err == nil {
+				return l, nil
+			}
+			errs = append(errs, err)
+		}
+	}
+	return Lookup{}, fmt.Errorf("caller: look-up of %s: %w", service, errors.Join(errs...))
+}
+
+func (c *Caller) ask(ctx context.Context, addr string, service fleet.ServiceName) (Lookup, error) {
+	q := url.Values{
+		"service": {string(service)},
+		"client":  {c.options.Client},
+		"tokens":  {strconv.Itoa(c.options.Tokens)},
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/lookup?"+q.Encode(), nil)
+	if err != nil {
+		return Lookup{}, err
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return Lookup{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLookupSize))
+	if err != nil {
+		return Lookup{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Lookup{}, fmt.Errorf("%s: status %d: %.200s", addr, resp.StatusCode, body)
+	}
+	var l Lookup
+	if err := json.Unmarshal(body, &l); err != nil {
+		return Lookup{}, fmt.Errorf("%s: %w", addr, err)
+	}
+	if len(l.EntryVMs) == 0 {
+		return Lookup{}, fmt.Errorf("%s: %w", addr, errNoEntryVM)
+	}
+	return l, nil
+}
+
+// route chooses the first entry VM that has not been tried, with a token if
+// the request needs one. When the cache has none it asks anew, once.
+func (c *Caller) route(ctx context.Context, r Request, tried map[fleet.VMID]bool) (route, error) {
+	if c.direct() {
+		return c.nextTarget(), nil
+	}
+	if chosen, ok := c.cached(r, tried); ok {
+		return chosen, nil
+	}
+	answer, err := c.Lookup(ctx, r.Service)
+	if err != nil {
+		return route{}, err
+	}
+	l := c.store(r.Service, answer)
+	if chosen, ok := c.pick(l, r, tried); ok {
+		return chosen, nil
+	}
+	clear(tried) // every entry VM has been tried once: begin again
+	if chosen, ok := c.pick(l, r, tried); ok {
+		return chosen, nil
+	}
+	return route{}, errNoEntryVM
+}
+
+func (c *Caller) nextTarget() route {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr := c.options.Targets[c.turn%len(c.options.Targets)]
+	c.turn++
+	return route{vm: EntryVM{ID: fleet.VMID(addr), Addr: addr}}
+}
+
+func (c *Caller) store(service fleet.ServiceName, answer Lookup) *lookup {
+	l := &lookup{
+		Lookup:  answer,
+		expires: time.Now().Add(time.Duration(answer.TTL) * time.Millisecond),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cache[service] = l
+	return l
+}
+
+// cached chooses from the cache, while that holds.
+func (c *Caller) cached(r Request, tried map[fleet.VMID]bool) (route, bool) {
+	c.mu.Lock()
+	l := c.cache[r.Service]
+	c.mu.Unlock()
+	if l == nil || !time.Now().Before(l.expires) {
+		return route{}, false
+	}
+	return c.pick(l, r, tried)
+}
+
+// pick chooses from a look-up and uses a token up.
+func (c *Caller) pick(l *lookup, r Request, tried map[fleet.VMID]bool) (route, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range l.EntryVMs {
+		vm := &l.EntryVMs[i]
+		if tried[vm.ID] {
+			continue
+		}
+		if r.Idempotent {
+			return route{vm: *vm}, true
+		}
+		if len(vm.Tokens) == 0 {
+			// The order is the system's decision; rather than pass over an
+			// entry VM for want of a token, ask for more.
+			return route{}, false
+		}
+		token := vm.Tokens[0]
+		vm.Tokens = vm.Tokens[1:]
+		return route{vm: *vm, token: token}, true
+	}
+	return route{}, false
+}
+
+// forget drops the cached look-up of a service, as after a failed connection.
+func (c *Caller) forget(service fleet.ServiceName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.cache, service)
+}
+
+// sleep reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/caller/progress.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// progress is one request under way.
+type progress struct {
+	caller   *Caller
+	request  Request
+	outcome  Outcome
+	tried    map[fleet.VMID]bool
+	last     route
+	resends  int
+	refusals int
+}
+
+// run sends the request until it is over.
+func (p *progress) run(ctx context.Context) {
+	to, err := p.caller.route(ctx, p.request, p.tried)
+	if err != nil {
+		p.outcome.Reason = verdict.ReasonNotReady
+		return
+	}
+	for {
+		res := p.attempt(ctx, to)
+		again, same := p.next(res)
+		if !again || ctx.Err() != nil {
+			return
+		}
+		if res.retryAfter > 0 && !sleep(ctx, res.retryAfter) {
+			return
+		}
+		if same {
+			continue
+		}
+		if to, err = p.caller.route(ctx, p.request, p.tried); err != nil {
+			return
+		}
+	}
+}
+
+// attempt sends once and records the result.
+func (p *progress) attempt(ctx context.Context, to route) result {
+	ctx, cancel := context.WithTimeout(ctx, p.attemptTimeout())
+	defer cancel()
+	p.last = to
+	p.tried[to.vm.ID] = true
+	res := p.caller.send(ctx, p.request, to)
+
+	o := &p.outcome
+	o.Sends++
+	o.Verdict = verdict.Join(o.Verdict, res.verdict)
+	o.Answered = res.answered
+	o.Wrong = o.Wrong || res.wrong
+	o.Status = res.status
+	o.EntryVM, o.Region, o.Target = to.vm.ID, to.vm.Region, res.target
+	if !res.answered {
+		o.Reason = res.reason
+	}
+	if res.unmarked {
+		o.Unmarked++
+	}
+	switch res.fault {
+	case lost:
+		o.Lost++
+	case timedOut:
+		o.TimedOut++
+	case notConnected:
+		p.caller.forget(p.request.Service)
+	}
+	return res
+}
+
+// attemptTimeout bounds one send. A non-idempotent request that is never sent
+// again gains nothing from giving up early.
+func (p *progress) attemptTimeout() time.Duration {
+	o := p.caller.options
+	switch {
+	case !p.request.Idempotent && !o.ResendLost:
+		return p.request.Deadline
+	case o.AttemptTimeout > 0:
+		return o.AttemptTimeout
+	default:
+		return p.request.Deadline / 2
+	}
+}
+
+// next decides, by the caller's part, whether to send again, and whether by
+// the same route.
+func (p *progress) next(res result) (again, same bool) {
+	switch {
+	case res.answered || res.verdict == verdict.Ran:
+		return false, false
+	case p.request.Idempotent && res.verdict == verdict.MayHaveRun:
+		p.resends++
+		return p.resends <= maxResends, false
+	case p.request.Idempotent || p.outcome.Verdict == verdict.NotRun:
+		p.refusals++
+		return p.refusals < maxRefusals, false
+	case p.caller.options.ResendLost && res.fault != noFault && p.last.token != "":
+		p.resends++
+		return p.resends <= 1, true
+	default:
+		return false, false
+	}
+}
+
+// duplicate sends a request that is over a second time, if the caller is to
+// misbehave so. The result doesn't matter: the targets' records show whether
+// it ran.
+func (p *progress) duplicate(ctx context.Context) {
+	if p.request.Idempotent || p.last.token == "" || p.outcome.Verdict == verdict.NotRun {
+		return
+	}
+	if !p.caller.chance(p.caller.options.DuplicateShare) {
+		return
+	}
+	p.outcome.Duplicate = true
+	p.caller.send(ctx, p.request, p.last)
+}
--- /dev/null
+++ b/standin/caller/report.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// The histograms' range, in microseconds, and precision, in digits.
+const (
+	lowestLatency   = 1
+	highestLatency  = int64(10 * time.Minute / time.Microsecond)
+	latencyAccuracy = 3
+)
+
+// Counts are numbers of requests by outcome.
+type Counts struct {
+	Requests     uint64
+	Answered     uint64 // with a whole answer, right or wrong
+	WrongAnswers uint64 // not whole, or another request's, though passing for whole
+	Failed       uint64 // ran, and the answer was an error of the target
+	NotRun       uint64
+	MayHaveRun   uint64
+	Lost         uint64 // sends that ended by a lost connection or a cut answer
+	TimedOut     uint64 // sends that ended by their timeout
+	Unmarked     uint64 // error answers without a verdict
+	Resent       uint64 // sends beyond the first of each request
+	Dropped      uint64 // arrivals not sent, beyond the load's MaxInFlight
+}
+
+func (c *Counts) add(o Outcome) {
+	c.Requests++
+	switch {
+	case o.Answered:
+		c.Answered++
+	case o.Verdict == verdict.Ran:
+		c.Failed++
+	case o.Verdict == verdict.NotRun:
+		c.NotRun++
+	default:
+		c.MayHaveRun++
+	}
+	if o.Wrong {
+		c.WrongAnswers++
+	}
+	c.Lost += uint64(o.Lost)
+	c.TimedOut += uint64(o.TimedOut)
+	c.Unmarked += uint64(o.Unmarked)
+	c.Resent += uint64(max(o.Sends-1, 0))
+}
+
+// Report is the record of a load. It must not be read before Run.Wait has
+// returned it.
+type Report struct {
+	Counts
+	Services     map[fleet.ServiceName]Counts
+	Outcomes     []Outcome
+	InFlightHigh int
+
+	latency  *hdrhistogram.Histogram // of answered requests
+	services map[fleet.ServiceName]*hdrhistogram.Histogram
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, latencyAccuracy)
+}
+
+func newReport() *Report {
+	return &Report{
+		Services: map[fleet.ServiceName]Counts{},
+		latency:  newHistogram(),
+		services: map[fleet.ServiceName]*hdrhistogram.Histogram{},
+	}
+}
+
+func (r *Report) add(o Outcome) {
+	r.Counts.add(o)
+	s := r.Services[o.Service]
+	s.add(o)
+	r.Services[o.Service] = s
+	r.Outcomes = append(r.Outcomes, o)
+	if !o.Answered {
+		return
+	}
+	h := r.services[o.Service]
+	if h == nil {
+		h = newHistogram()
+		r.services[o.Service] = h
+	}
+	us := min(max(o.Latency.Microseconds(), lowestLatency), highestLatency)
+	// A value within the range is never refused.
+	_ = r.latency.RecordValue(us)
+	_ = h.RecordValue(us)
+}
+
+// Quantile returns the latency of the answered requests at q, between 0 and
+// 100.
+func (r *Report) Quantile(q float64) time.Duration { return quantile(r.latency, q) }
+
+// ServiceQuantile is Quantile for one service.
+func (r *Report) ServiceQuantile(s fleet.ServiceName, q float64) time.Duration {
+	h := r.services[s]
+	if h == nil {
+		return 0
+	}
+	return quantile(h, q)
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Proof is what the callers' and the targets' records show together.
+type Proof struct {
+	Repeated    uint64 // non-idempotent requests that ran more than once
+	FalseNotRun uint64 // requests told not-run that ran
+	NeverRan    uint64 // answered requests that never ran
+	CutRan      uint64 // requests that ran and ended by a lost connection
+	Unknown     uint64 // executions of requests that no caller has sent
+}
+
+// Prove compares the callers' outcomes with the targets' executions: how
+// often each request ran, by request id, summed over all targets.
+func Prove(outcomes []Outcome, executions map[string]int) Proof {
+	var p Proof
+	known := make(map[string]bool, len(outcomes))
+	for _, o := range outcomes {
+		known[o.ID] = true
+		ran := executions[o.ID]
+		if ran > 1 && !o.Idempotent {
+			p.Repeated++
+		}
+		if ran > 0 && o.Verdict == verdict.NotRun {
+			p.FalseNotRun++
+		}
+		if ran == 0 && o.Answered {
+			p.NeverRan++
+		}
+		if ran > 0 && o.Lost > 0 && !o.Answered {
+			p.CutRan++
+		}
+	}
+	for id := range executions {
+		if !known[id] {
+			p.Unknown++
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/standin/deployment/description.go
@@ -0,0 +1,283 @@
+package deployment
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/standin/caller"
+	"github.com/azurethread/azurethread/standin/target"
+)
+
+const (
+	// connections is how many connections every target accepts.
+	connections = 330
+	// queue is how many requests a target accepts beyond its slots.
+	queue = 2
+
+	kib = 1 << 10
+)
+
+// cold is the cold start of every target.
+var cold = target.Cold{Factor: 3, Requests: 50, For: 2 * time.Second}
+
+// Region is a region with its failure domains.
+type Region struct {
+	Name    fleet.Region
+	Domains []fleet.Domain
+	// Clients holds the addresses of the region's clients.
+	Clients netip.Prefix
+}
+
+// Service is a service with its targets.
+type Service struct {
+	catalogue.Service
+	Targets  int
+	Slots    int
+	Work     target.Work
+	BodySize int // of a typical request, in bytes
+	Size     int // of a typical answer, in bytes
+}
+
+// Capacity returns the requests a second that all targets of the service can
+// do when warm.
+func (s Service) Capacity() float64 {
+	return float64(s.Targets*s.Slots) / s.Work.Mean().Seconds()
+}
+
+// Description describes one deployment.
+type Description struct {
+	Name     string
+	Regions  []Region
+	EntryVMs int
+	Services []Service
+
+	// One-way latencies between failure domains of a region, between
+	// regions, and from a client to its region.
+	DomainLatency time.Duration
+	RegionLatency time.Duration
+	ClientLatency time.Duration
+}
+
+func regions(names ...fleet.Region) []Region {
+	var rs []Region
+	for i, n := range names {
+		rs = append(rs, Region{
+			Name:    n,
+			Domains: []fleet.Domain{fleet.Domain(n + "-1"), fleet.Domain(n + "-2")},
+			Clients: netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(i + 1), 0, 0}), 16),
+		})
+	}
+	return rs
+}
+
+// Statikos describes the deployment of Statikos Franchise Engineering Head
+// Office.
+func Statikos() Description {
+	return Description{
+		Name:     "statikos",
+		Regions:  regions("attiki", "makedonia", "kriti"),
+		EntryVMs: 8,
+		Services: []Service{
+			{
+				Service: catalogue.Service{Name: "calc-lookup", Idempotent: true, Priority: catalogue.Interactive},
+				Targets: 16,
+				Slots:   3,
+				Work:    target.Work{Base: 20 * time.Millisecond, Tail: 10 * time.Millisecond},
+				Size:    4 * kib,
+			},
+			{
+				Service:  catalogue.Service{Name: "permit-file", Priority: catalogue.Deferrable},
+				Targets:  12,
+				Slots:    3,
+				Work:     target.Work{Base: 40 * time.Millisecond, Tail: 20 * time.Millisecond},
+				BodySize: 32 * kib,
+				Size:     256,
+			},
+			{
+				// Fees are posted here, so it is not idempotent as a whole.
+				Service:  catalogue.Service{Name: "drawing-vault", Priority: catalogue.Deferrable},
+				Targets:  12,
+				Slots:    3,
+				Work:     target.Work{Base: 60 * time.Millisecond, Tail: 40 * time.Millisecond},
+				BodySize: 64 * kib,
+				Size:     256,
+			},
+		},
+		DomainLatency: 1500 * time.Microsecond,
+		RegionLatency: 55 * time.Millisecond,
+		ClientLatency: 8 * time.Millisecond,
+	}
+}
+
+// Inzira describes the deployment of Inzira Software Ltd.
+func Inzira() Description {
+	return Description{
+		Name:     "inzira",
+		Regions:  regions("kgl", "hye", "msz"),
+		EntryVMs: 9,
+		Services: []Service{
+			{
+				Service: catalogue.Service{Name: "meter-lookup", Idempotent: true, Priority: catalogue.Interactive},
+				Targets: 14,
+				Slots:   9,
+				Work:    target.Work{Base: 60 * time.Millisecond, Tail: 30 * time.Millisecond},
+				Size:    kib,
+			},
+			{
+				Service:  catalogue.Service{Name: "switching", Priority: catalogue.Deferrable},
+				Targets:  12,
+				Slots:    6,
+				Work:     target.Work{Base: 60 * time.Millisecond, Tail: 40 * time.Millisecond},
+				BodySize: 4 * kib,
+				Size:     256,
+			},
+			{
+				// An agent waits for it at the counter.
+				Service: catalogue.Service{Name: "statements", Idempotent: true, Priority: catalogue.Interactive},
+				Targets: 12,
+				Slots:   3,
+				Work:    target.Work{Base: 60 * time.Millisecond, Tail: 60 * time.Millisecond},
+				Size:    64 * kib,
+			},
+		},
+		DomainLatency: time.Millisecond,
+		RegionLatency: 55 * time.Millisecond,
+		ClientLatency: 8 * time.Millisecond,
+	}
+}
+
+// ByName returns the description of "statikos" or "inzira".
+func ByName(name string) (Description, error) {
+	for _, d := range []Description{Statikos(), Inzira()} {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Description{}, fmt.Errorf("deployment: no deployment %q", name)
+}
+
+// place is a failure domain and its region.
+type place struct {
+	region fleet.Region
+	domain fleet.Domain
+}
+
+// places returns all failure domains, the regions taking turns, so that what
+// does not divide evenly goes to different regions.
+func (d Description) places() []place {
+	var ps []place
+	for i := 0; ; i++ {
+		before := len(ps)
+		for _, r := range d.Regions {
+			if i < len(r.Domains) {
+				ps = append(ps, place{region: r.Name, domain: r.Domains[i]})
+			}
+		}
+		if len(ps) == before {
+			return ps
+		}
+	}
+}
+
+// VMs returns the entry VMs, without addresses.
+func (d Description) VMs() []fleet.VM {
+	ps := d.places()
+	var vms []fleet.VM
+	for i := range d.EntryVMs {
+		p := ps[i%len(ps)]
+		vms = append(vms, fleet.VM{
+			ID:          fleet.VMID(fmt.Sprintf("%s-vm-%d", p.domain, i/len(ps)+1)),
+			Region:      p.region,
+			Domain:      p.domain,
+			Site:        fleet.Site(p.domain),
+			Incarnation: 1,
+		})
+	}
+	return vms
+}
+
+// targets returns the targets of all services, without addresses. Each
+// service begins where the one before it ended, so that the failure domains
+// also hold the same number of all targets together, within one.
+func (d Description) targets() []fleet.Target {
+	ps := d.places()
+	var ts []fleet.Target
+	for _, s := range d.Services {
+		for i := range s.Targets {
+			p := ps[len(ts)%len(ps)]
+			ts = append(ts, fleet.Target{
+				ID:          fleet.TargetID(fmt.Sprintf("%s-%s-%d", p.domain, s.Name, i/len(ps)+1)),
+				Service:     s.Name,
+				Region:      p.region,
+				Domain:      p.domain,
+				Site:        fleet.Site(p.domain),
+				Slots:       s.Slots,
+				Connections: connections,
+			})
+		}
+	}
+	return ts
+}
+
+// Service returns the service of the given name.
+func (d Description) Service(n fleet.ServiceName) (Service, bool) {
+	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == n })
+	if i < 0 {
+		return Service{}, false
+	}
+	return d.Services[i], true
+}
+
+// Catalogue returns the first catalogue: all services, no shifts.
+func (d Description) Catalogue() catalogue.Catalogue {
+	c := catalogue.Catalogue{Revision: 1}
+	for _, s := range d.Services {
+		service := s.Service
+		service.Revision = c.Revision
+		c.Services = append(c.Services, service)
+	}
+	return c
+}
+
+// Kinds returns a mix of requests that loads all services alike.
+func (d Description) Kinds() []caller.Kind {
+	var ks []caller.Kind
+	for _, s := range d.Services {
+		ks = append(ks, caller.Kind{
+			Service:    s.Name,
+			Path:       "item",
+			Idempotent: s.Idempotent,
+			Weight:     s.Capacity(),
+			BodySize:   s.BodySize,
+			Size:       s.Size,
+		})
+	}
+	return ks
+}
+
+// Rate returns the requests a second that, in the mix of Kinds, take the
+// given part of every service's capacity.
+func (d Description) Rate(part float64) float64 {
+	var total float64
+	for _, s := range d.Services {
+		total += s.Capacity()
+	}
+	return part * total
+}
+
+// ClientAddrs returns n addresses of clients of the region, each in a /24 of its
+// own as long as there are.
+func (r Region) ClientAddrs(n int) []string {
+	base := r.Clients.Addr().As4()
+	var addrs []string
+	for i := range n {
+		a := base
+		a[2], a[3] = byte(i), byte(1+i>>8)
+		addrs = append(addrs, netip.AddrFrom4(a).String())
+	}
+	return addrs
+}
--- /dev/null
+++ b/standin/deployment/running.go
@@ -0,0 +1,291 @@
+package deployment
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+	api "github.com/azurethread/azurethread/serve/platform"
+	"github.com/azurethread/azurethread/standin/caller"
+	"github.com/azurethread/azurethread/standin/platform"
+	"github.com/azurethread/azurethread/standin/target"
+)
+
+// addrsPerVM is the number of addresses of one entry VM.
+const addrsPerVM = 3
+
+// Options configures Start.
+type Options struct {
+	// Seed starts the generators of the service times.
+	Seed uint64
+	// Cold starts the targets cold. By default they are as in a deployment
+	// that has been at work.
+	Cold bool
+	// Platform configures the platform.
+	Platform platform.Options
+	// PutCatalogue writes the first catalogue to the platform, in the format
+	// that the daemons read. Nil leaves the platform empty.
+	PutCatalogue func(ctx context.Context, s api.Store, c catalogue.Catalogue) error
+	// VMs are the entry VMs with their addresses. Nil takes the
+	// description's, with free ports of 127.0.0.1.
+	VMs []fleet.VM
+}
+
+// Target is one target with its place.
+type Target struct {
+	*target.Server
+	Machine fleet.Target
+}
+
+// Running is a deployment's stand-ins at work.
+type Running struct {
+	Description Description
+	Platform    *platform.Server
+	Targets     []*Target
+
+	mu       sync.Mutex
+	machines fleet.List // as things are, not as the lagging list shows
+}
+
+// Start runs the platform and the targets of a deployment on loopback.
+func Start(ctx context.Context, d Description, o Options) (*Running, error) {
+	r := &Running{Description: d, Platform: platform.New(o.Platform)}
+	if err := r.start(ctx, o); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Running) start(ctx context.Context, o Options) error {
+	if err := r.Platform.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	if err := r.startTargets(o); err != nil {
+		return err
+	}
+	vms := o.VMs
+	if vms == nil {
+		var err error
+		if vms, err = withFreePorts(r.Description.VMs()); err != nil {
+			return err
+		}
+	}
+	r.update(func(l *fleet.List) {
+		l.VMs = slices.Clone(vms)
+		for _, t := range r.Targets {
+			l.Targets = append(l.Targets, t.Machine)
+		}
+	})
+	if o.PutCatalogue == nil {
+		return nil
+	}
+	if err := o.PutCatalogue(ctx, r.Platform.Store(), r.Description.Catalogue()); err != nil {
+		return fmt.Errorf("deployment: first catalogue: %w", err)
+	}
+	return nil
+}
+
+func (r *Running) startTargets(o Options) error {
+	for i, m := range r.Description.targets() {
+		service, _ := r.Description.Service(m.Service)
+		s := target.New(target.Options{
+			Service:     m.Service,
+			ID:          m.ID,
+			Slots:       m.Slots,
+			Queue:       queue,
+			Connections: m.Connections,
+			Work:        service.Work,
+			Cold:        cold,
+			Warm:        !o.Cold,
+			Seed:        o.Seed + uint64(i),
+		})
+		if err := s.Start("127.0.0.1:0"); err != nil {
+			return err
+		}
+		m.Addr = s.Addr()
+		r.Targets = append(r.Targets, &Target{Server: s, Machine: m})
+	}
+	return nil
+}
+
+// withFreePorts gives the entry VMs addresses that are free now. All ports
+// are held until the last is known, so none is given twice; another process
+// may still take one before its daemon listens.
+func withFreePorts(vms []fleet.VM) ([]fleet.VM, error) {
+	var addrs []string
+	for range len(vms) * addrsPerVM {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("deployment: %w", err)
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	for i := range vms {
+		own := addrs[i*addrsPerVM:]
+		vms[i].CallAddr, vms[i].PeerAddr, vms[i].AdminAddr = own[0], own[1], own[2]
+	}
+	return vms, nil
+}
+
+// Close stops everything.
+func (r *Running) Close() error {
+	for _, t := range r.Targets {
+		t.Server.Close()
+	}
+	return r.Platform.Close()
+}
+
+// Machines returns the machines as they are. The platform's own list lags.
+func (r *Running) Machines() fleet.List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fleet.List{VMs: slices.Clone(r.machines.VMs), Targets: slices.Clone(r.machines.Targets)}
+}
+
+// update changes the machines, and the platform's list after its lag.
+func (r *Running) update(change func(*fleet.List)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.machines)
+	r.Platform.SetMachines(r.machines)
+}
+
+// SetVM replaces the entry VM of the same id, as after a restart, or adds it.
+func (r *Running) SetVM(vm fleet.VM) {
+	r.update(func(l *fleet.List) {
+		i := slices.IndexFunc(l.VMs, func(v fleet.VM) bool { return v.ID == vm.ID })
+		if i < 0 {
+			l.VMs = append(l.VMs, vm)
+			return
+		}
+		l.VMs[i] = vm
+	})
+}
+
+// Target returns the target of the given id, or nil.
+func (r *Running) Target(id fleet.TargetID) *Target {
+	i := slices.IndexFunc(r.Targets, func(t *Target) bool { return t.Machine.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return r.Targets[i]
+}
+
+// SetTargetState changes a target's state in the machine list alone.
+func (r *Running) SetTargetState(id fleet.TargetID, s fleet.State) {
+	r.update(func(l *fleet.List) {
+		for i := range l.Targets {
+			if l.Targets[i].ID == id {
+				l.Targets[i].State = s
+			}
+		}
+	})
+}
+
+// Leave makes a target leave, at the target and in the machine list.
+func (r *Running) Leave(t *Target) {
+	t.Server.Leave()
+	r.SetTargetState(t.Machine.ID, fleet.Leaving)
+}
+
+// Executions returns how often each request ran, summed over all targets.
+func (r *Running) Executions() map[string]int {
+	sum := map[string]int{}
+	for _, t := range r.Targets {
+		for id, n := range t.Executions() {
+			sum[id] += n
+		}
+	}
+	return sum
+}
+
+// RegionOf returns the region of a target.
+func (r *Running) RegionOf(id fleet.TargetID) (fleet.Region, bool) {
+	if t := r.Target(id); t != nil {
+		return t.Machine.Region, true
+	}
+	return "", false
+}
+
+// Totals returns the records of all targets together: counts are summed,
+// high-water marks are the highest.
+func (r *Running) Totals() target.Stats {
+	var sum target.Stats
+	for _, t := range r.Targets {
+		s := t.Stats()
+		sum.Arrived += s.Arrived
+		sum.Started += s.Started
+		sum.Completed += s.Completed
+		sum.Shed += s.Shed
+		sum.Overfull += s.Overfull
+		sum.HighWater = max(sum.HighWater, s.HighWater)
+		sum.RefusedLeaving += s.RefusedLeaving
+		sum.LastArrival = max(sum.LastArrival, s.LastArrival)
+		sum.Cancelled += s.Cancelled
+		sum.Expired += s.Expired
+		sum.BrokenBodies += s.BrokenBodies
+		sum.CutByStop += s.CutByStop
+		sum.CutAnswers += s.CutAnswers
+		sum.Connections += s.Connections
+		sum.ConnectionsHigh = max(sum.ConnectionsHigh, s.ConnectionsHigh)
+		sum.ConnectionsDenied += s.ConnectionsDenied
+	}
+	return sum
+}
+
+// Callers returns n callers for each region. Each prefers the entry VMs of
+// its own region for its look-ups. With latency, their connections have the
+// description's.
+func (r *Running) Callers(o caller.Options, n int, latency bool) []*caller.Caller {
+	vms := r.Machines().VMs
+	var all []*caller.Caller
+	for i, region := range r.Description.Regions {
+		own := o
+		own.Seed = o.Seed + uint64(i*n)
+		own.EntryAddrs = nearestFirst(vms, region.Name)
+		if latency {
+			own.Latency = r.latencyFrom(region.Name, vms)
+		}
+		all = append(all, caller.NewMany(own, region.ClientAddrs(n))...)
+	}
+	return all
+}
+
+func nearestFirst(vms []fleet.VM, region fleet.Region) []string {
+	sorted := slices.Clone(vms)
+	slices.SortStableFunc(sorted, func(a, b fleet.VM) int {
+		return cmp.Compare(distance(a, region), distance(b, region))
+	})
+	var addrs []string
+	for _, vm := range sorted {
+		addrs = append(addrs, vm.CallAddr)
+	}
+	return addrs
+}
+
+func distance(vm fleet.VM, region fleet.Region) int {
+	if vm.Region == region {
+		return 0
+	}
+	return 1
+}
+
+// latencyFrom returns the latency from clients of a region to entry VMs.
+func (r *Running) latencyFrom(region fleet.Region, vms []fleet.VM) func(string) time.Duration {
+	latencies := map[string]time.Duration{}
+	for _, vm := range vms {
+		latencies[vm.CallAddr] = r.Description.ClientLatency
+		if vm.Region != region {
+			latencies[vm.CallAddr] += r.Description.RegionLatency
+		}
+	}
+	return func(addr string) time.Duration { return latencies[addr] }
+}
--- a/standin/payload/payload.go
+++ b/standin/payload/payload.go
@@ -29,8 +29,12 @@
 	ChunkedHeader = "X-Chunked"
 	// HashHeader carries, in the answer, the Hash of the body received.
 	HashHeader = "X-Body-Hash"
+	// TargetHeader carries, in the answer, the id of the target.
+	TargetHeader = "X-Target"
 	// DeadlineHeader carries the remaining milliseconds of a request.
 	DeadlineHeader = "Azurethread-Deadline-Ms"
+	// LoadHeader carries, in a target's answer, its load as in flight/slots.
+	LoadHeader = "Azurethread-Load"
 	// RefusedHeader marks a target's answer that refuses a request before
 	// running it.
 	RefusedHeader = "Azurethread-Refused"
@@ -44,6 +48,9 @@
 // blockSize is how much content is made or checked at once.
 const blockSize = 32 << 10
 
+// wordSize is the unit of the generator, in bytes.
+const wordSize = 8
+
 // ErrWrong means that a body is not the content of its request.
 var ErrWrong = errors.New("payload: wrong content")
 
@@ -68,11 +75,12 @@
 // bytes of the content of request id, and the reader's own error if it fails.
 func Check(r io.Reader, id string, n int) error {
 	g := generator(id)
-	got, want := make([]byte, blockSize), make([]byte, blockSize)
+	size := min(blockSize, (n/wordSize+1)*wordSize)
+	got, want := make([]byte, size), make([]byte, size)
 	seen := 0
 	for {
 		// Whole blocks, because a ChaCha8 makes another stream when it is
-		// read in other portions than multiples of eight bytes.
+		// read in other portions than multiples of a word.
 		k, err := fill(r, got)
 		seen += k
 		if seen > n {
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -40,11 +41,26 @@
 	_ = json.NewEncoder(w).Encode(load) // an error means that the client has gone
 }
 
+// refuse says that the request has not run and will not.
+func (s *Server) refuse(w http.ResponseWriter) {
+	s.stateLoad(w.Header())
+	w.Header().Set(payload.RefusedHeader, payload.RefusedNotRun)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// stateLoad reports the load with an answer, as the load endpoint would: it
+// lags and lies alike.
+func (s *Server) stateLoad(h http.Header) {
+	s.mu.Lock()
+	load, _ := s.reports.show(time.Now())
+	s.mu.Unlock()
+	h.Set(payload.LoadHeader, fmt.Sprintf("%d/%d", load.InFlight, load.Slots))
+}
+
 // work runs one request.
 func (s *Server) work(w http.ResponseWriter, r *http.Request) {
 	if !s.accept() {
-		w.Header().Set(payload.RefusedHeader, payload.RefusedNotRun)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.refuse(w)
 		return
 	}
 	ctx, cancel := withDeadline(r)
@@ -57,8 +73,7 @@
 	}
 	if !s.takeSlot(ctx) {
 		s.release(false, s.endedBy(ctx))
-		w.Header().Set(payload.RefusedHeader, payload.RefusedNotRun)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.refuse(w)
 		return
 	}
 	if !s.execute(ctx, r.Header.Get(payload.IDHeader)) {
@@ -124,6 +139,10 @@
 	case <-ctx.Done():
 		return false
 	}
+	if ctx.Err() != nil { // both were ready
+		<-s.slots
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.working++
@@ -179,8 +198,10 @@
 		n = payload.DefaultSize
 	}
 	h := w.Header()
+	s.stateLoad(h)
 	h.Set(payload.IDHeader, id)
 	h.Set(payload.HashHeader, hash)
+	h.Set(payload.TargetHeader, string(s.options.ID))
 	h.Set("Content-Type", "application/octet-stream")
 	if r.Header.Get(payload.ChunkedHeader) == "" {
 		h.Set("Content-Length", strconv.Itoa(n))
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -32,6 +32,8 @@
 	Connections int
 	Work        Work
 	Cold        Cold
+	// Warm starts it warm; Restart and Chill make it cold all the same.
+	Warm bool
 	// Seed starts the generator of service times.
 	Seed uint64
 }
@@ -90,6 +92,9 @@
 		timer:      newWorkTimer(o.Work, o.Cold, o.Seed, now),
 		executions: map[string]int{},
 	}
+	if o.Warm {
+		s.timer.warm(now)
+	}
 	s.report(now)
 	return s
 }
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -77,25 +77,29 @@
 	is := is.New(t)
 	s := start(is, target.Options{Slots: 1, Queue: 1, Work: target.Work{Base: forever}})
 	defer s.Close()
-	ctx, cancel := context.WithCancel(context.Background())
+	var cancels [2]context.CancelFunc
 	ended := make(chan error, 2)
-	for i := range 2 {
+	for i := range cancels {
+		var ctx context.Context
+		ctx, cancels[i] = context.WithCancel(context.Background())
 		go func() {
 			_, err := send(ctx, client(), s, strconv.Itoa(i), nil)
 			ended <- err
 		}()
-		waitFor(s, func(st target.Stats) bool { return st.Arrived == uint64(i+1) })
+		waitFor(s, func(st target.Stats) bool { return st.Arrived == uint64(i+1) && st.Started == 1 })
 	}
 	resp, err := send(context.Background(), client(), s, "third", nil)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(resp.Header.Get(payload.RefusedHeader), payload.RefusedNotRun)
+	is.Equal(resp.Header.Get(payload.LoadHeader), "2/1")
 	is.Equal(s.Executions()["third"], 0)
 
-	cancel()
-	is.True(<-ended != nil)
-	is.True(<-ended != nil)
-	waitFor(s, func(st target.Stats) bool { return st.Cancelled == 2 })
+	for i := range cancels { // the queued one first, or it gets the slot
+		cancels[len(cancels)-1-i]()
+		is.True(<-ended != nil)
+		waitFor(s, func(st target.Stats) bool { return st.Cancelled == uint64(i+1) })
+	}
 	st := s.Stats()
 	is.Equal(st.HighWater, 2)
 	is.Equal(st.Shed, uint64(1))
--- a/standin/target/timing.go
+++ b/standin/target/timing.go
@@ -43,6 +43,9 @@
 // chill makes the target cold through.
 func (t *workTimer) chill(now time.Time) { t.since, t.begun = now, 0 }
 
+// warm ends the cold start.
+func (t *workTimer) warm(now time.Time) { t.since, t.begun = now.Add(-t.cold.For), t.cold.Requests }
+
 // coldness is 1 for a target that is cold through, 0 for a warm one.
 func (t *workTimer) coldness(now time.Time) float64 {
 	if t.cold.Factor <= 1 {
--- a/standin/target/timing_test.go
+++ b/standin/target/timing_test.go
@@ -20,6 +20,8 @@
 	is.Equal(w.next(end), time.Millisecond)
 	w.chill(end)
 	is.Equal(w.next(end), 3*time.Millisecond)
+	w.warm(end)
+	is.Equal(w.next(end), time.Millisecond)
 }
 
 func TestServiceTimesFollowTheSeed(t *testing.T) {
