--- /dev/null
+++ b/decide/config/bench_test.go
@@ -0,0 +1,226 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+)
+
+// jsonSize is the size of a message in JSON. On the wire messages are msgpack,
+// which is smaller; serve/store measures the ratio.
+func jsonSize(m Message) int {
+	b, err := json.Marshal(NewBody(m))
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
+
+// usage is what a fleet spent in some span.
+type usage struct {
+	messages, bytes, calls int
+	maxSent, maxBytes      int // of one daemon
+}
+
+// measure runs f and returns what was spent meanwhile.
+func (n *network) measure(f func()) usage {
+	n.messages, n.bytes, n.calls = 0, 0, 0
+	for _, v := range n.nodes {
+		v.sent, v.bytes = 0, 0
+	}
+	f()
+	u := usage{messages: n.messages, bytes: n.bytes, calls: n.calls}
+	for _, v := range n.nodes {
+		u.maxSent = max(u.maxSent, v.sent)
+		u.maxBytes = max(u.maxBytes, v.bytes)
+	}
+	return u
+}
+
+// benchmarkSpread reports, in fake time with 1-2 ms inside domains and 55 ms
+// more between them and to the platform, what a fleet spends at rest, for one
+// change, and in a burst, and how long the last daemon takes to have a change
+// in force. Messages and bytes for a change are those above the ones at rest;
+// platform calls are all calls of the 3 s that a change is given.
+func benchmarkSpread(b *testing.B, domains, per int) {
+	const rest, changes = 60, 20
+	for b.Loop() {
+		n := newNetwork(1, domains, per)
+		n.maxDelay = 2 * time.Millisecond
+		n.farDelay = 55 * time.Millisecond
+		n.sizeOf = jsonSize
+		n.run(20 * time.Second)
+		quiet := n.measure(func() { n.run(rest * time.Second) })
+		var last time.Duration
+		busy := n.measure(func() {
+			for i := range changes {
+				last = max(last, n.timeChange(b, i))
+			}
+		})
+		burst := n.measure(func() { n.burst(b, burstSpan) })
+		daemons := float64(domains * per)
+		perChange := func(busy, quiet int) float64 {
+			return (float64(busy) - float64(quiet)*changes*changeSpan.Seconds()/rest) / changes
+		}
+		b.ReportMetric(float64(quiet.messages)/rest/daemons, "rest-msg/s/daemon")
+		b.ReportMetric(float64(quiet.bytes)/rest/daemons, "rest-B/s/daemon")
+		b.ReportMetric(float64(quiet.maxBytes)/rest, "rest-B/s/max")
+		b.ReportMetric(float64(quiet.calls)/rest, "rest-calls/s")
+		b.ReportMetric(perChange(busy.messages, quiet.messages)/daemons, "msg/change/daemon")
+		b.ReportMetric(perChange(busy.bytes, quiet.bytes)/daemons, "B/change/daemon")
+		b.ReportMetric(perChange(busy.maxBytes, quiet.maxBytes), "B/change/max")
+		b.ReportMetric(float64(busy.calls)/changes, "calls/change-in-3s")
+		b.ReportMetric(last.Seconds()*1000, "ms-last-in-force")
+		b.ReportMetric(float64(burst.bytes)/burstSpan.Seconds()/daemons, "burst-B/s/daemon")
+		b.ReportMetric(float64(burst.maxBytes)/burstSpan.Seconds(), "burst-B/s/max")
+		b.ReportMetric(float64(burst.calls)/burstSpan.Seconds(), "burst-calls/s")
+	}
+}
+
+// changeSpan is the time between two changes of benchmarkSpread.
+const changeSpan = 3 * time.Second
+
+// A burst is 20 times the mean of 19,000 changes a day, for burstSpan.
+const (
+	burstSpan    = 20 * time.Second
+	burstSpacing = 24 * time.Hour / 19000 / 20
+)
+
+// burst makes changes through one daemon after the other.
+func (n *network) burst(b *testing.B, span time.Duration) {
+	until := n.now.Add(span)
+	for i := 0; n.now.Before(until); i++ {
+		if !n.write(n.nodes[(i*41)%len(n.nodes)], fmt.Sprint("s", i%20), false) {
+			// The daemon is still fetching the change before: its operator
+			// is told so, and the next one writes.
+			b.Logf("change %d not accepted", i)
+		}
+		n.run(burstSpacing)
+	}
+}
+
+// timeChange makes a change through some daemon, lets changeSpan pass, and
+// returns how long the last daemon took.
+func (n *network) timeChange(b *testing.B, i int) time.Duration {
+	at := n.now
+	if !n.write(n.nodes[(i*37)%len(n.nodes)], fmt.Sprint("s", i), false) {
+		b.Fatal("not accepted")
+	}
+	n.run(changeSpan)
+	if err := n.settled(); err != nil {
+		b.Fatal(err)
+	}
+	var last clock.Time
+	for _, v := range n.nodes {
+		last = max(last, v.appliedAt)
+	}
+	return last.Sub(at)
+}
+
+func BenchmarkOneDomain(b *testing.B) {
+	for _, per := range []int{8, 32, 128, 256} {
+		b.Run(fmt.Sprint(per), func(b *testing.B) { benchmarkSpread(b, 1, per) })
+	}
+}
+
+func BenchmarkFleet(b *testing.B) {
+	for _, per := range []int{4, 43} {
+		b.Run(fmt.Sprint("77x", per), func(b *testing.B) { benchmarkSpread(b, 77, per) })
+	}
+}
+
+// BenchmarkEveryDaemonWatches is the baseline for platform calls: each daemon
+// is a domain of its own, so that each one watches.
+func BenchmarkEveryDaemonWatches(b *testing.B) {
+	for _, daemons := range []int{8, 32, 128, 256} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) { benchmarkSpread(b, daemons, 1) })
+	}
+}
+
+// BenchmarkStep is the processor time of one message, in a domain of 43
+// daemons with a catalogue of 1,000 entries.
+func BenchmarkStep(b *testing.B) {
+	n := newNetwork(1, 4, 43)
+	c := &catalogue.Catalogue{Revision: 2}
+	for i := range 1000 {
+		c.Shifts = append(c.Shifts, catalogue.Shift{ID: fmt.Sprint("shift-", i), Owner: "statikos", Revision: 2})
+	}
+	n.set(c)
+	n.run(20 * time.Second)
+	v, from := n.nodes[0], n.nodes[1]
+	b.Run("digest", func(b *testing.B) {
+		ev := &PeerMessage{From: from.id, Msg: from.st.makeDigest()}
+		for b.Loop() {
+			v.st.Step(n.now, ev, &v.ready)
+		}
+	})
+	b.Run("beacon", func(b *testing.B) {
+		m := from.st.makeBeacon()
+		for b.Loop() {
+			m.Seq++
+			v.st.Step(n.now, &PeerMessage{From: from.id, Msg: m}, &v.ready)
+		}
+	})
+	b.Run("push", func(b *testing.B) { benchmarkPush(b, n, v, from) })
+	b.Run("document", func(b *testing.B) { benchmarkDocument(b, n, v) })
+	b.Run("tick", func(b *testing.B) {
+		for b.Loop() {
+			v.st.Step(n.now, &Tick{}, &v.ready)
+		}
+	})
+}
+
+// benchmarkPush applies a push of one entry and passes it on.
+func benchmarkPush(b *testing.B, n *network, v, from *node) {
+	held := v.st.held
+	for b.Loop() {
+		entry := held.cat.Shifts[7]
+		entry.Revision = held.cat.Revision + 1
+		d := &Delta{Format: Format, From: held.cat.Revision, To: entry.Revision, Age: Unknown}
+		d.Shifts = []catalogue.Shift{entry}
+		next, err := newContentFrom(held, d)
+		if err != nil {
+			b.Fatal(err)
+		}
+		d.Hash = next.hash()
+		v.st.Step(n.now, &PeerMessage{From: from.id, Msg: &Push{Root: from.id, Delta: *d}}, &v.ready)
+		if held = v.st.held; held.cat.Revision != d.To {
+			b.Fatal("not applied")
+		}
+	}
+}
+
+// newContentFrom returns what d leads to, to learn its hash.
+func newContentFrom(c *content, d *Delta) (*content, error) {
+	merged, _ := merge(c.cat.Shifts, d.Shifts, nil, compareShifts, shiftID)
+	sum := c.sum
+	for _, s := range []struct {
+		shift catalogue.Shift
+		sign  uint64
+	}{{c.cat.Shifts[7], ^uint64(0)}, {d.Shifts[0], 1}} {
+		h, err := hashEntry("shift", &s.shift)
+		if err != nil {
+			return nil, err
+		}
+		sum += h * s.sign
+	}
+	return &content{cat: &catalogue.Catalogue{Revision: d.To, Shifts: merged}, sum: sum}, nil
+}
+
+// benchmarkDocument reads a document with one change from the platform.
+func benchmarkDocument(b *testing.B, n *network, v *node) {
+	for b.Loop() {
+		old := v.st.held.cat
+		c := &catalogue.Catalogue{Revision: old.Revision + 1, Shifts: append([]catalogue.Shift{}, old.Shifts...)}
+		c.Shifts[9].Revision = c.Revision
+		ev := &PlatformRead{Seq: v.st.read.seq, Result: ReadDocument, Catalogue: c, Confirmed: n.now}
+		v.st.Step(n.now, ev, &v.ready)
+		if v.st.held.cat.Revision != c.Revision {
+			b.Fatal("not applied")
+		}
+	}
+}
--- a/decide/config/chase.go
+++ b/decide/config/chase.go
@@ -12,6 +12,7 @@
 	heard      uint64     // highest revision heard of, whether or not its content came
 	heardSince clock.Time // when heard first exceeded what is in force
 	candidates []candidate
+	notBefore  clock.Time // when to ask the first peer
 	asked      fleet.VMID // peer whose answer is awaited; empty if none
 	deadline   clock.Time // when another peer is asked
 	full       bool       // ask for a snapshot: a delta didn't fit
@@ -46,6 +47,12 @@
 	if s.held != nil && p.Revision == held.Revision {
 		c.full = true
 	}
+	if len(c.candidates) == 0 {
+		c.notBefore = s.now
+		if s.domainReads() {
+			c.notBefore = s.now.Add(WantDelay)
+		}
+	}
 	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return x.id == from })
 	if len(c.candidates) == maxCandidates {
 		c.candidates = slices.Delete(c.candidates, 0, 1)
@@ -67,11 +74,15 @@
 	return c.heard > held && now.Sub(c.heardSince) < ChaseLimit
 }
 
-func (c *chase) wake() clock.Time {
-	if c.asked == "" {
+func (c *chase) wake(now clock.Time) clock.Time {
+	switch {
+	case c.asked != "":
+		return c.deadline
+	case len(c.candidates) > 0 && now.Before(c.notBefore):
+		return c.notBefore
+	default:
 		return clock.Never
 	}
-	return c.deadline
 }
 
 // dueChase asks the best candidate, and gives up on one that didn't answer.
@@ -83,15 +94,10 @@
 	if c.asked != "" {
 		s.dropCandidate(c.asked)
 	}
-	if len(c.candidates) == 0 || (s.held == nil && !s.join.collected(s.now)) {
+	if len(c.candidates) == 0 || s.now.Before(c.notBefore) || (s.held == nil && !s.join.collected(s.now)) {
 		return
 	}
-	best := c.candidates[0]
-	for _, x := range c.candidates[1:] {
-		if x.point.beats(best.point) {
-			best = x
-		}
-	}
+	best := c.best()
 	w := &Want{Format: Format, Have: s.point().Revision}
 	if c.full {
 		w.Have = 0
@@ -101,6 +107,17 @@
 	s.send(best.id, w, out)
 }
 
+// best returns the candidate that holds most; of equals the first heard of.
+func (c *chase) best() candidate {
+	best := c.candidates[0]
+	for _, x := range c.candidates[1:] {
+		if x.point.beats(best.point) {
+			best = x
+		}
+	}
+	return best
+}
+
 func (s *State) dropCandidate(id fleet.VMID) {
 	c := &s.chase
 	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return x.id == id })
@@ -134,6 +151,7 @@
 	p := Point{Revision: d.To, Hash: d.Hash}
 	if s.held == nil || d.From > s.held.cat.Revision {
 		s.hear(from, p)
+		s.chase.notBefore = s.now
 		return
 	}
 	if d.To <= s.held.cat.Revision {
@@ -146,6 +164,7 @@
 		// a snapshot helps.
 		s.refuse(err)
 		s.hear(from, p)
+		s.chase.notBefore = s.now
 		s.chase.full = true
 		return
 	}
--- a/decide/config/doc.go
+++ b/decide/config/doc.go
@@ -22,11 +22,13 @@
 //
 // A daemon that learns of a revision from the platform, from its own write or
 // from another failure domain becomes the root of a push: the Delta goes down
-// a tree of fan-out TreeFanOut over the members of its own domain, and to the
-// readers of a few other domains chosen at random, which do the same there. So
-// a domain that has lost the platform hears from the others. Each reader has
-// its own tree, with other inner nodes, so one dead member costs no delivery.
-// Changes within MinPushInterval are merged into one Delta.
+// a tree of fan-out TreeFanOut over the members of its own domain. The second
+// reader sends only a Digest down its tree, which has other inner nodes; who
+// hasn't got the change WantDelay later, because a member above it is dead,
+// asks. Every root also sends a Digest to readers of a few other domains
+// chosen at random. One whose domain has lost the platform asks at once, and
+// becomes a root there. Changes within MinPushInterval are merged into one
+// Delta.
 //
 // Readers send a Digest (revision, content hash, age of the confirmation)
 // down the same tree every BeaconInterval; it is their heartbeat as readers.
--- a/decide/config/failure_test.go
+++ b/decide/config/failure_test.go
@@ -261,6 +261,26 @@
 	is.True(st.CutOff(now))
 }
 
+// Symptom: some daemons get a change seconds late. Sequence: a daemon dies, and
+// before membership has noticed, something changes. Cause: it was an inner
+// member of the tree, or the first reader, and nothing else reaches those that
+// it should have passed the change to.
+func TestDeadMemberDelaysNobody(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(is, 1, 12)
+	for i := range 4 * len(n.nodes) {
+		dead := n.nodes[i%len(n.nodes)]
+		st := dead.st
+		dead.st = nil // without news to anybody
+		writer := n.nodes[(i+1+i/12)%len(n.nodes)]
+		is.True(n.write(writer, "s", i%2 == 0))
+		n.run(time.Second)
+		is.NoErr(n.settled())
+		dead.st = st
+		n.run(10 * time.Second)
+	}
+}
+
 // Symptom: a burst of changes takes more than a daemon's share of messages.
 // Sequence: an operator's script makes a change every 5 ms. Cause: each is
 // pushed alone instead of with those of the same MinPushInterval.
--- a/decide/config/gossip.go
+++ b/decide/config/gossip.go
@@ -168,7 +168,11 @@
 	}
 	p := Point{Revision: m.Revision, Hash: m.Hash}
 	s.compare(from, p, m.Age)
+	if from == s.chase.asked && !p.beats(s.point()) {
+		s.dropCandidate(from) // it has nothing for us, or not yet
+	}
 	if m.Root != "" && m.Root != from {
+		s.compare(m.Root, p, m.Age)
 		return
 	}
 	switch {
--- a/decide/config/limits.go
+++ b/decide/config/limits.go
@@ -15,7 +15,7 @@
 	// TreeFanOut is the number of members each member pushes a change to.
 	TreeFanOut = 4
 	// CrossPushes is the number of other failure domains that the root of a
-	// push sends the change to.
+	// push announces the change to.
 	CrossPushes = 3
 	// JoinAsks is the number of peers that a joiner asks for their revision.
 	JoinAsks = 5
@@ -24,7 +24,7 @@
 // The intervals of the protocol.
 const (
 	// MinPushInterval is the least time between two pushes of one root.
-	MinPushInterval = 100 * time.Millisecond
+	MinPushInterval = 250 * time.Millisecond
 	// BeaconInterval is the time between two digests of a reader to all of
 	// its domain.
 	BeaconInterval = 4 * time.Second
@@ -36,6 +36,9 @@
 	// CrossDigestEvery is how many digests of a daemon that isn't a reader
 	// stay in the domain for one that leaves it.
 	CrossDigestEvery = 4
+	// WantDelay is how long a daemon that hears of a change waits for its push
+	// before it asks, if its domain reads the platform.
+	WantDelay = 200 * time.Millisecond
 	// WantTimeout is the time after which another peer is asked.
 	WantTimeout = 500 * time.Millisecond
 	// JoinWait is the time a joiner collects revisions before it settles for
--- a/decide/config/member.go
+++ b/decide/config/member.go
@@ -93,8 +93,10 @@
 }
 
 // treeChildren returns the members that self forwards a push of root to. The
-// order of the tree depends on the root, so that the two readers of a domain
-// lean on different inner nodes.
+// order of the tree depends on the root, so that the trees of a domain have
+// different inner members. Other readers come last, as leaves: if one were
+// both the root of the second tree and an inner member of the first, its death
+// would leave those below it without either.
 func (v *view) treeChildren(root fleet.VMID) []fleet.VMID {
 	if c, ok := v.children[root]; ok {
 		return c
@@ -105,13 +107,20 @@
 }
 
 func (v *view) findChildren(root fleet.VMID) []fleet.VMID {
-	rest := make([]fleet.VMID, 0, len(v.own.all))
+	readers := v.own.readers()
+	inner := make([]fleet.VMID, 0, len(v.own.all))
+	order := []fleet.VMID{root}
 	for _, id := range v.own.all {
+		if id != root && !slices.Contains(readers, id) {
+			inner = append(inner, id)
+		}
+	}
+	order = append(order, rankBy(string(root), inner)...)
+	for _, id := range readers {
 		if id != root {
-			rest = append(rest, id)
+			order = append(order, id)
 		}
 	}
-	order := append([]fleet.VMID{root}, rankBy(string(root), rest)...)
 	at := slices.Index(order, v.self)
 	if at < 0 {
 		return nil
--- a/decide/config/read.go
+++ b/decide/config/read.go
@@ -19,7 +19,7 @@
 // readSpacing is the least time between the starts of two reads. It merges
 // the changes of a burst, and keeps a platform that answers every watch at
 // once from being asked in a loop.
-const readSpacing = 100 * time.Millisecond
+const readSpacing = 500 * time.Millisecond
 
 // behindSpacing is the time between reads while the platform shows older data.
 const behindSpacing = time.Second
@@ -71,6 +71,12 @@
 	r.signs[id] = max(r.signs[id], at)
 }
 
+// signed reports whether a member has shown a successful read lately.
+func (r *reading) signed(id fleet.VMID, now clock.Time) bool {
+	at, ok := r.signs[id]
+	return ok && now.Sub(at) <= TakeoverAfter
+}
+
 func (r *reading) forget(v view) {
 	for id := range r.signs {
 		if !v.isOwn(id) {
@@ -102,7 +108,7 @@
 	}
 	working := 0
 	for _, id := range s.view.own.ranked[:rank] {
-		if at, ok := r.signs[id]; ok && s.now.Sub(at) <= TakeoverAfter {
+		if r.signed(id, s.now) {
 			working++
 		}
 	}
@@ -114,6 +120,30 @@
 	return s.now.Sub(r.quietSince) >= wait
 }
 
+// firstReader reports whether no member of better rank is known to read.
+func (s *State) firstReader() bool {
+	for _, id := range s.view.own.ranked[:max(0, s.view.rank)] {
+		if s.read.signed(id, s.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// domainReads reports whether this daemon's domain reads the platform, so that
+// a change is about to come from there.
+func (s *State) domainReads() bool {
+	if s.read.working(s.now) {
+		return true
+	}
+	for _, id := range s.view.own.ranked {
+		if s.read.signed(id, s.now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) dueRead(out *Ready) {
 	r := &s.read
 	if !s.wantsToRead() {
@@ -249,7 +279,9 @@
 	s.checkLineage(p, ev.Lineage)
 	before := s.held
 	if s.adopt(c, out) {
-		s.originate(before)
+		s.originate(before, s.firstReader())
+	} else if p == s.held.point() {
+		s.announce()
 	}
 	s.confirmHeld(p, ev.Confirmed)
 	s.checkBehind(p, ev.Confirmed, out)
--- a/decide/config/state.go
+++ b/decide/config/state.go
@@ -162,7 +162,7 @@
 	}
 	before := s.held
 	if s.adopt(c, out) {
-		s.originate(before)
+		s.originate(before, true)
 		s.join.end()
 	}
 	s.confirmHeld(c.point(), ev.Confirmed)
@@ -197,7 +197,7 @@
 		return false
 	}
 	if !s.view.isOwn(from) {
-		s.originate(before)
+		s.originate(before, true)
 	}
 	return true
 }
@@ -249,7 +249,7 @@
 func (s *State) wake() clock.Time {
 	w := clock.Min(s.gossip.wake(), s.read.wake())
 	w = clock.Min(w, s.join.wake(s.now))
-	w = clock.Min(w, s.chase.wake())
+	w = clock.Min(w, s.chase.wake(s.now))
 	w = clock.Min(w, s.push.wake())
 	return clock.Min(w, s.confirm.wake(s.now))
 }
--- a/decide/dispatch/arrive.go
+++ b/decide/dispatch/arrive.go
@@ -96,8 +96,7 @@
 		s.giveUp(r, verdict.ReasonOverload, retryAfter(wait))
 		return
 	}
-	if l := s.pickLink(r, wait); l != nil {
-		s.forward(r, l)
+	if l := s.pickLink(r, wait); l != nil && s.forward(r, l) {
 		return
 	}
 	if reason := s.refusal(r, wait); reason != verdict.ReasonNone {
--- a/decide/dispatch/remote.go
+++ b/decide/dispatch/remote.go
@@ -151,10 +151,9 @@
 			return
 		}
 		l := s.pickLink(n.Item, s.expectedWait(v, ahead))
-		if l == nil {
+		if l == nil || !s.forward(n.Item, l) {
 			return
 		}
-		s.forward(n.Item, l)
 	}
 }
 
--- a/decide/dispatch/send.go
+++ b/decide/dispatch/send.go
@@ -45,10 +45,11 @@
 	return true
 }
 
-// forward hands r to the entry VM of l.
-func (s *State) forward(r *request, l *link) {
+// forward hands r to the entry VM of l. It reports false, and does nothing,
+// when that would break an invariant.
+func (s *State) forward(r *request, l *link) bool {
 	if !s.mayForward(r) {
-		return
+		return false
 	}
 	s.dequeue(r)
 	a := s.startAttempt(r)
@@ -61,6 +62,7 @@
 	deadline := max(r.deadline-clock.Time(l.vm.rtt/2), s.now)
 	s.out.Forwards = append(s.out.Forwards, Forward{Req: r.id, Attempt: a.id, VM: l.vm.id, Deadline: deadline})
 	s.schedule(r)
+	return true
 }
 
 func (s *State) startAttempt(r *request) *attempt {
@@ -144,10 +146,9 @@
 		// The first in line waits only for the next slot, but an entry VM close
 		// by with a free one is sooner still.
 		l := s.pickLink(r, s.expectedWait(v, 0))
-		if l == nil {
+		if l == nil || !s.forward(r, l) {
 			return
 		}
-		s.forward(r, l)
 	}
 }
 
--- a/decide/dispatch/standing.go
+++ b/decide/dispatch/standing.go
@@ -59,7 +59,14 @@
 	if out <= max(len(v.targets)/maxEjectedShare, 1) {
 		return true
 	}
-	return v.capacity-t.granted >= v.inFlight+v.queue.Len()
+	left := v.capacity - t.granted
+	return left > 0 && float64(left) >= v.demand()
+}
+
+// demand is the slots that v's requests take, on average or now, whichever is
+// more.
+func (v *service) demand() float64 {
+	return max(float64(v.inFlight+v.queue.Len()), float64(v.capacity)-v.spare.mean)
 }
 
 // pause gives t nothing for a while after it refused a request.
--- a/decide/engine/calls.go
+++ b/decide/engine/calls.go
@@ -76,6 +76,7 @@
 }
 
 func (e *Engine) arrive(now clock.Time, c *Call, out *Ready) {
+	e.note(now, c)
 	e.arrival = dispatch.Arrive{
 		Req:       c.Req,
 		Service:   c.Service,
@@ -91,6 +92,7 @@
 // never handed on has not run, and never will.
 func (e *Engine) callerGone(now clock.Time, ev *dispatch.CallerGone, out *Ready) {
 	e.stepDispatch(now, ev, out)
+	delete(e.records, ev.Req)
 	t, ok := e.open[ev.Req]
 	if !ok {
 		return
@@ -102,22 +104,21 @@
 	e.settle(now, ev.Req, v, 0)
 }
 
-// stepDispatch steps the dispatcher and settles the tokens of requests that
-// got their final effect.
+// stepDispatch steps the dispatcher, and settles the tokens and ends the
+// records of requests that got their final effect.
 func (e *Engine) stepDispatch(now clock.Time, ev dispatch.Event, out *Ready) {
 	d := &out.Dispatch
 	sends, forwards := len(d.Sends), len(d.Forwards)
 	delivers, replies := len(d.Delivers), len(d.Replies)
 	e.dispatch.Step(now, ev, d)
 	e.wakes.dispatch = d.Wake
-	if len(e.open) == 0 {
-		return
-	}
 	for _, s := range d.Sends[sends:] {
 		e.markSent(s.Req)
+		e.handed(now, s.Req, true)
 	}
 	for _, f := range d.Forwards[forwards:] {
 		e.markSent(f.Req)
+		e.handed(now, f.Req, false)
 	}
 	status := 0
 	if a, ok := ev.(*dispatch.Answered); ok {
@@ -125,12 +126,17 @@
 	}
 	for _, v := range d.Delivers[delivers:] {
 		e.settle(now, v.Req, verdict.Ran, status)
+		e.conclude(now, v.Req, status < failedStatus)
 	}
 	for _, r := range d.Replies[replies:] {
 		e.settle(now, r.Req, r.Verdict, 0)
+		e.conclude(now, r.Req, false)
 	}
 }
 
+// failedStatus is the least HTTP status that counts as a failed answer.
+const failedStatus = 500
+
 func (e *Engine) markSent(req dispatch.RequestID) {
 	if t, ok := e.open[req]; ok {
 		t.sent = true
--- a/decide/engine/control.go
+++ b/decide/engine/control.go
@@ -11,8 +11,8 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
 	"github.com/azurethread/azurethread/decide/member"
-	"github.com/azurethread/azurethread/decide/shift"
 	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/tally"
 )
 
 // peerMessage hands each part of a frame to the package it is for.
@@ -26,6 +26,9 @@
 	if m.Config != nil {
 		e.stepConfig(now, &config.PeerMessage{From: m.From, Msg: m.Config}, out)
 	}
+	if m.Tally != nil {
+		e.stepTally(now, &tally.PeerMessage{From: m.From, Msg: m.Tally}, out)
+	}
 }
 
 // stepMember steps the membership and takes over what has changed.
@@ -86,6 +89,8 @@
 	e.addLeaving()
 	slices.SortFunc(e.vms, func(a, b fleet.VM) int { return cmp.Compare(a.ID, b.ID) })
 	out.VMs = e.vms
+	out.Eligible = e.eligible()
+	e.stepTally(now, &tally.Fleet{Domains: e.member.Domains(nil)}, out)
 	e.stepDispatch(now, e.peers(), out)
 	e.remotes(now, out)
 	e.stepConfig(now, &config.Members{Members: e.configMembers()}, out)
@@ -162,8 +167,8 @@
 	for _, s := range c.Services {
 		e.services[s.Name] = s
 	}
-	e.table = shift.NewTable(c)
 	e.stepDispatch(now, &dispatch.Services{List: c.Services}, out)
+	e.shiftsChanged(now, c, out)
 	e.publish(out)
 }
 
@@ -190,13 +195,15 @@
 // publish builds the view that look-ups are answered from.
 func (e *Engine) publish(out *Ready) {
 	in := steer.Inputs{Self: e.self.Region, Blocks: e.blocks, VMs: e.vms, Weights: e.weights}
-	if e.table != nil {
-		in.Shifts = e.table
-	}
 	if e.catalogue != nil {
 		in.Running = routes(e.catalogue)
 	}
-	out.View = steer.New(in)
+	out.Unshifted = steer.New(in)
+	out.View = out.Unshifted
+	if e.table != nil {
+		in.Shifts = e.table
+		out.View = steer.New(in)
+	}
 }
 
 // routes names the traffic that shifts are stepping now.
--- a/decide/engine/engine.go
+++ b/decide/engine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/shift"
 	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/tally"
 	"github.com/azurethread/azurethread/decide/token"
 )
 
@@ -22,8 +23,10 @@
 	Self     fleet.VM
 	FleetKey []byte
 	Seed     uint64
+	Now      clock.Time       // instant of the start
 	Dispatch dispatch.Options // VM, Domain, Region and Seed are filled in
 	Member   member.Options
+	Shift    shift.Options
 	// NearRTT and FarRTT are the round trips to entry VMs of other failure
 	// domains inside the region, and in other regions.
 	NearRTT, FarRTT time.Duration
@@ -39,6 +42,8 @@
 	loads    *load.State
 	config   *config.State
 	damper   steer.Damper
+	tally    *tally.State
+	runner   *shift.Runner
 
 	services  map[fleet.ServiceName]catalogue.Service
 	open      map[dispatch.RequestID]openToken
@@ -47,22 +52,29 @@
 	blocks    *block.Table
 	vms       []fleet.VM // of all domains, by id
 	weights   map[steer.DomainService]steer.Weight
+	records   map[dispatch.RequestID]served
+	evidence  shift.Evidence
+	leads     bool // holds the lease of the shift runner
 
 	wakes       wakes
 	memberReady member.Ready
 	configReady config.Ready
+	tallyReady  tally.Ready
+	effects     []shift.Effect
 	arrival     dispatch.Arrive
 	loadsOf     []dispatch.ServiceLoad
 	samples     []load.Sample
+	tallied     []tally.Sample
 }
 
 // wakes are the instants at which each part wants to be ticked.
 type wakes struct {
-	dispatch, member, config, refresh clock.Time
+	dispatch, member, config, refresh, tally, runner clock.Time
 }
 
 func (w *wakes) next() clock.Time {
-	return clock.Min(clock.Min(w.dispatch, w.member), clock.Min(w.config, w.refresh))
+	w1 := clock.Min(clock.Min(w.dispatch, w.member), clock.Min(w.config, w.refresh))
+	return clock.Min(w1, clock.Min(w.tally, w.runner))
 }
 
 // New returns the engine of an entry VM that knows only itself.
@@ -84,10 +96,13 @@
 			Incarnation: o.Self.Incarnation,
 			Seed:        o.Seed,
 		}),
+		tally:    tally.New(o.Now, o.Self, tally.Options{}),
+		runner:   shift.NewRunner(o.Shift),
+		records:  make(map[dispatch.RequestID]served),
 		services: make(map[fleet.ServiceName]catalogue.Service),
 		open:     make(map[dispatch.RequestID]openToken),
 		vms:      []fleet.VM{o.Self},
-		wakes:    wakes{dispatch: clock.Never},
+		wakes:    wakes{dispatch: clock.Never, tally: clock.Never, runner: clock.Never},
 	}
 }
 
@@ -108,6 +123,10 @@
 		e.stepMember(now, ev, out)
 	case config.Event:
 		e.stepConfig(now, ev, out)
+	case tally.Event:
+		e.stepTally(now, ev, out)
+	case shift.Event:
+		e.stepRunner(now, ev, out)
 	case *Machines:
 		e.machines(now, ev.List, out)
 	case *Blocks:
@@ -133,6 +152,12 @@
 	if e.wakes.config <= now {
 		e.stepConfig(now, &config.Tick{}, out)
 	}
+	if e.wakes.tally <= now {
+		e.stepTally(now, &tally.Tick{}, out)
+	}
+	if e.wakes.runner <= now {
+		e.stepRunner(now, shift.Tick{}, out)
+	}
 	if e.wakes.refresh <= now {
 		e.refresh(now, out)
 	}
@@ -158,16 +183,3 @@
 	}
 	return e.catalogue.Shifts
 }
-
-// MovedShare returns the part of a shift's traffic counted as moved.
-func (e *Engine) MovedShare(clock.Time, string) catalogue.Share { return 0 }
-
-// HoldOf returns why a shift stands still; empty while it advances.
-func (e *Engine) HoldOf(id string) string {
-	for _, s := range e.Shifts() {
-		if s.ID == id {
-			return s.Hold
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/decide/engine/enginetest/books.go
@@ -0,0 +1,282 @@
+package enginetest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/config"
+	"github.com/azurethread/azurethread/decide/dispatch"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// Work is one thing that a caller wants done, whatever it takes.
+type Work struct {
+	Name       string
+	Service    fleet.ServiceName
+	Idempotent bool
+	Runs       int
+}
+
+// Claim is what a verdict speaks of.
+type Claim struct {
+	Work   *Work
+	Runs   int
+	NotRun bool   // somebody was told so
+	Parent *Claim // that a forward serves
+}
+
+// sampleEvery is the time between two looks at the membership.
+const sampleEvery = 100 * time.Millisecond
+
+// settleTime is how long the entry VMs of a domain must have agreed on who
+// they are before the bounds that rest on it are asserted.
+const settleTime = 2 * time.Second
+
+// leaveTime is the time after which a target known to be leaving must get no
+// more work.
+const leaveTime = 2 * time.Second
+
+// finalSlack is how much later than its deadline a request may be answered.
+const finalSlack = 10 * time.Millisecond
+
+// maxViolations bounds what is kept of a run that has gone wrong.
+const maxViolations = 20
+
+// Books hold what must be true of a World, and what has happened in it.
+type Books struct {
+	Violations []string
+	// Steps counts the events that engines have stepped.
+	Steps  uint64
+	Counts Counts
+
+	w         *World
+	agreed    map[fleet.Domain]clock.Time // since when the entry VMs agree; Never: they don't
+	contents  map[uint64]uint64           // hash first seen in force, by revision
+	overSlots int
+}
+
+// Counts are what a run reports about itself.
+type Counts struct {
+	Works, Sends, Forwards, Runs     int
+	Ran, NotRun, MayHaveRun, Unknown int // what callers were left with
+	Resends, Duplicates, Outcomes    int
+	Shed, Applied, Operations        int
+	Accepted, Steps, Faults          int
+	MaxRevision                      uint64
+	// OverSlots is the most requests that entry VMs had in flight at a target
+	// beyond its slots while they agreed on who they are.
+	OverSlots int
+	// ForwardedOver is the most forwarded requests in hand in a domain
+	// beyond its slots.
+	ForwardedOver int
+	// MovedOver is the most that the counted share of a shift was over its
+	// cap, in parts of catalogue.ShareUnit.
+	MovedOver int
+}
+
+func newBooks(w *World) Books {
+	return Books{w: w, agreed: make(map[fleet.Domain]clock.Time), contents: make(map[uint64]uint64)}
+}
+
+// violate records a broken invariant.
+func (b *Books) violate(format string, args ...any) {
+	s := fmt.Sprintf("%v: %s", b.w.Now.Sub(epoch), fmt.Sprintf(format, args...))
+	b.w.trace("VIOLATION %s", s)
+	if len(b.Violations) < maxViolations {
+		b.Violations = append(b.Violations, s)
+	}
+}
+
+// Err returns the violations so far, or nil.
+func (b *Books) Err() error {
+	if len(b.Violations) == 0 {
+		return nil
+	}
+	return fmt.Errorf("enginetest: seed %d:\n%s", b.w.Options.Seed, strings.Join(b.Violations, "\n"))
+}
+
+// ran books a run at a target.
+func (b *Books) ran(t *Target, c *Claim) {
+	b.Counts.Runs++
+	c.Work.Runs++
+	if c.Work.Service != t.Service {
+		b.violate("%s of %s ran at %s of %s", c.Work.Name, c.Work.Service, t.ID, t.Service)
+	}
+	if !c.Work.Idempotent && c.Work.Runs > 1 {
+		b.violate("%s is not idempotent and ran %d times, now at %s", c.Work.Name, c.Work.Runs, t.ID)
+	}
+	for ; c != nil; c = c.Parent {
+		c.Runs++
+		if c.NotRun {
+			b.violate("%s runs at %s after somebody was told not-run", c.Work.Name, t.ID)
+		}
+	}
+}
+
+// told books a verdict about a claim.
+func (b *Books) told(by fleet.VMID, c *Claim, v verdict.Verdict, r verdict.Reason) {
+	switch v {
+	case verdict.NotRun:
+		c.NotRun = true
+		if c.Runs > 0 {
+			b.violate("%s says %s not-run (%s), and it has run %d times", by, c.Work.Name, r, c.Runs)
+		}
+	case verdict.Ran:
+		if c.Runs == 0 {
+			b.violate("%s says %s ran (%s), and it has not", by, c.Work.Name, r)
+		}
+	}
+}
+
+// broken books what an engine says of itself.
+func (b *Books) broken(v *VM, list []dispatch.Violation) {
+	for _, x := range list {
+		b.violate("%s reports %s: %s", v.Self.ID, x.Invariant, x.Detail)
+	}
+}
+
+// sent checks a send to a target.
+func (b *Books) sent(v *VM, a *attempt) {
+	b.Counts.Sends++
+	t := a.target
+	if at, known := v.leaving[t.ID]; known && b.w.Now.Sub(at) > leaveTime {
+		b.violate("%s sends %s to %s, known to leave for %v", v.Self.ID, a.call.claim.Work.Name, t.ID, b.w.Now.Sub(at))
+	}
+	if at, refused := v.stopping[t.ID]; refused && b.w.Now.Sub(at) > leaveTime && b.w.Now.Sub(at) < stoppingHolds {
+		b.violate("%s sends %s to %s, which said it is leaving %v ago", v.Self.ID, a.call.claim.Work.Name, t.ID, b.w.Now.Sub(at))
+	}
+	if t.Place != v.Place {
+		b.violate("%s sends to %s of another failure domain", v.Self.ID, t.ID)
+	}
+	b.checkSlots(t)
+}
+
+// stoppingHolds is how long a target's word that it is leaving must hold for
+// each entry VM that has heard it, if the list does not say so.
+const stoppingHolds = 25 * time.Second
+
+// checkSlots counts what all entry VMs together have in flight at a target.
+// The count begins when they agree on who they are, as each may use all slots
+// while it believes that it is alone.
+func (b *Books) checkSlots(t *Target) {
+	since, ok := b.settled(t.Place.Domain)
+	if !ok {
+		return
+	}
+	n := 0
+	for _, a := range t.attempts {
+		if a.sentAt >= since && !a.lingers(b.w.Now) {
+			n++
+		}
+	}
+	over := n - t.Slots
+	b.Counts.OverSlots = max(b.Counts.OverSlots, over)
+	if over > t.Queue {
+		b.violate("%d requests in flight at %s of %d slots and a queue of %d", n, t.ID, t.Slots, t.Queue)
+	}
+}
+
+// checkForwarded counts the forwarded requests that a domain has admitted. A
+// region must not be overloaded because others send it what they can't bear,
+// so the domain holds no more of them than it has slots, but for those about
+// to be refused.
+func (b *Books) checkForwarded(d Place, s fleet.ServiceName) {
+	since, ok := b.settled(d.Domain)
+	if !ok {
+		return
+	}
+	slots, held, vms := 0, 0, 0
+	for _, t := range b.w.Targets {
+		if t.Place == d && t.Service == s {
+			slots += t.Slots
+		}
+	}
+	for _, v := range b.w.VMs {
+		if v.Place != d || !v.Up {
+			continue
+		}
+		vms++
+		held += v.forwardedHeld(s, since)
+	}
+	over := held - slots
+	b.Counts.ForwardedOver = max(b.Counts.ForwardedOver, over)
+	if over > slots/2+vms {
+		b.violate("%s holds %d forwarded requests of %s with %d slots", d.Domain, held, s, slots)
+	}
+}
+
+// settled reports since when the entry VMs of a domain agree, if for long.
+func (b *Books) settled(d fleet.Domain) (clock.Time, bool) {
+	since, ok := b.agreed[d]
+	return since, ok && since != clock.Never && b.w.Now.Sub(since) >= settleTime
+}
+
+// sample looks at who the entry VMs of each domain believe to be live.
+func (b *Books) sample() {
+	for _, v := range b.w.VMs {
+		d := v.Place.Domain
+		since, known := b.agreed[d]
+		switch {
+		case !b.agree(d):
+			b.agreed[d] = clock.Never
+		case !known || since == clock.Never:
+			b.agreed[d] = b.w.Now
+		}
+	}
+}
+
+// agree reports whether all live entry VMs of a domain name the same members
+// as live, those and no others.
+func (b *Books) agree(d fleet.Domain) bool {
+	var live []fleet.VMID
+	for _, v := range b.w.VMs {
+		if v.Place.Domain == d && v.Up && !v.Leaving {
+			live = append(live, v.Self.ID)
+		}
+	}
+	for _, v := range b.w.VMs {
+		if v.Place.Domain != d || !v.Up {
+			continue
+		}
+		if v.Paused || !slices.Equal(v.liveMembers(), live) {
+			return false
+		}
+	}
+	return true
+}
+
+// applied checks a catalogue that comes into force.
+func (b *Books) applied(v *VM, c *catalogue.Catalogue) {
+	b.Counts.Applied++
+	b.Counts.MaxRevision = max(b.Counts.MaxRevision, c.Revision)
+	h, err := config.Hash(c)
+	if err != nil {
+		b.violate("%s applies revision %d: %v", v.Self.ID, c.Revision, err)
+	}
+	if c.Revision < v.revision {
+		b.violate("%s goes back from revision %d to %d", v.Self.ID, v.revision, c.Revision)
+	}
+	if first, seen := b.contents[c.Revision]; seen && first != h {
+		b.violate("%s holds other content at revision %d", v.Self.ID, c.Revision)
+	}
+	b.contents[c.Revision] = h
+	v.revision = c.Revision
+	for i := range c.Shifts {
+		b.checkShift(v, &c.Shifts[i])
+	}
+}
+
+// checkShift checks what a catalogue in force says of a shift.
+func (b *Books) checkShift(v *VM, s *catalogue.Shift) {
+	if s.Share > s.Limits.MaxShare {
+		b.violate("%s moves %d by %s, whose cap is %d", v.Self.ID, s.Share, s.ID, s.Limits.MaxShare)
+	}
+	if s.Share > 0 && s.ApprovedBy == "" {
+		b.violate("%s moves traffic by %s, which nobody approved", v.Self.ID, s.ID)
+	}
+}
--- a/decide/engine/event.go
+++ b/decide/engine/event.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
 	"github.com/azurethread/azurethread/decide/member"
+	"github.com/azurethread/azurethread/decide/tally"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -33,14 +34,15 @@
 // Machines is a newer version of the platform's lagging machine list.
 type Machines struct{ List fleet.List }
 
-// PeerMessage is what one frame of another entry VM brought. Of the three
-// parts those that came are set.
+// PeerMessage is what one frame of another entry VM brought. Of its parts
+// those that came are set.
 type PeerMessage struct {
 	From        fleet.VMID
 	Incarnation fleet.Incarnation
 	Member      member.Msg
 	Load        *load.Report
 	Config      config.Message
+	Tally       tally.Message
 }
 
 // Blocks is a newer table of client blocks.
--- a/decide/engine/ready.go
+++ b/decide/engine/ready.go
@@ -10,15 +10,17 @@
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/shift"
 	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/tally"
 )
 
-// PeerSend is a message to another entry VM. Of the three parts those that
-// are set go together.
+// PeerSend is a message to another entry VM. Of its parts those that are set
+// go together.
 type PeerSend struct {
 	To     fleet.VM
 	Member member.Msg
 	Load   *load.Report
 	Config config.Message
+	Tally  tally.Message
 }
 
 // Ready holds the effects of one Step. The slices belong to the caller, who
@@ -40,6 +42,14 @@
 	Catalogue *catalogue.Catalogue
 	// View answers look-ups from now on; nil: no change.
 	View *steer.View
+	// Unshifted is View as if no traffic were shifted, for look-ups that Gate
+	// keeps from being moved; set with View.
+	Unshifted *steer.View
+	// Gate bounds the share of look-ups that are moved; nil: no change.
+	Gate *shift.Gate
+	// Eligible says whether this process should try for the lease of the
+	// shift runner; set with VMs.
+	Eligible bool
 	// VMs are all known entry VMs; nil: no change.
 	VMs []fleet.VM
 	// Superseded says that another process runs under this VM's id: stop.
@@ -63,6 +73,8 @@
 	r.Writes = r.Writes[:0]
 	r.Catalogue = nil
 	r.View = nil
+	r.Unshifted = nil
+	r.Gate = nil
 	r.VMs = nil
 	r.Superseded = false
 	r.wake = clock.Never
--- a/decide/engine/refresh.go
+++ b/decide/engine/refresh.go
@@ -8,16 +8,17 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
 	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/tally"
 )
 
 // refreshEvery is the time between two measurements of the own load, and
 // between two readings of the others' reports.
-const refreshEvery = 500 * time.Millisecond
+const refreshEvery = 250 * time.Millisecond
 
 // refresh measures the own load and takes over what others have reported.
 func (e *Engine) refresh(now clock.Time, out *Ready) {
 	e.wakes.refresh = now.Add(refreshEvery)
-	e.measure(now)
+	e.measure(now, out)
 	e.remotes(now, out)
 	if e.weigh(now) {
 		e.publish(out)
@@ -25,18 +26,29 @@
 }
 
 // measure gives the own load to the reports.
-func (e *Engine) measure(now clock.Time) {
+func (e *Engine) measure(now clock.Time, out *Ready) {
 	e.loadsOf = e.dispatch.AppendLoads(e.loadsOf[:0])
 	e.samples = e.samples[:0]
+	e.tallied = e.tallied[:0]
 	for _, l := range e.loadsOf {
+		m := e.tally.Meter().Rate(now, l.Service)
 		e.samples = append(e.samples, load.Sample{
 			Service:  l.Service,
 			InFlight: uint32(l.InFlight),
 			Queued:   uint32(l.Queued),
 			Slots:    uint32(l.Capacity),
 			Capacity: uint32(l.InFlight + l.Queued + l.Headroom),
+			Rate:     m.Answers,
+			Errors:   uint16(m.Errors),
+			P99:      m.P99,
+		})
+		e.tallied = append(e.tallied, tally.Sample{
+			Service:  l.Service,
+			Capacity: uint32(l.Capacity),
+			InFlight: uint32(l.InFlight + l.Queued),
 		})
 	}
+	e.stepTally(now, &tally.Measured{Samples: e.tallied}, out)
 	e.loads.Step(now, &load.Measured{Samples: e.samples})
 }
 
--- a/decide/member/fact.go
+++ b/decide/member/fact.go
@@ -52,6 +52,12 @@
 	return f
 }
 
+func (s *State) applyFacts(facts []Fact) {
+	for i := range facts {
+		s.applyFact(&facts[i])
+	}
+}
+
 // applyFact merges a statement about a VM of the own domain.
 func (s *State) applyFact(f *Fact) {
 	if f.ID == s.self.vm.ID {
--- a/decide/member/message.go
+++ b/decide/member/message.go
@@ -78,7 +78,8 @@
 }
 
 // Row is the aggregate of one failure domain. The one of the highest Version
-// counts.
+// counts, and of two with the same one, that of the higher Author: two VMs
+// that both think themselves the author can publish in the same millisecond.
 type Row struct {
 	Region  fleet.Region `json:"region"`
 	Domain  fleet.Domain `json:"domain"`
@@ -86,14 +87,17 @@
 	Author  fleet.VMID   `json:"author"`
 	Live    uint32       `json:"live"`
 	Leaving uint32       `json:"leaving"`
-	VMs     []RowVM      `json:"vms"` // live ones by rank; the representatives come first
-	Own     uint32       `json:"own"` // how many of VMs the author itself holds live; see vouch
+	// VMs are live ones by rank; the representatives come first. Of a domain
+	// that has none, leaving ones are named: they are not offered, but get news.
+	VMs []RowVM `json:"vms"`
+	Own uint32  `json:"own"` // how many of VMs the author itself holds live; see vouch
 }
 
 // Version names a row that the sender holds.
 type Version struct {
 	Domain  fleet.Domain `json:"domain"`
 	Version uint64       `json:"version"`
+	Author  fleet.VMID   `json:"author"`
 }
 
 // Reach says whether a watcher in SeenDomain gets answers from a domain or,
@@ -136,6 +140,7 @@
 // Sync asks for what the sender lacks: Marks are its facts without addresses,
 // empty towards another domain; Versions are its rows.
 type Sync struct {
+	Domain   fleet.Domain `json:"domain"` // of the sender
 	Region   fleet.Region `json:"region"` // of the rows meant; empty for all
 	Marks    []Fact       `json:"marks"`
 	Versions []Version    `json:"versions"`
@@ -143,9 +148,10 @@
 
 // SyncAck answers a Sync.
 type SyncAck struct {
-	Facts   []Fact  `json:"facts"`
-	Rows    []Row   `json:"rows"`
-	Reaches []Reach `json:"reaches"`
+	Domain  fleet.Domain `json:"domain"` // of the sender
+	Facts   []Fact       `json:"facts"`
+	Rows    []Row        `json:"rows"`
+	Reaches []Reach      `json:"reaches"`
 }
 
 // Hop says who hands a Spread on.
--- a/decide/member/news.go
+++ b/decide/member/news.go
@@ -68,7 +68,7 @@
 func (n *news) drop(m *Spread) {
 	n.rows = slices.DeleteFunc(n.rows, func(r newsRow) bool {
 		return slices.ContainsFunc(m.Rows, func(o Row) bool {
-			return o.Domain == r.row.Domain && o.Version >= r.row.Version
+			return o.Domain == r.row.Domain && compareVersions(o.version(), r.row.version()) >= 0
 		})
 	})
 	n.reaches = slices.DeleteFunc(n.reaches, func(r newsReach) bool {
@@ -208,12 +208,10 @@
 
 // spread takes news and hands them on as far as its Hop says.
 func (s *State) spread(m *Message, b *Spread) {
-	for i := range b.Facts {
-		s.applyFact(&b.Facts[i])
-	}
 	if b.Hop == HopMember {
-		s.backup.drop(b)
+		s.factsFrom(m.From, b.Facts)
 	}
+	s.passedOn(b)
 	n, at := &s.news, s.now.Add(flushDelay)
 	if b.Backup {
 		n, at = &s.backup, s.now.Add(backupDelay)
@@ -231,6 +229,33 @@
 	}
 }
 
+// passedOn takes back what this VM was to hand on as a backup, since another
+// one has done so. What came to this VM as the first of its domain still goes
+// to the domain.
+func (s *State) passedOn(b *Spread) {
+	if b.Backup || b.Hop == HopRegion {
+		return
+	}
+	if b.Hop == HopDomain {
+		s.takeOver(b)
+	}
+	s.backup.drop(b)
+}
+
+func (s *State) takeOver(b *Spread) {
+	at := s.now.Add(flushDelay)
+	for _, r := range s.backup.rows {
+		if slices.ContainsFunc(b.Rows, func(o Row) bool { return o.version() == r.row.version() }) {
+			s.news.addRow(at, r.row, toDomain)
+		}
+	}
+	for _, r := range s.backup.reaches {
+		if slices.ContainsFunc(b.Reaches, func(o Reach) bool { return sameKey(&o, &r.reach) }) {
+			s.news.addReach(at, newsReach{reach: r.reach, at: r.at, to: toDomain})
+		}
+	}
+}
+
 // extent is how far the receiver of this hop hands on; false for not at all.
 func (h Hop) extent() (extent, bool) {
 	switch h {
--- a/decide/member/probe.go
+++ b/decide/member/probe.go
@@ -172,10 +172,24 @@
 	})
 }
 
-func (s *State) ping(m *Message, p *Ping, out *Ready) {
-	for i := range p.Facts {
-		s.applyFact(&p.Facts[i])
+// factsFrom applies the facts of a VM of the own domain, and those about this
+// VM of any. Facts don't name their domain: taking those of another for
+// members would merge the two.
+func (s *State) factsFrom(id fleet.VMID, facts []Fact) {
+	vm, ok := s.address(id)
+	if ok && s.neighbour(vm) {
+		s.applyFacts(facts)
+		return
+	}
+	for i := range facts {
+		if facts[i].ID == s.self.vm.ID {
+			s.applyFact(&facts[i])
+		}
 	}
+}
+
+func (s *State) ping(m *Message, p *Ping, out *Ready) {
+	s.factsFrom(m.From, p.Facts)
 	to, ok := s.address(m.From)
 	if !ok {
 		to = fleet.VM{ID: m.From}
@@ -189,9 +203,7 @@
 }
 
 func (s *State) ack(m *Message, a *Ack, out *Ready) {
-	for i := range a.Facts {
-		s.applyFact(&a.Facts[i])
-	}
+	s.factsFrom(m.From, a.Facts)
 	at := slices.IndexFunc(s.probes, func(p probe) bool { return p.seq == a.Seq })
 	if at < 0 {
 		return
--- a/decide/member/row.go
+++ b/decide/member/row.go
@@ -39,16 +39,29 @@
 	return 0
 }
 
+func (r *Row) version() Version {
+	return Version{Domain: r.Domain, Version: r.Version, Author: r.Author}
+}
+
+// compareVersions orders two versions of one domain's row.
+func compareVersions(a, b Version) int {
+	if c := cmp.Compare(a.Version, b.Version); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Author, b.Author)
+}
+
 // putRow stores a row if it is newer than the one held.
 func (s *State) putRow(row Row) bool {
 	at, ok := s.findRow(row.Domain)
-	if ok && s.rows[at].row.Version >= row.Version {
+	if ok && compareVersions(row.version(), s.rows[at].row.version()) <= 0 {
 		return false
 	}
 	if !ok && len(s.rows) >= MaxRows {
 		return false
 	}
-	r := &rowState{row: row, hash: mix(hashString(fnvOffset, string(row.Domain)) ^ row.Version*fnvPrime)}
+	h := hashString(hashString(fnvOffset, string(row.Domain)), string(row.Author))
+	r := &rowState{row: row, hash: mix(h ^ row.Version*fnvPrime)}
 	s.recheck(&row)
 	if ok {
 		s.rows[at] = r
@@ -124,16 +137,23 @@
 }
 
 // reps returns the ids of the representatives of the own domain, the author
-// first.
+// first. Where none is live, the leaving ones go on, so as to know to whom
+// they can send callers.
 func (s *State) reps() []fleet.VMID {
+	if ids := s.firstOf(fleet.Live); len(ids) > 0 {
+		return ids
+	}
+	return s.firstOf(fleet.Leaving)
+}
+
+func (s *State) firstOf(state fleet.State) []fleet.VMID {
 	var ids []fleet.VMID
-	n := repCount(s.liveMembers())
 	for _, r := range s.members {
-		if r.vm.State == fleet.Live && len(ids) < n {
+		if r.vm.State == state {
 			ids = append(ids, r.vm.ID)
 		}
 	}
-	return ids
+	return ids[:repCount(len(ids))]
 }
 
 // isAuthor reports whether this VM publishes the domain's row.
@@ -141,23 +161,8 @@
 	if !s.joined {
 		return false
 	}
-	for _, r := range s.members {
-		if r.vm.State == fleet.Live {
-			return r == s.self
-		}
-	}
-	return s.onlyLeaving()
-}
-
-// onlyLeaving reports whether this VM is the first of a domain without any
-// live VM: somebody has to publish that none is left.
-func (s *State) onlyLeaving() bool {
-	for _, r := range s.members {
-		if !r.dead() {
-			return r == s.self
-		}
-	}
-	return false
+	reps := s.reps()
+	return len(reps) > 0 && reps[0] == s.self.vm.ID
 }
 
 // refreshOwnRow publishes the domain's row if this VM is its author and the
@@ -235,9 +240,26 @@
 		row.Live++
 		row.offer(v.vm)
 	}
+	if row.Live == 0 {
+		s.nameLeaving(&row)
+	}
 	return row
 }
 
+func (s *State) nameLeaving(row *Row) {
+	for _, id := range s.firstOf(fleet.Leaving) {
+		row.offer(rowVM(&s.byID[id].vm))
+	}
+}
+
+// offers returns the VMs that callers may be sent to.
+func (r *Row) offers() []RowVM {
+	if r.Live == 0 {
+		return nil
+	}
+	return r.VMs
+}
+
 func (r *Row) offer(v RowVM) {
 	if len(r.VMs) < RowVMs {
 		r.VMs = append(r.VMs, v)
@@ -283,7 +305,11 @@
 
 // reps returns the representatives among the row's VMs.
 func (r *Row) reps() []fleet.VM {
-	n := min(len(r.VMs), repCount(int(r.Live)))
+	of := r.Live
+	if of == 0 {
+		of = r.Leaving
+	}
+	n := min(len(r.VMs), repCount(int(of)))
 	out := make([]fleet.VM, 0, n)
 	for _, v := range r.VMs[:n] {
 		out = append(out, r.vm(v))
--- a/decide/member/sync.go
+++ b/decide/member/sync.go
@@ -77,10 +77,10 @@
 		return
 	}
 	s.lastSync = s.now
-	m := &Sync{Region: region}
+	m := &Sync{Domain: s.self.vm.Domain, Region: region}
 	for _, r := range s.rows {
 		if r.row.Region == region {
-			m.Versions = append(m.Versions, Version{Domain: r.row.Domain, Version: r.row.Version})
+			m.Versions = append(m.Versions, r.row.version())
 		}
 	}
 	s.send(to, m, ScopeNone, out)
@@ -89,14 +89,14 @@
 // newSync lists what this VM knows: of itself with its addresses, since the
 // receiver may see it for the first time.
 func (s *State) newSync(neighbour bool) *Sync {
-	m := &Sync{}
+	m := &Sync{Domain: s.self.vm.Domain}
 	for _, r := range s.members {
 		if neighbour {
 			m.Marks = append(m.Marks, s.fact(r, r == s.self))
 		}
 	}
 	for _, r := range s.rows {
-		m.Versions = append(m.Versions, Version{Domain: r.row.Domain, Version: r.row.Version})
+		m.Versions = append(m.Versions, r.row.version())
 	}
 	return m
 }
@@ -121,20 +121,21 @@
 }
 
 func (s *State) sync(m *Message, b *Sync, out *Ready) {
+	neighbour := b.Domain == s.self.vm.Domain
 	lacking := false
-	for i := range b.Marks {
-		s.applyFact(&b.Marks[i])
-		lacking = lacking || (b.Marks[i].Status != Dead && b.Marks[i].ID != s.self.vm.ID && s.byID[b.Marks[i].ID] == nil)
+	if neighbour {
+		s.applyFacts(b.Marks)
+		lacking = slices.ContainsFunc(b.Marks, s.unknown)
 	}
-	a := &SyncAck{Reaches: s.carriedReaches(false)}
+	a := &SyncAck{Domain: s.self.vm.Domain, Reaches: s.carriedReaches(false)}
 	for _, r := range s.members {
-		if len(b.Marks) > 0 && s.newer(r, b.Marks) {
+		if neighbour && b.Region == "" && s.newer(r, b.Marks) {
 			a.Facts = append(a.Facts, s.fact(r, true))
 		}
 	}
 	for _, r := range s.rows {
 		meant := b.Region == "" || b.Region == r.row.Region
-		if meant && r.row.Version > versionIn(b.Versions, r.row.Domain) {
+		if meant && compareVersions(r.row.version(), versionIn(b.Versions, r.row.Domain)) > 0 {
 			a.Rows = append(a.Rows, r.row)
 		}
 	}
@@ -143,11 +144,32 @@
 		to = fleet.VM{ID: m.From}
 	}
 	s.send(to, a, ScopeNone, out)
-	if lacking {
-		s.askSync(m.From, out)
+	s.askBack(m.From, b, lacking, out)
+}
+
+// askBack asks for what the asker has and this VM lacks. Symptom without it:
+// the only VM of a domain restarts just after its neighbour domain was lost;
+// it has never heard of that domain, so nobody tells the other regions, which
+// have, that it can't be reached.
+func (s *State) askBack(id fleet.VMID, b *Sync, lacking bool, out *Ready) {
+	for _, v := range b.Versions {
+		at, ok := s.findRow(v.Domain)
+		lacking = lacking || !ok || compareVersions(v, s.rows[at].row.version()) > 0
+	}
+	switch {
+	case !lacking:
+	case b.Region == "":
+		s.askSync(id, out)
+	default:
+		s.askRows(id, b.Region, out)
 	}
 }
 
+// unknown reports whether a mark names a VM that this one has never heard of.
+func (s *State) unknown(f Fact) bool {
+	return f.Status != Dead && s.byID[f.ID] == nil
+}
+
 // newer reports whether r says more than the marks of the asker.
 func (s *State) newer(r *record, marks []Fact) bool {
 	at := slices.IndexFunc(marks, func(f Fact) bool { return f.ID == r.vm.ID })
@@ -161,21 +183,21 @@
 	return f.Status > marks[at].Status
 }
 
-func versionIn(vs []Version, d fleet.Domain) uint64 {
+func versionIn(vs []Version, d fleet.Domain) Version {
 	for _, v := range vs {
 		if v.Domain == d {
-			return v.Version
+			return v
 		}
 	}
-	return 0
+	return Version{}
 }
 
 // syncAck takes what another VM has and this one lacked. Rows from outside
 // the domain are news for the region.
 func (s *State) syncAck(m *Message, b *SyncAck) {
-	inside := s.byID[m.From] != nil
-	for i := range b.Facts {
-		s.applyFact(&b.Facts[i])
+	inside := b.Domain == s.self.vm.Domain
+	if inside {
+		s.applyFacts(b.Facts)
 	}
 	for _, row := range b.Rows {
 		if s.applyRow(row) && !inside && s.joined {
@@ -183,7 +205,7 @@
 		}
 	}
 	s.applyReaches(b.Reaches)
-	if len(b.Facts) > 0 {
+	if inside {
 		s.joinDone()
 	}
 }
--- a/decide/member/view.go
+++ b/decide/member/view.go
@@ -61,7 +61,7 @@
 			Live:      int(r.row.Live),
 			Leaving:   int(r.row.Leaving),
 		}
-		for _, m := range r.row.VMs {
+		for _, m := range r.row.offers() {
 			v.VMs = append(v.VMs, r.row.vm(m))
 		}
 		dst = append(dst, v)
@@ -118,7 +118,7 @@
 		if !s.domainReachable(r.row.Region, r.row.Domain) {
 			state = fleet.Dead
 		}
-		for _, v := range r.row.VMs {
+		for _, v := range r.row.offers() {
 			vm := r.row.vm(v)
 			vm.State = state
 			next = append(next, vm)
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -101,7 +101,7 @@
 // and claims.
 func (s *State) assignWatches() {
 	var next []watch
-	if s.joined && s.self.vm.State == fleet.Live {
+	if s.joined {
 		next = s.duties()
 	}
 	for i := range next {
@@ -221,7 +221,7 @@
 	s.send(to, &Watch{
 		Seq:     w.seq,
 		Rows:    s.rowHashOf(s.commonRows(to.Region)),
-		Reaches: s.carriedReaches(true),
+		Reaches: s.carriedReaches(to.Region != s.self.vm.Region),
 	}, ScopeNone, out)
 }
 
@@ -276,7 +276,7 @@
 	a := &WatchAck{
 		Seq:     b.Seq,
 		Rows:    s.rowHashOf(s.self.vm.Region),
-		Reaches: s.carriedReaches(true),
+		Reaches: s.carriedReaches(!near),
 	}
 	scope := ScopeFar
 	if near {
--- a/decide/steer/lookup.go
+++ b/decide/steer/lookup.go
@@ -80,7 +80,7 @@
 		return a
 	}
 	var r ranking
-	v.rank(&r, target, c.hash, v.weights[row], preferred)
+	v.rank(&r, target, c.hash, row, preferred)
 	a.N = v.fill(out, &r, c, row, target)
 	a.Region = v.regions[target].name
 	if v.moving(service, c.home.name) || v.weights[row][r.at[0].domain] <= NearlyFull {
@@ -161,7 +161,7 @@
 		return n
 	}
 	var far ranking
-	v.rank(&far, other, c.hash, v.weights[row], nil)
+	v.rank(&far, other, c.hash, row, nil)
 	out[n] = v.vms[far.at[0].best]
 	return n + 1
 }
--- a/decide/steer/rendezvous.go
+++ b/decide/steer/rendezvous.go
@@ -52,43 +52,52 @@
 //
 // All entry VMs of a domain have the same weight, so the best weighted draw of
 // the domain is the weighted best draw. That takes one logarithm a domain
-// instead of one a VM and gives the same order.
-func (v *View) rank(r *ranking, region int, hash uint64, weights []Weight, preferred []int) {
+// instead of one a VM and gives the same order; where all domains have the
+// same weight, the order of the draws is the order of the scores, and none is
+// taken.
+func (v *View) rank(r *ranking, region int, hash uint64, row int, preferred []int) {
 	g := &v.regions[region]
+	even := v.even[row][region]
 	for i := g.from; i < g.to; i++ {
-		c := v.draw(i, hash)
-		c.score *= float64(weights[i])
-		c.tier = tierOf(i, preferred)
-		if c.tier != notPreferred && !keeps(hash, v.domains[i].seed, weights[i]) {
-			c.tier = notPreferred
+		first, second := v.draw(i, hash)
+		c := candidate{domain: i, tier: notPreferred, best: v.drawn(i, first), second: -1}
+		if second != 0 {
+			c.second = v.drawn(i, second)
+		}
+		w := v.weights[row][i]
+		if t := tierOf(i, preferred); t != notPreferred && keeps(hash, v.domains[i].seed, w) {
+			c.tier = t
+		}
+		c.score = float64(first)
+		if !even {
+			c.score = -float64(w) / math.Log(unit(first))
 		}
 		r.insert(c)
 	}
 }
 
-// draw returns the two entry VMs of domain d with the best draws, and the
-// score of the best for weight 1.
-func (v *View) draw(d int, hash uint64) candidate {
+// drawIndex is the low part of a draw, which holds the place of the entry VM
+// in its domain; the rest is random.
+const drawIndex = 1<<16 - 1
+
+// draw returns the two best draws of the entry VMs of domain d; the second is
+// 0 where there is only one VM.
+//
+// The maxima are taken without branches, as which draw wins is random and
+// every wrong guess of the processor costs more than the draw.
+func (v *View) draw(d int, hash uint64) (first, second uint64) {
 	from, to := v.domains[d].from, v.domains[d].to
-	c := candidate{domain: d, best: from, second: -1}
-	var first, second uint64
 	for i, seed := range v.seeds[from:to] {
-		x := mix(hash ^ seed)
-		switch {
-		case x > first:
-			second, c.second = first, c.best
-			first, c.best = x, from+i
-		case x > second:
-			second, c.second = x, from+i
-		}
-	}
-	if to-from == 1 {
-		c.second = -1
+		x := mix(hash^seed)&^drawIndex | uint64(i)&drawIndex
+		second = max(second, min(first, x))
+		first = max(first, x)
 	}
-	c.score = -1 / math.Log(unit(first))
-	return c
+	return first, second
 }
 
+// drawn returns the index in View.vms of the entry VM that made the draw.
+func (v *View) drawn(d int, x uint64) int { return v.domains[d].from + int(x&drawIndex) }
+
 func tierOf(d int, preferred []int) int {
 	for i, p := range preferred {
 		if p == d {
--- a/decide/steer/view.go
+++ b/decide/steer/view.go
@@ -66,6 +66,9 @@
 	// weights holds one row per service named in Inputs.Weights and a last
 	// row of full weights for all others; a row has one weight per domain.
 	weights [][]Weight
+	// even tells, in the same rows, the regions all of whose domains have one
+	// weight.
+	even [][]bool
 	// totals is the weight of each region: VMs times weight over its domains,
 	// in the same rows.
 	totals [][]float64
@@ -201,6 +204,7 @@
 	}
 	for _, row := range v.weights {
 		v.totals = append(v.totals, v.regionTotals(row))
+		v.even = append(v.even, v.evenRegions(row))
 	}
 }
 
@@ -232,6 +236,17 @@
 	return totals
 }
 
+func (v *View) evenRegions(row []Weight) []bool {
+	even := make([]bool, len(v.regions))
+	for i, r := range v.regions {
+		even[i] = true
+		for _, w := range row[r.from:r.to] {
+			even[i] = even[i] && w == row[r.from]
+		}
+	}
+	return even
+}
+
 // compareVMs orders by region, domain and id; of one id, the latest
 // incarnation comes first.
 func compareVMs(a, b fleet.VM) int {
--- /dev/null
+++ b/decide/tally/bench_test.go
@@ -0,0 +1,82 @@
+package tally
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// measureSpan is how long a benchmark counts messages.
+const measureSpan = 20 * time.Second
+
+// BenchmarkTraffic reports the messages and bytes sent, by an entry VM on
+// average and by the one that leads, while one shift of one service moves.
+// Frames, acknowledgements and TCP come on top of the bytes.
+func BenchmarkTraffic(b *testing.B) {
+	for _, size := range [][2]int{{2, 4}, {2, 8}, {2, 16}, {2, 43}, {2, 86}, {6, 2}, {20, 2}, {77, 2}, {77, 8}, {77, 43}} {
+		b.Run(fmt.Sprintf("domains=%d/members=%d", size[0], size[1]), func(b *testing.B) {
+			for range b.N {
+				n := newNetwork(1, size[0], size[1])
+				n.run(settle)
+				n.measure(b)
+			}
+		})
+	}
+}
+
+// BenchmarkRest reports the same while no shift moves.
+func BenchmarkRest(b *testing.B) {
+	for range b.N {
+		n := newNetwork(1, 6, 8)
+		for _, v := range n.nodes {
+			empty := testCatalogue(2)
+			empty.Shifts = nil
+			n.step(v, &Configured{Catalogue: empty})
+		}
+		n.run(settle)
+		n.measure(b)
+	}
+}
+
+func (n *network) measure(b *testing.B) {
+	n.messages, n.bytes = 0, 0
+	lead, leadBytes := n.led, n.ledBytes
+	oldest := time.Duration(0)
+	for range int(measureSpan / requestGap) {
+		n.run(requestGap)
+		if c := n.count(); c.Until > 0 {
+			oldest = max(oldest, n.now.Sub(c.Until))
+		}
+	}
+	seconds := measureSpan.Seconds()
+	all := float64(len(n.nodes)) * seconds
+	b.ReportMetric(float64(n.messages)/all, "msgs/s/daemon")
+	b.ReportMetric(float64(n.bytes)/all, "B/s/daemon")
+	b.ReportMetric(float64(n.led-lead)/seconds, "runner-msgs/s")
+	b.ReportMetric(float64(n.ledBytes-leadBytes)/seconds, "runner-B/s")
+	b.ReportMetric(oldest.Seconds(), "oldest-s")
+	b.ReportMetric(float64(n.count().Missing), "missing")
+}
+
+// BenchmarkServed is the cost of counting one request.
+func BenchmarkServed(b *testing.B) {
+	n := newNetwork(1, 2, 2)
+	b.ReportAllocs()
+	for b.Loop() {
+		n.leader.st.Served(testService, "r0", 7, "", time.Millisecond)
+	}
+}
+
+// BenchmarkAnswered is the cost of measuring one answer.
+func BenchmarkAnswered(b *testing.B) {
+	m := NewMeter(0)
+	for i := range 10 {
+		m.Answered(0, fleet.ServiceName(fmt.Sprint(i)), 0, true)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Answered(0, "7", time.Millisecond, true)
+	}
+}
--- /dev/null
+++ b/decide/tally/candidate.go
@@ -0,0 +1,46 @@
+package tally
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
+)
+
+// DefaultCandidates is the number of entry VMs that may try for the lease.
+const DefaultCandidates = 2
+
+// Candidate returns the entry VM that should run the shifts, or an empty id if
+// no domain is reachable.
+func Candidate(domains []member.DomainView) fleet.VMID {
+	ids := Candidates(domains, 1)
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[0]
+}
+
+// Candidates returns the first n entry VMs by rank for running the shifts. Of
+// each domain only the VMs that its row names to all count: the own domain's
+// view names more, and counting those would make each domain prefer its own.
+func Candidates(domains []member.DomainView, n int) []fleet.VMID {
+	var ids []fleet.VMID
+	for i := range domains {
+		if !domains[i].Reachable {
+			continue
+		}
+		for _, vm := range domains[i].VMs[:min(len(domains[i].VMs), member.RowVMs)] {
+			ids = append(ids, vm.ID)
+		}
+	}
+	slices.SortFunc(ids, func(a, b fleet.VMID) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
+	})
+	ids = slices.Compact(ids)
+	return ids[:min(n, len(ids))]
+}
+
+func rank(id fleet.VMID) uint64 { return xxhash.Sum64String("shift-runner:" + string(id)) }
--- /dev/null
+++ b/decide/tally/domains.go
@@ -0,0 +1,118 @@
+package tally
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
+)
+
+// domain is a failure domain as membership sees it.
+type domain struct {
+	member.DomainView
+	cutOff clock.Time // since when it has been unreachable; Never while it isn't
+}
+
+// lost reports whether the domain has been unreachable for so long that its
+// entry VMs aren't waited for.
+func (d *domain) lost(now clock.Time, after time.Duration) bool {
+	return d.cutOff != clock.Never && now.Sub(d.cutOff) >= after
+}
+
+// expected returns the entry VMs whose figures are needed.
+func (d *domain) expected(now clock.Time, after time.Duration) uint32 {
+	if d.lost(now, after) {
+		return 0
+	}
+	return uint32(d.Live)
+}
+
+// head returns whom to ask for the domain's figures in a round. Each round
+// takes another: one that has died, or that can't be reached from here, spoils
+// no more than its own round.
+func (d *domain) head(round uint64) (fleet.VMID, bool) {
+	if !d.Reachable || len(d.VMs) == 0 {
+		return "", false
+	}
+	n := min(len(d.VMs), member.RowVMs)
+	return d.VMs[round%uint64(n)].ID, true
+}
+
+// domains are all known failure domains, in order of name.
+type domains struct {
+	all []domain
+	own []fleet.VMID // live entry VMs of the own domain
+}
+
+// update takes new views. It reports whether a domain has returned that was
+// lost before.
+func (f *domains) update(now clock.Time, lostAfter time.Duration, own fleet.Domain, views []member.DomainView) (returned bool) {
+	next := make([]domain, 0, len(views))
+	for _, v := range views {
+		v.VMs = slices.Clone(v.VMs)
+		d := domain{DomainView: v, cutOff: clock.Never}
+		if !v.Reachable {
+			d.cutOff = f.cutOffSince(now, v.Domain)
+		} else if old := f.find(v.Domain); old != nil && old.lost(now, lostAfter) {
+			returned = true
+		}
+		if v.Domain == own {
+			f.own = f.own[:0]
+			for i := range v.VMs {
+				f.own = append(f.own, v.VMs[i].ID)
+			}
+		}
+		next = append(next, d)
+	}
+	f.all = next
+	return returned
+}
+
+func (f *domains) find(name fleet.Domain) *domain {
+	for i := range f.all {
+		if f.all[i].Domain == name {
+			return &f.all[i]
+		}
+	}
+	return nil
+}
+
+// cutOffSince returns since when a domain that is unreachable now has been so.
+func (f *domains) cutOffSince(now clock.Time, name fleet.Domain) clock.Time {
+	if d := f.find(name); d != nil {
+		return clock.Min(d.cutOff, now)
+	}
+	return now
+}
+
+// regions returns all regions, in order of name.
+func (f *domains) regions() []fleet.Region {
+	var out []fleet.Region
+	for i := range f.all {
+		out = append(out, f.all[i].Region)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// regionState returns what membership says of a region: live if a reachable
+// domain has live entry VMs; dead once all of them are lost. In between
+// nothing is known, and it reports false.
+func (f *domains) regionState(now clock.Time, lostAfter time.Duration, r fleet.Region) (fleet.State, bool) {
+	state, known := fleet.Dead, true
+	for i := range f.all {
+		d := &f.all[i]
+		switch {
+		case d.Region != r || d.lost(now, lostAfter):
+		case !d.Reachable:
+			known = false
+		case d.Live > 0:
+			return fleet.Live, true
+		case d.Leaving > 0:
+			state = fleet.Leaving
+		}
+	}
+	return state, known
+}
--- /dev/null
+++ b/decide/tally/lead.go
@@ -0,0 +1,153 @@
+package tally
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/shift"
+)
+
+// lead is the state of the process that holds the runner's lease.
+type lead struct {
+	held   bool
+	moves  bool // whether any shift moves
+	next   clock.Time
+	round  uint64
+	counts map[Key]shift.Count
+	loads  map[place]shift.Load
+}
+
+// place is a service in a region.
+type place struct {
+	region  fleet.Region
+	service fleet.ServiceName
+}
+
+// configure takes a catalogue. When the flows change, what was counted is
+// dropped: a shift made anew under its old id may have another sender.
+func (l *lead) configure(c *catalogue.Catalogue, changed bool) {
+	if changed {
+		l.counts = nil
+	}
+	l.moves = false
+	for i := range c.Shifts {
+		l.moves = l.moves || c.Shifts[i].State.Moves()
+	}
+}
+
+// take takes or gives up the lead. What an earlier lead has gathered is
+// dropped; it would be stale before it could serve.
+func (l *lead) take(now clock.Time, held bool) {
+	if held == l.held {
+		return
+	}
+	l.held = held
+	l.forget()
+	l.next = now
+}
+
+func (l *lead) forget() { l.counts, l.loads = nil, nil }
+
+// restart drops all figures, with the round under way, and begins another.
+// Figures from before a lost domain returned lack its entry VMs and would go on
+// counting as complete.
+func (s *State) restart() {
+	s.lead.forget()
+	s.jobs = slices.DeleteFunc(s.jobs, func(j *job) bool { return j.runner == s.self.ID })
+	s.lead.next = s.now
+}
+
+// leads reports whether rounds are due.
+func (s *State) leads() bool { return s.lead.held && s.lead.moves }
+
+func (s *State) startRound(out *Ready) {
+	l := &s.lead
+	l.next = s.now.Add(s.o.RoundEvery)
+	if s.job(s.self.ID, l.round) != nil {
+		return
+	}
+	l.round = roundNumber(s.now, l.round)
+	j := &job{
+		asker:    s.self.ID,
+		runner:   s.self.ID,
+		round:    l.round,
+		asked:    s.now,
+		deadline: s.now.Add(s.o.RoundWait),
+	}
+	j.total(s.self.Region).own(s.now, &s.own, s.meter)
+	s.askDomain(j, out)
+	s.askNeighbours(j, out)
+	s.askRegions(j, out)
+	s.jobs = append(s.jobs, j)
+	s.finishJobs(out)
+}
+
+// askRegions asks the other regions: each of their domains in a small fleet,
+// otherwise a head of each region.
+func (s *State) askRegions(j *job, out *Ready) {
+	if len(s.fleet.all) <= smallFleet {
+		for i := range s.fleet.all {
+			if d := &s.fleet.all[i]; d.Region != s.self.Region {
+				s.askHead(j, d, out)
+			}
+		}
+		return
+	}
+	for _, r := range s.fleet.regions() {
+		if r != s.self.Region {
+			s.askRegion(j, r, out)
+		}
+	}
+}
+
+// askRegion asks the head of one of a region's domains, each round another.
+func (s *State) askRegion(j *job, r fleet.Region, out *Ready) {
+	live := uint32(0)
+	var reachable []*domain
+	for i := range s.fleet.all {
+		d := &s.fleet.all[i]
+		if d.Region != r {
+			continue
+		}
+		live += d.expected(s.now, s.o.LostAfter)
+		if _, ok := d.head(j.round); ok {
+			reachable = append(reachable, d)
+		}
+	}
+	if len(reachable) == 0 {
+		j.total(r).live += live
+		return
+	}
+	to, _ := reachable[j.round%uint64(len(reachable))].head(j.round)
+	s.ask(j, to, live, r, &Ask{Scope: ScopeRegion}, out)
+}
+
+// finishRound takes over the figures of a round that is over.
+func (s *State) finishRound(j *job, out *Ready) {
+	if !s.leads() {
+		return
+	}
+	if s.lead.counts == nil {
+		s.lead.counts = make(map[Key]shift.Count)
+	}
+	if s.lead.loads == nil {
+		s.lead.loads = make(map[place]shift.Load)
+	}
+	s.keepCounts(j)
+	for _, r := range s.fleet.regions() {
+		s.keepLoads(r, j.total(r))
+	}
+	out.Evidence = true
+}
+
+// keepFor is how long a complete figure is preferred to an incomplete later
+// one. It stays fresh for as long, and one lost answer costs no step.
+const keepFor = shift.DefaultMaxAge - 500*time.Millisecond
+
+// prefers reports whether a figure should stand although a later one has come.
+func prefers(now clock.Time, held shift.Span, heldMissing, missing int) bool {
+	return heldMissing == 0 && missing > 0 && held.Since < held.Until && now.Sub(held.Until) <= keepFor
+}
--- /dev/null
+++ b/decide/tally/meter.go
@@ -0,0 +1,278 @@
+package tally
+
+import (
+	"math"
+	"math/bits"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+const (
+	// cellLength is the time that one cell of a Meter covers.
+	cellLength = time.Second
+	// meterCells is the number of whole cells that rates and latencies are
+	// taken over.
+	meterCells = 5
+	// LoadWindow is the window of the load in evidence. It is short, so that
+	// errors over their bound must last for several of them.
+	LoadWindow = 2 * cellLength
+	// maxServices bounds the services that a Meter follows.
+	maxServices = 64
+)
+
+// latencyBuckets is the number of latency buckets. Bucket 0 reaches to
+// 0.125 ms, each further one 14% to 25% above the one before, and the last one
+// holds all above 24 s.
+const latencyBuckets = 72
+
+// bucketUnit is where the buckets begin.
+const bucketUnit = 125 * time.Microsecond
+
+// bucketOf returns the bucket of a latency: four of equal width from each
+// power of two to the next.
+func bucketOf(d time.Duration) int {
+	if d <= bucketUnit {
+		return 0
+	}
+	u := uint64(d-1) * 4 / uint64(bucketUnit) // quarters of the unit, at least 4
+	exp := bits.Len64(u) - 3
+	b := 4*exp + int(u>>exp) - 4
+	return min(b+1, latencyBuckets-1)
+}
+
+// upperOf returns the upper bound of a bucket.
+func upperOf(b int) time.Duration {
+	if b == 0 {
+		return bucketUnit
+	}
+	exp, quarter := (b-1)/4, (b-1)%4
+	return bucketUnit * time.Duration(5+quarter) << exp / 4
+}
+
+// cell is what one service did in one cellLength.
+type cell struct {
+	answers   uint64
+	failed    uint64
+	inFlight  uint64 // sum over samples
+	samples   uint64
+	latencies [latencyBuckets]uint32
+}
+
+func (c *cell) add(o *cell) {
+	c.answers += o.answers
+	c.failed += o.failed
+	c.inFlight += o.inFlight
+	c.samples += o.samples
+	for i, n := range o.latencies {
+		c.latencies[i] += n
+	}
+}
+
+// series is one service's recent cells, indexed by their number modulo its
+// length.
+type series struct {
+	last  Sample // latest; Capacity 0 without targets
+	known bool   // whether last is set
+	cells [meterCells + 1]cell
+}
+
+// Meter measures rate, failures and latency of each service at one entry VM
+// over the last seconds. After the first request of a service it allocates
+// nothing. It is not safe for concurrent use.
+type Meter struct {
+	since    clock.Time
+	observed clock.Time // when load was last observed
+	current  int64      // number of the cell that is being filled
+	services map[fleet.ServiceName]*series
+}
+
+// NewMeter returns a Meter that has seen nothing before now.
+func NewMeter(now clock.Time) *Meter {
+	return &Meter{since: now, current: cellOf(now), services: make(map[fleet.ServiceName]*series)}
+}
+
+func cellOf(t clock.Time) int64 { return int64(t) / int64(cellLength) }
+
+// advance empties the cells of the time since the last call.
+func (m *Meter) advance(now clock.Time) {
+	to := cellOf(now)
+	if to <= m.current {
+		return
+	}
+	from := max(m.current+1, to-meterCells)
+	for _, s := range m.services {
+		for n := from; n <= to; n++ {
+			*s.cell(n) = cell{}
+		}
+	}
+	m.current = to
+}
+
+func (s *series) cell(n int64) *cell { return &s.cells[n%int64(len(s.cells))] }
+
+func (m *Meter) series(name fleet.ServiceName) *series {
+	s := m.services[name]
+	if s == nil && len(m.services) < maxServices {
+		s = &series{}
+		m.services[name] = s
+	}
+	return s
+}
+
+// Answered counts the final answer of a request that was served by targets of
+// the own failure domain, or refused here. ok says that it was not a failure.
+func (m *Meter) Answered(now clock.Time, service fleet.ServiceName, latency time.Duration, ok bool) {
+	m.advance(now)
+	s := m.series(service)
+	if s == nil {
+		return
+	}
+	c := s.cell(m.current)
+	c.answers++
+	c.latencies[bucketOf(latency)]++
+	if !ok {
+		c.failed++
+	}
+}
+
+// observe takes the present load of all services with targets.
+func (m *Meter) observe(now clock.Time, samples []Sample) {
+	m.advance(now)
+	m.observed = now
+	for _, s := range m.services {
+		s.last = Sample{}
+	}
+	for _, sample := range samples {
+		s := m.series(sample.Service)
+		if s == nil {
+			continue
+		}
+		s.last, s.known = sample, true
+		c := s.cell(m.current)
+		c.inFlight += uint64(sample.InFlight)
+		c.samples++
+	}
+}
+
+// Rate is what a Meter has measured of one service.
+type Rate struct {
+	Answers uint32          // a second
+	Errors  catalogue.Share // failed part of the answers
+	P99     time.Duration
+}
+
+// Rate returns the figures of the last seconds; zero if there were no answers.
+func (m *Meter) Rate(now clock.Time, service fleet.ServiceName) Rate {
+	m.advance(now)
+	s := m.services[service]
+	if s == nil {
+		return Rate{}
+	}
+	w := s.window(m.current, meterCells)
+	if w.answers == 0 {
+		return Rate{}
+	}
+	return Rate{
+		Answers: uint32(math.Ceil(float64(w.answers) / m.covered(meterCells))),
+		Errors:  shareOf(w.failed, w.answers),
+		P99:     p99(w.latencies[:]),
+	}
+}
+
+// covered returns the seconds of the last n whole cells since the Meter began.
+func (m *Meter) covered(n int) float64 {
+	end := clock.Time(m.current * int64(cellLength))
+	length := min(end.Sub(m.since), time.Duration(n)*cellLength)
+	return max(length, cellLength).Seconds()
+}
+
+// window sums the last n whole cells before the one being filled.
+func (s *series) window(current int64, n int64) cell {
+	var w cell
+	for i := max(current-n, 0); i < current; i++ {
+		w.add(s.cell(i))
+	}
+	return w
+}
+
+// loads appends the load of the given services over the last LoadWindow. It
+// reports false if the Meter doesn't cover that window, or has observed no load
+// in it: a region whose targets aren't known yet would seem to have none.
+func (m *Meter) loads(now clock.Time, services []fleet.ServiceName, out []LoadRow) ([]LoadRow, bool) {
+	m.advance(now)
+	since, _ := m.loadSpan()
+	if since.Before(m.since) || m.observed.Before(since) {
+		return out, false
+	}
+	for _, name := range services {
+		s := m.services[name]
+		if s == nil || !s.known {
+			continue
+		}
+		w := s.window(m.current, int64(LoadWindow/cellLength))
+		if s.last.Capacity == 0 && w.answers == 0 {
+			continue
+		}
+		out = append(out, s.row(name, &w))
+	}
+	return out, true
+}
+
+// loadSpan returns the bounds of the last LoadWindow.
+func (m *Meter) loadSpan() (since, until clock.Time) {
+	until = clock.Time(m.current * int64(cellLength))
+	return until.Add(-LoadWindow), until
+}
+
+func (s *series) row(name fleet.ServiceName, w *cell) LoadRow {
+	r := LoadRow{
+		Service:  serviceKey(name),
+		Capacity: s.last.Capacity,
+		InFlight: saturate(uint64(s.last.InFlight) * milli),
+		Answers:  w.answers,
+		Failed:   w.failed,
+		Warming:  s.last.Warming,
+	}
+	if w.samples > 0 {
+		r.InFlight = saturate(w.inFlight * milli / w.samples)
+	}
+	var buckets [latencyBuckets]uint64
+	for i, n := range w.latencies {
+		buckets[i] = uint64(n)
+	}
+	r.Latencies = pack(nil, buckets[:])
+	return r
+}
+
+// milli is the unit of LoadRow.InFlight.
+const milli = 1000
+
+// shareOf returns n of total, rounded up so that a failure is never lost.
+func shareOf(n, total uint64) catalogue.Share {
+	if total == 0 {
+		return 0
+	}
+	return catalogue.Share((n*catalogue.ShareUnit + total - 1) / total)
+}
+
+// p99 returns the upper bound of the bucket that 99% of the answers don't
+// exceed.
+func p99[T uint32 | uint64](buckets []T) time.Duration {
+	var total, seen uint64
+	for _, n := range buckets {
+		total += uint64(n)
+	}
+	if total == 0 {
+		return 0
+	}
+	for b, n := range buckets {
+		seen += uint64(n)
+		if seen*100 >= total*99 {
+			return upperOf(b)
+		}
+	}
+	return upperOf(len(buckets) - 1)
+}
--- /dev/null
+++ b/decide/tally/net_test.go
@@ -0,0 +1,259 @@
+package tally
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
+	"github.com/azurethread/azurethread/decide/shift"
+	"github.com/azurethread/azurethread/decide/tally/tallytest"
+)
+
+// node is one entry VM, with a clock of its own.
+type node struct {
+	vm      fleet.VM
+	st      *State // nil while it is down
+	started clock.Time
+	offset  time.Duration // of its clock
+	out     Ready
+	wake    clock.Time // on the clock of the network
+	slow    time.Duration // further delay of messages to it
+	deaf    bool         // gets no messages
+	served  []clock.Time // of its requests, on the clock of the network
+	silent  bool         // measures no load
+}
+
+type delivery struct {
+	at  clock.Time
+	seq int
+	to  *node
+	st  *State
+	ev  Event
+}
+
+type queue []delivery
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(delivery)) }
+func (q *queue) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+// network joins States by delayed messages. The first node leads.
+type network struct {
+	now      clock.Time
+	rng      *rand.Rand
+	nodes    []*node
+	byID     map[fleet.VMID]*node
+	queue    queue
+	seq      int
+	loss     float64
+	cut      map[fleet.Domain]bool // domains that can't be reached from others
+	cat      *catalogue.Catalogue
+	leader   *node
+	messages int
+	bytes    int
+	led      int // messages and bytes from and to the leader
+	ledBytes int
+	ended    clock.Time
+}
+
+const (
+	testService = fleet.ServiceName("calc-lookup")
+	testShift   = "drain-attiki"
+	requestGap  = 100 * time.Millisecond // between two requests of one node
+)
+
+func testCatalogue(revision uint64) *catalogue.Catalogue {
+	return &catalogue.Catalogue{
+		Revision: revision,
+		Services: []catalogue.Service{{Name: testService}},
+		Shifts: []catalogue.Shift{{
+			ID: testShift, Service: testService, From: "r0", To: "r1", State: catalogue.Running,
+			Share: 1000, Limits: catalogue.Limits{MaxShare: 5000},
+		}},
+	}
+}
+
+// newNetwork starts perDomain entry VMs in each domain. A region has two
+// domains, and three or four in a large fleet: 77 domains are in 22 regions.
+func newNetwork(seed uint64, domainCount, perDomain int) *network {
+	n := &network{
+		now:  clock.Time(1000 * time.Hour),
+		rng:  rand.New(rand.NewPCG(seed, 1)),
+		byID: map[fleet.VMID]*node{},
+		cut:  map[fleet.Domain]bool{},
+		cat:  testCatalogue(1),
+	}
+	perTwoRegions := 4
+	if domainCount > 20 {
+		perTwoRegions = 7
+	}
+	for d := range domainCount {
+		for i := range perDomain {
+			v := &node{vm: fleet.VM{
+				ID:     fleet.VMID(fmt.Sprintf("vm-%02d-%02d", d, i)),
+				Region: fleet.Region(fmt.Sprintf("r%d", 2*d/perTwoRegions)),
+				Domain: fleet.Domain(fmt.Sprintf("d%02d", d)),
+			}}
+			n.nodes = append(n.nodes, v)
+			n.byID[v.vm.ID] = v
+		}
+	}
+	for _, v := range n.nodes {
+		n.start(v)
+	}
+	n.leader = n.nodes[0]
+	n.step(n.leader, &Lead{Held: true})
+	return n
+}
+
+func (n *network) clockOf(v *node) clock.Time { return n.now.Add(v.offset) }
+
+func (n *network) start(v *node) {
+	v.st = New(n.clockOf(v), v.vm, Options{})
+	v.started = n.now
+	n.announce()
+	n.step(v, &Configured{Catalogue: n.cat})
+	n.step(v, &Lead{Held: v == n.leader})
+}
+
+func (n *network) stop(v *node) {
+	v.st = nil
+	n.announce()
+}
+
+// announce tells all nodes who is live, at once.
+func (n *network) announce() {
+	for _, v := range n.nodes {
+		if v.st != nil {
+			n.step(v, &Fleet{Domains: n.views(v)})
+		}
+	}
+}
+
+func (n *network) views(of *node) []member.DomainView {
+	var out []member.DomainView
+	for _, v := range n.nodes {
+		at := slices.IndexFunc(out, func(d member.DomainView) bool { return d.Domain == v.vm.Domain })
+		if at < 0 {
+			out = append(out, member.DomainView{Region: v.vm.Region, Domain: v.vm.Domain, Reachable: !n.parted(of, v)})
+			at = len(out) - 1
+		}
+		if v.st == nil && !n.cut[v.vm.Domain] {
+			continue
+		}
+		out[at].Live++
+		if v.vm.Domain == of.vm.Domain || len(out[at].VMs) < member.RowVMs {
+			out[at].VMs = append(out[at].VMs, v.vm)
+		}
+	}
+	return out
+}
+
+func (n *network) parted(a, b *node) bool {
+	return a.vm.Domain != b.vm.Domain && (n.cut[a.vm.Domain] || n.cut[b.vm.Domain])
+}
+
+func (n *network) step(v *node, ev Event) {
+	v.st.Step(n.clockOf(v), ev, &v.out)
+	v.wake = clock.Never
+	if v.out.Wake != clock.Never {
+		v.wake = v.out.Wake.Add(-v.offset)
+		n.push(v.wake, v, &Tick{})
+	}
+	if v == n.leader && v.out.Evidence {
+		n.ended = n.now
+	}
+	for _, s := range v.out.Sends {
+		n.send(v, s)
+	}
+}
+
+func (n *network) send(from *node, s Send) {
+	n.messages++
+	size := tallytest.Size(NewBody(s.Msg))
+	n.bytes += size
+	to := n.byID[s.To]
+	if from == n.leader || to == n.leader {
+		n.led++
+		n.ledBytes += size
+	}
+	if to.st == nil || to.deaf || n.parted(from, to) || n.rng.Float64() < n.loss {
+		return
+	}
+	delay := time.Millisecond
+	if from.vm.Region != to.vm.Region {
+		delay = 55 * time.Millisecond
+	}
+	at := n.now.Add(delay + to.slow + time.Duration(n.rng.Int64N(int64(time.Millisecond))))
+	n.push(at, to, &PeerMessage{From: from.vm.ID, Msg: s.Msg})
+}
+
+func (n *network) push(at clock.Time, to *node, ev Event) {
+	n.seq++
+	heap.Push(&n.queue, delivery{at: at, seq: n.seq, to: to, st: to.st, ev: ev})
+}
+
+// run passes time. Each node serves a request and measures its load every
+// requestGap.
+func (n *network) run(d time.Duration) {
+	for until := n.now.Add(d); n.now < until; n.now = n.now.Add(requestGap) {
+		n.deliver(n.now.Add(requestGap))
+		for i, v := range n.nodes {
+			if v.st == nil {
+				continue
+			}
+			v.served = append(v.served, n.now)
+			v.st.Served(testService, "r0", uint64(i), "", 50*time.Millisecond)
+			v.st.Meter().Answered(n.clockOf(v), testService, 50*time.Millisecond, true)
+			if !v.silent {
+				n.step(v, &Measured{Samples: []Sample{{Service: testService, Capacity: 3, InFlight: 1}}})
+			}
+		}
+	}
+}
+
+func (n *network) deliver(until clock.Time) {
+	begin := n.now
+	for len(n.queue) > 0 && n.queue[0].at <= until {
+		x := heap.Pop(&n.queue).(delivery)
+		n.now = max(n.now, x.at)
+		_, tick := x.ev.(*Tick)
+		if x.to.st == x.st && (!tick || x.to.wake == x.at) {
+			n.step(x.to, x.ev)
+		}
+	}
+	n.now = begin
+}
+
+// count returns the evidence's count, on the network's clock.
+func (n *network) count() shift.Count {
+	for _, c := range n.leader.st.Evidence(n.clockOf(n.leader)).Counts {
+		c.Since = c.Since.Add(-n.leader.offset)
+		c.Until = c.Until.Add(-n.leader.offset)
+		return c
+	}
+	return shift.Count{}
+}
+
+// plan returns what a plan of the shift says of the evidence now.
+func (n *network) plan() shift.Decision {
+	now := n.clockOf(n.leader)
+	e := n.leader.st.Evidence(now)
+	return shift.Plan(shift.Options{}, shift.Input{
+		Now: now, Shift: n.cat.Shifts[0], Services: []fleet.ServiceName{testService}, Evidence: &e,
+	})
+}
--- /dev/null
+++ b/decide/tally/state.go
@@ -0,0 +1,154 @@
+package tally
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Options are the settings. A zero field takes its default.
+type Options struct {
+	// RoundEvery is the time between two rounds of the process that leads.
+	RoundEvery time.Duration
+	// LostAfter is how long a domain must have been unreachable for its entry
+	// VMs no longer to be waited for. By then callers elsewhere hold no
+	// look-up answer that names them.
+	LostAfter time.Duration
+	// GroupWait, DomainWait, RegionWait and RoundWait bound the wait for the
+	// answers to Asks, each longer than the one below.
+	GroupWait, DomainWait, RegionWait, RoundWait time.Duration
+}
+
+// The defaults of Options.
+const (
+	DefaultRoundEvery = 2 * time.Second
+	DefaultLostAfter  = 20 * time.Second
+	DefaultGroupWait  = 200 * time.Millisecond
+	DefaultDomainWait = 450 * time.Millisecond
+	DefaultRegionWait = 750 * time.Millisecond
+	DefaultRoundWait  = 1200 * time.Millisecond
+)
+
+const (
+	// groupSize is the number of entry VMs that one asks for their own
+	// figures; a larger domain is asked by groups.
+	groupSize = 8
+	// smallFleet is the number of domains up to which their heads are asked
+	// by whoever leads, without heads of regions between.
+	smallFleet = 16
+	// maxJobs bounds the Asks that are being answered at once.
+	maxJobs = 8
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.RoundEvery, DefaultRoundEvery)
+	setDefault(&o.LostAfter, DefaultLostAfter)
+	setDefault(&o.GroupWait, DefaultGroupWait)
+	setDefault(&o.DomainWait, DefaultDomainWait)
+	setDefault(&o.RegionWait, DefaultRegionWait)
+	setDefault(&o.RoundWait, DefaultRoundWait)
+	return o
+}
+
+func setDefault(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// State is the part of one entry VM in the gathering. It isn't safe for
+// concurrent use.
+type State struct {
+	o     Options
+	self  fleet.VM
+	now   clock.Time
+	meter *Meter
+	own   counting
+	fleet domains
+	jobs  []*job
+	lead  lead
+}
+
+// New returns the state of the entry VM self.
+func New(now clock.Time, self fleet.VM, o Options) *State {
+	s := &State{
+		o:     o.withDefaults(),
+		self:  self,
+		now:   now,
+		meter: NewMeter(now),
+		own:   counting{next: clock.Never},
+		lead:  lead{next: clock.Never},
+	}
+	return s
+}
+
+// Meter returns the meter of this entry VM's services.
+func (s *State) Meter() *Meter { return s.meter }
+
+// Served counts one request for shifts: see shift.Counter.Served. It is called
+// once for each request of a caller, at its final answer, by the entry VM that
+// the caller asked, and not for requests that another entry VM has forwarded.
+func (s *State) Served(service fleet.ServiceName, home fleet.Region, block uint64, movedBy string, busy time.Duration) {
+	if s.own.counter != nil {
+		s.own.counter.Served(service, home, block, movedBy, busy)
+	}
+}
+
+// Step takes one event and fills out with its effects.
+func (s *State) Step(now clock.Time, ev Event, out *Ready) {
+	out.reset()
+	s.now = max(s.now, now)
+	if s.own.next <= s.now {
+		s.own.take(s.now)
+	}
+	switch e := ev.(type) {
+	case *Configured:
+		changed := s.own.configure(s.now, e.Catalogue)
+		s.lead.configure(e.Catalogue, changed)
+	case *Fleet:
+		if s.fleet.update(s.now, s.o.LostAfter, s.self.Domain, e.Domains) {
+			s.restart()
+		}
+	case *Lead:
+		s.lead.take(s.now, e.Held)
+	case *Measured:
+		s.meter.observe(s.now, e.Samples)
+	case *PeerMessage:
+		s.message(e, out)
+	case *Tick:
+	}
+	s.run(out)
+	out.Wake = s.wake()
+}
+
+func (s *State) message(e *PeerMessage, out *Ready) {
+	if e.Msg.Validate() != nil {
+		return
+	}
+	switch m := e.Msg.(type) {
+	case *Ask:
+		s.asked(e.From, m, out)
+	case *Sum:
+		s.answered(e.From, m, out)
+	}
+}
+
+// run does what is due.
+func (s *State) run(out *Ready) {
+	s.finishJobs(out)
+	if s.leads() && s.lead.next <= s.now {
+		s.startRound(out)
+	}
+}
+
+func (s *State) wake() clock.Time {
+	w := s.own.next
+	if s.leads() {
+		w = clock.Min(w, s.lead.next)
+	}
+	for _, j := range s.jobs {
+		w = clock.Min(w, j.deadline)
+	}
+	return w
+}
--- /dev/null
+++ b/decide/tally/tally_test.go
@@ -0,0 +1,263 @@
+package tally
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
+	"github.com/azurethread/azurethread/decide/shift"
+)
+
+// settle is the time until all entry VMs have whole windows.
+const settle = shift.CountWindow + 4*time.Second
+
+// TestEvidence: all entry VMs answer, and a plan advances on what they report.
+func TestEvidence(t *testing.T) {
+	for _, size := range [][2]int{{6, 1}, {6, 2}, {4, 43}, {20, 3}} {
+		t.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(1, size[0], size[1])
+			n.run(settle)
+			vms := len(n.nodes)
+			c := n.count()
+			is.Equal(c.Missing, 0)
+			is.True(c.Total >= uint64(99*vms)) // 10 requests a second for 10 s
+			is.True(c.Demand() > 0.49*float64(vms) && c.Demand() < 0.52*float64(vms))
+			e := n.leader.st.Evidence(n.now)
+			is.Equal(len(e.Loads), size[0]/2)
+			l := e.Loads[1]
+			is.Equal(l.Region, fleet.Region("r1"))
+			is.Equal(l.Capacity, float64(3*2*size[1]))
+			is.Equal(l.InFlight, float64(2*size[1]))
+			is.Equal(l.Missing, 0)
+			is.True(l.P99 >= 50*time.Millisecond && l.P99 < 65*time.Millisecond)
+			is.Equal(n.plan().Action, shift.Advance)
+		})
+	}
+}
+
+// TestRest: no shift moves, so nothing is sent and no timer runs.
+func TestRest(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 4, 3)
+	n.cat = &catalogue.Catalogue{Revision: 2}
+	for _, v := range n.nodes {
+		n.step(v, &Configured{Catalogue: n.cat})
+	}
+	n.run(3 * time.Second)
+	n.messages = 0
+	n.run(10 * time.Second)
+	is.Equal(n.messages, 0)
+	is.Equal(n.leader.out.Wake, clock.Never)
+}
+
+// TestSilentReporter: symptom: a step rests on counts that lack the busiest
+// entry VM. Sequence: it stops answering, and membership still holds it live.
+// Cause: the sum is taken for the whole. The last complete round serves while
+// it is fresh; then the plan holds and names the number that is missing.
+func TestSilentReporter(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 6, 2)
+	n.run(settle)
+	n.nodes[9].deaf = true
+	n.run(3 * time.Second)
+	is.Equal(n.plan().Action, shift.Advance)
+	n.run(5 * time.Second)
+	is.Equal(n.plan().Reason.Code, shift.StaleMeasurement)
+	seen := map[int]bool{}
+	for range 4 {
+		n.run(time.Second)
+		seen[n.count().Missing] = true
+	}
+	is.Equal(seen, map[int]bool{1: true, 2: true}) // alone, and as the head of the two of its domain
+	n.nodes[9].deaf = false
+	n.run(3 * time.Second)
+	is.Equal(n.plan().Action, shift.Advance)
+}
+
+// TestNoAnswers: symptom: steps rest on figures of long ago. Sequence: nothing
+// reaches the runner any more. Cause: old evidence kept in place of none.
+func TestNoAnswers(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 6, 2)
+	n.run(settle)
+	n.loss = 1
+	n.run(7 * time.Second)
+	is.Equal(n.plan().Reason.Code, shift.StaleMeasurement)
+	n.loss = 0
+	n.run(3 * time.Second)
+	is.Equal(n.plan().Action, shift.Advance)
+}
+
+// TestLaggingCatalogue: symptom: the first step of a shift passes its cap.
+// Sequence: the shift starts, and one entry VM hears of it late. Cause: its
+// silence about the shift is taken for no requests.
+func TestLaggingCatalogue(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 4, 2)
+	late := n.nodes[5]
+	n.step(late, &Configured{Catalogue: &catalogue.Catalogue{Revision: 0}})
+	n.run(settle)
+	is.Equal(n.count().Missing, 1)
+	n.step(late, &Configured{Catalogue: n.cat})
+	n.run(shift.CountWindow - 3*time.Second)
+	is.Equal(n.count().Missing, 1) // what it has isn't a whole window yet
+	n.run(6 * time.Second)
+	is.Equal(n.count().Missing, 0)
+}
+
+// TestWrongClocks: symptom: old figures pass for new ones, or new ones are
+// never fresh. Sequence: the machines' clocks differ by hours. Cause: instants
+// of one machine compared with those of another.
+func TestWrongClocks(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 6, 2)
+	for i, v := range n.nodes {
+		v.offset = time.Duration(i%5-2) * time.Hour
+		n.start(v)
+	}
+	n.run(settle)
+	is.Equal(n.count().Missing, 0)
+	is.True(n.now.Sub(n.count().Until) < 4*time.Second)
+	is.Equal(n.plan().Action, shift.Advance)
+}
+
+// TestSlowAnswers: symptom: a step is judged by figures from before it.
+// Sequence: answers of one domain take 400 ms. Cause: the receiver takes the
+// time of arrival for the time of measurement.
+func TestSlowAnswers(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 4, 1)
+	n.run(settle)
+	v := n.nodes[2]
+	v.slow = 400 * time.Millisecond
+	n.run(4 * time.Second)
+	c := n.count()
+	is.Equal(c.Missing, 0)
+	last := v.st.own.flows[0].slices
+	is.True(c.Until <= last[len(last)-1].Until)
+	is.True(n.ended.Sub(c.Until) >= 400*time.Millisecond)
+}
+
+// TestRegionLost: symptom: a shift into a dead region never recedes. Sequence:
+// the receiver is lost as a whole in the middle of a rehearsal. Cause: the
+// counts lack its entry VMs for ever, and no plan acts on incomplete counts.
+func TestRegionLost(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 6, 2)
+	n.run(settle)
+	for _, v := range n.nodes[4:8] {
+		n.cut[v.vm.Domain] = true
+	}
+	n.announce()
+	n.run(10 * time.Second)
+	is.Equal(n.plan().Reason.Code, shift.StaleMeasurement) // it may only be cut off for a moment
+	n.run(DefaultLostAfter - 8*time.Second)
+	d := n.plan()
+	is.Equal(d.Action, shift.Recede)
+	is.Equal(d.Reason.Code, shift.ReceiverNotLive)
+}
+
+// TestUnknownTargets: symptom: a shift recedes from a healthy region. Sequence:
+// the entry VMs of the receiver have restarted and don't know their targets
+// yet. Cause: no figures taken for no capacity.
+func TestUnknownTargets(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 4, 2)
+	n.run(settle)
+	for _, v := range n.nodes[4:] {
+		v.silent = true
+		n.start(v)
+	}
+	for range 20 {
+		n.run(time.Second)
+		is.True(n.plan().Action != shift.Recede)
+	}
+	is.Equal(n.plan().Reason.Code, shift.StaleMeasurement)
+}
+
+// TestCandidate: all views of one fleet name the same candidate, though each
+// names all VMs of its own domain only, and a lost one is followed by the next.
+func TestCandidate(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 6, 20)
+	first := Candidates(n.views(n.nodes[0]), 2)
+	for _, v := range n.nodes {
+		is.Equal(Candidate(n.views(v)), first[0])
+	}
+	n.stop(n.byID[first[0]])
+	for _, v := range n.nodes {
+		is.Equal(Candidate(n.views(v)), first[1])
+	}
+	is.Equal(Candidate([]member.DomainView{{Domain: "d0"}}), fleet.VMID(""))
+}
+
+// TestValidate: messages that don't agree with themselves are refused.
+func TestValidate(t *testing.T) {
+	good := func() *Sum {
+		return &Sum{Runner: "a", Live: 1, Loaded: 1, Age: 1, Since: 9,
+			Counts: []CountRow{{VMs: 1, Total: 3, Moved: 1, Positions: []byte{0, 4, 3}}},
+			Loads:  []LoadRow{{Answers: 2, Failed: 1, Latencies: []byte{2}}},
+		}
+	}
+	bad := map[string]func(*Sum){
+		"runner":    func(s *Sum) { s.Runner = "" },
+		"loaded":    func(s *Sum) { s.Loaded = 2 },
+		"window":    func(s *Sum) { s.Since = 0 },
+		"old":       func(s *Sum) { s.Since = maxAge + 1 },
+		"counts":    func(s *Sum) { s.Counts = make([]CountRow, MaxCounts+1) },
+		"vms":       func(s *Sum) { s.Counts[0].VMs = 2 },
+		"moved":     func(s *Sum) { s.Counts[0].Moved = 4 },
+		"positions": func(s *Sum) { s.Counts[0].Positions = []byte{0, 99, 3} },
+		"sum":       func(s *Sum) { s.Counts[0].Positions = []byte{2} },
+		"run": func(s *Sum) {
+			s.Counts[0].Positions = []byte{0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1, 3}
+		},
+		"failed":    func(s *Sum) { s.Loads[0].Failed = 3 },
+		"latencies": func(s *Sum) { s.Loads[0].Latencies = []byte{0x80} },
+	}
+	is := is.New(t)
+	is.NoErr(good().Validate())
+	for name, spoil := range bad {
+		s := good()
+		spoil(s)
+		if s.Validate() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	is.True((&Ask{Runner: "a", Scope: ScopeRegion + 1}).Validate() != nil)
+	is.True((&Ask{Runner: "a", Scope: ScopeVM, Members: []fleet.VMID{"b"}}).Validate() != nil)
+	_, err := Body{Ask: &Ask{}, Sum: &Sum{}}.Message()
+	is.True(err != nil)
+}
+
+// TestMeter: figures cover the last whole seconds, and nothing is allocated.
+func TestMeter(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(0)
+	at := clock.Time(0)
+	for i := range 1000 {
+		at = at.Add(10 * time.Millisecond)
+		latency := 10 * time.Millisecond
+		if i%50 == 0 {
+			latency = time.Second
+		}
+		m.Answered(at, testService, latency, i%20 != 0)
+	}
+	r := m.Rate(at, testService)
+	is.Equal(r.Answers, uint32(100))
+	is.Equal(r.Errors, catalogue.Share(500))
+	is.True(r.P99 >= time.Second && r.P99 <= 1250*time.Millisecond)
+	is.Equal(m.Rate(at.Add(10*time.Second), testService), Rate{})
+	is.Equal(testing.AllocsPerRun(100, func() { m.Answered(at, testService, time.Second, true) }), 0.0)
+	for b := 1; b < latencyBuckets-1; b++ {
+		is.Equal(bucketOf(upperOf(b)), b)
+		is.Equal(bucketOf(upperOf(b)+1), b+1)
+	}
+}
--- a/operate/capacity/control.go
+++ b/operate/capacity/control.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 
 	"github.com/azurethread/azurethread/decide/steer/slope"
 )
@@ -41,12 +40,7 @@
 	var all []slope.Series
 	for _, p := range points {
 		for _, s := range p.costs() {
-			i := slices.IndexFunc(all, func(o slope.Series) bool { return o.Name == s.Name })
-			if i < 0 {
-				all = append(all, s)
-				continue
-			}
-			all[i].Points = append(all[i].Points, s.Points...)
+			all = appendPoints(all, s)
 		}
 	}
 	return all, nil
--- a/operate/capacity/data.go
+++ b/operate/capacity/data.go
@@ -13,14 +13,14 @@
 	"github.com/azurethread/azurethread/decide/steer/slope"
 )
 
-// embedded holds copies of docs/capacity/*.json; a test keeps them equal.
+// embedded holds copies of the series in docs/capacity; a test keeps them equal.
 //
-//go:embed data/*.json
+//go:embed data
 var embedded embed.FS
 
 // committed returns the series that came with the program.
 func committed() ([]slope.Series, error) {
-	names, err := fs.Glob(embedded, "data/*.json")
+	names, err := fs.Glob(embedded, "data/*")
 	if err != nil {
 		return nil, fmt.Errorf("capacity: %w", err)
 	}
@@ -55,7 +55,7 @@
 // appendSeries decodes a file and refuses series that are empty or stand in
 // two files, of which one would silently win.
 func appendSeries(all []slope.Series, name string, text []byte) ([]slope.Series, error) {
-	series, err := decode(text)
+	series, err := decode(name, text)
 	if err != nil {
 		return nil, fmt.Errorf("capacity: %s: %w", name, err)
 	}
@@ -72,8 +72,11 @@
 	return all, nil
 }
 
-// decode reads either shape of file: a slope.File, or a list of fleet points.
-func decode(text []byte) ([]slope.Series, error) {
+// decode reads a slope.File, a list of fleet points, or output of benchmarks.
+func decode(name string, text []byte) ([]slope.Series, error) {
+	if strings.HasSuffix(name, ".txt") {
+		return benchSeries(text)
+	}
 	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("[")) {
 		return controlSeries(text)
 	}
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -180,8 +180,7 @@
 			return c
 		}
 	}
-	a := d.view.Load().Lookup("", x.Remote, nil)
-	return client{home: a.Home, block: a.Block}
+	return d.lookups.client(x.Remote)
 }
 
 func (d *Daemon) callerGone(c *call) {
@@ -206,9 +205,7 @@
 
 // execute implements executor.
 func (d *Daemon) execute(now clock.Time, r *engine.Ready) {
-	if r.View != nil {
-		d.view.Store(r.View)
-	}
+	d.lookups.update(r)
 	p := &r.Dispatch
 	for i := range p.Violations {
 		d.violation(p.Violations[i])
--- a/serve/daemon/control.go
+++ b/serve/daemon/control.go
@@ -23,11 +23,15 @@
 	}
 	if r.VMs != nil {
 		d.learnVMs(r.VMs)
+		d.eligible.Store(r.Eligible)
 	}
 	for i := range r.Peers {
 		d.sendPeer(r.Peers[i])
 	}
 	d.readPlatform(r)
+	for _, w := range r.Writes {
+		d.loop(func() { d.writeShift(w) })
+	}
 	if r.Superseded {
 		d.log.Error("another process runs under this entry VM's id with a later start")
 	}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/azurethread/azurethread/serve/peer"
 	"github.com/azurethread/azurethread/serve/platform"
 	"github.com/azurethread/azurethread/serve/settings"
+	"github.com/azurethread/azurethread/serve/store"
 )
 
 // Platform is what the daemon needs of the platform.
@@ -54,7 +55,7 @@
 	link    peer.Link // nil outside of tests
 	started atomic.Bool
 	admin   *nbhttp.Server
-	view    atomic.Pointer[steer.View]
+	lookups lookups
 	known   atomic.Pointer[knownVMs]
 	config  atomic.Pointer[catalogue.Catalogue]
 	leaving atomic.Bool
@@ -63,17 +64,18 @@
 	// Addresses, touched only between steps of the core.
 	targets map[fleet.TargetID]fleet.Target
 	vms     map[fleet.VMID]fleet.VM
-	watch   map[uint64]context.CancelFunc // reads of the platform under way
 
 	blocks     *engine.Blocks // nil without a table
-	reader     plainReader
+	reader     *store.Reader
+	writer     *store.Writer
 	platformUp atomic.Bool
+	eligible   atomic.Bool // may try for the lease of the shift runner
 
 	peerAddr  string
 	adminAddr string
 	ctx       context.Context // ends when the daemon stops
 	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	loops     loops
 }
 
 // epoch turns the monotonic clock into instants that never fall.
@@ -102,7 +104,6 @@
 		metrics:  newMetrics(),
 		targets:  make(map[fleet.TargetID]fleet.Target),
 		vms:      make(map[fleet.VMID]fleet.VM),
-		watch:    make(map[uint64]context.CancelFunc),
 	}
 	d.calls.byID = make(map[dispatch.RequestID]*call)
 	d.minters.New = func() any { return token.NewMinter([]byte(set.FleetKey)) }
@@ -214,13 +215,15 @@
 		Self:     d.self,
 		FleetKey: []byte(d.set.FleetKey),
 		Seed:     seed,
+		Now:      d.now(),
 		Dispatch: dispatch.Options{Policy: d.set.Policy},
 		NearRTT:  d.set.NearRTT,
 		FarRTT:   d.set.FarRTT,
 	})
 	d.learnVMs([]fleet.VM{d.self})
-	d.view.Store(steer.New(steer.Inputs{Self: d.self.Region, VMs: []fleet.VM{d.self}}))
-	d.reader = plainReader{d}
+	alone := steer.New(steer.Inputs{Self: d.self.Region, VMs: []fleet.VM{d.self}})
+	d.lookups.view, d.lookups.unshifted = alone, alone
+	d.provisionStore()
 	d.core = newCore(d.now, eng, d)
 }
 
@@ -231,15 +234,10 @@
 	}
 	d.core.Post(&engine.Tick{})
 	d.loop(d.watchMachines)
+	d.loop(d.runDuty)
 }
 
-func (d *Daemon) loop(f func()) {
-	d.wg.Add(1)
-	go func() {
-		defer d.wg.Done()
-		f()
-	}()
-}
+func (d *Daemon) loop(f func()) { d.loops.start(f) }
 
 // CallAddr returns the address for callers.
 func (d *Daemon) CallAddr() string { return d.self.CallAddr }
@@ -299,7 +297,10 @@
 	if d.admin != nil {
 		d.admin.Stop()
 	}
-	d.wg.Wait()
+	d.loops.wait()
+	if d.reader != nil {
+		d.reader.Close()
+	}
 	if d.peers != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), peerFlush)
 		defer cancel()
@@ -368,7 +369,7 @@
 // alternatives names other entry VMs to a caller that is sent away.
 func (d *Daemon) alternatives(service fleet.ServiceName, client netip.Addr) []string {
 	var choices [steer.MaxChoices]steer.Choice
-	a := d.view.Load().Lookup(service, client, choices[:])
+	a := d.lookups.answer(d.now(), service, client, choices[:])
 	var out []string
 	for _, c := range choices[:a.N] {
 		if c.VM != d.self.ID {
--- a/serve/daemon/pages.go
+++ b/serve/daemon/pages.go
@@ -70,7 +70,6 @@
 		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest})
 		return
 	}
-	view := d.view.Load()
 	cat := d.config.Load()
 	if cat == nil {
 		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonNotReady, RetryAfterMs: notReadyRetryMs})
@@ -85,7 +84,8 @@
 		tokens = 0
 	}
 	var choices [steer.MaxChoices]steer.Choice
-	a := view.Lookup(service, addr, choices[:])
+	now := d.now()
+	a := d.lookups.answer(now, service, addr, choices[:])
 	out := lookupAnswer{
 		Service:  service,
 		Revision: cat.Revision,
@@ -96,7 +96,6 @@
 		Client:   client{home: a.Home, block: a.Block}.text(),
 		EntryVMs: make([]lookupVM, a.N),
 	}
-	now := d.now()
 	for i, c := range choices[:a.N] {
 		out.EntryVMs[i] = lookupVM{ID: c.VM, Addr: c.Addr, Region: c.Region, Domain: c.Domain}
 		out.EntryVMs[i].Tokens = d.mintFor(c.VM, now, tokens)
--- a/serve/daemon/peers.go
+++ b/serve/daemon/peers.go
@@ -5,6 +5,7 @@
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/member"
+	"github.com/azurethread/azurethread/decide/tally"
 	"github.com/azurethread/azurethread/serve/peer"
 )
 
@@ -56,6 +57,8 @@
 		m.Load, err = peer.DecodeLoad(b)
 	case b.Kind == peer.KindConfig:
 		m.Config, err = decodeConfig(b)
+	case b.Kind == peer.KindTally:
+		m.Tally, err = decodeTally(b)
 	default:
 		err = peer.ErrKind
 	}
@@ -70,6 +73,14 @@
 	return body.Message()
 }
 
+func decodeTally(b peer.Body) (tally.Message, error) {
+	var body tally.Body
+	if err := peer.Decode(b, peer.MaxBody, &body); err != nil {
+		return nil, err
+	}
+	return body.Message()
+}
+
 // post hands an event of a peer to the core, which does not exist yet while
 // the daemon is being provisioned.
 func (d *Daemon) post(ev engine.Event) {
@@ -116,5 +127,12 @@
 		}
 		bodies = append(bodies, b)
 	}
+	if s.Tally != nil {
+		b, err := peer.Encode(peer.KindTally, tally.NewBody(s.Tally))
+		if err != nil {
+			return nil, err
+		}
+		bodies = append(bodies, b)
+	}
 	return bodies, nil
 }
--- /dev/null
+++ b/serve/daemon/shifts.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/shift"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/store"
+)
+
+// dutyCheck is how often the engine is told whether this process holds the
+// lease of the shift runner, and for how long it may take that as true. A
+// process paused for longer finds that it no longer leads.
+const (
+	dutyCheck = 500 * time.Millisecond
+	dutyTrust = 3 * dutyCheck
+)
+
+// runDuty tries for the lease of the shift runner, and reports on it.
+func (d *Daemon) runDuty() {
+	duty := store.NewDuty(store.DutyOptions{
+		Store:       d.platform,
+		Key:         store.ShiftDuty,
+		Now:         d.now,
+		Holder:      d.self.ID,
+		Incarnation: d.self.Incarnation,
+		Eligible:    func() bool { return d.eligible.Load() && !d.leaving.Load() },
+	})
+	d.loop(func() { duty.Run(d.ctx) })
+	t := time.NewTicker(dutyCheck)
+	defer t.Stop()
+	held := false
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := duty.Held()
+		if now == held && !held {
+			continue
+		}
+		if now != held {
+			d.log.WithField("held", now).Info("lease of the shift runner")
+		}
+		held = now
+		d.core.Post(shift.Platform{Reachable: held})
+		d.core.Post(shift.Duty{Held: held, Until: d.now().Add(dutyTrust)})
+	}
+}
+
+// operationOf turns a write of the runner into a change of the catalogue.
+func operationOf(w shift.Write) change.Operation {
+	op := change.Operation{ID: uuid.NewString(), Operator: change.RunnerName}
+	if w.State == catalogue.RolledBack {
+		op.Kind = change.KindRollBack
+		op.Shift = &change.ShiftRef{ID: w.Shift, Expect: w.Expect, Reason: w.Hold}
+		return op
+	}
+	op.Kind = change.KindAdvance
+	op.Advance = &change.Advance{
+		ID:        w.Shift,
+		Expect:    w.Expect,
+		Share:     w.Share,
+		Hold:      w.Hold,
+		SteppedAt: w.SteppedAt,
+		Done:      w.State == catalogue.Done,
+	}
+	return op
+}
+
+// writeTimeout bounds one attempt of a write of the runner.
+const writeTimeout = 5 * time.Second
+
+// writeShift makes a write of the runner and reports what is known of it. A
+// write whose outcome is unknown is repeated under the same operation id until
+// the platform tells: the runner makes no other for that shift meanwhile.
+func (d *Daemon) writeShift(w shift.Write) {
+	op := operationOf(w)
+	for {
+		ctx, cancel := context.WithTimeout(d.ctx, writeTimeout)
+		_, err := d.change(ctx, op)
+		cancel()
+		if err == nil {
+			d.log.WithFields(logrus.Fields{"shift": w.Shift, "share": w.Share, "state": w.State, "hold": w.Hold}).Info("traffic shift written")
+			d.core.Post(shift.WriteResult{ID: w.ID, Verdict: verdict.Ran})
+			return
+		}
+		d.logChange(op, err)
+		v := verdictOf(err)
+		d.core.Post(shift.WriteResult{ID: w.ID, Verdict: v, Conflict: isConflict(err)})
+		if v != verdict.MayHaveRun || !d.pause() {
+			return
+		}
+	}
+}
--- a/serve/peer/body.go
+++ b/serve/peer/body.go
@@ -25,6 +25,10 @@
 	KindLoad Kind = 32
 	// KindConfig is the first of 32 kinds of the configuration protocol.
 	KindConfig Kind = 64
+	// KindTally is the gathering of shift evidence.
+	KindTally Kind = 96
+	// KindMachine is the spread of the machine list.
+	KindMachine Kind = 128
 	// KindTest is the first kind that no daemon uses.
 	KindTest Kind = 240
 )
@@ -67,7 +71,7 @@
 	// MaxMemberBody bounds a membership or load message. Decoding turns a
 	// byte into up to about 150 bytes of structs, so this bounds what a
 	// faulty peer can make us allocate.
-	MaxMemberBody = 128 << 10
+	MaxMemberBody = 256 << 10
 )
 
 // Errors of decoding.
