Never deny an earlier send of the same token

Cause: three answers said not-run without asking the token ledger: a refusal while the listener stops, one before the engine exists, and one for a malformed header. A caller that re-sends after a lost answer could be told not-run by them although its first send had run. Found by reading, not by a run. How: the listener accepts only once the engine is there, every refusal of a call passes through the engine, and a not-run refusal brings a fresh token. A process that is superseded under its id now stops. Conclusion: not-run for a token is said by the ledger alone.

--- a/decide/dispatch/remote.go
+++ b/decide/dispatch/remote.go
@@ -192,9 +192,6 @@
 	return r.farRefusals >= maxFarRefusals
 }
 
-// refused reports whether another entry VM has refused r.
-func (r *request) refused() bool { return r.nearRefusals+r.farRefusals > 0 }
-
 // forwardCost is the time a forward is expected to take beyond the usual
 // latency, in ns.
 func (s *State) forwardCost(l *link) float64 {
--- a/decide/engine/calls.go
+++ b/decide/engine/calls.go
@@ -54,13 +54,17 @@
 	if e.catalogue == nil {
 		reason = verdict.ReasonNotReady
 	}
-	if c.Token == "" {
-		return refuse(c.Req, reason)
+	return e.reject(now, &Reject{Req: c.Req, Token: c.Token, Reason: reason})
+}
+
+// reject refuses a request without dispatching it.
+func (e *Engine) reject(now clock.Time, j *Reject) Refusal {
+	if j.Token == "" {
+		return refuse(j.Req, j.Reason)
 	}
-	a := e.ledger.Refuse(now, c.Token)
-	r := refusalOf(c.Req, a)
+	r := refusalOf(j.Req, e.ledger.Refuse(now, j.Token))
 	if r.Verdict == verdict.NotRun {
-		r.Reason = reason
+		r.Reason = j.Reason
 	}
 	return r
 }
--- a/decide/engine/engine.go
+++ b/decide/engine/engine.go
@@ -111,6 +111,8 @@
 	switch ev := ev.(type) {
 	case *Call:
 		e.call(now, ev, out)
+	case *Reject:
+		out.Refusals = append(out.Refusals, e.reject(now, ev))
 	case *dispatch.CallerGone:
 		e.callerGone(now, ev, out)
 	case dispatch.Event:
--- a/decide/engine/event.go
+++ b/decide/engine/event.go
@@ -28,6 +28,15 @@
 	BodyBytes int64
 }
 
+// Reject is a request that cannot be served as it is, such as one with a
+// malformed header. It passes through the engine for the sake of its token: an
+// earlier send of the same token may have run, and the answer must not deny it.
+type Reject struct {
+	Req    dispatch.RequestID
+	Token  string // may be empty
+	Reason verdict.Reason
+}
+
 // Tick passes time; it is due at Ready.Wake.
 type Tick struct{}
 
--- a/operate/capacity/control.go
+++ b/operate/capacity/control.go
@@ -29,7 +29,7 @@
 	Date  string `json:"date"`
 }
 
-const controlCommand = "AZURETHREAD_CAPACITY_MEMBER=docs/capacity/member.json go test -run TestCapacityPoints -timeout 30m ./serve/peer"
+const controlCommand = "AZURETHREAD_CAPACITY_MEMBER=$PWD/docs/capacity/member.json go test -cpu 1 -run TestCapacityPoints -timeout 30m ./serve/peer"
 
 // controlSeries splits such points into series named "<cost>/<varied size>".
 func controlSeries(text []byte) ([]slope.Series, error) {
--- a/operate/capacity/roles.go
+++ b/operate/capacity/roles.go
@@ -121,7 +121,7 @@
 			{"traffic: mean daemon, mean rate of changes", m.sent(""), unitBytesPS, boundTraffic,
 				"aggregates per domain and region; deltas"},
 			{"traffic: daemon that sends most", m.sent("max-"), unitBytesPS, boundTraffic,
-				"duties of a domain spread over several representatives"},
+				"sum of the largest of each kind, which need not be one daemon; duties of a domain spread over representatives"},
 			{"traffic: mean daemon in a burst of changes", m.control("control-bytes").plus(m.control("config-burst-bytes")), unitBytesPS, boundTraffic,
 				"changes within 100 ms are merged"},
 			{"traffic: daemon that sends most, in a burst", m.control("control-max-bytes").plus(m.control("config-burst-max-bytes")), unitBytesPS, boundTraffic,
--- a/serve/command/command.go
+++ b/serve/command/command.go
@@ -85,7 +85,13 @@
 		log.WithError(err).Error("entry VM could not start")
 		return ExitFailed
 	}
-	<-signals
+	code := ExitOK
+	select {
+	case <-signals:
+	case <-d.Superseded():
+		log.Error("another process runs under this id with a later start; stopping")
+		code = ExitFailed
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), set.StopTimeout)
 	defer cancel()
 	go func() {
@@ -96,5 +102,5 @@
 	if err := d.Stop(ctx); err != nil {
 		return ExitFailed
 	}
-	return ExitOK
+	return code
 }
--- a/serve/daemon/answer.go
+++ b/serve/daemon/answer.go
@@ -98,8 +98,6 @@
 	switch status {
 	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
 		reason = verdict.ReasonBodyTooLarge
-	case http.StatusServiceUnavailable:
-		reason = verdict.ReasonStopping
 	}
 	_, h, b := encodeError(errorBody{Verdict: verdict.NotRun, Reason: reason})
 	return h, b
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -133,10 +133,6 @@
 	now := d.now()
 	deadline, ok := deadlineOf(x.Header, now)
 	hops, hopsOK := hopsOf(x.Header)
-	if !ok || !hopsOK {
-		d.refuse(x, errorBody{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest})
-		return
-	}
 	c := &call{x: x, service: service, deadline: deadline, client: d.clientOf(x)}
 	c.req = outbound.Request{Method: x.Method, URI: path, Header: x.Header, Body: x.Body}
 	if x.Method == http.MethodHead {
@@ -147,6 +143,10 @@
 	c.span = d.tracer.start(x.Header, string(service))
 	endToEnd(x.Header)
 	d.calls.add(c)
+	if !ok || !hopsOK {
+		d.core.Post(&engine.Reject{Req: c.id, Token: tok, Reason: verdict.ReasonBadRequest})
+		return
+	}
 	d.core.Post(&engine.Call{
 		Req:       c.id,
 		Service:   service,
@@ -433,8 +433,22 @@
 	if vm, ok := d.vms[r.Ask]; ok {
 		e.AskAddr = vm.CallAddr
 	}
-	if r.Reason == verdict.ReasonStopping {
+	switch {
+	case r.Reason == verdict.ReasonStopping:
 		e.Alternatives = d.alternatives(c.service, c.x.Remote)
+	case r.Verdict == verdict.NotRun && d.needsToken(c.service):
+		e.Token = d.mint(d.self, d.now())
 	}
 	d.refuse(c.x, e)
 }
+
+// needsToken reports whether requests of a service carry one-time tokens. A
+// refusal spends the token, so it brings a fresh one.
+func (d *Daemon) needsToken(n fleet.ServiceName) bool {
+	c := d.config.Load()
+	if c == nil {
+		return false
+	}
+	s, ok := c.Service(n)
+	return ok && !s.Idempotent
+}
--- a/serve/daemon/control.go
+++ b/serve/daemon/control.go
@@ -33,7 +33,7 @@
 		d.loop(func() { d.writeShift(w) })
 	}
 	if r.Superseded {
-		d.log.Error("another process runs under this entry VM's id with a later start")
+		d.supersededOnce.Do(func() { close(d.superseded) })
 	}
 }
 
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -59,7 +58,10 @@
 	known   atomic.Pointer[knownVMs]
 	config  atomic.Pointer[catalogue.Catalogue]
 	leaving atomic.Bool
-	minters sync.Pool
+
+	superseded     chan struct{} // closed when another process runs under this id
+	supersededOnce sync.Once
+	minters        sync.Pool
 
 	// Addresses, touched only between steps of the core.
 	targets map[fleet.TargetID]fleet.Target
@@ -105,6 +107,7 @@
 		targets:  make(map[fleet.TargetID]fleet.Target),
 		vms:      make(map[fleet.VMID]fleet.VM),
 	}
+	d.superseded = make(chan struct{})
 	d.calls.byID = make(map[dispatch.RequestID]*call)
 	d.minters.New = func() any { return token.NewMinter([]byte(set.FleetKey)) }
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -138,8 +141,7 @@
 	if err != nil {
 		return err
 	}
-	gate := &gate{}
-	d.callers, err = inbound.Listen(d.set.CallAddr, gate, inbound.Options{
+	d.callers, err = inbound.Listen(d.set.CallAddr, inbound.Options{
 		MaxHeadBytes: d.set.MaxHeadBytes,
 		MaxBodyBytes: d.set.MaxBodyBytes,
 		ReadTimeout:  d.set.ReadTimeout,
@@ -160,7 +162,6 @@
 	d.self = d.describe(inc)
 	d.newCore()
 	d.started.Store(true)
-	gate.open(d)
 	return nil
 }
 
@@ -169,21 +170,6 @@
 // closes a connection just as a request is written to it.
 const outboundIdle = 15 * time.Second
 
-// gate holds requests back until the daemon is ready to serve them.
-type gate struct{ d atomic.Pointer[Daemon] }
-
-func (g *gate) open(d *Daemon) { g.d.Store(d) }
-
-// Serve implements inbound.Handler.
-func (g *gate) Serve(x *inbound.Exchange) {
-	if d := g.d.Load(); d != nil {
-		d.Serve(x)
-		return
-	}
-	h, b := refusalByStatus(http.StatusServiceUnavailable)
-	x.Respond(http.StatusServiceUnavailable, h, b)
-}
-
 // describe returns this entry VM as others are to know it. The incarnation is
 // the start's wall clock: a restart takes a higher one without any store.
 func (d *Daemon) describe(inc fleet.Incarnation) fleet.VM {
@@ -233,6 +219,7 @@
 		d.core.Post(d.blocks)
 	}
 	d.core.Post(&engine.Tick{})
+	d.callers.Serve(d)
 	d.loop(d.watchMachines)
 	d.loop(d.runDuty)
 }
@@ -266,6 +253,10 @@
 // and nobody is told.
 func (d *Daemon) Kill() { d.cleanup() }
 
+// Superseded is closed when another process, started later, runs under this
+// entry VM's id. Both would be reached under one name, so this one should stop.
+func (d *Daemon) Superseded() <-chan struct{} { return d.superseded }
+
 // Violations returns how many broken invariants have been seen.
 func (d *Daemon) Violations() int64 { return d.metrics.violations.Load() }
 
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -141,13 +141,7 @@
 
 func (c *conn) serve(x *Exchange) {
 	_ = c.nbc.SetReadDeadline(time.Time{})
-	if !c.s.begin() {
-		// Stop has been called: say so, and let the caller go elsewhere.
-		h, body := c.s.opts.Refusal(http.StatusServiceUnavailable)
-		x.close = true
-		x.Respond(http.StatusServiceUnavailable, h, body)
-		return
-	}
+	c.s.begin()
 	x.counted = true
 	c.s.handler.Serve(x)
 }
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -29,7 +29,7 @@
 	IdleTimeout  time.Duration // between requests on one connection
 	WriteTimeout time.Duration // for a caller to take an answer
 	// Refusal gives the header and body of an answer that this package sends
-	// itself, with the verdict not-run: 400, 413, 431 or 503.
+	// itself, with the verdict not-run: 400, 413 or 431.
 	Refusal func(status int) (http.Header, []byte)
 }
 
@@ -50,15 +50,16 @@
 	idle     chan struct{} // closed when stopping and inFlight is zero
 }
 
-// Listen starts a server on addr, a host:port.
-func Listen(addr string, h Handler, opts Options) (*Server, error) {
+// Listen opens addr, a host:port. Connections wait until Serve is called: what
+// a caller is told before the handler is ready could be wrong, as only the
+// handler knows what became of an earlier send.
+func Listen(addr string, opts Options) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("inbound: %w", err)
 	}
 	s := &Server{
 		opts:     opts,
-		handler:  h,
 		listener: ln,
 		conns:    make(map[*conn]struct{}),
 		idle:     make(chan struct{}),
@@ -73,9 +74,15 @@
 		_ = ln.Close()
 		return nil, fmt.Errorf("inbound: %w", err)
 	}
+	return s, nil
+}
+
+// Serve begins to accept connections and hands their requests to h. It must be
+// called once at most.
+func (s *Server) Serve(h Handler) {
+	s.handler = h
 	s.accepted.Add(1)
 	go s.accept()
-	return s, nil
 }
 
 // Addr returns the address listened on.
@@ -180,15 +187,11 @@
 	return len(s.conns)
 }
 
-// begin counts an exchange in; it reports false once the server stops.
-func (s *Server) begin() bool {
+// begin counts an exchange in.
+func (s *Server) begin() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping.Load() {
-		return false
-	}
 	s.inFlight++
-	return true
+	s.mu.Unlock()
 }
 
 func (s *Server) end() {
@@ -210,9 +213,9 @@
 	}
 }
 
-// Stop refuses new requests and waits until the ones in flight are answered
-// or ctx ends, and then closes everything. New connections are still answered
-// with a refusal until then, so that callers learn at once to go elsewhere.
+// Stop waits until no request is in flight or ctx ends, and then closes
+// everything. The handler must refuse new requests by then; their connections
+// are closed after the refusal.
 func (s *Server) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping.Store(true)
--- /dev/null
+++ b/serve/peer/harness_test.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+var testKey = []byte("a shared key for tests only")
+
+// patience bounds the wait for what has to happen; no test needs it to pass.
+const patience = 10 * time.Second
+
+// endpoint is a transport with what it received.
+type endpoint struct {
+	*Transport
+	vm fleet.VM
+
+	mu     sync.Mutex
+	envs   []Envelope
+	failed []fleet.VMID
+}
+
+func newEndpoint(t *testing.T, id fleet.VMID, change func(*Options)) *endpoint {
+	t.Helper()
+	o := Options{ID: id, Incarnation: 1, Key: testKey}
+	if change != nil {
+		change(&o)
+	}
+	e := &endpoint{}
+	tr, err := New(o, e.take, e.fail)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Transport = tr
+	addr, err := tr.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.vm = fleet.VM{ID: id, PeerAddr: addr, Incarnation: o.Incarnation}
+	t.Cleanup(func() { e.close() })
+	return e
+}
+
+func (e *endpoint) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_ = e.Close(ctx)
+}
+
+func (e *endpoint) take(_ fleet.VMID, env Envelope) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.envs = append(e.envs, env)
+}
+
+func (e *endpoint) fail(to fleet.VMID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failed = append(e.failed, to)
+}
+
+// bodies returns the data of all messages received so far.
+func (e *endpoint) bodies() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	for _, env := range e.envs {
+		for _, b := range env.Bodies {
+			out = append(out, string(b.Data))
+		}
+	}
+	return out
+}
+
+func (e *endpoint) failures() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.failed)
+}
+
+func text(s string) Body { return Body{Kind: KindTest, Data: []byte(s)} }
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatalf("not seen: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// rawClient is a peer made by hand, to send what a Transport never would.
+type rawClient struct {
+	net.Conn
+	nonce   []byte
+	out, in *channel
+	wrote   [][]byte
+}
+
+// dialRaw connects without a hello.
+func dialRaw(t *testing.T, addr string) *rawClient {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	r := &rawClient{Conn: c, nonce: make([]byte, nonceSize)}
+	_, _ = rand.Read(r.nonce)
+	return r
+}
+
+// greet completes the handshake as VM id with a key.
+func (r *rawClient) greet(t *testing.T, id, wants fleet.VMID, key []byte) error {
+	t.Helper()
+	is := is.New(t)
+	b, err := Encode(0, &hello{ID: id, Incarnation: 1, Wants: wants, Nonce: r.nonce})
+	is.NoErr(err)
+	r.write(t, seal(typeHello, b.Data, helloMAC(key, nil)))
+	frame, err := r.readFrame()
+	if err != nil {
+		return err
+	}
+	_, payload, mac, err := open(frame)
+	is.NoErr(err)
+	is.Equal(helloMAC(key, r.nonce)(frame[:len(frame)-macSize]), mac)
+	var h hello
+	is.NoErr(Decode(Body{Data: payload}, maxHello, &h))
+	r.out = newChannel(key, fromDialler, r.nonce, h.Nonce)
+	r.in = newChannel(key, fromAccepter, r.nonce, h.Nonce)
+	return nil
+}
+
+func (r *rawClient) data(t *testing.T, bodies ...Body) []byte {
+	t.Helper()
+	payload, err := appendData(0, bodies)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seal(typeData, payload, r.out.sum)
+}
+
+func (r *rawClient) write(t *testing.T, b []byte) {
+	t.Helper()
+	r.wrote = append(r.wrote, b)
+	if _, err := r.Write(b); err != nil {
+		t.Logf("write: %v", err) // the other side may have closed already
+	}
+}
+
+func (r *rawClient) readFrame() ([]byte, error) {
+	_ = r.SetReadDeadline(time.Now().Add(patience))
+	head := make([]byte, lengthSize)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return nil, err
+	}
+	n := int(head[0])<<24 | int(head[1])<<16 | int(head[2])<<8 | int(head[3])
+	frame := make([]byte, n)
+	_, err := io.ReadFull(r, frame)
+	return frame, err
+}
+
+// closedByPeer reads until the other side closes.
+func (r *rawClient) closedByPeer(t *testing.T) {
+	t.Helper()
+	_ = r.SetReadDeadline(time.Now().Add(patience))
+	_, err := io.Copy(io.Discard, r)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		t.Fatal("connection still open")
+	}
+}
--- /dev/null
+++ b/serve/peer/transport_test.go
@@ -0,0 +1,346 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
+)
+
+func TestMessagesBothWays(t *testing.T) {
+	is := is.New(t)
+	a, b := newEndpoint(t, "a", nil), newEndpoint(t, "b", func(o *Options) { o.Incarnation = 7 })
+	for i := range 200 {
+		is.NoErr(a.Send(b.vm, text(fmt.Sprint(i)), text("x")))
+	}
+	eventually(t, "all messages", func() bool { return len(b.bodies()) == 400 })
+	for i := range 200 {
+		is.Equal(b.bodies()[2*i], fmt.Sprint(i))
+	}
+	// The answer takes the connection that a opened: no address is needed.
+	is.NoErr(b.Send(fleet.VM{ID: "a"}, text("back")))
+	eventually(t, "the answer", func() bool { return len(a.bodies()) == 1 })
+	is.Equal(a.envs[0].From, fleet.VMID("b"))
+	is.Equal(a.envs[0].FromIncarnation, fleet.Incarnation(7))
+	is.Equal(b.Stats().Dials, uint64(0))
+}
+
+func TestLargestMessage(t *testing.T) {
+	is := is.New(t)
+	a, b := newEndpoint(t, "a", nil), newEndpoint(t, "b", nil)
+	large := text(strings.Repeat("x", MaxBody))
+	is.NoErr(a.Send(b.vm, large))
+	is.NoErr(a.Send(b.vm, text("after")))
+	eventually(t, "both", func() bool { return len(b.bodies()) == 2 })
+	is.Equal(b.bodies()[0], string(large.Data))
+	err := a.Send(b.vm, large, large)
+	is.True(errors.Is(err, ErrTooLarge))
+}
+
+func TestAnswersAreNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	a, b := newEndpoint(t, "a", nil), newEndpoint(t, "b", nil)
+	ping, err := EncodeMember(&member.Ping{Seq: 1})
+	is.NoErr(err)
+	ack, err := EncodeMember(&member.Ack{Seq: 1})
+	is.NoErr(err)
+	is.NoErr(a.Send(b.vm, ping))
+	eventually(t, "the ping", func() bool { return len(b.bodies()) == 1 })
+	is.NoErr(b.Send(a.vm, ack))
+	eventually(t, "the answer", func() bool { return len(a.bodies()) == 1 })
+	time.Sleep(3 * DefaultAckDelay)
+	is.Equal(b.Stats().AcksSent, uint64(0)) // the answer acknowledged the ping
+	is.Equal(a.Stats().AcksSent, uint64(1)) // only the empty frame of the handshake
+}
+
+// Symptom: a machine that isn't ours takes part. Sequence: it connects and
+// speaks the protocol with another key. Cause: whoever reaches the port can
+// send frames; only the key tells who may.
+func TestWrongKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := newEndpoint(t, "b", nil)
+	stranger := newEndpoint(t, "a", func(o *Options) { o.Key = []byte("another key, as long as ours") })
+	is.NoErr(stranger.Send(b.vm, text("let me in")))
+	eventually(t, "the refusal", func() bool { return b.Stats().RefusedKey > 0 })
+	eventually(t, "the failure", func() bool { return stranger.failures() > 0 })
+	is.Equal(len(b.bodies()), 0)
+}
+
+// Symptom: memory grows until the process is killed. Sequence: a frame states
+// a length of 2 GB. Cause: a reader that believes the length allocates it.
+func TestOversizedFrameIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := newEndpoint(t, "b", nil)
+	c := dialRaw(t, b.vm.PeerAddr)
+	c.write(t, []byte{0x7f, 0xff, 0xff, 0xff, Version, byte(typeHello)})
+	c.closedByPeer(t)
+	// A hello may not even be as large as a data frame.
+	c = dialRaw(t, b.vm.PeerAddr)
+	c.write(t, []byte{0, 0, 0xff, 0xff, Version, byte(typeHello)})
+	c.closedByPeer(t)
+	// After the handshake the bound is that of data frames.
+	c = dialRaw(t, b.vm.PeerAddr)
+	is.NoErr(c.greet(t, "a", "b", testKey))
+	c.write(t, c.data(t, text("fine")))
+	eventually(t, "a frame", func() bool { return len(b.bodies()) == 1 })
+	c.write(t, []byte{0, 0x20, 0, 0, Version, byte(typeData)})
+	c.closedByPeer(t)
+	is.Equal(b.Stats().RefusedSize, uint64(3))
+}
+
+// Symptom: a peer's faulty message ends the process or is taken for another.
+// Sequence: frames with unknown version or type, and payloads that are no
+// MessagePack, cut short, or followed by more. Cause: the sender is newer,
+// broken or hostile.
+func TestMalformedFramesAreRefused(t *testing.T) {
+	is := is.New(t)
+	b := newEndpoint(t, "b", nil)
+	good, err := appendData(0, []Body{text("x")})
+	is.NoErr(err)
+	payloads := map[string][]byte{
+		"empty":          {},
+		"no messagepack": {0xc1, 0xc1},
+		"cut short":      good[:len(good)-1],
+		"followed":       append(slices.Clone(good), 0),
+		"endless array":  {0x92, 0x00, 0xdd, 0xff, 0xff, 0xff, 0xff},
+		"endless body":   {0x92, 0x00, 0x91, 0x92, 0xcc, 0xf0, 0xc6, 0xff, 0xff, 0xff, 0xff},
+	}
+	for name, p := range payloads {
+		c := dialRaw(t, b.vm.PeerAddr)
+		is.NoErr(c.greet(t, "a", "b", testKey))
+		c.write(t, seal(typeData, p, c.out.sum))
+		c.closedByPeer(t)
+		t.Log(name)
+	}
+	is.Equal(b.Stats().RefusedForm, uint64(len(payloads)))
+
+	c := dialRaw(t, b.vm.PeerAddr)
+	c.write(t, append([]byte{0, 0, 0, 20, Version + 1, byte(typeHello)}, make([]byte, 18)...))
+	c.closedByPeer(t)
+	is.Equal(b.Stats().RefusedVersion, uint64(1))
+	c = dialRaw(t, b.vm.PeerAddr)
+	c.write(t, append([]byte{0, 0, 0, 20, Version, byte(typeData)}, make([]byte, 18)...))
+	c.closedByPeer(t)
+	is.Equal(b.Stats().RefusedType, uint64(1))
+	is.Equal(len(b.bodies()), 0)
+}
+
+// Symptom: an old message takes effect a second time. Sequence: somebody on
+// the way records frames and sends them again: on the same connection, on
+// another one, or a whole connection from its first byte. Cause: each frame
+// is genuine, only its time or place is not.
+func TestReplayedFramesAreRefused(t *testing.T) {
+	is := is.New(t)
+	b := newEndpoint(t, "b", nil)
+	c := dialRaw(t, b.vm.PeerAddr)
+	is.NoErr(c.greet(t, "a", "b", testKey))
+	frame := c.data(t, text("once"))
+	c.write(t, frame)
+	eventually(t, "the frame", func() bool { return len(b.bodies()) == 1 })
+	c.write(t, frame)
+	c.closedByPeer(t)
+	is.Equal(b.Stats().RefusedMAC, uint64(1))
+
+	other := dialRaw(t, b.vm.PeerAddr)
+	is.NoErr(other.greet(t, "a", "b", testKey))
+	other.write(t, frame)
+	other.closedByPeer(t)
+	is.Equal(b.Stats().RefusedMAC, uint64(2))
+
+	again := dialRaw(t, b.vm.PeerAddr)
+	for _, w := range c.wrote {
+		again.write(t, w)
+	}
+	again.closedByPeer(t)
+	is.Equal(b.Stats().RefusedMAC, uint64(3))
+
+	// A frame left out shows as well.
+	gap := dialRaw(t, b.vm.PeerAddr)
+	is.NoErr(gap.greet(t, "a", "b", testKey))
+	gap.data(t, text("lost"))
+	gap.write(t, gap.data(t, text("next")))
+	gap.closedByPeer(t)
+	is.Equal(b.Stats().RefusedMAC, uint64(4))
+	is.Equal(len(b.bodies()), 1)
+}
+
+// Symptom: messages for one VM reach another. Sequence: a VM is replaced, and
+// its IP number is given to a VM of another name. Cause: addresses outlive
+// the VMs behind them.
+func TestAddressOfAnotherVM(t *testing.T) {
+	is := is.New(t)
+	a, b := newEndpoint(t, "a", nil), newEndpoint(t, "b", nil)
+	wrong := fleet.VM{ID: "c", PeerAddr: b.vm.PeerAddr}
+	is.NoErr(a.Send(wrong, text("for c")))
+	eventually(t, "the refusal", func() bool { return b.Stats().RefusedMisdirected > 0 })
+	eventually(t, "the failure", func() bool { return a.failures() > 0 })
+	is.Equal(len(b.bodies()), 0)
+}
+
+// Symptom: no peer can connect any more. Sequence: connections are opened and
+// send nothing, or one byte now and then. Cause: each holds a place.
+func TestSlowHelloIsClosed(t *testing.T) {
+	is := is.New(t)
+	b := newEndpoint(t, "b", func(o *Options) {
+		o.HelloTimeout = 50 * time.Millisecond
+		o.Connections = 2
+	})
+	slow := []*rawClient{dialRaw(t, b.vm.PeerAddr), dialRaw(t, b.vm.PeerAddr)}
+	eventually(t, "both", func() bool { return b.Stats().Connections == 2 })
+	dialRaw(t, b.vm.PeerAddr).closedByPeer(t)
+	is.Equal(b.Stats().RefusedConnections, uint64(1))
+	for _, c := range slow {
+		c.closedByPeer(t)
+	}
+	is.Equal(b.Stats().HelloTimeouts, uint64(2))
+	a := newEndpoint(t, "a", nil)
+	is.NoErr(a.Send(b.vm, text("in")))
+	eventually(t, "a peer", func() bool { return len(b.bodies()) == 1 })
+}
+
+// switchLink loses all frames while it is off.
+type switchLink struct {
+	mu  sync.Mutex
+	off bool
+}
+
+func (l *switchLink) set(off bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.off = off
+}
+
+func (l *switchLink) Pass(_, _ fleet.VMID) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Millisecond, !l.off
+}
+
+// Symptom: everything sent to a VM vanishes for good, although it lives and
+// new connections to it work. Sequence: something between the two ends loses
+// track of an open connection. Cause: writes still succeed, so only the
+// missing acknowledgements tell.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	link := &switchLink{}
+	a := newEndpoint(t, "a", func(o *Options) {
+		o.Link = link
+		o.SilentAfter = 100 * time.Millisecond
+		o.LostAfter = time.Hour
+	})
+	b := newEndpoint(t, "b", nil)
+	is.NoErr(a.Send(b.vm, text("before")))
+	eventually(t, "a frame", func() bool { return len(b.bodies()) == 1 })
+
+	link.set(true)
+	is.NoErr(a.Send(b.vm, text("swallowed"))) // from here on this connection is silent
+	link.set(false)
+	eventually(t, "the replacement", func() bool { return a.Stats().Replaced == 1 })
+	is.NoErr(a.Send(b.vm, text("after")))
+	eventually(t, "a frame on the new connection", func() bool { return len(b.bodies()) == 2 })
+	is.Equal(b.bodies()[1], "after")
+	is.Equal(a.Stats().Unconfirmed, uint64(1))
+}
+
+// Symptom: after an outage of the network the two never talk again. Sequence:
+// all frames are lost for a while, those of new handshakes included. Cause:
+// the old connections are silent for good, and the attempts to replace them
+// fail as long as the outage lasts.
+func TestOutageEnds(t *testing.T) {
+	is := is.New(t)
+	link := &switchLink{}
+	a := newEndpoint(t, "a", func(o *Options) {
+		o.Link = link
+		o.SilentAfter = 50 * time.Millisecond
+		o.LostAfter = 150 * time.Millisecond
+		o.HelloTimeout = 50 * time.Millisecond
+		o.BackoffMin, o.BackoffMax = time.Millisecond, 20*time.Millisecond
+	})
+	b := newEndpoint(t, "b", nil)
+	is.NoErr(a.Send(b.vm, text("before")))
+	eventually(t, "a frame", func() bool { return len(b.bodies()) == 1 })
+	link.set(true)
+	is.NoErr(a.Send(b.vm, text("lost")))
+	eventually(t, "the failure", func() bool { return a.failures() > 0 })
+	link.set(false)
+	eventually(t, "a frame after the outage", func() bool {
+		is.NoErr(a.Send(b.vm, text("after")))
+		return slices.Contains(b.bodies(), "after")
+	})
+}
+
+// Symptom: the process that serves callers stands still, or its memory grows,
+// because of one VM. Sequence: that VM accepts connections and never reads.
+// Cause: a send that waits, or keeps everything that waits.
+func TestStuckPeerBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	const limit = 100 << 10
+	a := newEndpoint(t, "a", func(o *Options) { o.QueueBytes = limit })
+	stuck := fleet.VM{ID: "stuck", PeerAddr: l.Addr().String()}
+	body := text(strings.Repeat("x", 1000))
+	for range 1000 {
+		is.NoErr(a.Send(stuck, body))
+	}
+	s := a.Stats()
+	is.True(s.QueuedBodies <= limit/1000)
+	is.Equal(s.Dropped+s.QueuedBodies, uint64(1000))
+	b := newEndpoint(t, "b", nil)
+	is.NoErr(a.Send(b.vm, text("hello")))
+	eventually(t, "another VM", func() bool { return len(b.bodies()) == 1 })
+}
+
+// Symptom: a restarted VM gets nothing until some time-out. Sequence: it
+// starts anew at the same address with a higher incarnation. Cause: the
+// connection to the earlier process still counts as good.
+func TestHigherIncarnationGetsNewConnection(t *testing.T) {
+	is := is.New(t)
+	a := newEndpoint(t, "a", func(o *Options) { o.BackoffMin = time.Millisecond })
+	first := newEndpoint(t, "b", nil)
+	is.NoErr(a.Send(first.vm, text("one")))
+	eventually(t, "a frame", func() bool { return len(first.bodies()) == 1 })
+	second := newEndpoint(t, "b", func(o *Options) { o.Incarnation = 2 })
+	is.NoErr(a.Send(second.vm, text("two")))
+	eventually(t, "a frame at the second", func() bool { return len(second.bodies()) == 1 })
+	is.Equal(len(first.bodies()), 1)
+	is.Equal(second.bodies()[0], "two")
+}
+
+// Symptom: what was sent just before a planned stop never arrives. Sequence:
+// messages are handed over and the transport is closed at once. Cause: they
+// were still in the queue, waiting for a connection.
+func TestCloseDeliversFirst(t *testing.T) {
+	is := is.New(t)
+	a, b := newEndpoint(t, "a", nil), newEndpoint(t, "b", nil)
+	for i := range 50 {
+		is.NoErr(a.Send(b.vm, text(fmt.Sprint(i))))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(a.Close(ctx))
+	is.Equal(len(b.bodies()), 50)
+	is.True(errors.Is(a.Send(b.vm, text("late")), ErrClosed))
+	is.True(errors.Is(a.Close(ctx), ErrClosed))
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	_, err := New(Options{ID: "a", Key: []byte("short")}, nil, nil)
+	is.True(errors.Is(err, ErrKey))
+	_, err = New(Options{Key: testKey}, nil, nil)
+	is.True(errors.Is(err, ErrID))
+	a := newEndpoint(t, "a", nil)
+	is.True(errors.Is(a.Send(fleet.VM{ID: "nowhere"}, text("x")), ErrNoAddress))
+}
