--- a/decide/config/bench_test.go
+++ b/decide/config/bench_test.go
@@ -158,8 +158,8 @@
 			v.st.Step(n.now, ev, &v.ready)
 		}
 	})
-	b.Run("beacon", func(b *testing.B) {
-		m := from.st.makeBeacon()
+	b.Run("heartbeat", func(b *testing.B) {
+		m := from.st.makeHeartbeat()
 		for b.Loop() {
 			m.Seq++
 			v.st.Step(n.now, &PeerMessage{From: from.id, Msg: m}, &v.ready)
--- a/decide/config/chase.go
+++ b/decide/config/catchup.go
@@ -7,8 +7,8 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// chase asks peers for content that they are known to hold, one at a time.
-type chase struct {
+// catchUp asks peers for content that they are known to hold, one at a time.
+type catchUp struct {
 	heard      uint64     // highest revision heard of, whether or not its content came
 	heardSince clock.Time // when heard first exceeded what is in force
 	candidates []candidate
@@ -35,7 +35,7 @@
 
 // hear notes that a peer holds p.
 func (s *State) hear(from fleet.VMID, p Point) {
-	c := &s.chase
+	c := &s.catchUp
 	held := s.point()
 	if !p.beats(held) {
 		return
@@ -61,7 +61,7 @@
 }
 
 // settle forgets the peers that hold nothing better than p.
-func (c *chase) settle(p Point) {
+func (c *catchUp) settle(p Point) {
 	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return !x.point.beats(p) })
 	c.heard = max(c.heard, p.Revision)
 	c.asked = ""
@@ -70,11 +70,11 @@
 
 // pending reports whether content of a higher revision than held is still
 // being asked for.
-func (c *chase) pending(held uint64, now clock.Time) bool {
-	return c.heard > held && now.Sub(c.heardSince) < ChaseLimit
+func (c *catchUp) pending(held uint64, now clock.Time) bool {
+	return c.heard > held && now.Sub(c.heardSince) < CatchUpLimit
 }
 
-func (c *chase) wake(now clock.Time) clock.Time {
+func (c *catchUp) wake(now clock.Time) clock.Time {
 	switch {
 	case c.asked != "":
 		return c.deadline
@@ -85,9 +85,9 @@
 	}
 }
 
-// dueChase asks the best candidate, and gives up on one that didn't answer.
-func (s *State) dueChase(out *Ready) {
-	c := &s.chase
+// dueCatchUp asks the best candidate, and gives up on one that didn't answer.
+func (s *State) dueCatchUp(out *Ready) {
+	c := &s.catchUp
 	if c.asked != "" && s.now.Before(c.deadline) {
 		return
 	}
@@ -108,7 +108,7 @@
 }
 
 // best returns the candidate that holds most; of equals the first heard of.
-func (c *chase) best() candidate {
+func (c *catchUp) best() candidate {
 	best := c.candidates[0]
 	for _, x := range c.candidates[1:] {
 		if x.point.beats(best.point) {
@@ -119,7 +119,7 @@
 }
 
 func (s *State) dropCandidate(id fleet.VMID) {
-	c := &s.chase
+	c := &s.catchUp
 	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return x.id == id })
 	c.asked = ""
 }
@@ -151,7 +151,7 @@
 	p := Point{Revision: d.To, Hash: d.Hash}
 	if s.held == nil || d.From > s.held.cat.Revision {
 		s.hear(from, p)
-		s.chase.notBefore = s.now
+		s.catchUp.notBefore = s.now
 		return
 	}
 	if d.To <= s.held.cat.Revision {
@@ -164,8 +164,8 @@
 		// a snapshot helps.
 		s.refuse(err)
 		s.hear(from, p)
-		s.chase.notBefore = s.now
-		s.chase.full = true
+		s.catchUp.notBefore = s.now
+		s.catchUp.full = true
 		return
 	}
 	s.adoptFrom(from, c, out)
--- a/decide/config/confirm.go
+++ b/decide/config/confirm.go
@@ -75,7 +75,7 @@
 // has heard of a higher revision whose content it is still asking for: a
 // write on an older base would silently undo accepted changes.
 func (s *State) Base(now clock.Time) (Base, bool) {
-	b := Base{Catalogue: s.Catalogue(), Floor: max(s.point().Revision, s.chase.heard)}
+	b := Base{Catalogue: s.Catalogue(), Floor: max(s.point().Revision, s.catchUp.heard)}
 	joined := s.held != nil || !now.Before(s.join.deadline)
-	return b, joined && !s.chase.pending(s.point().Revision, now)
+	return b, joined && !s.catchUp.pending(s.point().Revision, now)
 }
--- a/decide/config/doc.go
+++ b/decide/config/doc.go
@@ -31,7 +31,7 @@
 // Delta.
 //
 // Readers send a Digest (revision, content hash, age of the confirmation)
-// down the same tree every BeaconInterval; it is their heartbeat as readers.
+// down the same tree every HeartbeatInterval; it is their heartbeat as readers.
 // Every daemon also sends a Digest to random peers. Whoever finds itself
 // behind asks with Want, and gets a Delta or the parts of a Snapshot. Every
 // Delta and Snapshot is checked against its content hash after it has been
--- a/decide/config/failure_test.go
+++ b/decide/config/failure_test.go
@@ -267,12 +267,14 @@
 // it should have passed the change to.
 func TestDeadMemberDelaysNobody(t *testing.T) {
 	is := is.New(t)
-	n := settledNetwork(is, 1, 12)
-	for i := range 4 * len(n.nodes) {
-		dead := n.nodes[i%len(n.nodes)]
+	const members = 30
+	n := settledNetwork(is, 1, members)
+	n.farDelay = 55 * time.Millisecond // pushes overtake the platform's answers
+	for i := range 4 * members {
+		dead := n.nodes[i%members]
 		st := dead.st
 		dead.st = nil // without news to anybody
-		writer := n.nodes[(i+1+i/12)%len(n.nodes)]
+		writer := n.nodes[(i+1+i/members)%members]
 		is.True(n.write(writer, "s", i%2 == 0))
 		n.run(time.Second)
 		is.NoErr(n.settled())
@@ -414,7 +416,7 @@
 			v.st.Step(n.now, &PeerMessage{From: "a1", Msg: m}, &v.ready)
 			is.Equal(v.st.Counters().Malformed, uint64(1))
 			is.Equal(v.st.point(), before)
-			is.Equal(v.st.chase.heard, before.Revision)
+			is.Equal(v.st.catchUp.heard, before.Revision)
 		})
 	}
 }
@@ -457,7 +459,7 @@
 	v.st.Step(n.now, &PeerMessage{From: "a1", Msg: d}, &v.ready)
 	_, ok := v.st.Base(n.now)
 	is.True(!ok)
-	base, ok := v.st.Base(n.now.Add(ChaseLimit)) // nobody supplied it
+	base, ok := v.st.Base(n.now.Add(CatchUpLimit)) // nobody supplied it
 	is.True(ok)
 	is.Equal(base.Floor, uint64(50))
 	is.Equal(base.Catalogue.Revision, uint64(1))
--- a/decide/config/gossip.go
+++ b/decide/config/gossip.go
@@ -14,25 +14,25 @@
 // gossip is the exchange of digests, and what is remembered of each peer for
 // it.
 type gossip struct {
-	nextDigest clock.Time
-	nextCross  clock.Time
-	nextBeacon clock.Time
-	digests    int
-	beaconSeq  map[fleet.VMID]uint64     // last digest passed on, by root
-	pushedTo   map[fleet.VMID]uint64     // last revision passed on, by root
-	snapshotAt map[fleet.VMID]clock.Time // last snapshot sent, by peer
+	nextDigest    clock.Time
+	nextCross     clock.Time
+	nextHeartbeat clock.Time
+	digests       int
+	heartbeatSeq  map[fleet.VMID]uint64     // last digest passed on, by root
+	pushedTo      map[fleet.VMID]uint64     // last revision passed on, by root
+	snapshotAt    map[fleet.VMID]clock.Time // last snapshot sent, by peer
 }
 
 func (g *gossip) wake() clock.Time {
-	return clock.Min(g.nextDigest, clock.Min(g.nextCross, g.nextBeacon))
+	return clock.Min(g.nextDigest, clock.Min(g.nextCross, g.nextHeartbeat))
 }
 
 // forget drops what is kept of members that are gone, so that a fleet whose
 // members are replaced all the time doesn't fill the memory.
 func (g *gossip) forget(v view) {
-	for id := range g.beaconSeq {
+	for id := range g.heartbeatSeq {
 		if !v.isOwn(id) {
-			delete(g.beaconSeq, id)
+			delete(g.heartbeatSeq, id)
 		}
 	}
 	for id := range g.pushedTo {
@@ -43,9 +43,9 @@
 	clear(g.snapshotAt)
 }
 
-// firstBeacon reports whether a digest of root wasn't passed on before.
-func (g *gossip) firstBeacon(root fleet.VMID, seq uint64) bool {
-	return rises(&g.beaconSeq, root, seq)
+// firstHeartbeat reports whether a digest of root wasn't passed on before.
+func (g *gossip) firstHeartbeat(root fleet.VMID, seq uint64) bool {
+	return rises(&g.heartbeatSeq, root, seq)
 }
 
 // firstPush reports whether a push of root wasn't passed on before.
@@ -86,7 +86,7 @@
 	}
 }
 
-func (s *State) makeBeacon() *Digest {
+func (s *State) makeHeartbeat() *Digest {
 	d := s.makeDigest()
 	d.Root = s.cfg.Self
 	d.Seq = uint64(s.now)
@@ -102,9 +102,9 @@
 
 func (s *State) dueGossip(out *Ready) {
 	g := &s.gossip
-	if !s.now.Before(g.nextBeacon) {
-		g.nextBeacon = s.now.Add(BeaconInterval)
-		s.sendBeacon(out)
+	if !s.now.Before(g.nextHeartbeat) {
+		g.nextHeartbeat = s.now.Add(HeartbeatInterval)
+		s.sendHeartbeat(out)
 	}
 	if !s.now.Before(g.nextDigest) {
 		g.nextDigest = s.now.Add(s.around(DigestInterval))
@@ -124,11 +124,11 @@
 	return d*3/4 + s.jitter(d/2)
 }
 
-func (s *State) sendBeacon(out *Ready) {
+func (s *State) sendHeartbeat(out *Ready) {
 	if s.held == nil || !s.Leads() {
 		return
 	}
-	m := s.makeBeacon()
+	m := s.makeHeartbeat()
 	for _, to := range s.view.treeChildren(s.cfg.Self) {
 		s.send(to, m, out)
 	}
@@ -155,7 +155,7 @@
 // digest takes a Digest.
 func (s *State) digest(from fleet.VMID, m *Digest, out *Ready) {
 	if m.Root != "" {
-		s.beacon(m, out)
+		s.heartbeat(m, out)
 	}
 	if s.held == nil {
 		s.hear(from, Point{Revision: m.Revision, Hash: m.Hash})
@@ -168,7 +168,7 @@
 	}
 	p := Point{Revision: m.Revision, Hash: m.Hash}
 	s.compare(from, p, m.Age)
-	if from == s.chase.asked && !p.beats(s.point()) {
+	if from == s.catchUp.asked && !p.beats(s.point()) {
 		s.dropCandidate(from) // it has nothing for us, or not yet
 	}
 	if m.Root != "" && m.Root != from {
@@ -194,12 +194,12 @@
 	return theirs == Unknown || theirs.Duration() > CutOffAfter/2
 }
 
-// beacon notes a sign of a reader and passes it down the tree.
-func (s *State) beacon(m *Digest, out *Ready) {
+// heartbeat notes a sign of a reader and passes it down the tree.
+func (s *State) heartbeat(m *Digest, out *Ready) {
 	if m.Root == s.cfg.Self || !s.view.isOwn(m.Root) {
 		return
 	}
-	if !s.gossip.firstBeacon(m.Root, m.Seq) {
+	if !s.gossip.firstHeartbeat(m.Root, m.Seq) {
 		return
 	}
 	if m.ReadAge != Unknown {
--- a/decide/config/join.go
+++ b/decide/config/join.go
@@ -70,7 +70,7 @@
 		return
 	}
 	best := *j.best
-	highest := best.content.cat.Revision >= s.chase.heard
+	highest := best.content.cat.Revision >= s.catchUp.heard
 	if s.now.Before(j.deadline) && !(highest && j.collected(s.now)) {
 		return
 	}
--- a/decide/config/limits.go
+++ b/decide/config/limits.go
@@ -25,9 +25,9 @@
 const (
 	// MinPushInterval is the least time between two pushes of one root.
 	MinPushInterval = 250 * time.Millisecond
-	// BeaconInterval is the time between two digests of a reader to all of
+	// HeartbeatInterval is the time between two digests of a reader to all of
 	// its domain.
-	BeaconInterval = 4 * time.Second
+	HeartbeatInterval = 4 * time.Second
 	// DigestInterval is the time between two digests to a random peer.
 	DigestInterval = 4 * time.Second
 	// CrossDigestInterval is the time between two digests of a reader to a
@@ -53,9 +53,9 @@
 	// CutOffAfter is the age of the last confirmation beyond which the
 	// daemon reports that it is cut off.
 	CutOffAfter = 30 * time.Second
-	// ChaseLimit bounds how long writes wait for the content of a revision
+	// CatchUpLimit bounds how long writes wait for the content of a revision
 	// that was heard of but that nobody supplies.
-	ChaseLimit = 10 * time.Second
+	CatchUpLimit = 10 * time.Second
 	// PauseBound is the gap between two steps that counts as a pause of the
 	// process.
 	PauseBound = 5 * time.Second
--- a/decide/config/push.go
+++ b/decide/config/push.go
@@ -79,7 +79,7 @@
 func (s *State) pushMessage() Message {
 	d, ok := s.history.since(s.push.base, s.held, MaxPushEntries)
 	if !ok || !s.push.whole {
-		return s.makeBeacon()
+		return s.makeHeartbeat()
 	}
 	d.Age = s.age()
 	return &Push{Root: s.cfg.Self, Delta: *d}
--- a/decide/config/read.go
+++ b/decide/config/read.go
@@ -340,7 +340,7 @@
 		r.behindSince = s.now
 		r.restoreAt = s.now.Add(RestoreAfter * time.Duration(s.view.rank+1))
 	}
-	if s.now.Before(r.restoreAt) || s.chase.pending(s.held.cat.Revision, s.now) {
+	if s.now.Before(r.restoreAt) || s.catchUp.pending(s.held.cat.Revision, s.now) {
 		return
 	}
 	r.restoreAt = s.now.Add(RestoreAfter)
--- a/decide/config/state.go
+++ b/decide/config/state.go
@@ -33,7 +33,7 @@
 
 	confirm confirmation
 	join    join
-	chase   chase
+	catchUp catchUp
 	push    push
 	read    reading
 	gossip  gossip
@@ -101,7 +101,7 @@
 	s.join.begin(s.now)
 	s.gossip.nextDigest = s.now.Add(s.jitter(DigestInterval))
 	s.gossip.nextCross = s.now.Add(s.jitter(CrossDigestInterval))
-	s.gossip.nextBeacon = s.now.Add(s.jitter(BeaconInterval))
+	s.gossip.nextHeartbeat = s.now.Add(s.jitter(HeartbeatInterval))
 	s.read.quietSince = s.now.Add(TakeoverAfter)
 }
 
@@ -183,7 +183,7 @@
 	}
 	s.held = c
 	s.heldAt = s.now
-	s.chase.settle(c.point())
+	s.catchUp.settle(c.point())
 	s.counters.Applied++
 	out.Apply = append(out.Apply, Apply{Catalogue: c.cat})
 	return true
@@ -230,7 +230,7 @@
 // due runs whatever is due at s.now.
 func (s *State) due(out *Ready) {
 	s.dueJoin(out)
-	s.dueChase(out)
+	s.dueCatchUp(out)
 	s.dueRead(out)
 	s.duePush(out)
 	s.dueGossip(out)
@@ -249,7 +249,7 @@
 func (s *State) wake() clock.Time {
 	w := clock.Min(s.gossip.wake(), s.read.wake())
 	w = clock.Min(w, s.join.wake(s.now))
-	w = clock.Min(w, s.chase.wake(s.now))
+	w = clock.Min(w, s.catchUp.wake(s.now))
 	w = clock.Min(w, s.push.wake())
 	return clock.Min(w, s.confirm.wake(s.now))
 }
--- a/decide/engine/engine.go
+++ b/decide/engine/engine.go
@@ -185,3 +185,6 @@
 	}
 	return e.catalogue.Shifts
 }
+
+// OwnLoads returns this entry VM's own load by service.
+func (e *Engine) OwnLoads() []dispatch.ServiceLoad { return e.dispatch.AppendLoads(nil) }
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/azurethread/azurethread/decide/catalogue"
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/config"
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
@@ -161,6 +162,7 @@
 	}
 	d.self = d.describe(inc)
 	d.newCore()
+	d.expose()
 	d.started.Store(true)
 	return nil
 }
@@ -213,6 +215,25 @@
 	d.core = newCore(d.now, eng, d)
 }
 
+// expose adds the numbers that other packages count to the metrics.
+func (d *Daemon) expose() {
+	d.metrics.set("peer", func() any { return d.peers.Stats() })
+	d.metrics.set("caller_connections", func() any { return d.callers.Connections() })
+	d.metrics.set("revision", func() any { return revisionNumber(d.config.Load()) })
+	d.metrics.set("known_vms", func() any { return d.KnownVMs() })
+	d.metrics.set("platform_reachable", func() any { return d.platformUp.Load() })
+	d.metrics.set("configuration", func() any {
+		var c config.Counters
+		d.core.Ask(func(_ clock.Time, e *engine.Engine) { c = e.Config().Counters() })
+		return c
+	})
+	d.metrics.set("loads", func() any {
+		var l []dispatch.ServiceLoad
+		d.core.Ask(func(_ clock.Time, e *engine.Engine) { l = e.OwnLoads() })
+		return l
+	})
+}
+
 // run starts the daemon's loops.
 func (d *Daemon) run() {
 	if d.blocks != nil {
--- a/serve/store/wire_test.go
+++ b/serve/store/wire_test.go
@@ -85,8 +85,8 @@
 // comparison with decide/config's benchmarks, in JSON.
 func BenchmarkMessageBytes(b *testing.B) {
 	digest := config.Digest{Format: 1, Revision: 1764700000000, Hash: 1 << 62, Age: 4000, ReadAge: 100}
-	beacon := digest
-	beacon.Root, beacon.Seq = "attiki-1-07", 1764700000000000000
+	heartbeat := digest
+	heartbeat.Root, heartbeat.Seq = "attiki-1-07", 1764700000000000000
 	delta := config.Delta{Format: 1, From: 1764699000000, To: 1764700000000, Hash: 1 << 62, Shifts: []catalogue.Shift{drain()}}
 	snapshot := config.Snapshot{Format: 1, Revision: 1764700000000, Hash: 1 << 62, Parts: 1}
 	for range config.MaxPartEntries {
@@ -94,7 +94,7 @@
 	}
 	for name, m := range map[string]config.Message{
 		"digest":        &digest,
-		"beacon":        &beacon,
+		"heartbeat":        &heartbeat,
 		"want":          &config.Want{Format: 1, Have: 1764700000000},
 		"push-1-shift":  &config.Push{Root: "attiki-1-07", Delta: delta},
 		"snapshot-part": &snapshot,
