Callers of the demo re-send and press twice

Cause: nothing in the demo exercised one-time tokens, so its count of repeated requests could not fail. Look-ups read their view without a lock.

--- a/operate/capacity/plot.go
+++ b/operate/capacity/plot.go
@@ -16,6 +16,9 @@
 const (
 	plotWidth  = 14 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
+	// legendRoom is how far the vertical axis goes beyond the values, so that
+	// the legend hides none.
+	legendRoom = 1.3
 )
 
 // figureOf is one plot: measured points and fitted lines of some series that
@@ -51,6 +54,7 @@
 		if drawn == 0 {
 			continue
 		}
+		p.Y.Max *= legendRoom
 		if err := save(p, filepath.Join(folder, f.file)); err != nil {
 			return err
 		}
--- a/operate/demo/demo.go
+++ b/operate/demo/demo.go
@@ -211,10 +211,18 @@
 // callersPerRegion is the number of client addresses in each region.
 const callersPerRegion = 60
 
+// duplicateShare is the part of the non-idempotent requests that callers send
+// a second time with the same token, as a user who presses a button twice.
+const duplicateShare = 0.02
+
 // drive runs the load and brings about the fault after a third of it.
 func (r *run) drive(ctx context.Context) error {
 	desc := r.dep.Description
-	cs := r.dep.Callers(caller.Options{Seed: r.opts.Seed}, callersPerRegion, r.opts.Latency)
+	cs := r.dep.Callers(caller.Options{
+		Seed:           r.opts.Seed,
+		ResendLost:     true,
+		DuplicateShare: duplicateShare,
+	}, callersPerRegion, r.opts.Latency)
 	load := caller.Load{
 		Callers: cs,
 		Kinds:   desc.Kinds(),
--- /dev/null
+++ b/operate/e2e/doc_test.go
@@ -0,0 +1,145 @@
+package e2e
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// statusNames are the constants that answers use.
+var statusNames = map[string]int{
+	"StatusBadRequest":            http.StatusBadRequest,
+	"StatusUnauthorized":          http.StatusUnauthorized,
+	"StatusNotFound":              http.StatusNotFound,
+	"StatusConflict":              http.StatusConflict,
+	"StatusGone":                  http.StatusGone,
+	"StatusRequestEntityTooLarge": http.StatusRequestEntityTooLarge,
+	"StatusPreconditionRequired":  http.StatusPreconditionRequired,
+	"StatusInternalServerError":   http.StatusInternalServerError,
+	"StatusBadGateway":            http.StatusBadGateway,
+	"StatusServiceUnavailable":    http.StatusServiceUnavailable,
+	"StatusGatewayTimeout":        http.StatusGatewayTimeout,
+}
+
+// Symptom: callers handle a reason that never comes, or miss one that does.
+// Sequence: a reason or its status changes in the code.
+// Cause: a page kept by hand.
+func TestReasonsArePublished(t *testing.T) {
+	is := is.New(t)
+	names := reasonNames(t)
+	delete(names, "ReasonNone")
+	delete(names, "ReasonCallerGone") // nobody is left to get it
+	want := make(map[string]int)
+	for constant, status := range reasonStatuses(t) {
+		want[names[constant]] = status
+		delete(names, constant)
+	}
+	is.Equal(len(names), 0) // every reason has a status
+	is.Equal(pageReasons(t), want)
+}
+
+func parse(t *testing.T, path string) *ast.File {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// reasonNames returns the wire names of the reasons by their constants.
+func reasonNames(t *testing.T) map[string]string {
+	names := make(map[string]string)
+	ast.Inspect(parse(t, "../../decide/verdict/verdict.go"), func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || len(v.Values) != 1 || !strings.HasPrefix(v.Names[0].Name, "Reason") {
+			return true
+		}
+		if lit, ok := v.Values[0].(*ast.BasicLit); ok {
+			names[v.Names[0].Name], _ = strconv.Unquote(lit.Value)
+		}
+		return true
+	})
+	return names
+}
+
+// reasonStatuses returns the status of each reason that callers get.
+func reasonStatuses(t *testing.T) map[string]int {
+	statuses := make(map[string]int)
+	ast.Inspect(parse(t, "../../serve/daemon/answer.go"), func(n ast.Node) bool {
+		kv, ok := n.(*ast.KeyValueExpr)
+		if !ok {
+			return true
+		}
+		key, ok := kv.Key.(*ast.SelectorExpr)
+		if !ok || !strings.HasPrefix(key.Sel.Name, "Reason") {
+			return true
+		}
+		status := kv.Value.(*ast.CompositeLit).Elts[0].(*ast.SelectorExpr).Sel.Name
+		code, known := statusNames[status]
+		if !known {
+			t.Errorf("unknown status %s", status)
+		}
+		statuses[key.Sel.Name] = code
+		return true
+	})
+	return statuses
+}
+
+var reasonRow = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\| (\\d+) \\| ([a-z, -]+) \\|")
+
+// pageReasons reads the table of docs/API.md.
+func pageReasons(t *testing.T) map[string]int {
+	b, err := os.ReadFile("../../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, _ := strings.Cut(string(b), "<!-- reasons: begin")
+	table, _, _ = strings.Cut(table, "<!-- reasons: end -->")
+	rows := make(map[string]int)
+	for _, m := range reasonRow.FindAllStringSubmatch(table, -1) {
+		rows[m[1]], _ = strconv.Atoi(m[2])
+		for _, v := range strings.Split(m[3], ", ") {
+			if v != "ran" && v != "not-run" && v != "may-have-run" {
+				t.Errorf("%s: no such verdict %q", m[1], v)
+			}
+		}
+	}
+	return rows
+}
+
+// Symptom: an operator looks for a number that is not there, or does not know
+// what one means.
+// Cause: a page kept by hand.
+func TestMetricsArePublished(t *testing.T) {
+	w := newWorld(t, testServices())
+	e := w.entry("a", "attiki-1")
+	var vars map[string]any
+	get(t, "http://"+e.AdminAddr()+"/debug/vars").decode(t, &vars)
+	b, err := os.ReadFile("../../docs/operators/running.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, _ := strings.Cut(string(b), "<!-- metrics: begin")
+	table, _, _ = strings.Cut(table, "<!-- metrics: end -->")
+	published := make(map[string]bool)
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_-]+)` \\|").FindAllStringSubmatch(table, -1) {
+		published[m[1]] = true
+		if _, ok := vars[m[1]]; !ok {
+			t.Errorf("%s is on the page only", m[1])
+		}
+	}
+	for name := range vars {
+		if !published[name] {
+			t.Errorf("%s is not on the page", name)
+		}
+	}
+}
--- a/operate/e2e/hop_bench_test.go
+++ b/operate/e2e/hop_bench_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -145,3 +146,53 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapInuse + m.StackInuse)
 }
+
+// BenchmarkLargeAnswers reports what 64 callers at once get of large answers,
+// straight from the target and through an entry VM in the same run.
+func BenchmarkLargeAnswers(b *testing.B) {
+	const callers = 64
+	for _, size := range []int{64 << 10, 8 << 20} {
+		addr := hopTarget(b, size)
+		e := startEntry(b, entryOptions{
+			targets:  []fleet.Target{{ID: "t1", Service: "calc", Addr: addr, Slots: 1024, Connections: 4096}},
+			services: []catalogue.Service{{Name: "calc", Idempotent: true, Priority: catalogue.Interactive}},
+		})
+		b.Run(fmt.Sprintf("direct/bytes=%d", size), func(b *testing.B) {
+			b.SetBytes(int64(size))
+			runCallers(b, callers, "http://"+addr+"/x")
+		})
+		b.Run(fmt.Sprintf("entry/bytes=%d", size), func(b *testing.B) {
+			b.SetBytes(int64(size))
+			runCallers(b, callers, "http://"+e.CallAddr()+"/v1/call/calc/x")
+		})
+	}
+}
+
+// BenchmarkLookup reports look-ups over HTTP. Callers and entry VM share the
+// process, so lookups/core-s, by the processor time of both, understates what
+// the entry VM alone can do.
+func BenchmarkLookup(b *testing.B) {
+	e := startEntry(b, entryOptions{services: testServices()})
+	for _, c := range []struct {
+		name, query string
+	}{
+		{"idempotent", "service=" + calc + "&client=10.1.2.3"},
+		{"tokens=1", "service=" + fee + "&client=10.1.2.3"},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			before := processorTime(b)
+			runCallers(b, 16, "http://"+e.CallAddr()+"/v1/lookup?"+c.query)
+			b.ReportMetric(float64(b.N)/(processorTime(b)-before).Seconds(), "lookups/core-s")
+		})
+	}
+}
+
+// processorTime returns the processor time of this process so far.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -221,7 +221,7 @@
 	})
 	d.learnVMs([]fleet.VM{d.self})
 	alone := steer.New(steer.Inputs{Self: d.self.Region, VMs: []fleet.VM{d.self}})
-	d.lookups.view, d.lookups.unshifted = alone, alone
+	d.lookups.views.Store(&views{shifted: alone, unshifted: alone})
 	d.provisionStore()
 	d.core = newCore(d.now, eng, d)
 }
