Keep an engine's ticks from stopping after the shift runner's last one

Cause: the runner states a wake only while it has work. The engine kept the past one, so its next tick was always due at an instant gone by; the daemon's core then never set its timer again, and deadlines, silence checks and probes stopped on an entry VM that had led and lost the lease. Conclusion: a past wake is dropped, and a due one is always armed.

--- a/decide/engine/enginetest/operator.go
+++ b/decide/engine/enginetest/operator.go
@@ -99,10 +99,21 @@
 		}
 		b.checkTwice(op)
 	case verdict.NotRun:
-		b.refused[op.ID] = true
+		// Given to several entry VMs, it is each one's word on its own try.
+		b.refused[op.ID] = b.tries(op.ID) == 1
 	}
 }
 
+// tries is how often an operation has been given to an entry VM.
+func (b *Books) tries(id string) int {
+	for _, o := range b.orders {
+		if o.Op.ID == id {
+			return o.tries
+		}
+	}
+	return 1
+}
+
 // based names what a change of an entry was based on.
 type based struct {
 	shift  string
--- a/decide/engine/shifts.go
+++ b/decide/engine/shifts.go
@@ -34,6 +34,11 @@
 		e.leads = d.Held
 		e.stepTally(now, &tally.Lead{Held: d.Held}, out)
 	}
+	if e.wakes.runner <= now {
+		// The runner states a wake only when it has one; a past one left in
+		// place would be due for ever, and keep every other tick from coming.
+		e.wakes.runner = clock.Never
+	}
 	e.effects = e.runner.Step(now, ev, e.effects[:0])
 	for _, f := range e.effects {
 		switch f := f.(type) {
--- /dev/null
+++ b/operate/e2e/admin_test.go
@@ -0,0 +1,72 @@
+package e2e
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/serve/admin"
+)
+
+// Symptom: one bad message ends or blocks administration for all operators.
+// Sequence: malformed, oversized and half messages on the administration
+// address, then a good one.
+// Cause: a defective or hostile client.
+func TestBadAdministrationMessages(t *testing.T) {
+	w := newWorld(t, testServices())
+	w.handler("attiki-1", calc, func(http.ResponseWriter, *http.Request) {})
+	e := w.entry("a", "attiki-1", "--operators=ana="+admin.HashToken("ana"))
+	auth := "Host: a\r\nAuthorization: Bearer ana\r\n"
+	large := strings.Repeat("a", admin.MaxBody+1)
+	for name, c := range map[string]struct {
+		send   string
+		status int // 0: closed without an answer
+	}{
+		"no token":        {"GET /v1/admin/status HTTP/1.1\r\nHost: a\r\n\r\n", 401},
+		"wrong token":     {"GET /v1/admin/status HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ben\r\n\r\n", 401},
+		"other scheme":    {"GET /v1/admin/status HTTP/1.1\r\nHost: a\r\nAuthorization: Basic ana\r\n\r\n", 401},
+		"no route":        {"GET /v1/admin/nothing HTTP/1.1\r\n" + auth + "\r\n", 404},
+		"not JSON":        {"POST /v1/admin/shifts HTTP/1.1\r\n" + auth + "Content-Length: 3\r\n\r\n{a}", 400},
+		"unknown field":   {"POST /v1/admin/shifts HTTP/1.1\r\n" + auth + "Content-Length: 7\r\n\r\n{\"x\":1}", 400},
+		"invalid entry":   {"POST /v1/admin/shifts HTTP/1.1\r\n" + auth + "Content-Length: 12\r\n\r\n{\"entry\":{}}", 422},
+		"body too large":  {"POST /v1/admin/shifts HTTP/1.1\r\n" + auth + "Content-Length: 1048577\r\n\r\n" + large, 413},
+		"far too large":   {"POST /v1/admin/shifts HTTP/1.1\r\n" + auth + "Content-Length: 9999999\r\n\r\n" + strings.Repeat(large, 9), 0},
+		"malformed head":  {"G@T / HTTP/1.1\r\n\r\n", 0},
+		"malformed field": {"GET / HTTP/1.1\r\n(x): y\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", e.AdminAddr())
+			is.NoErr(err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(callTimeout))
+			go func() { _, _ = io.WriteString(conn, c.send) }() // may be cut by the refusal
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if c.status == 0 {
+				is.True(err != nil)
+				is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+				return
+			}
+			is.NoErr(err)
+			defer res.Body.Close()
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(res.Header.Get("Azurethread-Verdict"), "not-run")
+		})
+	}
+	is := is.New(t)
+	good, err := send("GET", "http://"+e.AdminAddr()+"/v1/admin/status", http.Header{"Authorization": {"Bearer ana"}}, nil)
+	is.NoErr(err)
+	is.Equal(good.status, http.StatusOK)
+	is.True(strings.Contains(e.log.String(), `"operator"`))
+	for _, secret := range []string{"Bearer", testFleetKey, admin.HashToken("ana")} {
+		is.True(!strings.Contains(e.log.String(), secret))
+	}
+}
--- a/serve/daemon/core.go
+++ b/serve/daemon/core.go
@@ -89,9 +89,11 @@
 	c.exec.execute(now, &c.ready)
 }
 
-// arm sets the timer for the engine's next tick.
+// arm sets the timer for the engine's next tick. A wake that is due already is
+// always armed anew: the timer for it has fired, and a process that waited for
+// it without a timer would never tick again.
 func (c *Core) arm(now, wake clock.Time) {
-	if wake == c.due || wake == clock.Never {
+	if wake == clock.Never || (wake == c.due && wake.After(now)) {
 		return
 	}
 	c.due = wake
