--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -86,6 +87,7 @@
 			"listening": listening,
 			"http":      httpGet,
 			"begin":     begin,
+			"code":      code,
 			"signal":    signal,
 			"end":       end,
 			"jsonlines": jsonLines,
@@ -277,6 +279,24 @@
 	}
 }
 
+// code runs a program to its end and asserts its exit code.
+func code(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: code N PROGRAM ARG...")
+	}
+	got := 0
+	var exited *exec.ExitError
+	err := ts.Exec(args[1], args[2:]...)
+	if errors.As(err, &exited) {
+		got = exited.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if strconv.Itoa(got) != args[0] {
+		ts.Fatalf("exit code %d", got)
+	}
+}
+
 // signal sends a signal to the background process begun last.
 func signal(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, args, 2, "signal TERM|INT PROGRAM")
--- a/decide/engine/control.go
+++ b/decide/engine/control.go
@@ -10,6 +10,7 @@
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
+	"github.com/azurethread/azurethread/decide/machine"
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/steer"
 	"github.com/azurethread/azurethread/decide/tally"
@@ -29,6 +30,9 @@
 	if m.Tally != nil {
 		e.stepTally(now, &tally.PeerMessage{From: m.From, Msg: m.Tally}, out)
 	}
+	if m.Machine != nil {
+		e.stepMachine(now, &machine.PeerMessage{From: m.From, Msg: m.Machine}, out)
+	}
 }
 
 // stepMember steps the membership and takes over what has changed.
@@ -87,9 +91,14 @@
 		}
 	}
 	e.addLeaving()
+	own := &machine.Members{}
+	for _, vm := range e.member.Members(nil) {
+		own.IDs = append(own.IDs, vm.ID)
+	}
 	slices.SortFunc(e.vms, func(a, b fleet.VM) int { return cmp.Compare(a.ID, b.ID) })
 	out.VMs = e.vms
 	out.Eligible = e.eligible()
+	e.stepMachine(now, own, out)
 	e.stepTally(now, &tally.Fleet{Domains: e.member.Domains(nil)}, out)
 	e.stepDispatch(now, e.peers(), out)
 	e.remotes(now, out)
@@ -148,6 +157,7 @@
 	for _, a := range r.Apply {
 		e.apply(now, a.Catalogue, out)
 	}
+	e.noteReading(now, out)
 }
 
 func (e *Engine) vm(id fleet.VMID) (fleet.VM, bool) {
@@ -183,13 +193,42 @@
 	})
 }
 
-// machines takes a newer machine list.
-func (e *Engine) machines(now clock.Time, l fleet.List, out *Ready) {
+// stepMachine steps the spread of the machine list and takes over the list
+// that it puts in force.
+func (e *Engine) stepMachine(now clock.Time, ev machine.Event, out *Ready) {
+	r := &e.listReady
+	e.machine.Step(now, ev, r)
+	e.wakes.machine = r.Wake
+	e.watchMachines = r.Watch
+	for _, s := range r.Sends {
+		if vm, ok := e.vm(s.To); ok {
+			out.Peers = append(out.Peers, PeerSend{To: vm, Machine: s.Msg})
+		}
+	}
+	if r.Apply != nil {
+		e.machines(now, r.Apply, out)
+	}
+}
+
+// machines takes over a machine list.
+func (e *Engine) machines(now clock.Time, l *fleet.List, out *Ready) {
+	out.Machines = l
 	own := slices.DeleteFunc(slices.Clone(l.Targets), func(t fleet.Target) bool {
 		return t.Domain != e.self.Domain
 	})
 	e.stepDispatch(now, &dispatch.Targets{List: own}, out)
-	e.stepMember(now, &member.Listed{List: l}, out)
+	e.stepMember(now, &member.Listed{List: *l}, out)
+}
+
+// noteReading tells the spread of the machine list whether this process reads
+// the platform for its failure domain.
+func (e *Engine) noteReading(now clock.Time, out *Ready) {
+	on := e.config.Status(now).Reading
+	if on == e.reading {
+		return
+	}
+	e.reading = on
+	e.stepMachine(now, &machine.Reading{On: on}, out)
 }
 
 // publish builds the view that look-ups are answered from.
--- a/decide/engine/engine.go
+++ b/decide/engine/engine.go
@@ -11,6 +11,7 @@
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
+	"github.com/azurethread/azurethread/decide/machine"
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/shift"
 	"github.com/azurethread/azurethread/decide/steer"
@@ -42,6 +43,7 @@
 	loads    *load.State
 	config   *config.State
 	damper   steer.Damper
+	machine  *machine.State
 	tally    *tally.State
 	runner   *shift.Runner
 
@@ -55,11 +57,15 @@
 	records   map[dispatch.RequestID]served
 	evidence  shift.Evidence
 	leads     bool // holds the lease of the shift runner
+	// watchMachines is what the spread of the machine list last asked for.
+	watchMachines bool
+	reading       bool // reads the platform for its failure domain
 
 	wakes       wakes
 	memberReady member.Ready
 	configReady config.Ready
 	tallyReady  tally.Ready
+	listReady   machine.Ready
 	effects     []shift.Effect
 	arrival     dispatch.Arrive
 	loadsOf     []dispatch.ServiceLoad
@@ -69,12 +75,13 @@
 
 // wakes are the instants at which each part wants to be ticked.
 type wakes struct {
-	dispatch, member, config, refresh, tally, runner clock.Time
+	dispatch, member, config, refresh, tally, runner, machine clock.Time
 }
 
 func (w *wakes) next() clock.Time {
 	w1 := clock.Min(clock.Min(w.dispatch, w.member), clock.Min(w.config, w.refresh))
-	return clock.Min(w1, clock.Min(w.tally, w.runner))
+	w2 := clock.Min(clock.Min(w.tally, w.runner), w.machine)
+	return clock.Min(w1, w2)
 }
 
 // New returns the engine of an entry VM that knows only itself.
@@ -96,6 +103,7 @@
 			Incarnation: o.Self.Incarnation,
 			Seed:        o.Seed,
 		}),
+		machine:  machine.New(o.Now, o.Self, o.Seed),
 		tally:    tally.New(o.Now, o.Self, tally.Options{}),
 		runner:   shift.NewRunner(o.Shift),
 		records:  make(map[dispatch.RequestID]served),
@@ -130,7 +138,9 @@
 	case shift.Event:
 		e.stepRunner(now, ev, out)
 	case *Machines:
-		e.machines(now, ev.List, out)
+		e.stepMachine(now, &machine.Read{List: ev.List}, out)
+	case machine.Event:
+		e.stepMachine(now, ev, out)
 	case *Blocks:
 		e.blocks = ev.Table
 		e.publish(out)
@@ -140,6 +150,7 @@
 			Detail:    fmt.Sprintf("%T", ev),
 		})
 	}
+	out.WatchMachines = e.watchMachines
 	out.wake = e.wakes.next()
 }
 
@@ -160,6 +171,9 @@
 	if e.wakes.runner <= now {
 		e.stepRunner(now, shift.Tick{}, out)
 	}
+	if e.wakes.machine <= now {
+		e.stepMachine(now, &machine.Tick{}, out)
+	}
 	if e.wakes.refresh <= now {
 		e.refresh(now, out)
 	}
--- a/decide/engine/enginetest/books.go
+++ b/decide/engine/enginetest/books.go
@@ -53,14 +53,17 @@
 	// Steps counts the events that engines have stepped.
 	Steps  uint64
 	Counts Counts
+	// Even says that callers send evenly, so that the share of a shift can be
+	// asserted over the requests they have answers to.
+	Even bool
 
 	w          *World
 	agreed     map[fleet.Domain]clock.Time // since when the entry VMs agree; Never: they don't
 	contents   map[uint64]uint64           // hash first seen in force, by revision
 	orders     []*Order
-	refused    map[string]bool  // operations that somebody was told NotRun of
-	bases      map[based]string // operation accepted, by what it was based on
-	rolledBack bool             // the platform came back with older data
+	windows    map[string]*window // by shift
+	bases      map[based]string   // operation accepted, by what it was based on
+	rolledBack bool               // the platform came back with older data
 }
 
 // Counts are what a run reports about itself.
@@ -69,7 +72,7 @@
 	Ran, NotRun, MayHaveRun, Unknown int // what callers were left with
 	Resends, Duplicates, Outcomes    int
 	Shed, Applied, Operations        int
-	Accepted, Steps, Faults          int
+	Accepted, Faults                 int
 	MaxRevision                      uint64
 	// OverSlots is the most requests that entry VMs had in flight at a target
 	// beyond its slots while they agreed on who they are.
@@ -77,9 +80,12 @@
 	// ForwardedOver is the most forwarded requests in hand in a domain
 	// beyond its slots.
 	ForwardedOver int
-	// MovedOver is the most that the counted share of a shift was over its
+	// Windows counts the windows in which answered requests of a shift were
+	// counted. MovedOver is the most that the moved share of one was above the
 	// cap, in parts of catalogue.ShareUnit.
-	MovedOver int
+	Windows, MovedOver int
+	// Moved counts the answered requests that a shift has moved.
+	Moved int
 }
 
 func newBooks(w *World) Books {
@@ -87,7 +93,7 @@
 		w:        w,
 		agreed:   make(map[fleet.Domain]clock.Time),
 		contents: make(map[uint64]uint64),
-		refused:  make(map[string]bool),
+		windows:  make(map[string]*window),
 		bases:    make(map[based]string),
 	}
 }
--- a/decide/engine/enginetest/caller.go
+++ b/decide/engine/enginetest/caller.go
@@ -50,6 +50,7 @@
 type route struct {
 	until  clock.Time
 	client client
+	moved  string // shift that moved it; empty: none
 	vms    []choice
 }
 
@@ -85,6 +86,7 @@
 	at       *VM
 	client   client
 	open     []*Exchange
+	moved    string // as of the look-up
 	avoid    fleet.VMID
 	unsure   bool // a send may have run and nobody knows
 	clock    int  // number of the timer in force
@@ -118,7 +120,7 @@
 		return
 	}
 	t.at = t.c.w.byVM[ch.id]
-	t.client = r.client
+	t.client, t.moved = r.client, r.moved
 	t.claim, t.token, t.sends = &Claim{Work: t.work}, "", 0
 	if !t.work.Idempotent {
 		t.token = ch.tokens[0]
@@ -158,6 +160,9 @@
 	var out [lookupChoices]steer.Choice
 	a := v.Lookup(t.work.Service, t.c, out[:])
 	r := &route{until: w.Now.Add(a.TTL), client: client{home: a.Home, block: a.Block}}
+	if a.Moved {
+		r.moved = a.ShiftID
+	}
 	for _, ch := range out[:a.N] {
 		x := choice{id: ch.VM}
 		if !t.work.Idempotent {
@@ -338,6 +343,7 @@
 	switch v {
 	case verdict.Ran:
 		n.Ran++
+		t.c.w.Books.answeredBy(t.work.Service, t.client.home, t.moved)
 		if t.work.Runs == 0 {
 			t.c.w.Books.violate("%s was told that %s ran, and it has not", t.c.Name, t.work.Name)
 		}
--- a/decide/engine/enginetest/chaos.go
+++ b/decide/engine/enginetest/chaos.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		for _, c := range w.Callers {
-			c.repeat(s, rate)
+			c.Repeat(s, rate)
 		}
 	}
 }
@@ -124,14 +124,14 @@
 	return r
 }
 
-// repeat starts works again and again, at a rate in 1/s.
-func (c *Caller) repeat(s catalogue.Service, rate float64) {
+// Repeat starts works again and again, at a rate in 1/s.
+func (c *Caller) Repeat(s catalogue.Service, rate float64) {
 	wait := time.Duration(c.w.rng.ExpFloat64() / rate * float64(time.Second))
 	c.w.After(wait, func() {
 		if !c.Quiet {
 			c.Do(s.Name, s.Idempotent)
 		}
-		c.repeat(s, rate)
+		c.Repeat(s, rate)
 	})
 }
 
--- a/decide/engine/enginetest/exchange.go
+++ b/decide/engine/enginetest/exchange.go
@@ -6,21 +6,42 @@
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
-// fate is what happens to an exchange.
-type fate uint8
+// Fate is what happens to an exchange.
+type Fate uint8
 
+// The fates of an exchange.
 const (
-	whole         fate = iota
-	refused            // no connection: nothing was sent
-	lostRequest        // the connection goes silent, the request is lost
-	lostAnswer         // the connection goes silent, the answer is lost
-	resetRequest       // the connection breaks, the request is lost
-	resetAnswer        // the connection breaks, the answer is lost
-	cutAnswer          // the answer breaks off
-	delayedAnswer      // the answer comes much later
+	Whole         Fate = iota
+	Refused            // no connection: nothing was sent
+	LostRequest        // the connection goes silent, the request is lost
+	LostAnswer         // the connection goes silent, the answer is lost
+	ResetRequest       // the connection breaks, the request is lost
+	ResetAnswer        // the connection breaks, the answer is lost
+	CutAnswer          // the answer breaks off
+	DelayedAnswer      // the answer comes much later
 	fates
 )
 
+// Leg is the part of its way that a request makes by an exchange.
+type Leg uint8
+
+// The legs of a request.
+const (
+	FromCaller Leg = iota
+	ToTarget
+	BetweenVMs
+)
+
+func (x *Exchange) leg() Leg {
+	switch x.from.Domain {
+	case "":
+		return FromCaller
+	case x.to.Domain:
+		return ToTarget
+	}
+	return BetweenVMs
+}
+
 // Times of connections.
 const (
 	connectTimeout = 200 * time.Millisecond
@@ -47,7 +68,7 @@
 type Exchange struct {
 	w        *World
 	from, to Place
-	fate     fate
+	fate     Fate
 	claim    *Claim
 	end      func(Answer)
 
@@ -64,8 +85,8 @@
 func (w *World) exchange(from, to Place, c *Claim, up func() bool, arrive func(*Exchange), end func(Answer)) *Exchange {
 	x := &Exchange{w: w, from: from, to: to, claim: c, end: end}
 	x.fate = w.drawFate(x)
-	if x.fate == refused || !up() {
-		x.fate = refused
+	if x.fate == Refused || !up() {
+		x.fate = Refused
 		w.After(w.between(time.Millisecond, connectTimeout), func() {
 			x.finish(Answer{Claim: c, Verdict: verdict.NotRun, Reason: verdict.ReasonConnect})
 		})
@@ -77,23 +98,27 @@
 
 // drawFate draws what happens to x. Between domains that are cut off from each
 // other either no connection is had, or one from before stays silent.
-func (w *World) drawFate(x *Exchange) fate {
+func (w *World) drawFate(x *Exchange) Fate {
+	planned := w.Network.next[x.leg()]
 	switch {
+	case planned != Whole:
+		delete(w.Network.next, x.leg())
+		return planned
 	case w.Network.isCut(x.from, x.to):
 		if w.Chance(0.5) {
-			return refused
+			return Refused
 		}
-		return lostRequest
+		return LostRequest
 	case w.Chance(w.Network.Faulty):
-		return fate(1 + w.IntN(int(fates)-1))
+		return Fate(1 + w.IntN(int(fates)-1))
 	}
-	return whole
+	return Whole
 }
 
 func (x *Exchange) deliver(up func() bool, arrive func(*Exchange)) {
 	switch {
-	case x.fate == lostRequest:
-	case x.fate == resetRequest || !up():
+	case x.fate == LostRequest:
+	case x.fate == ResetRequest || !up():
 		x.broken()
 	default:
 		x.arrived = true
@@ -120,13 +145,13 @@
 	x.closed = true
 	d := x.w.delay(x.to, x.from)
 	switch {
-	case x.fate == lostAnswer || x.w.Network.isCut(x.to, x.from):
+	case x.fate == LostAnswer || x.w.Network.isCut(x.to, x.from):
 		return
-	case x.fate == resetAnswer:
+	case x.fate == ResetAnswer:
 		a = Answer{Claim: x.claim, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}
-	case x.fate == cutAnswer && a.Status != 0:
+	case x.fate == CutAnswer && a.Status != 0:
 		a = Answer{Claim: x.claim, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonAnswerCut}
-	case x.fate == delayedAnswer:
+	case x.fate == DelayedAnswer:
 		d += x.w.between(0, lateAnswer)
 	}
 	x.w.After(d, func() { x.finish(a) })
@@ -163,7 +188,7 @@
 
 // hangUp lets the receiver see the connection close.
 func (x *Exchange) hangUp() {
-	if !x.arrived || x.fate == lostRequest {
+	if !x.arrived || x.fate == LostRequest {
 		return
 	}
 	x.w.After(x.w.delay(x.from, x.to), func() {
@@ -182,5 +207,5 @@
 
 // held reports whether the request is on its way to its receiver, or there.
 func (x *Exchange) held() bool {
-	return !x.closed && x.fate != refused && x.fate != lostRequest && x.fate != resetRequest
+	return !x.closed && x.fate != Refused && x.fate != LostRequest && x.fate != ResetRequest
 }
--- a/decide/engine/enginetest/network.go
+++ b/decide/engine/enginetest/network.go
@@ -40,6 +40,7 @@
 	// Faulty is the part of the exchanges that meet a fault of their own.
 	Faulty float64
 
+	next map[Leg]Fate
 	cuts map[cut]bool
 	slow map[link]time.Duration
 	last map[link]clock.Time // arrival of the last message
@@ -47,6 +48,7 @@
 
 func newNetwork() Network {
 	return Network{
+		next: make(map[Leg]Fate),
 		cuts: make(map[cut]bool),
 		slow: make(map[link]time.Duration),
 		last: make(map[link]clock.Time),
@@ -66,6 +68,9 @@
 // Slow adds a delay to the messages from one entry VM to another.
 func (n *Network) Slow(from, to fleet.VMID, d time.Duration) { n.slow[link{from, to}] = d }
 
+// Next decides the fate of the next exchange on a leg.
+func (n *Network) Next(l Leg, f Fate) { n.next[l] = f }
+
 // Heal ends all faults.
 func (n *Network) Heal() {
 	clear(n.cuts)
--- a/decide/engine/enginetest/operator.go
+++ b/decide/engine/enginetest/operator.go
@@ -16,9 +16,11 @@
 	// Owed says that it was accepted, and that nothing has excused its loss.
 	Owed bool
 
-	w     *World
-	at    *VM
-	tries int
+	w       *World
+	at      *VM
+	tries   int
+	sends   int // tries that reached a process
+	refused int // sends answered not-run
 }
 
 // The patience of operators.
@@ -28,7 +30,8 @@
 )
 
 // Operate gives an operation to an entry VM. While nobody can say what became
-// of it, it is given under the same id to another one.
+// of it, it is given under the same id to another one. Not-run speaks of one
+// send only: the operator believes it once all sends have been answered so.
 func (w *World) Operate(v *VM, op change.Operation) *Order {
 	w.Books.Counts.Operations++
 	if op.ID == "" {
@@ -48,19 +51,24 @@
 	if o.tries++; o.tries > maxOrderTries {
 		return
 	}
-	mine := o.tries
+	mine, at := o.tries, o.at
 	settled := func(r Result) {
 		if o.Done {
 			return
 		}
 		o.Result = r
-		o.w.trace("%s is told of %s %s: %s %s", o.Op.Operator, o.Op.Kind, o.Op.Subject(), r.Verdict, errText(r.Err))
-		if r.Verdict != verdict.MayHaveRun {
-			o.Done = true
-			o.Owed = r.Verdict == verdict.Ran
+		o.w.trace("%s is told of %s by %s: %s%s", o.Op.Operator, o.Op.ID, at.Self.ID, r.Verdict, errText(r.Err))
+		switch r.Verdict {
+		case verdict.Ran:
+			o.Done, o.Owed = true, true
+		case verdict.NotRun:
+			o.refused++
+			o.Done = o.refused == o.sends
 		}
 	}
 	if o.at.Up {
+		o.sends++
+		o.w.trace("%s gives %s, %s %s, to %s", o.Op.Operator, o.Op.ID, o.Op.Kind, o.Op.Subject(), o.at.Self.ID)
 		o.at.Change(o.Op, func(r Result) { o.w.After(delayCaller, func() { settled(r) }) })
 	}
 	o.w.After(orderPatience, func() {
@@ -75,7 +83,7 @@
 	if err == nil {
 		return ""
 	}
-	return "(" + err.Error() + ")"
+	return " (" + err.Error() + ")"
 }
 
 // anyUp returns a live entry VM, v if there is no other.
@@ -89,29 +97,24 @@
 	return v
 }
 
-// operation books what an entry VM says of an operation.
-func (b *Books) operation(op change.Operation, v verdict.Verdict) {
+// operation books what an entry VM says of a send of an operation.
+func (b *Books) operation(w *write, v verdict.Verdict) {
 	switch v {
 	case verdict.Ran:
 		b.Counts.Accepted++
-		if b.refused[op.ID] {
-			b.violate("operation %s was accepted after not-run", op.ID)
-		}
-		b.checkTwice(op)
+		b.checkTwice(w.op)
 	case verdict.NotRun:
-		// Given to several entry VMs, it is each one's word on its own try.
-		b.refused[op.ID] = b.tries(op.ID) == 1
+		w.refused = true
 	}
 }
 
-// tries is how often an operation has been given to an entry VM.
-func (b *Books) tries(id string) int {
-	for _, o := range b.orders {
-		if o.Op.ID == id {
-			return o.tries
-		}
+// written checks a document that the platform has just taken. An entry VM says
+// not-run only if no write of that send will ever take effect. Another send of
+// the same operation may still: the entry VMs don't know of each other's.
+func (b *Books) written(w *write) {
+	if w.refused {
+		b.violate("operation %s was accepted after %s said not-run", w.op.ID, w.v.Self.ID)
 	}
-	return 1
 }
 
 // based names what a change of an entry was based on.
--- a/decide/engine/enginetest/platform.go
+++ b/decide/engine/enginetest/platform.go
@@ -18,6 +18,7 @@
 	catalogue  *catalogue.Catalogue
 	lineage    []config.Point
 	operations map[string]uint64 // revision by operation id
+	write      *write            // that made it; nil for a restore
 }
 
 // point returns the revision with its hash.
@@ -185,6 +186,9 @@
 	p.old = p.old[max(0, len(p.old)-maxDocuments):]
 	p.doc = d
 	p.w.trace("platform accepts revision %d (%s)", d.catalogue.Revision, by)
+	if d.write != nil {
+		p.w.Books.written(d.write)
+	}
 	for _, v := range p.w.VMs {
 		if w := v.watch; w != nil && v.Up {
 			v.watch = nil
--- a/decide/engine/enginetest/vm.go
+++ b/decide/engine/enginetest/vm.go
@@ -48,6 +48,7 @@
 	view      *steer.View
 	plain     *steer.View // look-ups that the gate keeps from being moved
 	gate      *shift.Gate
+	lookups   map[movedKey]moves // answered under gate
 	catalogue *catalogue.Catalogue
 	revision  uint64
 	leaving   map[fleet.TargetID]clock.Time // since the list said so
@@ -406,6 +407,7 @@
 	}
 	if r.Gate != nil {
 		v.gate = r.Gate
+		v.lookups = make(map[movedKey]moves)
 	}
 	if r.VMs != nil {
 		clear(v.known)
@@ -664,6 +666,7 @@
 	if v.gate != nil && !v.gate.Pass(v.now(), s, a.Home, a.ShiftID) && a.Moved {
 		a = v.plain.Lookup(s, c.addr, out)
 	}
+	v.w.Books.checkLookup(v, s, a)
 	return a
 }
 
@@ -675,3 +678,6 @@
 	}
 	return a
 }
+
+// Leads reports whether the process runs the shifts.
+func (v *VM) Leads() bool { return v.Up && v.engine.Leads() }
--- a/decide/engine/enginetest/writer.go
+++ b/decide/engine/enginetest/writer.go
@@ -37,6 +37,7 @@
 	wait    time.Duration
 	unknown bool
 	index   uint64 // that the unknown write was conditioned on
+	refused bool   // answered not-run
 	done    func(Result)
 }
 
@@ -73,7 +74,7 @@
 	if w.unknown {
 		v = verdict.MayHaveRun
 	}
-	w.v.w.Books.operation(w.op, v)
+	w.v.w.Books.operation(w, v)
 	w.done(Result{Verdict: v, Err: err})
 }
 
@@ -126,11 +127,13 @@
 	if err != nil {
 		return document{}, err
 	}
-	return at.next(&c, w.op.ID), nil
+	n := at.next(&c, w.op.ID)
+	n.write = w
+	return n, nil
 }
 
 func (w *write) accepted(d document, revision uint64, asked clock.Time) {
-	w.v.w.Books.operation(w.op, verdict.Ran)
+	w.v.w.Books.operation(w, verdict.Ran)
 	w.v.step(&config.Accepted{Catalogue: d.catalogue, Confirmed: asked})
 	w.done(Result{Verdict: verdict.Ran, Revision: revision})
 }
--- a/decide/engine/event.go
+++ b/decide/engine/event.go
@@ -7,6 +7,7 @@
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
+	"github.com/azurethread/azurethread/decide/machine"
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/tally"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -40,7 +41,7 @@
 // Tick passes time; it is due at Ready.Wake.
 type Tick struct{}
 
-// Machines is a newer version of the platform's lagging machine list.
+// Machines is the platform's lagging machine list as it has just been read.
 type Machines struct{ List fleet.List }
 
 // PeerMessage is what one frame of another entry VM brought. Of its parts
@@ -52,6 +53,7 @@
 	Load        *load.Report
 	Config      config.Message
 	Tally       tally.Message
+	Machine     machine.Message
 }
 
 // Blocks is a newer table of client blocks.
--- /dev/null
+++ b/decide/engine/moved_test.go
@@ -0,0 +1,112 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/engine/enginetest"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/matryer/is"
+)
+
+// The places of the Worlds of scripted tests.
+var (
+	east = enginetest.Place{Region: "east", Domain: "east-1"}
+	west = enginetest.Place{Region: "west", Domain: "west-1"}
+)
+
+// Services of the Worlds of scripted tests.
+var (
+	mapService  = catalogue.Service{Name: "map", Idempotent: true, Priority: catalogue.Interactive}
+	postService = catalogue.Service{Name: "post", Priority: catalogue.Deferrable}
+)
+
+// targets returns n targets of a service in a place.
+func targets(p enginetest.Place, s fleet.ServiceName, n, slots int, work time.Duration) []enginetest.TargetOptions {
+	var list []enginetest.TargetOptions
+	for i := range n {
+		list = append(list, enginetest.TargetOptions{
+			ID:      fleet.TargetID(fmt.Sprintf("%s-%s%d", p.Domain, s, i)),
+			Service: s, Place: p, Slots: slots, Queue: 2, Work: work,
+		})
+	}
+	return list
+}
+
+// shiftOf is a shift of a service from east to west.
+func shiftOf(s fleet.ServiceName, limit, step catalogue.Share) change.Entry {
+	return change.Entry{
+		ID: "move", Owner: "team", Class: catalogue.Emergency, Service: s,
+		From: east.Region, To: west.Region,
+		Limits: catalogue.Limits{
+			MaxShare: limit, Step: step, Interval: catalogue.Duration(2 * time.Second),
+			MinHeadroom: 500, MaxErrorShare: 2000,
+		},
+	}
+}
+
+// startShift adds, approves and starts a shift.
+func startShift(is *is.I, w *enginetest.World, e change.Entry) {
+	is.Helper()
+	v := w.VMs[0]
+	order(is, w, v, change.Operation{Operator: "ana", Kind: change.KindAddShift, AddShift: &change.AddShift{Entry: e}})
+	for _, k := range []change.Kind{change.KindApprove, change.KindStart} {
+		s, found := w.Platform.Catalogue().Shift(e.ID)
+		is.True(found)
+		order(is, w, v, change.Operation{Operator: "ben", Kind: k, Shift: &change.ShiftRef{ID: e.ID, Expect: s.Revision}})
+	}
+}
+
+// order has an operation accepted.
+func order(is *is.I, w *enginetest.World, v *enginetest.VM, op change.Operation) {
+	is.Helper()
+	o := w.Operate(v, op)
+	w.Run(200 * time.Millisecond)
+	is.NoErr(o.Result.Err)
+	is.True(o.Owed)
+}
+
+// TestMovedShare has callers send evenly, and counts by the answers that they
+// get how much a shift moves. Symptom: a region gets more of another's traffic
+// than the catalogue allows. Sequence: the shift reaches its cap while some
+// callers look up more often than others. Cause: a share set on look-ups alone,
+// with no count of what they move.
+func TestMovedShare(t *testing.T) {
+	for _, limit := range []catalogue.Share{1000, 3000} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			t.Run(fmt.Sprintf("cap=%d,seed=%d", limit, seed), func(t *testing.T) {
+				is := is.New(t)
+				w := evenWorld(seed)
+				w.Run(10 * time.Second)
+				startShift(is, w, shiftOf(mapService.Name, limit, limit))
+				w.Run(4 * time.Minute)
+				is.NoErr(w.Books.Err())
+				n := w.Books.Counts
+				t.Logf("%d windows, %d over the cap, %+v", n.Windows, n.MovedOver, w.Platform.Catalogue().Shifts[0])
+				is.True(n.Windows >= 3)                                    // enough was counted
+				is.True(n.Moved*4 >= n.Ran*int(limit)/catalogue.ShareUnit) // and the shift moved traffic
+			})
+		}
+	}
+}
+
+// evenWorld has 48 callers in the east, each in a client block of its own.
+func evenWorld(seed uint64) *enginetest.World {
+	w := enginetest.New(enginetest.Options{
+		Seed:     seed,
+		VMs:      []enginetest.Place{east, east, west, west},
+		Services: []catalogue.Service{mapService},
+		Targets:  append(targets(east, "map", 3, 8, 20*time.Millisecond), targets(west, "map", 3, 8, 20*time.Millisecond)...),
+	})
+	w.Books.Even = true
+	for i := range 48 {
+		w.AddCaller(0, i).Repeat(mapService, 2)
+	}
+	for i := range 4 {
+		w.AddCaller(1, i).Repeat(mapService, 2)
+	}
+	return w
+}
--- a/decide/engine/ready.go
+++ b/decide/engine/ready.go
@@ -7,6 +7,7 @@
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
+	"github.com/azurethread/azurethread/decide/machine"
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/shift"
 	"github.com/azurethread/azurethread/decide/steer"
@@ -16,11 +17,12 @@
 // PeerSend is a message to another entry VM. Of its parts those that are set
 // go together.
 type PeerSend struct {
-	To     fleet.VM
-	Member member.Msg
-	Load   *load.Report
-	Config config.Message
-	Tally  tally.Message
+	To      fleet.VM
+	Member  member.Msg
+	Load    *load.Report
+	Config  config.Message
+	Tally   tally.Message
+	Machine machine.Message
 }
 
 // Ready holds the effects of one Step. The slices belong to the caller, who
@@ -52,6 +54,12 @@
 	Eligible bool
 	// VMs are all known entry VMs; nil: no change.
 	VMs []fleet.VM
+	// Machines are the own failure domain's targets and all entry VMs that are
+	// in force now; nil: no change.
+	Machines *fleet.List
+	// WatchMachines says whether this process should watch the platform's
+	// machine list now.
+	WatchMachines bool
 	// Superseded says that another process runs under this VM's id: stop.
 	Superseded bool
 
@@ -76,6 +84,8 @@
 	r.Unshifted = nil
 	r.Gate = nil
 	r.VMs = nil
+	r.Machines = nil
+	r.WatchMachines = false
 	r.Superseded = false
 	r.wake = clock.Never
 }
--- /dev/null
+++ b/decide/engine/session_test.go
@@ -0,0 +1,258 @@
+package engine_test
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/change"
+	"github.com/azurethread/azurethread/decide/engine/enginetest"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// TestSessions plays the sessions under testdata: a World of two regions with
+// one failure domain each. They show the events that go into the engines (<)
+// and the effects that come out (>), with what targets, platform, callers and
+// operators do. Left out are ticks, messages between entry VMs, probes, lease
+// checks, and of the lines about health, membership and configuration those
+// that say the same as the last one; the command show narrows it further.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		s := &script{last: make(map[string]string)}
+		datadriven.RunTest(t, path, s.run)
+		if err := s.w.Books.Err(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// script is a session under way.
+type script struct {
+	w       *enginetest.World
+	text    strings.Builder
+	show    *regexp.Regexp    // nil: everything
+	last    map[string]string // last line of each repeated kind
+	start   time.Duration
+	callers map[string]*enginetest.Caller
+}
+
+// calm is how long a World runs before its session starts.
+const calm = 20 * time.Second
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	s.text.Reset()
+	commands := map[string]func(*testing.T, *datadriven.TestData){
+		"world":   s.world,
+		"show":    s.narrow,
+		"call":    s.call,
+		"load":    s.load,
+		"next":    s.next,
+		"target":  s.target,
+		"vm":      s.vm,
+		"net":     s.net,
+		"change":  s.change,
+		"advance": s.advance,
+	}
+	f, known := commands[d.Cmd]
+	if !known {
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	f(t, d)
+	return s.text.String()
+}
+
+// world makes the World, with the given number of entry VMs in each region.
+func (s *script) world(t *testing.T, d *datadriven.TestData) {
+	n := 1
+	d.MaybeScanArgs(t, "vms", &n)
+	o := enginetest.Options{
+		Seed:     1,
+		Services: []catalogue.Service{mapService, postService},
+		Trace:    s.line,
+	}
+	for range n {
+		o.VMs = append(o.VMs, east, west)
+	}
+	for _, p := range []enginetest.Place{east, west} {
+		o.Targets = append(o.Targets, targets(p, mapService.Name, 2, 4, 20*time.Millisecond)...)
+		o.Targets = append(o.Targets, targets(p, postService.Name, 2, 4, 20*time.Millisecond)...)
+	}
+	s.w = enginetest.New(o)
+	s.callers = map[string]*enginetest.Caller{"east": s.w.AddCaller(0, 0), "west": s.w.AddCaller(1, 0)}
+	if d.HasArg("patience") {
+		for _, c := range s.w.Callers {
+			c.Patience = durationOf(t, d, "patience")
+		}
+	}
+	s.w.Run(calm)
+	s.start = calm
+	s.text.Reset()
+}
+
+// repeated are the lines that are left out when they say nothing new.
+var repeated = regexp.MustCompile(`^\S+ (< health \S+|> entry-vms|< platform-read|< machines)`)
+
+func (s *script) line(at time.Duration, line string) {
+	if strings.Contains(line, "> probe ") || (s.show != nil && !s.show.MatchString(line)) {
+		return
+	}
+	if k := repeated.FindString(line); k != "" {
+		if s.last[k] == line {
+			return
+		}
+		s.last[k] = line
+	}
+	fmt.Fprintf(&s.text, "%10.4fs %s\n", (at - s.start).Seconds(), line)
+}
+
+// narrow keeps the lines that hold one of the given phrases, with _ in place of
+// each blank; all lines if there is none.
+func (s *script) narrow(_ *testing.T, d *datadriven.TestData) {
+	words := []string{}
+	for _, a := range d.CmdArgs {
+		words = append(words, regexp.QuoteMeta(strings.ReplaceAll(a.Key, "_", " ")))
+	}
+	s.show = regexp.MustCompile(`(` + strings.Join(words, "|") + `)`)
+}
+
+// call has a caller do one thing.
+func (s *script) call(t *testing.T, d *datadriven.TestData) {
+	var service, home string
+	d.ScanArgs(t, "service", &service)
+	d.ScanArgs(t, "home", &home)
+	s.callers[home].Do(fleet.ServiceName(service), service == string(mapService.Name))
+}
+
+// load adds callers of the map service, each with a block of its own.
+func (s *script) load(t *testing.T, d *datadriven.TestData) {
+	var n int
+	d.ScanArgs(t, "callers", &n)
+	for i := range n {
+		s.w.AddCaller(0, 1+i).Repeat(mapService, 2)
+		s.w.AddCaller(1, 1+i).Repeat(mapService, 2)
+	}
+}
+
+var legs = map[string]enginetest.Leg{"caller": enginetest.FromCaller, "target": enginetest.ToTarget, "vm": enginetest.BetweenVMs}
+
+var fates = map[string]enginetest.Fate{
+	"lost-answer":   enginetest.LostAnswer,
+	"lost-request":  enginetest.LostRequest,
+	"reset-answer":  enginetest.ResetAnswer,
+	"reset-request": enginetest.ResetRequest,
+}
+
+// next decides what happens to the next request on a leg.
+func (s *script) next(t *testing.T, d *datadriven.TestData) {
+	var leg, fate string
+	d.ScanArgs(t, "to", &leg)
+	d.ScanArgs(t, "fate", &fate)
+	s.w.Network.Next(legs[leg], fates[fate])
+}
+
+// target changes the targets whose id starts with the given one.
+func (s *script) target(t *testing.T, d *datadriven.TestData) {
+	var id string
+	d.ScanArgs(t, "id", &id)
+	for _, x := range s.w.Targets {
+		if !strings.HasPrefix(string(x.ID), id) {
+			continue
+		}
+		switch {
+		case d.HasArg("crash"):
+			x.Crash()
+		case d.HasArg("restart"):
+			x.Restart()
+		case d.HasArg("lie"):
+			x.Failing, x.Lying = true, true
+		}
+	}
+}
+
+// vm changes an entry VM; with the argument leader the one that runs the
+// shifts.
+func (s *script) vm(t *testing.T, d *datadriven.TestData) {
+	var pause time.Duration
+	if d.HasArg("pause") {
+		pause = durationOf(t, d, "pause")
+	}
+	for _, v := range s.w.VMs {
+		if !s.chosen(t, d, v) {
+			continue
+		}
+		switch {
+		case d.HasArg("crash"):
+			v.Crash()
+		case d.HasArg("start"):
+			v.Start()
+		default:
+			v.Pause(pause)
+		}
+	}
+}
+
+func (s *script) chosen(t *testing.T, d *datadriven.TestData, v *enginetest.VM) bool {
+	if d.HasArg("leader") {
+		return v.Leads()
+	}
+	var id string
+	d.ScanArgs(t, "id", &id)
+	return strings.HasPrefix(string(v.Self.ID), id)
+}
+
+// net changes the network and the platform.
+func (s *script) net(_ *testing.T, d *datadriven.TestData) {
+	switch {
+	case d.HasArg("part"):
+		s.w.Network.Part(east.Domain, west.Domain)
+	case d.HasArg("heal"):
+		s.w.Network.Heal()
+		s.w.Platform.Heal()
+	case d.HasArg("platform-down"):
+		s.w.Platform.Down = true
+	}
+}
+
+// change gives an operation to an entry VM.
+func (s *script) change(t *testing.T, d *datadriven.TestData) {
+	var by, kind, at string
+	limit, step, p99, class := 5000, 1000, 0, string(catalogue.Emergency)
+	d.ScanArgs(t, "by", &by)
+	d.ScanArgs(t, "kind", &kind)
+	d.ScanArgs(t, "at", &at)
+	d.MaybeScanArgs(t, "cap", &limit)
+	d.MaybeScanArgs(t, "step", &step)
+	d.MaybeScanArgs(t, "p99", &p99)
+	d.MaybeScanArgs(t, "class", &class)
+	op := change.Operation{Operator: by, Kind: change.Kind(kind)}
+	x, found := s.w.Platform.Catalogue().Shift("move")
+	if found {
+		op.Shift = &change.ShiftRef{ID: x.ID, Expect: x.Revision}
+	} else {
+		e := shiftOf(mapService.Name, catalogue.Share(limit), catalogue.Share(step))
+		e.Class = catalogue.Class(class)
+		e.Limits.MaxP99 = catalogue.Duration(time.Duration(p99) * time.Millisecond)
+		op.AddShift = &change.AddShift{Entry: e}
+	}
+	s.w.Operate(s.w.VM(fleet.VMID(at)), op)
+}
+
+// advance lets time pass.
+func (s *script) advance(t *testing.T, d *datadriven.TestData) {
+	s.w.Run(durationOf(t, d, "for"))
+}
+
+func durationOf(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	var text string
+	d.ScanArgs(t, key, &text)
+	x, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
--- a/decide/member/message.go
+++ b/decide/member/message.go
@@ -195,9 +195,11 @@
 
 // Watch is sent to a representative of a watched domain or region.
 type Watch struct {
-	Seq     uint32  `json:"seq"`
-	Rows    uint32  `json:"rows"` // hash of the sender's rows, all or of the receiver's region
-	Reaches []Reach `json:"reaches"`
+	Seq     uint32       `json:"seq"`
+	Region  fleet.Region `json:"region"` // of the sender
+	Own     uint32       `json:"own"`    // hash of the sender's rows of its region
+	Rows    uint32       `json:"rows"`   // hash of its rows of the receiver's region; inside a region, of all
+	Reaches []Reach      `json:"reaches"`
 }
 
 // WatchAck answers a Watch.
--- a/decide/member/probe.go
+++ b/decide/member/probe.go
@@ -290,20 +290,26 @@
 	return true
 }
 
-// relays chooses VMs to ping target: of the own domain at random, and where
-// they are too few, of the region's other domains.
+// relays chooses VMs to ping target: members at random, and at least one VM
+// of another domain of the region where there is one. The latter keeps a
+// domain whole whose members can't reach each other across some line.
 func (s *State) relays(target *record) []fleet.VM {
-	var ids []fleet.VM
+	var inside []fleet.VM
 	for _, r := range s.members {
 		if r != s.self && r != target && !r.dead() && !r.suspected() {
-			ids = append(ids, r.vm)
+			inside = append(inside, r.vm)
 		}
 	}
-	s.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	if len(ids) < s.o.Relays {
-		ids = append(ids, s.neighbours(1)...)
-	}
-	return ids[:min(len(ids), s.o.Relays)]
+	outside := s.neighbours(1)
+	s.shuffleVMs(inside)
+	s.shuffleVMs(outside)
+	n := s.o.Relays - min(1, len(outside))
+	out := inside[:min(n, len(inside))]
+	return append(out, outside[:min(s.o.Relays-len(out), len(outside))]...)
+}
+
+func (s *State) shuffleVMs(vms []fleet.VM) {
+	s.rng.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 }
 
 func (s *State) unanswered(p *probe) {
--- a/decide/member/row.go
+++ b/decide/member/row.go
@@ -232,11 +232,15 @@
 		Domain: s.self.vm.Domain,
 		Author: s.self.vm.ID,
 	}
+	// Parts of a domain share the places, so that their rows name the same.
+	own := RowVMs - min(len(s.vouched), RowVMs/2)
 	for _, r := range s.members {
 		switch r.vm.State {
 		case fleet.Live:
 			row.Live++
-			row.offer(rowVM(&r.vm))
+			if len(row.VMs) < own {
+				row.offer(rowVM(&r.vm))
+			}
 			row.Own = uint32(len(row.VMs))
 		case fleet.Leaving:
 			row.Leaving++
--- a/decide/member/sync.go
+++ b/decide/member/sync.go
@@ -74,7 +74,7 @@
 	}
 	to, ok := s.address(id)
 	if !ok {
-		return
+		to = fleet.VM{ID: id}
 	}
 	s.lastSync = s.now
 	m := &Sync{Domain: s.self.vm.Domain, Region: region}
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -221,6 +221,8 @@
 func (s *State) sendWatch(w *watch, to fleet.VM, out *Ready) {
 	s.send(to, &Watch{
 		Seq:     w.seq,
+		Region:  s.self.vm.Region,
+		Own:     s.rowHashOf(s.self.vm.Region),
 		Rows:    s.rowHashOf(s.commonRows(to.Region)),
 		Reaches: s.carriedReaches(to.Region != s.self.vm.Region),
 	}, ScopeNone, out)
@@ -268,7 +270,7 @@
 	}
 	out := slices.Clone(reps[:min(len(reps), watchFallbacks)])
 	others := s.everyone(w.item)
-	s.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	s.shuffleVMs(others)
 	return append(out, others[:min(len(others), watchFallbacks)]...)
 }
 
@@ -312,7 +314,7 @@
 	if !ok {
 		to = fleet.VM{ID: m.From}
 	}
-	near := to.Region == s.self.vm.Region
+	near := b.Region == s.self.vm.Region
 	a := &WatchAck{
 		Seq:     b.Seq,
 		Rows:    s.rowHashOf(s.self.vm.Region),
@@ -324,6 +326,9 @@
 		a.Rows = s.rowHash()
 	}
 	s.send(to, a, scope, out)
+	if !near && b.Own != s.rowHashOf(b.Region) {
+		s.askRows(m.From, b.Region, out)
+	}
 }
 
 func (s *State) watchAck(m *Message, b *WatchAck, out *Ready) {
--- a/decide/shift/event.go
+++ b/decide/shift/event.go
@@ -50,7 +50,8 @@
 
 // Write asks the driver to change an entry by compare-and-swap on its
 // revision. Share and Hold go into an Advance operation, with Done if State is
-// catalogue.Done; State catalogue.RolledBack is a RollBack operation. The
+// catalogue.Done; State catalogue.RolledBack is a RollBack operation. The share
+// of a paused or done shift may fall, when its count is over the cap. The
 // driver answers with a WriteResult of the same ID, at once when the outcome is
 // unknown and again when it has settled it.
 type Write struct {
@@ -58,7 +59,7 @@
 	Shift     string
 	Expect    uint64 // entry revision that the decision was based on
 	Share     catalogue.Share
-	State     catalogue.ShiftState
+	State     catalogue.ShiftState // Done or RolledBack; empty if it stays as it is
 	Hold      string
 	SteppedAt int64 // Unix ns of the last change of share
 }
--- a/decide/shift/plan.go
+++ b/decide/shift/plan.go
@@ -40,15 +40,16 @@
 	Reason Reason
 }
 
-// State returns the state of the shift after the decision.
-func (d Decision) State(now catalogue.ShiftState) catalogue.ShiftState {
+// State returns the state that the decision brings the shift to, or empty if it
+// stays in the one it is in.
+func (d Decision) State() catalogue.ShiftState {
 	switch {
 	case d.Action == Finish:
 		return catalogue.Done
 	case d.Action == RollBack && d.Share == 0:
 		return catalogue.RolledBack
 	default:
-		return now
+		return ""
 	}
 }
 
--- a/decide/shift/write.go
+++ b/decide/shift/write.go
@@ -27,7 +27,7 @@
 		Shift:     s.ID,
 		Expect:    s.Revision,
 		Share:     e.decision.Share,
-		State:     e.decision.State(s.State),
+		State:     e.decision.State(),
 		Hold:      e.decision.Reason.String(),
 		SteppedAt: s.SteppedAt,
 	}
--- a/decide/tally/accumulate.go
+++ b/decide/tally/accumulate.go
@@ -42,6 +42,7 @@
 
 // service is the sum of one service's load.
 type service struct {
+	vms       uint32
 	capacity  uint64
 	inFlight  uint64 // 1/1000 requests
 	answers   uint64
@@ -51,6 +52,7 @@
 }
 
 func (s *service) add(r *LoadRow) {
+	s.vms += r.VMs
 	s.capacity += uint64(r.Capacity)
 	s.inFlight += uint64(r.InFlight)
 	s.answers += r.Answers
@@ -65,7 +67,6 @@
 // total is the sum of the figures of some entry VMs of one region.
 type total struct {
 	live     uint32 // entry VMs that were asked for
-	loaded   uint32 // of those, the ones whose load is included
 	counted  span
 	measured span
 	counts   map[Key]*count
@@ -115,7 +116,6 @@
 	if !ok {
 		return
 	}
-	t.loaded++
 	since, until := m.loadSpan()
 	t.measured.join(span{since, until})
 	for i := range rows {
@@ -127,11 +127,10 @@
 // are as of the Ask's arrival, which was later, so the figures are at least
 // as new as they are taken to be.
 func (t *total) sum(asked clock.Time, s *Sum) {
-	t.loaded += s.Loaded
 	if len(s.Counts) > 0 {
 		t.counted.join(span{before(asked, s.Since), before(asked, s.Age)})
 	}
-	if s.Loaded > 0 {
+	if len(s.Loads) > 0 {
 		t.measured.join(span{before(asked, s.LoadSince), before(asked, s.LoadAge)})
 	}
 	for i := range s.Counts {
@@ -155,7 +154,7 @@
 // message makes the answer to an Ask that arrived at the instant asked. Flows
 // and services that this entry VM's catalogue doesn't hold are left out.
 func (t *total) message(asked clock.Time, n *counting) *Sum {
-	s := &Sum{Live: t.live, Loaded: t.loaded}
+	s := &Sum{Live: t.live}
 	s.Since, s.Age = agesAt(asked, t.counted)
 	s.LoadSince, s.LoadAge = agesAt(asked, t.measured)
 	for i := range n.flows[:min(len(n.flows), MaxCounts)] {
@@ -169,9 +168,9 @@
 	}
 	for _, name := range n.services() {
 		k := serviceKey(name)
-		if v := t.services[k]; v != nil {
+		if v := t.services[k]; v != nil && v.vms > 0 {
 			s.Loads = append(s.Loads, LoadRow{
-				Service: k, Capacity: saturate(v.capacity), InFlight: saturate(v.inFlight),
+				Service: k, VMs: v.vms, Capacity: saturate(v.capacity), InFlight: saturate(v.inFlight),
 				Answers: v.answers, Failed: v.failed, Warming: v.warming,
 				Latencies: pack(nil, v.latencies[:]),
 			})
--- a/decide/tally/evidence.go
+++ b/decide/tally/evidence.go
@@ -61,21 +61,26 @@
 
 // keepLoads takes over the load of one region.
 func (s *State) keepLoads(r fleet.Region, t *total) {
-	gone := missing(t.live, t.loaded)
 	for _, name := range s.own.services() {
-		l := shift.Load{Region: r, Service: name, Missing: gone}
 		v := t.services[serviceKey(name)]
-		if v != nil {
-			l.Capacity = float64(v.capacity)
-			l.InFlight = float64(v.inFlight) / milli
-			l.Requests = v.answers
-			l.ErrorShare = shareOf(v.failed, v.answers)
-			l.P99 = p99(v.latencies[:])
-			l.Warming = v.warming
+		if v == nil {
+			v = &service{}
+		}
+		gone := missing(t.live, v.vms)
+		l := shift.Load{
+			Region:     r,
+			Service:    name,
+			Capacity:   float64(v.capacity),
+			InFlight:   float64(v.inFlight) / milli,
+			Requests:   v.answers,
+			ErrorShare: shareOf(v.failed, v.answers),
+			P99:        p99(v.latencies[:]),
+			Warming:    v.warming,
+			Missing:    gone,
 		}
 		// Without any capacity a region counts as failing. While reports
 		// are missing that isn't known: the figures stay without a window.
-		if t.loaded > 0 && (gone == 0 || l.Capacity > 0) {
+		if v.vms > 0 && (gone == 0 || l.Capacity > 0) {
 			l.Span = shift.Span{Since: t.measured.since, Until: t.measured.until}
 		}
 		at := place{region: r, service: name}
--- a/decide/tally/meter.go
+++ b/decide/tally/meter.go
@@ -19,7 +19,8 @@
 	// LoadWindow is the window of the load in evidence. It is short, so that
 	// errors over their bound must last for several of them.
 	LoadWindow = 2 * cellLength
-	// maxServices bounds the services that a Meter follows.
+	// maxServices bounds the services that a Meter follows; the load of others
+	// is missing.
 	maxServices = 64
 )
 
@@ -75,7 +76,6 @@
 // length.
 type series struct {
 	last  Sample // latest; Capacity 0 without targets
-	known bool   // whether last is set
 	cells [meterCells + 1]cell
 }
 
@@ -150,7 +150,7 @@
 		if s == nil {
 			continue
 		}
-		s.last, s.known = sample, true
+		s.last = sample
 		c := s.cell(m.current)
 		c.inFlight += uint64(sample.InFlight)
 		c.samples++
@@ -209,13 +209,14 @@
 	}
 	for _, name := range services {
 		s := m.services[name]
-		if s == nil || !s.known {
-			continue
+		if s == nil && len(m.services) == maxServices {
+			continue // it may have targets that aren't followed
 		}
-		w := s.window(m.current, int64(LoadWindow/cellLength))
-		if s.last.Capacity == 0 && w.answers == 0 {
+		if s == nil {
+			out = append(out, LoadRow{Service: serviceKey(name), VMs: 1})
 			continue
 		}
+		w := s.window(m.current, int64(LoadWindow/cellLength))
 		out = append(out, s.row(name, &w))
 	}
 	return out, true
@@ -230,6 +231,7 @@
 func (s *series) row(name fleet.ServiceName, w *cell) LoadRow {
 	r := LoadRow{
 		Service:  serviceKey(name),
+		VMs:      1,
 		Capacity: s.last.Capacity,
 		InFlight: saturate(uint64(s.last.InFlight) * milli),
 		Answers:  w.answers,
--- a/operate/demo/watch.go
+++ b/operate/demo/watch.go
@@ -32,7 +32,6 @@
 	r          *run
 	last       map[fleet.Region]sample
 	overloaded uint64
-	worst      float64
 }
 
 // sample is what the targets of one region have counted so far.
--- a/operate/e2e/entry_test.go
+++ b/operate/e2e/entry_test.go
@@ -272,6 +272,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{})
 	d, err := daemon.Start(set, p, log)
 	if err != nil {
 		tb.Fatal(err)
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -205,6 +205,7 @@
 
 // execute implements executor.
 func (d *Daemon) execute(now clock.Time, r *engine.Ready) {
+	d.learn(r)
 	d.lookups.update(r)
 	p := &r.Dispatch
 	for i := range p.Violations {
--- a/serve/daemon/control.go
+++ b/serve/daemon/control.go
@@ -6,25 +6,35 @@
 	"net/http"
 	"time"
 
-	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/machine"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/outbound"
 	"github.com/azurethread/azurethread/serve/platform"
 )
 
+// learn notes the addresses that a step has brought. It goes before the effects
+// that use them: a step that learns of a target may send to it at once.
+func (d *Daemon) learn(r *engine.Ready) {
+	if r.Machines != nil {
+		d.learnTargets(r.Machines.Targets)
+		d.listed.Store(true)
+	}
+	if r.VMs != nil {
+		d.learnVMs(r.VMs)
+		d.eligible.Store(r.Eligible)
+	}
+}
+
 // executeControl carries out the effects that are not about requests.
 func (d *Daemon) executeControl(r *engine.Ready) {
 	if r.Catalogue != nil {
 		d.config.Store(r.Catalogue)
 		d.log.WithField("revision", r.Catalogue.Revision).Info("configuration in force")
 	}
-	if r.VMs != nil {
-		d.learnVMs(r.VMs)
-		d.eligible.Store(r.Eligible)
-	}
+	d.watching.Store(r.WatchMachines)
 	for i := range r.Peers {
 		d.sendPeer(r.Peers[i])
 	}
@@ -59,35 +69,42 @@
 
 // Waits of the loops that read the platform.
 const (
-	watchWait  = 30 * time.Second
+	watchWait  = 10 * time.Second
 	retryPause = 500 * time.Millisecond
+	watchPoll  = 50 * time.Millisecond // while the list is not to be watched
 )
 
 // pause waits before a read that has failed is tried again. It reports false
 // when the daemon stops.
-func (d *Daemon) pause() bool {
+func (d *Daemon) pause() bool { return d.wait(retryPause) }
+
+func (d *Daemon) wait(t time.Duration) bool {
 	select {
-	case <-time.After(retryPause):
+	case <-time.After(t):
 		return true
 	case <-d.ctx.Done():
 		return false
 	}
 }
 
-// watchMachines follows the platform's machine list.
+// watchMachines follows the platform's machine list while the engine asks for
+// it: a few daemons of each failure domain do so for all others.
 func (d *Daemon) watchMachines() {
 	var version uint64
 	for d.ctx.Err() == nil {
+		if !d.watching.Load() {
+			version = 0 // the first read of the next turn is a plain one
+			d.wait(watchPoll)
+			continue
+		}
 		l, err := d.platform.Machines(d.ctx, version, watchWait)
 		switch {
 		case errors.Is(err, platform.ErrNotModified):
+			d.core.Post(&machine.Unchanged{})
 		case err != nil:
-			if !d.pause() {
-				return
-			}
+			d.pause()
 		default:
 			version = l.Version
-			d.learnTargets(l.Targets)
 			d.core.Post(&engine.Machines{List: l})
 		}
 	}
@@ -96,11 +113,9 @@
 // learnTargets notes where targets are reached. Ones that have left the list
 // stay, as requests to them may be in flight.
 func (d *Daemon) learnTargets(ts []fleet.Target) {
-	d.core.Ask(func(clock.Time, *engine.Engine) {
-		for _, t := range ts {
-			d.targets[t.ID] = t
-		}
-	})
+	for _, t := range ts {
+		d.targets[t.ID] = t
+	}
 }
 
 // loadPage is a target's load endpoint.
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -72,6 +72,8 @@
 	reader     *store.Reader
 	writer     *store.Writer
 	platformUp atomic.Bool
+	watching   atomic.Bool // the platform's machine list
+	listed     atomic.Bool // a machine list is in force
 	eligible   atomic.Bool // may try for the lease of the shift runner
 
 	peerAddr  string
@@ -264,8 +266,11 @@
 // AdminAddr returns the address for operators.
 func (d *Daemon) AdminAddr() string { return d.self.AdminAddr }
 
-// Ready reports whether a configuration is in force here.
-func (d *Daemon) Ready() bool { return d.config.Load() != nil && !d.leaving.Load() }
+// Ready reports whether this entry VM can serve: it has a configuration and a
+// machine list, and is not leaving.
+func (d *Daemon) Ready() bool {
+	return d.config.Load() != nil && d.listed.Load() && !d.leaving.Load()
+}
 
 // Self returns this entry VM as others know it.
 func (d *Daemon) Self() fleet.VM { return d.self }
--- a/serve/daemon/pages.go
+++ b/serve/daemon/pages.go
@@ -176,10 +176,10 @@
 }
 
 func (d *Daemon) readiness(x *inbound.Exchange) {
-	a := readinessAnswer{Leaving: d.leaving.Load()}
-	if cat := d.config.Load(); cat != nil {
-		a.Revision = cat.Revision
-		a.Ready = !a.Leaving
+	a := readinessAnswer{
+		Ready:    d.Ready(),
+		Leaving:  d.leaving.Load(),
+		Revision: d.Revision(),
 	}
 	status := http.StatusOK
 	if !a.Ready {
--- a/serve/daemon/peers.go
+++ b/serve/daemon/peers.go
@@ -4,6 +4,7 @@
 	"github.com/azurethread/azurethread/decide/config"
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/machine"
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/tally"
 	"github.com/azurethread/azurethread/serve/peer"
@@ -59,6 +60,8 @@
 		m.Config, err = decodeConfig(b)
 	case b.Kind == peer.KindTally:
 		m.Tally, err = decodeTally(b)
+	case b.Kind == peer.KindMachine:
+		m.Machine, err = decodeMachine(b)
 	default:
 		err = peer.ErrKind
 	}
@@ -81,6 +84,14 @@
 	return body.Message()
 }
 
+func decodeMachine(b peer.Body) (machine.Message, error) {
+	var body machine.Body
+	if err := peer.Decode(b, peer.MaxBody, &body); err != nil {
+		return nil, err
+	}
+	return body.Message()
+}
+
 // post hands an event of a peer to the core, which does not exist yet while
 // the daemon is being provisioned.
 func (d *Daemon) post(ev engine.Event) {
@@ -105,34 +116,34 @@
 
 // encodeBodies puts the load report before the message it rides on.
 func encodeBodies(s engine.PeerSend) ([]peer.Body, error) {
-	var bodies []peer.Body
+	var e encoder
 	if s.Load != nil {
-		b, err := peer.EncodeLoad(s.Load)
-		if err != nil {
-			return nil, err
-		}
-		bodies = append(bodies, b)
+		e.add(peer.EncodeLoad(s.Load))
 	}
 	if s.Member != nil {
-		b, err := peer.EncodeMember(s.Member)
-		if err != nil {
-			return nil, err
-		}
-		bodies = append(bodies, b)
+		e.add(peer.EncodeMember(s.Member))
 	}
 	if s.Config != nil {
-		b, err := peer.Encode(peer.KindConfig, config.NewBody(s.Config))
-		if err != nil {
-			return nil, err
-		}
-		bodies = append(bodies, b)
+		e.add(peer.Encode(peer.KindConfig, config.NewBody(s.Config)))
 	}
 	if s.Tally != nil {
-		b, err := peer.Encode(peer.KindTally, tally.NewBody(s.Tally))
-		if err != nil {
-			return nil, err
-		}
-		bodies = append(bodies, b)
+		e.add(peer.Encode(peer.KindTally, tally.NewBody(s.Tally)))
+	}
+	if s.Machine != nil {
+		e.add(peer.Encode(peer.KindMachine, machine.NewBody(s.Machine)))
+	}
+	return e.bodies, e.err
+}
+
+// encoder collects bodies up to the first error.
+type encoder struct {
+	bodies []peer.Body
+	err    error
+}
+
+func (e *encoder) add(b peer.Body, err error) {
+	if e.err == nil {
+		e.err = err
 	}
-	return bodies, nil
+	e.bodies = append(e.bodies, b)
 }
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -57,11 +58,37 @@
 
 // onData feeds the parser; an answer it cannot read ends the connection.
 func (c *conn) onData(_ *nbio.Conn, data []byte) {
+	if c.answer == nil {
+		data = withReason(data)
+	}
 	if err := c.parser.Parse(data); err != nil {
 		c.nbc.CloseWithError(err)
 	}
 }
 
+// Parts of a status line with an empty reason phrase.
+const (
+	statusLine  = "HTTP/1.1 200 "
+	emptyReason = "\r\n"
+	someReason  = "Status"
+)
+
+// withReason gives a status line without a reason phrase one. nbhttp skips line
+// ends in search of it and takes the first header field for the phrase: the
+// field is lost, and with it, if it is the length, the answer. A status line
+// that comes in two pieces, or in one piece with an interim answer, is not
+// mended.
+func withReason(data []byte) []byte {
+	n := len(statusLine)
+	if len(data) < n+len(emptyReason) || data[n-1] != ' ' || string(data[n:n+len(emptyReason)]) != emptyReason {
+		return data
+	}
+	if !bytes.HasPrefix(data, []byte("HTTP/1.")) {
+		return data
+	}
+	return slices.Concat(data[:n], []byte(someReason), data[n:])
+}
+
 // onClose is called once when the connection has gone.
 func (c *conn) onClose(err error) {
 	c.p.closed()
--- a/serve/peer/transport_test.go
+++ b/serve/peer/transport_test.go
@@ -174,6 +174,34 @@
 	is.Equal(len(b.bodies()), 1)
 }
 
+// Symptom: a VM talks to a machine that knows no key. Sequence: that machine
+// has recorded the answer of a real VM to a hello and sends it to another
+// one. Cause: the recorded answer is genuine, but answers another hello.
+func TestRecordedAnswerIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := newEndpoint(t, "b", nil)
+	c := dialRaw(t, b.vm.PeerAddr)
+	h, err := Encode(0, &hello{ID: "a", Wants: "b", Nonce: c.nonce})
+	is.NoErr(err)
+	c.write(t, seal(typeHello, h.Data, helloMAC(testKey, nil)))
+	frame, err := c.readFrame()
+	is.NoErr(err)
+	recorded := append([]byte{0, 0, 0, byte(len(frame))}, frame...)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			_, _ = conn.Write(recorded)
+		}
+	}()
+	a := newEndpoint(t, "a", nil)
+	is.NoErr(a.Send(fleet.VM{ID: "b", PeerAddr: l.Addr().String()}, text("secret")))
+	eventually(t, "the refusal", func() bool { return a.Stats().RefusedKey == 1 })
+}
+
 // Symptom: messages for one VM reach another. Sequence: a VM is replaced, and
 // its IP number is given to a VM of another name. Cause: addresses outlive
 // the VMs behind them.
