Give the shift runner's lease up when no longer eligible

Cause: a daemon told to leave kept the lease until it lapsed; answers to the runner's questions were dropped where membership did not name the asker; and a region was charged with the failures of requests forwarded elsewhere.

--- a/decide/dispatch/expire.go
+++ b/decide/dispatch/expire.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		if !s.silent(r, a) {
-			a.silentAt = s.now.Add(s.silence(r, 0))
+			a.silentAt = s.nextLook(a)
 			continue
 		}
 		s.abandon(r, a)
@@ -67,13 +67,14 @@
 	return false
 }
 
-// silent reports whether the connection of a is to be given up: others have
-// been answered since, so neither this entry VM nor the whole service stands
-// still, and the request can go elsewhere.
+// silent reports whether the connection of a is to be given up: it is
+// suspected, and the request can go elsewhere. One that can't, for lack of
+// budget, is looked at again later.
 func (s *State) silent(r *request, a *attempt) bool {
-	if r.svc.lastAnswer <= a.sentAt {
+	if !s.suspected(r, a) {
 		return false
 	}
+	s.extend(r, a)
 	return r.n > 1 || !r.idempotent || s.mayRepeat(r)
 }
 
@@ -82,7 +83,7 @@
 func (s *State) abandon(r *request, a *attempt) {
 	t, l, sentAt, v := a.target, a.link, a.sentAt, a.svc
 	hedged := r.n > 1
-	v.detector.Observe(s.now.Sub(sentAt))
+	v.silence.tail.Observe(s.now.Sub(sentAt))
 	s.cancel(a, true)
 	r.joined = verdict.Join(r.joined, verdict.MayHaveRun)
 	if t != nil {
--- a/decide/dispatch/membership.go
+++ b/decide/dispatch/membership.go
@@ -23,9 +23,8 @@
 		return v
 	}
 	v := &service{
-		name:     name,
-		detector: s.opts.NewDetector(),
-		budget:   retry.NewBudget(max(s.lim.RepeatShare, 0), s.repeatBurst()),
+		name:   name,
+		budget: retry.NewBudget(max(s.lim.RepeatShare, 0), s.repeatBurst()),
 	}
 	s.byName[name] = v
 	s.services = append(s.services, v)
--- a/decide/dispatch/options.go
+++ b/decide/dispatch/options.go
@@ -20,9 +20,6 @@
 	// "two-choices".
 	Policy string
 	Limits Limits
-	// NewDetector makes the detector of silence for one service; nil takes
-	// the one of this package.
-	NewDetector func() Detector
 	// Panic makes a broken invariant a panic; for tests.
 	Panic bool
 	// Audit recounts all state after each step; for tests, as it is slow.
--- a/decide/dispatch/outcome.go
+++ b/decide/dispatch/outcome.go
@@ -30,6 +30,9 @@
 	took := s.now.Sub(a.sentAt)
 	borrowed := a.borrowed
 	wanted := r != nil
+	if a.watched && e.Status < serverError {
+		v.silence.answered(s.now, a.connection)
+	}
 	s.release(a)
 	v.lastAnswer = s.now
 	if t != nil {
@@ -74,7 +77,7 @@
 	t.mean.Observe(s.now, took)
 	v.mean.Observe(s.now, took)
 	v.tail.Observe(took)
-	v.detector.Observe(took)
+	v.silence.tail.Observe(took)
 	s.refresh(t)
 }
 
--- a/decide/dispatch/request.go
+++ b/decide/dispatch/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/detect"
 	"github.com/azurethread/azurethread/decide/queue"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -61,8 +62,12 @@
 	link     *link        // nil for a send
 	borrowed bool
 	sentAt   clock.Time
-	silentAt clock.Time // when the connection is suspected next
+	silentAt clock.Time // when to look next whether the connection is silent
+	tailAt   clock.Time // when the tail rule suspects it
 	expires  clock.Time // of a cancelled attempt: when it counts as ended
+
+	connection detect.ID // its number in svc.silence, while watched
+	watched    bool
 }
 
 // attempts gives out attempt ids and finds attempts by them. An id is an index
--- a/decide/dispatch/send.go
+++ b/decide/dispatch/send.go
@@ -7,11 +7,6 @@
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
-// nonIdempotentPatience multiplies the bound of silence for non-idempotent
-// requests. Giving such a request up turns an answer that may still come into
-// an unknown outcome, so only a far longer silence justifies it.
-const nonIdempotentPatience = 2
-
 // hedgeSpare is the part of the slots that must be free on average for hedges
 // to be sent: near capacity they delay more requests than they help.
 const hedgeSpare = 0.3
@@ -35,7 +30,7 @@
 	a := s.startAttempt(r)
 	a.target = t
 	a.borrowed = borrowed
-	a.silentAt = s.now.Add(s.silence(r, 0))
+	s.watch(r, a)
 	t.inFlight++
 	t.svc.inFlight++
 	s.refresh(t)
@@ -54,7 +49,7 @@
 	s.dequeue(r)
 	a := s.startAttempt(r)
 	a.link = l
-	a.silentAt = s.now.Add(s.silence(r, l.vm.rtt))
+	s.watch(r, a)
 	l.inFlight++
 	l.vm.inFlight++
 	// The other entry VM must give up early enough for its answer to be here
@@ -78,15 +73,6 @@
 	return a
 }
 
-// silence returns how long an attempt may stay unanswered.
-func (s *State) silence(r *request, rtt time.Duration) time.Duration {
-	d := r.svc.detector.Bound() + 2*rtt
-	if !r.idempotent {
-		d *= nonIdempotentPatience
-	}
-	return d
-}
-
 // schedule sets the timer of a request with current attempts.
 func (s *State) schedule(r *request) {
 	at := r.deadline
@@ -157,7 +143,7 @@
 	s.dequeue(r)
 	for r.n > 0 {
 		a := r.current[0]
-		s.cancel(a, s.now >= a.silentAt)
+		s.cancel(a, s.overdue(a))
 	}
 	s.timers.remove(r)
 	delete(s.requests, r.id)
@@ -170,6 +156,7 @@
 // reports the end, or for the grace period.
 func (s *State) cancel(a *attempt, replace bool) {
 	s.out.Cancels = append(s.out.Cancels, Cancel{Req: a.reqID, Attempt: a.id, Replace: replace})
+	s.unwatch(a)
 	a.req.drop(a)
 	a.req = nil
 	a.expires = s.now.Add(s.lim.CancelGrace)
@@ -178,6 +165,7 @@
 
 // release frees what a holds, and a itself.
 func (s *State) release(a *attempt) {
+	s.unwatch(a)
 	if a.req != nil {
 		a.req.drop(a)
 	}
--- a/decide/dispatch/service.go
+++ b/decide/dispatch/service.go
@@ -32,7 +32,7 @@
 
 	mean       target.Mean
 	tail       target.Quantiles
-	detector   Detector
+	silence    silence
 	budget     retry.Budget
 	lastAnswer clock.Time // of any target or entry VM
 	turn       int        // of RoundRobin
@@ -47,9 +47,13 @@
 	v.listed = true
 	v.idempotent = c.Idempotent
 	v.deferrable = c.Priority != catalogue.Interactive
-	v.timeout = time.Duration(c.Timeout)
-	if v.timeout == 0 {
-		v.timeout = catalogue.DefaultTimeout
+	timeout := time.Duration(c.Timeout)
+	if timeout == 0 {
+		timeout = catalogue.DefaultTimeout
+	}
+	if timeout != v.timeout {
+		v.timeout = timeout
+		v.silence.configure(timeout)
 	}
 }
 
--- a/decide/dispatch/state.go
+++ b/decide/dispatch/state.go
@@ -51,9 +51,6 @@
 	if err != nil {
 		panic(err)
 	}
-	if o.NewDetector == nil {
-		o.NewDetector = func() Detector { return new(tailDetector) }
-	}
 	lim := o.Limits.WithDefaults()
 	return &State{
 		opts:     o,
--- a/decide/engine/enginetest/books.go
+++ b/decide/engine/enginetest/books.go
@@ -57,13 +57,12 @@
 	// asserted over the requests they have answers to.
 	Even bool
 
-	w          *World
-	agreed     map[fleet.Domain]clock.Time // since when the entry VMs agree; Never: they don't
-	contents   map[uint64]uint64           // hash first seen in force, by revision
-	orders     []*Order
-	windows    map[string]*window // by shift
-	bases      map[based]string   // operation accepted, by what it was based on
-	rolledBack bool               // the platform came back with older data
+	w        *World
+	agreed   map[fleet.Domain]clock.Time // since when the entry VMs agree; Never: they don't
+	contents map[uint64]uint64           // hash first seen in force, by revision
+	orders   []*Order
+	windows  map[string]*window // by shift
+	bases    map[based]string   // operation accepted, by what it was based on
 }
 
 // Counts are what a run reports about itself.
--- a/decide/engine/enginetest/operator.go
+++ b/decide/engine/enginetest/operator.go
@@ -102,7 +102,6 @@
 	switch v {
 	case verdict.Ran:
 		b.Counts.Accepted++
-		b.checkTwice(w.op)
 	case verdict.NotRun:
 		w.refused = true
 	}
@@ -115,6 +114,7 @@
 	if w.refused {
 		b.violate("operation %s was accepted after %s said not-run", w.op.ID, w.v.Self.ID)
 	}
+	b.checkTwice(w.op)
 }
 
 // based names what a change of an entry was based on.
@@ -124,7 +124,7 @@
 }
 
 // checkTwice checks that of two changes based on the same version of an entry
-// one at most is accepted.
+// one at most is in the platform's history.
 func (b *Books) checkTwice(op change.Operation) {
 	var k based
 	switch {
@@ -144,7 +144,8 @@
 }
 
 // restored excuses the loss of what only the platform had: accepted so lately
-// that no entry VM may have heard of it.
+// that no entry VM may have heard of it. What the platform has lost is no longer
+// in its history.
 func (b *Books) restored() {
 	known := uint64(0)
 	for _, v := range b.w.VMs {
@@ -157,7 +158,11 @@
 			o.Owed = false
 		}
 	}
-	b.rolledBack = true
+	for k, id := range b.bases {
+		if _, kept := b.w.Platform.doc.operations[id]; !kept {
+			delete(b.bases, k)
+		}
+	}
 }
 
 // Converged returns what is missing for all live entry VMs to hold the
--- a/decide/engine/enginetest/platform.go
+++ b/decide/engine/enginetest/platform.go
@@ -10,6 +10,7 @@
 	"github.com/azurethread/azurethread/decide/config"
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/machine"
 )
 
 // document is the value that the platform holds. A document is never changed.
@@ -72,12 +73,13 @@
 	// ListLag is how old the machine list is.
 	ListLag time.Duration
 
-	w    *World
-	doc  document
-	old  []document // earlier ones
-	cuts map[fleet.Domain]bool
-	duty lease
-	list uint64 // version
+	w     *World
+	doc   document
+	old   []document // earlier ones
+	cuts  map[fleet.Domain]bool
+	duty  lease
+	list  uint64      // newest version of the machine list
+	lists []shownList // the one shown and those that follow
 }
 
 // The times of the platform.
@@ -95,6 +97,7 @@
 		c.Services[i].Revision = 1
 	}
 	p.doc = (&document{}).next(c, "")
+	p.listChanged()
 	return p
 }
 
@@ -258,34 +261,53 @@
 	})
 }
 
-// listChanged gives all entry VMs a new machine list, each with a lag of its
-// own.
+// shownList is a version of the machine list, and since when it is shown.
+type shownList struct {
+	at   clock.Time
+	list fleet.List
+}
+
+// listChanged makes a new version of the machine list, shown after its lag.
 func (p *Platform) listChanged() {
-	for _, v := range p.w.VMs {
-		p.announce(v)
+	p.list++
+	at := p.w.Now.Add(p.ListLag/2 + p.w.between(0, p.ListLag))
+	if n := len(p.lists); n > 0 {
+		at = max(at, p.lists[n-1].at)
 	}
+	p.lists = append(p.lists, shownList{at: at, list: p.describe()})
 }
 
-// announce gives one entry VM the machine list, as often as it takes.
-func (p *Platform) announce(v *VM) {
-	p.list++
-	l := p.describe()
-	lag := p.ListLag/2 + p.w.between(0, p.ListLag)
-	if v.listed == 0 {
-		lag = p.trip()
+// shown returns the machine list as the platform shows it now.
+func (p *Platform) shown() fleet.List {
+	for len(p.lists) > 1 && p.lists[1].at <= p.w.Now {
+		p.lists = p.lists[1:]
 	}
-	v.after(lag, func() { p.deliver(v, l) })
+	return p.lists[0].list
 }
 
-func (p *Platform) deliver(v *VM, l fleet.List) {
-	switch {
-	case l.Version <= v.listed:
-	case !p.reaches(v):
-		v.after(readFails, func() { p.deliver(v, l) })
-	default:
-		v.listed = l.Version
-		v.step(&engine.Machines{List: l})
+// The pace at which entry VMs read the machine list.
+const (
+	minListPoll = 100 * time.Millisecond
+	maxListPoll = 400 * time.Millisecond
+)
+
+// watchList gives an entry VM the machine list while its engine asks for it.
+func (p *Platform) watchList(v *VM) {
+	v.after(p.w.between(minListPoll, maxListPoll), func() { p.watchList(v) })
+	if !v.watching {
+		v.listed = 0
+		return
+	}
+	if !p.reaches(v) {
+		return
+	}
+	l := p.shown()
+	if l.Version == v.listed {
+		v.step(&machine.Unchanged{})
+		return
 	}
+	v.listed = l.Version
+	v.later(p.trip(), &engine.Machines{List: l})
 }
 
 // describe returns the list as it is now. The platform knows machines, not
--- a/decide/engine/enginetest/trace.go
+++ b/decide/engine/enginetest/trace.go
@@ -37,8 +37,6 @@
 		s = fmt.Sprintf("health %s ok=%t in-flight=%d", e.Target, e.OK, e.InFlight)
 	case *dispatch.Stop:
 		s = "stop"
-	case *engine.Machines:
-		s = "machines" + describeList(&e.List)
 	case *config.PlatformRead:
 		if e.Result == config.ReadFailed {
 			s = "platform-read failed"
@@ -103,6 +101,9 @@
 	if r.Catalogue != nil {
 		say("apply revision=%d%s", r.Catalogue.Revision, shares(r))
 	}
+	if r.Machines != nil {
+		say("machines%s", describeList(r.Machines))
+	}
 	if r.VMs != nil {
 		say("entry-vms %s", liveOf(r.VMs))
 	}
--- a/decide/engine/enginetest/vm.go
+++ b/decide/engine/enginetest/vm.go
@@ -39,6 +39,7 @@
 	wake     clock.Time
 	backlog  []func()
 	pausedAt clock.Time // end of the last pause
+	leftAt   clock.Time // when it was told to leave
 
 	requests  dispatch.RequestID
 	calls     map[dispatch.RequestID]*call
@@ -55,7 +56,8 @@
 	stopping  map[fleet.TargetID]clock.Time // since the target said so
 	watch     *watch
 	duty      duty
-	listed    uint64 // version of the machine list
+	watching  bool   // the platform's machine list
+	listed    uint64 // version of the last one read; 0: none since it watches
 	mints     uint64
 
 	tickedAt    clock.Time
@@ -141,13 +143,13 @@
 	v.forwards = make(map[*Exchange]*call)
 	v.known = map[fleet.VMID]fleet.VM{v.Self.ID: v.Self}
 	v.view = steer.New(steer.Inputs{Self: v.Self.Region, VMs: []fleet.VM{v.Self}})
-	v.plain, v.gate, v.catalogue, v.revision, v.watch, v.listed = v.view, nil, nil, 0, nil, 0
+	v.plain, v.gate, v.catalogue, v.revision, v.watch, v.listed, v.watching = v.view, nil, nil, 0, nil, 0, false
 	v.leaving = make(map[fleet.TargetID]clock.Time)
 	v.stopping = make(map[fleet.TargetID]clock.Time)
 	v.duty = duty{}
 	v.post(&engine.Blocks{Table: v.w.blocks})
 	v.post(&engine.Tick{})
-	v.w.Platform.announce(v)
+	v.w.Platform.watchList(v)
 	v.pollDuty()
 }
 
@@ -232,6 +234,7 @@
 	}
 	v.w.trace("%s leaves", v.Self.ID)
 	v.Leaving = true
+	v.leftAt = v.w.Now
 	v.post(&dispatch.Stop{})
 	v.post(&member.Leave{})
 	v.w.Platform.listChanged()
@@ -317,14 +320,13 @@
 
 // learn notes what an event tells the process about targets that are leaving.
 func (v *VM) learn(ev engine.Event) {
-	switch ev := ev.(type) {
-	case *dispatch.Failed:
-		a := v.attempts[ev.Attempt]
-		if a != nil && a.target != nil && a.canceled == 0 && ev.Reason == verdict.ReasonStopping {
-			v.stopping[a.target.ID] = v.w.Now
-		}
-	case *engine.Machines:
-		v.learnList(&ev.List)
+	f, ok := ev.(*dispatch.Failed)
+	if !ok {
+		return
+	}
+	a := v.attempts[f.Attempt]
+	if a != nil && a.target != nil && a.canceled == 0 && f.Reason == verdict.ReasonStopping {
+		v.stopping[a.target.ID] = v.w.Now
 	}
 }
 
@@ -402,6 +404,10 @@
 		v.w.Books.applied(v, r.Catalogue)
 		v.catalogue = r.Catalogue
 	}
+	v.watching = r.WatchMachines
+	if r.Machines != nil {
+		v.learnList(r.Machines)
+	}
 	if r.View != nil {
 		v.view, v.plain = r.View, r.Unshifted
 	}
@@ -445,7 +451,7 @@
 	}
 	m := &engine.PeerMessage{
 		From: v.Self.ID, Incarnation: v.Self.Incarnation,
-		Member: s.Member, Load: s.Load, Config: s.Config, Tally: s.Tally,
+		Member: s.Member, Load: s.Load, Config: s.Config, Tally: s.Tally, Machine: s.Machine,
 	}
 	process := to.process
 	v.w.message(v, to, func() {
@@ -558,6 +564,9 @@
 		return
 	}
 	v.w.Books.told(v.Self.ID, c.claim, r.Verdict, r.Reason)
+	if r.Reason == verdict.ReasonStopping && v.Leaving && c.arrived < v.leftAt && v.pausedAt < v.leftAt {
+		v.w.Books.violate("%s leaves and cuts off %s", v.Self.ID, c.claim.Work.Name)
+	}
 	a := Answer{Claim: c.claim, Verdict: r.Verdict, Reason: r.Reason, RetryAfter: r.RetryAfter}
 	if r.Verdict == verdict.NotRun && c.hops == 0 {
 		a.Fresh = v.mint(v.Self.ID)
--- a/decide/engine/shifts.go
+++ b/decide/engine/shifts.go
@@ -18,9 +18,13 @@
 	e.tally.Step(now, ev, r)
 	e.wakes.tally = r.Wake
 	for _, s := range r.Sends {
-		if vm, ok := e.vm(s.To); ok {
-			out.Peers = append(out.Peers, PeerSend{To: vm, Tally: s.Msg})
+		// An answer may go to an entry VM that membership does not name here;
+		// it takes the connection that the asker has opened.
+		vm, ok := e.vm(s.To)
+		if !ok {
+			vm = fleet.VM{ID: s.To}
 		}
+		out.Peers = append(out.Peers, PeerSend{To: vm, Tally: s.Msg})
 	}
 	if r.Evidence {
 		e.evidence = e.tally.Evidence(now)
@@ -118,7 +122,7 @@
 	if s.hops == 0 {
 		e.tally.Served(s.service, s.home, s.block, s.movedBy, busy)
 	}
-	if s.local || !ok {
+	if s.local || (!ok && s.sent == 0) {
 		e.tally.Meter().Answered(now, s.service, now.Sub(s.arrived), ok)
 	}
 }
--- a/decide/load/load_test.go
+++ b/decide/load/load_test.go
@@ -186,6 +186,34 @@
 	is.Equal(len(seen), 20) // the others take turns
 }
 
+// Symptom: in a large fleet the load of other regions is known only now and
+// then. Sequence: their figures come in turns, and each expires before its
+// next turn. Cause: one age limit for figures that come each second and for
+// those that come each minute.
+func TestFarFiguresOutliveTheirTurns(t *testing.T) {
+	is := is.New(t)
+	many := append([]load.DomainOf(nil), domains...)
+	for i := range 20 {
+		many = append(many, load.DomainOf{Region: fleet.Region(rune('A' + i)), Domain: fleet.Domain(rune('a' + i))})
+	}
+	for _, c := range []struct {
+		fleet []load.DomainOf
+		limit time.Duration
+	}{{domains, load.DefaultExpire}, {many, load.DefaultExpireFar}} {
+		src := load.New(vm("k1", "kriti", "kriti-1"), load.Options{})
+		src.Step(epoch, &load.Fleet{Representative: true, Domains: c.fleet})
+		src.Step(epoch, sample(1))
+		s := load.New(vm("a1", "attiki", "attiki-1"), load.Options{})
+		s.Step(epoch, &load.Fleet{Domains: c.fleet})
+		pass(t, epoch, src, "k1", load.ScopeFar, s)
+		limit := c.limit - load.DefaultTransit
+		_, ok := s.Region(epoch.Add(limit), service, "kriti")
+		is.True(ok)
+		_, ok = s.Region(epoch.Add(limit+time.Millisecond), service, "kriti")
+		is.True(!ok)
+	}
+}
+
 func TestReportsOutOfBoundsAreRefused(t *testing.T) {
 	is := is.New(t)
 	for _, r := range []load.Report{
--- a/decide/load/report.go
+++ b/decide/load/report.go
@@ -95,7 +95,7 @@
 	for i := range s.places {
 		at := (from + i) % len(s.places)
 		p := &s.places[at]
-		if !want(p) || !s.fresh(now, &p.part) {
+		if !want(p) || !s.freshPlace(now, p) {
 			continue
 		}
 		if n == 0 {
--- a/decide/load/state.go
+++ b/decide/load/state.go
@@ -11,14 +11,19 @@
 
 // Options are the settings. A zero field takes its default.
 type Options struct {
-	Expire  time.Duration // age from which figures are unknown
-	Transit time.Duration // added to an age at each hop
+	Expire time.Duration // age from which figures are unknown
+	// ExpireFar is the same for other regions in a fleet too large for each
+	// answer to a VM to carry all of them: they come in turns, one round of
+	// which takes longer than Expire.
+	ExpireFar time.Duration
+	Transit   time.Duration // added to an age at each hop
 }
 
 // The defaults of Options.
 const (
-	DefaultExpire  = 30 * time.Second
-	DefaultTransit = 50 * time.Millisecond
+	DefaultExpire    = 30 * time.Second
+	DefaultExpireFar = 75 * time.Second
+	DefaultTransit   = 50 * time.Millisecond
 )
 
 const (
@@ -115,6 +120,9 @@
 	if o.Expire == 0 {
 		o.Expire = DefaultExpire
 	}
+	if o.ExpireFar == 0 {
+		o.ExpireFar = DefaultExpireFar
+	}
 	if o.Transit == 0 {
 		o.Transit = DefaultTransit
 	}
@@ -327,12 +335,19 @@
 
 func (s *State) placePart(now clock.Time, p Place) (part, bool) {
 	at, ok := s.findPlace(p)
-	if !ok || !s.fresh(now, &s.places[at].part) {
+	if !ok || !s.freshPlace(now, &s.places[at]) {
 		return part{}, false
 	}
 	return s.places[at].part, true
 }
 
+func (s *State) freshPlace(now clock.Time, p *ofPlace) bool {
+	if s.small || s.nearby(p.place) {
+		return s.fresh(now, &p.part)
+	}
+	return p.at != 0 && now.Sub(p.at) <= s.o.ExpireFar
+}
+
 // regionSum is the load of the own region's known domains.
 func (s *State) regionSum(now clock.Time) (part, bool) {
 	own, ok := s.domainSum(now)
--- a/operate/e2e/admin_test.go
+++ b/operate/e2e/admin_test.go
@@ -71,5 +71,24 @@
 	}
 }
 
+// Symptom: an operator's change ends with "outcome unknown" although all is
+// well, or a reader of metrics misses a value.
+// Sequence: clients that close their connection behind each answer.
+// Cause: a server that closes before the kernel has taken the answer.
+func TestAdministrationAnswersArrive(t *testing.T) {
+	const requests = 5000
+	w := newWorld(t, testServices())
+	e := w.entry("a", "attiki-1")
+	lost := 0
+	for range requests {
+		if _, err := send("GET", "http://"+e.AdminAddr()+"/debug/vars", nil, nil); err != nil {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d answers were lost", lost, requests)
+	}
+}
+
 // adminTimeout is far above the time of any answer on loopback.
 const adminTimeout = 10 * time.Second
--- a/operate/e2e/answer_test.go
+++ b/operate/e2e/answer_test.go
@@ -442,3 +442,20 @@
 		})
 	}
 }
+
+// Symptom: a lone engineer waits for the whole deadline and gets an error,
+// while a new connection would answer in a millisecond.
+// Sequence: one target, one caller; the open connections go silent; nobody
+// else is being answered.
+// Cause: a detector that only believes in silence once others have answers.
+func TestSilenceWithoutOtherTraffic(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testServices())
+	s := w.target("attiki-1", target.Options{Service: calc, ID: "t1", Slots: 3})
+	e := w.entry("a", "attiki-1")
+	for range 50 {
+		is.Equal(call(t, e, "GET", calc, "/x", nil, nil).status, http.StatusOK)
+	}
+	is.True(s.SilenceConnections(-1) > 0)
+	is.Equal(call(t, e, "GET", calc, "/x", nil, nil).status, http.StatusOK)
+}
--- a/serve/store/duty.go
+++ b/serve/store/duty.go
@@ -91,6 +91,12 @@
 		d.Release(ctx)
 		return 0
 	}
+	if d.lease != "" && !d.eligible() {
+		// Others would wait for the lease to lapse, and nobody would do the
+		// duty meanwhile.
+		d.Release(ctx)
+		return dutyPoll
+	}
 	if d.lease == "" {
 		return d.acquire(ctx)
 	}
@@ -100,6 +106,8 @@
 	return d.renew(ctx)
 }
 
+func (d *Duty) eligible() bool { return d.o.Eligible == nil || d.o.Eligible() }
+
 // Release gives the duty up.
 func (d *Duty) Release(ctx context.Context) {
 	id := d.lease
@@ -114,7 +122,7 @@
 // acquire takes the duty if nobody holds it. It looks before it asks for a
 // lease, since a lease and its renewals are writes.
 func (d *Duty) acquire(ctx context.Context) time.Duration {
-	if d.o.Eligible != nil && !d.o.Eligible() {
+	if !d.eligible() {
 		return dutyPoll
 	}
 	e, err := d.o.Store.Get(ctx, d.o.Key)
--- a/serve/store/duty_test.go
+++ b/serve/store/duty_test.go
@@ -166,3 +166,26 @@
 	is.NoErr(err)
 	is.Equal(string(e.Lease), "")
 }
+
+// Symptom: no traffic shift advances for the time of a lease after the daemon
+// that ran them was told to leave.
+// Sequence: the holder stops being eligible and keeps its lease; the next
+// candidate finds the duty taken.
+// Cause: eligibility was asked for only when the duty was taken.
+func TestDutyGivenUpWhenNotEligible(t *testing.T) {
+	is := is.New(t)
+	s := newSession(is)
+	eligible := true
+	first := NewDuty(DutyOptions{
+		Store: s.f.server.Store(), Key: ShiftDuty, Now: s.f.clock.Now, Holder: "a",
+		Eligible: func() bool { return eligible },
+	})
+	first.Step(context.Background())
+	is.True(first.Held())
+	eligible = false
+	first.Step(context.Background())
+	is.True(!first.Held())
+	second := s.runner("b").duty
+	second.Step(context.Background())
+	is.True(second.Held()) // without waiting for the lease to lapse
+}
