--- a/decide/engine/session_test.go
+++ b/decide/engine/session_test.go
@@ -251,15 +251,18 @@
 	d.MaybeScanArgs(t, "step", &step)
 	d.MaybeScanArgs(t, "p99", &p99)
 	d.MaybeScanArgs(t, "class", &class)
+	e := shiftOf(mapService.Name, catalogue.Share(limit), catalogue.Share(step))
+	e.Class = catalogue.Class(class)
+	e.Limits.MaxP99 = catalogue.Duration(time.Duration(p99) * time.Millisecond)
+	x, _ := s.w.Platform.Catalogue().Shift(e.ID)
 	op := change.Operation{Operator: by, Kind: change.Kind(kind)}
-	x, found := s.w.Platform.Catalogue().Shift("move")
-	if found {
-		op.Shift = &change.ShiftRef{ID: x.ID, Expect: x.Revision}
-	} else {
-		e := shiftOf(mapService.Name, catalogue.Share(limit), catalogue.Share(step))
-		e.Class = catalogue.Class(class)
-		e.Limits.MaxP99 = catalogue.Duration(time.Duration(p99) * time.Millisecond)
+	switch op.Kind {
+	case change.KindAddShift:
 		op.AddShift = &change.AddShift{Entry: e}
+	case change.KindChangeShift:
+		op.ChangeShift = &change.ChangeShift{Entry: e, Expect: x.Revision}
+	default:
+		op.Shift = &change.ShiftRef{ID: e.ID, Expect: x.Revision}
 	}
 	s.w.Operate(s.w.VM(fleet.VMID(at)), op)
 }
