--- a/decide/change/apply_test.go
+++ b/decide/change/apply_test.go
@@ -236,3 +236,25 @@
 		is.Equal(back, op)
 	}
 }
+
+// Symptom: two rises follow each other sooner than the interval allows.
+// Sequence: a runner with a fault writes an unchanged share with an earlier
+// stepped_at, then a rise. Cause: the interval is counted from what it wrote.
+func TestStepTimeNeverFalls(t *testing.T) {
+	is := is.New(t)
+	first := step("moving", 300)
+	c, err := Apply(sample(), first, start0)
+	is.NoErr(err)
+	hold := step("moving", 300)
+	hold.Advance.Expect = c.Revision
+	hold.Advance.SteppedAt = 0
+	c, err = Apply(c, hold, start0)
+	is.NoErr(err)
+	rise := step("moving", 400)
+	rise.Advance.Expect = c.Revision
+	rise.Advance.SteppedAt = first.Advance.SteppedAt + int64(time.Second)
+	_, err = Apply(c, rise, start0)
+	var r *Refused
+	is.True(errors.As(err, &r))
+	is.Equal(r.Code, TooSoon)
+}
--- a/decide/change/transition.go
+++ b/decide/change/transition.go
@@ -169,7 +169,9 @@
 		return err
 	}
 	s.Share = a.Share
-	s.SteppedAt = a.SteppedAt
+	// Were the time of the last step to fall, a runner with a fault could raise
+	// the share again before the interval is over.
+	s.SteppedAt = max(s.SteppedAt, a.SteppedAt)
 	s.Hold = a.Hold
 	if a.Done {
 		s.State = catalogue.Done
--- a/decide/config/catchup.go
+++ b/decide/config/catchup.go
@@ -7,42 +7,42 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// catchUp asks peers for content that they are known to hold, one at a time.
+// catchUp fetches content from peers known to hold it, one request at a time.
 type catchUp struct {
-	heard      uint64     // highest revision heard of, whether or not its content came
-	heardSince clock.Time // when heard first exceeded what is in force
-	candidates []candidate
-	notBefore  clock.Time // when to ask the first peer
-	asked      fleet.VMID // peer whose answer is awaited; empty if none
-	deadline   clock.Time // when another peer is asked
-	full       bool       // ask for a snapshot: a delta didn't fit
+	highest      uint64     // highest revision known to exist, whether or not its content came
+	highestSince clock.Time // when highest first exceeded what is in force
+	candidates   []candidate
+	notBefore    clock.Time // when to ask the first peer
+	asked        fleet.VMID // peer whose answer is awaited; empty if none
+	deadline     clock.Time // when another peer is asked
+	full         bool       // ask for a snapshot: a delta didn't fit
 }
 
-// candidate is a peer that holds better content.
+// candidate is a peer whose content supersedes the own one.
 type candidate struct {
 	id    fleet.VMID
 	point Point
 }
 
-// beats reports whether p replaces q where both are offered: the higher
+// supersedes reports whether p replaces q where both are offered: the higher
 // revision does, and under one revision the greater hash.
-func (p Point) beats(q Point) bool {
+func (p Point) supersedes(q Point) bool {
 	if p.Revision != q.Revision {
 		return p.Revision > q.Revision
 	}
 	return p.Hash > q.Hash
 }
 
-// hear notes that a peer holds p.
-func (s *State) hear(from fleet.VMID, p Point) {
+// addCandidate notes that a peer holds p.
+func (s *State) addCandidate(from fleet.VMID, p Point) {
 	c := &s.catchUp
 	held := s.point()
-	if !p.beats(held) {
+	if !p.supersedes(held) {
 		return
 	}
-	if p.Revision > c.heard {
-		c.heard = p.Revision
-		c.heardSince = s.now
+	if p.Revision > c.highest {
+		c.highest = p.Revision
+		c.highestSince = s.now
 	}
 	if s.held != nil && p.Revision == held.Revision {
 		c.full = true
@@ -60,10 +60,10 @@
 	c.candidates = append(c.candidates, candidate{id: from, point: p})
 }
 
-// settle forgets the peers that hold nothing better than p.
-func (c *catchUp) settle(p Point) {
-	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return !x.point.beats(p) })
-	c.heard = max(c.heard, p.Revision)
+// prune drops the candidates whose content does not supersede p.
+func (c *catchUp) prune(p Point) {
+	c.candidates = slices.DeleteFunc(c.candidates, func(x candidate) bool { return !x.point.supersedes(p) })
+	c.highest = max(c.highest, p.Revision)
 	c.asked = ""
 	c.full = false
 }
@@ -71,7 +71,7 @@
 // pending reports whether content of a higher revision than held is still
 // being asked for.
 func (c *catchUp) pending(held uint64, now clock.Time) bool {
-	return c.heard > held && now.Sub(c.heardSince) < CatchUpLimit
+	return c.highest > held && now.Sub(c.highestSince) < CatchUpLimit
 }
 
 func (c *catchUp) wake(now clock.Time) clock.Time {
@@ -107,11 +107,11 @@
 	s.send(best.id, w, out)
 }
 
-// best returns the candidate that holds most; of equals the first heard of.
+// best returns the candidate with the newest content; of equals the first known.
 func (c *catchUp) best() candidate {
 	best := c.candidates[0]
 	for _, x := range c.candidates[1:] {
-		if x.point.beats(best.point) {
+		if x.point.supersedes(best.point) {
 			best = x
 		}
 	}
@@ -138,7 +138,7 @@
 		s.send(from, d, out)
 		return
 	}
-	if !s.gossip.maySnapshot(from, s.now) {
+	if !s.gossip.allowSnapshot(from, s.now) {
 		return
 	}
 	for _, part := range snapshotOf(s.held, s.age()) {
@@ -150,7 +150,7 @@
 func (s *State) delta(from fleet.VMID, d *Delta, out *Ready) {
 	p := Point{Revision: d.To, Hash: d.Hash}
 	if s.held == nil || d.From > s.held.cat.Revision {
-		s.hear(from, p)
+		s.addCandidate(from, p)
 		s.catchUp.notBefore = s.now
 		return
 	}
@@ -162,8 +162,8 @@
 	if err != nil {
 		// The base differs from the sender's, or the delta is damaged: only
 		// a snapshot helps.
-		s.refuse(err)
-		s.hear(from, p)
+		s.countRefusal(err)
+		s.addCandidate(from, p)
 		s.catchUp.notBefore = s.now
 		s.catchUp.full = true
 		return
@@ -175,13 +175,13 @@
 // snapshot takes one part of a Snapshot.
 func (s *State) snapshot(from fleet.VMID, m *Snapshot, out *Ready) {
 	p := Point{Revision: m.Revision, Hash: m.Hash}
-	if !p.beats(s.point()) {
+	if !p.supersedes(s.point()) {
 		s.compare(from, p, m.Age)
 		return
 	}
 	c, err := s.parts.add(m)
 	if err != nil {
-		s.refuse(err)
+		s.countRefusal(err)
 		return
 	}
 	if c == nil {
@@ -196,8 +196,8 @@
 	s.confirmByPeer(p, m.Age)
 }
 
-// compare notes what it means that a peer holds p, which doesn't beat what is
-// in force or is only known by its hash.
+// compare evaluates a peer's point p: a confirmation, a divergence, or content
+// to fetch.
 func (s *State) compare(from fleet.VMID, p Point, age Age) {
 	held := s.point()
 	switch {
@@ -205,8 +205,8 @@
 		s.confirmByPeer(p, age)
 	case p.Revision == held.Revision && p.Revision > 0:
 		s.counters.Diverged++
-		s.hear(from, p)
+		s.addCandidate(from, p)
 	default:
-		s.hear(from, p)
+		s.addCandidate(from, p)
 	}
 }
--- a/decide/config/confirm.go
+++ b/decide/config/confirm.go
@@ -10,9 +10,9 @@
 // platform's newest. It outlives a change to a higher revision: whatever the
 // platform had accepted by then is still in force.
 type confirmation struct {
-	known   bool
-	at      clock.Time // instant of the platform read behind it
-	settled clock.Time // before it, confirmations of peers are ignored
+	known       bool
+	at          clock.Time // instant of the platform read behind it
+	ignoreUntil clock.Time // before it, confirmations of peers are ignored
 }
 
 // wake returns when the daemon becomes cut off.
@@ -37,7 +37,7 @@
 
 // confirmByPeer notes a confirmation passed on by a peer.
 func (s *State) confirmByPeer(p Point, age Age) {
-	if age == Unknown || s.now.Before(s.confirm.settled) {
+	if age == Unknown || s.now.Before(s.confirm.ignoreUntil) {
 		return
 	}
 	s.confirmHeld(p, s.now.Add(-age.Duration()))
@@ -75,7 +75,7 @@
 // has heard of a higher revision whose content it is still asking for: a
 // write on an older base would silently undo accepted changes.
 func (s *State) Base(now clock.Time) (Base, bool) {
-	b := Base{Catalogue: s.Catalogue(), Floor: max(s.point().Revision, s.catchUp.heard)}
+	b := Base{Catalogue: s.Catalogue(), Floor: max(s.point().Revision, s.catchUp.highest)}
 	joined := s.held != nil || !now.Before(s.join.deadline)
 	return b, joined && !s.catchUp.pending(s.point().Revision, now)
 }
--- a/decide/config/failure_test.go
+++ b/decide/config/failure_test.go
@@ -416,7 +416,7 @@
 			v.st.Step(n.now, &PeerMessage{From: "a1", Msg: m}, &v.ready)
 			is.Equal(v.st.Counters().Malformed, uint64(1))
 			is.Equal(v.st.point(), before)
-			is.Equal(v.st.catchUp.heard, before.Revision)
+			is.Equal(v.st.catchUp.highest, before.Revision)
 		})
 	}
 }
@@ -472,3 +472,30 @@
 		Shifts:   []catalogue.Shift{{ID: id, Revision: revision}},
 	}
 }
+
+// Symptom: a restarted daemon puts a lower revision in force than its
+// predecessor had. Sequence: it asks its peers; one that is behind sends two
+// digests before a newer one answers. Cause: digests are counted, so the
+// second one passes for the answer of the other peer.
+func TestJoinerCountsEachPeerOnce(t *testing.T) {
+	is := is.New(t)
+	st := New(Config{Self: "a0", Domain: "a"})
+	var out Ready
+	now := clock.Time(time.Hour)
+	st.Step(now, &Members{Members: []Member{{ID: "a0", Domain: "a"}, {ID: "a1", Domain: "a"}, {ID: "a2", Domain: "a"}}}, &out)
+	is.Equal(len(out.Send), 2) // both are asked
+	older, err := newContent(withShift(8, "x"))
+	is.NoErr(err)
+	digest := &Digest{Format: Format, Revision: 8, Hash: older.hash(), Age: Unknown, ReadAge: Unknown}
+	for range 2 {
+		st.Step(now, &PeerMessage{From: "a1", Msg: digest}, &out)
+	}
+	for _, part := range snapshotOf(older, Unknown) {
+		st.Step(now, &PeerMessage{From: "a1", Msg: part}, &out)
+	}
+	is.True(!st.Ready()) // a2 may hold more
+	digest = &Digest{Format: Format, Revision: 9, Hash: 1, Age: Unknown, ReadAge: Unknown}
+	st.Step(now, &PeerMessage{From: "a2", Msg: digest}, &out)
+	is.True(!st.Ready())
+	is.Equal(out.Send[0], Send{To: "a2", Msg: &Want{Format: Format}})
+}
--- a/decide/config/gossip.go
+++ b/decide/config/gossip.go
@@ -27,8 +27,8 @@
 	return clock.Min(g.nextDigest, clock.Min(g.nextCross, g.nextHeartbeat))
 }
 
-// forget drops what is kept of members that are gone, so that a fleet whose
-// members are replaced all the time doesn't fill the memory.
+// forget drops what is kept of former members. Without it memory would grow
+// with every VM that was ever replaced.
 func (g *gossip) forget(v view) {
 	for id := range g.heartbeatSeq {
 		if !v.isOwn(id) {
@@ -53,6 +53,7 @@
 	return rises(&g.pushedTo, root, to)
 }
 
+// rises records n for id. It reports whether n is above the last one.
 func rises(m *map[fleet.VMID]uint64, id fleet.VMID, n uint64) bool {
 	if *m == nil {
 		*m = map[fleet.VMID]uint64{}
@@ -64,7 +65,9 @@
 	return true
 }
 
-func (g *gossip) maySnapshot(to fleet.VMID, now clock.Time) bool {
+// allowSnapshot reports whether a snapshot may be sent to a peer now, and if so
+// starts its snapshotPause.
+func (g *gossip) allowSnapshot(to fleet.VMID, now clock.Time) bool {
 	if at, ok := g.snapshotAt[to]; ok && now.Sub(at) < snapshotPause {
 		return false
 	}
@@ -119,7 +122,7 @@
 }
 
 // around returns a random duration from 3/4 to 5/4 of d. Equal intervals
-// would let daemons fall into step.
+// would synchronise the daemons' sends.
 func (s *State) around(d time.Duration) time.Duration {
 	return d*3/4 + s.jitter(d/2)
 }
@@ -158,8 +161,8 @@
 		s.heartbeat(m, out)
 	}
 	if s.held == nil {
-		s.hear(from, Point{Revision: m.Revision, Hash: m.Hash})
-		s.joinAnswer(out)
+		s.addCandidate(from, Point{Revision: m.Revision, Hash: m.Hash})
+		s.joinAnswer(from, out)
 		return
 	}
 	if m.Ask {
@@ -168,7 +171,7 @@
 	}
 	p := Point{Revision: m.Revision, Hash: m.Hash}
 	s.compare(from, p, m.Age)
-	if from == s.catchUp.asked && !p.beats(s.point()) {
+	if from == s.catchUp.asked && !p.supersedes(s.point()) {
 		s.dropCandidate(from) // it has nothing for us, or not yet
 	}
 	if m.Root != "" && m.Root != from {
@@ -176,15 +179,15 @@
 		return
 	}
 	switch {
-	case s.point().beats(p):
-		s.help(from, p, out)
+	case s.point().supersedes(p):
+		s.repair(from, p, out)
 	case s.point() == p && s.refreshes(m.Age):
 		s.send(from, s.makeDigest(), out)
 	}
 }
 
 // refreshes reports whether a peer whose confirmation has this age should be
-// told of ours. A daemon that the readers' membership doesn't list is in none
+// sent ours. A daemon that the readers' membership doesn't list is in none
 // of their trees, and would seem cut off to itself.
 func (s *State) refreshes(theirs Age) bool {
 	own := s.age()
@@ -194,7 +197,7 @@
 	return theirs == Unknown || theirs.Duration() > CutOffAfter/2
 }
 
-// heartbeat notes a sign of a reader and passes it down the tree.
+// heartbeat notes the heartbeat of a reader and forwards it down the tree.
 func (s *State) heartbeat(m *Digest, out *Ready) {
 	if m.Root == s.cfg.Self || !s.view.isOwn(m.Root) {
 		return
@@ -203,16 +206,15 @@
 		return
 	}
 	if m.ReadAge != Unknown {
-		s.read.sign(m.Root, s.now.Add(-m.ReadAge.Duration()))
+		s.read.noteHeartbeat(m.Root, s.now.Add(-m.ReadAge.Duration()))
 	}
 	for _, to := range s.view.treeChildren(m.Root) {
 		s.send(to, m, out)
 	}
 }
 
-// help sends a peer that is behind what it lacks, or a digest that makes it
-// ask.
-func (s *State) help(to fleet.VMID, p Point, out *Ready) {
+// repair sends a peer that is behind a delta, or a digest that makes it ask.
+func (s *State) repair(to fleet.VMID, p Point, out *Ready) {
 	if p.Revision < s.held.cat.Revision && p.Revision > 0 {
 		if d, ok := s.history.since(p.Revision, s.held, MaxPushEntries); ok {
 			d.Age = s.age()
--- a/decide/config/limits.go
+++ b/decide/config/limits.go
@@ -7,7 +7,7 @@
 // fields it doesn't know, and pass the loss on.
 const Format = 1
 
-// The shape of the spread.
+// The shape of dissemination.
 const (
 	// ReadersPerDomain is the number of daemons of a failure domain that
 	// watch the platform when all is well.
@@ -74,7 +74,7 @@
 	// PlainReadEvery is the number of watches after which a plain read is
 	// made: a watch on an index that the platform has lost never returns.
 	PlainReadEvery = 4
-	// TakeoverAfter is the age of the last sign of a reader beyond which the
+	// TakeoverAfter is the age of a reader's last heartbeat beyond which the
 	// next rank reads.
 	TakeoverAfter = 15 * time.Second
 	// TakeoverStagger is the additional wait for each further rank.
--- a/decide/config/member.go
+++ b/decide/config/member.go
@@ -30,7 +30,7 @@
 	ranked []fleet.VMID // live, best rank first
 }
 
-// view is the membership as the spread uses it.
+// view is the membership as dissemination uses it.
 type view struct {
 	self     fleet.VMID
 	own      domainView
--- a/decide/config/net_test.go
+++ b/decide/config/net_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"github.com/azurethread/azurethread/decide/catalogue"
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
@@ -16,8 +16,8 @@
 type network struct {
 	now   clock.Time
 	rng   *rand.Rand
-	seq   int
-	queue deliveries
+	seq   int // deliveries so far
+	queue clocktest.Queue[delivery]
 	nodes []*node // by id
 	byID  map[fleet.VMID]*node
 
@@ -63,29 +63,9 @@
 }
 
 type delivery struct {
-	at  clock.Time
-	seq int
-	to  *node
-	st  *State // the process it is for
-	ev  Event
-}
-
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	if d[i].at != d[j].at {
-		return d[i].at < d[j].at
-	}
-	return d[i].seq < d[j].seq
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	old := *d
-	x := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return x
+	to *node
+	st *State // the process it is for
+	ev Event
 }
 
 // newNetwork starts perDomain daemons in each of domains "a", "b", ..., over a
@@ -183,7 +163,7 @@
 
 func (n *network) deliver(to *node, ev Event, after time.Duration) {
 	n.seq++
-	heap.Push(&n.queue, delivery{at: n.now.Add(after), seq: n.seq, to: to, st: to.st, ev: ev})
+	n.queue.Push(n.now.Add(after), delivery{to: to, st: to.st, ev: ev})
 }
 
 // run passes time.
@@ -191,13 +171,8 @@
 	until := n.now.Add(d)
 	for {
 		v, at := n.nextWake()
-		if len(n.queue) > 0 && !n.queue[0].at.After(at) {
-			x := n.queue[0]
-			if x.at.After(until) {
-				break
-			}
-			heap.Pop(&n.queue)
-			n.now = max(n.now, x.at)
+		if due, x, ok := n.queue.Pop(clock.Min(at, until)); ok {
+			n.now = max(n.now, due)
 			if x.to.st == x.st && x.st != nil {
 				n.step(x.to, x.ev)
 			}
--- a/decide/config/push.go
+++ b/decide/config/push.go
@@ -5,7 +5,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// push is the spread of new revisions that this daemon is the root of.
+// push is the dissemination of new revisions with this daemon as the root.
 type push struct {
 	pending bool
 	whole   bool       // send the change, not only its digest
--- a/decide/config/read.go
+++ b/decide/config/read.go
@@ -42,8 +42,8 @@
 	ok   bool       // whether a read has succeeded yet
 	okAt clock.Time // instant that the last success vouches for
 
-	signs      map[fleet.VMID]clock.Time // last successful read of other members
-	quietSince clock.Time                // since when too few of better rank read
+	heartbeats  map[fleet.VMID]clock.Time // last successful read of other members
+	tooFewSince clock.Time                // since when too few of better rank read
 
 	behind      bool
 	behindSince clock.Time
@@ -63,24 +63,25 @@
 	return toAge(now.Sub(r.okAt))
 }
 
-// sign notes that a member has read the platform at the instant at.
-func (r *reading) sign(id fleet.VMID, at clock.Time) {
-	if r.signs == nil {
-		r.signs = map[fleet.VMID]clock.Time{}
+// noteHeartbeat notes that a member has read the platform at the instant at.
+func (r *reading) noteHeartbeat(id fleet.VMID, at clock.Time) {
+	if r.heartbeats == nil {
+		r.heartbeats = map[fleet.VMID]clock.Time{}
 	}
-	r.signs[id] = max(r.signs[id], at)
+	r.heartbeats[id] = max(r.heartbeats[id], at)
 }
 
-// signed reports whether a member has shown a successful read lately.
-func (r *reading) signed(id fleet.VMID, now clock.Time) bool {
-	at, ok := r.signs[id]
+// isReading reports whether a heartbeat has shown a recent successful read of a
+// member.
+func (r *reading) isReading(id fleet.VMID, now clock.Time) bool {
+	at, ok := r.heartbeats[id]
 	return ok && now.Sub(at) <= TakeoverAfter
 }
 
 func (r *reading) forget(v view) {
-	for id := range r.signs {
+	for id := range r.heartbeats {
 		if !v.isOwn(id) {
-			delete(r.signs, id)
+			delete(r.heartbeats, id)
 		}
 	}
 }
@@ -108,22 +109,22 @@
 	}
 	working := 0
 	for _, id := range s.view.own.ranked[:rank] {
-		if r.signed(id, s.now) {
+		if r.isReading(id, s.now) {
 			working++
 		}
 	}
 	if working >= ReadersPerDomain {
-		r.quietSince = s.now
+		r.tooFewSince = s.now
 		return false
 	}
 	wait := TakeoverStagger * time.Duration(rank-ReadersPerDomain+1)
-	return s.now.Sub(r.quietSince) >= wait
+	return s.now.Sub(r.tooFewSince) >= wait
 }
 
 // firstReader reports whether no member of better rank is known to read.
 func (s *State) firstReader() bool {
 	for _, id := range s.view.own.ranked[:max(0, s.view.rank)] {
-		if s.read.signed(id, s.now) {
+		if s.read.isReading(id, s.now) {
 			return false
 		}
 	}
@@ -137,7 +138,7 @@
 		return true
 	}
 	for _, id := range s.view.own.ranked {
-		if s.read.signed(id, s.now) {
+		if s.read.isReading(id, s.now) {
 			return true
 		}
 	}
@@ -248,7 +249,7 @@
 }
 
 // readFailed sets the time of the next attempt. Those of later ranks are
-// farther apart, so that an outage isn't met with calls of the whole fleet.
+// farther apart, so that in an outage the whole fleet doesn't call the platform.
 func (s *State) readFailed() {
 	r := &s.read
 	r.mode = readIdle
@@ -304,7 +305,7 @@
 	s.checkBehind(Point{}, ev.Confirmed, out)
 }
 
-// checkLineage notices a platform that was put back to older data and has
+// checkLineage detects a platform that was restored to older data and has
 // accepted writes since: what is in force here is not part of its history.
 func (s *State) checkLineage(p Point, lineage []Point) {
 	held := s.held.point()
@@ -323,11 +324,11 @@
 	}
 }
 
-// checkBehind notices a platform that shows less than what is in force, in an
-// answer to a read that began after that came into force.
+// checkBehind detects a platform that shows an older revision than the one in
+// force, in an answer to a read that began after that came into force.
 func (s *State) checkBehind(p Point, asked clock.Time, out *Ready) {
 	r := &s.read
-	if !s.held.point().beats(p) {
+	if !s.held.point().supersedes(p) {
 		r.behind = false
 		return
 	}
--- a/decide/config/state.go
+++ b/decide/config/state.go
@@ -19,7 +19,7 @@
 	Seed uint64
 }
 
-// State is what one daemon knows of the configuration and its spread. It is
+// State is one daemon's state of the configuration and its dissemination. It is
 // not safe for concurrent use.
 type State struct {
 	cfg  Config
@@ -65,7 +65,7 @@
 	s.begin(now)
 	switch ev := ev.(type) {
 	case *Members:
-		s.members(ev, out)
+		s.members(ev)
 	case *PlatformRead:
 		s.platformRead(ev, out)
 	case *PeerMessage:
@@ -78,9 +78,9 @@
 	s.finish(out)
 }
 
-// begin notices pauses. A process that slept for an hour reads messages that
-// waited in its sockets; their ages are an hour too low, and would make the
-// daemon believe that its configuration had just been confirmed.
+// begin detects pauses. A process that was suspended for an hour reads messages
+// that waited in its sockets; their ages are an hour too low, and would confirm
+// a configuration that may be an hour old.
 func (s *State) begin(now clock.Time) {
 	if !s.started {
 		s.started = true
@@ -90,19 +90,19 @@
 	}
 	if now.Sub(s.now) > PauseBound {
 		s.counters.Pauses++
-		s.confirm.settled = now.Add(PauseSettle)
+		s.confirm.ignoreUntil = now.Add(PauseSettle)
 	}
 	s.now = max(now, s.now)
 }
 
-// start sets the timers of a new daemon, spread at random so that daemons
-// started together don't send together.
+// start sets the timers of a new daemon with jitter, so that daemons started
+// together don't send together.
 func (s *State) start() {
 	s.join.begin(s.now)
 	s.gossip.nextDigest = s.now.Add(s.jitter(DigestInterval))
 	s.gossip.nextCross = s.now.Add(s.jitter(CrossDigestInterval))
 	s.gossip.nextHeartbeat = s.now.Add(s.jitter(HeartbeatInterval))
-	s.read.quietSince = s.now.Add(TakeoverAfter)
+	s.read.tooFewSince = s.now.Add(TakeoverAfter)
 }
 
 // jitter returns a random duration below d.
@@ -110,10 +110,10 @@
 	return time.Duration(s.rng.Int64N(int64(d)))
 }
 
-func (s *State) members(ev *Members, _ *Ready) {
+func (s *State) members(ev *Members) {
 	s.view = newView(s.self(), ev.Members)
 	s.join.members = true
-	if s.held == nil && s.join.asked == 0 {
+	if s.held == nil && !s.join.asked {
 		s.join.retry = s.now
 	}
 	s.gossip.forget(s.view)
@@ -126,7 +126,7 @@
 		return
 	}
 	if err := ev.Msg.check(); err != nil {
-		s.refuse(err)
+		s.countRefusal(err)
 		return
 	}
 	switch m := ev.Msg.(type) {
@@ -143,7 +143,8 @@
 	}
 }
 
-func (s *State) refuse(err error) {
+// countRefusal counts a refused message by its cause.
+func (s *State) countRefusal(err error) {
 	switch {
 	case errors.Is(err, errFormat):
 		s.counters.OtherFormat++
@@ -157,7 +158,7 @@
 func (s *State) accepted(ev *Accepted, out *Ready) {
 	c, err := newContent(ev.Catalogue)
 	if err != nil {
-		s.refuse(err)
+		s.countRefusal(err)
 		return
 	}
 	before := s.held
@@ -183,7 +184,7 @@
 	}
 	s.held = c
 	s.heldAt = s.now
-	s.catchUp.settle(c.point())
+	s.catchUp.prune(c.point())
 	s.counters.Applied++
 	out.Apply = append(out.Apply, Apply{Catalogue: c.cat})
 	return true
--- a/decide/engine/enginetest/caller.go
+++ b/decide/engine/enginetest/caller.go
@@ -116,7 +116,7 @@
 	ch := r.pick(t.avoid, !t.work.Idempotent)
 	if ch == nil {
 		delete(t.c.routes, t.work.Service)
-		t.after(callerRetry, t.begin)
+		t.wait(callerRetry, t.begin)
 		return
 	}
 	t.at = t.c.w.byVM[ch.id]
@@ -154,7 +154,7 @@
 	w := t.c.w
 	v := w.VMs[w.IntN(len(w.VMs))]
 	if !v.Up || v.Paused || v.Leaving || v.catalogue == nil {
-		t.after(callerRetry, t.begin)
+		t.wait(callerRetry, t.begin)
 		return
 	}
 	var out [lookupChoices]steer.Choice
@@ -175,7 +175,7 @@
 		r.vms = append(r.vms, x)
 	}
 	w.trace("%s looks up %s at %s: %v", t.c.Name, t.work.Service, v.Self.ID, r.ids())
-	t.after(lookupTrip, func() {
+	t.wait(lookupTrip, func() {
 		t.c.routes[t.work.Service] = r
 		t.begin()
 	})
@@ -259,11 +259,10 @@
 		t.avoid = t.at.Self.ID
 		t.wait(t.pause(a), t.begin)
 	case a.Verdict == verdict.NotRun && a.Reason != verdict.ReasonConnect:
-		t.avoid = t.at.Self.ID
 		if a.Reason == verdict.ReasonTokenExpired {
 			delete(t.c.routes, t.work.Service)
 		}
-		t.wait(t.pause(a), t.begin)
+		t.anew(t.pause(a))
 	case a.Verdict == verdict.NotRun:
 		t.refused()
 	default:
@@ -271,11 +270,19 @@
 	}
 }
 
+// anew gives up a claim that has not run, and begins another one elsewhere.
+// Each claim ends so once at most: two sends of it may both be told not-run,
+// and a caller that began anew for each would do the work twice.
+func (t *task) anew(d time.Duration) {
+	t.avoid = t.at.Self.ID
+	t.claim = nil
+	t.wait(d, t.begin)
+}
+
 // refused is an attempt that got no connection. It speaks of that send only.
 func (t *task) refused() {
 	if t.sends == 1 {
-		t.avoid = t.at.Self.ID
-		t.wait(callerRetry, t.begin)
+		t.anew(callerRetry)
 		return
 	}
 	t.unsure = true
@@ -349,6 +356,9 @@
 		}
 	case verdict.NotRun:
 		n.NotRun++
+		if t.work.Runs > 0 && !t.work.Idempotent {
+			t.c.w.Books.violate("%s was told that %s has not run, and it has", t.c.Name, t.work.Name)
+		}
 	default:
 		n.MayHaveRun++
 		t.ask()
--- /dev/null
+++ b/decide/engine/enginetest/calls.go
@@ -0,0 +1,251 @@
+package enginetest
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/dispatch"
+	"github.com/azurethread/azurethread/decide/engine"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// call is a request in hand.
+type call struct {
+	id       dispatch.RequestID
+	claim    *Claim
+	x        *Exchange
+	client   client
+	hops     uint8
+	arrived  clock.Time
+	deadline clock.Time // of the World's clock
+	final    bool       // answered, or its caller has gone
+}
+
+// client is where a request comes from, as a look-up said.
+type client struct {
+	home  fleet.Region
+	block uint64
+}
+
+// attempt is a send or a forward of a call.
+type attempt struct {
+	id       dispatch.AttemptID
+	call     *call
+	target   *Target // nil for a forward
+	to       fleet.VMID
+	x        *Exchange
+	sentAt   clock.Time
+	canceled clock.Time // 0: not
+	answer   *Answer
+}
+
+// openCalls returns the calls without an answer, in the order of arrival.
+func (v *VM) openCalls() []*call {
+	var out []*call
+	for _, c := range v.calls {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b *call) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+// openAttempts returns the attempts that have not ended, in order.
+func (v *VM) openAttempts() []*attempt {
+	var out []*attempt
+	for _, a := range v.attempts {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+// accept takes a request that has arrived on a connection.
+func (v *VM) accept(x *Exchange, tok string, from client, hops uint8, deadline clock.Time) {
+	v.requests++
+	c := &call{id: v.requests, claim: x.claim, x: x, client: from, hops: hops, arrived: v.w.Now, deadline: deadline}
+	v.calls[c.id] = c
+	if hops > 0 {
+		v.forwards[x] = c
+	}
+	x.gone = func() {
+		if !c.final {
+			v.finish(c)
+			v.post(&dispatch.CallerGone{Req: c.id})
+		}
+	}
+	v.post(&engine.Call{
+		Req:       c.id,
+		Service:   x.claim.Work.Service,
+		Token:     tok,
+		Home:      from.home,
+		Block:     from.block,
+		Deadline:  deadline.Add(v.Skew),
+		Hops:      hops,
+		BodyBytes: 1000,
+	})
+	if hops > 0 {
+		v.w.Books.checkForwarded(v.Place, x.claim.Work.Service)
+	}
+}
+
+// forwardedHeld counts the forwarded requests of a service that arrived since
+// an instant and have no answer yet.
+func (v *VM) forwardedHeld(s fleet.ServiceName, since clock.Time) int {
+	n := 0
+	for _, c := range v.forwards {
+		if c.claim.Work.Service == s && c.arrived >= since {
+			n++
+		}
+	}
+	return n
+}
+
+func (v *VM) finish(c *call) {
+	c.final = true
+	delete(v.forwards, c.x)
+	delete(v.calls, c.id)
+}
+
+// final claims the one final effect of a request, nil if its caller has gone.
+func (v *VM) final(id dispatch.RequestID) *call {
+	if id > v.requests || id == 0 {
+		v.w.Books.violate("%s answers request %d, which nobody made", v.Self.ID, id)
+		return nil
+	}
+	c := v.calls[id]
+	if c == nil {
+		return nil
+	}
+	v.finish(c)
+	if late := v.w.Now.Sub(c.deadline); late > finalSlack && v.pausedAt < c.deadline {
+		v.w.Books.violate("%s answers %s %v after its deadline", v.Self.ID, c.claim.Work.Name, late)
+	}
+	return c
+}
+
+func (v *VM) deliver(d dispatch.Deliver) {
+	c := v.final(d.Req)
+	if c == nil {
+		return
+	}
+	a := v.attempts[d.Attempt]
+	if a == nil || a.answer == nil {
+		v.w.Books.violate("%s delivers to %s an answer that it does not have", v.Self.ID, c.claim.Work.Name)
+		return
+	}
+	if a.answer.Claim.Work != c.claim.Work {
+		v.w.Books.violate("%s answers %s with the answer to %s", v.Self.ID, c.claim.Work.Name, a.answer.Claim.Work.Name)
+	}
+	v.w.Books.told(v.Self.ID, c.claim, verdict.Ran, verdict.ReasonNone)
+	c.x.Answer(Answer{Claim: c.claim, Verdict: verdict.Ran, Status: a.answer.Status})
+}
+
+func (v *VM) reply(r engine.Refusal) {
+	c := v.final(r.Req)
+	if c == nil {
+		return
+	}
+	v.w.Books.told(v.Self.ID, c.claim, r.Verdict, r.Reason)
+	if r.Reason == verdict.ReasonStopping && v.Leaving && c.arrived < v.leftAt && v.pausedAt < v.leftAt {
+		v.w.Books.violate("%s leaves and cuts off %s", v.Self.ID, c.claim.Work.Name)
+	}
+	a := Answer{Claim: c.claim, Verdict: r.Verdict, Reason: r.Reason, RetryAfter: r.RetryAfter}
+	if r.Verdict == verdict.NotRun && c.hops == 0 {
+		a.Fresh = v.mint(v.Self.ID)
+	}
+	c.x.Answer(a)
+}
+
+// forget takes the attempt out of the books of its target.
+func (a *attempt) forget() {
+	if a.target != nil {
+		a.target.attempts = slices.DeleteFunc(a.target.attempts, func(o *attempt) bool { return o == a })
+	}
+}
+
+func (v *VM) send(s dispatch.Send) {
+	c := v.calls[s.Req]
+	t := v.w.byID[s.Target]
+	if c == nil || t == nil {
+		v.soon(&dispatch.Failed{Req: s.Req, Attempt: s.Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonNoTarget})
+		return
+	}
+	a := &attempt{id: s.Attempt, call: c, target: t, sentAt: v.w.Now}
+	t.attempts = append(t.attempts, a)
+	v.start(a)
+	a.x = v.w.exchange(v.Place, t.Place, c.claim, t.isUp, t.arrive, v.ender(a))
+	v.w.Books.sent(v, a)
+}
+
+func (v *VM) forward(f dispatch.Forward) {
+	c := v.calls[f.Req]
+	to := v.w.byVM[f.VM]
+	if c == nil || to == nil {
+		v.soon(&dispatch.Failed{Req: f.Req, Attempt: f.Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonNoTarget})
+		return
+	}
+	v.w.Books.Counts.Forwards++
+	if c.hops > 0 {
+		v.w.Books.violate("%s forwards %s once more", v.Self.ID, c.claim.Work.Name)
+	}
+	a := &attempt{id: f.Attempt, call: c, to: f.VM, sentAt: v.w.Now}
+	v.start(a)
+	claim := &Claim{Work: c.claim.Work, Parent: c.claim}
+	tok := v.mint(f.VM)
+	left := f.Deadline.Sub(v.now())
+	a.x = v.w.exchange(v.Place, to.Place, claim, to.isUp, func(x *Exchange) {
+		to.accept(x, tok, c.client, 1, v.w.Now.Add(left))
+	}, v.ender(a))
+}
+
+func (v *VM) start(a *attempt) {
+	if v.attempts[a.id] != nil {
+		v.w.Books.violate("%s gives out attempt %d twice", v.Self.ID, a.id)
+	}
+	v.attempts[a.id] = a
+}
+
+// ender turns the end of an attempt's exchange into an event.
+func (v *VM) ender(a *attempt) func(Answer) {
+	process := v.process
+	return func(ans Answer) {
+		if v.process == process {
+			v.do(func() { v.step(v.ended(a, ans)) })
+		}
+	}
+}
+
+// attemptMemory is how long an attempt is remembered after its end.
+const attemptMemory = time.Millisecond
+
+// ended books the end of an attempt and returns the event that tells it.
+func (v *VM) ended(a *attempt, ans Answer) engine.Event {
+	a.forget()
+	a.answer = &ans
+	req := a.call.id
+	v.after(attemptMemory, func() { delete(v.attempts, a.id) })
+	if ans.Verdict != verdict.Ran {
+		return &dispatch.Failed{Req: req, Attempt: a.id, Verdict: ans.Verdict, Reason: ans.Reason, RetryAfter: ans.RetryAfter}
+	}
+	ev := &dispatch.Answered{Req: req, Attempt: a.id, Status: ans.Status}
+	if ans.Load != nil {
+		ev.Load = &dispatch.LoadHint{InFlight: max(ans.Load.InFlight, 0), Slots: ans.Load.Slots}
+	}
+	return ev
+}
+
+func (v *VM) cancel(c dispatch.Cancel) {
+	a := v.attempts[c.Attempt]
+	if a == nil || a.answer != nil {
+		return
+	}
+	a.canceled = v.w.Now
+	r := verdict.ReasonCallerGone
+	if c.Replace {
+		r = verdict.ReasonSilent
+	}
+	a.x.Cancel(r)
+}
--- /dev/null
+++ b/decide/engine/enginetest/lookups.go
@@ -0,0 +1,45 @@
+package enginetest
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/token"
+)
+
+// tokenLifetime is how long a token of a look-up can be used.
+const tokenLifetime = time.Minute
+
+// mint makes a token for the process of an entry VM as this one knows it.
+func (v *VM) mint(id fleet.VMID) string {
+	vm, ok := v.known[id]
+	if !ok || vm.Incarnation == 0 {
+		return ""
+	}
+	v.mints++
+	var nonce [token.NonceSize]byte
+	binary.BigEndian.PutUint64(nonce[:], v.mints)
+	copy(nonce[8:], v.Self.ID)
+	return token.Mint(FleetKey, vm.ID, vm.Incarnation, nonce, v.now().Add(tokenLifetime))
+}
+
+// Lookup answers a look-up as the daemon does.
+func (v *VM) Lookup(s fleet.ServiceName, c *Caller, out []steer.Choice) steer.Answer {
+	a := v.view.Lookup(s, c.addr, out)
+	if v.gate != nil && !v.gate.Pass(v.now(), s, a.Home, a.ShiftID) && a.Moved {
+		a = v.plain.Lookup(s, c.addr, out)
+	}
+	v.w.Books.checkLookup(v, s, a)
+	return a
+}
+
+// Outcome answers a caller that asks what became of a token.
+func (v *VM) Outcome(tok string, c *Claim) token.Admission {
+	a := v.engine.Outcome(v.now(), tok)
+	if a.Status != token.Duplicate || !a.Pending {
+		v.w.Books.told(v.Self.ID, c, a.Verdict, a.Status.Reason())
+	}
+	return a
+}
--- a/decide/engine/enginetest/operator.go
+++ b/decide/engine/enginetest/operator.go
@@ -166,8 +166,16 @@
 }
 
 // Converged returns what is missing for all live entry VMs to hold the
-// platform's catalogue, with everything in it that was accepted.
+// platform's catalogue, with everything in it that was accepted, and the
+// machine list as it is.
 func (w *World) Converged() error {
+	for _, t := range w.Targets {
+		for _, v := range w.VMs {
+			if v.Up && v.Place == t.Place && !v.lists(t) {
+				return fmt.Errorf("enginetest: %s does not hold %s as it is", v.Self.ID, t.ID)
+			}
+		}
+	}
 	want := w.Platform.Catalogue()
 	for _, v := range w.VMs {
 		if v.Up && v.revision != want.Revision {
--- a/decide/engine/enginetest/platform.go
+++ b/decide/engine/enginetest/platform.go
@@ -22,14 +22,6 @@
 	write      *write            // that made it; nil for a restore
 }
 
-// point returns the revision with its hash.
-func (d *document) point() config.Point {
-	if len(d.lineage) == 0 {
-		return config.Point{}
-	}
-	return d.lineage[len(d.lineage)-1]
-}
-
 // next returns the document that follows with catalogue c by an operation.
 func (d *document) next(c *catalogue.Catalogue, op string) document {
 	h, err := config.Hash(c)
--- a/decide/engine/enginetest/target.go
+++ b/decide/engine/enginetest/target.go
@@ -47,14 +47,13 @@
 	// Runs counts the requests begun, Shed those refused for lack of a slot.
 	Runs, Shed int
 
-	w          *World
-	process    int
-	running    []*job
-	waiting    []*job
-	warm       int // requests run by this process
-	leavingAt  clock.Time
-	attempts   []*attempt // that entry VMs have not seen the end of
-	acceptedAt clock.Time
+	w         *World
+	process   int
+	running   []*job
+	waiting   []*job
+	warm      int // requests run by this process
+	leavingAt clock.Time
+	attempts  []*attempt // that entry VMs have not seen the end of
 }
 
 // job is a request that the target holds.
--- a/decide/load/report.go
+++ b/decide/load/report.go
@@ -8,8 +8,8 @@
 	"github.com/azurethread/azurethread/decide/clock"
 )
 
-// Attach makes the report that rides on a message of the given scope; nil if
-// there is nothing to tell.
+// Attach makes the report to piggyback on a message of the given scope; nil if
+// there is nothing to report.
 func (s *State) Attach(now clock.Time, scope Scope) *Report {
 	r := &Report{Scope: scope}
 	switch scope {
@@ -72,7 +72,7 @@
 	}
 }
 
-// addRegion tells another region of this one, and in a small fleet of its
+// addRegion reports this region to another, and in a small fleet of its
 // domains.
 func (s *State) addRegion(now clock.Time, r *Report) {
 	sum, ok := s.regionSum(now)
--- a/decide/load/state.go
+++ b/decide/load/state.go
@@ -28,17 +28,17 @@
 
 const (
 	// smallFleet is the number of domains up to which other regions' domains
-	// are told one by one. Above it they are told as one sum a region.
+	// are reported one by one. Above it they are reported as one sum a region.
 	smallFleet = 16
 	// memberRows bounds the rows of places outside the region that one
 	// answer to a VM carries; they take turns.
 	memberRows = 2
-	// peerRows and regionRows bound the rows handed on between
+	// peerRows and regionRows bound the rows forwarded between
 	// representatives of the domain, and of the region.
 	peerRows   = 6
 	regionRows = 1
-	// peerFor is how long a representative hands on to the others what it
-	// heard itself: somewhat longer than the time between two exchanges.
+	// peerFor is how long a representative forwards to the others what it
+	// received itself: somewhat longer than the time between two exchanges.
 	peerFor = 6 * time.Second
 )
 
@@ -93,7 +93,7 @@
 type ofPlace struct {
 	place Place
 	part
-	direct clock.Time // when it was heard from outside the domain, so that others of it lack it
+	direct clock.Time // when it came from outside the domain, so that other members lack it
 }
 
 // State is the load as one entry VM knows it. It isn't safe for concurrent
@@ -194,7 +194,7 @@
 	})
 }
 
-// admit makes a place for the figures of a VM of the group; its figures stay
+// admit makes room for the figures of a VM of the group; its figures stay
 // unknown until it reports.
 func (s *State) admit(id fleet.VMID) {
 	if id == s.id {
@@ -265,7 +265,7 @@
 
 func (s *State) keepPlace(place Place, p part, direct clock.Time) {
 	if s.rep && place == s.domain {
-		return // the sum made here is fresher than its echo
+		return // the sum made here is fresher than a forwarded copy of it
 	}
 	at, ok := s.findPlace(place)
 	if !ok {
@@ -317,7 +317,7 @@
 }
 
 // domainSum is the load of the own domain: computed by a representative,
-// otherwise as handed on by one.
+// otherwise as reported by one.
 func (s *State) domainSum(now clock.Time) (part, bool) {
 	if !s.rep {
 		return s.placePart(now, s.domain)
--- a/decide/machine/content.go
+++ b/decide/machine/content.go
@@ -110,7 +110,7 @@
 }
 
 // apply returns the content that d makes of c. It reports false if that isn't
-// what d says, as with another base or with an entry spoilt.
+// what d says, as with another base or a damaged entry.
 func (c *content) apply(d *Delta) (*content, bool) {
 	if c.point != d.From {
 		return nil, false
@@ -160,8 +160,8 @@
 	have  int
 }
 
-// add takes a part. It returns the content once it is whole and as its hash
-// says.
+// add takes a part. It returns the content once it is complete and matches its
+// hash.
 func (a *assembly) add(p *Part) *content {
 	if a.point != p.Held || len(a.parts) != int(p.Parts) {
 		*a = assembly{point: p.Held, parts: make([]*Part, p.Parts)}
--- a/decide/machine/spread.go
+++ b/decide/machine/gossip.go
@@ -33,9 +33,9 @@
 	}
 }
 
-// passOn passes a push down its root's tree, also where it brought nothing
-// new: those below may lack it.
-func (s *State) passOn(m *Push, out *Ready) {
+// forward forwards a push down its root's tree even if it held nothing new here:
+// members below may lack it.
+func (s *State) forward(m *Push, out *Ready) {
 	if m.Root == s.self.ID || !slices.Contains(s.members, m.Root) {
 		return
 	}
@@ -48,8 +48,8 @@
 	}
 }
 
-// sendDigest tells another member what is held: in turn the next by rank, who
-// so has a steady sign of its neighbour, and a random one.
+// sendDigest sends a digest alternately to the next member by rank, as a
+// heartbeat, and to a random one, for anti-entropy.
 func (s *State) sendDigest(out *Ready) {
 	if s.held == nil || len(s.members) < 2 {
 		return
@@ -65,8 +65,8 @@
 
 func (s *State) makeDigest() *Digest {
 	d := &Digest{Held: s.held.point, Age: Unknown}
-	if s.shownAt != 0 {
-		d.Age = uint32(min(s.now.Sub(s.shownAt)/time.Millisecond+1, Unknown))
+	if s.confirmedAt != 0 {
+		d.Age = uint32(min(s.now.Sub(s.confirmedAt)/time.Millisecond+1, Unknown))
 	}
 	return d
 }
@@ -75,17 +75,16 @@
 func (s *State) digest(from fleet.VMID, m *Digest, out *Ready) {
 	switch c := m.Held.compare(s.Held()); {
 	case c > 0:
-		s.pursue(from, m.Held, out)
+		s.startCatchUp(from, m.Held, out)
 	case c < 0:
-		s.help(from, m.Held, out)
+		s.repair(from, m.Held, out)
 	case m.Age != Unknown:
-		s.shownAt = max(s.shownAt, s.now.Add(-time.Duration(m.Age)*time.Millisecond))
+		s.confirmedAt = max(s.confirmedAt, s.now.Add(-time.Duration(m.Age)*time.Millisecond))
 	}
 }
 
-// help sends a member that is behind what it lacks, or a digest that makes it
-// ask.
-func (s *State) help(to fleet.VMID, p Point, out *Ready) {
+// repair sends a member that is behind a delta, or a digest that makes it ask.
+func (s *State) repair(to fleet.VMID, p Point, out *Ready) {
 	if d := s.deltaFrom(p); d != nil {
 		s.send(to, d, out)
 		return
@@ -107,8 +106,8 @@
 	return nil
 }
 
-// wanted answers a Want.
-func (s *State) wanted(from fleet.VMID, have Point, out *Ready) {
+// handleWant answers a Want.
+func (s *State) handleWant(from fleet.VMID, have Point, out *Ready) {
 	if s.held == nil {
 		return
 	}
@@ -124,7 +123,7 @@
 }
 
 // sendAll sends the whole list, but not twice in a row to the same member,
-// which could turn small messages into large ones.
+// which would let small messages cause large ones.
 func (s *State) sendAll(to fleet.VMID, out *Ready) {
 	if at, ok := s.served[to]; ok && s.now.Sub(at) < WantTimeout/2 {
 		return
@@ -138,7 +137,7 @@
 	}
 }
 
-// delta takes a Delta. One on another base shows what there is to ask for.
+// delta applies a Delta. If it has another base, its target is fetched.
 func (s *State) delta(from fleet.VMID, d *Delta, out *Ready) {
 	if d.To.compare(s.Held()) <= 0 {
 		return
@@ -149,15 +148,15 @@
 			return
 		}
 	}
-	s.pursue(from, d.To, out)
+	s.startCatchUp(from, d.To, out)
 }
 
 // part takes a part of a whole list that was asked for.
 func (s *State) part(p *Part) {
-	if s.chase.deadline == clock.Never || p.Held.compare(s.Held()) <= 0 {
+	if s.catchUp.deadline == clock.Never || p.Held.compare(s.Held()) <= 0 {
 		return
 	}
-	if c := s.chase.parts.add(p); c != nil {
+	if c := s.catchUp.parts.add(p); c != nil {
 		s.received(c)
 	}
 }
@@ -165,26 +164,27 @@
 // received puts in force what a member has sent.
 func (s *State) received(c *content) {
 	s.adopt(c)
-	if c.point.compare(s.chase.to) >= 0 {
-		s.chase = chase{deadline: clock.Never}
+	if c.point.compare(s.catchUp.to) >= 0 {
+		s.catchUp = catchUp{deadline: clock.Never}
 	}
 }
 
-// pursue asks a member for a list that it holds.
-func (s *State) pursue(from fleet.VMID, to Point, out *Ready) {
-	if s.chase.deadline != clock.Never && s.chase.to.compare(to) >= 0 {
+// startCatchUp asks a member for a list that it holds, unless one as new is
+// being fetched.
+func (s *State) startCatchUp(from fleet.VMID, to Point, out *Ready) {
+	if s.catchUp.deadline != clock.Never && s.catchUp.to.compare(to) >= 0 {
 		return
 	}
-	s.chase.to, s.chase.wants = to, 0
+	s.catchUp.to, s.catchUp.wants = to, 0
 	s.ask(from, out)
 }
 
-// want asks another member, after one hasn't answered, or at the start.
-func (s *State) want(out *Ready) {
-	s.chase.deadline = clock.Never
-	done := s.held != nil && s.held.point.compare(s.chase.to) >= 0
-	if len(s.members) < 2 || done || (s.held != nil && s.chase.wants >= maxWants) {
-		s.chase = chase{deadline: clock.Never}
+// askNext asks another member, after one hasn't answered, or at the start.
+func (s *State) askNext(out *Ready) {
+	s.catchUp.deadline = clock.Never
+	done := s.held != nil && s.held.point.compare(s.catchUp.to) >= 0
+	if len(s.members) < 2 || done || (s.held != nil && s.catchUp.wants >= maxWants) {
+		s.catchUp = catchUp{deadline: clock.Never}
 		return
 	}
 	at := slices.Index(s.members, s.self.ID)
@@ -193,7 +193,7 @@
 }
 
 func (s *State) ask(to fleet.VMID, out *Ready) {
-	s.chase.wants++
-	s.chase.deadline = s.now.Add(WantTimeout)
+	s.catchUp.wants++
+	s.catchUp.deadline = s.now.Add(WantTimeout)
 	s.send(to, &Want{Have: s.Held()}, out)
 }
--- a/decide/machine/message.go
+++ b/decide/machine/message.go
@@ -87,8 +87,8 @@
 // Digest states what the sender holds.
 type Digest struct {
 	Held Point `json:"held"`
-	// Age is how long ago the platform last showed Held, to whomever, in
-	// milliseconds; Unknown if nobody has told.
+	// Age is how long ago the platform last showed Held to any reader, in
+	// milliseconds; Unknown if no digest has stated it.
 	Age uint32 `json:"age"`
 }
 
--- a/decide/machine/net_test.go
+++ b/decide/machine/net_test.go
@@ -1,13 +1,13 @@
 package machine
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/tally/tallytest"
 )
@@ -31,25 +31,9 @@
 }
 
 type delivery struct {
-	at  clock.Time
-	seq int
-	to  *node
-	st  *State
-	ev  Event
-}
-
-type queue []delivery
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(delivery)) }
-func (q *queue) Pop() any {
-	x := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return x
+	to *node
+	st *State // the process it is for
+	ev Event
 }
 
 // network joins the daemons of one domain with a platform.
@@ -58,8 +42,7 @@
 	rng      *rand.Rand
 	nodes    []*node
 	byID     map[fleet.VMID]*node
-	queue    queue
-	seq      int
+	queue    clocktest.Queue[delivery]
 	loss     float64
 	list     fleet.List // the platform's
 	down     bool       // the platform
@@ -175,8 +158,7 @@
 func (n *network) confirm(v *node) { n.push(n.now.Add(confirmEvery), v, &Unchanged{}) }
 
 func (n *network) push(at clock.Time, to *node, ev Event) {
-	n.seq++
-	heap.Push(&n.queue, delivery{at: at, seq: n.seq, to: to, st: to.st, ev: ev})
+	n.queue.Push(at, delivery{to: to, st: to.st, ev: ev})
 }
 
 // change makes a new version of the platform's list.
@@ -197,15 +179,14 @@
 
 func (n *network) run(d time.Duration) {
 	until := n.now.Add(d)
-	for len(n.queue) > 0 && n.queue[0].at <= until {
-		x := heap.Pop(&n.queue).(delivery)
-		n.now = max(n.now, x.at)
+	for at, x, ok := n.queue.Pop(until); ok; at, x, ok = n.queue.Pop(until) {
+		n.now = max(n.now, at)
 		if x.to.st != x.st || x.st == nil {
 			continue
 		}
 		switch x.ev.(type) {
 		case *Tick:
-			if x.to.wake != x.at {
+			if x.to.wake != at {
 				continue
 			}
 		case *Unchanged:
--- a/decide/machine/platform.go
+++ b/decide/machine/platform.go
@@ -8,7 +8,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// compareShown weighs what the platform shows now against the list in force.
+// compareShown compares what the platform shows now with the list in force.
 func (s *State) compareShown() {
 	c := s.platform.shown
 	if c == nil {
@@ -25,20 +25,20 @@
 	case c.point.Version < held.Version:
 		s.lower(held)
 	case c.point.Hash != held.Hash:
-		// A platform never gives one version two contents, unless it has
-		// begun anew and come to the same number.
+		// A platform never gives one version two contents, unless it was
+		// restored and has reached the same number again.
 		s.adoptShown(held.Epoch + 1)
 	default:
 		s.platform.lower = clock.Never
-		s.shownAt = s.now
+		s.confirmedAt = s.now
 	}
 }
 
-// lower begins a new epoch if the platform has shown lower versions for long,
-// and what is in force to nobody. One lower version alone is no proof: a reader
-// that was paused, or an answer that was held up on the way, shows one too. And
-// a reader that is connected to a replica that stands still sees lower versions
-// for ever, while others see the platform go on.
+// lower starts a new epoch if the platform has shown lower versions throughout
+// LowerFor, and the list in force to no reader. A single lower version is no
+// proof: a paused reader or a delayed answer shows one too. Nor are lower
+// versions at one reader: a stalled replica of the platform shows them
+// permanently, while other readers see newer ones.
 func (s *State) lower(held Point) {
 	p := &s.platform
 	gap := s.now.Sub(p.seen)
@@ -47,7 +47,7 @@
 		p.lower, p.below = s.now, held
 		return
 	}
-	confirmed := s.shownAt != 0 && s.now.Sub(s.shownAt) < LowerFor
+	confirmed := s.confirmedAt != 0 && s.now.Sub(s.confirmedAt) < LowerFor
 	if s.now.Sub(p.lower) >= LowerFor && !confirmed {
 		s.adoptShown(held.Epoch + 1)
 	}
@@ -61,7 +61,7 @@
 	s.platform.lower = clock.Never
 	before := s.held
 	s.adopt(&c)
-	s.shownAt = s.now
+	s.confirmedAt = s.now
 	s.originate(before)
 }
 
@@ -69,7 +69,7 @@
 func (s *State) adopt(c *content) {
 	before := s.held
 	s.held = c
-	s.shownAt = 0
+	s.confirmedAt = 0
 	s.changed = true
 	if before == nil {
 		return
@@ -82,10 +82,10 @@
 	}
 	for _, t := range before.targets {
 		if t.State == fleet.Live {
-			s.kept = append(s.kept, keptTarget{target: t, until: s.now.Add(grace)})
+			s.retained = append(s.retained, retainedTarget{target: t, until: s.now.Add(grace)})
 		}
 	}
-	s.kept = slices.DeleteFunc(s.kept, func(k keptTarget) bool { return c.replaces(&k.target) })
+	s.retained = slices.DeleteFunc(s.retained, func(k retainedTarget) bool { return c.replaces(&k.target) })
 }
 
 // replaces reports whether c holds a target, or another one at its address.
@@ -95,17 +95,17 @@
 	})
 }
 
-// dropKept drops the targets whose grace is over.
-func (s *State) dropKept() {
-	n := len(s.kept)
-	s.kept = slices.DeleteFunc(s.kept, func(k keptTarget) bool { return k.until <= s.now })
-	s.changed = s.changed || len(s.kept) != n
+// expireRetained drops the targets whose grace is over.
+func (s *State) expireRetained() {
+	n := len(s.retained)
+	s.retained = slices.DeleteFunc(s.retained, func(k retainedTarget) bool { return k.until <= s.now })
+	s.changed = s.changed || len(s.retained) != n
 }
 
 // list returns what is in force.
 func (s *State) list() *fleet.List {
 	l := &fleet.List{Version: s.held.point.Version, VMs: s.held.vms, Targets: slices.Clone(s.held.targets)}
-	for _, k := range s.kept {
+	for _, k := range s.retained {
 		l.Targets = append(l.Targets, k.target)
 	}
 	slices.SortFunc(l.Targets, func(a, b fleet.Target) int { return cmp.Compare(a.ID, b.ID) })
--- a/decide/machine/state.go
+++ b/decide/machine/state.go
@@ -30,7 +30,7 @@
 	Grace = 10 * time.Second
 	// EpochGrace keeps one that the first list of a new epoch doesn't hold.
 	EpochGrace = 5 * time.Minute
-	// SilentFor is how long a daemon must have heard nothing from its
+	// SilentFor is how long a daemon must have got no message from its
 	// neighbours before it watches the platform without being a reader.
 	SilentFor = 20 * time.Second
 	// JoinWait is the same for a daemon that has no list yet.
@@ -48,7 +48,7 @@
 	maxWants = 8
 )
 
-// State is the part of one daemon in the spread. It isn't safe for concurrent
+// State is one daemon's state of the list and its dissemination. It isn't safe for concurrent
 // use.
 type State struct {
 	self    fleet.VM
@@ -56,16 +56,16 @@
 	now     clock.Time
 	members []fleet.VMID // of the domain, self included, in order of rank
 
-	held    *content // nil before the first list
-	history []*content
-	kept    []keptTarget // in order of id
-	changed bool         // what is in force must be told
-	shownAt clock.Time   // when the platform last showed held, to whomever; 0: not known
+	held        *content // nil before the first list
+	history     []*content
+	retained    []retainedTarget // in order of id
+	changed     bool             // the list in force must be reported
+	confirmedAt clock.Time       // when the platform last showed held to any reader; 0: not known
 
 	reading  bool
 	platform platformView
 	push     push
-	chase    chase
+	catchUp  catchUp
 	pushed   map[fleet.VMID]Point      // last push passed on, by root
 	served   map[fleet.VMID]clock.Time // last whole list sent, by member
 	heard    clock.Time                // last message of another member
@@ -81,23 +81,23 @@
 	seen  clock.Time // when it was last found lower
 }
 
-// push is the spread of changes that this daemon is the root of.
+// push is the dissemination of changes with this daemon as the root.
 type push struct {
 	base *content // before the first change not yet pushed; nil for none
 	at   clock.Time
 	last clock.Time
 }
 
-// chase is the pursuit of a list that this daemon has heard of.
-type chase struct {
+// catchUp is the fetch of a newer list that a member is known to hold.
+type catchUp struct {
 	to       Point
 	wants    int
 	deadline clock.Time // Never while there is none
 	parts    assembly
 }
 
-// keptTarget is a target that the list in force no longer holds.
-type keptTarget struct {
+// retainedTarget is a target that the list in force no longer holds.
+type retainedTarget struct {
 	target fleet.Target
 	until  clock.Time
 }
@@ -112,7 +112,7 @@
 		members:  []fleet.VMID{self.ID},
 		platform: platformView{lower: clock.Never},
 		push:     push{at: clock.Never},
-		chase:    chase{deadline: clock.Never},
+		catchUp:  catchUp{deadline: clock.Never},
 		pushed:   make(map[fleet.VMID]Point),
 		served:   make(map[fleet.VMID]clock.Time),
 		heard:    now,
@@ -171,8 +171,8 @@
 		}
 	}
 	clear(s.served)
-	if s.held == nil && s.chase.deadline == clock.Never {
-		s.want(out)
+	if s.held == nil && s.catchUp.deadline == clock.Never {
+		s.askNext(out)
 	}
 }
 
@@ -185,25 +185,25 @@
 	case *Digest:
 		s.digest(e.From, m, out)
 	case *Want:
-		s.wanted(e.From, m.Have, out)
+		s.handleWant(e.From, m.Have, out)
 	case *Delta:
 		s.delta(e.From, m, out)
 	case *Part:
 		s.part(m)
 	case *Push:
 		s.delta(e.From, &m.Delta, out)
-		s.passOn(m, out)
+		s.forward(m, out)
 	}
 }
 
 // run does what is due.
 func (s *State) run(out *Ready) {
-	s.dropKept()
+	s.expireRetained()
 	if s.push.at <= s.now {
 		s.pushChange(out)
 	}
-	if s.chase.deadline <= s.now {
-		s.want(out)
+	if s.catchUp.deadline <= s.now {
+		s.askNext(out)
 	}
 	if s.digestAt <= s.now {
 		s.digestAt = s.now.Add(s.around(DigestEvery))
@@ -212,23 +212,23 @@
 }
 
 func (s *State) wake() clock.Time {
-	w := clock.Min(s.digestAt, clock.Min(s.push.at, s.chase.deadline))
-	for i := range s.kept {
-		w = clock.Min(w, s.kept[i].until)
+	w := clock.Min(s.digestAt, clock.Min(s.push.at, s.catchUp.deadline))
+	for i := range s.retained {
+		w = clock.Min(w, s.retained[i].until)
 	}
-	if at := s.aloneAt(); at > s.now {
+	if at := s.isolatedAt(); at > s.now {
 		w = clock.Min(w, at)
 	}
 	return w
 }
 
 // watches reports whether this daemon should watch the platform.
-func (s *State) watches() bool { return s.reading || s.aloneAt() <= s.now }
+func (s *State) watches() bool { return s.reading || s.isolatedAt() <= s.now }
 
-// aloneAt returns from when on this daemon watches although it isn't a reader.
-// Without it a daemon whose neighbours' views leave it out would keep its list
-// for ever, or never get one, with the platform within reach.
-func (s *State) aloneAt() clock.Time {
+// isolatedAt returns from when on this daemon watches although it isn't a reader.
+// Without it a daemon missing from its neighbours' membership would keep a stale
+// list, or never get one, although it can reach the platform.
+func (s *State) isolatedAt() clock.Time {
 	wait := SilentFor
 	if s.held == nil {
 		wait = JoinWait
@@ -238,7 +238,7 @@
 }
 
 // around returns a random duration from 3/4 to 5/4 of d, so that daemons don't
-// fall into step.
+// synchronise.
 func (s *State) around(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(s.rng.Int64N(int64(d/2)))
 }
--- a/decide/member/doc.go
+++ b/decide/member/doc.go
@@ -13,8 +13,8 @@
 // an answer in Options.DirectTimeout is repeated through Options.Relays other
 // VMs, which tells a broken link from a dead VM, and the search goes on
 // behind the silent VM, so that a run of dead neighbours takes no longer.
-// A VM that no relay reaches is suspected. The suspicion is sent to every
-// member, the suspect included; a suspect that lives refutes by raising its
+// A VM that no relay reaches is suspected. The suspicion is broadcast to every
+// member, the suspect included; a live suspect refutes it by raising its
 // refutation count. Otherwise it is dead after Options.SuspectFor, counted
 // by each member from the same instant, since facts carry their age.
 //
@@ -32,15 +32,14 @@
 // region and of each other region, which hand it on. Each other domain of
 // the region, and each other region, is watched by one representative, which
 // exchanges row versions with it every Options.WatchEvery; that repairs lost
-// pushes, and its failure is told as a Reach. Another domain that hears it
-// checks for itself at once and goes by its own finding, so a domain that
+// pushes, and its failure is published as a Reach. Another domain that gets
+// the Reach probes at once and uses only its own result, so a domain that
 // only its neighbours can't reach stays in use elsewhere.
 //
 // # The platform's list
 //
-// The lagging list and the seeds name VMs to contact. They make nobody
-// live or dead: only what a VM itself said, or its domain said about it,
-// does.
+// The lagging list and the seeds name VMs to contact. They don't change
+// any VM's status: only a fact of the VM itself or of its domain does.
 //
 // # Bounds
 //
--- a/decide/member/duty.go
+++ b/decide/member/duty.go
@@ -91,15 +91,12 @@
 	s.send(s.byID[id].vm, &Report{}, ScopeOwn, out)
 }
 
-func (s *State) answerReport(m *Message, out *Ready) {
-	to, ok := s.address(m.From)
-	if !ok {
-		to = fleet.VM{ID: m.From}
-	}
+func (s *State) handleReport(m *Message, out *Ready) {
+	to := s.replyAddress(m.From)
 	s.send(to, &ReportAck{Reaches: s.carriedReaches(false)}, ScopeMember, out)
 }
 
-func (s *State) partial(m *Message, b *Partial, out *Ready) {
+func (s *State) handlePartial(m *Message, b *Partial, out *Ready) {
 	s.applyReaches(b.Reaches)
 	to, ok := s.address(m.From)
 	if !ok {
--- a/decide/member/fact.go
+++ b/decide/member/fact.go
@@ -11,8 +11,8 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// rumour is a fact still to be carried by pings and answers.
-type rumour struct {
+// queuedFact is a fact still to be piggybacked on pings and acks.
+type queuedFact struct {
 	id   fleet.VMID
 	left int
 }
@@ -127,10 +127,10 @@
 	case Leaving:
 		r.vm.State = fleet.Leaving
 	case Dead:
-		s.die(r, since(s.now, f.Age))
+		s.markDead(r, since(s.now, f.Age))
 	}
-	s.touch()
-	s.carry(r.vm.ID)
+	s.membersChanged()
+	s.enqueueFact(r.vm.ID)
 }
 
 // applySame merges a fact of the same incarnation and refutation count.
@@ -146,43 +146,43 @@
 	case Leaving:
 		if r.vm.State == fleet.Live {
 			r.vm.State = fleet.Leaving
-			s.touch()
-			s.carry(r.vm.ID)
+			s.membersChanged()
+			s.enqueueFact(r.vm.ID)
 		}
 	case Dead:
 		s.applyDeath(r, f)
 	}
 }
 
-// applyDeath takes another VM's word that r is dead, unless this VM has just
-// heard from r: after a partition one side still holds the other dead, and
-// believing it would drop living VMs until each has refuted. Then r is only
-// suspected, and asked.
+// applyDeath applies another VM's fact that r is dead, unless r has sent a
+// message within freshFor. Without that check, after a partition the facts of
+// the side that still holds the other dead would drop live VMs until each has
+// refuted. A VM heard from is suspected instead, and probed.
 func (s *State) applyDeath(r *record, f *Fact) {
 	if s.now.Sub(r.heard) > freshFor {
-		s.die(r, since(s.now, f.Age))
+		s.markDead(r, since(s.now, f.Age))
 		return
 	}
 	if !r.suspected() {
 		s.suspectSince(r, s.now)
-		s.ask(r.vm.ID)
+		s.probeSoon(r.vm.ID)
 	}
 }
 
 func (s *State) suspectSince(r *record, t clock.Time) {
 	r.suspectedAt = t
-	s.carry(r.vm.ID)
+	s.enqueueFact(r.vm.ID)
 }
 
-func (s *State) die(r *record, t clock.Time) {
+func (s *State) markDead(r *record, t clock.Time) {
 	r.vm.State = fleet.Dead
 	r.suspectedAt = 0
 	r.diedAt = t
-	s.touch()
-	s.carry(r.vm.ID)
+	s.membersChanged()
+	s.enqueueFact(r.vm.ID)
 }
 
-// applyOwn refutes what others say wrongly about this VM.
+// applyOwn refutes facts that state a wrong status of this VM.
 func (s *State) applyOwn(f *Fact) {
 	own := s.self
 	if f.Incarnation > own.vm.Incarnation {
@@ -197,11 +197,11 @@
 		return
 	}
 	own.refutations = f.Refutations + 1
-	s.touch()
-	s.carry(own.vm.ID)
+	s.membersChanged()
+	s.enqueueFact(own.vm.ID)
 	if s.now.Sub(s.lastRefuted) >= refuteEvery {
 		s.lastRefuted = s.now
-		s.tell(s.fact(own, true))
+		s.broadcast(s.fact(own, true))
 	}
 }
 
@@ -215,29 +215,30 @@
 	}
 	s.self.vm.Incarnation = f.Incarnation + 1
 	s.self.refutations = 0
-	s.carry(s.self.vm.ID)
+	s.enqueueFact(s.self.vm.ID)
 }
 
-// suspect starts the suspicion of r by this VM's own finding and tells all.
+// suspect starts a suspicion of r from this VM's own probe and broadcasts it.
 func (s *State) suspect(r *record) {
 	if r.dead() || r.suspected() {
 		return
 	}
 	s.suspectSince(r, s.now)
-	s.tell(s.fact(r, false))
+	s.broadcast(s.fact(r, false))
 }
 
-// expireSuspicions declares dead what nobody refuted in time. Every member
-// does so by itself, so no further message is needed.
+// expireSuspicions declares dead whoever has not refuted in time. Every member
+// does so by its own timer, so no further message is needed.
 func (s *State) expireSuspicions() {
 	for _, r := range s.members {
 		if r.suspected() && r.suspectedAt.Add(s.o.SuspectFor) <= s.now {
-			s.die(r, s.now)
+			s.markDead(r, s.now)
 		}
 	}
 }
 
-// forget drops dead VMs once no late fact about them can come.
+// forget drops the tombstones of dead VMs once no late fact about them can
+// arrive.
 func (s *State) forget() {
 	keep := s.members[:0]
 	for _, r := range s.members {
@@ -251,36 +252,36 @@
 	s.members = keep
 }
 
-// carry lets pings and answers carry the fact about id for some rounds.
-func (s *State) carry(id fleet.VMID) {
+// enqueueFact piggybacks the fact about id on a number of pings and acks.
+func (s *State) enqueueFact(id fleet.VMID) {
 	left := piggybackRounds * bits.Len(uint(len(s.members)))
-	for i := range s.gossip {
-		if s.gossip[i].id == id {
-			s.gossip[i].left = left
+	for i := range s.piggyback {
+		if s.piggyback[i].id == id {
+			s.piggyback[i].left = left
 			return
 		}
 	}
-	s.gossip = append(s.gossip, rumour{id: id, left: left})
+	s.piggyback = append(s.piggyback, queuedFact{id: id, left: left})
 }
 
-// carried takes facts for one message, least often carried first; about is
-// included first if the receiver itself may have to refute it.
-func (s *State) carried(about fleet.VMID) []Fact {
+// takeFacts takes the facts to piggyback on one message, least often sent
+// first. A fact about the receiver that it may have to refute is always added.
+func (s *State) takeFacts(about fleet.VMID) []Fact {
 	var out []Fact
 	if r := s.byID[about]; r != nil && (r.dead() || r.suspected()) {
 		out = append(out, s.fact(r, false))
 	}
-	if len(s.gossip) == 0 {
+	if len(s.piggyback) == 0 {
 		return out
 	}
-	slices.SortStableFunc(s.gossip, func(a, b rumour) int { return cmp.Compare(b.left, a.left) })
-	for i := range s.gossip[:min(piggybackFacts, len(s.gossip))] {
-		s.gossip[i].left--
-		if r := s.byID[s.gossip[i].id]; r != nil {
+	slices.SortStableFunc(s.piggyback, func(a, b queuedFact) int { return cmp.Compare(b.left, a.left) })
+	for i := range s.piggyback[:min(piggybackFacts, len(s.piggyback))] {
+		s.piggyback[i].left--
+		if r := s.byID[s.piggyback[i].id]; r != nil {
 			out = append(out, s.fact(r, !r.dead() && !r.suspected()))
 		}
 	}
-	s.gossip = slices.DeleteFunc(s.gossip, func(g rumour) bool { return g.left <= 0 })
+	s.piggyback = slices.DeleteFunc(s.piggyback, func(g queuedFact) bool { return g.left <= 0 })
 	return out
 }
 
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -203,7 +204,7 @@
 	}
 }
 
-// Symptom: the two halves of a parted domain replace each other's row, so
+// Symptom: the two halves of a partitioned domain replace each other's row, so
 // that the rest of the fleet loses one half of the living at each turn.
 // Sequence: as above, and the region has no other domain to relay. Cause:
 // each half has an author that holds the other half dead.
@@ -228,9 +229,9 @@
 	is.Equal(len(disagreements(n, up(n))), 0)
 }
 
-// Symptom: a dead VM is offered for ever. Sequence: a domain is parted in
+// Symptom: a dead VM is offered for ever. Sequence: a domain is partitioned in
 // three, and one part dies. Cause: the two others go on naming it, each on
-// the other's word.
+// the other's row.
 func TestPartedDomainForgetsItsDead(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(11)
@@ -645,3 +646,27 @@
 		is.True(out.Wake > n.Now || out.Wake == clock.Never)
 	}
 }
+
+// Symptom: callers are still sent to a domain that this one can't reach.
+// Sequence: a wide outage makes other domains publish as many results as a VM
+// keeps; then the neighbour domain is lost. Cause: the own result, which alone
+// decides, found no room.
+func TestOwnResultHasRoom(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3)
+	vms := membertest.Fleet(1, 2, 1)
+	start(n, vms)
+	others := make([]member.Reach, member.MaxReaches)
+	for i := range others {
+		others[i] = member.Reach{
+			Region:     "far",
+			Domain:     fleet.Domain(fmt.Sprintf("far-%d", i)),
+			SeenRegion: "far",
+			SeenDomain: "far-seen",
+		}
+	}
+	n.Stop(vms[1].ID)
+	n.Step(n.Nodes[0], from(vms[1], &member.PartialAck{Reaches: others}))
+	n.Run(5 * time.Second)
+	is.Equal(offers(n.Nodes[0]), up(n))
+}
--- a/decide/member/membertest/network.go
+++ b/decide/member/membertest/network.go
@@ -4,11 +4,11 @@
 package membertest
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/member"
 )
@@ -53,8 +53,7 @@
 	Stepped func(n *Node, out *member.Ready)
 
 	byID  map[fleet.VMID]*Node
-	queue queue
-	order uint64
+	queue clocktest.Queue[*delivery]
 }
 
 // New returns a network without nodes.
@@ -172,8 +171,7 @@
 
 // RunUntil lets time pass up to an instant.
 func (n *Network) RunUntil(end clock.Time) {
-	for len(n.queue) > 0 && n.queue[0].at <= end {
-		d := heap.Pop(&n.queue).(*delivery)
+	for _, d, ok := n.queue.Pop(end); ok; _, d, ok = n.queue.Pop(end) {
 		n.Now = max(n.Now, d.at)
 		n.deliver(d)
 	}
@@ -192,35 +190,13 @@
 }
 
 func (n *Network) push(d *delivery) {
-	n.order++
-	d.order = n.order
-	heap.Push(&n.queue, d)
+	n.queue.Push(d.at, d)
 }
 
 // delivery is a message, or without one a Tick of the given process.
 type delivery struct {
 	at      clock.Time
-	order   uint64
 	node    *Node
 	process int
 	msg     *member.Message
 }
-
-type queue []*delivery
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(*delivery)) }
-func (q *queue) Pop() any {
-	old := *q
-	d := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	return d
-}
--- a/decide/member/message.go
+++ b/decide/member/message.go
@@ -88,9 +88,9 @@
 	Live    uint32       `json:"live"`
 	Leaving uint32       `json:"leaving"`
 	// VMs are live ones by rank; the representatives come first. Of a domain
-	// that has none, leaving ones are named: they are not offered, but get news.
+	// that has none, leaving ones are named: they are not offered, but get updates.
 	VMs []RowVM `json:"vms"`
-	Own uint32  `json:"own"` // how many of VMs the author itself holds live; see vouch
+	Own uint32  `json:"own"` // how many of VMs the author itself holds live; see mergedVM
 }
 
 // Version names a row that the sender holds.
@@ -132,7 +132,7 @@
 type PingReq struct {
 	Seq    uint32 `json:"seq"`
 	Target RowVM  `json:"target"`
-	// Fact, if it has an ID, is handed on to Target: the suspicion or death
+	// Fact, if it has an ID, is passed to Target: the suspicion or death
 	// that it may refute.
 	Fact Fact `json:"fact"`
 }
@@ -154,19 +154,19 @@
 	Reaches []Reach      `json:"reaches"`
 }
 
-// Hop says who hands a Spread on.
+// Hop says how far the receiver of a Spread forwards it.
 type Hop uint8
 
 const (
 	// HopMember is for the receiver alone.
 	HopMember Hop = iota
-	// HopDomain is for the receiver to hand on to its own domain.
+	// HopDomain is for the receiver to forward to its own domain.
 	HopDomain
-	// HopRegion is for the receiver to hand on to its domain and its region.
+	// HopRegion is for the receiver to forward to its domain and its region.
 	HopRegion
 )
 
-// Spread carries news.
+// Spread pushes updates as soon as they arise.
 type Spread struct {
 	Hop     Hop     `json:"hop"`
 	Backup  bool    `json:"backup"` // another representative has it too and goes first
--- a/decide/member/options.go
+++ b/decide/member/options.go
@@ -36,10 +36,10 @@
 )
 
 const (
-	// flushDelay gathers news that arises together into one message.
+	// flushDelay batches updates that arise together into one message.
 	flushDelay = 20 * time.Millisecond
 	// backupDelay is how long the second representative waits for the first
-	// to hand news on.
+	// to forward an update.
 	backupDelay = 150 * time.Millisecond
 	// joinTimeout ends the wait for an answer of a neighbour at start.
 	joinTimeout = time.Second
@@ -48,11 +48,11 @@
 	// syncEvery bounds the exchange of tables with neighbours.
 	syncEvery = time.Second
 	// mismatchFor is how long hashes must differ before tables are exchanged:
-	// news in transit makes them differ for an instant.
+	// an update in transit makes them differ for an instant.
 	mismatchFor = 500 * time.Millisecond
 	// tombstoneFor keeps a dead VM, so that late facts don't revive it.
 	tombstoneFor = 30 * time.Second
-	// freshFor is how long having heard from a VM outweighs others' word
+	// freshFor is how long a message from a VM overrides other VMs' facts
 	// that it is dead.
 	freshFor = time.Second
 	// listedGrace keeps a VM that left the platform's list as a contact.
@@ -70,12 +70,14 @@
 	reportPerVM = 200 * time.Millisecond
 	reportMin   = time.Second
 	reportMax   = 5 * time.Second
-	// vouchFor keeps entry VMs that the other half of a parted domain lists.
-	vouchFor = 8 * time.Second
-	// vouchEvery is the time between two rows of an author of a parted domain.
-	vouchEvery = 3 * time.Second
+	// mergedTTL keeps entry VMs that the other side of a partitioned domain
+	// lists.
+	mergedTTL = 8 * time.Second
+	// mergedEvery is the time between two rows of an author of a partitioned
+	// domain.
+	mergedEvery = 3 * time.Second
 
-	pushCopies        = 2      // representatives told of news in each domain or region
+	pushCopies        = 2      // representatives that get an update in each domain or region
 	piggybackFacts    = 3      // facts carried by one ping or answer
 	piggybackRounds   = 1      // multiplied by log2 of the members: how often a fact is carried
 	minReps           = 2      // representatives of a domain that has as many VMs
--- a/decide/member/news.go
+++ b/decide/member/outbox.go
@@ -7,7 +7,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// extent is how far this VM hands news on.
+// extent is how far this VM forwards an update.
 type extent uint8
 
 const (
@@ -16,62 +16,62 @@
 	toAll                  // and those of the other regions
 )
 
-type newsRow struct {
+type outboxRow struct {
 	row Row
 	to  extent
 }
 
-type newsReach struct {
+type outboxReach struct {
 	reach Reach
 	at    clock.Time // when it was measured
 	to    extent
 }
 
-// news gathers what must be told at once.
-type news struct {
+// outbox gathers updates that are sent together at one instant.
+type outbox struct {
 	at      clock.Time // zero if empty
 	facts   []Fact
-	rows    []newsRow
-	reaches []newsReach
+	rows    []outboxRow
+	reaches []outboxReach
 }
 
-func (n *news) due() clock.Time {
+func (n *outbox) due() clock.Time {
 	if n.at == 0 {
 		return clock.Never
 	}
 	return n.at
 }
 
-func (n *news) arm(at clock.Time) {
+func (n *outbox) arm(at clock.Time) {
 	if n.at == 0 {
 		n.at = at
 	}
 }
 
-func (n *news) clear() {
-	*n = news{facts: n.facts[:0], rows: n.rows[:0], reaches: n.reaches[:0]}
+func (n *outbox) clear() {
+	*n = outbox{facts: n.facts[:0], rows: n.rows[:0], reaches: n.reaches[:0]}
 }
 
-func (n *news) addRow(at clock.Time, row Row, to extent) {
-	n.rows = slices.DeleteFunc(n.rows, func(r newsRow) bool { return r.row.Domain == row.Domain })
-	n.rows = append(n.rows, newsRow{row: row, to: to})
+func (n *outbox) addRow(at clock.Time, row Row, to extent) {
+	n.rows = slices.DeleteFunc(n.rows, func(r outboxRow) bool { return r.row.Domain == row.Domain })
+	n.rows = append(n.rows, outboxRow{row: row, to: to})
 	n.arm(at)
 }
 
-func (n *news) addReach(at clock.Time, r newsReach) {
-	n.reaches = slices.DeleteFunc(n.reaches, func(o newsReach) bool { return sameKey(&o.reach, &r.reach) })
+func (n *outbox) addReach(at clock.Time, r outboxReach) {
+	n.reaches = slices.DeleteFunc(n.reaches, func(o outboxReach) bool { return sameKey(&o.reach, &r.reach) })
 	n.reaches = append(n.reaches, r)
 	n.arm(at)
 }
 
-// drop removes what another representative has handed on.
-func (n *news) drop(m *Spread) {
-	n.rows = slices.DeleteFunc(n.rows, func(r newsRow) bool {
+// drop removes what another representative has forwarded.
+func (n *outbox) drop(m *Spread) {
+	n.rows = slices.DeleteFunc(n.rows, func(r outboxRow) bool {
 		return slices.ContainsFunc(m.Rows, func(o Row) bool {
 			return o.Domain == r.row.Domain && compareVersions(o.version(), r.row.version()) >= 0
 		})
 	})
-	n.reaches = slices.DeleteFunc(n.reaches, func(r newsReach) bool {
+	n.reaches = slices.DeleteFunc(n.reaches, func(r outboxReach) bool {
 		return slices.ContainsFunc(m.Reaches, func(o Reach) bool { return sameKey(&o, &r.reach) })
 	})
 	if len(n.rows) == 0 && len(n.reaches) == 0 && len(n.facts) == 0 {
@@ -79,24 +79,24 @@
 	}
 }
 
-// tell sends a fact to every member of the own domain.
-func (s *State) tell(f Fact) {
-	s.news.facts = slices.DeleteFunc(s.news.facts, func(o Fact) bool { return o.ID == f.ID })
-	s.news.facts = append(s.news.facts, f)
-	s.news.arm(s.now.Add(flushDelay))
+// broadcast sends a fact to every member of the own domain.
+func (s *State) broadcast(f Fact) {
+	s.outbox.facts = slices.DeleteFunc(s.outbox.facts, func(o Fact) bool { return o.ID == f.ID })
+	s.outbox.facts = append(s.outbox.facts, f)
+	s.outbox.arm(s.now.Add(flushDelay))
 }
 
-// flush sends the news that are due.
+// flush sends the outboxes that are due.
 func (s *State) flush(out *Ready) {
-	for _, n := range []*news{&s.news, &s.backup} {
+	for _, n := range []*outbox{&s.outbox, &s.backupOutbox} {
 		if n.due() <= s.now {
-			s.sendNews(n, out)
+			s.sendOutbox(n, out)
 			n.clear()
 		}
 	}
 }
 
-func (s *State) sendNews(n *news, out *Ready) {
+func (s *State) sendOutbox(n *outbox, out *Ready) {
 	if m := s.spreadOf(n, toDomain, HopMember); m != nil {
 		m.Facts = slices.Clone(n.facts)
 		for _, r := range s.members {
@@ -117,9 +117,9 @@
 	}
 }
 
-// spreadOf collects the news that go at least as far as to; nil if none do.
+// spreadOf collects the updates that go at least as far as to; nil if none do.
 // Facts stay inside the domain.
-func (s *State) spreadOf(n *news, to extent, hop Hop) *Spread {
+func (s *State) spreadOf(n *outbox, to extent, hop Hop) *Spread {
 	m := &Spread{Hop: hop}
 	for _, r := range n.rows {
 		if r.to >= to {
@@ -206,15 +206,15 @@
 	return slices.Compact(out)
 }
 
-// spread takes news and hands them on as far as its Hop says.
-func (s *State) spread(m *Message, b *Spread) {
+// handleSpread applies updates and forwards them as far as its Hop says.
+func (s *State) handleSpread(m *Message, b *Spread) {
 	if b.Hop == HopMember {
 		s.factsFrom(m.From, b.Facts)
 	}
-	s.passedOn(b)
-	n, at := &s.news, s.now.Add(flushDelay)
+	s.cancelBackup(b)
+	n, at := &s.outbox, s.now.Add(flushDelay)
 	if b.Backup {
-		n, at = &s.backup, s.now.Add(backupDelay)
+		n, at = &s.backupOutbox, s.now.Add(backupDelay)
 	}
 	to, ok := b.Hop.extent()
 	for _, row := range b.Rows {
@@ -224,39 +224,41 @@
 	}
 	for _, r := range b.Reaches {
 		if s.applyReach(&r) && ok {
-			n.addReach(at, newsReach{reach: r, at: since(s.now, r.Age), to: to})
+			n.addReach(at, outboxReach{reach: r, at: since(s.now, r.Age), to: to})
 		}
 	}
 }
 
-// passedOn takes back what this VM was to hand on as a backup, since another
-// one has done so. What came to this VM as the first of its domain still goes
-// to the domain.
-func (s *State) passedOn(b *Spread) {
+// cancelBackup drops what this VM was to forward as a backup, since another
+// representative has forwarded it. If that copy was for this VM to distribute
+// in its domain, it is promoted first.
+func (s *State) cancelBackup(b *Spread) {
 	if b.Backup || b.Hop == HopRegion {
 		return
 	}
 	if b.Hop == HopDomain {
-		s.takeOver(b)
+		s.promoteBackup(b)
 	}
-	s.backup.drop(b)
+	s.backupOutbox.drop(b)
 }
 
-func (s *State) takeOver(b *Spread) {
+// promoteBackup moves the updates of b from the backup to the outbox, for the
+// own domain.
+func (s *State) promoteBackup(b *Spread) {
 	at := s.now.Add(flushDelay)
-	for _, r := range s.backup.rows {
+	for _, r := range s.backupOutbox.rows {
 		if slices.ContainsFunc(b.Rows, func(o Row) bool { return o.version() == r.row.version() }) {
-			s.news.addRow(at, r.row, toDomain)
+			s.outbox.addRow(at, r.row, toDomain)
 		}
 	}
-	for _, r := range s.backup.reaches {
+	for _, r := range s.backupOutbox.reaches {
 		if slices.ContainsFunc(b.Reaches, func(o Reach) bool { return sameKey(&o, &r.reach) }) {
-			s.news.addReach(at, newsReach{reach: r.reach, at: r.at, to: toDomain})
+			s.outbox.addReach(at, outboxReach{reach: r.reach, at: r.at, to: toDomain})
 		}
 	}
 }
 
-// extent is how far the receiver of this hop hands on; false for not at all.
+// extent is how far the receiver of this hop forwards; false for not at all.
 func (h Hop) extent() (extent, bool) {
 	switch h {
 	case HopDomain:
--- a/decide/member/probe.go
+++ b/decide/member/probe.go
@@ -80,7 +80,7 @@
 func (s *State) sendPing(seq uint32, to fleet.VM, fact *Fact, out *Ready) {
 	m := &Ping{Seq: seq}
 	if s.neighbour(to) {
-		m.Members, m.Rows, m.Facts = s.memberHash(), s.rowHash(), s.carried(to.ID)
+		m.Members, m.Rows, m.Facts = s.memberHash(), s.rowHash(), s.takeFacts(to.ID)
 	}
 	if fact != nil {
 		m.Facts = append(m.Facts, *fact)
@@ -143,12 +143,22 @@
 	return s.offered(id)
 }
 
+// replyAddress is address for an answer. Without a known address the answer
+// can only take the connection that the VM has opened.
+func (s *State) replyAddress(id fleet.VMID) fleet.VM {
+	if vm, ok := s.address(id); ok {
+		return vm
+	}
+	return fleet.VM{ID: id}
+}
+
 func (s *State) findContact(id fleet.VMID) (int, bool) {
 	return slices.BinarySearchFunc(s.contacts, id, func(c contact, id fleet.VMID) int {
 		return cmp.Compare(c.vm.ID, id)
 	})
 }
 
+// addContact adds or renews a VM that the platform's list or the seeds name.
 func (s *State) addContact(vm fleet.VM) {
 	if vm.ID == s.self.vm.ID || vm.ID == "" || vm.PeerAddr == "" {
 		return
@@ -188,21 +198,18 @@
 	}
 }
 
-func (s *State) ping(m *Message, p *Ping, out *Ready) {
+func (s *State) handlePing(m *Message, p *Ping, out *Ready) {
 	s.factsFrom(m.From, p.Facts)
-	to, ok := s.address(m.From)
-	if !ok {
-		to = fleet.VM{ID: m.From}
-	}
+	to := s.replyAddress(m.From)
 	a := &Ack{Seq: p.Seq}
 	if s.neighbour(to) {
-		a.Members, a.Rows, a.Facts = s.memberHash(), s.rowHash(), s.carried(to.ID)
+		a.Members, a.Rows, a.Facts = s.memberHash(), s.rowHash(), s.takeFacts(to.ID)
 	}
 	s.send(to, a, ScopeNone, out)
 	s.compareHashes(m, p.Members, p.Rows, out)
 }
 
-func (s *State) ack(m *Message, a *Ack, out *Ready) {
+func (s *State) handleAck(m *Message, a *Ack, out *Ready) {
 	s.factsFrom(m.From, a.Facts)
 	at := slices.IndexFunc(s.probes, func(p probe) bool { return p.seq == a.Seq })
 	if at < 0 {
@@ -220,8 +227,8 @@
 	s.compareHashes(m, a.Members, a.Rows, out)
 }
 
-// pingReq pings a VM for another one whose own ping had no answer.
-func (s *State) pingReq(m *Message, q *PingReq, out *Ready) {
+// handlePingReq pings a VM for another one whose own ping had no answer.
+func (s *State) handlePingReq(m *Message, q *PingReq, out *Ready) {
 	to := fleet.VM{
 		ID:       q.Target.ID,
 		PeerAddr: q.Target.PeerAddr,
@@ -334,8 +341,8 @@
 	}
 }
 
-// ask makes the next run ping a VM.
-func (s *State) ask(id fleet.VMID) {
+// probeSoon makes the next run ping a VM.
+func (s *State) probeSoon(id fleet.VMID) {
 	s.order = append(s.order, id)
 	s.due.random = s.now
 }
--- a/decide/member/random_test.go
+++ b/decide/member/random_test.go
@@ -27,7 +27,7 @@
 }
 
 // settleWithin is the time after the last fault by which all agree. The
-// longest part of it are the vouches of a parted domain.
+// longest part of it is mergedTTL in a partitioned domain.
 const settleWithin = 25 * time.Second
 
 // faults is a network under random faults.
--- a/decide/member/reach.go
+++ b/decide/member/reach.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -18,8 +19,7 @@
 		a.SeenRegion == b.SeenRegion && a.SeenDomain == b.SeenDomain
 }
 
-// applyReach merges a statement. It reports whether its word differs from
-// what was held.
+// applyReach merges a statement. It reports whether Reachable has changed.
 func (s *State) applyReach(r *Reach) bool {
 	at := since(s.now, r.Age)
 	if s.now.Sub(at) > reachFor {
@@ -35,17 +35,40 @@
 		}
 		changed := h.reach.Reachable != r.Reachable
 		h.reach, h.at = *r, at
-		s.claims = s.claims || changed
+		s.claimsChanged = s.claimsChanged || changed
 		return changed
 	}
-	if len(s.reaches) >= MaxReaches {
+	if len(s.reaches) >= MaxReaches && !s.displaceReach(r) {
 		return false
 	}
 	s.reaches = append(s.reaches, reachState{reach: *r, at: at})
-	s.claims = true
+	s.claimsChanged = true
 	return !r.Reachable
 }
 
+// displaceReach makes room for a result of the own domain by dropping the
+// oldest one of another. Without it a wide outage, in which other domains
+// publish MaxReaches results, would hide from this domain that a remote is
+// unreachable, and callers would be sent there: only own results withdraw VMs.
+func (s *State) displaceReach(r *Reach) bool {
+	own := s.self.vm.Domain
+	if r.SeenDomain != own {
+		return false
+	}
+	oldest := -1
+	for i := range s.reaches {
+		h := &s.reaches[i]
+		if h.reach.SeenDomain != own && (oldest < 0 || h.at < s.reaches[oldest].at) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return false
+	}
+	s.reaches = slices.Delete(s.reaches, oldest, oldest+1)
+	return true
+}
+
 func (s *State) applyReaches(rs []Reach) {
 	for i := range rs {
 		s.applyReach(&rs[i])
@@ -58,20 +81,20 @@
 	})
 }
 
-// item is a domain, or with an empty domain a whole region.
-type item struct {
+// remote is a domain, or with an empty domain a whole region.
+type remote struct {
 	region fleet.Region
 	domain fleet.Domain
 }
 
-// reachable reports the own domain's finding about an item. Nothing found
-// means reachable. What other domains say only makes this one check: believed
-// at once, the word of a domain that was itself cut off would, when it comes
-// back, withdraw VMs that everybody else has reached all the time.
-func (s *State) reachable(it item) bool {
+// reachable reports the own domain's result for a remote; without one it is
+// taken to be reachable. The results of other domains only trigger a probe.
+// If they were applied, a domain that was itself cut off would, when it
+// returns, withdraw VMs that all others could reach throughout.
+func (s *State) reachable(rm remote) bool {
 	for i := range s.reaches {
 		h := &s.reaches[i].reach
-		if h.SeenDomain == s.self.vm.Domain && h.Region == it.region && h.Domain == it.domain {
+		if h.SeenDomain == s.self.vm.Domain && h.Region == rm.region && h.Domain == rm.domain {
 			return h.Reachable
 		}
 	}
@@ -83,39 +106,39 @@
 	if d == s.self.vm.Domain {
 		return true
 	}
-	if region != s.self.vm.Region && !s.reachable(item{region: region}) {
+	if region != s.self.vm.Region && !s.reachable(remote{region: region}) {
 		return false
 	}
-	return s.reachable(item{region: region, domain: d})
+	return s.reachable(remote{region: region, domain: d})
 }
 
-// claimed reports whether anybody says that an item is unreachable.
-func (s *State) claimed(it item) bool {
+// claimed reports whether any domain states that a remote is unreachable.
+func (s *State) claimed(rm remote) bool {
 	return slices.ContainsFunc(s.reaches, func(h reachState) bool {
-		return !h.reach.Reachable && h.reach.Region == it.region && h.reach.Domain == it.domain
+		return !h.reach.Reachable && h.reach.Region == rm.region && h.reach.Domain == rm.domain
 	})
 }
 
-// measured records this VM's own finding about an item and tells it if it is
-// news.
-func (s *State) measured(w *watch, ok bool) {
-	w.lastSaid = saidNothing
-	if ok && !s.claimed(w.item) {
+// recordReach records this VM's own result for a remote, and publishes it if it
+// differs from the last one.
+func (s *State) recordReach(w *watch, ok bool) {
+	w.lastReported = reportedNothing
+	if ok && !s.claimed(w.remote) {
 		return
 	}
 	r := Reach{
-		Region:     w.item.region,
-		Domain:     w.item.domain,
+		Region:     w.remote.region,
+		Domain:     w.remote.domain,
 		SeenRegion: s.self.vm.Region,
 		SeenDomain: s.self.vm.Domain,
 		Reachable:  ok,
 	}
 	if s.applyReach(&r) {
-		s.news.addReach(s.now.Add(flushDelay), newsReach{reach: r, at: s.now, to: w.extent(s)})
+		s.outbox.addReach(s.now.Add(flushDelay), outboxReach{reach: r, at: s.now, to: w.extent(s)})
 	}
-	w.lastSaid = saidReachable
+	w.lastReported = reportedReachable
 	if !ok {
-		w.lastSaid = saidUnreachable
+		w.lastReported = reportedUnreachable
 	}
 }
 
@@ -129,7 +152,7 @@
 		}
 		held = append(held, h)
 	}
-	slices.SortStableFunc(held, func(a, b reachState) int { return int(b.at.Sub(a.at)) })
+	slices.SortStableFunc(held, func(a, b reachState) int { return cmp.Compare(b.at, a.at) })
 	var out []Reach
 	for _, h := range held[:min(len(held), maxReachesCarried)] {
 		h.reach.Age = age(s.now, h.at)
--- a/decide/member/row.go
+++ b/decide/member/row.go
@@ -15,12 +15,11 @@
 	hash uint64
 }
 
-// vouch is an entry VM of the own domain that this VM holds dead but another
-// author of the domain offers: the domain is parted. Publishing it as well
-// keeps the two authors' rows alike; without it the halves would replace each
-// other's rows for ever, and other domains would lose one half of the living
-// at each turn.
-type vouch struct {
+// mergedVM is an entry VM of the own domain that this VM holds dead but another
+// author of the domain lists: the domain is partitioned. Each author publishes
+// the union. Without that the two sides would replace each other's rows
+// forever, and other domains would drop one side's live VMs at each change.
+type mergedVM struct {
 	by    fleet.VMID
 	vm    RowVM
 	until clock.Time
@@ -68,25 +67,25 @@
 		return true
 	}
 	s.rows = slices.Insert(s.rows, at, r)
-	// Whoever was unknown when the own row was pushed has not got it.
+	// A domain unknown when the own row was pushed has not received it.
 	s.announce = s.announce || row.Domain != s.self.vm.Domain
 	return true
 }
 
-// recheck makes this VM ask at once about a domain that was unreachable and
-// has a new row: its VMs may have been replaced.
+// recheck makes this VM probe at once a domain that was unreachable and has a
+// new row: its VMs may have been replaced.
 func (s *State) recheck(row *Row) {
 	for i := range s.watches {
 		w := &s.watches[i]
-		covers := w.item.domain == row.Domain || w.item == item{region: row.Region}
-		if covers && w.lastSaid == saidUnreachable {
+		covers := w.remote.domain == row.Domain || w.remote == remote{region: row.Region}
+		if covers && w.lastReported == reportedUnreachable {
 			w.urgent = true
-			s.claims = true
+			s.claimsChanged = true
 		}
 	}
 }
 
-// applyRow takes a row of another VM. It reports whether it was news.
+// applyRow merges a row of another VM. It reports whether it was newer.
 func (s *State) applyRow(row Row) bool {
 	if row.Domain != s.self.vm.Domain {
 		return s.putRow(row)
@@ -100,25 +99,25 @@
 		return false
 	}
 	if mine {
-		s.vouchFor(&row)
+		s.mergeOwnRow(&row)
 	}
 	s.rowsChanged = true
 	return true
 }
 
-// vouchFor keeps what another author of the own domain, which this VM holds
-// dead, offers after this VM's own row. Only what that author itself holds
-// live counts, or two halves could keep a dead VM listed by each other's word.
-func (s *State) vouchFor(row *Row) {
+// mergeOwnRow keeps the VMs listed by another author of the own domain that
+// this VM holds dead. Only VMs which that author itself holds live are kept;
+// otherwise each side would keep renewing a dead VM from the other's row.
+func (s *State) mergeOwnRow(row *Row) {
 	author := s.byID[row.Author]
 	if author != nil && !author.dead() {
 		return
 	}
-	s.vouched = slices.DeleteFunc(s.vouched, func(v vouch) bool { return v.by == row.Author })
+	s.merged = slices.DeleteFunc(s.merged, func(v mergedVM) bool { return v.by == row.Author })
 	for _, v := range row.VMs[:min(int(row.Own), len(row.VMs))] {
 		r := s.byID[v.ID]
 		if r == nil || r.dead() {
-			s.vouched = append(s.vouched, vouch{by: row.Author, vm: v, until: s.now.Add(vouchFor)})
+			s.merged = append(s.merged, mergedVM{by: row.Author, vm: v, until: s.now.Add(mergedTTL)})
 		}
 	}
 }
@@ -172,9 +171,9 @@
 }
 
 // refreshOwnRow publishes the domain's row if this VM is its author and the
-// row held says something else.
+// row held differs from the members.
 func (s *State) refreshOwnRow() {
-	s.expireVouches()
+	s.expireMerged()
 	if !s.isAuthor() {
 		return
 	}
@@ -185,13 +184,13 @@
 	s.rowsChanged = false
 	row := s.buildRow()
 	at, ok := s.findRow(row.Domain)
-	if ok && len(s.vouched) == 0 && sameRow(&s.rows[at].row, &row) {
+	if ok && len(s.merged) == 0 && sameRow(&s.rows[at].row, &row) {
 		return
 	}
 	s.published = s.now
 	row.Version = max(uint64(s.now/clock.Time(time.Millisecond)), s.rowVersion(row.Domain)+1)
 	s.putRow(row)
-	s.news.addRow(s.now.Add(flushDelay), row, toAll)
+	s.outbox.addRow(s.now.Add(flushDelay), row, toAll)
 }
 
 // repeatOwnRow pushes the own row again after another domain has become
@@ -202,26 +201,26 @@
 		return
 	}
 	s.announce = false
-	s.news.addRow(s.now.Add(flushDelay), s.rows[at].row, toAll)
+	s.outbox.addRow(s.now.Add(flushDelay), s.rows[at].row, toAll)
 }
 
-// publishDue reports whether the row must be looked at. In a parted domain
-// the authors take turns slowly, also without a change: each renews the
-// other's vouches.
+// publishDue reports whether the row must be looked at. In a partitioned
+// domain each author republishes every mergedEvery even without a change, to
+// renew the other's merged VMs.
 func (s *State) publishDue() bool {
-	if len(s.vouched) == 0 {
+	if len(s.merged) == 0 {
 		return s.rowsChanged
 	}
-	return s.published.Add(vouchEvery) <= s.now
+	return s.published.Add(mergedEvery) <= s.now
 }
 
-func (s *State) expireVouches() {
-	n := len(s.vouched)
-	s.vouched = slices.DeleteFunc(s.vouched, func(v vouch) bool {
+func (s *State) expireMerged() {
+	n := len(s.merged)
+	s.merged = slices.DeleteFunc(s.merged, func(v mergedVM) bool {
 		r := s.byID[v.vm.ID]
 		return v.until <= s.now || (r != nil && !r.dead())
 	})
-	if len(s.vouched) != n {
+	if len(s.merged) != n {
 		s.rowsChanged = true
 	}
 }
@@ -233,7 +232,7 @@
 		Author: s.self.vm.ID,
 	}
 	// Parts of a domain share the places, so that their rows name the same.
-	own := RowVMs - min(len(s.vouched), RowVMs/2)
+	own := RowVMs - min(len(s.merged), RowVMs/2)
 	for _, r := range s.members {
 		switch r.vm.State {
 		case fleet.Live:
@@ -246,7 +245,7 @@
 			row.Leaving++
 		}
 	}
-	for _, v := range s.vouched {
+	for _, v := range s.merged {
 		row.Live++
 		row.offer(v.vm)
 	}
@@ -287,7 +286,7 @@
 }
 
 // sameRow compares two rows' content in any order of their VMs: two authors
-// of a parted domain list them in different order.
+// of a partitioned domain list them in different order.
 func sameRow(a, b *Row) bool {
 	if a.Live != b.Live || a.Leaving != b.Leaving || len(a.VMs) != len(b.VMs) {
 		return false
--- a/decide/member/state.go
+++ b/decide/member/state.go
@@ -10,15 +10,15 @@
 
 // record is what is known of a VM of the own domain.
 type record struct {
-	vm          fleet.VM // State is Live, Leaving or Dead
-	refutations uint32
-	rank        uint64
-	suspectedAt clock.Time        // zero unless suspected
-	heard       clock.Time        // last message received from it
-	diedAt      clock.Time        // set when State is Dead
-	said        fleet.State       // state last reported,
-	saidAs      fleet.Incarnation // of this process,
-	reported    bool              // if any
+	vm                  fleet.VM // State is Live, Leaving or Dead
+	refutations         uint32
+	rank                uint64
+	suspectedAt         clock.Time        // zero unless suspected
+	heard               clock.Time        // last message received from it
+	diedAt              clock.Time        // set when State is Dead
+	reportedState       fleet.State       // state last reported,
+	reportedIncarnation fleet.Incarnation // of this process,
+	reported            bool              // if any
 }
 
 func (r *record) suspected() bool { return r.suspectedAt != 0 }
@@ -31,7 +31,7 @@
 	listed clock.Time // last time the list or the seeds named it
 }
 
-// timer instants of the periodic duties.
+// schedule holds the next instants of the periodic tasks.
 type schedule struct {
 	probe  clock.Time
 	random clock.Time
@@ -47,15 +47,15 @@
 	self *record
 	rng  *rand.Rand
 
-	members  []*record // of the own domain, self included, in ring order
-	byID     map[fleet.VMID]*record
-	contacts []contact // in order of id
-	rows     []*rowState
-	reaches  []reachState
-	watches  []watch
-	probes   []probe
-	gossip   []rumour
-	vouched  []vouch
+	members   []*record // of the own domain, self included, in ring order
+	byID      map[fleet.VMID]*record
+	contacts  []contact // in order of id
+	rows      []*rowState
+	reaches   []reachState
+	watches   []watch
+	probes    []probe
+	piggyback []queuedFact
+	merged    []mergedVM
 
 	due     schedule
 	started bool
@@ -64,22 +64,22 @@
 	wake    clock.Time
 	seq     uint32
 
-	news        news
-	backup      news
-	order       []fleet.VMID // random-order targets not yet pinged
-	mismatch    []mismatch
-	lastSync    clock.Time
-	lastRefuted clock.Time
-	reportTry   int
-	rowsChanged bool // own row must be compared with the members
-	announce    bool // own row must be pushed again
-	dutyStale   bool // duties must be compared with those last reported
-	groupHash   uint64
-	superseded  bool
-	claims      bool       // statements about reachability have changed
-	far         []fleet.VM // of other domains, as last reported
-	farSeen     uint64     // hash of what far was made from
-	published   clock.Time // when the own row was last published
+	outbox        outbox
+	backupOutbox  outbox
+	order         []fleet.VMID // random-order targets not yet pinged
+	mismatch      []mismatch
+	lastSync      clock.Time
+	lastRefuted   clock.Time
+	reportTry     int
+	rowsChanged   bool // own row must be compared with the members
+	announce      bool // own row must be pushed again
+	dutyStale     bool // duties must be compared with those last reported
+	groupHash     uint64
+	superseded    bool
+	claimsChanged bool       // statements about reachability have changed
+	far           []fleet.VM // of other domains, as last reported
+	farSeen       uint64     // hash of what far was made from
+	published     clock.Time // when the own row was last published
 }
 
 // New returns the state of the entry VM self, whose Incarnation must be
@@ -105,7 +105,7 @@
 func (s *State) Step(now clock.Time, ev Event, out *Ready) {
 	out.reset()
 	s.start(now)
-	s.forgivePause(now)
+	s.extendDeadlines(now)
 	s.now = now
 	switch e := ev.(type) {
 	case *Listed:
@@ -132,32 +132,33 @@
 	}
 	s.started = true
 	s.now = now
-	s.due.probe = now.Add(s.upTo(s.o.ProbeEvery))
+	s.due.probe = now.Add(s.jitter(s.o.ProbeEvery))
 	s.due.random = now
-	s.due.report = now.Add(s.upTo(reportMin))
-	s.due.watch = now.Add(s.upTo(s.o.WatchEvery))
+	s.due.report = now.Add(s.jitter(reportMin))
+	s.due.watch = now.Add(s.jitter(s.o.WatchEvery))
 	s.due.join = now.Add(joinTimeout)
 	s.self.heard = now
-	s.touch()
+	s.membersChanged()
 	for _, vm := range s.o.Seeds {
 		s.addContact(vm)
 	}
 }
 
-// touch notes that the members of the own domain have changed.
-func (s *State) touch() {
+// membersChanged notes that the members of the own domain have changed.
+func (s *State) membersChanged() {
 	s.rowsChanged = true
 	s.dutyStale = true
 }
 
-func (s *State) upTo(d time.Duration) time.Duration {
+// jitter returns a random duration below d.
+func (s *State) jitter(d time.Duration) time.Duration {
 	return time.Duration(s.rng.Int64N(int64(d)))
 }
 
-// forgivePause moves all deadlines when this process itself stood still.
-// Symptom without it: a VM that was paused for seconds wakes up and suspects
-// everybody, since every answer is overdue although it lies in the inbox.
-func (s *State) forgivePause(now clock.Time) {
+// extendDeadlines moves all deadlines after a pause of this process. Symptom
+// without it: a VM that was paused for seconds resumes and suspects every
+// member, since each ack is overdue although it waits in a socket buffer.
+func (s *State) extendDeadlines(now clock.Time) {
 	late := now.Sub(s.wake)
 	if s.wake == clock.Never || late < pauseGap {
 		return
@@ -216,7 +217,7 @@
 func (s *State) nextWake() clock.Time {
 	w := clock.Min(s.due.probe, s.due.random)
 	w = clock.Min(w, clock.Min(s.due.report, s.due.join))
-	w = clock.Min(w, clock.Min(s.news.due(), s.backup.due()))
+	w = clock.Min(w, clock.Min(s.outbox.due(), s.backupOutbox.due()))
 	for i := range s.probes {
 		w = clock.Min(w, s.probes[i].deadline)
 	}
@@ -244,8 +245,8 @@
 	}
 	s.joined = true
 	s.due.join = clock.Never
-	s.touch()
-	s.tell(s.fact(s.self, true))
+	s.membersChanged()
+	s.broadcast(s.fact(s.self, true))
 }
 
 func (s *State) leave() {
@@ -253,8 +254,8 @@
 		return
 	}
 	s.self.vm.State = fleet.Leaving
-	s.touch()
-	s.tell(s.fact(s.self, true))
+	s.membersChanged()
+	s.broadcast(s.fact(s.self, true))
 }
 
 // listed takes the platform's list as a set of contacts. It lags, so it
@@ -283,34 +284,34 @@
 	s.heardFrom(m)
 	switch b := m.Msg.(type) {
 	case *Ping:
-		s.ping(m, b, out)
+		s.handlePing(m, b, out)
 	case *Ack:
-		s.ack(m, b, out)
+		s.handleAck(m, b, out)
 	case *PingReq:
-		s.pingReq(m, b, out)
+		s.handlePingReq(m, b, out)
 	case *Sync:
-		s.sync(m, b, out)
+		s.handleSync(m, b, out)
 	case *SyncAck:
-		s.syncAck(m, b)
+		s.handleSyncAck(m, b)
 	case *Spread:
-		s.spread(m, b)
+		s.handleSpread(m, b)
 	case *Report:
-		s.answerReport(m, out)
+		s.handleReport(m, out)
 	case *ReportAck:
 		s.reportTry = 0
 		s.applyReaches(b.Reaches)
 	case *Partial:
-		s.partial(m, b, out)
+		s.handlePartial(m, b, out)
 	case *PartialAck:
 		s.applyReaches(b.Reaches)
 	case *Watch:
-		s.watched(m, b, out)
+		s.handleWatch(m, b, out)
 	case *WatchAck:
-		s.watchAck(m, b, out)
+		s.handleWatchAck(m, b, out)
 	}
 }
 
-// heardFrom notes direct evidence that a process lives.
+// heardFrom notes a message of a process, which proves it live.
 func (s *State) heardFrom(m *Message) {
 	r := s.byID[m.From]
 	if r == nil || m.Incarnation < r.vm.Incarnation {
--- a/decide/member/sync.go
+++ b/decide/member/sync.go
@@ -14,7 +14,7 @@
 }
 
 // compareHashes asks a neighbour for its tables if they have differed for
-// longer than news need to arrive. Zero hashes come from VMs of other
+// longer than an update takes to arrive. Zero hashes come from VMs of other
 // domains, whose tables are not comparable.
 func (s *State) compareHashes(m *Message, members, rows uint32, out *Ready) {
 	if members == 0 && rows == 0 {
@@ -72,10 +72,7 @@
 	if s.lastSync != 0 && s.now.Sub(s.lastSync) < syncEvery {
 		return
 	}
-	to, ok := s.address(id)
-	if !ok {
-		to = fleet.VM{ID: id}
-	}
+	to := s.replyAddress(id)
 	s.lastSync = s.now
 	m := &Sync{Domain: s.self.vm.Domain, Region: region}
 	for _, r := range s.rows {
@@ -120,7 +117,7 @@
 	}
 }
 
-func (s *State) sync(m *Message, b *Sync, out *Ready) {
+func (s *State) handleSync(m *Message, b *Sync, out *Ready) {
 	neighbour := b.Domain == s.self.vm.Domain
 	lacking := false
 	if neighbour {
@@ -139,19 +136,16 @@
 			a.Rows = append(a.Rows, r.row)
 		}
 	}
-	to, ok := s.address(m.From)
-	if !ok {
-		to = fleet.VM{ID: m.From}
-	}
+	to := s.replyAddress(m.From)
 	s.send(to, a, ScopeNone, out)
-	s.askBack(m.From, b, lacking, out)
+	s.requestMissing(m.From, b, lacking, out)
 }
 
-// askBack asks for what the asker has and this VM lacks. Symptom without it:
-// the only VM of a domain restarts just after its neighbour domain was lost;
-// it has never heard of that domain, so nobody tells the other regions, which
-// have, that it can't be reached.
-func (s *State) askBack(id fleet.VMID, b *Sync, lacking bool, out *Ready) {
+// requestMissing makes anti-entropy run both ways: it asks for what the sender
+// of a Sync has and this VM lacks. Symptom without it: the only VM of a domain
+// restarts just after its neighbour domain was lost. It doesn't know that
+// domain, so it never reports it unreachable to the other regions, which do.
+func (s *State) requestMissing(id fleet.VMID, b *Sync, lacking bool, out *Ready) {
 	for _, v := range b.Versions {
 		at, ok := s.findRow(v.Domain)
 		lacking = lacking || !ok || compareVersions(v, s.rows[at].row.version()) > 0
@@ -165,12 +159,12 @@
 	}
 }
 
-// unknown reports whether a mark names a VM that this one has never heard of.
+// unknown reports whether a mark names a VM without a record here.
 func (s *State) unknown(f Fact) bool {
 	return f.Status != Dead && s.byID[f.ID] == nil
 }
 
-// newer reports whether r says more than the marks of the asker.
+// newer reports whether r is newer than the asker's marks.
 func (s *State) newer(r *record, marks []Fact) bool {
 	at := slices.IndexFunc(marks, func(f Fact) bool { return f.ID == r.vm.ID })
 	if at < 0 {
@@ -192,16 +186,16 @@
 	return Version{}
 }
 
-// syncAck takes what another VM has and this one lacked. Rows from outside
-// the domain are news for the region.
-func (s *State) syncAck(m *Message, b *SyncAck) {
+// handleSyncAck takes what another VM has and this one lacked. Rows from outside
+// the domain are forwarded in the region.
+func (s *State) handleSyncAck(m *Message, b *SyncAck) {
 	inside := b.Domain == s.self.vm.Domain
 	if inside {
 		s.applyFacts(b.Facts)
 	}
 	for _, row := range b.Rows {
 		if s.applyRow(row) && !inside && s.joined {
-			s.news.addRow(s.now.Add(flushDelay), row, s.extentOf(row.Region))
+			s.outbox.addRow(s.now.Add(flushDelay), row, s.extentOf(row.Region))
 		}
 	}
 	s.applyReaches(b.Reaches)
@@ -210,8 +204,8 @@
 	}
 }
 
-// extentOf is how far rows learned late are handed on. What the own region
-// lacked of another one goes to all of it.
+// extentOf is how far rows learnt by anti-entropy are forwarded: those of
+// another region to the whole own region.
 func (s *State) extentOf(region fleet.Region) extent {
 	if region == s.self.vm.Region {
 		return toDomain
--- a/decide/member/view.go
+++ b/decide/member/view.go
@@ -93,8 +93,8 @@
 	out.Superseded = s.superseded
 	out.Group = s.groupChanged()
 	for _, r := range s.members {
-		if !r.reported || r.said != r.vm.State || r.saidAs != r.vm.Incarnation {
-			r.reported, r.said, r.saidAs = true, r.vm.State, r.vm.Incarnation
+		if !r.reported || r.reportedState != r.vm.State || r.reportedIncarnation != r.vm.Incarnation {
+			r.reported, r.reportedState, r.reportedIncarnation = true, r.vm.State, r.vm.Incarnation
 			out.Changed = append(out.Changed, r.vm)
 		}
 	}
@@ -155,7 +155,8 @@
 	return vm
 }
 
-// farHash tells cheaply whether anything about other domains has changed.
+// farHash changes with any row or reachability of another domain; comparing it
+// is cheaper than comparing the VMs.
 func (s *State) farHash() uint64 {
 	var h uint64
 	for _, r := range s.rows {
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -9,25 +9,25 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// What a watcher last said about its item.
+// What a watch last reported about its remote.
 const (
-	saidNothing = iota
-	saidReachable
-	saidUnreachable
+	reportedNothing = iota
+	reportedReachable
+	reportedUnreachable
 )
 
 // watch is this VM's duty to keep in touch with another domain or region.
 type watch struct {
-	item     item
-	assigned bool // by ranked hash; otherwise it verifies a claim
-	seq      uint32
-	waiting  bool
-	urgent   bool // to be started at once
-	fallback bool // further representatives have been asked
-	asked    fleet.VMID
-	deadline clock.Time
-	turn     int
-	lastSaid int
+	remote       remote
+	assigned     bool // by ranked hash; otherwise it verifies a claim
+	seq          uint32
+	waiting      bool
+	urgent       bool // to be started at once
+	fallback     bool // further representatives have been asked
+	asked        fleet.VMID
+	deadline     clock.Time
+	turn         int
+	lastReported int
 }
 
 func (w *watch) delay(d time.Duration) {
@@ -36,21 +36,21 @@
 	}
 }
 
-// extent is how far a finding is told: that a neighbour is unreachable, to
-// all, since it may be unable to say so itself; that a region is, in the own
-// region; the check of others' claim, in the own domain.
+// extent is how far a result is published: for a domain of the own region to
+// all, since a cut-off domain can't publish it itself; for a region in the own
+// region; for the verification of a claim in the own domain.
 func (w *watch) extent(s *State) extent {
 	switch {
 	case !w.assigned:
 		return toDomain
-	case w.item.domain != "":
+	case w.remote.domain != "":
 		return toAll
 	default:
 		return toRegion
 	}
 }
 
-func compareItems(a, b item) int {
+func compareRemotes(a, b remote) int {
 	if c := cmp.Compare(a.region, b.region); c != 0 {
 		return c
 	}
@@ -66,10 +66,10 @@
 		}
 	}
 	due := s.due.watch <= s.now
-	if !due && !s.claims {
+	if !due && !s.claimsChanged {
 		return
 	}
-	s.claims = false
+	s.claimsChanged = false
 	s.expireReaches()
 	s.assignWatches()
 	if due {
@@ -77,7 +77,7 @@
 	}
 	for i := range s.watches {
 		w := &s.watches[i]
-		check := w.urgent || (w.lastSaid == saidNothing && s.claimed(w.item))
+		check := w.urgent || (w.lastReported == reportedNothing && s.claimed(w.remote))
 		if !w.waiting && (due || check) {
 			s.startWatch(w, check, out)
 		}
@@ -86,7 +86,7 @@
 
 func (s *State) nextWatch() clock.Time {
 	next := s.due.watch
-	if s.claims {
+	if s.claimsChanged {
 		next = s.now
 	}
 	for i := range s.watches {
@@ -102,11 +102,11 @@
 func (s *State) assignWatches() {
 	var next []watch
 	if s.joined {
-		next = s.duties()
+		next = s.wantedWatches()
 	}
 	for i := range next {
-		at, ok := slices.BinarySearchFunc(s.watches, next[i].item, func(w watch, it item) int {
-			return compareItems(w.item, it)
+		at, ok := slices.BinarySearchFunc(s.watches, next[i].remote, func(w watch, rm remote) int {
+			return compareRemotes(w.remote, rm)
 		})
 		if ok {
 			kept := s.watches[at]
@@ -117,30 +117,24 @@
 	s.watches = next
 }
 
-// duties returns the watches of this VM in order of their items.
-func (s *State) duties() []watch {
+// wantedWatches returns the watches of this VM in order of their remotes.
+func (s *State) wantedWatches() []watch {
 	reps := s.reps()
 	if !slices.Contains(reps, s.self.vm.ID) {
 		return nil
 	}
-	all := slices.Clone(reps)
-	for _, vm := range s.neighbours(maxReps) {
-		if s.domainReachable(vm.Region, vm.Domain) {
-			all = append(all, vm.ID)
-		}
-	}
-	slices.Sort(all)
+	all := s.regionRepIDs(reps)
 	var out []watch
 	near, far := 0, 0
-	for _, it := range s.items() {
-		w := watch{item: it}
+	for _, rm := range s.remotes() {
+		w := watch{remote: rm}
 		mine := false
 		switch {
-		case it.domain == "":
+		case rm.domain == "":
 			w.assigned = s.turnOf(all, far)
 			mine = s.turnOf(reps, far)
 			far++
-		case it.region == s.self.vm.Region:
+		case rm.region == s.self.vm.Region:
 			// From the last representative on: the first ones have more
 			// of the regions where these don't come out even.
 			w.assigned = s.turnOf(reps, len(reps)-1-near%len(reps))
@@ -148,28 +142,41 @@
 		default:
 			mine = s.turnOf(reps, near+far)
 		}
-		if w.assigned || (mine && s.claimed(it)) {
+		if w.assigned || (mine && s.claimed(rm)) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
+// regionRepIDs returns the representatives of all reachable domains of the own
+// region, in order of id.
+func (s *State) regionRepIDs(own []fleet.VMID) []fleet.VMID {
+	all := slices.Clone(own)
+	for _, vm := range s.neighbours(maxReps) {
+		if s.domainReachable(vm.Region, vm.Domain) {
+			all = append(all, vm.ID)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
 // turnOf reports whether duty number i falls to this VM, when the duties go
 // round among ids.
 func (s *State) turnOf(ids []fleet.VMID, i int) bool {
 	return len(ids) > 0 && ids[i%len(ids)] == s.self.vm.ID
 }
 
-// items returns every other region and every other domain, in order.
-func (s *State) items() []item {
-	var out []item
+// remotes returns every other region and every other domain, in order.
+func (s *State) remotes() []remote {
+	var out []remote
 	add := func(region fleet.Region, d fleet.Domain) {
 		if d != s.self.vm.Domain {
-			out = append(out, item{region: region, domain: d})
+			out = append(out, remote{region: region, domain: d})
 		}
 		if region != s.self.vm.Region {
-			out = append(out, item{region: region})
+			out = append(out, remote{region: region})
 		}
 	}
 	for _, r := range s.rows {
@@ -178,29 +185,29 @@
 	for i := range s.contacts {
 		add(s.contacts[i].vm.Region, s.contacts[i].vm.Domain)
 	}
-	slices.SortFunc(out, compareItems)
+	slices.SortFunc(out, compareRemotes)
 	return slices.Compact(out)
 }
 
-// candidates returns whom a watch can ask. Contacts serve while no row of the
-// item is known.
-func (s *State) candidates(it item) []fleet.VM {
+// candidates returns whom a watch can ask. Contacts are used while no row of
+// the remote is known.
+func (s *State) candidates(rm remote) []fleet.VM {
 	var out []fleet.VM
-	if it.domain == "" {
-		out = s.regionReps(it.region)
-	} else if at, ok := s.findRow(it.domain); ok {
+	if rm.domain == "" {
+		out = s.regionReps(rm.region)
+	} else if at, ok := s.findRow(rm.domain); ok {
 		out = s.rows[at].row.reps()
 	}
 	if len(out) > 0 {
 		return out
 	}
-	return s.contactsOf(it)
+	return s.contactsOf(rm)
 }
 
 // startWatch asks one representative after the other in turn. To check what
 // others claim, it asks several at once, so that the answer is known sooner.
 func (s *State) startWatch(w *watch, check bool, out *Ready) {
-	c := s.candidates(w.item)
+	c := s.candidates(w.remote)
 	if len(c) == 0 {
 		return
 	}
@@ -238,13 +245,13 @@
 	return region
 }
 
-// watchOverdue asks further VMs, and after those gives the item up as
-// unreachable: one VM that doesn't answer may have died, hardly all of them.
+// watchOverdue asks further VMs, and if they time out as well records the
+// remote as unreachable: one VM may have died, but hardly all of them.
 func (s *State) watchOverdue(w *watch, out *Ready) {
 	if w.fallback {
 		w.waiting = false
-		if s.known(w.item) {
-			s.measured(w, false)
+		if s.known(w.remote) {
+			s.recordReach(w, false)
 		}
 		return
 	}
@@ -260,60 +267,57 @@
 }
 
 // fallbacks returns further representatives and, at random, other VMs of the
-// item. Symptom without the latter: two domains that lost all their
-// representatives while they were cut off from each other never meet again,
-// since each asks only for those that the other had.
+// remote. Symptom without the latter: two domains that lost all their
+// representatives while they were cut off from each other never reconnect,
+// since each asks only the representatives that the other had.
 func (s *State) fallbacks(w *watch) []fleet.VM {
-	reps := s.candidates(w.item)
+	reps := s.candidates(w.remote)
 	if len(reps) > 1 {
 		reps = slices.DeleteFunc(reps, func(vm fleet.VM) bool { return vm.ID == w.asked })
 	}
 	out := slices.Clone(reps[:min(len(reps), watchFallbacks)])
-	others := s.everyone(w.item)
+	others := s.allVMs(w.remote)
 	s.shuffleVMs(others)
 	return append(out, others[:min(len(others), watchFallbacks)]...)
 }
 
-// everyone returns all known VMs of an item.
-func (s *State) everyone(it item) []fleet.VM {
+// allVMs returns all known VMs of a remote.
+func (s *State) allVMs(rm remote) []fleet.VM {
 	var out []fleet.VM
 	for _, r := range s.rows {
-		if r.row.Region != it.region || (it.domain != "" && r.row.Domain != it.domain) {
+		if r.row.Region != rm.region || (rm.domain != "" && r.row.Domain != rm.domain) {
 			continue
 		}
 		for _, v := range r.row.VMs {
 			out = append(out, r.row.vm(v))
 		}
 	}
-	return append(out, s.contactsOf(it)...)
+	return append(out, s.contactsOf(rm)...)
 }
 
-func (s *State) contactsOf(it item) []fleet.VM {
+func (s *State) contactsOf(rm remote) []fleet.VM {
 	var out []fleet.VM
 	for i := range s.contacts {
 		vm := s.contacts[i].vm
-		if vm.Region == it.region && (it.domain == "" || vm.Domain == it.domain) {
+		if vm.Region == rm.region && (rm.domain == "" || vm.Domain == rm.domain) {
 			out = append(out, vm)
 		}
 	}
 	return out
 }
 
-// known reports whether a row tells of the item. Without one it offers
+// known reports whether a row of the remote is held. Without one it offers
 // nothing that could be withdrawn.
-func (s *State) known(it item) bool {
+func (s *State) known(rm remote) bool {
 	return slices.ContainsFunc(s.rows, func(r *rowState) bool {
-		return r.row.Region == it.region && (it.domain == "" || it.domain == r.row.Domain)
+		return r.row.Region == rm.region && (rm.domain == "" || rm.domain == r.row.Domain)
 	})
 }
 
-// watched answers a Watch.
-func (s *State) watched(m *Message, b *Watch, out *Ready) {
+// handleWatch answers a Watch.
+func (s *State) handleWatch(m *Message, b *Watch, out *Ready) {
 	s.applyReaches(b.Reaches)
-	to, ok := s.address(m.From)
-	if !ok {
-		to = fleet.VM{ID: m.From}
-	}
+	to := s.replyAddress(m.From)
 	near := b.Region == s.self.vm.Region
 	a := &WatchAck{
 		Seq:     b.Seq,
@@ -331,23 +335,23 @@
 	}
 }
 
-func (s *State) watchAck(m *Message, b *WatchAck, out *Ready) {
+func (s *State) handleWatchAck(m *Message, b *WatchAck, out *Ready) {
 	s.applyReaches(b.Reaches)
 	for i := range s.watches {
 		w := &s.watches[i]
 		if w.waiting && w.seq == b.Seq {
 			w.waiting = false
-			s.measured(w, true)
+			s.recordReach(w, true)
 			s.compareRows(w, m.From, b.Rows, out)
 		}
 	}
 }
 
 // compareRows asks the watched VM for the rows in which it differs. Inside
-// the region news may still be in transit; from another region a difference
-// means that a push was lost, or that its news are younger than the answer.
+// the region an update may still be in transit; from another region a difference
+// means that a push was lost, or that its update is younger than the answer.
 func (s *State) compareRows(w *watch, from fleet.VMID, rows uint32, out *Ready) {
-	region := s.commonRows(w.item.region)
+	region := s.commonRows(w.remote.region)
 	same := rows == s.rowHashOf(region)
 	if region == "" {
 		s.compareTables(from, same, out)
--- a/decide/tally/doc.go
+++ b/decide/tally/doc.go
@@ -1,5 +1,5 @@
-// Package tally gathers what the next step of a traffic shift rests on, from
-// all entry VMs to the one process that runs the shifts. It is pure: events
+// Package tally aggregates the evidence for the next step of a traffic shift,
+// from all entry VMs to the one process that runs the shifts. It is pure: events
 // and instants in, messages out as data.
 //
 // # Who runs the shifts
@@ -7,9 +7,9 @@
 // Candidates ranks the entry VMs that the rows of all reachable domains name,
 // by rendezvous hashing. The first one tries for the lease at the platform,
 // and the next after it in case the first can't reach the platform. The lease
-// decides; two views that differ for a moment cost an attempt at the lease.
+// decides: if two views differ for a moment, one attempt at the lease fails.
 //
-// # How figures get there
+// # Aggregation
 //
 // Every entry VM counts its requests by shift (shift.Counter) and measures its
 // services (Meter) in slices of a second, as long as the catalogue in force
@@ -19,12 +19,12 @@
 // which asks the heads of its domains), to leaders of groups and to their
 // members. Each answers with a Sum: of its own last window, if it has one of
 // the full length, and of the answers below it. Heads and leaders change with
-// each round, so a dead one spoils only one round, and their cost is spread
-// over all.
+// each round, so a dead one makes only one round incomplete, and the cost is
+// shared by all.
 //
 // Figures that entry VMs send up by their own timers would be as old as the
 // periods of all levels together, unless all clocks agreed. Asked for, all
-// windows end within one slice and the transit of the Ask.
+// windows end within one slice plus the transit time of the Ask.
 //
 // # Ages
 //
@@ -38,5 +38,6 @@
 // or not, and each row of it how many it covers. The difference, over all
 // regions, is Missing of the evidence, and the plan holds while it isn't 0. A
 // complete round is preferred to later incomplete ones while it is fresh.
-// A domain that has been unreachable for Options.LostAfter is not waited for.
+// A domain that has been unreachable for Options.LostAfter is not expected to
+// report.
 package tally
--- a/decide/tally/domains.go
+++ b/decide/tally/domains.go
@@ -12,13 +12,13 @@
 // domain is a failure domain as membership sees it.
 type domain struct {
 	member.DomainView
-	cutOff clock.Time // since when it has been unreachable; Never while it isn't
+	unreachableSince clock.Time // since when it has been unreachable; Never while it isn't
 }
 
 // lost reports whether the domain has been unreachable for so long that its
 // entry VMs aren't waited for.
 func (d *domain) lost(now clock.Time, after time.Duration) bool {
-	return d.cutOff != clock.Never && now.Sub(d.cutOff) >= after
+	return d.unreachableSince != clock.Never && now.Sub(d.unreachableSince) >= after
 }
 
 // expected returns the entry VMs whose figures are needed.
@@ -30,8 +30,8 @@
 }
 
 // head returns whom to ask for the domain's figures in a round. Each round
-// takes another: one that has died, or that can't be reached from here, spoils
-// no more than its own round.
+// takes another, so that one that has died, or can't be reached from here, makes
+// only its own round incomplete.
 func (d *domain) head(round uint64) (fleet.VMID, bool) {
 	if !d.Reachable || len(d.VMs) == 0 {
 		return "", false
@@ -52,9 +52,9 @@
 	next := make([]domain, 0, len(views))
 	for _, v := range views {
 		v.VMs = slices.Clone(v.VMs)
-		d := domain{DomainView: v, cutOff: clock.Never}
+		d := domain{DomainView: v, unreachableSince: clock.Never}
 		if !v.Reachable {
-			d.cutOff = f.cutOffSince(now, v.Domain)
+			d.unreachableSince = f.unreachableFrom(now, v.Domain)
 		} else if old := f.find(v.Domain); old != nil && old.lost(now, lostAfter) {
 			returned = true
 		}
@@ -79,10 +79,10 @@
 	return nil
 }
 
-// cutOffSince returns since when a domain that is unreachable now has been so.
-func (f *domains) cutOffSince(now clock.Time, name fleet.Domain) clock.Time {
+// unreachableFrom returns since when a domain that is unreachable now has been so.
+func (f *domains) unreachableFrom(now clock.Time, name fleet.Domain) clock.Time {
 	if d := f.find(name); d != nil {
-		return clock.Min(d.cutOff, now)
+		return clock.Min(d.unreachableSince, now)
 	}
 	return now
 }
--- a/decide/tally/evidence.go
+++ b/decide/tally/evidence.go
@@ -8,7 +8,7 @@
 	"github.com/azurethread/azurethread/decide/shift"
 )
 
-// keepCounts takes over the counts of a round.
+// keepCounts stores the counts of a round.
 func (s *State) keepCounts(j *job) {
 	var all total
 	sums := make(map[Key]*count)
@@ -59,7 +59,7 @@
 
 func missing(live, included uint32) int { return max(int(live)-int(included), 0) }
 
-// keepLoads takes over the load of one region.
+// keepLoads stores the load of one region.
 func (s *State) keepLoads(r fleet.Region, t *total) {
 	for _, name := range s.own.services() {
 		v := t.services[serviceKey(name)]
@@ -112,8 +112,8 @@
 	return e
 }
 
-// load returns the load of a region. That a region isn't live is membership's
-// finding, true now, and needs no round.
+// load returns the load of a region. Membership knows now, without a
+// round, that a region isn't live.
 func (s *State) load(now clock.Time, at place, state fleet.State, known bool) shift.Load {
 	l := s.lead.loads[at]
 	l.Region, l.Service = at.region, at.service
--- a/decide/tally/lead.go
+++ b/decide/tally/lead.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// take takes or gives up the lead. What an earlier lead has gathered is
-// dropped; it would be stale before it could serve.
+// take takes or gives up the lead. Figures of an earlier lead are dropped, as
+// they would be stale.
 func (l *lead) take(now clock.Time, held bool) {
 	if held == l.held {
 		return
@@ -147,7 +147,7 @@
 // one. It stays fresh for as long, and one lost answer costs no step.
 const keepFor = shift.DefaultMaxAge - 500*time.Millisecond
 
-// prefers reports whether a figure should stand although a later one has come.
+// prefers reports whether a held figure is preferred to a later one.
 func prefers(now clock.Time, held shift.Span, heldMissing, missing int) bool {
 	return heldMissing == 0 && missing > 0 && held.Since < held.Until && now.Sub(held.Until) <= keepFor
 }
--- a/decide/tally/meter.go
+++ b/decide/tally/meter.go
@@ -109,6 +109,21 @@
 		}
 	}
 	m.current = to
+	m.dropIdle()
+}
+
+// dropIdle makes room, once maxServices are followed, by dropping services with
+// neither targets nor answers. Without it a process that outlives many services
+// could not follow new ones: their load would be missing, and shifts would hold.
+func (m *Meter) dropIdle() {
+	if len(m.services) < maxServices {
+		return
+	}
+	for name, s := range m.services {
+		if *s == (series{}) {
+			delete(m.services, name)
+		}
+	}
 }
 
 func (s *series) cell(n int64) *cell { return &s.cells[n%int64(len(s.cells))] }
--- a/decide/tally/net_test.go
+++ b/decide/tally/net_test.go
@@ -1,7 +1,6 @@
 package tally
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"github.com/azurethread/azurethread/decide/catalogue"
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/shift"
@@ -31,25 +31,9 @@
 }
 
 type delivery struct {
-	at  clock.Time
-	seq int
-	to  *node
-	st  *State
-	ev  Event
-}
-
-type queue []delivery
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(delivery)) }
-func (q *queue) Pop() any {
-	x := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return x
+	to *node
+	st *State // the process it is for
+	ev Event
 }
 
 // network joins States by delayed messages. The first node leads.
@@ -58,8 +42,7 @@
 	rng      *rand.Rand
 	nodes    []*node
 	byID     map[fleet.VMID]*node
-	queue    queue
-	seq      int
+	queue    clocktest.Queue[delivery]
 	loss     float64
 	repeat   bool                  // deliver each message twice
 	cut      map[fleet.Domain]bool // domains that can't be reached from others
@@ -223,8 +206,7 @@
 }
 
 func (n *network) push(at clock.Time, to *node, ev Event) {
-	n.seq++
-	heap.Push(&n.queue, delivery{at: at, seq: n.seq, to: to, st: to.st, ev: ev})
+	n.queue.Push(at, delivery{to: to, st: to.st, ev: ev})
 }
 
 // second returns the position that requests of an instant have, so that a count
@@ -260,11 +242,10 @@
 
 func (n *network) deliver(until clock.Time) {
 	begin := n.now
-	for len(n.queue) > 0 && n.queue[0].at <= until {
-		x := heap.Pop(&n.queue).(delivery)
-		n.now = max(n.now, x.at)
+	for at, x, ok := n.queue.Pop(until); ok; at, x, ok = n.queue.Pop(until) {
+		n.now = max(n.now, at)
 		_, tick := x.ev.(*Tick)
-		if x.to.st == x.st && (!tick || x.to.wake == x.at) {
+		if x.to.st == x.st && (!tick || x.to.wake == at) {
 			n.step(x.to, x.ev)
 		}
 	}
--- a/decide/tally/state.go
+++ b/decide/tally/state.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// State is the part of one entry VM in the gathering. It isn't safe for
+// State is one entry VM's part in the aggregation. It isn't safe for
 // concurrent use.
 type State struct {
 	o     Options
--- a/decide/tally/tally_test.go
+++ b/decide/tally/tally_test.go
@@ -302,3 +302,25 @@
 		is.Equal(bucketOf(upperOf(b)+1), b+1)
 	}
 }
+
+// Symptom: a shift holds for ever since load reports are missing. Sequence: a
+// long-lived process has measured maxServices services, which were removed
+// from the catalogue; a new one is added. Cause: the meter has no room for it.
+func TestMeterForgetsRemovedServices(t *testing.T) {
+	is := is.New(t)
+	now := clock.Time(time.Hour)
+	m := NewMeter(now)
+	var samples []Sample
+	for i := range maxServices {
+		samples = append(samples, Sample{Service: fleet.ServiceName(fmt.Sprintf("old-%d", i)), Capacity: 1})
+	}
+	m.observe(now, samples)
+	for range 2 * meterCells {
+		now = now.Add(cellLength)
+		m.observe(now, []Sample{{Service: testService, Capacity: 3}})
+	}
+	rows, ok := m.loads(now, []fleet.ServiceName{testService}, nil)
+	is.True(ok)
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Capacity, uint32(3))
+}
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -34,7 +36,9 @@
 	done Done
 
 	mu       sync.Mutex
-	c        *conn // connection the request was handed to
+	c        *conn          // connection the request was handed to
+	writing  bool           // it is being handed over
+	lost     *verdict.Error // the connection has ended meanwhile
 	finished bool
 }
 
@@ -51,7 +55,7 @@
 }
 
 // attach notes the connection that is about to get the request. It reports
-// false when the call has been cancelled meanwhile.
+// false when the call has ended meanwhile.
 func (k *Call) attach(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -59,9 +63,60 @@
 		return false
 	}
 	k.c = c
+	k.writing = true
 	return true
 }
 
+// attached reports whether the request has been handed to a connection.
+func (k *Call) attached() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.c != nil
+}
+
+// wrote takes the outcome of handing the request over.
+func (k *Call) wrote(err error) {
+	k.mu.Lock()
+	k.writing = false
+	lost := k.lost
+	k.mu.Unlock()
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		// nbio refuses with it before it touches the socket; any other error
+		// may have come after some bytes had left.
+		k.finish(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectionLost, Err: err})
+	case err != nil:
+		k.finish(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost, Err: err})
+	case lost != nil:
+		k.finish(nil, lost)
+	}
+}
+
+// lose reports the end of the connection that the call has claimed. A request
+// that was not handed over yet has not run, and never will on it. One that is
+// being handed over is left to wrote, which learns whether the connection took
+// any of it: a receiver that closes free connections as it leaves would
+// otherwise turn requests that it never got into may-have-run.
+func (k *Call) lose(reason verdict.Reason, err error) {
+	e := &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason, Err: err}
+	k.mu.Lock()
+	if k.writing {
+		k.lost = e
+		k.mu.Unlock()
+		return
+	}
+	if k.finished {
+		k.mu.Unlock()
+		return
+	}
+	if k.c == nil {
+		e.Verdict = verdict.NotRun
+	}
+	k.finished = true
+	k.mu.Unlock()
+	k.done(nil, e)
+}
+
 // Cancel gives the call up. Before the request was handed to a connection the
 // outcome is not-run; afterwards the connection is closed, which also tells
 // the receiver, and the outcome is may-have-run.
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -21,8 +21,17 @@
 	p      *peer
 	nbc    *nbio.Conn
 	parser *nbhttp.Parser
-	call   *Call // request in flight; guarded by p.mu
-	since  clock.Time
+
+	// built is set by the dialling goroutine and read by the poller's. The
+	// kernel's poll set orders the two, which the race detector cannot see.
+	built atomic.Bool
+
+	// Guarded by p.mu.
+	call  *Call // the one that has claimed the connection
+	ended bool  // counted out
+	since clock.Time
+
+	partial atomic.Bool // part of an answer has come
 
 	// Parsing state, touched only while the parser runs.
 	answer  *Answer
@@ -33,7 +42,7 @@
 // start writes the request of k.
 func (c *conn) start(k *Call) {
 	if !k.attach(c) {
-		c.p.release(c)
+		c.p.giveBack(c, k)
 		return
 	}
 	b := buffers.Get().(*bytes.Buffer)
@@ -43,21 +52,17 @@
 	if b.Cap() <= 2*maxPooledBuffer {
 		buffers.Put(b)
 	}
-	if err == nil {
-		return
+	k.wrote(err)
+	if err != nil {
+		c.nbc.Close()
 	}
-	// nbio refuses with net.ErrClosed before it touches the socket; any other
-	// error may have come after some bytes had left.
-	v := verdict.MayHaveRun
-	if errors.Is(err, net.ErrClosed) {
-		v = verdict.NotRun
-	}
-	k.finish(nil, &verdict.Error{Verdict: v, Reason: verdict.ReasonConnectionLost, Err: err})
-	c.nbc.Close()
 }
 
 // onData feeds the parser; an answer it cannot read ends the connection.
 func (c *conn) onData(_ *nbio.Conn, data []byte) {
+	if !c.built.Load() {
+		return
+	}
 	if c.answer == nil {
 		data = withReason(data)
 	}
@@ -89,20 +94,21 @@
 	return slices.Concat(data[:n], []byte(someReason), data[n:])
 }
 
-// onClose is called once when the connection has gone.
+// onClose is called once when the connection has gone, on a goroutine of its
+// own: the parser may still be at work.
 func (c *conn) onClose(err error) {
-	c.p.closed()
 	k := c.p.drop(c)
+	c.p.countOut(c)
 	if k == nil {
 		return
 	}
 	reason := verdict.ReasonConnectionLost
-	if c.answer != nil {
+	if c.partial.Load() {
 		// The answer had begun: what there is of it is never handed on as
 		// whole, and whether the request ran to its end is not known.
 		reason = verdict.ReasonAnswerCut
 	}
-	k.finish(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason, Err: err})
+	k.lose(reason, err)
 }
 
 // The methods below implement nbhttp.Processor, the parser's callbacks.
@@ -119,6 +125,7 @@
 		return errUnsolicited
 	}
 	c.answer = &Answer{Header: make(http.Header, headerHint)}
+	c.partial.Store(true)
 	c.framed = false
 	c.noReuse = proto != "HTTP/1.1"
 	return nil
@@ -209,7 +216,7 @@
 		return
 	}
 	if a.Status < http.StatusOK {
-		c.answer = nil // interim answer; the final one follows
+		c.endAnswer() // interim; the final one follows
 		return
 	}
 	if !c.framed && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
@@ -219,16 +226,21 @@
 		c.fail(verdict.Ran, verdict.ReasonAnswerCut, errUnframed)
 		return
 	}
-	c.answer = nil
+	c.endAnswer()
 	k := c.p.release(c)
 	if k != nil {
 		k.finish(a, nil)
 	}
 }
 
+func (c *conn) endAnswer() {
+	c.answer = nil
+	c.partial.Store(false)
+}
+
 // fail ends the call in flight and the connection.
 func (c *conn) fail(v verdict.Verdict, r verdict.Reason, err error) {
-	c.answer = nil
+	c.endAnswer()
 	k := c.p.drop(c)
 	if k != nil {
 		k.finish(nil, &verdict.Error{Verdict: v, Reason: r, Err: err})
--- /dev/null
+++ b/serve/outbound/lifecycle_test.go
@@ -0,0 +1,189 @@
+package outbound
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func newCall() (*Call, <-chan outcome) {
+	ch := make(chan outcome, 2)
+	r := &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}}
+	return &Call{req: r, done: func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} }}, ch
+}
+
+// settle waits until every connection to addr has been counted out.
+func settle(p *Pool, addr string) {
+	for p.Connections(addr) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (pe *peer) free() int {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	return len(pe.idle)
+}
+
+// Symptom: a request gets an answer that was not made for it, and its
+// connection is then lent to two requests at a time.
+// Sequence: the receiver writes an answer as soon as it accepts; the poller
+// reads it before the request is written.
+// Cause: the connection already belongs to the request while it is set up, and
+// an answer to it freed the connection once, the unwritten request again.
+func TestAnswerBeforeRequest(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, okAnswer)
+		_, _ = r.ReadByte()
+	})
+	p := newPool(t)
+	k, ch := newCall()
+	pe, _ := p.claim(addr, k)
+	c, err := pe.connect(k)
+	is.NoErr(err)
+	o := <-ch
+	c.start(k)
+	is.True(o.err != nil)
+	is.Equal(o.err.Verdict, verdict.NotRun)
+	settle(p, addr)
+	is.Equal(pe.free(), 0)
+}
+
+// Symptom: a submission that was never written is reported as may-have-run, so
+// that nobody sends it elsewhere.
+// Sequence: a free connection is claimed, ends, and only then is to get the
+// request.
+// Cause: the end of a connection was taken for the loss of a written request.
+func TestLostBeforeWritten(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, always(okAnswer))
+	p := newPool(t)
+	_, first := do(p, addr)
+	is.True((<-first).err == nil)
+	k, ch := newCall()
+	pe, c := p.claim(addr, k)
+	is.True(c != nil)
+	is.NoErr(c.nbc.Close())
+	o := <-ch
+	c.start(k)
+	is.Equal(o.err.Verdict, verdict.NotRun)
+	is.Equal(o.err.Reason, verdict.ReasonConnectionLost)
+	is.Equal(pe.free(), 0)
+}
+
+// Symptom: a request fails at once although its receiver is well, and the
+// failure counts against the receiver.
+// Sequence: a call is cancelled while the last bytes of its answer are read;
+// the end of the connection is handled before the end of the answer.
+// Cause: the answer's end put the closed connection among the free ones.
+func TestClosedConnectionIsNotFreed(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, always(okAnswer))
+	p := newPool(t)
+	k, _ := newCall()
+	pe, _ := p.claim(addr, k)
+	c, err := pe.connect(k)
+	is.NoErr(err)
+	is.Equal(pe.drop(c), k)
+	is.True(pe.release(c) == nil)
+	is.Equal(pe.free(), 0)
+}
+
+// Symptom: the race detector reports conn's parsing state.
+// Sequence: a call is cancelled while its answer is being read.
+// Cause: the close event comes on a goroutine of its own.
+func TestCancelWhileAnswered(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		for {
+			if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return
+			}
+		}
+	})
+	p := newPool(t)
+	for range 50 {
+		k, ch := do(p, addr)
+		for !k.attached() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Millisecond)
+		k.Cancel(verdict.ReasonSilent)
+		is.True((<-ch).err != nil)
+	}
+	settle(p, addr)
+}
+
+// Symptom: a pool that is closed while it dials counts connections wrongly,
+// reports a request as may-have-run that nobody got, or never finishes closing.
+// Sequence: the pool is closed; then a dial succeeds.
+// Cause: nbio takes connections after its stop, and waits for those that come
+// while it stops.
+func TestCloseWhileDialling(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, always(okAnswer))
+	dialling, proceed := make(chan struct{}), make(chan struct{})
+	p, err := NewPool(Options{
+		DialTimeout:    time.Second,
+		IdleTimeout:    time.Minute,
+		MaxAnswerBytes: 1 << 20,
+		Now:            func() clock.Time { return clock.FromWall(time.Now()) },
+		Dial: func(network, addr string, timeout time.Duration) (net.Conn, error) {
+			close(dialling)
+			<-proceed
+			return net.DialTimeout(network, addr, timeout)
+		},
+	})
+	is.NoErr(err)
+	_, ch := do(p, addr)
+	<-dialling
+	p.Close()
+	close(proceed)
+	o := <-ch
+	is.True(o.err != nil)
+	is.Equal(o.err.Verdict, verdict.NotRun)
+	is.Equal(o.err.Reason, verdict.ReasonConnect)
+	time.Sleep(10 * time.Millisecond) // for a late close event
+	is.Equal(p.Connections(addr), 0)
+}
+
+// Symptom: the memory of an entry VM grows by every target and entry VM that
+// has ever been replaced.
+// Sequence: requests go to an address until nothing listens there.
+// Cause: the pool kept a record of each address for good.
+func TestUnusedReceiverIsForgotten(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	p := newPool(t)
+	_, ch := do(p, addr)
+	is.True((<-ch).err != nil)
+	for deadline := time.Now().Add(5 * sweepInterval); p.receivers() > 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the record of an unused receiver stays")
+		}
+		time.Sleep(sweepInterval / 100)
+	}
+}
+
+func (p *Pool) receivers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.peers)
+}
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -33,8 +34,13 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	stop  chan struct{}
+
+	adding sync.RWMutex // held to read while a connection is added
+	closed bool         // guarded by adding
 }
 
+var errClosed = errors.New("outbound: pool is closed")
+
 // NewPool starts an empty pool.
 func NewPool(opts Options) (*Pool, error) {
 	p := &Pool{opts: opts, peers: make(map[string]*peer), stop: make(chan struct{})}
@@ -51,8 +57,13 @@
 	return p, nil
 }
 
-// Close ends every connection.
+// Close ends every connection. A dial that succeeds later is given up: nbio
+// waits in its stop for the connections that it has, and one that comes while
+// it waits would never be closed, nor Close return.
 func (p *Pool) Close() {
+	p.adding.Lock()
+	p.closed = true
+	p.adding.Unlock()
 	close(p.stop)
 	p.engine.Stop()
 }
@@ -61,8 +72,8 @@
 // before Do returns. Do does not block.
 func (p *Pool) Do(addr string, r *Request, done Done) *Call {
 	k := &Call{req: r, done: done}
-	pe := p.peer(addr)
-	if c := pe.take(k); c != nil {
+	pe, c := p.claim(addr, k)
+	if c != nil {
 		c.start(k)
 		return k
 	}
@@ -75,20 +86,32 @@
 // without telling either: when one has gone silent, those that have carried
 // nothing since are suspect too, while a new one costs about a millisecond.
 func (p *Pool) Discard(addr string, age time.Duration) {
-	for _, c := range p.peer(addr).takeIdle(p.opts.Now(), age) {
-		c.nbc.Close()
+	if pe := p.find(addr); pe != nil {
+		pe.closeIdle(age)
 	}
 }
 
 // Connections returns the number of open connections to addr.
 func (p *Pool) Connections(addr string) int {
-	pe := p.peer(addr)
+	pe := p.find(addr)
+	if pe == nil {
+		return 0
+	}
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	return pe.open
 }
 
-func (p *Pool) peer(addr string) *peer {
+// find returns the receiver at addr; nil when nothing was sent there lately.
+func (p *Pool) find(addr string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers[addr]
+}
+
+// claim finds the receiver at addr and a free connection to it. Without one it
+// returns nil and counts a dial, so that the receiver is not forgotten.
+func (p *Pool) claim(addr string, k *Call) (*peer, *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pe, ok := p.peers[addr]
@@ -96,7 +119,7 @@
 		pe = &peer{pool: p, addr: addr}
 		p.peers[addr] = pe
 	}
-	return pe
+	return pe, pe.take(k)
 }
 
 // sweepInterval is how often free connections are checked for their age.
@@ -111,18 +134,26 @@
 			return
 		case <-t.C:
 		}
-		p.mu.Lock()
-		peers := make([]*peer, 0, len(p.peers))
-		for _, pe := range p.peers {
-			peers = append(peers, pe)
+		for _, pe := range p.inUse() {
+			pe.closeIdle(p.opts.IdleTimeout)
 		}
-		p.mu.Unlock()
-		for _, pe := range peers {
-			for _, c := range pe.takeIdle(p.opts.Now(), p.opts.IdleTimeout) {
-				c.nbc.Close()
-			}
+	}
+}
+
+// inUse returns the receivers, and forgets those without a connection: targets
+// and entry VMs are replaced all the time, mostly at other addresses.
+func (p *Pool) inUse() []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peers := make([]*peer, 0, len(p.peers))
+	for addr, pe := range p.peers {
+		if pe.unused() {
+			delete(p.peers, addr)
+			continue
 		}
+		peers = append(peers, pe)
 	}
+	return peers
 }
 
 // runInline runs the parser's completion on the poller's goroutine.
@@ -150,18 +181,27 @@
 	pool *Pool
 	addr string
 
-	mu   sync.Mutex
-	idle []*conn // the most recently used last
-	open int
+	mu      sync.Mutex
+	idle    []*conn // the most recently used last
+	open    int
+	dialing int
+}
+
+// unused reports whether there is no connection, nor one being opened.
+func (pe *peer) unused() bool {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	return pe.open == 0 && pe.dialing == 0
 }
 
 // take claims the most recently used free connection: the others age and are
-// closed when the load falls.
+// closed when the load falls. Without one it counts a dial.
 func (pe *peer) take(k *Call) *conn {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	n := len(pe.idle)
 	if n == 0 {
+		pe.dialing++
 		return nil
 	}
 	c := pe.idle[n-1]
@@ -170,6 +210,13 @@
 	return c
 }
 
+// closeIdle closes the connections free for at least age.
+func (pe *peer) closeIdle(age time.Duration) {
+	for _, c := range pe.takeIdle(pe.pool.opts.Now(), age) {
+		c.nbc.Close()
+	}
+}
+
 // takeIdle claims the connections free for at least age.
 func (pe *peer) takeIdle(now clock.Time, age time.Duration) []*conn {
 	pe.mu.Lock()
@@ -186,12 +233,13 @@
 }
 
 // release frees c for the next request and returns the call it carried. A
-// connection that must not be used again is closed.
+// connection that must not be used again is closed. One without a call has
+// been dropped meanwhile: freed again, it would be lent out closed.
 func (pe *peer) release(c *conn) *Call {
 	pe.mu.Lock()
 	k := c.call
 	c.call = nil
-	keep := !c.noReuse
+	keep := k != nil && !c.noReuse
 	if keep {
 		c.since = pe.pool.opts.Now()
 		pe.idle = append(pe.idle, c)
@@ -203,11 +251,23 @@
 	return k
 }
 
-// busy reports whether c carries a call.
+// giveBack releases c if k still has it. Releasing a connection that has gone
+// on to another call would lend it to two at a time, and give one the answer
+// of the other.
+func (pe *peer) giveBack(c *conn, k *Call) {
+	pe.mu.Lock()
+	owned := c.call == k
+	pe.mu.Unlock()
+	if owned {
+		pe.release(c)
+	}
+}
+
+// busy reports whether c has been handed a request.
 func (pe *peer) busy(c *conn) bool {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	return c.call != nil
+	return c.call != nil && c.call.attached()
 }
 
 // drop forgets c and returns the call it carried.
@@ -220,16 +280,22 @@
 	return k
 }
 
-// closed counts a connection out.
-func (pe *peer) closed() {
+// countOut counts a connection out; only the first time counts.
+func (pe *peer) countOut(c *conn) {
 	pe.mu.Lock()
-	pe.open--
-	pe.mu.Unlock()
+	defer pe.mu.Unlock()
+	if !c.ended {
+		c.ended = true
+		pe.open--
+	}
 }
 
 // dial opens a connection for k.
 func (pe *peer) dial(k *Call) {
 	c, err := pe.connect(k)
+	pe.mu.Lock()
+	pe.dialing--
+	pe.mu.Unlock()
 	if err != nil {
 		// Nothing has been sent: the request has not run.
 		k.finish(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: err})
@@ -244,20 +310,34 @@
 	if err != nil {
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
+	return pe.add(nc, k)
+}
+
+// add hands a new connection, claimed by k, to the pollers.
+func (pe *peer) add(nc net.Conn, k *Call) (*conn, error) {
+	p := pe.pool
+	p.adding.RLock()
+	defer p.adding.RUnlock()
+	if p.closed {
+		_ = nc.Close()
+		return nil, errClosed
+	}
 	nbc, err := nbio.NBConn(nc)
 	if err != nil {
 		_ = nc.Close()
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
 	c := &conn{p: pe, nbc: nbc, call: k}
-	c.parser = nbhttp.NewParser(nbc, pe.pool.engine, c, true, runInline)
+	c.parser = nbhttp.NewParser(nbc, p.engine, c, true, runInline)
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
+	c.built.Store(true)
 	pe.mu.Lock()
 	pe.open++
 	pe.mu.Unlock()
-	if _, err := pe.pool.engine.AddConn(nbc); err != nil {
-		pe.closed()
+	if _, err := p.engine.AddConn(nbc); err != nil {
+		pe.drop(c)
+		pe.countOut(c) // nbio may report the close as well
 		_ = nbc.Close()
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
