--- a/decide/block/address.go
+++ b/decide/block/address.go
@@ -9,7 +9,7 @@
 )
 
 // The address widths that keys hold. An IPv6 network of one client is a /64,
-// so the upper half of an IPv6 address tells clients apart and the lower half
+// so the upper half of an IPv6 address identifies the client and the lower half
 // is not kept.
 const (
 	width4 = 32
@@ -74,7 +74,7 @@
 	implied6 = 48
 )
 
-// Implied returns the block that stands for an address which no block holds.
+// Implied returns the block assumed for an address that no block holds.
 func Implied(a netip.Addr) netip.Prefix {
 	a = a.Unmap().WithZone("")
 	bits := implied6
--- a/decide/block/chunk.go
+++ b/decide/block/chunk.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxChunk is the largest size of a chunk in bytes. The platform's service
-// holds values up to a megabyte; the difference is left to what wraps a chunk.
+// MaxChunk is the largest size of a chunk in bytes: the platform's limit for
+// one value, 1 MB, less some room for the envelope of a chunk.
 const MaxChunk = 1_000_000 - 16<<10
 
 // Manifest lists the chunks of one table. It is written after them, with a
--- a/decide/block/errors.go
+++ b/decide/block/errors.go
@@ -44,7 +44,7 @@
 // Unwrap returns the reason.
 func (e *SourceError) Unwrap() error { return e.Err }
 
-// ConflictError is a prefix that stands in a source twice.
+// ConflictError reports a prefix with two different homes in one source.
 type ConflictError struct {
 	Prefix        netip.Prefix
 	Line          int // of the second mention
--- a/decide/block/home.go
+++ b/decide/block/home.go
@@ -20,7 +20,7 @@
 // HomeID numbers a Home within one Table and the tables patched from it.
 type HomeID uint16
 
-// maxHomes is the number of distinct homes that a HomeID can tell apart.
+// maxHomes is the number of values of a HomeID.
 const maxHomes = 1 << 16
 
 // Topology lists the failure domains of every region that a source may name.
--- a/decide/block/table.go
+++ b/decide/block/table.go
@@ -50,7 +50,7 @@
 func (t *Table) Home(id HomeID) Home { return t.homes[id] }
 
 // Homes returns the number of homes; HomeIDs are below it. Homes that a patch
-// has left without blocks are counted until the table is built anew.
+// has left without blocks are counted until the table is rebuilt.
 func (t *Table) Homes() int {
 	if t == nil {
 		return 0
--- a/decide/block/text.go
+++ b/decide/block/text.go
@@ -134,7 +134,7 @@
 	return t.builder.add(p, id)
 }
 
-// home reads the text after a prefix that was not met before.
+// home parses the text after a prefix, the first time it occurs.
 func (t *textReader) home(text string) (HomeID, error) {
 	h, err := parseHome(text)
 	if err != nil {
--- a/decide/change/errors.go
+++ b/decide/change/errors.go
@@ -66,7 +66,7 @@
 	WrongState  Code = "wrong-state"   // the life cycle has no such transition
 	OwnEntry    Code = "own-entry"     // the class asks for a second operator
 	InUse       Code = "in-use"        // a shift names the service
-	Overlap     Code = "overlap"       // together with another moving shift it makes no sense
+	Overlap     Code = "overlap"       // contradicts another moving shift
 	OverCap     Code = "over-cap"      // share above Limits.MaxShare
 	OverStep    Code = "over-step"     // rise above Limits.Step
 	TooSoon     Code = "too-soon"      // rise before Limits.Interval has passed
@@ -77,7 +77,7 @@
 // Refused reports a well-formed operation that the catalogue forbids.
 type Refused struct {
 	Code   Code
-	Field  string // field that stands in the way, such as "state"
+	Field  string // field that the refusal is about, such as "state"
 	Reason string
 }
 
--- a/decide/change/operation.go
+++ b/decide/change/operation.go
@@ -27,7 +27,8 @@
 // one its Kind uses.
 type Operation struct {
 	// ID is a UUID in text form, made once by whoever starts the operation
-	// and kept over retries; a write whose answer was lost is settled by it.
+	// and kept across retries. After a lost answer it shows whether the write
+	// took effect.
 	ID       string `json:"id"`
 	Operator string `json:"operator"` // operator, or RunnerName
 	Kind     Kind   `json:"kind"`
@@ -110,8 +111,8 @@
 	// most Limits.Step, inside the window and no sooner than Limits.Interval
 	// after the last step.
 	Share     catalogue.Share `json:"share"`
-	Hold      string          `json:"hold,omitempty"` // why it stands still; empty while it advances
-	SteppedAt int64           `json:"stepped_at"`     // Unix ns of the last step
+	Hold      string          `json:"hold,omitempty"` // why the share is held; empty while it advances
+	SteppedAt int64           `json:"stepped_at"`     // Unix ns of the last step; never falls
 	// Done finishes the shift; the share must be at its cap. The runner sets
 	// it once the receiver is seen to have absorbed the last step.
 	Done bool `json:"done,omitempty"`
--- a/decide/change/transition.go
+++ b/decide/change/transition.go
@@ -91,9 +91,9 @@
 	return nil
 }
 
-// overlap refuses a shift that makes no sense beside one that moves already:
-// together they would move more than the whole of a region's traffic, or move
-// traffic into a region that is being emptied.
+// overlap refuses a shift that contradicts one that moves already: together
+// they would move more than the whole of a region's traffic, or move traffic
+// into a region that is being emptied.
 func overlap(c *catalogue.Catalogue, s *catalogue.Shift) error {
 	total := int(s.Limits.MaxShare)
 	for _, o := range c.Shifts {
--- a/decide/config/doc.go
+++ b/decide/config/doc.go
@@ -21,29 +21,29 @@
 // # Dissemination
 //
 // A daemon that learns of a revision from the platform, from its own write or
-// from another failure domain becomes the root of a push: the Delta goes down
-// a tree of fan-out TreeFanOut over the members of its own domain. The second
+// from another failure domain becomes the root of a push: the Delta goes down a
+// tree of fan-out TreeFanOut over the members of its own domain. The second
 // reader sends only a Digest down its tree, which has other inner nodes; a
 // daemon still without the change WantDelay later, because a member above it is
-// dead, asks for it. Every root also sends a Digest to readers of a few other domains
-// chosen at random. One whose domain has lost the platform asks at once, and
-// becomes a root there. Changes within MinPushInterval are merged into one
-// Delta.
-//
-// Readers send a Digest (revision, content hash, age of the confirmation)
-// down the same tree every HeartbeatInterval; it is their heartbeat as readers.
-// For anti-entropy every daemon also sends a Digest to random peers. A daemon
-// that finds itself behind asks with Want, and gets a Delta or the parts of a Snapshot. Every
-// Delta and Snapshot is checked against its content hash after it has been
-// put together, so a wrong base or a lost part is never applied.
+// dead, asks for it. Every root also sends a Digest to readers of a few other
+// domains chosen at random. One whose domain has lost the platform asks at
+// once, and becomes a root there. Changes within MinPushInterval are merged
+// into one Delta.
+//
+// Readers send a Digest (revision, content hash, age of the confirmation) down
+// the same tree every HeartbeatInterval; it is their heartbeat as readers. For
+// anti-entropy every daemon also sends a Digest to random peers. A daemon that
+// finds itself behind asks with Want, and gets a Delta or the parts of a
+// Snapshot. Every Delta and Snapshot is checked against its content hash after
+// it has been put together, so a wrong base or a lost part is never applied.
 //
 // # Revisions never fall
 //
-// A revision below the one in force is never applied. A platform that comes
-// back with older data is reported (PlatformBehind), and the daemon asks for
-// its own newer catalogue to be written back (RestorePlatform). Two contents
-// under one revision are reported, and the one with the greater hash wins
-// everywhere.
+// A revision below the one in force is never applied. A platform that was
+// restored from older data is reported (PlatformBehind), and the daemon asks
+// for its own newer catalogue to be written back (RestorePlatform). Two
+// contents under one revision are reported, and the one with the greater hash
+// wins everywhere.
 //
 // # Age
 //
--- a/decide/config/history.go
+++ b/decide/config/history.go
@@ -109,7 +109,7 @@
 }
 
 // add takes one part and returns the content once all are there. A part of
-// another snapshot starts anew.
+// another snapshot discards the parts so far.
 func (a *assembly) add(s *Snapshot) (*content, error) {
 	p := Point{Revision: s.Revision, Hash: s.Hash}
 	if a.point != p || len(a.parts) != s.Parts {
--- a/decide/config/limits.go
+++ b/decide/config/limits.go
@@ -36,7 +36,7 @@
 	// CrossDigestEvery is how many digests of a daemon that isn't a reader
 	// stay in the domain for one that leaves it.
 	CrossDigestEvery = 4
-	// WantDelay is how long a daemon that hears of a change waits for its push
+	// WantDelay is how long a daemon that learns of a change waits for its push
 	// before it asks, if its domain reads the platform.
 	WantDelay = 200 * time.Millisecond
 	// WantTimeout is the time after which another peer is asked.
--- /dev/null
+++ b/decide/config/message_test.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Symptom: two daemons steer differently and both report the same revision.
+// Sequence: a platform put back to older data gave one revision out twice, in
+// two partitions. Cause: without a rule each keeps its own. The greater hash
+// must win at both, and the loser must count it.
+func TestTwoContentsUnderOneRevision(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 2, 1)
+	n.storeDown = true
+	a, b := n.nodes[0], n.nodes[1]
+	a.st.Step(n.now, &Accepted{Catalogue: withShift(9, "x")}, &a.ready)
+	b.st.Step(n.now, &Accepted{Catalogue: withShift(9, "y")}, &b.ready)
+	n.run(10 * time.Second)
+	is.Equal(a.st.point(), b.st.point())
+	is.True(a.st.Counters().Diverged+b.st.Counters().Diverged > 0)
+}
+
+// Symptom: a damaged or hostile message changes the configuration or stops the
+// daemon. Sequence: a peer sends what no correct release sends. Cause: a bound
+// isn't checked.
+func TestMalformedMessages(t *testing.T) {
+	many := make([]catalogue.Shift, MaxDeltaEntries+1)
+	for i := range many {
+		many[i].ID = "x"
+	}
+	bad := map[string]Message{
+		"nothing":          nil,
+		"revision":         &Digest{Format: Format, Revision: MaxRevision + 1, Age: Unknown, ReadAge: Unknown},
+		"age":              &Digest{Format: Format, Revision: 9, Age: -2, ReadAge: Unknown},
+		"read age":         &Digest{Format: Format, Revision: 9, ReadAge: Age(maxAge)},
+		"hash alone":       &Digest{Format: Format, Hash: 1},
+		"root":             &Digest{Format: Format, Root: fleet.VMID(make([]byte, MaxIDLen+1))},
+		"want":             &Want{Format: Format, Have: MaxRevision + 1},
+		"delta backwards":  &Delta{Format: Format, From: 9, To: 9},
+		"delta too large":  &Delta{Format: Format, From: 1, To: 9, Shifts: many},
+		"delta without id": &Delta{Format: Format, From: 1, To: 9, Shifts: make([]catalogue.Shift, 1)},
+		"removed id":       &Delta{Format: Format, From: 1, To: 9, RemovedShifts: []string{""}},
+		"push root":        &Push{Delta: Delta{Format: Format, From: 1, To: 9}},
+		"part":             &Snapshot{Format: Format, Revision: 9, Part: 1, Parts: 1},
+		"no parts":         &Snapshot{Format: Format, Revision: 9},
+		"too many parts":   &Snapshot{Format: Format, Revision: 9, Parts: MaxParts + 1},
+		"part too large":   &Snapshot{Format: Format, Revision: 9, Parts: 1, Shifts: many[:MaxPartEntries+1]},
+		"empty snapshot":   &Snapshot{Format: Format, Parts: 1},
+	}
+	for name, m := range bad {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := settledNetwork(is, 1, 2)
+			v := n.nodes[0]
+			before := v.st.point()
+			v.st.Step(n.now, &PeerMessage{From: "a1", Msg: m}, &v.ready)
+			is.Equal(v.st.Counters().Malformed, uint64(1))
+			is.Equal(v.st.point(), before)
+			is.Equal(v.st.catchUp.highest, before.Revision)
+		})
+	}
+}
+
+// Symptom: entries lose fields that a newer release added. Sequence: a daemon
+// of an older release passes a change on. Cause: it dropped what it didn't
+// know; so content of another format is refused, and counted apart.
+func TestOtherFormatIsRefused(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(is, 1, 2)
+	v := n.nodes[0]
+	d := &Delta{Format: Format + 1, From: 1, To: 9, Shifts: withShift(9, "x").Shifts}
+	v.st.Step(n.now, &PeerMessage{From: "a1", Msg: d}, &v.ready)
+	is.Equal(v.st.Counters().OtherFormat, uint64(1))
+	is.Equal(v.revision, uint64(1))
+}
+
+// Symptom: a daemon applies a catalogue that nobody wrote. Sequence: a delta
+// is damaged, or was made from another base. Cause: its result isn't compared
+// with the hash; the daemon must ask for a snapshot instead.
+func TestWrongDeltaIsReplacedBySnapshot(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(is, 1, 2)
+	v := n.nodes[0]
+	d := &Delta{Format: Format, From: 1, To: 9, Hash: 1, Age: Unknown, Shifts: withShift(9, "x").Shifts}
+	v.st.Step(n.now, &PeerMessage{From: "a1", Msg: d}, &v.ready)
+	is.Equal(v.st.Counters().HashMismatch, uint64(1))
+	is.Equal(v.revision, uint64(1))
+	is.Equal(v.ready.Send[0].Msg, Message(&Want{Format: Format, Have: 0}))
+}
--- a/decide/config/read.go
+++ b/decide/config/read.go
@@ -249,7 +249,8 @@
 }
 
 // readFailed sets the time of the next attempt. Those of later ranks are
-// farther apart, so that in an outage the whole fleet doesn't call the platform.
+// farther apart, so that in an outage the whole fleet doesn't call the
+// platform.
 func (s *State) readFailed() {
 	r := &s.read
 	r.mode = readIdle
--- a/decide/detect/detect.go
+++ b/decide/detect/detect.go
@@ -11,7 +11,7 @@
 // and may reuse a number after Forget.
 type ID int32
 
-// Detector tells which members of a group have gone silent. Implementations
+// Detector finds the members of a group that have gone silent. Implementations
 // are deterministic, single-threaded and keep no clock.
 type Detector interface {
 	// Sent records that id owes one more answer. A member that sends
--- a/decide/detect/doc.go
+++ b/decide/detect/doc.go
@@ -1,13 +1,13 @@
-// Package detect tells silent connections, targets and entry VMs from slow
-// ones.
-//
-// A connection can go silent for good while new ones to the same target work:
-// something between the two ends has lost track of it, and no error ever
-// comes. A target can stop answering without closing its connections. An
-// entry VM can die, or a link to it can lose one direction. In each case the
-// only sign is that what was owed does not come, and the same sign is given
-// by a pause, a cold cache or a slow region, which must not be taken for a
-// failure: ejecting what is merely slow moves its load onto the rest.
+// Package detect detects connections, targets and entry VMs that have gone
+// silent, and distinguishes them from slow ones.
+//
+// A firewall, NAT or load balancer on the path can drop a connection's state:
+// packets are discarded without a reset, while new connections to the same
+// target are accepted. A target can stop answering without closing its
+// connections. An entry VM can die, or a link to it can lose one direction. In
+// each case the only symptom is a missing answer. A pause, a cold cache and a
+// slow region have the same symptom and must not count as failures: ejecting a
+// slow member moves its load onto the rest.
 //
 // # Groups
 //
--- a/decide/detect/phi.go
+++ b/decide/detect/phi.go
@@ -134,10 +134,10 @@
 	return time.Duration(p.group.lag(p.tick(now), id))
 }
 
-// sample returns the silence of id that ends now, as far as it tells what is
-// usual. What the group shared beyond the usual is left out: else one pause
-// would raise the bound to the maximum for hundreds of answers, and a
-// connection lost meanwhile would be noticed late.
+// sample returns the silence of id that ends now, without the part that the
+// whole group shared beyond the usual. Otherwise one pause would raise the
+// bound to the maximum for hundreds of answers, and a connection lost meanwhile
+// would be detected late.
 func (p *Phi) sample(now clock.Time, id ID) time.Duration {
 	silence := p.group.silence(now, id)
 	if p.config.Gate == 0 || p.samples < phiWarm {
--- a/decide/detect/relative.go
+++ b/decide/detect/relative.go
@@ -13,9 +13,9 @@
 	// ByAnswer advances the clock with every answer of any member. It suits
 	// members that are used in turn, such as connections and targets.
 	ByAnswer Pace = iota
-	// ByRound advances the clock when a member that has already contributed
-	// to the current round contributes again, so that the fastest member sets
-	// the pace. It suits members that all report at one interval.
+	// ByRound advances the clock at a member's second heartbeat within one
+	// round, so that the fastest member sets the pace. It suits members that
+	// all report at one interval.
 	ByRound
 )
 
--- a/decide/load/doc.go
+++ b/decide/load/doc.go
@@ -6,8 +6,8 @@
 //
 // Clocks of two machines can't be compared, so a report carries no instants.
 // Each set of figures carries its age, the time since it was measured; the
-// receiver notes the instant that the age stands for on its own clock, and a
-// report that forwards figures states their age anew. The time in transit,
+// receiver converts it to an instant on its own clock, and a report that
+// forwards figures states their age at that time. The time in transit,
 // which nobody can see, is added as Options.Transit at each hop. A sum is as
 // old as its oldest part. Figures older than Options.Expire are unknown,
 // which is not the same as no load.
@@ -19,7 +19,8 @@
 // groups (ScopePeer), and with other domains of the region and other regions
 // the sums of domain and region (ScopeRegion, ScopeFar). Each answer to a VM
 // carries the sums of the domain, of the region's domains and in turn of the
-// others (ScopeMember). Reports ride on messages that package member sends anyway.
+// others (ScopeMember). Reports ride on messages that package member sends
+// anyway.
 //
 // Services and places are named by a 32-bit hash on the wire: a name would
 // cost as much as all figures of a service.
--- a/decide/load/load_test.go
+++ b/decide/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -237,3 +238,29 @@
 		s.Attach(epoch, load.ScopeMember)
 	}
 }
+
+// Symptom: the load of a domain stays unknown. Sequence: over its life a
+// process has received figures of as many places as it keeps, most of them
+// gone; a new domain reports. Cause: expired figures take its place.
+func TestExpiredPlacesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := load.New(vm("a1", "attiki", "attiki-1"), load.Options{})
+	s.Step(epoch, &load.Fleet{Domains: domains})
+	const more = 1024 // than any process keeps
+	for from := 0; from < more; from += load.MaxRows {
+		r := &load.Report{Scope: load.ScopeFar}
+		for i := range load.MaxRows {
+			r.Rows = append(r.Rows, load.Row{Place: load.PlaceOfDomain(fleet.Domain(fmt.Sprintf("old-%d", from+i)))})
+		}
+		is.NoErr(r.Validate())
+		s.Step(epoch, &load.Received{From: "k1", Report: r})
+	}
+	k := load.New(vm("k1", "kriti", "kriti-1"), load.Options{})
+	k.Step(epoch, &load.Fleet{Representative: true, Group: []fleet.VMID{"k1"}, Domains: domains})
+	later := epoch.Add(2 * load.DefaultExpireFar)
+	k.Step(later, sample(4))
+	pass(t, later, k, "k1", load.ScopeFar, s)
+	f, ok := s.Domain(later, service, "kriti-1")
+	is.True(ok)
+	is.Equal(f.InFlight, uint32(4))
+}
--- a/decide/load/state.go
+++ b/decide/load/state.go
@@ -9,23 +9,6 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// Options are the settings. A zero field takes its default.
-type Options struct {
-	Expire time.Duration // age from which figures are unknown
-	// ExpireFar is the same for other regions in a fleet too large for each
-	// answer to a VM to carry all of them: they come in turns, one round of
-	// which takes longer than Expire.
-	ExpireFar time.Duration
-	Transit   time.Duration // added to an age at each hop
-}
-
-// The defaults of Options.
-const (
-	DefaultExpire    = 30 * time.Second
-	DefaultExpireFar = 75 * time.Second
-	DefaultTransit   = 50 * time.Millisecond
-)
-
 const (
 	// smallFleet is the number of domains up to which other regions' domains
 	// are reported one by one. Above it they are reported as one sum a region.
@@ -42,41 +25,6 @@
 	peerFor = 6 * time.Second
 )
 
-// Event is an input of State.Step.
-type Event interface{ isEvent() }
-
-// Measured brings this VM's own samples.
-type Measured struct{ Samples []Sample }
-
-// Received brings a report of another VM.
-type Received struct {
-	From   fleet.VMID
-	Report *Report
-}
-
-// Fleet says who takes part: the VMs whose figures this one collects, empty
-// unless it is a representative; the live representatives of the domain; and
-// all domains by region.
-type Fleet struct {
-	Representative bool
-	Group          []fleet.VMID
-	Peers          []fleet.VMID
-	Domains        []DomainOf
-	// Interest lists other regions whose load every report carries while it
-	// is known: those that a traffic shift moves to or from.
-	Interest []fleet.Region
-}
-
-// DomainOf places a domain in its region.
-type DomainOf struct {
-	Region fleet.Region
-	Domain fleet.Domain
-}
-
-func (*Measured) isEvent() {}
-func (*Received) isEvent() {}
-func (*Fleet) isEvent()    {}
-
 // part holds figures with the instant at which the oldest of them was
 // measured, and that at which they were summed up.
 type part struct {
@@ -117,17 +65,8 @@
 
 // New returns the state of the entry VM self.
 func New(self fleet.VM, o Options) *State {
-	if o.Expire == 0 {
-		o.Expire = DefaultExpire
-	}
-	if o.ExpireFar == 0 {
-		o.ExpireFar = DefaultExpireFar
-	}
-	if o.Transit == 0 {
-		o.Transit = DefaultTransit
-	}
 	return &State{
-		o:      o,
+		o:      o.withDefaults(),
 		id:     self.ID,
 		region: self.Region,
 		domain: PlaceOfDomain(self.Domain),
@@ -220,20 +159,12 @@
 		case e.Report.Scope == ScopePeer && i == 0:
 			s.keepPeer(e.From, p)
 		default:
-			s.keepPlace(row.Place, p, s.heardAt(now, e.Report.Scope))
+			s.keepPlace(now, row.Place, p, e.Report.Scope)
 		}
 	}
 }
 
-// heardAt is now for reports from outside the domain, otherwise zero.
-func (s *State) heardAt(now clock.Time, scope Scope) clock.Time {
-	if scope == ScopeRegion || scope == ScopeFar {
-		return now
-	}
-	return 0
-}
-
-// instant is the time on the own clock that a received age stands for.
+// instant converts a received age to an instant on the own clock.
 func (s *State) instant(now clock.Time, ms uint32) clock.Time {
 	return now.Add(-time.Duration(ms)*time.Millisecond - s.o.Transit)
 }
@@ -263,20 +194,43 @@
 // maxPlaces bounds what peers can make this VM keep: all domains and regions.
 const maxPlaces = 512
 
-func (s *State) keepPlace(place Place, p part, direct clock.Time) {
+func (s *State) keepPlace(now clock.Time, place Place, p part, scope Scope) {
 	if s.rep && place == s.domain {
 		return // the sum made here is fresher than a forwarded copy of it
 	}
 	at, ok := s.findPlace(place)
 	if !ok {
-		if len(s.places) >= maxPlaces {
+		if at, ok = s.addPlace(now, place); !ok {
 			return
 		}
-		s.places = slices.Insert(s.places, at, ofPlace{place: place})
 	}
-	if p.made > s.places[at].made {
-		s.places[at] = ofPlace{place: place, part: p, direct: direct}
+	if p.made <= s.places[at].made {
+		return
 	}
+	s.places[at] = ofPlace{place: place, part: p}
+	if scope == ScopeRegion || scope == ScopeFar {
+		s.places[at].direct = now
+	}
+}
+
+// addPlace returns the index of a new place; false if there is no room.
+func (s *State) addPlace(now clock.Time, place Place) (int, bool) {
+	if len(s.places) >= maxPlaces {
+		s.dropExpired(now)
+	}
+	if len(s.places) >= maxPlaces {
+		return 0, false
+	}
+	at, _ := s.findPlace(place)
+	s.places = slices.Insert(s.places, at, ofPlace{place: place})
+	return at, true
+}
+
+// dropExpired makes room for new places. Without it the places of former
+// domains would fill a long-lived process, and the load of new ones would stay
+// unknown.
+func (s *State) dropExpired(now clock.Time) {
+	s.places = slices.DeleteFunc(s.places, func(p ofPlace) bool { return !s.freshPlace(now, &p) })
 }
 
 func (s *State) fresh(now clock.Time, p *part) bool {
--- a/decide/machine/event.go
+++ b/decide/machine/event.go
@@ -49,7 +49,7 @@
 	Sends []Send
 	// Apply is the list to put in force, of the own domain's targets and all
 	// entry VMs; nil: no change. Its Version may be lower than before, after
-	// the platform has come back with older data. It must not be changed.
+	// the platform was restored from older data. It must not be changed.
 	Apply *fleet.List
 	// Watch says whether this daemon should watch the platform's list.
 	Watch bool
--- a/decide/machine/gossip.go
+++ b/decide/machine/gossip.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// forward forwards a push down its root's tree even if it held nothing new here:
-// members below may lack it.
+// forward forwards a push down its root's tree even if it held nothing new
+// here: members below may lack it.
 func (s *State) forward(m *Push, out *Ready) {
 	if m.Root == s.self.ID || !slices.Contains(s.members, m.Root) {
 		return
--- a/decide/machine/machine_test.go
+++ b/decide/machine/machine_test.go
@@ -91,7 +91,7 @@
 }
 
 // TestPlatformRestored: symptom: a domain works with the machines of last
-// night for ever. Sequence: the platform comes back with older data, and its
+// night for ever. Sequence: the platform is restored from older data, and its
 // versions start lower. Cause: lower versions are ignored without end. Live
 // targets that the older data lacks must not vanish meanwhile.
 func TestPlatformRestored(t *testing.T) {
@@ -171,9 +171,9 @@
 	is.Equal(len(n.nodes[2].applied.Targets), 11) // alone, it keeps the last
 }
 
-// TestLeftOut: symptom: one daemon's list is old for good. Sequence: the views of
-// all others leave it out, so no push and no digest comes to it. Cause: nobody
-// answers a digest that is behind.
+// TestLeftOut: symptom: one daemon's list is old for good. Sequence: the views
+// of all others leave it out, so no push and no digest comes to it. Cause:
+// nobody answers a digest that is behind.
 func TestLeftOut(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(1, 8, 8, 10)
@@ -215,7 +215,7 @@
 // TestRandomFaults: symptom: a daemon goes back to an older list, loses a live
 // target before its grace is over, or never gets the newest. Sequence: any mix
 // of changes, restarts, losses, cut-off daemons, outages, and a platform that
-// comes back with older data. Cause: whatever rule of this package the mix
+// is restored from older data. Cause: whatever rule of this package the mix
 // breaks. The network checks each step.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/decide/machine/state.go
+++ b/decide/machine/state.go
@@ -20,7 +20,7 @@
 	// WantTimeout is the time after which another member is asked.
 	WantTimeout = 300 * time.Millisecond
 	// LowerFor is how long the platform must have shown a lower version
-	// before its numbering counts as begun anew.
+	// before it counts as restored.
 	LowerFor = time.Minute
 	// LowerGap is the longest time between two answers of the platform that
 	// count as showing a lower version all along. It must exceed the time
@@ -48,8 +48,8 @@
 	maxWants = 8
 )
 
-// State is one daemon's state of the list and its dissemination. It isn't safe for concurrent
-// use.
+// State is one daemon's state of the list and its dissemination. It isn't safe
+// for concurrent use.
 type State struct {
 	self    fleet.VM
 	rng     *rand.Rand
@@ -225,9 +225,9 @@
 // watches reports whether this daemon should watch the platform.
 func (s *State) watches() bool { return s.reading || s.isolatedAt() <= s.now }
 
-// isolatedAt returns from when on this daemon watches although it isn't a reader.
-// Without it a daemon missing from its neighbours' membership would keep a stale
-// list, or never get one, although it can reach the platform.
+// isolatedAt returns from when on this daemon watches although it isn't a
+// reader. Without it a daemon missing from its neighbours' membership would
+// keep a stale list, or never get one, although it can reach the platform.
 func (s *State) isolatedAt() clock.Time {
 	wait := SilentFor
 	if s.held == nil {
--- a/decide/member/doc.go
+++ b/decide/member/doc.go
@@ -5,18 +5,18 @@
 //
 // # Inside a failure domain
 //
-// Entry VMs of one domain form a ring, ordered by a hash of their ids. Each
-// VM pings its next Options.Monitors live successors every
-// Options.ProbeEvery, so a dead VM is pinged within one period whatever the
-// size of the domain; a ping to a random member or listed VM every
-// Options.RandomEvery finds what differing views leave out. A ping without
-// an answer in Options.DirectTimeout is repeated through Options.Relays other
-// VMs, which tells a broken link from a dead VM, and the search goes on
-// behind the silent VM, so that a run of dead neighbours takes no longer.
-// A VM that no relay reaches is suspected. The suspicion is broadcast to every
-// member, the suspect included; a live suspect refutes it by raising its
-// refutation count. Otherwise it is dead after Options.SuspectFor, counted
-// by each member from the same instant, since facts carry their age.
+// Entry VMs of one domain form a ring, ordered by a hash of their ids. Each VM
+// pings its next Options.Monitors live successors every Options.ProbeEvery, so
+// a dead VM is pinged within one period whatever the size of the domain; a ping
+// to a random member or listed VM every Options.RandomEvery finds what
+// differing views leave out. A ping without an answer in Options.DirectTimeout
+// is repeated through Options.Relays other VMs, which distinguishes a broken
+// link from a dead VM. The successors behind the silent VM are pinged as well,
+// so that a run of dead neighbours takes no longer. A VM that no relay reaches
+// is suspected. The suspicion is broadcast to every member, the suspect
+// included; a live suspect refutes it by raising its refutation count.
+// Otherwise it is dead after Options.SuspectFor, counted by each member from
+// the same instant, since facts carry their age.
 //
 // Facts about a VM are ordered by (incarnation, refutations) and then by
 // status, so a restart overrides everything said about the earlier process
--- a/decide/member/fact.go
+++ b/decide/member/fact.go
@@ -17,13 +17,13 @@
 	left int
 }
 
-// age is the time since t in ms, as it goes on the wire.
+// age is the time since t in ms, as sent on the wire.
 func age(now, t clock.Time) uint32 {
 	ms := now.Sub(t) / time.Millisecond
 	return uint32(min(max(ms, 0), math.MaxUint32))
 }
 
-// since is the instant that a received age stands for.
+// since converts a received age to an instant on the own clock.
 func since(now clock.Time, ms uint32) clock.Time {
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
--- a/decide/member/message.go
+++ b/decide/member/message.go
@@ -88,7 +88,8 @@
 	Live    uint32       `json:"live"`
 	Leaving uint32       `json:"leaving"`
 	// VMs are live ones by rank; the representatives come first. Of a domain
-	// that has none, leaving ones are named: they are not offered, but get updates.
+	// that has none, leaving ones are named: they are not offered, but get
+	// updates.
 	VMs []RowVM `json:"vms"`
 	Own uint32  `json:"own"` // how many of VMs the author itself holds live; see mergedVM
 }
--- a/decide/member/options.go
+++ b/decide/member/options.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/fleet"
@@ -90,24 +91,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.ProbeEvery, DefaultProbeEvery)
-	setDuration(&o.RandomEvery, DefaultRandomEvery)
-	setDuration(&o.DirectTimeout, DefaultDirectTimeout)
-	setDuration(&o.IndirectTimeout, DefaultIndirectTimeout)
-	setDuration(&o.SuspectFor, DefaultSuspectFor)
-	setDuration(&o.WatchEvery, DefaultWatchEvery)
-	setDuration(&o.WatchTimeout, DefaultWatchTimeout)
-	if o.Monitors == 0 {
-		o.Monitors = DefaultMonitors
-	}
-	if o.Relays == 0 {
-		o.Relays = DefaultRelays
-	}
+	o.ProbeEvery = cmp.Or(o.ProbeEvery, DefaultProbeEvery)
+	o.RandomEvery = cmp.Or(o.RandomEvery, DefaultRandomEvery)
+	o.DirectTimeout = cmp.Or(o.DirectTimeout, DefaultDirectTimeout)
+	o.IndirectTimeout = cmp.Or(o.IndirectTimeout, DefaultIndirectTimeout)
+	o.SuspectFor = cmp.Or(o.SuspectFor, DefaultSuspectFor)
+	o.WatchEvery = cmp.Or(o.WatchEvery, DefaultWatchEvery)
+	o.WatchTimeout = cmp.Or(o.WatchTimeout, DefaultWatchTimeout)
+	o.Monitors = cmp.Or(o.Monitors, DefaultMonitors)
+	o.Relays = cmp.Or(o.Relays, DefaultRelays)
 	return o
 }
-
-func setDuration(d *time.Duration, def time.Duration) {
-	if *d == 0 {
-		*d = def
-	}
-}
--- a/decide/member/sync.go
+++ b/decide/member/sync.go
@@ -186,8 +186,8 @@
 	return Version{}
 }
 
-// handleSyncAck takes what another VM has and this one lacked. Rows from outside
-// the domain are forwarded in the region.
+// handleSyncAck takes what another VM has and this one lacked. Rows from
+// outside the domain are forwarded in the region.
 func (s *State) handleSyncAck(m *Message, b *SyncAck) {
 	inside := b.Domain == s.self.vm.Domain
 	if inside {
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -347,8 +347,8 @@
 	}
 }
 
-// compareRows asks the watched VM for the rows in which it differs. Inside
-// the region an update may still be in transit; from another region a difference
+// compareRows asks the watched VM for the rows in which it differs. Inside the
+// region an update may still be in transit; from another region a difference
 // means that a push was lost, or that its update is younger than the answer.
 func (s *State) compareRows(w *watch, from fleet.VMID, rows uint32, out *Ready) {
 	region := s.commonRows(w.remote.region)
--- a/decide/steer/doc.go
+++ b/decide/steer/doc.go
@@ -3,9 +3,9 @@
 //
 // # The decision
 //
-// A View is an immutable picture of blocks, entry VMs, weights and traffic
-// shifts. A daemon builds a new one whenever one of these changes and puts it
-// in the place of the old one; look-ups never wait.
+// A View is an immutable snapshot of blocks, entry VMs, weights and traffic
+// shifts. A daemon builds a new one whenever one of these changes and replaces
+// the old one atomically; look-ups take no lock.
 //
 // A look-up finds the client's block and by it the home region. A traffic
 // shift may move the block to another region. Inside the region the block is
@@ -21,7 +21,7 @@
 // The entry VMs of an answer span at least two failure domains wherever two
 // have live entry VMs. If the home region has fewer, the others come from the
 // region that rendezvous over the regions' weights puts next, so the clients
-// of a lost region spread over all others by what these can bear.
+// of a lost region spread over all others in proportion to their weights.
 //
 // # Weights change slowly
 //
--- /dev/null
+++ b/decide/steer/slopes_moves_test.go
@@ -0,0 +1,117 @@
+package steer_test
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/block/blocktest"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/steer/slope"
+	"github.com/azurethread/azurethread/decide/steer/steertest"
+)
+
+// moves measures which clients move, over all blocks of the planned fleet.
+func (r *recorder) moves() {
+	for _, prefer := range []bool{true, false} {
+		suffix, kind := "", ""
+		if !prefer {
+			suffix, kind = "-free", " without preferred domains"
+		}
+		in := steertest.Planned.Inputs(blocktest.Table(plannedBlocks, steertest.Planned.Topology(), prefer, 1))
+		m := moves{r: r, in: in, addrs: blocktest.Addrs(in.Blocks, 1_000_000, 2), suffix: suffix, kind: kind}
+		m.before = m.firsts()
+		m.spread()
+		m.siteLoss()
+		m.weightChange()
+	}
+}
+
+type moves struct {
+	r            *recorder
+	in           steer.Inputs
+	addrs        []netip.Addr
+	before       []steer.Choice
+	suffix, kind string
+}
+
+func (m *moves) firsts() []steer.Choice {
+	v := steer.New(m.in)
+	out := make([]steer.Choice, len(m.addrs))
+	for i, a := range m.addrs {
+		v.Lookup(service, a, out[i:i+1])
+	}
+	return out
+}
+
+func (m *moves) one(name, title, unit string, y float64) {
+	m.r.add(name+m.suffix+"/once", title+m.kind, unit, "sites", slope.Point{X: float64(steertest.Planned.Sites), Y: y})
+}
+
+// spread compares the load of the sites, each VM taken as equally strong.
+func (m *moves) spread() {
+	clients := make(map[fleet.Site]float64)
+	for _, c := range m.before {
+		clients[c.Site]++
+	}
+	vms := make(map[fleet.Site]float64)
+	for _, vm := range m.in.VMs {
+		vms[vm.Site]++
+	}
+	mean := float64(len(m.addrs)) / float64(len(m.in.VMs))
+	worst := 0.0
+	for site, n := range clients {
+		worst = max(worst, n/vms[site]/mean)
+	}
+	m.one("spread", "clients per entry VM, most loaded site to mean", "ratio", worst)
+}
+
+// siteLoss takes out each of some sites in turn.
+func (m *moves) siteLoss() {
+	const lost = 47 // every 20th site
+	moved, others := 0.0, 0.0
+	vms := m.in.VMs
+	for i := range lost {
+		site := vms[i*20].Site
+		m.in.VMs = slices.Clone(vms)
+		for j := range m.in.VMs {
+			if m.in.VMs[j].Site == site {
+				m.in.VMs[j].State = fleet.Dead
+			}
+		}
+		for j, c := range m.firsts() {
+			switch {
+			case m.before[j].Site == site:
+				moved++
+			case c != m.before[j]:
+				others++
+			}
+		}
+	}
+	m.in.VMs = vms
+	total := float64(lost * len(m.addrs))
+	sites := float64(steertest.Planned.Sites)
+	m.one("site-loss", "clients moved by the loss of a site, in parts of the ideal 1/sites", "ratio", (moved+others)/total*sites)
+	m.one("site-loss-others", "clients of other sites moved by it, in parts of 1/sites", "ratio", others/total*sites)
+}
+
+// weightChange lowers the weight of one domain by 1%.
+func (m *moves) weightChange() {
+	key := steer.DomainService{Domain: "r05-d1", Service: service}
+	m.in.Weights = map[steer.DomainService]steer.Weight{key: steer.FullWeight / 100 * 99}
+	moved, others, mine := 0.0, 0.0, 0.0
+	for j, c := range m.firsts() {
+		if m.before[j].Domain == key.Domain {
+			mine++
+		}
+		switch {
+		case c == m.before[j]:
+		case m.before[j].Domain == key.Domain:
+			moved++
+		default:
+			others++
+		}
+	}
+	m.one("weight-change", "clients of a domain moved by 1% less weight, in parts of its clients", "ratio", moved/mine)
+	m.one("weight-change-others", "clients of other domains moved by it", "clients", others)
+}
--- a/decide/steer/steertest/steertest.go
+++ b/decide/steer/steertest/steertest.go
@@ -15,8 +15,8 @@
 	Regions, Domains, Sites, VMs int
 }
 
-// Letter is the fleet that docs/CAPACITY.md is worked out for.
-var Letter = Size{Regions: 22, Domains: 77, Sites: 940, VMs: 3300}
+// Planned is the fleet that docs/CAPACITY.md is worked out for.
+var Planned = Size{Regions: 22, Domains: 77, Sites: 940, VMs: 3300}
 
 // Topology returns the regions and failure domains of s.
 func (s Size) Topology() block.Topology { return blocktest.Topology(s.Regions, s.Domains) }
--- a/decide/steer/view.go
+++ b/decide/steer/view.go
@@ -10,7 +10,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// Shifts tells where traffic shifts send a client's requests.
+// Shifts resolves where traffic shifts send a client's requests.
 type Shifts interface {
 	// Region returns the region that the block of clients is sent to instead
 	// of home. Where moved is true and to is empty, the block goes to any
@@ -47,7 +47,7 @@
 	Running []Route
 }
 
-// View is an immutable picture that look-ups are answered from. It is safe
+// View is an immutable snapshot that look-ups are answered from. It is safe
 // for use by many goroutines.
 type View struct {
 	self     int // index of the own region; -1 where it has no entry VM
@@ -66,7 +66,7 @@
 	// weights holds one row per service named in Inputs.Weights and a last
 	// row of full weights for all others; a row has one weight per domain.
 	weights [][]Weight
-	// even tells, in the same rows, the regions all of whose domains have one
+	// even marks, in the same rows, the regions all of whose domains have one
 	// weight.
 	even [][]bool
 	// totals is the weight of each region: VMs times weight over its domains,
@@ -146,7 +146,7 @@
 	}
 }
 
-// seedOf hashes a name with its kind: an entry VM may bear its domain's name,
+// seedOf hashes a name with its kind: an entry VM may have its domain's name,
 // and their draws must still be independent.
 func seedOf[T ~string](kind string, name T) uint64 {
 	return xxhash.Sum64String(kind + "/" + string(name))
--- a/decide/tally/accumulate.go
+++ b/decide/tally/accumulate.go
@@ -101,7 +101,7 @@
 	for i := range n.flows[:min(len(n.flows), MaxCounts)] {
 		c, ok := n.flows[i].window()
 		if !ok || now.Sub(c.Since) > maxAge*time.Millisecond {
-			continue // a window too old for its age to be told would seem newer
+			continue // its age exceeds maxAge; capped, it would seem newer
 		}
 		t.counted.join(span{c.Since, c.Until})
 		t.count(n.flows[i].key).add(&count{
--- a/decide/tally/doc.go
+++ b/decide/tally/doc.go
@@ -1,6 +1,6 @@
 // Package tally aggregates the evidence for the next step of a traffic shift,
-// from all entry VMs to the one process that runs the shifts. It is pure: events
-// and instants in, messages out as data.
+// from all entry VMs to the one process that runs the shifts. It is pure:
+// events and instants in, messages out as data.
 //
 // # Who runs the shifts
 //
--- a/decide/tally/domains.go
+++ b/decide/tally/domains.go
@@ -30,8 +30,8 @@
 }
 
 // head returns whom to ask for the domain's figures in a round. Each round
-// takes another, so that one that has died, or can't be reached from here, makes
-// only its own round incomplete.
+// takes another, so that one that has died, or can't be reached from here,
+// makes only its own round incomplete.
 func (d *domain) head(round uint64) (fleet.VMID, bool) {
 	if !d.Reachable || len(d.VMs) == 0 {
 		return "", false
--- a/decide/tally/evidence.go
+++ b/decide/tally/evidence.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// Evidence returns what plans may rest on now. It is empty where this process
+// Evidence returns the input of plans now. It is empty where this process
 // doesn't lead, and holds no figures before the first round.
 func (s *State) Evidence(now clock.Time) shift.Evidence {
 	var e shift.Evidence
--- a/decide/tally/job.go
+++ b/decide/tally/job.go
@@ -91,7 +91,7 @@
 }
 
 // askDomain asks the other entry VMs of the own domain, by groups if there are
-// many. The first of each group leads it; each round groups them anew.
+// many. The first of each group leads it; groups differ between rounds.
 func (s *State) askDomain(j *job, out *Ready) {
 	others := rotated(s.fleet.own, j.round)
 	others = slices.DeleteFunc(others, func(id fleet.VMID) bool { return id == s.self.ID })
--- a/decide/tally/lead.go
+++ b/decide/tally/lead.go
@@ -27,7 +27,7 @@
 }
 
 // configure takes a catalogue. When the flows change, what was counted is
-// dropped: a shift made anew under its old id may have another sender.
+// dropped: a shift recreated under its old id may have another sender.
 func (l *lead) configure(c *catalogue.Catalogue, changed bool) {
 	if changed {
 		l.counts = nil
--- a/decide/tally/meter.go
+++ b/decide/tally/meter.go
@@ -114,7 +114,8 @@
 
 // dropIdle makes room, once maxServices are followed, by dropping services with
 // neither targets nor answers. Without it a process that outlives many services
-// could not follow new ones: their load would be missing, and shifts would hold.
+// could not follow new ones: their load would be missing, and shifts would
+// hold.
 func (m *Meter) dropIdle() {
 	if len(m.services) < maxServices {
 		return
--- a/decide/tally/state.go
+++ b/decide/tally/state.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -42,21 +43,15 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.RoundEvery, DefaultRoundEvery)
-	setDefault(&o.LostAfter, DefaultLostAfter)
-	setDefault(&o.GroupWait, DefaultGroupWait)
-	setDefault(&o.DomainWait, DefaultDomainWait)
-	setDefault(&o.RegionWait, DefaultRegionWait)
-	setDefault(&o.RoundWait, DefaultRoundWait)
+	o.RoundEvery = cmp.Or(o.RoundEvery, DefaultRoundEvery)
+	o.LostAfter = cmp.Or(o.LostAfter, DefaultLostAfter)
+	o.GroupWait = cmp.Or(o.GroupWait, DefaultGroupWait)
+	o.DomainWait = cmp.Or(o.DomainWait, DefaultDomainWait)
+	o.RegionWait = cmp.Or(o.RegionWait, DefaultRegionWait)
+	o.RoundWait = cmp.Or(o.RoundWait, DefaultRoundWait)
 	return o
 }
 
-func setDefault(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // State is one entry VM's part in the aggregation. It isn't safe for
 // concurrent use.
 type State struct {
--- a/decide/tally/window.go
+++ b/decide/tally/window.go
@@ -68,7 +68,7 @@
 	return true
 }
 
-// sameFlow compares the sender as well: a shift that was removed and made anew
+// sameFlow compares the sender as well: a shift that was removed and recreated
 // under its old id counts other clients.
 func sameFlow(a, b *flow) bool { return a.key == b.key && a.from == b.from }
 
--- a/decide/token/doc.go
+++ b/decide/token/doc.go
@@ -1,12 +1,12 @@
-// Package token recognises a caller's own re-sends of non-idempotent work.
-//
-// A caller that hears nothing sends again. If the first send ran, running the
-// second would make a second permit dossier or bill a fee twice. So a look-up
-// hands out one-time tokens, each bound to one incarnation of one entry VM.
-// The caller sends its request with the token, and sends it again, if it must,
-// with the same token to the same entry VM, whose Ledger admits each token
-// once. Nothing is stored outside that process, so tokens work while the
-// platform is down or the failure domain is cut off.
+// Package token recognises a caller's retries of non-idempotent requests.
+//
+// A caller whose request times out retries it. If the first send ran, running
+// the second would make a second permit dossier or bill a fee twice. So a
+// look-up issues one-time tokens, each bound to one incarnation of one entry
+// VM. The caller sends its request with the token, and retries it with the same
+// token at the same entry VM, whose Ledger admits each token once. Nothing is
+// stored outside that process, so tokens work while the platform is down or the
+// failure domain is cut off.
 //
 // # What an answer means
 //
--- a/decide/token/ledger.go
+++ b/decide/token/ledger.go
@@ -289,8 +289,8 @@
 }
 
 // advance takes the instant of a call and drops records that are due. Events
-// may be handed over out of order, and a Ledger that went back in time would
-// take an expired token, dropped already, for a new one: so it never does.
+// may arrive out of order. If the Ledger's time fell, a token whose record was
+// already dropped as expired would be admitted as new.
 func (l *Ledger) advance(now clock.Time) {
 	l.now = max(l.now, now)
 	for n := 0; n < dropsPerCall && len(l.drops) > 0 && l.drops[0].at <= l.now; n++ {
--- a/decide/token/token.go
+++ b/decide/token/token.go
@@ -13,7 +13,7 @@
 )
 
 // Header is the HTTP header that carries a token, in requests and in answers
-// that hand out a fresh one.
+// that issue a fresh one.
 const Header = "Azurethread-Token"
 
 // MaxLifetime is the longest time a token is accepted ahead of its expiry.
--- /dev/null
+++ b/operate/e2e/join_bench_test.go
@@ -0,0 +1,110 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/azurethread/azurethread/decide/catalogue"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/serve/daemon"
+	"github.com/azurethread/azurethread/serve/settings"
+	"github.com/azurethread/azurethread/standin/platform"
+)
+
+// joinFleet runs two entry VMs in one failure domain, and returns their
+// platform and how the first of them is written as a seed.
+func joinFleet(tb testing.TB) (*platform.Server, string) {
+	tb.Helper()
+	p := platform.New(platform.Options{})
+	if err := p.Start("127.0.0.1:0"); err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { p.Close() })
+	if err := daemon.PutCatalogue(context.Background(), p.Store(), catalogue.Catalogue{
+		Revision: 1,
+		Services: []catalogue.Service{{Name: "calc", Idempotent: true, Priority: catalogue.Interactive}},
+	}); err != nil {
+		tb.Fatal(err)
+	}
+	p.SetMachines(fleet.List{Targets: []fleet.Target{{ID: "t1", Service: "calc", Region: "attiki", Domain: "attiki-1", Addr: "127.0.0.1:9", Slots: 3}}})
+	var seed string
+	for i := range 2 {
+		d := join(tb, p, fmt.Sprintf("first-%d", i), "")
+		tb.Cleanup(d.Kill)
+		waitFor(tb, d.Ready)
+		vm := d.Self()
+		seed = fmt.Sprintf("%s@%s/%s=%s", vm.ID, vm.Region, vm.Domain, vm.PeerAddr)
+	}
+	return p, seed
+}
+
+// join starts a daemon that has nothing yet.
+func join(tb testing.TB, p *platform.Server, id, seed string) *daemon.Daemon {
+	tb.Helper()
+	f := settings.Flags()
+	err := f.Parse([]string{
+		"--id=" + id, "--region=attiki", "--domain=attiki-1", "--seeds=" + seed,
+		"--call-addr=127.0.0.1:0", "--peer-addr=127.0.0.1:0", "--admin-addr=127.0.0.1:0", "--pollers=1",
+		"--platform-url=http://" + p.Addr(), "--fleet-key=" + testFleetKey,
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	set, err := settings.Load(f)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d, err := daemon.Start(set, p.Store(), log)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return d
+}
+
+// Symptom: an entry VM that is replaced while the platform is down never
+// serves.
+// Sequence: the platform goes down; a new process starts with one neighbour in
+// its settings.
+// Cause: catalogue and machine list were looked for at the platform only.
+func TestJoinWithoutPlatform(t *testing.T) {
+	is := is.New(t)
+	p, seed := joinFleet(t)
+	is.NoErr(p.SetOutage(platform.Hanging))
+	d := join(t, p, "late", seed)
+	defer d.Kill()
+	waitFor(t, d.Ready)
+	is.Equal(d.Revision(), uint64(1))
+}
+
+// BenchmarkJoin reports the time from a daemon's start until it can serve, and
+// what its neighbours send it.
+func BenchmarkJoin(b *testing.B) {
+	for name, outage := range map[string]platform.Outage{"platform=up": platform.Up, "platform=down": platform.Hanging} {
+		b.Run(name, func(b *testing.B) {
+			p, seed := joinFleet(b)
+			if err := p.SetOutage(outage); err != nil {
+				b.Fatal(err)
+			}
+			var total time.Duration
+			var bytes uint64
+			for i := range b.N {
+				began := time.Now()
+				d := join(b, p, fmt.Sprintf("late-%d", i), seed)
+				waitFor(b, d.Ready)
+				total += time.Since(began)
+				bytes += d.PeerStats().BytesReceived
+				d.Kill()
+			}
+			b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/join")
+			b.ReportMetric(float64(bytes)/float64(b.N), "B-received/join")
+		})
+	}
+}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -218,6 +218,7 @@
 		Seed:     seed,
 		Now:      d.now(),
 		Dispatch: dispatch.Options{Policy: d.set.Policy},
+		Member:   member.Options{Seeds: d.set.Seeds},
 		NearRTT:  d.set.NearRTT,
 		FarRTT:   d.set.FarRTT,
 	})
--- /dev/null
+++ b/serve/pollers/pollers.go
@@ -0,0 +1,123 @@
+// Package pollers makes sure that a started nbio engine can be stopped.
+//
+// Each poller of nbio clears its stop flag as its goroutine begins. An engine
+// that is stopped before then loses the stop: Stop never returns, and the
+// poller turns without pause on its wake-up event. An entry VM whose second
+// address is taken would hang in its clean-up in place of reporting the error.
+// Await shows that every poller is past that point: it has each of them read
+// one byte.
+package pollers
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// startTimeout bounds the wait for all pollers.
+const startTimeout = 10 * time.Second
+
+// maxPairs bounds the socket pairs opened to reach one poller. nbio chooses it
+// by file descriptor, of which the kernel gives the lowest that is free.
+const maxPairs = 64
+
+var (
+	errSilent  = errors.New("pollers: nbio's pollers have not started")
+	errMissing = errors.New("pollers: no file descriptor leads to a poller")
+)
+
+// Await waits until all pollers of a started engine run.
+func Await(e *nbhttp.Engine) error {
+	w := waiter{engine: e, heard: make(chan struct{}, e.NPoller)}
+	defer w.close()
+	for i := range e.NPoller {
+		if err := w.reach(i); err != nil {
+			return err
+		}
+	}
+	timeout := time.After(startTimeout)
+	for range e.NPoller {
+		select {
+		case <-w.heard:
+		case <-timeout:
+			return errSilent
+		}
+	}
+	return nil
+}
+
+type waiter struct {
+	engine *nbhttp.Engine
+	heard  chan struct{}
+	open   []net.Conn
+}
+
+func (w *waiter) close() {
+	for _, c := range w.open {
+		_ = c.Close()
+	}
+}
+
+// reach gives the poller of the index a byte to read.
+func (w *waiter) reach(index int) error {
+	for range maxPairs {
+		near, far, err := pair()
+		if err != nil {
+			return err
+		}
+		w.open = append(w.open, near)
+		nbc, err := nbio.NBConn(far)
+		if err != nil {
+			_ = far.Close()
+			return fmt.Errorf("pollers: %w", err)
+		}
+		w.open = append(w.open, nbc)
+		if nbc.Hash()%w.engine.NPoller != index {
+			continue
+		}
+		nbc.OnData(func(*nbio.Conn, []byte) { w.heard <- struct{}{} })
+		if _, err := w.engine.AddConn(nbc); err != nil {
+			return fmt.Errorf("pollers: %w", err)
+		}
+		if _, err := near.Write([]byte{0}); err != nil {
+			return fmt.Errorf("pollers: %w", err)
+		}
+		return nil
+	}
+	return errMissing
+}
+
+// pair returns two connected sockets of this process.
+func pair() (near, far net.Conn, err error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, fmt.Errorf("pollers: %w", err)
+	}
+	near, err1 := connOf(fds[0])
+	far, err2 := connOf(fds[1])
+	if err := errors.Join(err1, err2); err != nil {
+		for _, c := range []net.Conn{near, far} {
+			if c != nil {
+				_ = c.Close()
+			}
+		}
+		return nil, nil, err
+	}
+	return near, far, nil
+}
+
+func connOf(fd int) (net.Conn, error) {
+	f := os.NewFile(uintptr(fd), "pair")
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, fmt.Errorf("pollers: %w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/serve/pollers/pollers_test.go
@@ -0,0 +1,32 @@
+package pollers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/matryer/is"
+)
+
+// Symptom: an entry VM that cannot start hangs in place of saying why, with a
+// processor at full load.
+// Sequence: an engine is started and stopped at once.
+// Cause: a poller that begins after the stop clears its stop flag.
+func TestStopAfterStart(t *testing.T) {
+	is := is.New(t)
+	for range 200 {
+		e := nbhttp.NewEngine(nbhttp.Config{NPoller: 3})
+		is.NoErr(e.Start())
+		is.NoErr(Await(e))
+		stopped := make(chan struct{})
+		go func() {
+			e.Stop()
+			close(stopped)
+		}()
+		select {
+		case <-stopped:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the stop was lost")
+		}
+	}
+}
--- a/serve/settings/read.go
+++ b/serve/settings/read.go
@@ -59,6 +59,14 @@
 	return d
 }
 
+func (r *reader) seeds(key string) []fleet.VM {
+	vms, err := ParseSeeds(r.text(key))
+	if err != nil {
+		r.errs = append(r.errs, fmt.Errorf("setting --%s: %w", key, err))
+	}
+	return vms
+}
+
 func (r *reader) settings() *Settings {
 	return &Settings{
 		ID:             fleet.VMID(r.text(keyID)),
@@ -74,6 +82,7 @@
 		PlatformURL:    r.text(keyPlatformURL),
 		FleetKey:       r.text(keyFleetKey),
 		Operators:      r.text(keyOperators),
+		Seeds:          r.seeds(keySeeds),
 		BlocksFile:     r.text(keyBlocksFile),
 		MaxBodyBytes:   r.integer(keyMaxBody),
 		MaxHeadBytes:   r.integer(keyMaxHead),
--- a/serve/settings/settings.go
+++ b/serve/settings/settings.go
@@ -41,6 +41,9 @@
 	FleetKey string
 	// Operators who may use the administration interface.
 	Operators string
+	// Seeds are entry VMs to contact at start, before the platform's machine
+	// list has come or while the platform is down.
+	Seeds []fleet.VM
 	// BlocksFile holds the table of client blocks; empty: none.
 	BlocksFile string
 
@@ -80,6 +83,7 @@
 	keyPlatformURL    = "platform-url"
 	keyFleetKey       = "fleet-key"
 	keyOperators      = "operators"
+	keySeeds          = "seeds"
 	keyBlocksFile     = "blocks-file"
 	keyMaxBody        = "max-body-bytes"
 	keyMaxHead        = "max-head-bytes"
@@ -118,6 +122,7 @@
 	f.String(keyPlatformURL, "", "base URL of the platform's key-value service and machine list (required)")
 	f.String(keyFleetKey, "", "secret shared by all entry VMs, at least 32 characters; set it by environment variable (required)")
 	f.String(keyOperators, "", "operators as name=sha256hex of the bearer token, separated by commas; empty: administration is read by nobody")
+	f.String(keySeeds, "", "entry VMs to contact at start, also while the platform is down, as id@region/domain=host:port of the peer address, separated by commas")
 	f.String(keyBlocksFile, "", "file with the table of client blocks; empty: every client belongs to this region")
 	f.Int(keyMaxBody, 16<<20, "largest request body, bytes; larger ones get 413 with verdict not-run")
 	f.Int(keyMaxHead, 64<<10, "largest request line and header fields together, bytes")
