Carry the expected wait with forwarded requests, and slow start into evidence

Cause: a receiver could not tell that a forwarded request would wait longer at its sender, and shifts never saw that a receiver's caches are cold.

--- a/decide/engine/calls.go
+++ b/decide/engine/calls.go
@@ -89,6 +89,9 @@
 		Hops:      c.Hops,
 		BodyBytes: c.BodyBytes,
 	}
+	if c.Hops > 0 {
+		e.arrival.ExpectedWait = c.ExpectedWait
+	}
 	e.stepDispatch(now, &e.arrival, out)
 }
 
--- a/decide/engine/enginetest/exchange.go
+++ b/decide/engine/enginetest/exchange.go
@@ -11,14 +11,15 @@
 
 // The fates of an exchange.
 const (
-	Whole         Fate = iota
-	Refused            // no connection: nothing was sent
-	LostRequest        // the connection goes silent, the request is lost
-	LostAnswer         // the connection goes silent, the answer is lost
-	ResetRequest       // the connection breaks, the request is lost
-	ResetAnswer        // the connection breaks, the answer is lost
-	CutAnswer          // the answer breaks off
-	DelayedAnswer      // the answer comes much later
+	Whole          Fate = iota
+	Refused             // no connection: nothing was sent
+	LostRequest         // the connection goes silent, the request is lost
+	LostAnswer          // the connection goes silent, the answer is lost
+	ResetRequest        // the connection breaks, the request is lost
+	ResetAnswer         // the connection breaks, the answer is lost
+	CutAnswer           // the answer breaks off
+	DelayedAnswer       // the answer comes much later
+	DelayedRequest      // the request arrives much later
 	fates
 )
 
@@ -46,6 +47,7 @@
 const (
 	connectTimeout = 200 * time.Millisecond
 	lateAnswer     = 4 * time.Second
+	lateRequest    = 4 * time.Second
 	// endDelay bounds the time from a cancel to the report of its end.
 	endDelay = 5 * time.Millisecond
 )
@@ -92,7 +94,11 @@
 		})
 		return x
 	}
-	w.After(w.delay(from, to), func() { x.deliver(up, arrive) })
+	d := w.delay(from, to)
+	if x.fate == DelayedRequest {
+		d += w.between(lateRequest/2, lateRequest)
+	}
+	w.After(d, func() { x.deliver(up, arrive) })
 	return x
 }
 
--- a/decide/engine/enginetest/platform.go
+++ b/decide/engine/enginetest/platform.go
@@ -115,6 +115,7 @@
 	p.old = p.old[:len(p.old)-n]
 	p.w.trace("platform comes back with revision %d", p.doc.catalogue.Revision)
 	p.w.Books.restored()
+	p.wake()
 }
 
 func (p *Platform) reaches(v *VM) bool { return !p.Down && !p.cuts[v.Place.Domain] }
@@ -184,13 +185,18 @@
 	if d.write != nil {
 		p.w.Books.written(d.write)
 	}
+	p.wake()
+	return true
+}
+
+// wake ends all reads that wait for a change.
+func (p *Platform) wake() {
 	for _, v := range p.w.VMs {
 		if w := v.watch; w != nil && v.Up {
 			v.watch = nil
 			v.later(p.trip(), p.outcome(v, w.seq, v.now()))
 		}
 	}
-	return true
 }
 
 // outcome is the event of a read of the document as it is now.
--- a/decide/engine/event.go
+++ b/decide/engine/event.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"github.com/azurethread/azurethread/decide/block"
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/config"
@@ -19,14 +21,17 @@
 
 // Call is a request of a caller, or of another entry VM when Hops is not 0.
 type Call struct {
-	Req       dispatch.RequestID
-	Service   fleet.ServiceName
-	Token     string       // one-time token; may be empty
-	Home      fleet.Region // of the client
-	Block     uint64       // hash of the client's block
-	Deadline  clock.Time
-	Hops      uint8
-	BodyBytes int64
+	Req      dispatch.RequestID
+	Service  fleet.ServiceName
+	Token    string       // one-time token; may be empty
+	Home     fleet.Region // of the client
+	Block    uint64       // hash of the client's block
+	Deadline clock.Time
+	Hops     uint8
+	// ExpectedWait is how long the sending entry VM expects the request would
+	// wait there; 0 for a caller's own request.
+	ExpectedWait time.Duration
+	BodyBytes    int64
 }
 
 // Reject is a request that cannot be served as it is, such as one with a
--- a/decide/engine/refresh.go
+++ b/decide/engine/refresh.go
@@ -46,6 +46,7 @@
 			Service:  l.Service,
 			Capacity: uint32(l.Capacity),
 			InFlight: uint32(l.InFlight + l.Queued),
+			Warming:  l.Warming,
 		})
 	}
 	e.stepTally(now, &tally.Measured{Samples: e.tallied}, out)
--- a/decide/load/doc.go
+++ b/decide/load/doc.go
@@ -19,8 +19,8 @@
 // groups (ScopePeer), and with other domains of the region and other regions
 // the sums of domain and region (ScopeRegion, ScopeFar). Each answer to a VM
 // carries the sums of the domain, of the region's domains and in turn of the
-// others (ScopeMember). Reports ride on messages that package member sends
-// anyway.
+// others (ScopeMember). Reports are piggybacked on messages that package member
+// sends anyway.
 //
 // Services and places are named by a 32-bit hash on the wire: a name would
 // cost as much as all figures of a service.
--- a/decide/load/report.go
+++ b/decide/load/report.go
@@ -15,22 +15,22 @@
 	switch scope {
 	case ScopeOwn:
 		sum, ok := s.sum(now, &s.own)
-		r.addPart(now, 0, &sum, ok)
+		r.addAggregate(now, 0, &sum, ok)
 	case ScopeMember:
 		s.addDomain(now, r)
 		s.addNear(now, r)
 		s.addWanted(now, r)
-		s.addTurns(now, r, memberRows, func(p *ofPlace) bool { return !s.nearby(p.place) })
+		s.addRotating(now, r, memberRows, func(p *placeLoad) bool { return !s.nearby(p.place) })
 	case ScopePeer:
 		sum, ok := s.groupSum(now)
-		r.addPart(now, 0, &sum, ok)
+		r.addAggregate(now, 0, &sum, ok)
 		if ok {
-			s.addTurns(now, r, peerRows, func(p *ofPlace) bool { return now.Sub(p.direct) < peerFor })
+			s.addRotating(now, r, peerRows, func(p *placeLoad) bool { return now.Sub(p.direct) < peerFor })
 		}
 	case ScopeRegion:
 		s.addDomain(now, r)
 		s.addWanted(now, r)
-		s.addTurns(now, r, regionRows, func(p *ofPlace) bool { return !s.nearby(p.place) })
+		s.addRotating(now, r, regionRows, func(p *placeLoad) bool { return !s.nearby(p.place) })
 	case ScopeFar:
 		s.addRegion(now, r)
 	}
@@ -40,7 +40,7 @@
 	return r
 }
 
-func (r *Report) addPart(now clock.Time, place Place, p *part, ok bool) {
+func (r *Report) addAggregate(now clock.Time, place Place, p *aggregate, ok bool) {
 	if !ok || len(r.Rows) >= MaxRows {
 		return
 	}
@@ -55,20 +55,20 @@
 
 func (s *State) addDomain(now clock.Time, r *Report) {
 	sum, ok := s.domainSum(now)
-	r.addPart(now, s.domain, &sum, ok)
+	r.addAggregate(now, s.domain, &sum, ok)
 }
 
 func (s *State) addNear(now clock.Time, r *Report) {
 	for _, p := range s.near {
-		sum, ok := s.placePart(now, p)
-		r.addPart(now, p, &sum, ok)
+		sum, ok := s.loadOf(now, p)
+		r.addAggregate(now, p, &sum, ok)
 	}
 }
 
 func (s *State) addWanted(now clock.Time, r *Report) {
 	for _, p := range s.wanted {
-		sum, ok := s.placePart(now, p)
-		r.addPart(now, p, &sum, ok)
+		sum, ok := s.loadOf(now, p)
+		r.addAggregate(now, p, &sum, ok)
 	}
 }
 
@@ -76,7 +76,7 @@
 // domains.
 func (s *State) addRegion(now clock.Time, r *Report) {
 	sum, ok := s.regionSum(now)
-	r.addPart(now, PlaceOfRegion(s.region), &sum, ok)
+	r.addAggregate(now, PlaceOfRegion(s.region), &sum, ok)
 	if s.small {
 		s.addDomain(now, r)
 		s.addNear(now, r)
@@ -88,9 +88,9 @@
 	return ok || p == s.domain
 }
 
-// addTurns adds up to n of the places that want accepts, going on where the
-// last report of this scope stopped.
-func (s *State) addTurns(now clock.Time, r *Report, n int, want func(*ofPlace) bool) {
+// addRotating adds up to n of the places that want accepts, round-robin over
+// the reports of this scope.
+func (s *State) addRotating(now clock.Time, r *Report, n int, want func(*placeLoad) bool) {
 	from := s.turn[r.Scope]
 	for i := range s.places {
 		at := (from + i) % len(s.places)
@@ -103,6 +103,6 @@
 			return
 		}
 		n--
-		r.addPart(now, p.place, &p.part, true)
+		r.addAggregate(now, p.place, &p.aggregate, true)
 	}
 }
--- a/decide/load/state.go
+++ b/decide/load/state.go
@@ -25,22 +25,22 @@
 	peerFor = 6 * time.Second
 )
 
-// part holds figures with the instant at which the oldest of them was
+// aggregate holds figures with the instant at which the oldest of them was
 // measured, and that at which they were summed up.
-type part struct {
+type aggregate struct {
 	at      clock.Time
 	made    clock.Time
 	entries []entry // in order of service
 }
 
-type ofVM struct {
+type vmLoad struct {
 	id fleet.VMID
-	part
+	aggregate
 }
 
-type ofPlace struct {
+type placeLoad struct {
 	place Place
-	part
+	aggregate
 	direct clock.Time // when it came from outside the domain, so that other members lack it
 }
 
@@ -51,15 +51,15 @@
 	id     fleet.VMID
 	region fleet.Region
 	domain Place
-	own    part
+	own    aggregate
 
 	rep    bool
 	small  bool
-	group  []ofVM    // of VMs that this one collects from, in order of id
-	peers  []ofVM    // sums of the other representatives' groups, in order of id
-	places []ofPlace // in order of place
-	wanted []Place   // regions of interest
-	near   []Place   // domains of the region other than the own one, in order
+	group  []vmLoad    // of VMs that this one collects from, in order of id
+	peers  []vmLoad    // sums of the other representatives' groups, in order of id
+	places []placeLoad // in order of place
+	wanted []Place     // regions of interest
+	near   []Place     // domains of the region other than the own one, in order
 	turn   [ScopeFar + 1]int
 }
 
@@ -86,7 +86,7 @@
 }
 
 func (s *State) measured(now clock.Time, samples []Sample) {
-	s.own = part{at: now, made: now}
+	s.own = aggregate{at: now, made: now}
 	for _, m := range samples[:min(len(samples), MaxEntries)] {
 		s.own.entries = append(s.own.entries, entry{
 			service:  serviceKey(m.Service),
@@ -109,8 +109,8 @@
 func (s *State) fleet(f *Fleet) {
 	s.rep = f.Representative
 	s.small = len(f.Domains) <= smallFleet
-	s.group = slices.DeleteFunc(s.group, func(v ofVM) bool { return !slices.Contains(f.Group, v.id) })
-	s.peers = slices.DeleteFunc(s.peers, func(v ofVM) bool { return !slices.Contains(f.Peers, v.id) })
+	s.group = slices.DeleteFunc(s.group, func(v vmLoad) bool { return !slices.Contains(f.Group, v.id) })
+	s.peers = slices.DeleteFunc(s.peers, func(v vmLoad) bool { return !slices.Contains(f.Peers, v.id) })
 	for _, id := range f.Group {
 		s.admit(id)
 	}
@@ -127,8 +127,8 @@
 	}
 }
 
-func findVM(vs []ofVM, id fleet.VMID) (int, bool) {
-	return slices.BinarySearchFunc(vs, id, func(v ofVM, id fleet.VMID) int {
+func findVM(vs []vmLoad, id fleet.VMID) (int, bool) {
+	return slices.BinarySearchFunc(vs, id, func(v vmLoad, id fleet.VMID) int {
 		return cmp.Compare(v.id, id)
 	})
 }
@@ -141,14 +141,14 @@
 	}
 	at, ok := findVM(s.group, id)
 	if !ok {
-		s.group = slices.Insert(s.group, at, ofVM{id: id})
+		s.group = slices.Insert(s.group, at, vmLoad{id: id})
 	}
 }
 
 func (s *State) received(now clock.Time, e *Received) {
 	for i := range e.Report.Rows {
 		row := &e.Report.Rows[i]
-		p := part{
+		p := aggregate{
 			at:      s.instant(now, row.Age),
 			made:    s.instant(now, row.Made),
 			entries: e.Report.entries(row),
@@ -169,24 +169,24 @@
 	return now.Add(-time.Duration(ms)*time.Millisecond - s.o.Transit)
 }
 
-func (s *State) keepGroup(id fleet.VMID, p part) {
+func (s *State) keepGroup(id fleet.VMID, p aggregate) {
 	if at, ok := findVM(s.group, id); ok && p.made > s.group[at].made {
-		s.group[at].part = p
+		s.group[at].aggregate = p
 	}
 }
 
-func (s *State) keepPeer(id fleet.VMID, p part) {
+func (s *State) keepPeer(id fleet.VMID, p aggregate) {
 	at, ok := findVM(s.peers, id)
 	if !ok {
-		s.peers = slices.Insert(s.peers, at, ofVM{id: id})
+		s.peers = slices.Insert(s.peers, at, vmLoad{id: id})
 	}
 	if p.made > s.peers[at].made {
-		s.peers[at].part = p
+		s.peers[at].aggregate = p
 	}
 }
 
 func (s *State) findPlace(p Place) (int, bool) {
-	return slices.BinarySearchFunc(s.places, p, func(o ofPlace, p Place) int {
+	return slices.BinarySearchFunc(s.places, p, func(o placeLoad, p Place) int {
 		return cmp.Compare(o.place, p)
 	})
 }
@@ -194,7 +194,7 @@
 // maxPlaces bounds what peers can make this VM keep: all domains and regions.
 const maxPlaces = 512
 
-func (s *State) keepPlace(now clock.Time, place Place, p part, scope Scope) {
+func (s *State) keepPlace(now clock.Time, place Place, p aggregate, scope Scope) {
 	if s.rep && place == s.domain {
 		return // the sum made here is fresher than a forwarded copy of it
 	}
@@ -207,7 +207,7 @@
 	if p.made <= s.places[at].made {
 		return
 	}
-	s.places[at] = ofPlace{place: place, part: p}
+	s.places[at] = placeLoad{place: place, aggregate: p}
 	if scope == ScopeRegion || scope == ScopeFar {
 		s.places[at].direct = now
 	}
@@ -222,7 +222,7 @@
 		return 0, false
 	}
 	at, _ := s.findPlace(place)
-	s.places = slices.Insert(s.places, at, ofPlace{place: place})
+	s.places = slices.Insert(s.places, at, placeLoad{place: place})
 	return at, true
 }
 
@@ -230,16 +230,16 @@
 // domains would fill a long-lived process, and the load of new ones would stay
 // unknown.
 func (s *State) dropExpired(now clock.Time) {
-	s.places = slices.DeleteFunc(s.places, func(p ofPlace) bool { return !s.freshPlace(now, &p) })
+	s.places = slices.DeleteFunc(s.places, func(p placeLoad) bool { return !s.freshPlace(now, &p) })
 }
 
-func (s *State) fresh(now clock.Time, p *part) bool {
+func (s *State) fresh(now clock.Time, p *aggregate) bool {
 	return p.at != 0 && now.Sub(p.at) <= s.o.Expire
 }
 
 // sum adds up the parts that are known. It reports false if none is.
-func (s *State) sum(now clock.Time, parts ...*part) (part, bool) {
-	total := part{at: clock.Never, made: now}
+func (s *State) sum(now clock.Time, parts ...*aggregate) (aggregate, bool) {
+	total := aggregate{at: clock.Never, made: now}
 	for _, p := range parts {
 		if !s.fresh(now, p) {
 			continue
@@ -252,7 +252,7 @@
 	return total, total.at != clock.Never
 }
 
-func (p *part) add(e *entry) {
+func (p *aggregate) add(e *entry) {
 	at, ok := slices.BinarySearchFunc(p.entries, *e, compareEntries)
 	if ok {
 		p.entries[at].add(e)
@@ -262,56 +262,57 @@
 }
 
 // groupSum is the load of this VM and of those that it collects from.
-func (s *State) groupSum(now clock.Time) (part, bool) {
-	parts := []*part{&s.own}
+func (s *State) groupSum(now clock.Time) (aggregate, bool) {
+	parts := []*aggregate{&s.own}
 	for i := range s.group {
-		parts = append(parts, &s.group[i].part)
+		parts = append(parts, &s.group[i].aggregate)
 	}
 	return s.sum(now, parts...)
 }
 
 // domainSum is the load of the own domain: computed by a representative,
 // otherwise as reported by one.
-func (s *State) domainSum(now clock.Time) (part, bool) {
+func (s *State) domainSum(now clock.Time) (aggregate, bool) {
 	if !s.rep {
-		return s.placePart(now, s.domain)
+		return s.loadOf(now, s.domain)
 	}
 	own, ok := s.groupSum(now)
 	if !ok {
-		own = part{}
+		own = aggregate{}
 	}
-	parts := []*part{&own}
+	parts := []*aggregate{&own}
 	for i := range s.peers {
-		parts = append(parts, &s.peers[i].part)
+		parts = append(parts, &s.peers[i].aggregate)
 	}
 	return s.sum(now, parts...)
 }
 
-func (s *State) placePart(now clock.Time, p Place) (part, bool) {
+// loadOf returns what is known of a place, unless it has expired.
+func (s *State) loadOf(now clock.Time, p Place) (aggregate, bool) {
 	at, ok := s.findPlace(p)
 	if !ok || !s.freshPlace(now, &s.places[at]) {
-		return part{}, false
+		return aggregate{}, false
 	}
-	return s.places[at].part, true
+	return s.places[at].aggregate, true
 }
 
-func (s *State) freshPlace(now clock.Time, p *ofPlace) bool {
+func (s *State) freshPlace(now clock.Time, p *placeLoad) bool {
 	if s.small || s.nearby(p.place) {
-		return s.fresh(now, &p.part)
+		return s.fresh(now, &p.aggregate)
 	}
 	return p.at != 0 && now.Sub(p.at) <= s.o.ExpireFar
 }
 
 // regionSum is the load of the own region's known domains.
-func (s *State) regionSum(now clock.Time) (part, bool) {
+func (s *State) regionSum(now clock.Time) (aggregate, bool) {
 	own, ok := s.domainSum(now)
 	if !ok {
-		own = part{}
+		own = aggregate{}
 	}
-	parts := []*part{&own}
+	parts := []*aggregate{&own}
 	for _, p := range s.near {
 		if at, ok := s.findPlace(p); ok {
-			parts = append(parts, &s.places[at].part)
+			parts = append(parts, &s.places[at].aggregate)
 		}
 	}
 	return s.sum(now, parts...)
@@ -325,7 +326,7 @@
 		sum, ok := s.domainSum(now)
 		return figure(now, &sum, ok, n)
 	}
-	sum, ok := s.placePart(now, p)
+	sum, ok := s.loadOf(now, p)
 	return figure(now, &sum, ok, n)
 }
 
@@ -335,11 +336,11 @@
 		sum, ok := s.regionSum(now)
 		return figure(now, &sum, ok, n)
 	}
-	sum, ok := s.placePart(now, PlaceOfRegion(r))
+	sum, ok := s.loadOf(now, PlaceOfRegion(r))
 	return figure(now, &sum, ok, n)
 }
 
-func figure(now clock.Time, p *part, ok bool, n fleet.ServiceName) (Figure, bool) {
+func figure(now clock.Time, p *aggregate, ok bool, n fleet.ServiceName) (Figure, bool) {
 	if !ok {
 		return Figure{}, false
 	}
--- a/decide/member/duty.go
+++ b/decide/member/duty.go
@@ -36,9 +36,9 @@
 	return d
 }
 
-// collector returns the representative that collects the figures of r. They
-// take turns in ring order, so that each has the same number; by a hash, some
-// would have three times the work of others.
+// collector returns the representative that collects the figures of r. Members
+// are assigned round-robin in ring order, so that each representative has the
+// same number; assigned by hash, some would have three times as many as others.
 func (s *State) collector(reps []fleet.VMID, r *record) fleet.VMID {
 	if slices.Contains(reps, r.vm.ID) {
 		return r.vm.ID
@@ -55,8 +55,8 @@
 	return reps[turn%len(reps)]
 }
 
-// reportLoad sends the messages that load reports ride on: to the collector,
-// or between representatives.
+// reportLoad sends the messages that load reports are piggybacked on: to the
+// collector, or between representatives.
 func (s *State) reportLoad(out *Ready) {
 	reps := s.reps()
 	if !slices.Contains(reps, s.self.vm.ID) {
@@ -81,6 +81,8 @@
 	return lower
 }
 
+// reportTo sends the report to the collector, or after each unanswered one to
+// the next representative.
 func (s *State) reportTo(reps []fleet.VMID, out *Ready) {
 	if len(reps) == 0 {
 		return
--- a/decide/member/event.go
+++ b/decide/member/event.go
@@ -35,7 +35,7 @@
 func (*Leave) isEvent()      {}
 
 // Scope says to whom a message goes, so that load reports of the matching
-// detail can ride in the same frame.
+// detail can be piggybacked on it.
 type Scope uint8
 
 const (
--- a/decide/member/message.go
+++ b/decide/member/message.go
@@ -176,7 +176,7 @@
 	Reaches []Reach `json:"reaches"`
 }
 
-// Report goes from a VM to its representative; the load report rides on it.
+// Report goes from a VM to its representative; the load report is piggybacked on it.
 type Report struct{}
 
 // ReportAck answers a Report.
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -162,8 +162,8 @@
 	return all
 }
 
-// turnOf reports whether duty number i falls to this VM, when the duties go
-// round among ids.
+// turnOf reports whether watch number i is assigned to this VM, when watches
+// are assigned round-robin over ids.
 func (s *State) turnOf(ids []fleet.VMID, i int) bool {
 	return len(ids) > 0 && ids[i%len(ids)] == s.self.vm.ID
 }
--- a/decide/tally/job.go
+++ b/decide/tally/job.go
@@ -43,9 +43,12 @@
 }
 
 // asked begins to answer an Ask. The same Ask a second time, and one too many,
-// are dropped: the asker counts the entry VMs behind them as missing.
+// are dropped: the asker counts the entry VMs behind them as missing. So is one
+// for a round of this entry VM itself, which a stale view can cause; its partial
+// sum would be stored as a complete round.
 func (s *State) asked(from fleet.VMID, a *Ask, out *Ready) {
-	if len(s.jobs) >= maxJobs || from == s.self.ID || s.job(a.Runner, a.Round) != nil {
+	own := from == s.self.ID || a.Runner == s.self.ID
+	if own || len(s.jobs) >= maxJobs || s.job(a.Runner, a.Round) != nil {
 		return
 	}
 	j := &job{asker: from, runner: a.Runner, round: a.Round, asked: s.now}
--- a/decide/tally/tally_test.go
+++ b/decide/tally/tally_test.go
@@ -324,3 +324,18 @@
 	is.Equal(len(rows), 1)
 	is.Equal(rows[0].Capacity, uint32(3))
 }
+
+// Symptom: a plan takes the counts of one entry VM for those of all. Sequence:
+// the runner has moved to another domain under its id, and a head whose view is
+// older asks it for its own round. Cause: the answer to that Ask is taken for
+// the whole round.
+func TestRunnerIsAskedForItsOwnRound(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 6, 2)
+	n.run(settle)
+	total := n.count().Total
+	is.True(total > 0)
+	n.step(n.leader, &PeerMessage{From: n.nodes[5].vm.ID, Msg: &Ask{Runner: n.leader.vm.ID, Round: 1, Scope: ScopeVM}})
+	is.Equal(n.count().Total, total)
+	is.Equal(n.count().Missing, 0)
+}
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -148,14 +148,16 @@
 		return
 	}
 	d.core.Post(&engine.Call{
-		Req:       c.id,
-		Service:   service,
-		Token:     tok,
-		Home:      c.client.home,
-		Block:     c.client.block,
-		Deadline:  deadline,
-		Hops:      hops,
-		BodyBytes: int64(len(x.Body)),
+		Req:      c.id,
+		Service:  service,
+		Token:    tok,
+		Home:     c.client.home,
+		Block:    c.client.block,
+		Deadline: deadline,
+		Hops:     hops,
+
+		ExpectedWait: waitOf(x.Header),
+		BodyBytes:    int64(len(x.Body)),
 	})
 	x.OnGone(func() { d.callerGone(c) })
 }
@@ -250,6 +252,7 @@
 	r.Header[headerDeadline] = []string{left(s.Deadline, now)}
 	delete(r.Header, headerToken)
 	delete(r.Header, headerHops)
+	delete(r.Header, headerWait)
 	delete(r.Header, headerClient)
 	a.span.inject(r.Header)
 	d.start(c, a, &r)
@@ -271,6 +274,7 @@
 	r.Header = c.req.Header.Clone()
 	r.Header[headerDeadline] = []string{left(f.Deadline, now)}
 	r.Header[headerHops] = []string{"1"}
+	r.Header[headerWait] = []string{strconv.FormatInt(f.ExpectedWait.Milliseconds(), 10)}
 	r.Header[headerClient] = []string{c.client.text()}
 	r.Header[headerToken] = []string{d.mint(vm, now)}
 	a.span.inject(r.Header)
--- a/serve/daemon/request.go
+++ b/serve/daemon/request.go
@@ -25,6 +25,7 @@
 	headerDeadline = "Azurethread-Deadline-Ms" // time left, in milliseconds
 	headerHops     = "Azurethread-Hops"        // times the request has been forwarded
 	headerClient   = "Azurethread-Client"      // the client's home region and block, as a look-up gave it
+	headerWait     = "Azurethread-Wait-Ms"     // on forwarded requests: the wait expected at the sender
 	headerReason   = "Azurethread-Reason"      // why a request was refused or failed
 	headerRefused  = "Azurethread-Refused"     // a target's own word that it has not run a request
 	headerLoad     = "Azurethread-Load"        // in flight/slots of the answering target
@@ -87,6 +88,16 @@
 	return now.Add(time.Duration(ms) * time.Millisecond), true
 }
 
+// waitOf reads the wait that a forwarding entry VM expects; 0 when it states
+// none, which only makes this one less ready to queue the request.
+func waitOf(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(headerWait), 10, 64)
+	if err != nil || ms < 0 || ms > maxDeadlineMs {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // maxDeadlineMs is the longest wait a caller may state: one hour.
 const maxDeadlineMs = int64(time.Hour / time.Millisecond)
 
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -13,6 +13,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/azurethread/azurethread/serve/pollers"
 )
 
 // Handler serves exchanges. Serve is called on a poller's goroutine and must
@@ -76,6 +78,10 @@
 		_ = ln.Close()
 		return nil, fmt.Errorf("inbound: %w", err)
 	}
+	if err := pollers.Await(s.engine); err != nil {
+		_ = ln.Close()
+		return nil, fmt.Errorf("inbound: %w", err)
+	}
 	return s, nil
 }
 
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/pollers"
 )
 
 // Options of a Pool. All but Pollers are required.
@@ -53,6 +54,9 @@
 	if err := p.engine.Start(); err != nil {
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
+	if err := pollers.Await(p.engine); err != nil {
+		return nil, fmt.Errorf("outbound: %w", err)
+	}
 	go p.sweep()
 	return p, nil
 }
