--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"errors"
 	"fmt"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +79,7 @@
 	ctx       context.Context // ends when the daemon stops
 	cancel    context.CancelFunc
 	loops     loops
+	cleaned   sync.Once
 }
 
 // epoch turns the monotonic clock into instants that never fall.
@@ -144,6 +142,28 @@
 	if d.tracer, err = newTracer(d.set.TraceExporter, d.set.TraceSample); err != nil {
 		return err
 	}
+	if err := d.provisionPool(); err != nil {
+		return err
+	}
+	if err := d.provisionCallers(); err != nil {
+		return fmt.Errorf("daemon: --call-addr: %w", err)
+	}
+	if err := d.provisionAdmin(); err != nil {
+		return fmt.Errorf("daemon: --admin-addr: %w", err)
+	}
+	inc := fleet.Incarnation(d.now())
+	if err := d.provisionPeers(inc); err != nil {
+		return fmt.Errorf("daemon: --peer-addr: %w", err)
+	}
+	d.self = d.describe(inc)
+	d.newCore()
+	d.expose()
+	d.started.Store(true)
+	return nil
+}
+
+func (d *Daemon) provisionPool() error {
+	var err error
 	d.pool, err = outbound.NewPool(outbound.Options{
 		DialTimeout:    d.set.DialTimeout,
 		IdleTimeout:    outboundIdle,
@@ -152,9 +172,11 @@
 		Now:            d.now,
 		Dial:           net.DialTimeout,
 	})
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+func (d *Daemon) provisionCallers() error {
+	var err error
 	d.callers, err = inbound.Listen(d.set.CallAddr, inbound.Options{
 		MaxHeadBytes: d.set.MaxHeadBytes,
 		MaxBodyBytes: d.set.MaxBodyBytes,
@@ -165,21 +187,7 @@
 		Refusal:      refusalByStatus,
 		Known:        hasToken,
 	})
-	if err != nil {
-		return fmt.Errorf("daemon: --call-addr: %w", err)
-	}
-	if err := d.provisionAdmin(); err != nil {
-		return fmt.Errorf("daemon: --admin-addr: %w", err)
-	}
-	inc := fleet.Incarnation(d.now())
-	if err := d.provisionPeers(inc); err != nil {
-		return fmt.Errorf("daemon: --peer-addr: %w", err)
-	}
-	d.self = d.describe(inc)
-	d.newCore()
-	d.expose()
-	d.started.Store(true)
-	return nil
+	return err
 }
 
 // outboundIdle is how long a free connection to a target is kept. It is
@@ -299,10 +307,6 @@
 	return n
 }
 
-// Kill ends the daemon at once, as a crash would: requests in flight are cut
-// and nobody is told.
-func (d *Daemon) Kill() { d.cleanup() }
-
 // Superseded is closed when another process, started later, runs under this
 // entry VM's id. Both would be reached under one name, so this one should stop.
 func (d *Daemon) Superseded() <-chan struct{} { return d.superseded }
@@ -310,117 +314,9 @@
 // Violations returns how many broken invariants have been seen.
 func (d *Daemon) Violations() int64 { return d.metrics.violations.Load() }
 
-// Stop shuts the daemon down: it leaves the look-ups, refuses new requests as
-// not-run and lets the ones in flight end. It returns an error when ctx ended
-// before they did.
-func (d *Daemon) Stop(ctx context.Context) error {
-	d.leaving.Store(true)
-	d.log.Info("entry VM is leaving")
-	d.core.Post(&dispatch.Stop{})
-	d.core.Post(&member.Leave{})
-	select {
-	case <-time.After(d.set.LeaveDelay):
-	case <-ctx.Done():
-	}
-	err := d.callers.Stop(ctx)
-	d.cleanup()
-	if err != nil {
-		d.log.WithError(err).Error("stopped with requests in flight")
-		return err
-	}
-	d.log.Info("entry VM stopped")
-	return nil
-}
-
-// cleanup ends everything that provision and run have started.
-func (d *Daemon) cleanup() {
-	d.cancel()
-	if d.admin != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), adminFlush)
-		defer cancel()
-		_ = d.admin.Stop(ctx) // operators' requests that take longer are cut
-	}
-	d.loops.wait()
-	if d.reader != nil {
-		d.reader.Close()
-	}
-	if d.peers != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), peerFlush)
-		defer cancel()
-		_ = d.peers.Close(ctx) // what is not flushed is repaired by the peers
-	}
-	if d.core != nil {
-		d.core.Close()
-	}
-	if d.callers != nil {
-		ended, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = d.callers.Stop(ended) // a second Stop only closes what is left
-	}
-	if d.pool != nil {
-		d.pool.Close()
-	}
-	if d.tracer != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), traceFlush)
-		defer cancel()
-		if err := d.tracer.close(ctx); err != nil && !errors.Is(err, context.Canceled) {
-			d.log.WithError(err).Warn("traces were not all exported")
-		}
-	}
-}
-
-// adminFlush bounds the end of operators' requests.
-const adminFlush = time.Second
-
-// peerFlush bounds the sending of the last messages to other entry VMs.
-const peerFlush = 500 * time.Millisecond
-
-// traceFlush bounds the export of the last traces.
-const traceFlush = 2 * time.Second
-
 // violation counts and logs a broken invariant. It does not end the process:
 // callers are still better served than not.
 func (d *Daemon) violation(v dispatch.Violation) {
 	d.metrics.violations.Add(1)
 	d.log.WithFields(logrus.Fields{"invariant": v.Invariant, "detail": v.Detail}).Error("invariant broken")
 }
-
-// tokenLifetime is how long a token of a look-up can be used.
-const tokenLifetime = time.Minute
-
-// mint makes a token that only the process of vm admits.
-func (d *Daemon) mint(vm fleet.VM, now clock.Time) string {
-	m := d.minters.Get().(*token.Minter)
-	defer d.minters.Put(m)
-	f := token.Fields{VM: vm.ID, Incarnation: vm.Incarnation, Expiry: now.Add(tokenLifetime)}
-	if _, err := rand.Read(f.Nonce[:]); err != nil {
-		return "" // no token is better than one that can be guessed
-	}
-	return m.Mint(f)
-}
-
-// mintFor makes the tokens of a look-up for one entry VM.
-func (d *Daemon) mintFor(id fleet.VMID, now clock.Time, n int) []string {
-	vm, ok := d.incarnation(id)
-	if !ok || n == 0 {
-		return nil
-	}
-	out := make([]string, n)
-	for i := range out {
-		out[i] = d.mint(vm, now)
-	}
-	return out
-}
-
-// alternatives names other entry VMs to a caller that is sent away.
-func (d *Daemon) alternatives(service fleet.ServiceName, client netip.Addr) []string {
-	var choices [steer.MaxChoices]steer.Choice
-	a := d.lookups.answer(d.now(), service, client, choices[:])
-	var out []string
-	for _, c := range choices[:a.N] {
-		if c.VM != d.self.ID {
-			out = append(out, c.Addr)
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/serve/daemon/tokens.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"net/netip"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/steer"
+	"github.com/azurethread/azurethread/decide/token"
+)
+
+// tokenLifetime is how long a token of a look-up can be used.
+const tokenLifetime = time.Minute
+
+// mint makes a token that only the process of vm admits.
+func (d *Daemon) mint(vm fleet.VM, now clock.Time) string {
+	m := d.minters.Get().(*token.Minter)
+	defer d.minters.Put(m)
+	f := token.Fields{VM: vm.ID, Incarnation: vm.Incarnation, Expiry: now.Add(tokenLifetime)}
+	if _, err := rand.Read(f.Nonce[:]); err != nil {
+		return "" // no token is better than one that can be guessed
+	}
+	return m.Mint(f)
+}
+
+// mintFor makes the tokens of a look-up for one entry VM.
+func (d *Daemon) mintFor(id fleet.VMID, now clock.Time, n int) []string {
+	vm, ok := d.incarnation(id)
+	if !ok || n == 0 {
+		return nil
+	}
+	out := make([]string, n)
+	for i := range out {
+		out[i] = d.mint(vm, now)
+	}
+	return out
+}
+
+// alternatives names other entry VMs to a caller that is sent away.
+func (d *Daemon) alternatives(service fleet.ServiceName, client netip.Addr) []string {
+	var choices [steer.MaxChoices]steer.Choice
+	a := d.lookups.answer(d.now(), service, client, choices[:])
+	var out []string
+	for _, c := range choices[:a.N] {
+		if c.VM != d.self.ID {
+			out = append(out, c.Addr)
+		}
+	}
+	return out
+}
--- a/serve/peer/maintain.go
+++ b/serve/peer/maintain.go
@@ -6,6 +6,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
+// maintainLoop does what is due until the transport is closed.
 func (t *Transport) maintainLoop() {
 	defer t.stopped.Done()
 	tick := time.NewTicker(maintainEvery)
