Start with any number of pollers

Cause: the proof that nbio's pollers run looked for connections whose descriptor leads to each poller; with an even number of them the descriptors were all even and an entry VM did not start.

--- a/serve/outbound/outbound_test.go
+++ b/serve/outbound/outbound_test.go
@@ -148,8 +148,8 @@
 	is.Equal(o.err.Reason, verdict.ReasonConnect)
 }
 
-// Symptom: requests hang on a connection that something between the two ends
-// has lost track of; or the late answer to one reaches another request.
+// Symptom: requests hang on a connection whose state a firewall on the path
+// has dropped; or the late answer to one reaches another request.
 // Sequence: a connection answers once and then accepts bytes in silence; the
 // request is cancelled, and the answer comes after all.
 // Cause: nbhttp's client misses its timeout and keeps the connection in use.
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -86,9 +86,10 @@
 }
 
 // Discard closes the free connections to addr that have been free for at
-// least age. Something between the two ends can lose track of connections
-// without telling either: when one has gone silent, those that have carried
-// nothing since are suspect too, while a new one costs about a millisecond.
+// least age. A firewall or router on the path may drop the state of open
+// connections without a reset: when one has gone silent, those that have
+// carried nothing since are suspect too, while a new one costs about a
+// millisecond.
 func (p *Pool) Discard(addr string, age time.Duration) {
 	if pe := p.find(addr); pe != nil {
 		pe.closeIdle(age)
--- a/serve/peer/doc.go
+++ b/serve/peer/doc.go
@@ -23,8 +23,8 @@
 //
 // # Silent connections
 //
-// A connection can go silent for good while new ones work, because something
-// between the two ends lost track of it; writes still succeed. Each data
+// A firewall or router on the path may drop the state of one connection: its
+// segments vanish, while others arrive and writes still succeed. Each data
 // frame therefore states the last frame received, and a frame with messages
 // is acknowledged within Options.AckDelay, by whatever goes back or by an
 // empty frame. A connection whose frames stay unacknowledged for
--- a/serve/peer/options.go
+++ b/serve/peer/options.go
@@ -66,8 +66,8 @@
 
 // Link decides what becomes of a frame on its way to another VM: it arrives
 // after delay, or it never does. Once a frame is lost, its connection stays
-// silent for good, as a real one would after something between the two ends
-// has forgotten it.
+// silent, as a real one would after a firewall on the path has dropped its
+// state.
 type Link interface {
 	Pass(from, to fleet.VMID) (delay time.Duration, ok bool)
 }
--- a/serve/peer/transport_test.go
+++ b/serve/peer/transport_test.go
@@ -255,8 +255,8 @@
 }
 
 // Symptom: everything sent to a VM vanishes for good, although it lives and
-// new connections to it work. Sequence: something between the two ends loses
-// track of an open connection. Cause: writes still succeed, so only the
+// new connections to it work. Sequence: a firewall on the path drops the
+// state of an open connection. Cause: writes still succeed, so only the
 // missing acknowledgements tell.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	is := is.New(t)
--- a/serve/platform/client_test.go
+++ b/serve/platform/client_test.go
@@ -51,7 +51,7 @@
 // Symptom: a daemon waits for good for its catalogue.
 // Sequence: the connection is accepted, the request taken, no answer comes,
 // and the caller's context has no deadline.
-// Cause: something between the two ends has lost track of the connection.
+// Cause: a firewall on the path has dropped the connection's state.
 func TestSilentConnectionEnds(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -57,6 +57,7 @@
 	engine *nbhttp.Engine
 	heard  chan struct{}
 	open   []net.Conn // each pair's near end first
+	spare  []*os.File // held so that later descriptors differ
 }
 
 // close closes the far ends, which the pollers have, before the near ones. A
@@ -67,6 +68,27 @@
 	for _, c := range slices.Backward(w.open) {
 		_ = c.Close()
 	}
+	for _, f := range w.spare {
+		_ = f.Close()
+	}
+}
+
+// aim takes descriptors until the lowest free one leads to the poller of the
+// index, as the next connection will get that one. Without it the descriptors
+// that connections get can keep clear of a poller, such as by being all even:
+// an entry VM with 8 cores would not start.
+func (w *waiter) aim(index int) error {
+	for range w.engine.NPoller {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			return fmt.Errorf("pollers: %w", err)
+		}
+		if int(f.Fd())%w.engine.NPoller == index {
+			return f.Close()
+		}
+		w.spare = append(w.spare, f)
+	}
+	return nil
 }
 
 // reach gives the poller of the index a byte to read.
@@ -77,6 +99,10 @@
 			return err
 		}
 		w.open = append(w.open, near)
+		if err := w.aim(index); err != nil {
+			_ = far.Close()
+			return err
+		}
 		nbc, err := nbio.NBConn(far)
 		if err != nil {
 			_ = far.Close()
@@ -84,7 +110,7 @@
 		}
 		w.open = append(w.open, nbc)
 		if nbc.Hash()%w.engine.NPoller != index {
-			continue
+			continue // another goroutine was faster to the descriptor
 		}
 		nbc.OnData(func(*nbio.Conn, []byte) { w.heard <- struct{}{} })
 		if _, err := w.engine.AddConn(nbc); err != nil {
--- a/serve/pollers/pollers_test.go
+++ b/serve/pollers/pollers_test.go
@@ -30,3 +30,16 @@
 		}
 	}
 }
+
+// Symptom: an entry VM does not start, as no descriptor leads to a poller.
+// Sequence: it has an even number of pollers, as on a machine of 8 cores.
+// Cause: descriptors are taken by twos, and those given to nbio are all even.
+func TestAnyNumberOfPollers(t *testing.T) {
+	is := is.New(t)
+	for n := 1; n <= 16; n++ {
+		e := nbhttp.NewEngine(nbhttp.Config{NPoller: n})
+		is.NoErr(e.Start())
+		is.NoErr(Await(e))
+		e.Stop()
+	}
+}
--- a/serve/store/reader.go
+++ b/serve/store/reader.go
@@ -30,6 +30,7 @@
 	wg     sync.WaitGroup
 
 	mu      sync.Mutex
+	closed  bool
 	watches map[uint64]context.CancelFunc // by sequence number
 }
 
@@ -41,34 +42,48 @@
 
 // Close abandons all reads and waits for their goroutines.
 func (r *Reader) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
 	r.cancel()
 	r.wg.Wait()
 }
 
 // Perform starts the reads among the effects of one step. It doesn't block.
-// It must not be called after Close.
+// After Close it does nothing: a step of the engine may end while the daemon
+// stops, and its reads would begin after Close had waited for the last one.
 func (r *Reader) Perform(out *config.Ready) {
 	for _, s := range out.Stop {
 		r.stop(s.Seq)
 	}
 	for _, f := range out.Fetch {
-		r.wg.Go(func() { r.emit(r.ctx, r.Fetch(r.ctx, f)) })
+		r.fetch(f)
 	}
 	for _, w := range out.Watch {
-		ctx := r.begin(w.Seq)
-		r.wg.Go(func() {
-			defer r.stop(w.Seq)
-			r.emit(ctx, r.Watch(ctx, w))
-		})
+		r.watch(w)
 	}
 }
 
-func (r *Reader) begin(seq uint64) context.Context {
-	ctx, cancel := context.WithCancel(r.ctx)
+func (r *Reader) fetch(f config.FetchPlatform) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.watches[seq] = cancel
-	return ctx
+	if !r.closed {
+		r.wg.Go(func() { r.emit(r.ctx, r.Fetch(r.ctx, f)) })
+	}
+}
+
+func (r *Reader) watch(w config.WatchPlatform) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.watches[w.Seq] = cancel
+	r.wg.Go(func() {
+		defer r.stop(w.Seq)
+		r.emit(ctx, r.Watch(ctx, w))
+	})
 }
 
 func (r *Reader) stop(seq uint64) {
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -173,7 +173,7 @@
 // Symptom: requests on some connections never end, while the target answers
 // others at once.
 // Sequence: a connection in use goes silent; a new one is opened.
-// Cause: something between the two ends has lost track of the old connection.
+// Cause: a firewall on the path has dropped the old connection's state.
 func TestSilentConnection(t *testing.T) {
 	is := is.New(t)
 	s := start(is, target.Options{Slots: 4})
