--- a/operate/e2e/answer_test.go
+++ b/operate/e2e/answer_test.go
@@ -147,7 +147,7 @@
 // Symptom: look-ups hang while new connections to the same target work; or a
 // fee is posted twice.
 // Sequence: the open connections to a target go silent while others go on.
-// Cause: something between the two ends has lost track of the connections.
+// Cause: a middlebox has dropped its state for the connections.
 func TestSilentConnections(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, []catalogue.Service{
--- a/serve/daemon/admin.go
+++ b/serve/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 
 	"github.com/google/uuid"
@@ -47,7 +48,9 @@
 		return err
 	}
 	d.adminAddr = d.admin.Addr()
-	d.adminPages = inbound.Standard(mux)
+	d.adminPages = inbound.Standard(mux, func(v any) {
+		d.log.WithField("panic", v).WithField("stack", string(debug.Stack())).Error("administration page failed")
+	})
 	return nil
 }
 
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -302,3 +302,32 @@
 	is.Equal(body, "/half half")
 	is.NoErr(<-stopped)
 }
+
+// Symptom: an entry VM ends while an operator looks at a page.
+// Sequence: the page's handler panics.
+// Cause: a goroutine without recovery, as net/http has it.
+func TestStandardSurvivesAPanic(t *testing.T) {
+	is := is.New(t)
+	got := make(chan any, 1)
+	h := Standard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/bad" {
+			panic("defect")
+		}
+		w.Header().Set("X-Query", r.URL.Query().Get("q"))
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.Copy(w, r.Body)
+	}), func(v any) { got <- v })
+	s := listen(t, h.Serve)
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, "GET /bad HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	res, _ := read(t, r, http.MethodGet)
+	is.Equal(res.StatusCode, http.StatusInternalServerError)
+	is.Equal(<-got, "defect")
+	_, err = io.WriteString(conn, "POST /good?q=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab")
+	is.NoErr(err)
+	res, b := read(t, r, http.MethodPost)
+	is.Equal(res.StatusCode, http.StatusAccepted)
+	is.Equal(res.Header.Get("X-Query"), "1")
+	is.Equal(b, "ab")
+}
--- a/serve/inbound/standard.go
+++ b/serve/inbound/standard.go
@@ -9,10 +9,15 @@
 
 // Standard serves exchanges with a net/http handler, for pages whose work may
 // block: each runs on a goroutine of its own. The answer is sent when the
-// handler returns, so it must be of bounded size.
-func Standard(h http.Handler) Handler { return standard{h} }
+// handler returns, so it must be of bounded size. A panic of the handler gives
+// status 500 and is passed to panicked: a defect of one page must not end a
+// process that serves callers.
+func Standard(h http.Handler, panicked func(v any)) Handler { return standard{h, panicked} }
 
-type standard struct{ h http.Handler }
+type standard struct {
+	h        http.Handler
+	panicked func(v any)
+}
 
 // Serve implements Handler.
 func (s standard) Serve(x *Exchange) {
@@ -24,13 +29,25 @@
 	x.OnGone(cancel)
 	go func() {
 		defer cancel()
-		w := &recorder{header: make(http.Header)}
-		s.h.ServeHTTP(w, r)
-		w.WriteHeader(http.StatusOK)
+		w := s.run(r)
 		x.Respond(w.status, w.header, w.body.Bytes())
 	}()
 }
 
+// run has the handler answer r.
+func (s standard) run(r *http.Request) (w *recorder) {
+	w = &recorder{header: make(http.Header)}
+	defer func() {
+		if v := recover(); v != nil {
+			s.panicked(v)
+			w = &recorder{header: make(http.Header), status: http.StatusInternalServerError}
+		}
+	}()
+	s.h.ServeHTTP(w, r)
+	w.WriteHeader(http.StatusOK)
+	return w
+}
+
 // request makes the net/http form of an exchange's request. Its context ends
 // when the caller goes.
 func request(x *Exchange) (*http.Request, context.CancelFunc, error) {
