Tell slow from silent, and let a lone caller out of a silent connection

Cause: after 1 s without an answer a request of an unknown service counted as silent, so submissions at a healthy target of 3 s were cut; and silence was noticed only when others were answered, so a lone caller waited for its deadline. How: nothing is cancelled on time alone before a first answer; bounds follow what is learnt; a submission is given up only when three later requests were answered; a look-up gets a second attempt on a new connection, from the repeat budget, without cancelling the first.

--- a/decide/dispatch/arrive.go
+++ b/decide/dispatch/arrive.go
@@ -17,6 +17,11 @@
 // least.
 const interactiveTurns = 3
 
+// unseenWait is what a caller is told to wait for a service of which no target
+// has ever been listed: an entry VM that has just started gets its list any
+// moment.
+const unseenWait = time.Second
+
 // longWait stands for the wait when no target can be used.
 const longWait = time.Hour
 
@@ -101,6 +106,9 @@
 		return
 	}
 	if reason := s.refusal(r, wait); reason != verdict.ReasonNone {
+		if reason == verdict.ReasonNoTarget && !v.seen {
+			wait = unseenWait
+		}
 		s.giveUp(r, reason, retryAfter(wait))
 		return
 	}
--- a/decide/dispatch/choose.go
+++ b/decide/dispatch/choose.go
@@ -64,7 +64,12 @@
 			break
 		}
 	}
-	if best == nil || (bestCost > slowerTimes*usual && s.betterToWait(v, bestCost, usual)) {
+	if best == nil {
+		return nil
+	}
+	// The slots that a second attempt would wait for may be those of silent
+	// connections, which nobody frees.
+	if !r.seconded && bestCost > slowerTimes*usual && s.betterToWait(v, bestCost, usual) {
 		return nil
 	}
 	return best
--- a/decide/dispatch/doc.go
+++ b/decide/dispatch/doc.go
@@ -33,6 +33,14 @@
 // leaving, which happens once for each of its slots. An answer is delivered
 // only if its attempt is current: neither ended nor cancelled.
 //
+// # What is taken for silent
+//
+// While nothing is known of a service's latency, no attempt is cancelled on time
+// alone. An idempotent request that waits for long is sent a second time on a
+// new connection, without a cancel, and the first answer wins. A non-idempotent
+// one is given up before its deadline only when several later ones at the same
+// receiver have been answered; until then it counts against the receiver.
+//
 // # What the transport owes
 //
 // It carries out Cancels before Sends and Forwards. It reports verdict.NotRun
@@ -41,6 +49,7 @@
 // VM's Reply with the verdict and reason it states. It carries a
 // Forward's ExpectedWait to the receiver's Arrive. It has one request at a time
 // on a connection, closes that of a cancelled attempt, opens another when
-// Replace is set, and then reports Failed. It calls Step with a Tick at
+// Replace is set, and then reports Failed. A Send that is Fresh gets a new
+// connection. It calls Step with a Tick at
 // Ready.Wake, at the latest.
 package dispatch
--- a/decide/dispatch/expire.go
+++ b/decide/dispatch/expire.go
@@ -46,6 +46,9 @@
 	if s.now >= s.hedgeAt(r) {
 		s.hedge(r)
 	}
+	if s.now >= s.secondAt(r) {
+		s.second(r)
+	}
 	s.schedule(r)
 }
 
@@ -69,32 +72,33 @@
 
 // silent reports whether the connection of a is to be given up: it is
 // suspected, and the request can go elsewhere. One that can't, for lack of
-// budget, is looked at again later.
+// budget, is looked at again later. So is a non-idempotent one, as long as it
+// may only be slow.
 func (s *State) silent(r *request, a *attempt) bool {
-	if !s.suspected(r, a) {
+	if !s.suspected(a) {
 		return false
 	}
-	s.extend(r, a)
-	return r.n > 1 || !r.idempotent || s.mayRepeat(r)
+	s.extend(a)
+	if !r.idempotent {
+		s.doubt(a)
+		return s.now >= a.sentAt.Add(submissionBound) && a.overtaken()
+	}
+	return r.n > 1 || s.mayRepeat(r)
 }
 
 // abandon cancels an attempt on a silent connection and sends r elsewhere if
 // that does no harm.
 func (s *State) abandon(r *request, a *attempt) {
-	t, l, sentAt, v := a.target, a.link, a.sentAt, a.svc
 	hedged := r.n > 1
-	v.silence.tail.Observe(s.now.Sub(sentAt))
-	s.cancel(a, true)
-	r.joined = verdict.Join(r.joined, verdict.MayHaveRun)
-	if t != nil {
-		r.avoid = t
-		if t.outlier.LastAnswer() < sentAt {
-			s.targetFailed(t)
-		}
+	a.svc.silence.tail.Observe(s.now.Sub(a.sentAt))
+	s.doubt(a)
+	if a.target != nil {
+		r.avoid = a.target
 	} else {
-		r.avoidVM = l.vm
-		s.linkFailed(l)
+		r.avoidVM = a.link.vm
 	}
+	s.cancel(a, true)
+	r.joined = verdict.Join(r.joined, verdict.MayHaveRun)
 	switch {
 	case hedged:
 		s.schedule(r)
--- a/decide/dispatch/golden_test.go
+++ b/decide/dispatch/golden_test.go
@@ -216,7 +216,7 @@
 		x.print("cancel %s%s", x.names[e.Attempt], map[bool]string{true: " and replace its connection"}[e.Replace])
 	}
 	for _, e := range x.out.Sends {
-		x.print("send %s to %s, deadline %v", x.name(e.Req, e.Attempt), e.Target, time.Duration(e.Deadline))
+		x.print("send %s to %s, deadline %v%s", x.name(e.Req, e.Attempt), e.Target, time.Duration(e.Deadline), map[bool]string{true: ", on a new connection"}[e.Fresh])
 	}
 	for _, e := range x.out.Forwards {
 		x.print("forward %s to %s, deadline %v, expected wait %v", x.name(e.Req, e.Attempt), e.VM, time.Duration(e.Deadline), e.ExpectedWait.Round(time.Millisecond))
--- a/decide/dispatch/membership.go
+++ b/decide/dispatch/membership.go
@@ -84,6 +84,7 @@
 		t.declared = f.Slots
 		t.slots = max(f.Slots, defaultSlots)
 	}
+	t.svc.seen = true
 	t.accepts = f.Connections
 	t.listed = true
 	t.leaving = f.State != fleet.Live
--- a/decide/dispatch/outcome.go
+++ b/decide/dispatch/outcome.go
@@ -27,7 +27,8 @@
 		return
 	}
 	r, v, t, l := a.req, a.svc, a.target, a.link
-	took := s.now.Sub(a.sentAt)
+	sentAt := a.sentAt
+	took := s.now.Sub(sentAt)
 	borrowed := a.borrowed
 	wanted := r != nil
 	if a.watched && e.Status < serverError {
@@ -36,8 +37,12 @@
 	s.release(a)
 	v.lastAnswer = s.now
 	if t != nil {
+		t.overtaken.answered(sentAt)
+		t.answeredAt = s.now
 		s.targetAnswered(t, e, took, borrowed, wanted)
 	} else {
+		l.overtaken.answered(sentAt)
+		v.silence.observeForward(took)
 		s.linkAnswered(l, e.Load, took)
 		s.spill(v)
 	}
@@ -77,7 +82,7 @@
 	t.mean.Observe(s.now, took)
 	v.mean.Observe(s.now, took)
 	v.tail.Observe(took)
-	v.silence.tail.Observe(took)
+	v.silence.observe(took)
 	s.refresh(t)
 }
 
@@ -172,6 +177,7 @@
 
 // mayRepeat takes a repeat of r from the budget, if it has attempts left.
 func (s *State) mayRepeat(r *request) bool {
+	r.svc.budget.Pass(s.now)
 	return r.attempts < s.lim.MaxAttempts && r.svc.budget.Spend()
 }
 
--- a/decide/dispatch/request.go
+++ b/decide/dispatch/request.go
@@ -10,8 +10,8 @@
 )
 
 // maxCurrent is how many attempts of a request can be current at once: the
-// first one and a hedge.
-const maxCurrent = 2
+// first one, a hedge and a second one on a new connection.
+const maxCurrent = 3
 
 // request is one accepted request until its final effect.
 type request struct {
@@ -26,6 +26,8 @@
 	worthWait  time.Duration // of a forwarded request: the wait that its sender thinks worth while
 	idempotent bool          // as the catalogue said on arrival
 	hedged     bool
+	seconded   bool       // sent once more on a new connection, without a cancel
+	secondFrom clock.Time // when to try that again after it wasn't possible
 
 	attempts     int             // sends and forwards so far, without refused forwards
 	nearRefusals int             // by entry VMs of the region, for lack of capacity
@@ -67,11 +69,14 @@
 	borrowed bool
 	sentAt   clock.Time
 	silentAt clock.Time // when to look next whether the connection is silent
-	tailAt   clock.Time // when the tail rule suspects it
+	tailFrom clock.Time // from when the tail rule counts
 	expires  clock.Time // of a cancelled attempt: when it counts as ended
 
 	connection detect.ID // its number in svc.silence, while watched
 	watched    bool
+	doubted    bool // suspected, and counted against the receiver
+	outlasted  bool // was over the bound of the tail rule, with nobody answered
+	seconded   bool // its request was sent once more because of it
 }
 
 // attempts gives out attempt ids and finds attempts by them. An id is an index
--- a/decide/dispatch/send.go
+++ b/decide/dispatch/send.go
@@ -30,12 +30,12 @@
 	a := s.startAttempt(r)
 	a.target = t
 	a.borrowed = borrowed
-	s.watch(r, a)
+	s.watch(a)
 	t.inFlight++
 	t.svc.inFlight++
 	s.refresh(t)
 	t.svc.observeSpare(s.now)
-	s.out.Sends = append(s.out.Sends, Send{Req: r.id, Attempt: a.id, Target: t.id, Deadline: r.deadline})
+	s.out.Sends = append(s.out.Sends, Send{Req: r.id, Attempt: a.id, Target: t.id, Deadline: r.deadline, Fresh: r.seconded})
 	s.schedule(r)
 	return true
 }
@@ -50,7 +50,7 @@
 	a := s.startAttempt(r)
 	a.link = l
 	a.mayWait = s.worthWaiting(l, wait)
-	s.watch(r, a)
+	s.watch(a)
 	l.inFlight++
 	l.vm.inFlight++
 	// The other entry VM must give up early enough for its answer to be here
@@ -87,7 +87,7 @@
 	for i := 0; i < r.n; i++ {
 		at = min(at, r.current[i].silentAt)
 	}
-	s.timers.set(r, min(at, s.hedgeAt(r)))
+	s.timers.set(r, min(at, s.hedgeAt(r), s.secondAt(r)))
 }
 
 // hedgeAt returns when a second attempt of r is worth its cost.
@@ -152,7 +152,7 @@
 	s.dequeue(r)
 	for r.n > 0 {
 		a := r.current[0]
-		s.cancel(a, s.overdue(a))
+		s.cancel(a, s.replaceable(a))
 	}
 	s.timers.remove(r)
 	delete(s.requests, r.id)
@@ -194,6 +194,11 @@
 
 // deliver passes on the answer of a.
 func (s *State) deliver(r *request, id AttemptID) {
+	for _, a := range r.current[:r.n] {
+		if a.seconded {
+			s.doubt(a)
+		}
+	}
 	s.out.Delivers = append(s.out.Delivers, Deliver{Req: r.id, Attempt: id})
 	s.finish(r)
 }
--- a/decide/dispatch/service.go
+++ b/decide/dispatch/service.go
@@ -19,6 +19,7 @@
 type service struct {
 	name       fleet.ServiceName
 	listed     bool // in the catalogue
+	seen       bool // a target of it has been in a list
 	idempotent bool
 	deferrable bool
 	timeout    time.Duration
@@ -74,6 +75,7 @@
 	borrow      limit.Borrow
 	mean        target.Mean
 	outlier     target.Outlier
+	overtaken   overtaken
 	brief       bool       // the present ejection doesn't count against the bound
 	pausedUntil clock.Time // after a refusal
 	waiting     bool       // in State.suspended
@@ -81,9 +83,10 @@
 	cold        bool       // as last said
 	ejectedAt   clock.Time // start of the last ejection
 
-	accepts     int // connections the target accepts from all entry VMs
-	connections int // this entry VM's part of them
-	open        int // as reported by Connection events
+	accepts     int        // connections the target accepts from all entry VMs
+	connections int        // this entry VM's part of them
+	answeredAt  clock.Time // of the last answer with any status
+	open        int        // as reported by Connection events
 }
 
 // grant computes granted.
@@ -122,10 +125,11 @@
 
 // link is one service at one other entry VM.
 type link struct {
-	vm       *remoteVM
-	svc      *service
-	window   limit.Window
-	mean     target.Mean // latency of forwards, round trip included
-	inFlight int
-	seen     bool
+	vm        *remoteVM
+	svc       *service
+	window    limit.Window
+	mean      target.Mean // latency of forwards, round trip included
+	overtaken overtaken
+	inFlight  int
+	seen      bool
 }
--- a/decide/dispatch/standing.go
+++ b/decide/dispatch/standing.go
@@ -51,6 +51,12 @@
 // mayEject reports whether t may be ejected for longer.
 func (s *State) mayEject(t *targetState) bool {
 	v := t.svc
+	left := v.capacity - t.granted
+	if left <= 0 && (v.idempotent || t.answeredAt == s.now) {
+		// The last one in use: without it all requests are refused. Where a
+		// test may end with an unknown outcome, it has to answer at least.
+		return false
+	}
 	out := 1
 	for _, o := range v.targets {
 		if o != t && o.outlier.Standing() == target.Ejected && !o.brief {
@@ -60,7 +66,6 @@
 	if out <= max(len(v.targets)/maxEjectedShare, 1) {
 		return true
 	}
-	left := v.capacity - t.granted
 	return left > 0 && float64(left) >= v.demand()
 }
 
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/clock"
 )
 
 // Symptom: retries keep a service overloaded after the cause is gone.
@@ -46,3 +48,23 @@
 	b.Reset()
 	is.True(b.Next(rng) <= time.Second)
 }
+
+// Symptom: a lone caller whose connection went silent waits for its deadline.
+// Cause: its few requests pay for no repeat. Time does, for one and no more,
+// and not where repeats are turned off.
+func TestTimePaysForOneRepeat(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(0.1, 2)
+	b.Pass(clock.Time(time.Second))
+	is.True(b.Spend())
+	is.True(b.Spend())
+	is.True(!b.Spend())
+	b.Pass(clock.Time(time.Second + floorInterval/2))
+	is.True(!b.Spend())
+	b.Pass(clock.Time(time.Hour))
+	is.True(b.Spend())
+	is.True(!b.Spend())
+	off := NewBudget(0, 0)
+	off.Pass(clock.Time(time.Hour))
+	is.True(!off.Spend())
+}
--- a/serve/daemon/attempt.go
+++ b/serve/daemon/attempt.go
@@ -38,6 +38,7 @@
 	delete(r.Header, headerHops)
 	delete(r.Header, headerWait)
 	delete(r.Header, headerClient)
+	r.Fresh = s.Fresh
 	a.span.inject(r.Header)
 	d.start(c, a, &r)
 }
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -17,6 +17,9 @@
 	URI    string // path and query
 	Header http.Header
 	Body   []byte
+	// Fresh asks for a new connection even where one is free: the free ones
+	// are suspected to have gone silent.
+	Fresh bool
 }
 
 // Answer is one whole answer.
--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -49,7 +49,7 @@
 	})
 	p := newPool(t)
 	k, ch := newCall()
-	pe, _ := p.claim(addr, k)
+	pe, _ := p.claim(addr, k, false)
 	c, err := pe.connect(k)
 	is.NoErr(err)
 	o := <-ch
--- a/serve/outbound/outbound_test.go
+++ b/serve/outbound/outbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -215,3 +216,29 @@
 	_, ch = do(p, addr)
 	is.Equal(string((<-ch).a.Body), "newer")
 }
+
+// Symptom: the second attempt of a request waits on a silent connection like
+// the first.
+// Sequence: a connection is free, and a request asks for a new one.
+// Cause: the most recently used connection was taken all the same.
+func TestFreshConnection(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		}
+	})
+	p := newPool(t)
+	for _, c := range []struct {
+		fresh bool
+		conn  string
+	}{{false, "0"}, {false, "0"}, {true, "1"}} {
+		ch := make(chan outcome, 1)
+		r := &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, Fresh: c.fresh}
+		p.Do(addr, r, func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
+		is.Equal(string((<-ch).a.Body), c.conn)
+	}
+}
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -76,7 +76,7 @@
 // before Do returns. Do does not block.
 func (p *Pool) Do(addr string, r *Request, done Done) *Call {
 	k := &Call{req: r, done: done}
-	pe, c := p.claim(addr, k)
+	pe, c := p.claim(addr, k, r.Fresh)
 	if c != nil {
 		c.start(k)
 		return k
@@ -116,7 +116,7 @@
 
 // claim finds the receiver at addr and a free connection to it. Without one it
 // returns nil and counts a dial, so that the receiver is not forgotten.
-func (p *Pool) claim(addr string, k *Call) (*peer, *conn) {
+func (p *Pool) claim(addr string, k *Call, fresh bool) (*peer, *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pe, ok := p.peers[addr]
@@ -124,6 +124,9 @@
 		pe = &peer{pool: p, addr: addr}
 		p.peers[addr] = pe
 	}
+	if fresh {
+		return pe, nil
+	}
 	return pe, pe.take(k)
 }
 
--- a/serve/peer/options.go
+++ b/serve/peer/options.go
@@ -39,7 +39,7 @@
 	DefaultAckDelay     = 40 * time.Millisecond
 	DefaultSilentAfter  = 500 * time.Millisecond
 	DefaultLostAfter    = 1500 * time.Millisecond
-	DefaultIdleAfter    = 3 * time.Minute
+	DefaultIdleAfter    = 45 * time.Second
 	DefaultBackoffMin   = 50 * time.Millisecond
 	DefaultBackoffMax   = time.Second
 	DefaultQueueFor     = 3 * time.Second
