--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -72,7 +72,7 @@
 	_, first := do(p, addr)
 	is.True((<-first).err == nil)
 	k, ch := newCall()
-	pe, c := p.claim(addr, k)
+	pe, c := p.claim(addr, k, false)
 	is.True(c != nil)
 	is.NoErr(c.nbc.Close())
 	o := <-ch
@@ -92,7 +92,7 @@
 	addr := receiver(t, always(okAnswer))
 	p := newPool(t)
 	k, _ := newCall()
-	pe, _ := p.claim(addr, k)
+	pe, _ := p.claim(addr, k, false)
 	c, err := pe.connect(k)
 	is.NoErr(err)
 	is.Equal(pe.drop(c), k)
