Count no refused forward as a failed answer

Cause: at 0.7 load a shift held for errors at a receiver, 3.23% over its 1%, while every request was answered: refusals of forwarded requests, which are served elsewhere, were counted as failed answers. Conclusion: the hold now names what an operator can act on.

--- a/decide/engine/shifts.go
+++ b/decide/engine/shifts.go
@@ -122,7 +122,10 @@
 	if s.hops == 0 {
 		e.tally.Served(s.service, s.home, s.block, s.movedBy, busy)
 	}
-	if s.local || (!ok && s.sent == 0) {
+	// A refused forward is no failed answer: its sender turns to somebody else.
+	// Counted, it held shifts back wherever spill was tried at a busy region.
+	refused := !ok && s.sent == 0 && s.hops == 0
+	if s.local || refused {
 		e.tally.Meter().Answered(now, s.service, now.Sub(s.arrived), ok)
 	}
 }
