Answer a message that does not end in time

Cause: a stalled head or body was closed without a word, where the issue asks for a clear answer with a verdict. Measured: TestCutRequests gets 408 and then the end of the connection, three times over with the race detector; operate/e2e, serve/daemon and cmd pass with it in one run. Conclusion: the verdict is may-have-run, as a token in what has come may have been sent before.

--- a/serve/daemon/answer.go
+++ b/serve/daemon/answer.go
@@ -95,7 +95,13 @@
 // refusalByStatus is the answer to messages without a token that inbound
 // refuses itself.
 func refusalByStatus(status int) (http.Header, []byte) {
-	_, h, b := encodeError(errorBody{Verdict: verdict.NotRun, Reason: reasonOfStatus(status)})
+	e := errorBody{Verdict: verdict.NotRun, Reason: reasonOfStatus(status)}
+	if status == http.StatusRequestTimeout {
+		// What has come of it may hold a token that was sent before; only the
+		// ledger could tell what became of that send.
+		e.Verdict = verdict.MayHaveRun
+	}
+	_, h, b := encodeError(e)
 	return h, b
 }
 
@@ -104,6 +110,8 @@
 	switch status {
 	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
 		return verdict.ReasonBodyTooLarge
+	case http.StatusRequestTimeout:
+		return verdict.ReasonDeadline
 	default:
 		return verdict.ReasonBadRequest
 	}
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -32,12 +32,13 @@
 	fieldBytes int // header fields parsed
 	inBody     bool
 
-	mu      sync.Mutex
-	begun   bool // heard, for armIdleTimeout
-	current *Exchange
-	waiting []*Exchange // pipelined requests behind current
-	closing bool        // close once current is answered
-	closed  bool
+	mu        sync.Mutex
+	begun     bool // heard, for armIdleTimeout
+	current   *Exchange
+	waiting   []*Exchange // pipelined requests behind current
+	closing   bool        // close once current is answered
+	readTimer *time.Timer // bounds the message being received; nil: none
+	closed    bool
 
 	receiving atomic.Bool // part of a message has come
 
@@ -115,7 +116,37 @@
 	idle := c.current == nil
 	c.mu.Unlock()
 	if idle {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.ReadTimeout))
+		c.mu.Lock()
+		c.stopReadTimer()
+		c.readTimer = time.AfterFunc(c.s.opts.ReadTimeout, c.readTimedOut)
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.ReadTimeout + lingerTime))
+		c.mu.Unlock()
+	}
+}
+
+// readTimedOut answers a message that has not ended in time. nbio's own
+// deadline would close the connection without a word.
+func (c *conn) readTimedOut() {
+	c.mu.Lock()
+	if c.closed || c.closing || c.current != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.closing = true
+	c.mu.Unlock()
+	c.discard.Store(true)
+	x := &Exchange{c: c}
+	x.close = true
+	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
+	c.write(x, http.StatusRequestTimeout, h, body)
+	c.linger()
+}
+
+// stopReadTimer must be called with mu held.
+func (c *conn) stopReadTimer() {
+	if c.readTimer != nil {
+		c.readTimer.Stop()
+		c.readTimer = nil
 	}
 }
 
@@ -210,6 +241,7 @@
 // connection under x.
 func (c *conn) take(x *Exchange) {
 	c.current = x
+	c.stopReadTimer()
 	_ = c.nbc.SetReadDeadline(time.Time{})
 }
 
@@ -318,6 +350,7 @@
 func (c *conn) onClose() {
 	c.mu.Lock()
 	c.closed = true
+	c.stopReadTimer()
 	x := c.current
 	waiting := c.waiting
 	c.waiting = nil
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -123,8 +123,11 @@
 		conn, r := dial(t, s)
 		_, err := io.WriteString(conn, send)
 		is.NoErr(err)
+		res, _ := read(t, r, http.MethodGet)
+		is.Equal(res.StatusCode, http.StatusRequestTimeout)
+		is.True(res.Close)
 		_, err = r.ReadByte()
-		is.Equal(err, io.EOF) // closed by the read timeout
+		is.Equal(err, io.EOF) // closed behind the answer
 	}
 }
 
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -32,7 +32,7 @@
 	WriteTimeout time.Duration // for a caller to take an answer
 	Pollers      int           // 0: nbio's default
 	// Refusal gives the header and body of an answer that this package sends
-	// itself, with the verdict not-run: 400, 413 or 431.
+	// itself: 400, 408, 413 or 431.
 	Refusal func(status int) (http.Header, []byte)
 	// Known reports whether a request with these header fields may have been
 	// sent before. A refusal of such a one is left to the handler, as only the
