Walk the failure domains once a change, and decode wrapped messages in one place

Found on reading the whole change. How: the view is passed along; the machine list is stepped last, as a list that comes into force steps the membership again and an older view must not overwrite that; one generic decoder serves three packages. Measured: no timing. Conclusion: same behaviour, less work in a small fleet's steps and a large one's.

--- a/decide/engine/control.go
+++ b/decide/engine/control.go
@@ -45,11 +45,13 @@
 	}
 	out.Superseded = out.Superseded || r.Superseded
 	changed, group := len(r.Changed) > 0, r.Group
-	if changed || group {
-		e.fleetChanged(now)
+	if !changed && !group {
+		return
 	}
+	domains := e.member.Domains(nil)
+	e.fleetChanged(now, domains)
 	if changed {
-		e.vmsChanged(now, out)
+		e.vmsChanged(now, domains, out)
 	}
 }
 
@@ -70,19 +72,19 @@
 }
 
 // fleetChanged tells the load state who takes part.
-func (e *Engine) fleetChanged(now clock.Time) {
+func (e *Engine) fleetChanged(now clock.Time, domains []member.DomainView) {
 	d := e.member.Duties()
 	f := &load.Fleet{Representative: d.Representative, Group: d.Group, Peers: d.Peers}
-	for _, v := range e.member.Domains(nil) {
+	for _, v := range domains {
 		f.Domains = append(f.Domains, load.DomainOf{Region: v.Region, Domain: v.Domain})
 	}
 	e.loads.Step(now, f)
 }
 
 // vmsChanged tells everyone who works with entry VMs.
-func (e *Engine) vmsChanged(now clock.Time, out *Ready) {
+func (e *Engine) vmsChanged(now clock.Time, domains []member.DomainView, out *Ready) {
 	e.vms = e.vms[:0:0]
-	for _, v := range e.member.Domains(nil) {
+	for _, v := range domains {
 		for _, vm := range v.VMs {
 			if !v.Reachable {
 				vm.State = fleet.Dead
@@ -90,30 +92,31 @@
 			e.vms = append(e.vms, vm)
 		}
 	}
-	e.addLeaving()
-	own := &machine.Members{}
-	for _, vm := range e.member.Members(nil) {
-		own.IDs = append(own.IDs, vm.ID)
-	}
+	own := e.addLeaving()
 	slices.SortFunc(e.vms, func(a, b fleet.VM) int { return cmp.Compare(a.ID, b.ID) })
 	out.VMs = e.vms
-	out.Eligible = e.eligible()
-	e.stepMachine(now, own, out)
-	e.stepTally(now, &tally.Fleet{Domains: e.member.Domains(nil)}, out)
+	out.Eligible = e.eligible(domains)
+	e.stepTally(now, &tally.Fleet{Domains: domains}, out)
 	e.stepDispatch(now, e.peers(), out)
-	e.remotes(now, out)
+	e.remotes(now, domains, out)
 	e.stepConfig(now, &config.Members{Members: e.configMembers()}, out)
 	e.publish(out)
+	// Last, as a list that comes into force steps the membership again, and
+	// what that changes must not be overwritten by this older view.
+	e.stepMachine(now, own, out)
 }
 
-// addLeaving adds the members of the own domain that are leaving: they are
-// reached by messages, though not by look-ups.
-func (e *Engine) addLeaving() {
+// addLeaving adds the members of the own domain that are leaving, as they are
+// reached by messages though not by look-ups, and returns all members.
+func (e *Engine) addLeaving() *machine.Members {
+	own := &machine.Members{}
 	for _, vm := range e.member.Members(nil) {
+		own.IDs = append(own.IDs, vm.ID)
 		if vm.State == fleet.Leaving {
 			e.vms = append(e.vms, vm)
 		}
 	}
+	return own
 }
 
 func (e *Engine) configMembers() []config.Member {
--- a/decide/engine/refresh.go
+++ b/decide/engine/refresh.go
@@ -7,6 +7,7 @@
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/load"
+	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/steer"
 	"github.com/azurethread/azurethread/decide/tally"
 )
@@ -19,8 +20,9 @@
 func (e *Engine) refresh(now clock.Time, out *Ready) {
 	e.wakes.refresh = now.Add(refreshEvery)
 	e.measure(now, out)
-	e.remotes(now, out)
-	if e.weigh(now) {
+	domains := e.member.Domains(nil)
+	e.remotes(now, domains, out)
+	if e.weigh(now, domains) {
 		e.publish(out)
 	}
 }
@@ -60,12 +62,12 @@
 // remotes tells the dispatcher who elsewhere could take requests. What a
 // domain has left is divided evenly among its entry VMs, as only they know
 // how it is divided in truth; the receiver's own admission decides.
-func (e *Engine) remotes(now clock.Time, out *Ready) {
+func (e *Engine) remotes(now clock.Time, domains []member.DomainView, out *Ready) {
 	ev := &dispatch.Remotes{}
 	if e.catalogue == nil {
 		return
 	}
-	for _, d := range e.member.Domains(nil) {
+	for _, d := range domains {
 		if d.Domain == e.self.Domain || !d.Reachable || d.Live == 0 {
 			continue
 		}
@@ -95,12 +97,12 @@
 
 // weigh turns the headroom of each domain into the weight that look-ups give
 // it. It reports whether one has changed.
-func (e *Engine) weigh(now clock.Time) bool {
+func (e *Engine) weigh(now clock.Time, domains []member.DomainView) bool {
 	if e.catalogue == nil {
 		return false
 	}
 	changed := false
-	for _, d := range e.member.Domains(nil) {
+	for _, d := range domains {
 		for _, s := range e.catalogue.Services {
 			changed = e.observe(now, d.Domain, s.Name) || changed
 		}
--- a/decide/engine/shifts.go
+++ b/decide/engine/shifts.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/member"
 	"github.com/azurethread/azurethread/decide/shift"
 	"github.com/azurethread/azurethread/decide/tally"
 )
@@ -71,8 +72,8 @@
 
 // eligible reports whether this entry VM should try for the lease of the
 // runner.
-func (e *Engine) eligible() bool {
-	ids := tally.Candidates(e.member.Domains(nil), tally.DefaultCandidates)
+func (e *Engine) eligible(domains []member.DomainView) bool {
+	ids := tally.Candidates(domains, tally.DefaultCandidates)
 	return slices.Contains(ids, e.self.ID)
 }
 
--- a/serve/daemon/peers.go
+++ b/serve/daemon/peers.go
@@ -57,39 +57,31 @@
 	case b.Kind == peer.KindLoad:
 		m.Load, err = peer.DecodeLoad(b)
 	case b.Kind == peer.KindConfig:
-		m.Config, err = decodeConfig(b)
+		m.Config, err = unwrap[config.Body](b)
 	case b.Kind == peer.KindTally:
-		m.Tally, err = decodeTally(b)
+		m.Tally, err = unwrap[tally.Body](b)
 	case b.Kind == peer.KindMachine:
-		m.Machine, err = decodeMachine(b)
+		m.Machine, err = unwrap[machine.Body](b)
 	default:
 		err = peer.ErrKind
 	}
 	return err
 }
 
-func decodeConfig(b peer.Body) (config.Message, error) {
-	var body config.Body
-	if err := peer.Decode(b, peer.MaxBody, &body); err != nil {
-		return nil, err
-	}
-	return body.Message()
+// wrapper is the form on the wire of a package's messages, of which it carries
+// exactly one.
+type wrapper[M any] interface {
+	Message() (M, error)
 }
 
-func decodeTally(b peer.Body) (tally.Message, error) {
-	var body tally.Body
-	if err := peer.Decode(b, peer.MaxBody, &body); err != nil {
-		return nil, err
-	}
-	return body.Message()
-}
-
-func decodeMachine(b peer.Body) (machine.Message, error) {
-	var body machine.Body
-	if err := peer.Decode(b, peer.MaxBody, &body); err != nil {
-		return nil, err
-	}
-	return body.Message()
+// unwrap decodes the message of type M that a body's wrapper W carries.
+func unwrap[W wrapper[M], M any](b peer.Body) (M, error) {
+	var w W
+	if err := peer.Decode(b, peer.MaxBody, &w); err != nil {
+		var none M
+		return none, err
+	}
+	return w.Message()
 }
 
 // post hands an event of a peer to the core, which does not exist yet while
