--- /dev/null
+++ b/decide/ingress/attempt.go
@@ -0,0 +1,185 @@
+package ingress
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/target"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// endAttempt takes a out of the books.
+func (r *Reducer) endAttempt(a *attempt) {
+	delete(r.attempts, a.id)
+	a.target.inFlight--
+	a.req.running = slices.DeleteFunc(a.req.running, func(o *attempt) bool { return o == a })
+}
+
+// answered takes a whole answer of a target.
+func (r *Reducer) answered(now clock.Time, ev *Answered) {
+	a, ok := r.attempts[ev.Attempt]
+	if !ok {
+		return // given up meanwhile
+	}
+	q, t := a.req, a.target
+	r.endAttempt(a)
+	t.answered = now
+	t.note(now, ev.Load)
+	if ev.Connect > 0 {
+		r.learnTrip(t.region, ev.Connect)
+	}
+	switch ev.Outcome {
+	case Misdirected:
+		t.Draining = true // its address belongs to another target
+		r.believe(t, "address taken over", 0)
+		r.notRun(now, q, verdict.ReasonShed)
+	case Refused:
+		t.refused(now, ev.Load)
+		r.notRun(now, q, verdict.ReasonShed)
+	case Unfit:
+		r.judge(now, t, false)
+		r.ran(now, q, verdict.ReasonAnswerCut)
+	case ServerError:
+		r.judge(now, t, false)
+		r.serverError(now, a)
+	case Served:
+		r.judge(now, t, true)
+		r.learn(now, a, ev)
+		r.deliver(now, a)
+	}
+	r.pumpService(now, q.svc)
+}
+
+// serverError sends an idempotent request once more where that is possible, and
+// delivers the failure otherwise.
+func (r *Reducer) serverError(now clock.Time, a *attempt) {
+	q := a.req
+	again := q.route.Idempotent && r.mayRepeat(q) && len(q.running) == 0 && now.Before(q.due)
+	if !again || !q.svc.repeats.spend() {
+		r.deliver(now, a)
+		return
+	}
+	q.verdict = verdict.Join(q.verdict, verdict.MayHaveRun)
+	q.reason = verdict.ReasonInternal
+	r.dispatch(now, q)
+}
+
+func (r *Reducer) deliver(now clock.Time, a *attempt) {
+	r.out.Delivers = append(r.out.Delivers, Deliver{Request: a.req.id, Attempt: a.id})
+	r.finish(now, a.req)
+}
+
+// refused notes that the target turned a request away.
+func (t *targetState) refused(now clock.Time, l Load) {
+	if !l.Known {
+		t.others = max(t.others, t.Slots-t.inFlight)
+	}
+	t.reported = now
+}
+
+// notRun goes on after an attempt that has not run.
+func (r *Reducer) notRun(now clock.Time, q *request, why verdict.Reason) {
+	q.reason = why
+	r.again(now, q)
+}
+
+// ran goes on after an attempt that has run, or may have, without an answer
+// that can be delivered.
+func (r *Reducer) ran(now clock.Time, q *request, why verdict.Reason) {
+	q.verdict = verdict.Join(q.verdict, verdict.MayHaveRun)
+	q.reason = why
+	r.again(now, q)
+}
+
+// failed takes the end of an attempt without an answer.
+func (r *Reducer) failed(now clock.Time, ev *Failed) {
+	a, ok := r.attempts[ev.Attempt]
+	if !ok {
+		return
+	}
+	q, t := a.req, a.target
+	r.endAttempt(a)
+	if ev.Reason == verdict.ReasonConnect {
+		r.suspect(now, t)
+	} else {
+		r.judge(now, t, false)
+	}
+	if ev.Verdict == verdict.NotRun {
+		r.notRun(now, q, ev.Reason)
+	} else {
+		r.ran(now, q, ev.Reason)
+	}
+	r.pumpService(now, q.svc)
+}
+
+// learn takes the latency of an answer that is delivered.
+func (r *Reducer) learn(now clock.Time, a *attempt, ev *Answered) {
+	q, t := a.req, a.target
+	t.remember(now, q.object)
+	q.svc.latency.Observe(now.Sub(a.sent))
+	work := now.Sub(a.sent) - time.Duration(r.trip(t.region))
+	work /= time.Duration(1 + float64(a.waiting)/float64(max(t.Slots, 1)))
+	if work <= 0 {
+		work = time.Millisecond
+	}
+	expected := q.svc.work[a.class].Value(float64(initialWork[a.class]))
+	t.speed.Observe(now, time.Duration(float64(work)/expected*float64(usualSpeed)))
+	q.svc.work[a.class].Observe(now, work)
+	size, ok := r.sizes[q.route.Name]
+	if !ok {
+		size = new(mean)
+		r.sizes[q.route.Name] = size
+	}
+	size.add(float64(ev.Bytes))
+}
+
+// judge counts an outcome for or against the target.
+func (r *Reducer) judge(now clock.Time, t *targetState, ok bool) {
+	if ok {
+		if t.standing.Answered(now) {
+			r.believe(t, "back in use", 0)
+		}
+		return
+	}
+	if t.standing.Failed() {
+		r.eject(now, t)
+	}
+}
+
+// suspect takes a target that could not be reached out of use, unless it has
+// answered lately.
+func (r *Reducer) suspect(now clock.Time, t *targetState) {
+	failed := t.standing.Failed()
+	if failed || now.Sub(t.answered) > suspectAfter {
+		r.eject(now, t)
+	}
+}
+
+// suspectAfter is how long ago a target's last answer must be for one failure
+// to reach it to take it out of use.
+const suspectAfter = 500 * time.Millisecond
+
+// eject takes t out of use for a while, unless too many are already: the rest
+// would be overloaded by the requests of the ejected.
+func (r *Reducer) eject(now clock.Time, t *targetState) {
+	all, out := 0, 0
+	for _, o := range t.svc.targets {
+		if o.region != t.region {
+			continue
+		}
+		all++
+		if o != t && o.standing.Standing() != target.InUse {
+			out++
+		}
+	}
+	if float64(out+1) > ejectShare*float64(all) {
+		return
+	}
+	t.standing.Eject(now, r.rng)
+	r.believe(t, "ejected", t.standing.Until())
+}
+
+func (r *Reducer) believe(t *targetState, change string, until clock.Time) {
+	r.out.Beliefs = append(r.out.Beliefs, Belief{Target: t.ID, Change: change, Until: until})
+}
--- /dev/null
+++ b/decide/ingress/event.go
@@ -0,0 +1,167 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// RequestID and AttemptID number the requests and sends of one process.
+type (
+	RequestID uint64
+	AttemptID uint64
+)
+
+// Event is one of the pointer types of this file.
+type Event any
+
+// Configured says that a configuration has come into force.
+type Configured struct{ Table *route.Table }
+
+// Target is a target as its latest registration describes it.
+type Target struct {
+	ID       fleet.TargetID // of one start of the target
+	Service  fleet.ServiceName
+	Addr     string // host:port
+	Domain   fleet.Domain
+	Slots    int
+	Draining bool
+	// Cold is how long the target stays cold, seen from the registration.
+	Cold time.Duration
+}
+
+// TargetsChanged lists targets that were registered or changed, and those that
+// are gone.
+type TargetsChanged struct {
+	Set  []Target
+	Gone []fleet.TargetID
+}
+
+// Evacuated says that a failure domain is to get no requests, or is taken back.
+type Evacuated struct {
+	Domain fleet.Domain
+	Begin  bool
+}
+
+// MembersChanged lists all live entry VMs, this one included.
+type MembersChanged struct{ VMs []fleet.VM }
+
+// Arrive is a whole request of a caller.
+type Arrive struct {
+	Request RequestID
+	Host    string
+	Path    string // with or without a query
+	Object  string // value that requests for the same object share; may be empty
+	// Patience is how long the caller waits; 0: not stated.
+	Patience time.Duration
+}
+
+// CallerGone says that the caller of a request has closed its connection.
+type CallerGone struct{ Request RequestID }
+
+// Answered is a whole answer of a target. Of an answer that is no answer to
+// the request, such as one of another request, the transport reports Failed.
+type Answered struct {
+	Attempt AttemptID
+	Outcome Outcome
+	Load    Load
+	Bytes   int // of the body
+	// Connect is how long the connection took to open; 0: an open one was used.
+	Connect time.Duration
+}
+
+// Outcome says what an answer means.
+type Outcome uint8
+
+const (
+	// Served is a target's own answer, a success or the caller's mistake.
+	Served Outcome = iota
+	// ServerError is a target's own failure; the request has run.
+	ServerError
+	// Refused states that the target did not run the request.
+	Refused
+	// Misdirected states that another target has the address now.
+	Misdirected
+	// Unfit is an answer that must not be passed on: it lacks the mark of a
+	// target's own answer, or its status promises what the target doesn't state.
+	Unfit
+)
+
+// Load is what a target says about itself in an answer.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Failed says that an attempt has ended without an answer.
+type Failed struct {
+	Attempt AttemptID
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Stop says that this process is ending: requests that wait are still served.
+type Stop struct{}
+
+// Send asks for a request to be sent to a target.
+type Send struct {
+	Attempt  AttemptID
+	Request  RequestID
+	Target   fleet.TargetID
+	Addr     string
+	Left     time.Duration // what the target may still take
+	Connect  time.Duration // bound on opening a connection
+	Fresh    bool          // on a new connection
+	Attempts int           // how many this is of the request
+}
+
+// Deliver asks for the answer of an attempt to be given to the caller.
+type Deliver struct {
+	Request RequestID
+	Attempt AttemptID
+}
+
+// Refusal is an answer of this entry VM's own.
+type Refusal struct {
+	Request    RequestID
+	Verdict    verdict.Verdict
+	Reason     verdict.Reason
+	RetryAfter time.Duration // 0: not stated
+}
+
+// Belief is a change of what the reducer holds of a target, for the log.
+type Belief struct {
+	Target fleet.TargetID
+	Change string
+	Until  clock.Time // 0: for good
+}
+
+// Ready holds the effects of one Step. The slices belong to the caller, who
+// resets and reuses them.
+type Ready struct {
+	Sends    []Send
+	Cancels  []AttemptID
+	Delivers []Deliver
+	Refusals []Refusal
+	Beliefs  []Belief
+	// Wake is when Tick is due at the latest.
+	Wake clock.Time
+}
+
+// Reset empties r and keeps its memory.
+func (r *Ready) Reset() {
+	r.Sends = r.Sends[:0]
+	r.Cancels = r.Cancels[:0]
+	r.Delivers = r.Delivers[:0]
+	r.Refusals = r.Refusals[:0]
+	r.Beliefs = r.Beliefs[:0]
+	r.Wake = clock.Never
+}
--- /dev/null
+++ b/decide/ingress/options.go
@@ -0,0 +1,103 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// Options of a Reducer.
+type Options struct {
+	Self   fleet.VMID
+	Domain fleet.Domain
+	// Regions holds the region of every failure domain.
+	Regions map[fleet.Domain]fleet.Region
+	Bounds  Bounds
+	Seed    uint64
+}
+
+// Bounds are the operators' limits on all entry VMs together.
+type Bounds struct {
+	// ColdFactor times a service's rate of cold requests, plus ColdSlack, may
+	// reach a cold target within a second.
+	ColdFactor float64
+	ColdSlack  float64
+	// RepeatRatio of the requests for a service, plus RepeatSlack, may reach
+	// its targets as repeats within RepeatWindow.
+	RepeatRatio  float64
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+	// RegionShift is the largest part of a region's requests that may change
+	// the region in which they run from one ShiftWindow to the next.
+	RegionShift float64
+}
+
+// Timing and weights of the decisions.
+const (
+	// defaultPatience bounds a request whose caller states no deadline and
+	// whose route has no timeout.
+	defaultPatience = 30 * time.Second
+	// answerMargin is how long after the deadline that was passed on a target's
+	// own answer is still awaited: it is on its way then.
+	answerMargin = 100 * time.Millisecond
+	// queueShare is the part of a route's aim that a request may wait here for
+	// a free target. A caller that is told early can still be served in time
+	// on its second try.
+	queueShare = 1.0 / 8
+	// defaultAim stands for the aim of a route that has none.
+	defaultAim = time.Second
+	// returnMin and returnMax bound the time after which a refused caller is
+	// asked to come back, as parts of the aim; drawn at random between them, so
+	// that those refused together don't return together.
+	returnMin = 0.25
+	returnMax = 0.6
+	// noConfigReturn is the time to come back while no configuration is known:
+	// about what reading it from the store takes.
+	noConfigReturn = 500 * time.Millisecond
+	// localChoices and remoteChoices are how many targets of the own region and
+	// of each other region are considered for an object. More of them find a
+	// free slot more often and keep fewer objects warm.
+	localChoices  = 2
+	remoteChoices = 1
+	// queueAtTarget is how many requests beyond its slots may be in flight at a
+	// target from here. The target starts the next one without a round trip.
+	queueAtTarget = 2
+	// warmFor is how long an object is taken to be remembered by a target.
+	warmFor = 30 * time.Second
+	// initialCold and initialWarm are the latency expected before anything was
+	// measured; only their order matters.
+	initialCold = 400 * time.Millisecond
+	initialWarm = 150 * time.Millisecond
+	// initialNear and initialFar are round trips inside a region and between
+	// regions, before a connection was opened.
+	initialNear = 2 * time.Millisecond
+	initialFar  = 100 * time.Millisecond
+	// reportFor is how long a target's word about requests of others counts.
+	reportFor = 300 * time.Millisecond
+	// connectFloor and connectTrips bound the opening of a connection: a target
+	// that does not answer by then is tried elsewhere, with proof that nothing
+	// ran.
+	connectFloor = 250 * time.Millisecond
+	connectTrips = 3
+	// repeatShare is the part of the allowed ratio and slack of repeats that is
+	// used; the rest covers what is counted differently at the targets.
+	repeatShare = 0.85
+	// coldOwners is how many entry VMs may take themselves for the owner of a
+	// cold target at the same time.
+	coldOwners = 2
+	// hedgeFloor is the least time before a second send of an idempotent
+	// request that is unanswered.
+	hedgeFloor = 500 * time.Millisecond
+	// ejectShare is the largest part of a service's targets in a region that
+	// is out of use because of failures.
+	ejectShare = 0.5
+	// nearBytes and farBytes are the delay that a kilobyte of answer counts as
+	// when it crosses failure domains or regions: traffic between them is
+	// dear, and a large answer is better waited for nearby.
+	nearBytes = 3 * time.Millisecond
+	farBytes  = 8 * time.Millisecond
+	// shiftWindow is the time over which the share of requests that run in
+	// other regions is bounded, and shiftUse the part of the bound that is used.
+	shiftWindow = 2 * time.Second
+	shiftUse    = 0.5
+)
--- /dev/null
+++ b/decide/ingress/target.go
@@ -0,0 +1,156 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/target"
+)
+
+// targetState is what is known of one start of a target.
+type targetState struct {
+	Target
+	region    fleet.Region
+	svc       *service
+	inFlight  int
+	coldUntil clock.Time
+	// coldSends are the instants of sends during the last second, while cold.
+	coldSends []clock.Time
+
+	standing target.Outlier
+	// others is how many requests of other entry VMs the target reported at
+	// reported.
+	others   int
+	reported clock.Time
+	answered clock.Time // when the last answer came
+	speed    target.Mean
+	warm     map[string]clock.Time // when an object was last handled
+}
+
+func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
+
+// load estimates the requests at the target, those of other entry VMs included.
+func (t *targetState) load(now clock.Time) int {
+	n := t.inFlight
+	if now.Sub(t.reported) < reportFor {
+		n += t.others
+	}
+	return n
+}
+
+// note takes a target's word about its load.
+func (t *targetState) note(now clock.Time, l Load) {
+	if !l.Known {
+		return
+	}
+	t.others = max(0, l.Running+l.Waiting-t.inFlight)
+	t.reported = now
+}
+
+// isWarm reports whether the target is taken to remember the object.
+func (t *targetState) isWarm(now clock.Time, object string) bool {
+	at, ok := t.warm[object]
+	return ok && now.Sub(at) < warmFor
+}
+
+// warmObjects bounds the memory for objects of one target.
+const warmObjects = 4096
+
+func (t *targetState) remember(now clock.Time, object string) {
+	if object == "" {
+		return
+	}
+	if t.warm == nil || len(t.warm) >= warmObjects {
+		t.warm = make(map[string]clock.Time)
+	}
+	t.warm[object] = now
+}
+
+// coldRoom reports whether one more request may be sent to the target within
+// the present second while it is cold.
+func (t *targetState) coldRoom(now clock.Time, perSecond int) bool {
+	kept := t.coldSends[:0]
+	for _, at := range t.coldSends {
+		if now.Sub(at) < time.Second+coldSpread {
+			kept = append(kept, at)
+		}
+	}
+	t.coldSends = kept
+	return len(kept) < perSecond
+}
+
+// coldSpread widens the second over which sends to a cold target are counted.
+// Sends that left within more than a second may arrive within one, as the
+// first may have waited for a connection.
+const coldSpread = 500 * time.Millisecond
+
+// applyTargets takes changed registrations.
+func (r *Reducer) applyTargets(now clock.Time, ev *TargetsChanged) {
+	for _, id := range ev.Gone {
+		r.removeTarget(id)
+	}
+	for _, d := range ev.Set {
+		r.setTarget(now, d)
+	}
+	r.relist()
+	r.pump(now)
+}
+
+func (r *Reducer) setTarget(now clock.Time, d Target) {
+	t, ok := r.targets[d.ID]
+	if !ok {
+		t = &targetState{region: r.opts.Regions[d.Domain]}
+		r.targets[d.ID] = t
+	}
+	t.Target = d
+	t.svc = r.serviceOf(d.Service)
+	if d.Cold > 0 {
+		t.coldUntil = now.Add(d.Cold)
+		t.warm = nil
+	}
+}
+
+func (r *Reducer) removeTarget(id fleet.TargetID) { delete(r.targets, id) }
+
+// relist brings each service's list of targets up to date.
+func (r *Reducer) relist() {
+	for _, s := range r.services {
+		s.targets = s.targets[:0]
+	}
+	for _, t := range r.targets {
+		t.svc.targets = append(t.svc.targets, t)
+	}
+	for _, s := range r.services {
+		s.ranked = nil
+		s.sort()
+	}
+}
+
+// evacuate opens or ends the evacuation of a failure domain. Its targets may
+// have become cold meanwhile without having been started anew, so they are
+// taken to be cold when they come back.
+func (r *Reducer) evacuate(now clock.Time, ev *Evacuated) {
+	if ev.Begin == r.evacuated[ev.Domain] {
+		return
+	}
+	if ev.Begin {
+		r.evacuated[ev.Domain] = true
+		return
+	}
+	delete(r.evacuated, ev.Domain)
+	for _, t := range r.targets {
+		if t.Domain == ev.Domain {
+			t.coldUntil = max(t.coldUntil, now.Add(r.coldTime(t.Service)))
+		}
+	}
+	r.pump(now)
+}
+
+// coldTime is how long a target of the service stays cold after its start.
+func (r *Reducer) coldTime(s fleet.ServiceName) time.Duration {
+	if r.table == nil {
+		return 0
+	}
+	return r.table.Config.Services[s].ColdTime
+}
--- /dev/null
+++ b/decide/mirror/mirror.go
@@ -0,0 +1,126 @@
+// Package mirror keeps a copy of a part of the metadata store that never goes
+// back in time.
+//
+// The copy is fed from three sources that overtake each other: full reads,
+// which may be served from an old replica, watches, whose answers may be
+// delivered late, and other entry VMs, which pass on what they have while the
+// store refuses this one. All of them carry the store's revision, which only
+// rises. A source that is older than the copy is refused as a whole, so that a
+// configuration or a target that was replaced can't come back.
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Revision counts the changes of the store. 0 is before the first one.
+type Revision uint64
+
+// Item is one key of the store with its value.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision Revision // of the last change of this key
+}
+
+// Change is one key that was written or removed.
+type Change struct {
+	Item
+	Removed bool
+}
+
+// Mirror is the copy. The zero value is empty and older than every source.
+type Mirror struct {
+	items map[string]Item
+	asOf  Revision
+	valid bool
+}
+
+// AsOf returns the revision up to which the copy is complete.
+func (m *Mirror) AsOf() Revision { return m.asOf }
+
+// Valid reports whether a full read has ever been taken.
+func (m *Mirror) Valid() bool { return m.valid }
+
+// Replace takes a full read that is complete as of the given revision. Keys
+// that are missing in it are removals: the store drops its history at times,
+// and the removals in the dropped part are seen in no other way. It returns
+// the changes in order of their keys, and false when the read is older than
+// the copy and was ignored.
+func (m *Mirror) Replace(items []Item, asOf Revision) ([]Change, bool) {
+	if m.valid && asOf < m.asOf {
+		return nil, false
+	}
+	var changes []Change
+	seen := make(map[string]bool, len(items))
+	for _, it := range items {
+		seen[it.Key] = true
+		if m.put(it) {
+			changes = append(changes, Change{Item: it})
+		}
+	}
+	for key, it := range m.items {
+		// A key newer than the read was written behind it, during a read of
+		// several pages.
+		if !seen[key] && it.Revision <= asOf {
+			delete(m.items, key)
+			changes = append(changes, Change{Item: Item{Key: key, Revision: asOf}, Removed: true})
+		}
+	}
+	m.asOf = asOf
+	m.valid = true
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
+	return changes, true
+}
+
+// Apply takes the changes that a watch reports between the copy's revision and
+// asOf. Changes that the copy has already are skipped.
+func (m *Mirror) Apply(events []Change, asOf Revision) []Change {
+	var changes []Change
+	for _, ev := range events {
+		if ev.Removed {
+			if old, ok := m.items[ev.Key]; ok && old.Revision < ev.Revision {
+				delete(m.items, ev.Key)
+				changes = append(changes, ev)
+			}
+			continue
+		}
+		if ev.Revision > m.asOf && m.put(ev.Item) {
+			changes = append(changes, ev)
+		}
+	}
+	m.asOf = max(m.asOf, asOf)
+	return changes
+}
+
+// put stores it unless the copy has this revision of it or a later one.
+func (m *Mirror) put(it Item) bool {
+	if old, ok := m.items[it.Key]; ok && old.Revision >= it.Revision {
+		return false
+	}
+	if m.items == nil {
+		m.items = make(map[string]Item)
+	}
+	m.items[it.Key] = it
+	return true
+}
+
+// Get returns the item of a key.
+func (m *Mirror) Get(key string) (Item, bool) {
+	it, ok := m.items[key]
+	return it, ok
+}
+
+// Items returns the items whose keys begin with prefix, by key.
+func (m *Mirror) Items(prefix string) []Item {
+	var out []Item
+	for key, it := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, it)
+		}
+	}
+	slices.SortFunc(out, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
--- a/serve/daemon/admin.go
+++ b/serve/daemon/admin.go
@@ -36,10 +36,12 @@
 		Stopping:       d.ctx.Done(),
 	}))
 	d.admin, err = inbound.Listen(d.set.AdminAddr, inbound.Options{
-		MaxHeadBytes: d.set.MaxHeadBytes,
-		MaxBodyBytes: admin.MaxBody + adminBodySlack,
-		ReadTimeout:  d.set.ReadTimeout,
-		IdleTimeout:  d.set.IdleTimeout,
+		Limits: inbound.Limits{
+			HeadBytes:   d.set.MaxHeadBytes,
+			BodyBytes:   admin.MaxBody + adminBodySlack,
+			ReadTimeout: d.set.ReadTimeout,
+			IdleTimeout: d.set.IdleTimeout,
+		},
 		WriteTimeout: d.set.WriteTimeout,
 		Pollers:      1,
 		Refusal:      refusalByStatus,
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -178,10 +178,12 @@
 func (d *Daemon) provisionCallers() error {
 	var err error
 	d.callers, err = inbound.Listen(d.set.CallAddr, inbound.Options{
-		MaxHeadBytes: d.set.MaxHeadBytes,
-		MaxBodyBytes: d.set.MaxBodyBytes,
-		ReadTimeout:  d.set.ReadTimeout,
-		IdleTimeout:  d.set.IdleTimeout,
+		Limits: inbound.Limits{
+			HeadBytes:   d.set.MaxHeadBytes,
+			BodyBytes:   d.set.MaxBodyBytes,
+			ReadTimeout: d.set.ReadTimeout,
+			IdleTimeout: d.set.IdleTimeout,
+		},
 		WriteTimeout: d.set.WriteTimeout,
 		Pollers:      d.set.Pollers,
 		Refusal:      refusalByStatus,
--- /dev/null
+++ b/serve/heads/heads.go
@@ -0,0 +1,260 @@
+// Package heads checks the heads of HTTP/1.1 messages before they are parsed.
+//
+// nbhttp's parser reads several malformed heads in a way of its own: a length
+// together with chunks, white space before a colon, two Host fields. A receiver
+// behind an entry VM, or one before it, may read the same bytes in another way,
+// and a request hidden in the body of another one is what comes of that. Such
+// heads are refused as a whole, so that nobody has to agree on their meaning.
+package heads
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strconv"
+)
+
+// Errors of a malformed head.
+var (
+	ErrStartLine = errors.New("heads: malformed first line")
+	ErrLineEnd   = errors.New("heads: line does not end with CR LF")
+	ErrField     = errors.New("heads: malformed field")
+	ErrFolded    = errors.New("heads: folded field")
+	ErrLength    = errors.New("heads: malformed or repeated Content-Length")
+	ErrEncoding  = errors.New("heads: unsupported Transfer-Encoding")
+	ErrFraming   = errors.New("heads: Content-Length with Transfer-Encoding")
+	ErrHost      = errors.New("heads: not exactly one Host")
+)
+
+// Framing says how the body of a message ends.
+type Framing struct {
+	Chunked bool
+	// Length is the body's length in bytes, -1 when the head states none.
+	Length int64
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// End returns the length of the head at the start of b, its empty line
+// included, and 0 when it is not complete. Searched is the number of bytes
+// that an earlier call has seen.
+func End(b []byte, searched int) int {
+	from := max(0, searched-len(headEnd)+1)
+	i := bytes.Index(b[from:], headEnd)
+	if i < 0 {
+		return 0
+	}
+	return from + i + len(headEnd)
+}
+
+// Request checks the complete head of a request.
+func Request(head []byte) (Framing, error) {
+	line, fields, err := split(head)
+	if err != nil {
+		return Framing{}, err
+	}
+	version, ok := requestLine(line)
+	if !ok {
+		return Framing{}, ErrStartLine
+	}
+	f, hosts, err := checkFields(fields)
+	if err != nil {
+		return Framing{}, err
+	}
+	if hosts > 1 || (hosts == 0 && version == "HTTP/1.1") {
+		return Framing{}, ErrHost
+	}
+	return f, nil
+}
+
+// Response checks the complete head of a response and returns its status.
+func Response(head []byte) (Framing, int, error) {
+	line, fields, err := split(head)
+	if err != nil {
+		return Framing{}, 0, err
+	}
+	status, ok := statusLine(line)
+	if !ok {
+		return Framing{}, 0, ErrStartLine
+	}
+	f, _, err := checkFields(fields)
+	return f, status, err
+}
+
+// Readable returns what can be read of a head that is incomplete or malformed:
+// the first line's first two words, and every field line that is well-formed.
+func Readable(head []byte) (method, target string, fields http.Header) {
+	fields = make(http.Header)
+	line, rest, _ := bytes.Cut(head, headEnd[:2])
+	words := bytes.SplitN(line, []byte(" "), 3)
+	method = string(words[0])
+	if len(words) > 1 {
+		target = string(words[1])
+	}
+	for len(rest) > 0 {
+		var l []byte
+		l, rest, _ = bytes.Cut(rest, headEnd[:2])
+		name, value, err := field(l)
+		if err == nil {
+			fields.Add(string(name), string(value))
+		}
+	}
+	return method, target, fields
+}
+
+// split separates the first line from the fields.
+func split(head []byte) (line, fields []byte, err error) {
+	i := bytes.Index(head, headEnd[:2])
+	if i < 0 || !bytes.HasSuffix(head, headEnd) {
+		return nil, nil, ErrLineEnd
+	}
+	return head[:i], head[i+2 : len(head)-2], nil
+}
+
+// requestLine checks "METHOD target HTTP/1.x" and returns the version.
+func requestLine(line []byte) (version string, ok bool) {
+	method, rest, ok := bytes.Cut(line, []byte(" "))
+	if !ok || !isToken(method) {
+		return "", false
+	}
+	target, proto, ok := bytes.Cut(rest, []byte(" "))
+	if !ok || len(target) == 0 || !isVisible(target) {
+		return "", false
+	}
+	if target[0] != '/' && string(target) != "*" {
+		return "", false
+	}
+	switch string(proto) {
+	case "HTTP/1.1", "HTTP/1.0":
+		return string(proto), true
+	}
+	return "", false
+}
+
+// statusLine checks "HTTP/1.x 200 reason"; the reason may be missing.
+func statusLine(line []byte) (status int, ok bool) {
+	const codeAt, codeEnd = len("HTTP/1.1 "), len("HTTP/1.1 200")
+	if len(line) < codeEnd || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[codeAt-1] != ' ' {
+		return 0, false
+	}
+	if len(line) > codeEnd && line[codeEnd] != ' ' {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(line[codeAt:codeEnd]))
+	return status, err == nil && status >= 100 && isText(line)
+}
+
+// checkFields checks every field line, and what the fields say of the framing.
+func checkFields(fields []byte) (f Framing, hosts int, err error) {
+	f.Length = -1
+	for len(fields) > 0 {
+		i := bytes.Index(fields, headEnd[:2])
+		if i < 0 {
+			return f, 0, ErrLineEnd
+		}
+		name, value, err := field(fields[:i])
+		if err != nil {
+			return f, 0, err
+		}
+		fields = fields[i+2:]
+		if err := f.note(name, value); err != nil {
+			return f, 0, err
+		}
+		if equalFold(name, "host") {
+			hosts++
+		}
+	}
+	return f, hosts, nil
+}
+
+// field separates one field line.
+func field(line []byte) (name, value []byte, err error) {
+	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+		return nil, nil, ErrFolded
+	}
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) {
+		return nil, nil, ErrField
+	}
+	value = bytes.Trim(value, " \t")
+	if !isText(value) {
+		return nil, nil, ErrField
+	}
+	return name, value, nil
+}
+
+// note takes a field that says how the body ends.
+func (f *Framing) note(name, value []byte) error {
+	switch {
+	case equalFold(name, "content-length"):
+		n, ok := length(value)
+		if !ok || f.Length >= 0 {
+			return ErrLength
+		}
+		f.Length = n
+	case equalFold(name, "transfer-encoding"):
+		if f.Chunked || !equalFold(value, "chunked") {
+			return ErrEncoding
+		}
+		f.Chunked = true
+	}
+	if f.Chunked && f.Length >= 0 {
+		return ErrFraming
+	}
+	return nil
+}
+
+// length reads a Content-Length: digits alone, so that no sign or separator is
+// read differently elsewhere.
+func length(value []byte) (int64, bool) {
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseInt(string(value), 10, 63)
+	return n, err == nil
+}
+
+func equalFold(b []byte, lower string) bool {
+	return len(b) == len(lower) && bytes.EqualFold(b, []byte(lower))
+}
+
+// isToken reports whether b is a token of RFC 9110, as names of methods and
+// fields are.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !tokenChar(c) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+func tokenChar(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0
+}
+
+// isVisible reports whether b has neither white space nor control characters.
+func isVisible(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// isText reports whether b has no control characters but tabs.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if (c < ' ' && c != '\t') || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/azurethread/azurethread/serve/heads"
 )
 
 // conn is one caller's connection. The poller's goroutine parses; answers may
@@ -26,11 +28,16 @@
 	built atomic.Bool
 
 	// Parsing state, touched only while the parser runs.
-	heard      bool // bytes have come
-	req        *Exchange
-	headBytes  int // received since the last message ended, the body aside
-	fieldBytes int // header fields parsed
-	inBody     bool
+	heard  bool // bytes have come
+	req    *Exchange
+	head   []byte // of the next message, as far as it has come
+	inBody bool
+	left   int64 // of a body with a length
+	// inChunks says that the parser is being fed a body in chunks, and unchecked
+	// that it has found its end and begun a head behind it, which nobody has
+	// checked.
+	inChunks  bool
+	unchecked bool
 
 	mu        sync.Mutex
 	begun     bool // heard, for armIdleTimeout
@@ -52,35 +59,113 @@
 // connection is to be closed.
 var errRefused = errors.New("inbound: message refused")
 
-// onData feeds the parser and answers a message it refuses.
+// onData takes what has come and answers a message that is refused.
 func (c *conn) onData(_ *nbio.Conn, data []byte) {
-	if !c.built.Load() || c.discard.Load() {
+	if !c.built.Load() {
 		return
 	}
 	c.begin()
-	if !c.inBody {
-		if c.headBytes == 0 {
-			c.armHeadTimeout()
+	defer c.noteMessage()
+	for len(data) > 0 && !c.discard.Load() {
+		n, status := c.takeData(data)
+		if status != 0 {
+			c.refuse(status)
+			return
 		}
-		c.headBytes += len(data)
+		data = data[n:]
+	}
+}
+
+// takeData hands the first part of data to the parser, no further than to the
+// end of a head or of a body with a length. It returns its size, and the
+// status to refuse the message with, 0 if there is no cause.
+func (c *conn) takeData(data []byte) (n, status int) {
+	switch {
+	case !c.inBody:
+		return c.takeHead(data)
+	case c.left > 0 && int64(len(data)) >= c.left:
+		n := int(c.left)
+		c.left = 0
+		return n, c.parse(data[:n])
+	default:
+		c.inChunks = c.left == 0
+		c.left = max(0, c.left-int64(len(data)))
+		status := c.parse(data)
+		c.inChunks = false
+		return len(data), status
+	}
+}
+
+// takeHead collects the head of a message and hands it to the parser when it
+// is whole and well-formed.
+func (c *conn) takeHead(data []byte) (n, status int) {
+	if len(c.head) == 0 {
+		c.armHeadTimeout()
+	}
+	seen := len(c.head)
+	c.head = append(c.head, data...)
+	end := heads.End(c.head, seen)
+	status = c.checkHead(end)
+	if status != 0 {
+		c.req = c.unread(c.head)
+		return 0, status
+	}
+	if end == 0 {
+		return len(data), 0
+	}
+	head := c.head[:end]
+	c.head = nil
+	return end - seen, c.parse(head)
+}
+
+// checkHead returns the status to refuse the collected head with, 0 if there
+// is no cause. End is its length, 0 when it is not complete.
+func (c *conn) checkHead(end int) (status int) {
+	most := c.s.limits().HeadBytes
+	if end > most || (end == 0 && len(c.head) > most) {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	if end == 0 {
+		return 0
 	}
+	f, err := heads.Request(c.head[:end])
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	c.left = max(f.Length, 0)
+	if timeout := c.s.limits().BodyTimeout; timeout > 0 && (f.Chunked || f.Length > 0) {
+		c.armReadTimer(timeout)
+	}
+	return 0
+}
+
+// unread makes an exchange of a head that the parser does not get. A message
+// that may have been sent before is told from its fields.
+func (c *conn) unread(head []byte) *Exchange {
+	x := &Exchange{c: c}
+	x.Method, x.URI, x.Header = heads.Readable(head)
+	x.Remote = c.remote
+	return x
+}
+
+// parse feeds the parser and returns the status to refuse the message with.
+func (c *conn) parse(data []byte) (status int) {
 	err := c.parser.Parse(data)
-	defer c.noteMessage()
 	switch {
-	case err == nil && !c.inBody && c.headBytes > c.s.opts.MaxHeadBytes:
-		// One endless line: the parser calls nothing back until it ends.
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-	case err == nil || errors.Is(err, errRefused):
+	case errors.Is(err, errRefused):
+		return 0 // refused already
 	case errors.Is(err, nbhttp.ErrTooLong):
-		c.refuse(http.StatusRequestEntityTooLarge)
+		return http.StatusRequestEntityTooLarge
+	case err != nil || c.unchecked:
+		return http.StatusBadRequest
 	default:
-		c.refuse(http.StatusBadRequest)
+		return 0
 	}
 }
 
 // noteMessage notes whether the parser is within a message.
 func (c *conn) noteMessage() {
-	c.receiving.Store(c.headBytes > 0 || c.req != nil)
+	c.receiving.Store(len(c.head) > 0 || c.req != nil)
 }
 
 // inMessage reports whether part of a message has come that will be taken.
@@ -104,7 +189,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.begun {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.IdleTimeout))
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
 	}
 }
 
@@ -112,16 +197,20 @@
 // Without it, a caller that sends a byte now and then holds a connection and
 // its buffers for ever; the connections gauge would grow without requests.
 func (c *conn) armHeadTimeout() {
+	c.armReadTimer(c.s.limits().ReadTimeout)
+}
+
+// armReadTimer bounds the rest of the message that is being received, unless
+// an earlier one is still to be answered.
+func (c *conn) armReadTimer(timeout time.Duration) {
 	c.mu.Lock()
-	idle := c.current == nil
-	c.mu.Unlock()
-	if idle {
-		c.mu.Lock()
-		c.stopReadTimer()
-		c.readTimer = time.AfterFunc(c.s.opts.ReadTimeout, c.readTimedOut)
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.ReadTimeout + lingerTime))
-		c.mu.Unlock()
+	defer c.mu.Unlock()
+	if c.current != nil {
+		return
 	}
+	c.stopReadTimer()
+	c.readTimer = time.AfterFunc(timeout, c.readTimedOut)
+	_ = c.nbc.SetReadDeadline(time.Now().Add(timeout + lingerTime))
 }
 
 // readTimedOut answers a message that has not ended in time. nbio's own
@@ -313,7 +402,7 @@
 		c.waiting = c.waiting[1:]
 		c.take(next)
 	default:
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.opts.IdleTimeout))
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
 	}
 	c.mu.Unlock()
 	switch {
--- a/serve/inbound/processor.go
+++ b/serve/inbound/processor.go
@@ -12,6 +12,7 @@
 
 // OnMethod implements nbhttp.Processor.
 func (c *conn) OnMethod(_ *nbhttp.Parser, method string) {
+	c.unchecked = c.unchecked || c.inChunks
 	c.req = &Exchange{c: c}
 	c.req.Method = method
 	c.req.Header = make(http.Header, headerHint)
@@ -50,24 +51,13 @@
 
 // OnHeader implements nbhttp.Processor.
 func (c *conn) OnHeader(_ *nbhttp.Parser, key, value string) {
-	c.fieldBytes += len(key) + len(value)
-	if c.fieldBytes > c.s.opts.MaxHeadBytes {
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-		return
-	}
-	if key == "Content-Length" && len(c.req.Header[key]) > 0 {
-		// nbhttp takes the first of two lengths; what lies behind it would be
-		// read as a further request.
-		c.refuse(http.StatusBadRequest)
-		return
-	}
 	c.req.Header[key] = append(c.req.Header[key], value)
 }
 
 // OnContentLength implements nbhttp.Processor. It ends the head.
 func (c *conn) OnContentLength(_ *nbhttp.Parser, length int) {
 	c.inBody = true
-	if length > c.s.opts.MaxBodyBytes {
+	if length > c.s.limits().BodyBytes {
 		// Refused before the body is read: nothing of it is kept.
 		c.refuse(http.StatusRequestEntityTooLarge)
 		return
@@ -79,7 +69,7 @@
 
 // OnBody implements nbhttp.Processor.
 func (c *conn) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if len(c.req.Body)+len(data) > c.s.opts.MaxBodyBytes {
+	if len(c.req.Body)+len(data) > c.s.limits().BodyBytes {
 		c.refuse(http.StatusRequestEntityTooLarge)
 		return errRefused
 	}
@@ -95,8 +85,6 @@
 	x := c.req
 	c.req = nil
 	c.inBody = false
-	c.headBytes = 0
-	c.fieldBytes = 0
 	if x == nil {
 		return
 	}
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -23,12 +23,23 @@
 	Serve(x *Exchange)
 }
 
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
+	HeadBytes   int           // request line and header fields
+	BodyBytes   int           // request body
+	ReadTimeout time.Duration // from the first byte of a request to its last
+	// BodyTimeout bounds the body alone, and ReadTimeout the head alone; 0:
+	// ReadTimeout bounds both together.
+	BodyTimeout time.Duration
+	IdleTimeout time.Duration // between requests on one connection
+}
+
 // Options of a Server. All but Pollers and Known are required.
 type Options struct {
-	MaxHeadBytes int           // request line and header fields
-	MaxBodyBytes int           // request body
-	ReadTimeout  time.Duration // from the first byte of a request to its last
-	IdleTimeout  time.Duration // between requests on one connection
+	Limits
+	// MaxBodyBytes is the largest body that SetLimits may ever allow; 0:
+	// Limits.BodyBytes.
+	MaxBodyBytes int
 	WriteTimeout time.Duration // for a caller to take an answer
 	Pollers      int           // 0: nbio's default
 	// Refusal gives the header and body of an answer that this package sends
@@ -43,6 +54,7 @@
 // Server accepts callers' connections.
 type Server struct {
 	opts     Options
+	inForce  atomic.Pointer[Limits]
 	handler  Handler
 	engine   *nbhttp.Engine
 	listener net.Listener
@@ -71,10 +83,11 @@
 		conns:    make(map[*conn]struct{}),
 		idle:     make(chan struct{}),
 	}
+	s.inForce.Store(&opts.Limits)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:      "inbound",
 		NPoller:   opts.Pollers,
-		ReadLimit: opts.MaxBodyBytes + opts.MaxHeadBytes + nbio.DefaultReadBufferSize,
+		ReadLimit: max(opts.MaxBodyBytes, opts.BodyBytes) + opts.HeadBytes + nbio.DefaultReadBufferSize,
 	})
 	s.engine.OnClose(s.onClose)
 	s.engine.OnWrittenSize(onWritten)
@@ -97,6 +110,11 @@
 	go s.accept()
 }
 
+// SetLimits changes the limits for messages that begin from now on.
+func (s *Server) SetLimits(l Limits) { s.inForce.Store(&l) }
+
+func (s *Server) limits() *Limits { return s.inForce.Load() }
+
 // Addr returns the address listened on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -14,6 +18,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/heads"
 )
 
 // conn is one connection to a receiver.
@@ -30,13 +35,25 @@
 	call  *Call // the one that has claimed the connection
 	ended bool  // counted out
 	since clock.Time
+	idle  time.Duration // how long it may be free
 
 	partial atomic.Bool // part of an answer has come
-
-	// Parsing state, touched only while the parser runs.
+	// ending is the answer whose body ends with the connection, and reset says
+	// that the connection ended by a reset.
+	ending atomic.Pointer[Answer]
+	reset  atomic.Bool
+
+	connected time.Duration // how long opening it took, until its first answer
+
+	// Parsing state, touched only while data is taken.
+	head    []byte // of the next answer, as far as it has come
+	inBody  bool   // the parser is within a body
+	left    int64  // of a body with a length
+	foreign bool   // the answer belongs to another request
 	answer  *Answer
 	framed  bool // the head says how the body ends
 	noReuse bool
+	noBody  bool // the request was a HEAD
 }
 
 // start writes the request of k.
@@ -45,6 +62,7 @@
 		c.p.giveBack(c, k)
 		return
 	}
+	c.noBody = k.req.Method == http.MethodHead
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
 	encode(b, c.p.addr, k.req)
@@ -58,40 +76,126 @@
 	}
 }
 
-// onData feeds the parser; an answer it cannot read ends the connection.
+// onData takes what has come. What cannot be read as an answer ends the
+// connection.
 func (c *conn) onData(_ *nbio.Conn, data []byte) {
 	if !c.built.Load() {
 		return
 	}
-	if c.answer == nil {
-		data = withReason(data)
+	for len(data) > 0 {
+		n, err := c.take(data)
+		if err != nil {
+			c.nbc.CloseWithError(err)
+			return
+		}
+		data = data[n:]
+	}
+}
+
+// take hands the first part of data to the parser, no further than to the end
+// of a head or of a body with a length, and returns its size.
+func (c *conn) take(data []byte) (int, error) {
+	switch {
+	case c.ending.Load() != nil:
+		if wasReset(c.nbc) {
+			c.reset.Store(true)
+		}
+		return len(data), c.OnBody(nil, data)
+	case !c.inBody:
+		return c.takeHead(data)
+	case c.left > 0 && int64(len(data)) >= c.left:
+		n := int(c.left)
+		// What follows belongs to no request: this connection must not be
+		// lent out again.
+		c.noReuse = c.noReuse || len(data) > n
+		return n, c.parser.Parse(data[:n])
+	default:
+		c.left = max(0, c.left-int64(len(data)))
+		return len(data), c.parser.Parse(data)
+	}
+}
+
+// maxAnswerHead bounds the head of an answer, in bytes.
+const maxAnswerHead = 64 << 10
+
+// takeHead collects the head of an answer and hands it to the parser when it
+// is whole and well-formed.
+func (c *conn) takeHead(data []byte) (int, error) {
+	if !c.p.busy(c) {
+		return 0, errUnsolicited
+	}
+	seen := len(c.head)
+	c.head = append(c.head, data...)
+	if !bytes.HasPrefix(c.head, httpBytes[:min(len(httpBytes), len(c.head))]) {
+		return 0, errHead
+	}
+	c.partial.Store(true)
+	end := heads.End(c.head, seen)
+	if end == 0 && len(c.head) > maxAnswerHead {
+		return 0, errHead
+	}
+	if end == 0 {
+		return len(data), nil
 	}
-	if err := c.parser.Parse(data); err != nil {
-		c.nbc.CloseWithError(err)
+	head := c.head[:end]
+	c.head = nil
+	f, status, err := heads.Response(head)
+	if err != nil {
+		if status > 0 {
+			// The target has answered, but where the answer ends can't be told.
+			c.fail(verdict.Ran, verdict.ReasonAnswerCut, err)
+		}
+		return 0, fmt.Errorf("outbound: %w", err)
 	}
+	c.left = max(f.Length, 0)
+	n := end - seen
+	if ends := f.Length == 0 || c.noBody || !bodyAllowed(status); ends && len(data) > n && status >= http.StatusOK {
+		c.noReuse = true
+	}
+	return n, c.parser.Parse(withReason(head))
+}
+
+// httpBytes is how every answer begins.
+var httpBytes = []byte("HTTP/1.")
+
+// bodyAllowed reports whether an answer of this status can have a body.
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// wasReset reports whether the receiver has reset the connection. nbio reports
+// a reset that comes together with data as an ordinary end, and an answer that
+// ends with its connection would be taken for whole.
+func wasReset(nbc *nbio.Conn) bool {
+	raw, err := nbc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := true
+	err = raw.Control(func(fd uintptr) {
+		code, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		reset = err != nil || code != 0
+	})
+	return reset || err != nil
 }
 
 // Parts of a status line with an empty reason phrase.
 const (
-	statusLine  = "HTTP/1.1 200 "
-	emptyReason = "\r\n"
-	someReason  = "Status"
+	statusLine = "HTTP/1.1 200"
+	someReason = " Status"
 )
 
-// withReason gives a status line without a reason phrase one. nbhttp skips line
-// ends in search of it and takes the first header field for the phrase: the
-// field is lost, and with it, if it is the length, the answer. A status line
-// that comes in two pieces, or in one piece with an interim answer, is not
-// mended.
-func withReason(data []byte) []byte {
+// withReason gives the status line of a checked head a reason phrase if it has
+// none. nbhttp skips line ends in search of it and takes the first header field
+// for the phrase: the field is lost, and with it, if it is the length, the
+// answer.
+func withReason(head []byte) []byte {
 	n := len(statusLine)
-	if len(data) < n+len(emptyReason) || data[n-1] != ' ' || string(data[n:n+len(emptyReason)]) != emptyReason {
-		return data
-	}
-	if !bytes.HasPrefix(data, []byte("HTTP/1.")) {
-		return data
+	end := bytes.IndexByte(head, '\r')
+	if len(bytes.TrimSpace(head[n:end])) > 0 {
+		return head
 	}
-	return slices.Concat(data[:n], []byte(someReason), data[n:])
+	return slices.Concat(head[:n], []byte(someReason), head[end:])
 }
 
 // onClose is called once when the connection has gone, on a goroutine of its
@@ -102,6 +206,10 @@
 	if k == nil {
 		return
 	}
+	if a := c.ending.Load(); a != nil && !c.reset.Load() && errors.Is(err, io.EOF) {
+		k.finish(a, nil)
+		return
+	}
 	reason := verdict.ReasonConnectionLost
 	if c.partial.Load() {
 		// The answer had begun: what there is of it is never handed on as
@@ -124,9 +232,10 @@
 	if !c.p.busy(c) {
 		return errUnsolicited
 	}
-	c.answer = &Answer{Header: make(http.Header, headerHint)}
+	c.answer = &Answer{Header: make(http.Header, headerHint), Connected: c.connected}
 	c.partial.Store(true)
 	c.framed = false
+	c.foreign = false
 	c.noReuse = proto != "HTTP/1.1"
 	return nil
 }
@@ -162,6 +271,13 @@
 
 // OnContentLength implements nbhttp.Processor. It ends the head.
 func (c *conn) OnContentLength(_ *nbhttp.Parser, length int) {
+	c.inBody = true
+	if own := c.p.ownAnswer(c); !own && c.answer.Status >= http.StatusOK {
+		// A second answer to an earlier request, or one that nobody asked for,
+		// may come where this request's answer is due.
+		c.foreign = true
+		c.noReuse = true
+	}
 	if len(c.answer.Header["Content-Length"]) > 1 {
 		// nbhttp takes the first; which of them makes the answer whole cannot
 		// be told.
@@ -175,9 +291,10 @@
 	if length > 0 {
 		c.answer.Body = make([]byte, 0, length)
 	}
-	if length > 0 && c.answer.Status == http.StatusNotModified {
-		// The length of a 304 describes the entity, not a body that follows;
-		// the parser would wait for that body until the deadline.
+	if length > 0 && (c.noBody || c.answer.Status == http.StatusNotModified) {
+		// The length of a 304, and of an answer to a HEAD, describes the entity,
+		// not a body that follows; the parser would wait for that body until the
+		// deadline.
 		c.noReuse = true
 		c.complete()
 	}
@@ -187,12 +304,13 @@
 	errAnswerTooLong = errors.New("outbound: answer longer than the limit")
 	errUnframed      = errors.New("outbound: answer without a length")
 	errLengths       = errors.New("outbound: answer with two lengths")
+	errHead          = errors.New("outbound: not the head of an answer")
 	errUnsolicited   = errors.New("outbound: answer without a request")
 )
 
 // OnBody implements nbhttp.Processor.
 func (c *conn) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if c.answer == nil {
+	if c.answer == nil || c.foreign {
 		return nil
 	}
 	if len(c.answer.Body)+len(data) > c.p.pool.opts.MaxAnswerBytes {
@@ -215,11 +333,16 @@
 	if a == nil {
 		return
 	}
-	if a.Status < http.StatusOK {
-		c.endAnswer() // interim; the final one follows
+	if a.Status < http.StatusOK || c.foreign {
+		c.endAnswer() // the final one, or the own one, follows
+		return
+	}
+	if !c.framed && !c.noBody && bodyAllowed(a.Status) && c.p.mayEndByClose(c) {
+		c.ending.Store(a)
+		c.noReuse = true
 		return
 	}
-	if !c.framed && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+	if !c.framed && !c.noBody && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
 		// The end of such an answer is the end of the connection, which looks
 		// the same when the receiver dies: wholeness cannot be told, and the
 		// parser reports it complete with no body at all.
@@ -227,7 +350,8 @@
 		return
 	}
 	c.endAnswer()
-	k := c.p.release(c)
+	c.connected = 0
+	k := c.p.release(c, keepAlive(a.Header))
 	if k != nil {
 		k.finish(a, nil)
 	}
@@ -235,9 +359,28 @@
 
 func (c *conn) endAnswer() {
 	c.answer = nil
+	c.inBody = false
+	c.left = 0
 	c.partial.Store(false)
 }
 
+// keepAlive reads how long the receiver keeps a free connection open; 0 when
+// it does not say.
+func keepAlive(h http.Header) time.Duration {
+	for _, v := range h["Keep-Alive"] {
+		for f := range strings.SplitSeq(v, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(f), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+				return time.Duration(s) * time.Second
+			}
+		}
+	}
+	return 0
+}
+
 // fail ends the call in flight and the connection.
 func (c *conn) fail(v verdict.Verdict, r verdict.Reason, err error) {
 	c.endAnswer()
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -207,15 +207,17 @@
 func (pe *peer) take(k *Call) *conn {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	n := len(pe.idle)
-	if n == 0 {
-		pe.dialing++
-		return nil
+	now := pe.pool.opts.Now()
+	for i, c := range slices.Backward(pe.idle) {
+		if c.idleFor(now) >= c.idle {
+			continue // the sweep closes it
+		}
+		pe.idle = slices.Delete(pe.idle, i, i+1)
+		c.call = k
+		return c
 	}
-	c := pe.idle[n-1]
-	pe.idle = pe.idle[:n-1]
-	c.call = k
-	return c
+	pe.dialing++
+	return nil
 }
 
 // closeIdle closes the connections free for at least age.
@@ -231,7 +233,7 @@
 	defer pe.mu.Unlock()
 	var out []*conn
 	pe.idle = slices.DeleteFunc(pe.idle, func(c *conn) bool {
-		if c.idleFor(now) < age {
+		if c.idleFor(now) < min(age, c.idle) {
 			return false
 		}
 		out = append(out, c)
@@ -243,10 +245,18 @@
 // release frees c for the next request and returns the call it carried. A
 // connection that must not be used again is closed. One without a call has
 // been dropped meanwhile: freed again, it would be lent out closed.
-func (pe *peer) release(c *conn) *Call {
+//
+// keepAlive is how long the receiver keeps a free connection; 0: not stated.
+// One that it may be about to close is not lent out: a request on it could be
+// lost with its outcome unknown.
+func (pe *peer) release(c *conn, keepAlive time.Duration) *Call {
 	pe.mu.Lock()
 	k := c.call
 	c.call = nil
+	c.idle = pe.pool.opts.IdleTimeout
+	if keepAlive > 0 {
+		c.idle = min(c.idle, time.Duration(keepAliveUse*float64(keepAlive)))
+	}
 	keep := k != nil && !c.noReuse
 	if keep {
 		c.since = pe.pool.opts.Now()
@@ -267,10 +277,30 @@
 	owned := c.call == k
 	pe.mu.Unlock()
 	if owned {
-		pe.release(c)
+		pe.release(c, 0)
 	}
 }
 
+// keepAliveUse is the part of the time that a receiver keeps a free connection
+// during which it is lent out again.
+const keepAliveUse = 0.6
+
+// ownAnswer reports whether the answer that c has begun to receive is one to
+// its request.
+func (pe *peer) ownAnswer(c *conn) bool {
+	pe.mu.Lock()
+	k := c.call
+	pe.mu.Unlock()
+	return k == nil || k.req.Own == nil || k.req.Own(c.answer.Status, c.answer.Header)
+}
+
+// mayEndByClose reports whether c's request takes an answer without a length.
+func (pe *peer) mayEndByClose(c *conn) bool {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	return c.call != nil && c.call.req.MayEndByClose
+}
+
 // busy reports whether c has been handed a request.
 func (pe *peer) busy(c *conn) bool {
 	pe.mu.Lock()
@@ -314,15 +344,20 @@
 
 func (pe *peer) connect(k *Call) (*conn, error) {
 	opts := &pe.pool.opts
-	nc, err := opts.Dial("tcp", pe.addr, opts.DialTimeout)
+	timeout := opts.DialTimeout
+	if k.req.Connect > 0 {
+		timeout = k.req.Connect
+	}
+	began := opts.Now()
+	nc, err := opts.Dial("tcp", pe.addr, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
-	return pe.add(nc, k)
+	return pe.add(nc, k, opts.Now().Sub(began))
 }
 
 // add hands a new connection, claimed by k, to the pollers.
-func (pe *peer) add(nc net.Conn, k *Call) (*conn, error) {
+func (pe *peer) add(nc net.Conn, k *Call, connected time.Duration) (*conn, error) {
 	p := pe.pool
 	p.adding.RLock()
 	defer p.adding.RUnlock()
@@ -335,7 +370,7 @@
 		_ = nc.Close()
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
-	c := &conn{p: pe, nbc: nbc, call: k}
+	c := &conn{p: pe, nbc: nbc, call: k, connected: connected}
 	c.parser = nbhttp.NewParser(nbc, p.engine, c, true, runInline)
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
