Serve operators' routes on the users' platform: the whole path, thin

platform/ translates: settings file, client of the metadata store, configuration, registrations, header names. serve/ingress runs the reducer of decide/ingress on the inbound and outbound connections that were there. serve/core is the serialiser of the daemon, for any reducer.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -38,6 +38,9 @@
 type TargetsChanged struct {
 	Set  []Target
 	Gone []fleet.TargetID
+	// Unsure says that the store was in trouble: those that are gone may be
+	// alive without having been able to renew their registration.
+	Unsure bool
 }
 
 // Evacuated says that a failure domain is to get no requests, or is taken back.
@@ -105,12 +108,12 @@
 	Reason  verdict.Reason
 }
 
+// Bounded changes the operators' limits.
+type Bounded struct{ Bounds Bounds }
+
 // Tick lets time pass.
 type Tick struct{}
 
-// Stop says that this process is ending: requests that wait are still served.
-type Stop struct{}
-
 // Send asks for a request to be sent to a target.
 type Send struct {
 	Attempt  AttemptID
@@ -123,6 +126,12 @@
 	Attempts int           // how many this is of the request
 }
 
+// Cancel asks for an attempt to be given up.
+type Cancel struct {
+	Request RequestID
+	Attempt AttemptID
+}
+
 // Deliver asks for the answer of an attempt to be given to the caller.
 type Deliver struct {
 	Request RequestID
@@ -148,7 +157,7 @@
 // resets and reuses them.
 type Ready struct {
 	Sends    []Send
-	Cancels  []AttemptID
+	Cancels  []Cancel
 	Delivers []Deliver
 	Refusals []Refusal
 	Beliefs  []Belief
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -22,6 +22,7 @@
 	services  map[fleet.ServiceName]*service
 	targets   map[fleet.TargetID]*targetState
 	evacuated map[fleet.Domain]bool
+	lapses    clock.Time // the earliest of the targets'
 	members   []fleet.VM
 	trips     map[fleet.Region]*mean // round trip in ns
 	shift     regionShift
@@ -46,6 +47,7 @@
 		trips:     make(map[fleet.Region]*mean),
 		requests:  make(map[RequestID]*request),
 		attempts:  make(map[AttemptID]*attempt),
+		lapses:    clock.Never,
 	}
 }
 
@@ -70,10 +72,13 @@
 	case *MembersChanged:
 		r.members = ev.VMs
 		r.pump(now)
-	case *Tick, *Stop:
+	case *Bounded:
+		r.opts.Bounds = ev.Bounds
+	case *Tick:
 	}
+	r.expireLapsed(now)
 	r.expire(now)
-	out.Wake = r.timers.next()
+	out.Wake = clock.Min(r.timers.next(), r.lapses)
 	r.out = nil
 }
 
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -258,7 +258,7 @@
 func (r *Reducer) finish(now clock.Time, q *request) {
 	for _, a := range slices.Clone(q.running) {
 		r.endAttempt(a)
-		r.out.Cancels = append(r.out.Cancels, a.id)
+		r.out.Cancels = append(r.out.Cancels, Cancel{Request: q.id, Attempt: a.id})
 	}
 	q.svc.waiting.Remove(&q.node)
 	delete(r.requests, q.id)
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -14,6 +14,7 @@
 	region    fleet.Region
 	svc       *service
 	inFlight  int
+	lapses    clock.Time // when it is taken to be gone unless it comes back
 	coldUntil clock.Time
 	// coldSends are the instants of sends during the last second, while cold.
 	coldSends []clock.Time
@@ -88,7 +89,15 @@
 // applyTargets takes changed registrations.
 func (r *Reducer) applyTargets(now clock.Time, ev *TargetsChanged) {
 	for _, id := range ev.Gone {
-		r.removeTarget(id)
+		t, ok := r.targets[id]
+		switch {
+		case !ok:
+		case ev.Unsure && !t.Draining:
+			t.lapses = now.Add(lapseTime)
+			r.lapses = clock.Min(r.lapses, t.lapses)
+		default:
+			r.removeTarget(id)
+		}
 	}
 	for _, d := range ev.Set {
 		r.setTarget(now, d)
@@ -103,6 +112,7 @@
 		t = &targetState{region: r.opts.Regions[d.Domain]}
 		r.targets[d.ID] = t
 	}
+	t.lapses = clock.Never
 	t.Target = d
 	t.svc = r.serviceOf(d.Service)
 	if d.Cold > 0 {
@@ -111,6 +121,29 @@
 	}
 }
 
+// lapseTime is how long a target is still used after its registration has gone
+// while the store was in trouble. Registrations of live targets are back within
+// about two seconds of the store's return; those still missing then are gone.
+const lapseTime = 2 * time.Second
+
+// expireLapsed removes the targets whose registrations have not come back.
+func (r *Reducer) expireLapsed(now clock.Time) {
+	if r.lapses.After(now) {
+		return
+	}
+	r.lapses = clock.Never
+	for id, t := range r.targets {
+		switch {
+		case t.lapses == clock.Never:
+		case !t.lapses.After(now):
+			r.removeTarget(id)
+		default:
+			r.lapses = clock.Min(r.lapses, t.lapses)
+		}
+	}
+	r.relist()
+}
+
 func (r *Reducer) removeTarget(id fleet.TargetID) { delete(r.targets, id) }
 
 // relist brings each service's list of targets up to date.
--- a/serve/command/command.go
+++ b/serve/command/command.go
@@ -25,8 +25,9 @@
 	ExitSettings = 2 // a setting is wrong; nothing was started
 )
 
-// Run executes the command line and returns the exit code.
-func Run(args []string, stdout, stderr io.Writer) int {
+// Run executes the command line and returns the exit code. more are further
+// subcommands; each gets the place of the exit code.
+func Run(args []string, stdout, stderr io.Writer, more ...func(code *int) *cobra.Command) int {
 	code := ExitOK
 	flags := settings.Flags()
 	c := &cobra.Command{
@@ -46,6 +47,9 @@
 		return nil
 	}
 	c.Flags().AddFlagSet(flags)
+	for _, sub := range more {
+		c.AddCommand(sub(&code))
+	}
 	c.SetArgs(args)
 	c.SetOut(stdout)
 	c.SetErr(stderr)
--- a/serve/daemon/core_test.go
+++ b/serve/core/core_test.go
@@ -1,4 +1,4 @@
-package daemon
+package core
 
 import (
 	"testing"
@@ -7,25 +7,12 @@
 	"github.com/matryer/is"
 
 	"github.com/azurethread/azurethread/decide/clock"
-	"github.com/azurethread/azurethread/decide/engine"
-	"github.com/azurethread/azurethread/decide/fleet"
 )
 
-// executorFunc adapts a function to executor.
-type executorFunc func()
-
-func (f executorFunc) execute(clock.Time, *engine.Ready) { f() }
-
-func testCore(t *testing.T, exec executor) *Core {
+func testCore(t *testing.T, step func()) *Core[int] {
 	t.Helper()
 	now := func() clock.Time { return clock.FromWall(time.Now()) }
-	eng := engine.New(engine.Options{
-		Self:     fleet.VM{ID: "vm-1", Region: "attiki", Domain: "attiki-1", Incarnation: 1},
-		FleetKey: make([]byte, 32),
-		Seed:     1,
-		Now:      now(),
-	})
-	c := newCore(now, eng, exec)
+	c := New(now, 0, func(clock.Time, any) clock.Time { step(); return clock.Never }, "tick")
 	t.Cleanup(c.Close)
 	return c
 }
@@ -39,10 +26,10 @@
 func TestAskAfterClose(t *testing.T) {
 	is := is.New(t)
 	stepping, proceed, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	c := testCore(t, executorFunc(func() {}))
+	c := testCore(t, func() {})
 	go func() {
 		defer close(ended)
-		c.Ask(func(clock.Time, *engine.Engine) {
+		c.Ask(func(clock.Time, int) {
 			close(stepping)
 			<-proceed
 		})
@@ -50,7 +37,7 @@
 	<-stepping
 	var ran bool
 	asked := make(chan bool)
-	go func() { asked <- c.Ask(func(clock.Time, *engine.Engine) { ran = true }) }()
+	go func() { asked <- c.Ask(func(clock.Time, int) { ran = true }) }()
 	for queued := 0; queued == 0; {
 		time.Sleep(time.Millisecond)
 		c.mu.Lock()
@@ -71,9 +58,9 @@
 // running, so that every later event was only queued.
 func TestPanicEndsTheProcess(t *testing.T) {
 	is := is.New(t)
-	c := testCore(t, executorFunc(func() { panic("defect") }))
+	c := testCore(t, func() { panic("defect") })
 	var cause any
 	c.crash = func(v any) { cause = v }
-	c.Post(&engine.Tick{})
+	c.Post("event")
 	is.Equal(cause, "defect")
 }
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -11,6 +11,7 @@
 	"github.com/azurethread/azurethread/decide/engine"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/heads"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/outbound"
 )
@@ -140,7 +141,7 @@
 	}
 	tok := x.Header.Get(headerToken)
 	c.span = d.tracer.start(x.Header, string(service))
-	endToEnd(x.Header)
+	heads.EndToEnd(x.Header)
 	d.calls.add(c)
 	if !ok || !hopsOK {
 		d.core.Post(&engine.Reject{Req: c.id, Token: tok, Reason: verdict.ReasonBadRequest})
@@ -264,7 +265,7 @@
 		return
 	}
 	ans := a.answer
-	endToEnd(ans.Header)
+	heads.EndToEnd(ans.Header)
 	ans.Header[verdict.Header] = []string{verdict.Ran.String()}
 	d.metrics.reply(verdict.Ran, verdict.ReasonNone)
 	c.span.end(verdict.Ran, verdict.ReasonNone)
--- a/serve/daemon/request.go
+++ b/serve/daemon/request.go
@@ -33,25 +33,6 @@
 	headerRetryMs  = "Azurethread-Retry-After-Ms"
 )
 
-// hopByHop are the fields that belong to one connection and are not passed on.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
-}
-
-// endToEnd removes from h the fields of one connection, those named by
-// Connection included.
-func endToEnd(h http.Header) {
-	for _, v := range h["Connection"] {
-		for _, f := range strings.Split(v, ",") {
-			h.Del(strings.TrimSpace(f))
-		}
-	}
-	for _, f := range hopByHop {
-		delete(h, f)
-	}
-}
-
 // splitCall takes the service and the path at the target out of a request's
 // URI. ok is false for another path or an empty service.
 func splitCall(uri string) (service fleet.ServiceName, path string, ok bool) {
--- /dev/null
+++ b/serve/heads/hops.go
@@ -0,0 +1,25 @@
+package heads
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop are the fields that belong to one connection and are not passed on.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+}
+
+// EndToEnd removes from h the fields of one connection, those named by
+// Connection included.
+func EndToEnd(h http.Header) {
+	for _, v := range h["Connection"] {
+		for _, f := range strings.Split(v, ",") {
+			h.Del(strings.TrimSpace(f))
+		}
+	}
+	for _, f := range hopByHop {
+		delete(h, f)
+	}
+}
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -244,6 +244,10 @@
 	}
 }
 
+// Leave tells callers, with every answer from now on, not to use their
+// connection again. Requests are still served.
+func (s *Server) Leave() { s.stopping.Store(true) }
+
 // Stop waits until no request is in flight or ctx ends, and then closes
 // everything. The handler must refuse new requests by then; their connections
 // are closed after the refusal.
--- /dev/null
+++ b/serve/ingress/call.go
@@ -0,0 +1,283 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/heads"
+	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/outbound"
+)
+
+// call is one request of a caller until its final answer.
+type call struct {
+	id ingress.RequestID
+	x  *inbound.Exchange
+
+	mu       sync.Mutex
+	attempts map[ingress.AttemptID]*attempt
+}
+
+// attempt is one send of a call.
+type attempt struct {
+	call   *outbound.Call
+	answer *outbound.Answer
+}
+
+// calls holds the requests in flight.
+type calls struct {
+	mu   sync.Mutex
+	last ingress.RequestID
+	byID map[ingress.RequestID]*call
+}
+
+func (c *calls) add(x *inbound.Exchange) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last++
+	k := &call{id: c.last, x: x, attempts: make(map[ingress.AttemptID]*attempt, 1)}
+	c.byID[k.id] = k
+	return k
+}
+
+func (c *calls) get(id ingress.RequestID) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byID[id]
+}
+
+// take returns a call and forgets it.
+func (c *calls) take(id ingress.RequestID) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.byID[id]
+	delete(c.byID, id)
+	return k
+}
+
+func (c *calls) len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byID)
+}
+
+// serveCall takes a request of a caller.
+func (s *Server) serveCall(x *inbound.Exchange) {
+	patience, ok := s.patience(x.Header)
+	if !ok {
+		x.Respond(http.StatusBadRequest, s.refusalHeader(x), nil)
+		return
+	}
+	host := x.Header.Get("Host")
+	object := x.Header.Get(s.set.Fields.Object)
+	k := s.calls.add(x)
+	x.OnGone(func() {
+		if s.calls.take(k.id) != nil {
+			s.core.Post(&ingress.CallerGone{Request: k.id})
+		}
+	})
+	s.core.Post(&ingress.Arrive{
+		Request: k.id, Host: host, Path: x.URI, Object: object, Patience: patience,
+	})
+}
+
+// maxPatience is the longest wait that a caller may state.
+const maxPatience = time.Hour
+
+// patience reads how long the caller waits; 0 when it does not say.
+func (s *Server) patience(h http.Header) (time.Duration, bool) {
+	v := h.Get(s.set.Fields.Patience)
+	if v == "" {
+		return 0, true
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms < 0 || ms > maxPatience.Milliseconds() {
+		return 0, false
+	}
+	return max(time.Duration(ms)*time.Millisecond, time.Millisecond), true
+}
+
+// send carries out a Send.
+func (s *Server) send(e *ingress.Send) {
+	k := s.calls.get(e.Request)
+	if k == nil {
+		s.core.Post(&ingress.Failed{Attempt: e.Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonCallerGone})
+		return
+	}
+	a := new(attempt)
+	k.mu.Lock()
+	k.attempts[e.Attempt] = a
+	k.mu.Unlock()
+	id := e.Attempt
+	c := s.pool.Do(e.Addr, s.request(k.x, e), func(ans *outbound.Answer, err *verdict.Error) {
+		s.ended(k, id, a, ans, err)
+	})
+	k.mu.Lock()
+	a.call = c
+	k.mu.Unlock()
+}
+
+// request makes the request that a target gets: the caller's, less what
+// concerns its connection, with the target that is meant and the time left.
+func (s *Server) request(x *inbound.Exchange, e *ingress.Send) *outbound.Request {
+	f := &s.set.Fields
+	h := x.Header.Clone()
+	heads.EndToEnd(h)
+	h[f.Target] = []string{string(e.Target)}
+	h[f.Patience] = []string{strconv.FormatInt(max(e.Left.Milliseconds(), 1), 10)}
+	id := x.Header.Get(f.RequestID)
+	return &outbound.Request{
+		Method: x.Method, URI: x.URI, Host: x.Header.Get("Host"), Header: h, Body: x.Body,
+		Own:           func(status int, h http.Header) bool { return s.ownAnswer(id, status, h) },
+		MayEndByClose: true,
+		Connect:       e.Connect,
+		Fresh:         e.Fresh,
+	}
+}
+
+// ownAnswer reports whether an answer is one to the request of this id. A
+// target may answer a request a second time, where the answer to the next one
+// is due; the id that it echoes tells them apart. Refusals may lack it.
+func (s *Server) ownAnswer(id string, status int, h http.Header) bool {
+	echo := h.Get(s.set.Fields.RequestID)
+	if echo == "" {
+		return status >= http.StatusMultipleChoices || id == ""
+	}
+	return echo == id
+}
+
+// ended takes the outcome of an attempt.
+func (s *Server) ended(k *call, id ingress.AttemptID, a *attempt, ans *outbound.Answer, err *verdict.Error) {
+	if err != nil {
+		s.core.Post(&ingress.Failed{Attempt: id, Verdict: err.Verdict, Reason: err.Reason})
+		return
+	}
+	k.mu.Lock()
+	a.answer = ans
+	k.mu.Unlock()
+	s.core.Post(&ingress.Answered{
+		Attempt: id,
+		Outcome: s.outcome(ans),
+		Load:    loadOf(ans.Header.Get(s.set.Fields.Load)),
+		Bytes:   len(ans.Body),
+		Connect: ans.Connected,
+	})
+}
+
+// outcome says what an answer means.
+func (s *Server) outcome(a *outbound.Answer) ingress.Outcome {
+	f := &s.set.Fields
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		return ingress.Misdirected
+	case len(a.Header[f.NotRun]) > 0:
+		return ingress.Refused
+	case promises(a.Status):
+		return ingress.Unfit
+	case a.Status >= http.StatusInternalServerError:
+		return ingress.ServerError
+	case len(a.Header[f.Stamp]) == 0 || len(a.Header["Content-Encoding"]) > 0:
+		return ingress.Unfit
+	default:
+		return ingress.Served
+	}
+}
+
+// promises reports whether a status tells the caller that nothing ran.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// loadOf reads a target's load: running, waiting and slots.
+func loadOf(v string) ingress.Load {
+	var n [3]int
+	rest := v
+	for i := range n {
+		field := rest
+		for j := range len(rest) {
+			if rest[j] == ',' {
+				field, rest = rest[:j], rest[j+1:]
+				break
+			}
+		}
+		x, err := strconv.Atoi(field)
+		if err != nil || x < 0 {
+			return ingress.Load{}
+		}
+		n[i] = x
+	}
+	return ingress.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2]}
+}
+
+// cancelAttempt carries out a cancel.
+func (s *Server) cancelAttempt(k *call, id ingress.AttemptID) {
+	k.mu.Lock()
+	a := k.attempts[id]
+	var c *outbound.Call
+	if a != nil {
+		c = a.call
+	}
+	k.mu.Unlock()
+	if c != nil {
+		c.Cancel(verdict.ReasonCallerGone)
+	}
+}
+
+// deliver gives a target's answer to the caller.
+func (s *Server) deliver(e ingress.Deliver) {
+	k := s.calls.take(e.Request)
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	a := k.attempts[e.Attempt].answer
+	k.mu.Unlock()
+	heads.EndToEnd(a.Header)
+	k.x.Respond(a.Status, a.Header, a.Body)
+}
+
+// refuse gives this VM's own answer to the caller.
+func (s *Server) refuse(e *ingress.Refusal) {
+	k := s.calls.take(e.Request)
+	if k == nil {
+		return
+	}
+	h := s.refusalHeader(k.x)
+	if e.RetryAfter > 0 {
+		h["Retry-After"] = []string{retryAfter(e.RetryAfter)}
+	}
+	k.x.Respond(statusOf(e), h, nil)
+}
+
+// refusalHeader echoes the caller's id.
+func (s *Server) refusalHeader(x *inbound.Exchange) http.Header {
+	h := make(http.Header, 2)
+	if id := x.Header.Get(s.set.Fields.RequestID); id != "" {
+		h[s.set.Fields.RequestID] = []string{id}
+	}
+	return h
+}
+
+// statusOf is the status of a refusal. 503 is said of requests only that have
+// not run and never will.
+func statusOf(e *ingress.Refusal) int {
+	switch {
+	case e.Reason == verdict.ReasonUnknownService:
+		return http.StatusNotFound
+	case e.Verdict == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case e.Reason == verdict.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/serve/ingress/effects.go
@@ -0,0 +1,40 @@
+package ingress
+
+import (
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/serve/core"
+)
+
+// step returns the function that steps r and carries out its effects.
+func (s *Server) step(r *ingress.Reducer) core.Step {
+	var out ingress.Ready // touched only by the goroutine that is stepping
+	return func(now clock.Time, ev any) clock.Time {
+		out.Reset()
+		r.Step(now, ev, &out)
+		s.execute(&out)
+		return out.Wake
+	}
+}
+
+// execute carries out effects. Cancels come before the answers that end their
+// requests, as an ended request is forgotten.
+func (s *Server) execute(out *ingress.Ready) {
+	for _, c := range out.Cancels {
+		if k := s.calls.get(c.Request); k != nil {
+			s.cancelAttempt(k, c.Attempt)
+		}
+	}
+	for _, d := range out.Delivers {
+		s.deliver(d)
+	}
+	for i := range out.Refusals {
+		s.refuse(&out.Refusals[i])
+	}
+	for i := range out.Sends {
+		s.send(&out.Sends[i])
+	}
+	for _, b := range out.Beliefs {
+		s.log.WithField("target", b.Target).WithField("until", b.Until).Info(b.Change)
+	}
+}
--- /dev/null
+++ b/serve/ingress/follow.go
@@ -0,0 +1,205 @@
+package ingress
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/kv"
+)
+
+const (
+	// watchWait is how long the store may hold a watch. A change that was
+	// missed on a silent connection is seen at its end.
+	watchWait = 2 * time.Second
+	// watchPause lets changes that come together be read by one call.
+	watchPause = 200 * time.Millisecond
+	// retryPause is the time between calls to a store that fails them.
+	retryPause = 400 * time.Millisecond
+)
+
+// prefixMembers holds one key for each live entry VM, under its lease.
+const prefixMembers = "azurethread/vm/"
+
+// everything is the prefix of all keys. One watch of all of them costs a third
+// of three, and almost every change concerns this VM.
+const everything = ""
+
+// follow keeps the copy of the store up to date and turns its changes into
+// events.
+func (s *Server) follow() {
+	m := new(mirror.Mirror)
+	for s.ctx.Err() == nil {
+		changes, err := s.read(m)
+		if err != nil && !errors.Is(err, kv.ErrCompacted) {
+			s.storeFailed(err)
+			s.pause(retryPause)
+			continue
+		}
+		s.storeAnswered()
+		if len(changes) > 0 {
+			s.apply(m, changes)
+			s.pause(watchPause)
+		}
+	}
+}
+
+// read brings the copy up to date: by a full read at the start and when the
+// store has dropped the history, and otherwise by a watch.
+func (s *Server) read(m *mirror.Mirror) ([]mirror.Change, error) {
+	if m.Valid() {
+		c, err := s.store.Watch(s.ctx, everything, m.AsOf(), watchWait)
+		if err == nil {
+			return m.Apply(c.Events, c.AsOf), nil
+		}
+		if !errors.Is(err, kv.ErrCompacted) {
+			return nil, err
+		}
+	}
+	snap, err := s.store.Range(s.ctx, everything)
+	if err != nil {
+		return nil, err
+	}
+	changes, _ := m.Replace(snap.Items, snap.AsOf)
+	return changes, nil
+}
+
+func (s *Server) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+}
+
+// storeFailed and storeAnswered note whether the store can be reached.
+func (s *Server) storeFailed(err error) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	if !s.storeLost.Swap(true) {
+		s.log.WithError(err).Warn("store is not reachable")
+	}
+	s.storeTrouble.Store(int64(s.now()))
+}
+
+func (s *Server) storeAnswered() {
+	if s.storeLost.Swap(false) {
+		s.log.Info("store is reachable")
+	}
+}
+
+// unsureFor is how long after a failed call to the store a removal may mean
+// that a target could not renew its registration, as this VM could not reach
+// the store either.
+const unsureFor = 4 * time.Second
+
+// storeUnsure reports whether removals may come from trouble of the store.
+func (s *Server) storeUnsure() bool {
+	at := s.storeTrouble.Load()
+	return at != 0 && s.now().Sub(clock.Time(at)) < unsureFor
+}
+
+// apply turns changes of the copy into events.
+func (s *Server) apply(m *mirror.Mirror, changes []mirror.Change) {
+	var targets ingress.TargetsChanged
+	membersChanged := false
+	for _, c := range changes {
+		if strings.HasPrefix(c.Key, prefixMembers) {
+			membersChanged = true
+			continue
+		}
+		if !s.concerns(c.Key) {
+			continue
+		}
+		s.applyOne(c, &targets)
+	}
+	if len(targets.Set) > 0 || len(targets.Gone) > 0 {
+		targets.Unsure = s.storeUnsure()
+		s.core.Post(&targets)
+	}
+	if membersChanged {
+		s.applyMembers(m)
+	}
+}
+
+// concerns reports whether a key is one that the translator decodes.
+func (s *Server) concerns(key string) bool {
+	for _, p := range s.set.Translate.Prefixes() {
+		if strings.HasPrefix(key, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// applyOne decodes one change. What can't be decoded changes nothing: the last
+// good value stays in force.
+func (s *Server) applyOne(c mirror.Change, targets *ingress.TargetsChanged) {
+	d, err := s.set.Translate.Change(c)
+	log := s.log.WithField("key", c.Key).WithField("revision", c.Revision)
+	switch {
+	case err != nil:
+		log.WithError(err).Error("value in the store cannot be decoded")
+	case d.Configured != nil:
+		s.configure(d.Configured)
+		log.WithField("version", d.Configured.Table.Config.Version).Info("configuration is in force")
+	case d.Evacuated != nil:
+		s.core.Post(d.Evacuated)
+		log.WithField("begin", d.Evacuated.Begin).Info("evacuation changed")
+	case d.TargetSet != nil:
+		targets.Set = append(targets.Set, *d.TargetSet)
+		log.WithField("draining", d.TargetSet.Draining).WithField("cold", d.TargetSet.Cold).Info("target changed")
+	case d.TargetGone != "":
+		targets.Gone = append(targets.Gone, d.TargetGone)
+		log.Info("target gone")
+	}
+}
+
+// configure puts a configuration in force.
+func (s *Server) configure(ev *ingress.Configured) {
+	l := ev.Table.Config.Limits
+	limits := inbound.Limits{
+		HeadBytes:   or(l.HeadBytes, firstHeadBytes),
+		BodyBytes:   min(or(l.BodyBytes, firstBodyBytes), maxBodyBytes),
+		ReadTimeout: or(l.HeadTimeout, firstReadTimeout),
+		BodyTimeout: bodyTimeout,
+		IdleTimeout: or(l.IdleTimeout, firstIdleTimeout),
+	}
+	s.callers.SetLimits(limits)
+	s.core.Post(ev)
+	s.configured.Store(true)
+}
+
+// or returns v, or otherwise if v is not set.
+func or[T int | time.Duration](v, otherwise T) T {
+	if v > 0 {
+		return v
+	}
+	return otherwise
+}
+
+// applyMembers takes the list of entry VMs from the copy.
+func (s *Server) applyMembers(m *mirror.Mirror) {
+	var vms []fleet.VM
+	listed := false
+	for _, it := range m.Items(prefixMembers) {
+		var vm fleet.VM
+		if err := json.Unmarshal(it.Value, &vm); err != nil {
+			s.log.WithError(err).WithField("key", it.Key).Error("entry VM in the store cannot be decoded")
+			continue
+		}
+		listed = listed || (vm.ID == s.set.Self.ID && vm.Incarnation == s.set.Self.Incarnation)
+		vms = append(vms, vm)
+	}
+	if !listed {
+		s.unlisted()
+	}
+	s.setMembers(vms)
+	s.core.Post(&ingress.MembersChanged{VMs: vms})
+}
--- /dev/null
+++ b/serve/ingress/register.go
@@ -0,0 +1,113 @@
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/azurethread/azurethread/serve/kv"
+)
+
+// renewShare is the part of a lease's time after which it is renewed: two
+// renewals may be lost before the lease ends.
+const renewShare = 0.3
+
+// revokeTimeout bounds the end of the lease at a planned stop; the lease ends
+// by itself otherwise.
+const revokeTimeout = 500 * time.Millisecond
+
+// unlisted wakes register: the key of this VM is not in the store. The store
+// may drop keys without their lease's end being seen here.
+func (s *Server) unlisted() {
+	select {
+	case s.relist <- struct{}{}:
+	default:
+	}
+}
+
+// register keeps this VM in the store's list of entry VMs from the first
+// configuration to the planned stop.
+func (s *Server) register() {
+	var lease kv.Lease
+	defer func() { s.unregister(lease) }()
+	for s.ctx.Err() == nil {
+		if !s.configured.Load() {
+			s.pause(registerPoll)
+			continue
+		}
+		if lease == 0 {
+			l, err := s.list()
+			if err != nil {
+				s.storeFailed(err)
+				s.pause(retryPause)
+				continue
+			}
+			lease = l
+		}
+		select {
+		case <-time.After(time.Duration(renewShare * float64(s.set.LeaseTTL))):
+			lease = s.renew(lease)
+		case <-s.relist:
+			if s.listedLately() {
+				continue // the copy of the store is older than the key
+			}
+			lease = 0
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+// registerPoll is how often register looks for the first configuration.
+const registerPoll = 20 * time.Millisecond
+
+// listedLately reports whether the key was written so shortly ago that a read
+// made before may still be on its way.
+func (s *Server) listedLately() bool { return s.now().Sub(s.listed) < relistAfter }
+
+// relistAfter is the least time between two writes of the key.
+const relistAfter = time.Second
+
+// list writes the key of this VM under a new lease.
+func (s *Server) list() (kv.Lease, error) {
+	lease, _, err := s.store.Grant(s.ctx, s.set.LeaseTTL)
+	if err != nil {
+		return 0, err
+	}
+	value, err := json.Marshal(s.set.Self)
+	if err != nil {
+		return 0, err
+	}
+	key := prefixMembers + string(s.set.Self.ID)
+	_, err = s.store.Commit(s.ctx, kv.Txn{Writes: []kv.Write{{Key: key, Value: value, Lease: lease}}})
+	if err != nil {
+		return 0, err
+	}
+	s.listed = s.now()
+	s.log.WithField("lease", lease).Info("entry VM is listed")
+	return lease, nil
+}
+
+// renew renews the lease and returns it, or 0 when it has ended.
+func (s *Server) renew(lease kv.Lease) kv.Lease {
+	err := s.store.Renew(s.ctx, lease)
+	switch {
+	case errors.Is(err, kv.ErrLeaseLost):
+		s.log.WithField("lease", lease).Warn("lease has ended")
+		return 0
+	case err != nil:
+		s.storeFailed(err)
+	}
+	return lease
+}
+
+func (s *Server) unregister(lease kv.Lease) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	if err := s.store.Revoke(ctx, lease); err != nil {
+		s.log.WithError(err).Warn("lease could not be given up; it ends by itself")
+	}
+}
--- /dev/null
+++ b/serve/ingress/server.go
@@ -0,0 +1,255 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/serve/core"
+	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/kv"
+	"github.com/azurethread/azurethread/serve/outbound"
+)
+
+// Server is one entry VM.
+type Server struct {
+	set   *Settings
+	store kv.Store
+	log   logrus.FieldLogger
+	now   func() clock.Time
+
+	core  *core.Core[*ingress.Reducer]
+	pool  *outbound.Pool
+	calls calls
+
+	callers *inbound.Server
+	ready   *inbound.Server
+	lookups *inbound.Server
+
+	members    atomic.Pointer[[]fleet.VM] // entry VMs that look-ups may name
+	configured atomic.Bool                // a configuration is in force
+	leaving    atomic.Bool                // a planned stop has begun
+
+	storeLost    atomic.Bool  // the last call to the store failed
+	storeTrouble atomic.Int64 // when a call last failed, a clock.Time
+	relist       chan struct{}
+	listed       clock.Time // when register last wrote this VM's key
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+// Limits that hold until a configuration brings its own, and those that it
+// does not have.
+const (
+	firstHeadBytes   = 64 << 10
+	firstBodyBytes   = 1 << 20
+	firstReadTimeout = 5 * time.Second
+	firstIdleTimeout = 60 * time.Second
+	// bodyTimeout bounds the body of a request, whose head has its own bound.
+	bodyTimeout = 20 * time.Second
+	// writeTimeout bounds a caller's taking of an answer.
+	writeTimeout = 20 * time.Second
+	// maxAnswerBytes bounds the answer of a target, which is held whole.
+	maxAnswerBytes = 32 << 20
+	// maxBodyBytes bounds the body of a request, which is held whole, whatever
+	// a configuration allows.
+	maxBodyBytes = 64 << 20
+	// targetIdle is how long a free connection to a target is kept.
+	targetIdle = 8 * time.Second
+	// targetConnect bounds the opening of a connection where the decision
+	// states no bound.
+	targetConnect = time.Second
+	// targetSilence is how long sent bytes may lack an acknowledgement before
+	// the kernel gives a connection up: a target without power, or one behind a
+	// partition, never resets its connections. It is beyond the retransmissions
+	// of a link that loses some packets.
+	targetSilence = 1500 * time.Millisecond
+)
+
+// Start provisions an entry VM and has it serve.
+func Start(set *Settings, store kv.Store, log logrus.FieldLogger) (*Server, error) {
+	s := &Server{set: set, store: store, log: log, relist: make(chan struct{}, 1)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	wall, mono := time.Now().UnixNano(), time.Now()
+	s.now = func() clock.Time { return clock.Time(wall + int64(time.Since(mono))) }
+	set.Self.Incarnation = fleet.Incarnation(s.now())
+	s.calls.byID = make(map[ingress.RequestID]*call)
+	s.members.Store(&[]fleet.VM{})
+	if err := s.provision(); err != nil {
+		s.end()
+		return nil, fmt.Errorf("ingress: %w", err)
+	}
+	s.run()
+	return s, nil
+}
+
+func (s *Server) provision() error {
+	var err error
+	s.pool, err = outbound.NewPool(outbound.Options{
+		DialTimeout:    targetConnect,
+		IdleTimeout:    targetIdle,
+		MaxAnswerBytes: maxAnswerBytes,
+		Pollers:        1,
+		Now:            s.now,
+		Dial:           dialTarget,
+	})
+	if err != nil {
+		return err
+	}
+	r := ingress.New(ingress.Options{
+		Self:    s.set.Self.ID,
+		Domain:  s.set.Self.Domain,
+		Regions: s.set.Regions,
+		Bounds:  s.set.Bounds,
+		Seed:    xxhash.Sum64String(string(s.set.Self.ID)) ^ uint64(s.now()),
+	})
+	s.core = core.New(s.now, r, s.step(r), &ingress.Tick{})
+	for _, l := range []struct {
+		at   **inbound.Server
+		addr string
+	}{{&s.callers, s.set.Self.CallAddr}, {&s.ready, s.set.ReadyAddr}, {&s.lookups, s.set.LookupAddr}} {
+		if *l.at, err = s.listen(l.addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) listen(addr string) (*inbound.Server, error) {
+	return inbound.Listen(addr, inbound.Options{
+		Limits: inbound.Limits{
+			HeadBytes:   firstHeadBytes,
+			BodyBytes:   firstBodyBytes,
+			ReadTimeout: firstReadTimeout,
+			BodyTimeout: bodyTimeout,
+			IdleTimeout: firstIdleTimeout,
+		},
+		MaxBodyBytes: maxBodyBytes,
+		WriteTimeout: writeTimeout,
+		Pollers:      1,
+		Refusal:      func(int) (http.Header, []byte) { return nil, nil },
+	})
+}
+
+// dialTarget opens a connection that fails soon when its other end has gone
+// without a word.
+func dialTarget(network, addr string, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:   timeout,
+		KeepAlive: -1, // free connections are closed sooner than probes would tell
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var opt error
+			err := raw.Control(func(fd uintptr) {
+				opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(targetSilence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return opt
+		},
+	}
+	return d.Dial(network, addr)
+}
+
+func (s *Server) run() {
+	s.callers.Serve(handlerFunc(s.serveCall))
+	s.ready.Serve(handlerFunc(s.serveReady))
+	s.lookups.Serve(handlerFunc(s.serveLookup))
+	s.loop(s.follow)
+	s.loop(s.register)
+}
+
+func (s *Server) loop(f func()) {
+	s.loops.Add(1)
+	go func() {
+		defer s.loops.Done()
+		f()
+	}()
+}
+
+// handlerFunc adapts a function to inbound.Handler.
+type handlerFunc func(x *inbound.Exchange)
+
+// Serve implements inbound.Handler.
+func (f handlerFunc) Serve(x *inbound.Exchange) { f(x) }
+
+// Reload takes settings that were read again. Of them only the bounds can
+// change under a running process; err says why they could not be read.
+func (s *Server) Reload(set *Settings, err error) {
+	if err != nil {
+		s.log.WithError(err).Error("settings cannot be read; the old ones stay in force")
+		return
+	}
+	s.core.Post(&ingress.Bounded{Bounds: set.Bounds})
+	s.log.Info("settings were read again")
+}
+
+// leaveDelay is how long a leaving VM goes on taking requests. Callers use a
+// look-up's answer for about that long, and a request to a VM that has ended
+// costs them another connection.
+const leaveDelay = 1500 * time.Millisecond
+
+// stopMargin is kept of the time that a planned stop may take, for the end of
+// the process itself.
+const stopMargin = 500 * time.Millisecond
+
+// Stop shuts the entry VM down. It leaves the look-ups first, tells callers to
+// use other connections, and lets the requests in flight end.
+func (s *Server) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.set.StopTimeout-stopMargin)
+	defer cancel()
+	s.leaving.Store(true)
+	s.callers.Leave()
+	s.log.Info("entry VM is leaving")
+	s.cancel() // register gives the lease up
+	select {
+	case <-time.After(leaveDelay):
+	case <-ctx.Done():
+	}
+	err := s.callers.Stop(ctx)
+	s.end()
+	if err != nil {
+		return fmt.Errorf("ingress: %w", err)
+	}
+	s.log.Info("entry VM stopped")
+	return nil
+}
+
+// end closes everything.
+func (s *Server) end() {
+	s.cancel()
+	s.loops.Wait()
+	if s.core != nil {
+		s.core.Close()
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, l := range []*inbound.Server{s.callers, s.ready, s.lookups} {
+		if l != nil {
+			_ = l.Stop(ended) // what is in flight has had its time
+		}
+	}
+	if s.pool != nil {
+		s.pool.Close()
+	}
+}
+
+// retryAfter is the form of a time to come back: seconds with fractions.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
