--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -160,7 +160,10 @@
 	Cancels  []Cancel
 	Delivers []Deliver
 	Refusals []Refusal
-	Beliefs  []Belief
+	// Dropped are requests that need no answer: their callers have gone. They
+	// come after the cancels of their attempts.
+	Dropped []RequestID
+	Beliefs []Belief
 	// Wake is when Tick is due at the latest.
 	Wake clock.Time
 }
@@ -171,6 +174,7 @@
 	r.Cancels = r.Cancels[:0]
 	r.Delivers = r.Delivers[:0]
 	r.Refusals = r.Refusals[:0]
+	r.Dropped = r.Dropped[:0]
 	r.Beliefs = r.Beliefs[:0]
 	r.Wake = clock.Never
 }
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -192,3 +192,6 @@
 	}
 	m.add(float64(d))
 }
+
+// Targets returns the number of known targets.
+func (r *Reducer) Targets() int { return len(r.targets) }
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -269,6 +269,7 @@
 	if !ok {
 		return
 	}
+	r.out.Dropped = append(r.out.Dropped, q.id)
 	r.finish(now, q)
 	r.pumpService(now, q.svc)
 }
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -231,6 +231,13 @@
 	c.linger()
 }
 
+// free reports whether nothing is under way on the connection.
+func (c *conn) free() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current == nil && !c.closing && !c.inMessage() && !c.pending()
+}
+
 // stopReadTimer must be called with mu held.
 func (c *conn) stopReadTimer() {
 	if c.readTimer != nil {
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -269,6 +269,24 @@
 	return err
 }
 
+// Refuse closes the listener and the connections on which nothing is under way.
+// Callers that go on opening or reusing connections would otherwise keep a
+// leaving VM busy until its end cuts them off.
+func (s *Server) Refuse() {
+	s.stopAccepting()
+	s.mu.Lock()
+	var free []*conn
+	for c := range s.conns {
+		if c.free() {
+			free = append(free, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range free {
+		c.nbc.Close()
+	}
+}
+
 func (s *Server) stopAccepting() {
 	_ = s.listener.Close()
 	s.accepted.Wait()
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -75,14 +75,10 @@
 	host := x.Header.Get("Host")
 	object := x.Header.Get(s.set.Fields.Object)
 	k := s.calls.add(x)
-	x.OnGone(func() {
-		if s.calls.take(k.id) != nil {
-			s.core.Post(&ingress.CallerGone{Request: k.id})
-		}
-	})
 	s.core.Post(&ingress.Arrive{
 		Request: k.id, Host: host, Path: x.URI, Object: object, Patience: patience,
 	})
+	x.OnGone(func() { s.core.Post(&ingress.CallerGone{Request: k.id}) })
 }
 
 // maxPatience is the longest wait that a caller may state.
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -25,6 +25,9 @@
 			s.cancelAttempt(k, c.Attempt)
 		}
 	}
+	for _, id := range out.Dropped {
+		s.calls.take(id)
+	}
 	for _, d := range out.Delivers {
 		s.deliver(d)
 	}
--- /dev/null
+++ b/serve/ingress/harness_test.go
@@ -0,0 +1,274 @@
+package ingress
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/serve/kv/kvtest"
+)
+
+// Header fields, keys and places of the tests.
+var testFields = Fields{
+	RequestID: "X-Id", Patience: "X-Patience", Object: "X-Object", Stamp: "X-Stamp",
+	Target: "X-Target", Load: "X-Load", NotRun: "X-Not-Run",
+}
+
+const (
+	testHost   = "shop.example"
+	testConfig = "test/config"
+)
+
+// testTranslator reads configurations and targets as JSON of the decisions'
+// own types.
+type testTranslator struct{}
+
+func (testTranslator) Prefixes() []string { return []string{"test/"} }
+
+func (testTranslator) Change(c mirror.Change) (Change, error) {
+	id, isTarget := strings.CutPrefix(c.Key, "test/target/")
+	switch {
+	case isTarget && c.Removed:
+		return Change{TargetGone: fleet.TargetID(id)}, nil
+	case isTarget:
+		t := new(ingress.Target)
+		err := json.Unmarshal(c.Value, t)
+		return Change{TargetSet: t}, err
+	case c.Key == testConfig:
+		cfg := new(route.Config)
+		if err := json.Unmarshal(c.Value, cfg); err != nil {
+			return Change{}, err
+		}
+		return Change{Configured: &ingress.Configured{Table: route.NewTable(cfg)}}, nil
+	}
+	return Change{}, nil
+}
+
+// world is a store with a configuration, and entry VMs on loopback.
+type world struct {
+	t     *testing.T
+	store *kvtest.Store
+}
+
+func newWorld(t *testing.T, routes ...route.Route) *world {
+	w := &world{t: t, store: kvtest.New()}
+	w.configure(1, routes...)
+	return w
+}
+
+// configure writes a configuration whose services are those of its routes.
+func (w *world) configure(version uint64, routes ...route.Route) {
+	cfg := route.Config{Version: version, Services: make(map[fleet.ServiceName]route.Service)}
+	for _, r := range routes {
+		r.Host = testHost
+		r.Attempts = max(r.Attempts, 1)
+		cfg.Routes = append(cfg.Routes, r)
+		for _, p := range r.Parts {
+			cfg.Services[p.Service] = route.Service{Name: p.Service}
+		}
+	}
+	b, err := json.Marshal(cfg)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put(testConfig, string(b))
+}
+
+// plain is a route of one service to everything.
+func plain(idempotent bool) route.Route {
+	return route.Route{
+		Name: "r", Prefix: "/", Idempotent: idempotent, Attempts: 2,
+		Parts: []route.Part{{Service: "svc", Weight: 1}},
+	}
+}
+
+// target registers a target that answers with h.
+func (w *world) target(id string, h http.HandlerFunc) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	go func() { _ = srv.Serve(ln) }()
+	w.t.Cleanup(func() { _ = srv.Close() })
+	w.register(id, ln.Addr().String())
+}
+
+// rawTarget registers a target that serves each connection with f.
+func (w *world) rawTarget(id string, f func(c net.Conn, r *bufio.Reader)) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	w.register(id, ln.Addr().String())
+}
+
+func (w *world) register(id, addr string) {
+	b, err := json.Marshal(ingress.Target{
+		ID: fleet.TargetID(id), Service: "svc", Addr: addr, Domain: "d1", Slots: 4,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put("test/target/"+id, string(b))
+}
+
+// ok answers as a target does.
+func ok(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testFields.RequestID, r.Header.Get(testFields.RequestID))
+		w.Header().Set(testFields.Stamp, "s")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func (w *world) entry(id string) *Server {
+	w.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	set := &Settings{
+		Self:        fleet.VM{ID: fleet.VMID(id), Domain: "d1", Region: "r1", CallAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0"},
+		ReadyAddr:   "127.0.0.1:0",
+		LookupAddr:  "127.0.0.1:0",
+		Regions:     map[fleet.Domain]fleet.Region{"d1": "r1"},
+		MemoryBytes: 1 << 30,
+		StopTimeout: 3 * time.Second,
+		LookupTTL:   time.Second,
+		LeaseTTL:    10 * time.Second,
+		DrainTime:   2 * time.Second,
+		Bounds:      ingress.Bounds{ColdFactor: 1, ColdSlack: 10, RepeatRatio: 0.5, RepeatSlack: 20},
+		Fields:      testFields,
+		Pages:       Pages{Ready: "/ready", Lookup: "/lookup"},
+		Translate:   testTranslator{},
+		LookupRequest: func(q url.Values) Lookup {
+			return Lookup{Domain: fleet.Domain(q.Get("d")), Region: fleet.Region(q.Get("r"))}
+		},
+		LookupAnswer: func(addrs []string, _ time.Duration) ([]byte, error) { return json.Marshal(addrs) },
+	}
+	s, err := Start(set, w.store, log)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(s.end)
+	w.eventually("the entry VM is listed", func() bool {
+		_, listed := w.store.Get(prefixMembers + id)
+		return listed && s.knows(w.targets())
+	})
+	return s
+}
+
+// targets counts the registered targets.
+func (w *world) targets() int {
+	snap, err := w.store.Range(w.t.Context(), "test/target/")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return len(snap.Items)
+}
+
+// knows reports whether s has n targets.
+func (s *Server) knows(n int) bool {
+	known := 0
+	s.core.Ask(func(_ clock.Time, r *ingress.Reducer) { known = r.Targets() })
+	return known == n
+}
+
+// eventually waits for something that other goroutines bring about.
+func (w *world) eventually(what string, is func() bool) {
+	w.t.Helper()
+	for range 1000 {
+		if is() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	w.t.Fatalf("not reached: %s", what)
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, s *Server) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", s.callers.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &caller{t: t, c: c, r: bufio.NewReader(c)}
+}
+
+// say sends a request.
+func (c *caller) say(method, path, id string) {
+	c.t.Helper()
+	_, err := fmt.Fprintf(c.c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Id: %s\r\nX-Patience: 5000\r\n\r\n", method, path, testHost, id)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// hear reads an answer and its whole body.
+func (c *caller) hear(method string) (*http.Response, string) {
+	c.t.Helper()
+	_ = c.c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	res, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return res, string(b)
+}
+
+// ask sends a request on a new connection and reads its answer.
+func ask(t *testing.T, s *Server, method, path, id string) (*http.Response, string) {
+	t.Helper()
+	c := dial(t, s)
+	c.say(method, path, id)
+	return c.hear(method)
+}
+
+func TestServes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	w.target("t1", ok("hello"))
+	s := w.entry("vm-1")
+	res, body := ask(t, s, http.MethodGet, "/a?b=c", "id-1")
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(body, "hello")
+	is.Equal(res.Header.Get("X-Id"), "id-1")
+}
--- /dev/null
+++ b/serve/ingress/request_test.go
@@ -0,0 +1,124 @@
+package ingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Symptom: a target works on for callers that have left.
+// Sequence: a caller closes its connection while a target is at work.
+// Cause: the call was forgotten when its caller left, before the cancel of its
+// attempt was carried out.
+func TestCancelReachesTheTarget(t *testing.T) {
+	w := newWorld(t, plain(true))
+	working, cancelled := make(chan struct{}), make(chan struct{})
+	w.target("t1", func(_ http.ResponseWriter, r *http.Request) {
+		close(working)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	s := w.entry("vm-1")
+	c := dial(t, s)
+	c.say(http.MethodGet, "/", "id-1")
+	<-working
+	_ = c.c.Close()
+	<-cancelled
+	w.eventually("the call is forgotten", func() bool { return s.calls.len() == 0 })
+}
+
+// Symptom: a caller gets the answer to another request.
+// Sequence: a target answers a request twice; the second answer comes where the
+// answer to the next request on that connection is due.
+// Cause: answers were matched by their order alone.
+func TestSecondAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	w.rawTarget("t1", func(c net.Conn, r *bufio.Reader) {
+		first := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("X-Id")
+			if first != "" {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nX-Id: "+first+"\r\nContent-Length: 3\r\n\r\nold")
+			}
+			first = id
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nX-Id: "+id+"\r\nContent-Length: 3\r\n\r\nown")
+		}
+	})
+	s := w.entry("vm-1")
+	for _, id := range []string{"a", "b", "c"} {
+		res, body := ask(t, s, http.MethodGet, "/", id)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(body, "own")
+		is.Equal(res.Header.Get("X-Id"), id)
+	}
+}
+
+// Symptom: a caller takes half an answer for the whole one.
+// Sequence: a target's answer has no length and its connection is reset.
+// Cause: an answer that ends with its connection looked the same either way.
+func TestAnswerWithoutLength(t *testing.T) {
+	for name, c := range map[string]struct {
+		reset  bool
+		status int
+	}{
+		"closed": {false, http.StatusOK},
+		"reset":  {true, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plain(false))
+			w.rawTarget("t1", func(conn net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nX-Id: "+req.Header.Get("X-Id")+"\r\n\r\nbody")
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			s := w.entry("vm-1")
+			res, body := ask(t, s, http.MethodPost, "/", "id-1")
+			is.Equal(res.StatusCode, c.status)
+			if !c.reset {
+				is.Equal(body, "body")
+			}
+		})
+	}
+}
+
+// Symptom: a caller is told that its order was not run although it was.
+// Sequence: a target answers with a status that promises it, without stating
+// that it did not run the request.
+// Cause: the target's status was passed on.
+func TestPromiseNeedsTheTargetsWord(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		is := is.New(t)
+		w := newWorld(t, plain(false))
+		w.target("t1", func(w http.ResponseWriter, r *http.Request) {
+			ok("")(discard{w}, r)
+			w.WriteHeader(status)
+		})
+		s := w.entry("vm-1")
+		res, _ := ask(t, s, http.MethodPost, "/", "id-1")
+		if status == http.StatusMisdirectedRequest {
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable) // it says so by the status itself
+		} else {
+			is.Equal(res.StatusCode, http.StatusBadGateway)
+		}
+	}
+}
+
+// discard takes header fields and drops the body.
+type discard struct{ http.ResponseWriter }
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -51,6 +51,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
+	closed sync.Once
 }
 
 // Limits that hold until a configuration brings its own, and those that it
@@ -221,6 +222,7 @@
 	case <-time.After(leaveDelay):
 	case <-ctx.Done():
 	}
+	s.callers.Refuse()
 	err := s.callers.Stop(ctx)
 	s.end()
 	if err != nil {
@@ -230,8 +232,10 @@
 	return nil
 }
 
-// end closes everything.
-func (s *Server) end() {
+// end closes everything; only the first call does anything.
+func (s *Server) end() { s.closed.Do(s.closeAll) }
+
+func (s *Server) closeAll() {
 	s.cancel()
 	s.loops.Wait()
 	if s.core != nil {
--- /dev/null
+++ b/serve/ingress/stop_test.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Symptom: a request is cut off by a planned stop, and nobody knows whether it
+// ran.
+// Sequence: callers go on sending to a VM that is leaving, on new connections
+// and on those they have, until its time is up.
+// Cause: the listener stayed open until no request was in flight, which never
+// came about.
+func TestStopUnderLoad(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(false))
+	w.target("t1", func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		ok("done")(rw, r)
+	})
+	s := w.entry("vm-1")
+	free := dial(t, s)
+	free.say(http.MethodGet, "/", "free")
+	free.hear(http.MethodGet) // its connection stays open, with nothing under way
+	addr := s.callers.Addr()
+	var stop atomic.Bool
+	cut := make(chan int)
+	for range pressing {
+		go func() { cut <- press(addr, &stop) }()
+	}
+	is.NoErr(s.Stop())
+	stop.Store(true)
+	for range pressing {
+		is.Equal(<-cut, 0)
+	}
+	_ = free.c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := free.r.ReadByte()
+	is.True(err != nil && !errors.Is(err, syscall.ETIMEDOUT)) // closed
+}
+
+// pressing is how many callers press: enough for one of them to have a request
+// in flight at any time.
+const pressing = 16
+
+// press sends requests, each on a new connection, until the listener is gone
+// or stop is set. It returns how many were sent whole without an answer.
+func press(addr string, stop *atomic.Bool) (cut int) {
+	for !stop.Load() {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return cut
+		}
+		req := "POST / HTTP/1.1\r\nHost: " + testHost + "\r\nX-Id: a\r\nX-Patience: 5000\r\n\r\n"
+		if _, err := c.Write([]byte(req)); err == nil {
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			var head [12]byte
+			if n, err := c.Read(head[:]); n < len(head) && !errors.Is(err, syscall.ECONNRESET) {
+				cut++ // a reset: it was never accepted
+			}
+		}
+		_ = c.Close()
+	}
+	return cut
+}
--- /dev/null
+++ b/serve/kv/kvtest/store.go
@@ -0,0 +1,240 @@
+// Package kvtest has a metadata store in memory for tests.
+package kvtest
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/kv"
+)
+
+// ErrDown is the cause of failed calls while the store is down.
+var ErrDown = errors.New("kvtest: the store is down")
+
+// Store implements kv.Store. Leases end only by End and Revoke: no clock runs
+// in it.
+type Store struct {
+	mu      sync.Mutex
+	rev     mirror.Revision
+	items   map[string]entry
+	history []mirror.Change
+	from    mirror.Revision // history after this revision is kept
+	leases  map[kv.Lease]bool
+	last    kv.Lease
+	down    bool
+	changed chan struct{} // closed and replaced at each change
+}
+
+type entry struct {
+	mirror.Item
+	lease kv.Lease
+}
+
+var _ kv.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		rev: 1, items: make(map[string]entry), leases: make(map[kv.Lease]bool),
+		changed: make(chan struct{}),
+	}
+}
+
+// Put writes a key as an operator or a target does.
+func (s *Store) Put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kv.Write{Key: key, Value: []byte(value)})
+	s.wake()
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+	s.wake()
+}
+
+// Get returns the value of a key.
+func (s *Store) Get(key string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.items[key]
+	return string(e.Value), ok
+}
+
+// SetDown makes every call fail, those that wait included, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.from = s.rev
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) put(w kv.Write) {
+	s.rev++
+	it := mirror.Item{Key: w.Key, Value: w.Value, Revision: s.rev}
+	s.items[w.Key] = entry{Item: it, lease: w.Lease}
+	s.history = append(s.history, mirror.Change{Item: it})
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.rev++
+	delete(s.items, key)
+	s.history = append(s.history, mirror.Change{Item: mirror.Item{Key: key, Revision: s.rev}, Removed: true})
+}
+
+func (s *Store) fails() error {
+	if s.down {
+		return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: ErrDown}
+	}
+	return nil
+}
+
+// Range implements kv.Store.
+func (s *Store) Range(_ context.Context, prefix string) (kv.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fails(); err != nil {
+		return kv.Snapshot{}, err
+	}
+	out := kv.Snapshot{AsOf: s.rev}
+	for key, e := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			out.Items = append(out.Items, e.Item)
+		}
+	}
+	slices.SortFunc(out.Items, func(a, b mirror.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return out, nil
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (kv.Changes, error) {
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		c, err := s.since(prefix, after)
+		changed := s.changed
+		s.mu.Unlock()
+		if err != nil || len(c.Events) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return c, nil
+		case <-ctx.Done():
+			return kv.Changes{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after mirror.Revision) (kv.Changes, error) {
+	if err := s.fails(); err != nil {
+		return kv.Changes{}, err
+	}
+	if after < s.from {
+		return kv.Changes{}, kv.ErrCompacted
+	}
+	c := kv.Changes{AsOf: s.rev}
+	for _, ev := range s.history {
+		if ev.Revision > after && strings.HasPrefix(ev.Key, prefix) {
+			c.Events = append(c.Events, ev)
+		}
+	}
+	return c, nil
+}
+
+// Commit implements kv.Store.
+func (s *Store) Commit(_ context.Context, t kv.Txn) (mirror.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fails(); err != nil {
+		return 0, err
+	}
+	for _, c := range t.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			return 0, kv.ErrConflict
+		}
+	}
+	for _, w := range t.Writes {
+		if w.Lease != 0 && !s.leases[w.Lease] {
+			return 0, kv.ErrLeaseLost
+		}
+	}
+	for _, w := range t.Writes {
+		s.put(w)
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	s.wake()
+	return s.rev, nil
+}
+
+// Grant implements kv.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.Lease, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fails(); err != nil {
+		return 0, 0, err
+	}
+	s.last++
+	s.leases[s.last] = true
+	return s.last, ttl, nil
+}
+
+// Renew implements kv.Store.
+func (s *Store) Renew(_ context.Context, l kv.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fails(); err != nil {
+		return err
+	}
+	if !s.leases[l] {
+		return kv.ErrLeaseLost
+	}
+	return nil
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(_ context.Context, l kv.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fails(); err != nil {
+		return err
+	}
+	delete(s.leases, l)
+	for key, e := range s.items {
+		if e.lease == l {
+			s.remove(key)
+		}
+	}
+	s.wake()
+	return nil
+}
