Place requests by a coordinator for each service and region; relay of the store

One entry VM of a region, by rendezvous hashing over the members, now places the requests for a service: others ask it for a target (serve/peer frames), send directly, and report the end. Without its answer in 60 ms a VM places by its own knowledge. Ruled out: forwarding whole requests (bodies cross failure domains twice).

While the store refuses this VM, it asks other VMs for their copies.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -9,11 +9,19 @@
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
-// endAttempt takes a out of the books.
-func (r *Reducer) endAttempt(a *attempt) {
+// endAttempt takes a out of the books and reports its end to whoever gave it
+// its place.
+func (r *Reducer) endAttempt(now clock.Time, a *attempt, rep *Report) {
 	delete(r.attempts, a.id)
-	a.target.inFlight--
 	a.req.running = slices.DeleteFunc(a.req.running, func(o *attempt) bool { return o == a })
+	switch {
+	case a.job != nil && a.job.state == jobPlaced:
+		r.release(now, a.job, rep)
+	case a.lender != "":
+		rep.ID = a.ask
+		r.tell(a.lender, rep)
+		r.learnResult(now, a.target, rep)
+	}
 }
 
 // answered takes a whole answer of a target.
@@ -23,32 +31,34 @@
 		return // given up meanwhile
 	}
 	q, t := a.req, a.target
-	r.endAttempt(a)
 	t.answered = now
-	t.note(now, ev.Load)
+	q.svc.latency.Observe(now.Sub(a.sent))
 	if ev.Connect > 0 {
 		r.learnTrip(t.region, ev.Connect)
 	}
+	r.endAttempt(now, a, &Report{
+		Result: results[ev.Outcome], Load: ev.Load, Bytes: ev.Bytes,
+		Took: now.Sub(a.sent), Connect: ev.Connect,
+	})
 	switch ev.Outcome {
-	case Misdirected:
-		t.Draining = true // its address belongs to another target
-		r.believe(t, "address taken over", 0)
-		r.notRun(now, q, verdict.ReasonShed)
-	case Refused:
-		t.refused(now, ev.Load)
+	case Misdirected, Refused:
 		r.notRun(now, q, verdict.ReasonShed)
 	case Unfit:
-		r.judge(now, t, false)
 		r.ran(now, q, verdict.ReasonAnswerCut)
 	case ServerError:
-		r.judge(now, t, false)
 		r.serverError(now, a)
 	case Served:
-		r.judge(now, t, true)
-		r.learn(now, a, ev)
 		r.deliver(now, a)
 	}
-	r.pumpService(now, q.svc)
+}
+
+// results are what outcomes say about the target.
+var results = [...]Result{
+	Served:      ResultServed,
+	ServerError: ResultFailed,
+	Refused:     ResultRefused,
+	Misdirected: ResultMisdirected,
+	Unfit:       ResultFailed,
 }
 
 // serverError sends an idempotent request once more where that is possible, and
@@ -62,7 +72,7 @@
 	}
 	q.verdict = verdict.Join(q.verdict, verdict.MayHaveRun)
 	q.reason = verdict.ReasonInternal
-	r.dispatch(now, q)
+	r.obtain(now, q)
 }
 
 func (r *Reducer) deliver(now clock.Time, a *attempt) {
@@ -98,40 +108,54 @@
 	if !ok {
 		return
 	}
-	q, t := a.req, a.target
-	r.endAttempt(a)
+	rep := &Report{Result: ResultFailed, Took: now.Sub(a.sent)}
 	if ev.Reason == verdict.ReasonConnect {
-		r.suspect(now, t)
-	} else {
-		r.judge(now, t, false)
+		rep.Result = ResultUnreachable
 	}
+	r.endAttempt(now, a, rep)
 	if ev.Verdict == verdict.NotRun {
-		r.notRun(now, q, ev.Reason)
+		r.notRun(now, a.req, ev.Reason)
 	} else {
-		r.ran(now, q, ev.Reason)
+		r.ran(now, a.req, ev.Reason)
 	}
-	r.pumpService(now, q.svc)
 }
 
-// learn takes the latency of an answer that is delivered.
-func (r *Reducer) learn(now clock.Time, a *attempt, ev *Answered) {
-	q, t := a.req, a.target
-	t.remember(now, q.object)
-	q.svc.latency.Observe(now.Sub(a.sent))
-	work := now.Sub(a.sent) - time.Duration(r.trip(t.region))
-	work /= time.Duration(1 + float64(a.waiting)/float64(max(t.Slots, 1)))
-	if work <= 0 {
-		work = time.Millisecond
+// learnResult takes what the end of a send says about its target.
+func (r *Reducer) learnResult(now clock.Time, t *targetState, rep *Report) {
+	switch rep.Result {
+	case ResultServed:
+		t.answered = now
+		t.note(now, rep.Load)
+		r.judge(now, t, true)
+	case ResultRefused:
+		t.answered = now
+		t.refused(now, rep.Load)
+	case ResultMisdirected:
+		t.Draining = true // its address belongs to another target
+		r.believe(t, "address taken over", 0)
+	case ResultFailed:
+		r.judge(now, t, false)
+	case ResultUnreachable:
+		r.suspect(now, t)
 	}
-	expected := q.svc.work[a.class].Value(float64(initialWork[a.class]))
+}
+
+// learnWork takes the latency of an answer.
+func (r *Reducer) learnWork(now clock.Time, j *job, rep *Report) {
+	t := j.target
+	t.remember(now, j.Object)
+	work := rep.Took - rep.Connect - time.Duration(r.trip(t.region))
+	work /= time.Duration(1 + j.waiting/max(t.Slots, 1))
+	work = max(work, time.Millisecond)
+	expected := j.svc.work[j.class].Value(float64(initialWork[j.class]))
 	t.speed.Observe(now, time.Duration(float64(work)/expected*float64(usualSpeed)))
-	q.svc.work[a.class].Observe(now, work)
-	size, ok := r.sizes[q.route.Name]
+	j.svc.work[j.class].Observe(now, work)
+	size, ok := r.sizes[j.Route]
 	if !ok {
 		size = new(mean)
-		r.sizes[q.route.Name] = size
+		r.sizes[j.Route] = size
 	}
-	size.add(float64(ev.Bytes))
+	size.add(float64(rep.Bytes))
 }
 
 // judge counts an outcome for or against the target.
--- /dev/null
+++ b/decide/ingress/coordinate.go
@@ -0,0 +1,145 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/rank"
+)
+
+const (
+	// askTimeout is how long a coordinator may take beyond the wait that it was
+	// allowed. Inside a region its answer takes a few milliseconds.
+	askTimeout = 60 * time.Millisecond
+	// avoidFor is how long a coordinator that did not answer is not asked.
+	avoidFor = time.Second
+)
+
+// coordinator returns the entry VM that places requests for a service at the
+// targets of a region: the first of the region's VMs by rendezvous hashing. It
+// counts every request at a target, so targets are neither overrun nor left
+// idle. It returns "" when the region has no entry VM.
+func (r *Reducer) coordinator(region fleet.Region, s fleet.ServiceName) fleet.VMID {
+	var first fleet.VMID
+	var best uint64
+	for i := range r.members {
+		m := &r.members[i]
+		if m.State != fleet.Live || m.Region != region {
+			continue
+		}
+		score := rank.Score(string(s), string(m.ID))
+		if first == "" || score > best || (score == best && m.ID < first) {
+			first, best = m.ID, score
+		}
+	}
+	return first
+}
+
+// obtain seeks a target for the next send of q.
+func (r *Reducer) obtain(now clock.Time, q *request) {
+	r.nextAsk++
+	a := Ask{
+		ID: r.nextAsk, Service: q.svc.name, Route: q.route.Name, Object: q.object,
+		Domain: r.opts.Domain, Priority: q.route.Priority, Homes: q.route.Homes,
+		Tried: q.tried, Wait: max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
+	}
+	to := r.coordinator(r.region, q.svc.name)
+	if to == "" || to == r.opts.Self || r.avoided[to].After(now) {
+		r.placeHere(now, q, a)
+		return
+	}
+	q.asking = &asking{ask: a, to: to}
+	r.asks[a.ID] = q
+	r.tell(to, &a)
+	r.timers.add(timer{at: now.Add(a.Wait + askTimeout), purpose: dueAsk, request: q.id, ask: a.ID})
+}
+
+// placeHere seeks a target with what this entry VM knows itself.
+func (r *Reducer) placeHere(now clock.Time, q *request, a Ask) {
+	j := r.newJob(now, jobKey{vm: r.opts.Self, id: a.ID}, a)
+	j.req = q
+	q.job = j
+	r.place(now, j)
+}
+
+// askDue goes on without a coordinator that has not answered.
+func (r *Reducer) askDue(now clock.Time, q *request, id AskID) {
+	if q.asking == nil || q.asking.ask.ID != id {
+		return
+	}
+	a, to := q.asking.ask, q.asking.to
+	r.stopAsking(q)
+	r.avoided[to] = now.Add(avoidFor)
+	a.Wait = 0
+	a.Left = q.due.Sub(now)
+	r.placeHere(now, q, a)
+}
+
+// stopAsking withdraws the ask of q, if there is one.
+func (r *Reducer) stopAsking(q *request) {
+	if q.asking == nil {
+		return
+	}
+	delete(r.asks, q.asking.ask.ID)
+	r.tell(q.asking.to, &Withdraw{ID: q.asking.ask.ID})
+	q.asking = nil
+}
+
+// asking is an ask that a coordinator has not answered.
+type asking struct {
+	ask Ask
+	to  fleet.VMID
+}
+
+func (r *Reducer) tell(to fleet.VMID, m Message) {
+	r.out.Tells = append(r.out.Tells, Tell{To: to, Message: m})
+}
+
+// heard takes a message of another entry VM.
+func (r *Reducer) heard(now clock.Time, ev *Heard) {
+	switch m := ev.Message.(type) {
+	case *Ask:
+		r.place(now, r.newJob(now, jobKey{vm: ev.From, id: m.ID}, *m))
+	case *Grant:
+		r.heardGrant(now, ev.From, m)
+	case *Deny:
+		if q, ok := r.asks[m.ID]; ok {
+			delete(r.asks, m.ID)
+			q.asking = nil
+			r.denied(now, q, m.Reason)
+		}
+	case *Withdraw:
+		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok {
+			r.withdraw(now, j)
+		}
+	case *Report:
+		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok && j.state == jobPlaced {
+			r.release(now, j, m)
+		}
+	}
+}
+
+// heardGrant sends a request to the target that the coordinator names. A grant
+// for a request that has ended, or for a target that this VM doesn't know or
+// knows to be leaving, is given back.
+func (r *Reducer) heardGrant(now clock.Time, from fleet.VMID, m *Grant) {
+	q, ok := r.asks[m.ID]
+	if !ok {
+		r.tell(from, &Withdraw{ID: m.ID})
+		return
+	}
+	a := q.asking.ask
+	t, known := r.targets[m.Target]
+	if !known || t.Draining || r.evacuated[t.Domain] {
+		r.stopAsking(q)
+		a.Wait = 0
+		r.placeHere(now, q, a)
+		return
+	}
+	delete(r.asks, m.ID)
+	q.asking = nil
+	r.granted(now, q, nil, t)
+	last := q.running[len(q.running)-1]
+	last.lender, last.ask = from, m.ID
+}
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -163,6 +163,7 @@
 	// Dropped are requests that need no answer: their callers have gone. They
 	// come after the cancels of their attempts.
 	Dropped []RequestID
+	Tells   []Tell
 	Beliefs []Belief
 	// Wake is when Tick is due at the latest.
 	Wake clock.Time
@@ -175,6 +176,7 @@
 	r.Delivers = r.Delivers[:0]
 	r.Refusals = r.Refusals[:0]
 	r.Dropped = r.Dropped[:0]
+	r.Tells = r.Tells[:0]
 	r.Beliefs = r.Beliefs[:0]
 	r.Wake = clock.Never
 }
--- /dev/null
+++ b/decide/ingress/message.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// AskID numbers the asks of one process. Numbers of an earlier process of the
+// same VM don't come again: they begin at the time of its start.
+type AskID uint64
+
+// Message goes from one entry VM to another: one of the pointer types below.
+type Message any
+
+// Ask asks the coordinator of a service for a target.
+type Ask struct {
+	ID       AskID
+	Service  fleet.ServiceName
+	Route    string // for the size of answers
+	Object   string
+	Domain   fleet.Domain // of the asking VM
+	Priority int
+	Homes    []fleet.Region
+	Tried    []fleet.TargetID // targets it has been sent to
+	Wait     time.Duration    // that it may wait for a target
+	Left     time.Duration    // until its final answer is due
+}
+
+// Grant names the target for an Ask.
+type Grant struct {
+	ID     AskID
+	Target fleet.TargetID
+}
+
+// Deny says that there is no target for an Ask.
+type Deny struct {
+	ID     AskID
+	Reason verdict.Reason
+}
+
+// Withdraw says that an Ask is void, granted or not.
+type Withdraw struct {
+	ID AskID
+}
+
+// Report says how the send that followed a Grant has ended.
+type Report struct {
+	ID      AskID
+	Result  Result
+	Load    Load
+	Bytes   int           // of the answer's body
+	Took    time.Duration // from the send to the answer
+	Connect time.Duration // of it, opening the connection
+}
+
+// Result is how a send has ended, as far as it concerns the target.
+type Result uint8
+
+const (
+	// ResultUnknown says nothing about the target.
+	ResultUnknown Result = iota
+	// ResultServed is an answer that was delivered.
+	ResultServed
+	// ResultRefused is the target's word that it did not run the request.
+	ResultRefused
+	// ResultMisdirected means that another target has the address.
+	ResultMisdirected
+	// ResultFailed is a failure after the request was sent.
+	ResultFailed
+	// ResultUnreachable means that no connection could be opened.
+	ResultUnreachable
+)
+
+// Tell asks for a message to be sent to another entry VM.
+type Tell struct {
+	To      fleet.VMID
+	Message Message
+}
+
+// Heard is a message of another entry VM.
+type Heard struct {
+	From    fleet.VMID
+	Message Message
+}
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
@@ -14,6 +15,8 @@
 	Regions map[fleet.Domain]fleet.Region
 	Bounds  Bounds
 	Seed    uint64
+	// Start is when this process began.
+	Start clock.Time
 }
 
 // Bounds are the operators' limits on all entry VMs together.
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -8,7 +8,6 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
-	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -32,23 +31,23 @@
 // usualSpeed is the value of a target's speed that is as fast as the others.
 const usualSpeed = time.Second
 
-func (r *Reducer) classOf(now clock.Time, q *request, t *targetState) workClass {
+func (r *Reducer) classOf(now clock.Time, j *job, t *targetState) workClass {
 	switch {
-	case t.isWarm(now, q.object):
+	case t.isWarm(now, j.Object):
 		return warmHere
 	case t.region != r.region:
 		return remoteFirst
-	case r.firstIn(now, q, t.region) == t:
+	case r.firstIn(j, t.region) == t:
 		return localFirst
 	default:
 		return localOther
 	}
 }
 
-// firstIn returns the first usable target of a region in q's ranking.
-func (r *Reducer) firstIn(now clock.Time, q *request, region fleet.Region) *targetState {
-	for _, t := range q.svc.rank(q.object) {
-		if t.region == region && r.usable(now, q, t) {
+// firstIn returns the first usable target of a region in j's ranking.
+func (r *Reducer) firstIn(j *job, region fleet.Region) *targetState {
+	for _, t := range j.svc.rank(j.Object) {
+		if t.region == region && r.usable(j, t) {
 			return t
 		}
 	}
@@ -56,40 +55,41 @@
 }
 
 // usable reports whether t may get requests at all.
-func (r *Reducer) usable(now clock.Time, q *request, t *targetState) bool {
-	return !t.Draining && !r.evacuated[t.Domain] && q.route.Serves(t.region)
+func (r *Reducer) usable(j *job, t *targetState) bool {
+	home := len(j.Homes) == 0 || slices.Contains(j.Homes, t.region)
+	return home && !t.Draining && !r.evacuated[t.Domain]
 }
 
-// choose returns the target with the earliest expected answer to q among those
+// choose returns the target with the earliest expected answer to j among those
 // considered for its object, nil when all are full or unusable.
-func (r *Reducer) choose(now clock.Time, q *request) *targetState {
-	if t := r.chooseAmong(now, q, false); t != nil {
+func (r *Reducer) choose(now clock.Time, j *job) *targetState {
+	if t := r.chooseAmong(now, j, false); t != nil {
 		return t
 	}
-	if r.anyInUse(now, q) {
+	if r.anyInUse(now, j) {
 		return nil
 	}
 	// Every target is out of use because of failures: trying one is better
 	// than refusing everything until the ejections end.
-	return r.chooseAmong(now, q, true)
+	return r.chooseAmong(now, j, true)
 }
 
-// anyInUse reports whether a target that q may go to is in use.
-func (r *Reducer) anyInUse(now clock.Time, q *request) bool {
-	for _, t := range q.svc.targets {
-		if r.usable(now, q, t) && t.standing.Standing() == target.InUse {
+// anyInUse reports whether a target that j may go to is in use.
+func (r *Reducer) anyInUse(now clock.Time, j *job) bool {
+	for _, t := range j.svc.targets {
+		if r.usable(j, t) && t.standing.Standing() == target.InUse {
 			return true
 		}
 	}
 	return false
 }
 
-func (r *Reducer) chooseAmong(now clock.Time, q *request, ejectedToo bool) *targetState {
+func (r *Reducer) chooseAmong(now clock.Time, j *job, ejectedToo bool) *targetState {
 	var best *targetState
 	lowest := math.Inf(1)
 	considered := make(map[fleet.Region]int, 4)
-	for _, t := range q.svc.rank(q.object) {
-		if !r.usable(now, q, t) || slices.Contains(q.tried, t.ID) {
+	for _, t := range j.svc.rank(j.Object) {
+		if !r.usable(j, t) || slices.Contains(j.Tried, t.ID) {
 			continue
 		}
 		if !ejectedToo && !r.admits(now, t) {
@@ -108,7 +108,7 @@
 		if t.load(now) >= t.Slots+queueAtTarget {
 			continue
 		}
-		if c := r.cost(now, q, t); c < lowest {
+		if c := r.cost(now, j, t); c < lowest {
 			best, lowest = t, c
 		}
 	}
@@ -137,21 +137,25 @@
 	}
 }
 
-// cost is the time in ns after which t's answer to q is expected, and what its
+// cost is the time in ns after which t's answer to j is expected, and what its
 // bytes cost on the way, as a time.
-func (r *Reducer) cost(now clock.Time, q *request, t *targetState) float64 {
-	class := r.classOf(now, q, t)
-	work := q.svc.work[class].Value(float64(initialWork[class]))
+func (r *Reducer) cost(now clock.Time, j *job, t *targetState) float64 {
+	class := r.classOf(now, j, t)
+	if class == localFirst {
+		// The object is warm there or will be: it is the first choice.
+		class = warmHere
+	}
+	work := j.svc.work[class].Value(float64(initialWork[class]))
 	work *= t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
 	wait := float64(max(0, t.load(now)+1-t.Slots)) / float64(max(t.Slots, 1)) * work
-	return r.trip(t.region) + work + wait + r.carriage(q, t)
+	return r.trip(t.region) + work + wait + r.carriage(j, t)
 }
 
 // carriage is what carrying the answer costs, as a time.
-func (r *Reducer) carriage(q *request, t *targetState) float64 {
-	kilobytes := r.sizes[q.route.Name].or(0) / 1000
+func (r *Reducer) carriage(j *job, t *targetState) float64 {
+	kilobytes := r.sizes[j.Route].or(0) / 1000
 	switch {
-	case t.Domain == r.opts.Domain:
+	case t.Domain == j.Domain:
 		return 0
 	case t.region == r.region:
 		return kilobytes * float64(nearBytes)
@@ -172,36 +176,9 @@
 }
 
 // owns reports whether this entry VM is the one that sends to t while t is
-// cold: the first of t's failure domain, or else of its region, or of all, by
-// rendezvous hashing.
+// cold, or has others send to it: the coordinator for t's service and region.
 func (r *Reducer) owns(t *targetState) bool {
-	var owner fleet.VMID
-	var best uint64
-	nearest := 0
-	for i := range r.members {
-		m := &r.members[i]
-		if m.State != fleet.Live {
-			continue
-		}
-		near := nearness(m, t)
-		score := rank.Score(string(t.ID), string(m.ID))
-		if owner == "" || near > nearest || (near == nearest && score > best) {
-			owner, best, nearest = m.ID, score, near
-		}
-	}
-	return owner == r.opts.Self
-}
-
-// nearness is higher for an entry VM that is nearer to t.
-func nearness(m *fleet.VM, t *targetState) int {
-	switch {
-	case m.Domain == t.Domain:
-		return 2
-	case m.Region == t.region:
-		return 1
-	default:
-		return 0
-	}
+	return r.coordinator(t.region, t.Service) == r.opts.Self
 }
 
 func sortServices(list []*service) {
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -27,6 +29,11 @@
 	trips     map[fleet.Region]*mean // round trip in ns
 	shift     regionShift
 
+	jobs    map[jobKey]*job           // places taken or waited for
+	asks    map[AskID]*request        // asks that are unanswered
+	avoided map[fleet.VMID]clock.Time // coordinators that did not answer
+	nextAsk AskID
+
 	requests    map[RequestID]*request
 	attempts    map[AttemptID]*attempt
 	nextAttempt AttemptID
@@ -45,6 +52,10 @@
 		targets:   make(map[fleet.TargetID]*targetState),
 		evacuated: make(map[fleet.Domain]bool),
 		trips:     make(map[fleet.Region]*mean),
+		jobs:      make(map[jobKey]*job),
+		asks:      make(map[AskID]*request),
+		avoided:   make(map[fleet.VMID]clock.Time),
+		nextAsk:   AskID(o.Start),
 		requests:  make(map[RequestID]*request),
 		attempts:  make(map[AttemptID]*attempt),
 		lapses:    clock.Never,
@@ -71,7 +82,10 @@
 		r.evacuate(now, ev)
 	case *MembersChanged:
 		r.members = ev.VMs
+		r.dropJobsOfLost(now)
 		r.pump(now)
+	case *Heard:
+		r.heard(now, ev)
 	case *Bounded:
 		r.opts.Bounds = ev.Bounds
 	case *Tick:
@@ -105,41 +119,37 @@
 		if !ok {
 			return
 		}
-		q, ok := r.requests[t.request]
-		if !ok {
-			continue
-		}
-		switch t.purpose {
-		case dueAnswer:
-			r.timedOut(now, q)
-		case dueQueue:
-			r.queuedTooLong(now, q)
-		case dueHedge:
-			r.hedge(now, q)
-		}
+		r.fire(now, t)
 	}
 }
 
-// pump sends waiting requests for which there is room now.
-func (r *Reducer) pump(now clock.Time) {
-	for _, s := range r.serviceList() {
-		r.pumpService(now, s)
+func (r *Reducer) fire(now clock.Time, t timer) {
+	if t.purpose == dueJob {
+		r.jobDue(now, t.job)
+		return
+	}
+	q, ok := r.requests[t.request]
+	if !ok {
+		return
+	}
+	switch t.purpose {
+	case dueAnswer:
+		r.timedOut(now, q)
+	case dueHedge:
+		r.hedge(now, q)
+	case dueAsk:
+		r.askDue(now, q, t.ask)
 	}
 }
 
-func (r *Reducer) pumpService(now clock.Time, s *service) {
-	for n := s.waiting.Front(); n != nil; {
-		next := n.Next()
-		q := n.Item
-		if t := r.choose(now, q); t != nil {
-			s.waiting.Remove(n)
-			r.send(now, q, t)
-		}
-		n = next
+// pump places the jobs that wait, where there is room now.
+func (r *Reducer) pump(now clock.Time) {
+	for _, s := range r.serviceList() {
+		r.pumpService(now, s)
 	}
 }
 
-// serviceList returns the services with waiting requests, in a fixed order.
+// serviceList returns the services with waiting jobs, in a fixed order.
 func (r *Reducer) serviceList() []*service {
 	var list []*service
 	for _, s := range r.services {
@@ -151,6 +161,18 @@
 	return list
 }
 
+// jobList returns the jobs in a fixed order.
+func (r *Reducer) jobList() []*job {
+	list := make([]*job, 0, len(r.jobs))
+	for _, j := range r.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.key.vm, b.key.vm), cmp.Compare(a.key.id, b.key.id))
+	})
+	return list
+}
+
 // mean is a moving average of a quantity.
 type mean struct {
 	value float64
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -6,7 +6,6 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
-	"github.com/azurethread/azurethread/decide/queue"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -19,25 +18,25 @@
 	object  string
 	arrived clock.Time
 	due     clock.Time // when it must have its final answer
-	node    queue.Node[*request]
 
-	sends    int
-	running  []*attempt
-	tried    []fleet.TargetID
-	verdict  verdict.Verdict // of all attempts that have ended
-	reason   verdict.Reason  // of the last one
-	counted  bool            // in the shift between regions
-	deferred bool            // has waited here
+	sends   int
+	running []*attempt
+	tried   []fleet.TargetID
+	verdict verdict.Verdict // of all attempts that have ended
+	reason  verdict.Reason  // of the last one
+	job     *job            // in search of a target here
+	asking  *asking         // in search of a target elsewhere
 }
 
 // attempt is one send of a request.
 type attempt struct {
-	id      AttemptID
-	req     *request
-	target  *targetState
-	sent    clock.Time
-	class   workClass
-	waiting int // requests ahead of it at the target, beyond the slots
+	id     AttemptID
+	req    *request
+	target *targetState
+	sent   clock.Time
+	job    *job       // its place, if this entry VM has given it
+	lender fleet.VMID // or else the coordinator that has, for an ask
+	ask    AskID
 }
 
 // aim is the latency within which the answer has its full value.
@@ -69,12 +68,11 @@
 		id: ev.Request, route: rt, object: ev.Object, arrived: now,
 		svc: r.serviceOf(r.split(rt)), verdict: verdict.NotRun,
 	}
-	q.node.Item = q
 	q.due = now.Add(patience(rt, ev.Patience))
 	r.requests[q.id] = q
-	r.timers.add(q.due, q.id, dueAnswer)
+	r.timers.add(timer{at: q.due, request: q.id, purpose: dueAnswer})
 	q.svc.repeats.earn(r.opts.Bounds.RepeatRatio*repeatShare, r.repeatLimit())
-	r.dispatch(now, q)
+	r.obtain(now, q)
 }
 
 // patience is how long a request may take altogether.
@@ -105,62 +103,41 @@
 	return r.opts.Bounds.RepeatSlack * repeatShare / float64(max(len(r.members), 1))
 }
 
-// dispatch sends q to a target, has it wait for one, or gives it up.
-func (r *Reducer) dispatch(now clock.Time, q *request) {
-	if t := r.choose(now, q); t != nil {
-		r.send(now, q, t)
-		return
-	}
-	if !r.mayWait(now, q) {
-		r.giveUp(now, q)
-		return
-	}
-	r.enqueue(q)
-	r.timers.add(r.queueEnd(q), q.id, dueQueue)
-}
-
 // queueEnd is until when q may wait here.
 func (r *Reducer) queueEnd(q *request) clock.Time {
 	return clock.Min(q.arrived.Add(time.Duration(queueShare*float64(q.aim()))), q.due)
 }
 
-func (r *Reducer) mayWait(now clock.Time, q *request) bool {
-	return r.queueEnd(q).After(now) && len(q.running) == 0
-}
-
-// enqueue puts q behind the requests that are as urgent or more.
-func (r *Reducer) enqueue(q *request) {
-	q.deferred = true
-	at := q.svc.waiting.Back()
-	for at != nil && at.Item.route.Priority > q.route.Priority {
-		at = at.Prev()
-	}
-	q.svc.waiting.InsertAfter(at, &q.node)
-}
-
-// send sends q to t.
-func (r *Reducer) send(now clock.Time, q *request, t *targetState) {
+// granted sends q to t. j is the place there, nil if a coordinator has lent it.
+func (r *Reducer) granted(now clock.Time, q *request, j *job, t *targetState) {
 	r.nextAttempt++
-	a := &attempt{id: r.nextAttempt, req: q, target: t, sent: now, class: r.classOf(now, q, t)}
-	a.waiting = max(0, t.load(now)+1-t.Slots)
+	a := &attempt{id: r.nextAttempt, req: q, target: t, sent: now, job: j}
+	q.job = nil
 	q.sends++
 	q.running = append(q.running, a)
 	q.tried = append(q.tried, t.ID)
 	r.attempts[a.id] = a
-	t.inFlight++
-	if t.cold(now) {
-		t.coldSends = append(t.coldSends, now)
-	}
-	r.countRegion(now, q, t)
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: a.id, Request: q.id, Target: t.ID, Addr: t.Addr,
 		Left:     q.due.Sub(now),
 		Connect:  connectFloor + time.Duration(connectTrips*r.trip(t.region)),
 		Attempts: q.sends,
 	})
-	if q.route.Idempotent && q.sends < q.route.Attempts {
-		r.timers.add(now.Add(r.hedgeAfter(q.svc)), q.id, dueHedge)
+	if q.route.Idempotent && r.mayRepeat(q) {
+		r.timers.add(timer{at: now.Add(r.hedgeAfter(q.svc)), request: q.id, purpose: dueHedge})
+	}
+}
+
+// denied ends a search for a target without one.
+func (r *Reducer) denied(now clock.Time, q *request, why verdict.Reason) {
+	q.job = nil
+	if len(q.running) > 0 {
+		return // a hedge; the first send is still under way
+	}
+	if q.reason == verdict.ReasonNone {
+		q.reason = why
 	}
+	r.giveUp(now, q)
 }
 
 // hedgeAfter is how long an idempotent request may be unanswered before it is
@@ -172,19 +149,15 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if len(q.running) != 1 || q.node.Queued() || !r.mayRepeat(q) {
+	if len(q.running) != 1 || q.job != nil || q.asking != nil || !r.mayRepeat(q) {
 		return
 	}
 	a := q.running[0]
-	if a.target.answered.After(a.sent) {
-		return
-	}
-	t := r.choose(now, q)
-	if t == nil || !q.svc.repeats.spendSpare(r.repeatLimit()) {
+	if a.target.answered.After(a.sent) || !q.svc.repeats.spendSpare(r.repeatLimit()) {
 		return
 	}
 	r.suspect(now, a.target)
-	r.send(now, q, t)
+	r.obtain(now, q)
 }
 
 // mayRepeat reports whether the attempts that q may have are not used up.
@@ -201,7 +174,7 @@
 		r.giveUp(now, q)
 		return
 	}
-	r.dispatch(now, q)
+	r.obtain(now, q)
 }
 
 // timedOut ends q at the time at which it must have its answer. What the
@@ -209,7 +182,7 @@
 // way, and is waited for a little longer.
 func (r *Reducer) timedOut(now clock.Time, q *request) {
 	if len(q.running) > 0 && now.Before(q.due.Add(answerMargin)) {
-		r.timers.add(q.due.Add(answerMargin), q.id, dueAnswer)
+		r.timers.add(timer{at: q.due.Add(answerMargin), request: q.id, purpose: dueAnswer})
 		return
 	}
 	q.reason = verdict.ReasonDeadline
@@ -219,18 +192,9 @@
 	r.giveUp(now, q)
 }
 
-func (r *Reducer) queuedTooLong(now clock.Time, q *request) {
-	if q.node.Queued() {
-		r.giveUp(now, q)
-	}
-}
-
 // giveUp tells q's caller that there will be no answer.
 func (r *Reducer) giveUp(now clock.Time, q *request) {
 	f := Refusal{Request: q.id, Verdict: q.verdict, Reason: q.reason}
-	if f.Reason == verdict.ReasonNone {
-		f.Reason = r.whyWaiting(now, q)
-	}
 	if q.verdict == verdict.NotRun {
 		f.RetryAfter = r.returnAfter(q)
 	}
@@ -238,16 +202,6 @@
 	r.finish(now, q)
 }
 
-// whyWaiting says why no target took q.
-func (r *Reducer) whyWaiting(now clock.Time, q *request) verdict.Reason {
-	for _, t := range q.svc.targets {
-		if r.usable(now, q, t) {
-			return verdict.ReasonOverload
-		}
-	}
-	return verdict.ReasonNoTarget
-}
-
 // returnAfter is when the caller of a refused request should come back.
 func (r *Reducer) returnAfter(q *request) time.Duration {
 	part := returnMin + (returnMax-returnMin)*r.rng.Float64()
@@ -256,12 +210,15 @@
 
 // finish forgets q and cancels what is still under way for it.
 func (r *Reducer) finish(now clock.Time, q *request) {
+	delete(r.requests, q.id)
+	r.stopAsking(q)
+	if q.job != nil {
+		r.withdraw(now, q.job)
+	}
 	for _, a := range slices.Clone(q.running) {
-		r.endAttempt(a)
 		r.out.Cancels = append(r.out.Cancels, Cancel{Request: q.id, Attempt: a.id})
+		r.endAttempt(now, a, &Report{Result: ResultUnknown})
 	}
-	q.svc.waiting.Remove(&q.node)
-	delete(r.requests, q.id)
 }
 
 func (r *Reducer) callerGone(now clock.Time, ev *CallerGone) {
@@ -271,5 +228,4 @@
 	}
 	r.out.Dropped = append(r.out.Dropped, q.id)
 	r.finish(now, q)
-	r.pumpService(now, q.svc)
 }
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -14,7 +14,7 @@
 type service struct {
 	name    fleet.ServiceName
 	targets []*targetState // by id
-	waiting queue.FIFO[*request]
+	waiting queue.FIFO[*job]
 	ranked  map[string][]*targetState // targets by rank for an object
 
 	repeats repeatBudget
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -43,12 +43,8 @@
 	return float64(s.now.remote+1) <= share*expected
 }
 
-// countRegion counts q with the region it is sent to, once.
-func (r *Reducer) countRegion(now clock.Time, q *request, t *targetState) {
-	if q.counted {
-		return
-	}
-	q.counted = true
+// countRegion counts a request with the region of its target.
+func (r *Reducer) countRegion(now clock.Time, t *targetState) {
 	r.shift.turn(now)
 	r.shift.now.all++
 	if t.region != r.region {
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -11,8 +11,9 @@
 
 const (
 	dueAnswer purpose = iota // the request must have its final answer
-	dueQueue                 // it has waited here for as long as it may
 	dueHedge                 // it may be sent a second time
+	dueAsk                   // its coordinator must have answered
+	dueJob                   // the job's wait or place ends
 )
 
 // timer is one thing that is due for a request. Timers are not removed when
@@ -22,6 +23,8 @@
 	seq     uint64 // breaks ties, so that the order is always the same
 	request RequestID
 	purpose purpose
+	ask     AskID // of dueAsk
+	job     *job  // of dueJob
 }
 
 type timers struct {
@@ -54,9 +57,10 @@
 	return x
 }
 
-func (t *timers) add(at clock.Time, id RequestID, p purpose) {
+func (t *timers) add(x timer) {
 	t.seq++
-	heap.Push(t, timer{at: at, seq: t.seq, request: id, purpose: p})
+	x.seq = t.seq
+	heap.Push(t, x)
 }
 
 // next returns when the earliest timer is due.
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -37,6 +37,9 @@
 	for i := range out.Sends {
 		s.send(&out.Sends[i])
 	}
+	for i := range out.Tells {
+		s.tell(&out.Tells[i])
+	}
 	for _, b := range out.Beliefs {
 		s.log.WithField("target", b.Target).WithField("until", b.Until).Info(b.Change)
 	}
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -34,40 +34,58 @@
 // follow keeps the copy of the store up to date and turns its changes into
 // events.
 func (s *Server) follow() {
-	m := new(mirror.Mirror)
 	for s.ctx.Err() == nil {
-		changes, err := s.read(m)
-		if err != nil && !errors.Is(err, kv.ErrCompacted) {
+		changed, err := s.read()
+		switch {
+		case err != nil:
 			s.storeFailed(err)
+			s.askRelay()
 			s.pause(retryPause)
-			continue
-		}
-		s.storeAnswered()
-		if len(changes) > 0 {
-			s.apply(m, changes)
+		case changed:
+			s.storeAnswered()
 			s.pause(watchPause)
+		default:
+			s.storeAnswered()
 		}
 	}
 }
 
 // read brings the copy up to date: by a full read at the start and when the
 // store has dropped the history, and otherwise by a watch.
-func (s *Server) read(m *mirror.Mirror) ([]mirror.Change, error) {
-	if m.Valid() {
-		c, err := s.store.Watch(s.ctx, everything, m.AsOf(), watchWait)
+func (s *Server) read() (changed bool, err error) {
+	s.copyMu.Lock()
+	valid, asOf := s.copy.Valid(), s.copy.AsOf()
+	s.copyMu.Unlock()
+	if valid {
+		c, err := s.store.Watch(s.ctx, everything, asOf, watchWait)
 		if err == nil {
-			return m.Apply(c.Events, c.AsOf), nil
+			return s.take(func() []mirror.Change { return s.copy.Apply(c.Events, c.AsOf) }), nil
 		}
 		if !errors.Is(err, kv.ErrCompacted) {
-			return nil, err
+			return false, err
 		}
+		s.log.WithField("revision", asOf).Warn("store has dropped its history; reading everything")
 	}
 	snap, err := s.store.Range(s.ctx, everything)
 	if err != nil {
-		return nil, err
+		return false, err
+	}
+	return s.take(func() []mirror.Change {
+		changes, _ := s.copy.Replace(snap.Items, snap.AsOf)
+		return changes
+	}), nil
+}
+
+// take changes the copy and turns the changes into events, in this order for
+// all sources.
+func (s *Server) take(change func() []mirror.Change) (changed bool) {
+	s.copyMu.Lock()
+	defer s.copyMu.Unlock()
+	changes := change()
+	if len(changes) > 0 {
+		s.apply(changes, s.storeUnsure())
 	}
-	changes, _ := m.Replace(snap.Items, snap.AsOf)
-	return changes, nil
+	return len(changes) > 0
 }
 
 func (s *Server) pause(d time.Duration) {
@@ -105,8 +123,9 @@
 	return at != 0 && s.now().Sub(clock.Time(at)) < unsureFor
 }
 
-// apply turns changes of the copy into events.
-func (s *Server) apply(m *mirror.Mirror, changes []mirror.Change) {
+// apply turns changes of the copy into events. unsure says that removals may
+// come from trouble of the store. copyMu must be held.
+func (s *Server) apply(changes []mirror.Change, unsure bool) {
 	var targets ingress.TargetsChanged
 	membersChanged := false
 	for _, c := range changes {
@@ -120,11 +139,11 @@
 		s.applyOne(c, &targets)
 	}
 	if len(targets.Set) > 0 || len(targets.Gone) > 0 {
-		targets.Unsure = s.storeUnsure()
+		targets.Unsure = unsure
 		s.core.Post(&targets)
 	}
 	if membersChanged {
-		s.applyMembers(m)
+		s.applyMembers()
 	}
 }
 
@@ -185,10 +204,10 @@
 }
 
 // applyMembers takes the list of entry VMs from the copy.
-func (s *Server) applyMembers(m *mirror.Mirror) {
+func (s *Server) applyMembers() {
 	var vms []fleet.VM
 	listed := false
-	for _, it := range m.Items(prefixMembers) {
+	for _, it := range s.copy.Items(prefixMembers) {
 		var vm fleet.VM
 		if err := json.Unmarshal(it.Value, &vm); err != nil {
 			s.log.WithError(err).WithField("key", it.Key).Error("entry VM in the store cannot be decoded")
--- /dev/null
+++ b/serve/ingress/peers.go
@@ -0,0 +1,136 @@
+package ingress
+
+import (
+	"crypto/sha256"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/serve/peer"
+)
+
+// Kinds of the messages between entry VMs. All but an ask need no
+// acknowledgement: they answer one, or others follow soon.
+const (
+	kindAsk = peer.KindIngress + iota
+	kindGrant
+	kindDeny
+	kindWithdraw
+	kindReport
+)
+
+const (
+	kindRelayAsk = peer.KindRelay + iota
+	kindRelay
+)
+
+// provisionPeers starts the transport between entry VMs.
+func (s *Server) provisionPeers() error {
+	var err error
+	s.peers, err = peer.New(peer.Options{
+		ID:          s.set.Self.ID,
+		Incarnation: s.set.Self.Incarnation,
+		Key:         deploymentKey(s.set),
+	}, s.received, nil)
+	if err != nil {
+		return err
+	}
+	s.set.Self.PeerAddr, err = s.peers.Listen(s.set.Self.PeerAddr)
+	return err
+}
+
+// deploymentKey keeps deployments apart that share a network by mistake. The
+// settings bring no secret, so it proves nothing about who sends.
+func deploymentKey(set *Settings) []byte {
+	var names []string
+	for d, r := range set.Regions {
+		names = append(names, string(r)+"/"+string(d))
+	}
+	slices.Sort(names)
+	key := sha256.Sum256([]byte(strings.Join(names, "\n")))
+	return key[:]
+}
+
+// received takes a frame of another entry VM.
+func (s *Server) received(from fleet.VMID, env peer.Envelope) {
+	for _, b := range env.Bodies {
+		if err := s.receivedBody(from, b); err != nil {
+			s.log.WithError(err).WithField("from", from).Warn("message of another entry VM refused")
+		}
+	}
+}
+
+func (s *Server) receivedBody(from fleet.VMID, b peer.Body) error {
+	var m ingress.Message
+	switch b.Kind {
+	case kindAsk:
+		m = new(ingress.Ask)
+	case kindGrant:
+		m = new(ingress.Grant)
+	case kindDeny:
+		m = new(ingress.Deny)
+	case kindWithdraw:
+		m = new(ingress.Withdraw)
+	case kindReport:
+		m = new(ingress.Report)
+	case kindRelayAsk:
+		return s.receivedRelayAsk(from, b)
+	case kindRelay:
+		return s.receivedRelay(b)
+	default:
+		return peer.ErrKind
+	}
+	if err := peer.Decode(b, peer.MaxBody, m); err != nil {
+		return err
+	}
+	s.core.Post(&ingress.Heard{From: from, Message: m})
+	return nil
+}
+
+// tell carries out a Tell. A message that can't be sent is lost, as one may be
+// on the way: whoever waits for its answer has a timeout.
+func (s *Server) tell(t *ingress.Tell) {
+	var kind peer.Kind
+	switch t.Message.(type) {
+	case *ingress.Ask:
+		kind = kindAsk
+	case *ingress.Grant:
+		kind = kindGrant
+	case *ingress.Deny:
+		kind = kindDeny
+	case *ingress.Withdraw:
+		kind = kindWithdraw
+	case *ingress.Report:
+		kind = kindReport
+	}
+	s.sendPeer(t.To, kind, t.Message)
+}
+
+var errUnknownVM = errors.New("ingress: entry VM is not known")
+
+func (s *Server) sendPeer(to fleet.VMID, kind peer.Kind, m any) {
+	b, err := peer.Encode(kind, m)
+	if err == nil {
+		vm, known := s.member(to)
+		if !known {
+			err = errUnknownVM
+		} else {
+			err = s.peers.Send(vm, b)
+		}
+	}
+	if err != nil {
+		s.log.WithError(err).WithField("to", to).Debug("message not sent")
+	}
+}
+
+// member finds an entry VM by its id.
+func (s *Server) member(id fleet.VMID) (fleet.VM, bool) {
+	for _, vm := range *s.members.Load() {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return fleet.VM{}, false
+}
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -18,10 +18,12 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/serve/core"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/kv"
 	"github.com/azurethread/azurethread/serve/outbound"
+	"github.com/azurethread/azurethread/serve/peer"
 )
 
 // Server is one entry VM.
@@ -43,6 +45,11 @@
 	configured atomic.Bool                // a configuration is in force
 	leaving    atomic.Bool                // a planned stop has begun
 
+	peers     *peer.Transport
+	copyMu    sync.Mutex
+	copy      mirror.Mirror // of the store; guarded by copyMu
+	relayTurn int           // of the entry VMs asked for their copies
+
 	storeLost    atomic.Bool  // the last call to the store failed
 	storeTrouble atomic.Int64 // when a call last failed, a clock.Time
 	relist       chan struct{}
@@ -117,9 +124,13 @@
 		Domain:  s.set.Self.Domain,
 		Regions: s.set.Regions,
 		Bounds:  s.set.Bounds,
+		Start:   s.now(),
 		Seed:    xxhash.Sum64String(string(s.set.Self.ID)) ^ uint64(s.now()),
 	})
 	s.core = core.New(s.now, r, s.step(r), &ingress.Tick{})
+	if err := s.provisionPeers(); err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		at   **inbound.Server
 		addr string
@@ -238,6 +249,11 @@
 func (s *Server) closeAll() {
 	s.cancel()
 	s.loops.Wait()
+	if s.peers != nil {
+		flush, cancel := context.WithTimeout(context.Background(), peerFlush)
+		defer cancel()
+		_ = s.peers.Close(flush) // what is lost is made up for by timeouts
+	}
 	if s.core != nil {
 		s.core.Close()
 	}
@@ -253,6 +269,9 @@
 	}
 }
 
+// peerFlush bounds the sending of messages that wait for other entry VMs.
+const peerFlush = 200 * time.Millisecond
+
 // retryAfter is the form of a time to come back: seconds with fractions.
 func retryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/serve/peer/body.go
+++ b/serve/peer/body.go
@@ -29,6 +29,11 @@
 	KindTally Kind = 96
 	// KindMachine is the spread of the machine list.
 	KindMachine Kind = 128
+	// KindIngress is the first of 32 kinds of the placement of requests.
+	KindIngress Kind = 160
+	// KindRelay is the first of 32 kinds by which entry VMs pass on what the
+	// metadata store says.
+	KindRelay Kind = 192
 	// KindTest is the first kind that no daemon uses.
 	KindTest Kind = 240
 )
@@ -37,7 +42,7 @@
 // they answer another message or ride on one. Acknowledging those as well
 // would add a frame to each exchange.
 func (k Kind) quiet() bool {
-	return k == KindLoad || (k < KindLoad && member.Answers(uint8(k-KindMember)))
+	return k == KindLoad || (k > KindIngress && k < KindRelay) || (k < KindLoad && member.Answers(uint8(k-KindMember)))
 }
 
 func allQuiet(bodies []Body) bool {
