Compare full targets too, let one request warm an object, count slots right

Cause 1: a target's load in an answer counts the request that is answered, so each target seemed to hold one request of somebody else and a slot of three stayed idle (seen in a trace of the counts: 'others' was 1 for 85 of 100). Cause 2: a full first choice sent an object to a cold target although waiting was quicker; and several requests for an object that was not warm ran cold side by side. Waits at the coordinator are a quarter of the aim, one request beyond the slots.

--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -28,6 +28,9 @@
 	node    queue.Node[*job]
 	state   jobState
 
+	// awaited is the target that a waiting job would go to.
+	awaited *targetState
+
 	target  *targetState
 	sent    clock.Time
 	class   workClass
@@ -72,9 +75,17 @@
 		at = at.Prev()
 	}
 	j.svc.waiting.InsertAfter(at, &j.node)
+	j.countAwaited(+1)
 	r.timers.add(timer{at: j.until, purpose: dueJob, job: j})
 }
 
+// countAwaited counts a waiting job at the target that it would go to.
+func (j *job) countAwaited(n int) {
+	if j.awaited != nil {
+		j.awaited.awaited += n
+	}
+}
+
 // grant gives j its place at t.
 func (r *Reducer) grant(now clock.Time, j *job, t *targetState) {
 	j.state = jobPlaced
@@ -82,6 +93,9 @@
 	j.class = r.classOf(now, j, t)
 	j.waiting = max(0, t.load(now)+1-t.Slots)
 	t.inFlight++
+	if j.class != warmHere && j.Object != "" {
+		t.startWarming(j.Object)
+	}
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
@@ -107,7 +121,10 @@
 
 // drop forgets j.
 func (r *Reducer) drop(j *job) {
-	j.svc.waiting.Remove(&j.node)
+	if j.node.Queued() {
+		j.countAwaited(-1)
+		j.svc.waiting.Remove(&j.node)
+	}
 	j.state = jobOver
 	delete(r.jobs, j.key)
 }
@@ -116,17 +133,33 @@
 func (r *Reducer) jobDue(now clock.Time, j *job) {
 	switch {
 	case j.state == jobWaiting && !j.until.After(now):
-		r.deny(now, j)
+		r.waitedEnough(now, j)
 	case j.state == jobPlaced && j.req == nil && !j.expires.After(now):
 		r.release(now, j, &Report{Result: ResultUnknown})
 	}
 }
 
+// waitedEnough ends j's wait. A job that only waited for its object to become
+// warm is sent on all the same.
+func (r *Reducer) waitedEnough(now clock.Time, j *job) {
+	t := j.awaited
+	if t == nil || r.full(now, t) || !r.eligible(now, j, t, true) {
+		r.deny(now, j)
+		return
+	}
+	j.countAwaited(-1)
+	j.svc.waiting.Remove(&j.node)
+	r.grant(now, j, t)
+}
+
 // release takes the end of j's send.
 func (r *Reducer) release(now clock.Time, j *job, rep *Report) {
 	t := j.target
 	r.drop(j)
 	t.inFlight--
+	if j.class != warmHere && j.Object != "" {
+		t.endWarming(j.Object)
+	}
 	r.learnResult(now, t, rep)
 	if rep.Result == ResultServed {
 		r.learnWork(now, j, rep)
@@ -159,7 +192,11 @@
 	for n := s.waiting.Front(); n != nil; {
 		next := n.Next()
 		j := n.Item
-		if t := r.choose(now, j); t != nil {
+		j.countAwaited(-1)
+		t := r.choose(now, j)
+		j.countAwaited(+1)
+		if t != nil {
+			j.countAwaited(-1)
 			s.waiting.Remove(n)
 			r.grant(now, j, t)
 		}
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -46,7 +46,7 @@
 	// queueShare is the part of a route's aim that a request may wait here for
 	// a free target. A caller that is told early can still be served in time
 	// on its second try.
-	queueShare = 1.0 / 8
+	queueShare = 0.25
 	// defaultAim stands for the aim of a route that has none.
 	defaultAim = time.Second
 	// returnMin and returnMax bound the time after which a refused caller is
@@ -64,7 +64,7 @@
 	remoteChoices = 1
 	// queueAtTarget is how many requests beyond its slots may be in flight at a
 	// target from here. The target starts the next one without a round trip.
-	queueAtTarget = 2
+	queueAtTarget = 1
 	// warmFor is how long an object is taken to be remembered by a target.
 	warmFor = 30 * time.Second
 	// initialCold and initialWarm are the latency expected before anything was
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -84,37 +84,50 @@
 	return false
 }
 
+// chooseAmong compares the targets considered for j. Full ones are among them:
+// where waiting for one is quicker than the cold start of the object elsewhere,
+// j waits, and nil is returned.
 func (r *Reducer) chooseAmong(now clock.Time, j *job, ejectedToo bool) *targetState {
 	var best *targetState
 	lowest := math.Inf(1)
 	considered := make(map[fleet.Region]int, 4)
 	for _, t := range j.svc.rank(j.Object) {
-		if !r.usable(j, t) || slices.Contains(j.Tried, t.ID) {
-			continue
-		}
-		if !ejectedToo && !r.admits(now, t) {
-			continue
-		}
-		if t.cold(now) && !(r.owns(t) && t.coldRoom(now, r.coldQuota(t))) {
-			continue
-		}
-		if considered[t.region] >= choices(t.region == r.region) {
+		if !r.eligible(now, j, t, ejectedToo) || considered[t.region] >= choices(t.region == r.region) {
 			continue
 		}
 		considered[t.region]++
 		if t.region != r.region && !r.shift.room(now, r.opts.Bounds.RegionShift*shiftUse) {
 			continue
 		}
-		if t.load(now) >= t.Slots+queueAtTarget {
-			continue
-		}
 		if c := r.cost(now, j, t); c < lowest {
 			best, lowest = t, c
 		}
 	}
+	j.awaited = best
+	if best != nil && (r.full(now, best) || best.warming[j.Object] > 0) {
+		return nil
+	}
 	return best
 }
 
+// full reports whether t has as many requests as it may.
+func (r *Reducer) full(now clock.Time, t *targetState) bool {
+	return t.load(now) >= t.Slots+queueAtTarget
+}
+
+// eligible reports whether j may be sent to t at all now, its load aside.
+func (r *Reducer) eligible(now clock.Time, j *job, t *targetState, ejectedToo bool) bool {
+	switch {
+	case !r.usable(j, t) || slices.Contains(j.Tried, t.ID):
+		return false
+	case !ejectedToo && !r.admits(now, t):
+		return false
+	case t.cold(now):
+		return r.owns(t) && t.coldRoom(now, r.coldQuota(t))
+	}
+	return true
+}
+
 func choices(local bool) int {
 	if local {
 		return localChoices
@@ -147,7 +160,8 @@
 	}
 	work := j.svc.work[class].Value(float64(initialWork[class]))
 	work *= t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
-	wait := float64(max(0, t.load(now)+1-t.Slots)) / float64(max(t.Slots, 1)) * work
+	ahead := t.load(now) + t.awaited
+	wait := float64(max(0, ahead+1-t.Slots)) / float64(max(t.Slots, 1)) * work
 	return r.trip(t.region) + work + wait + r.carriage(j, t)
 }
 
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -27,6 +27,11 @@
 	answered clock.Time // when the last answer came
 	speed    target.Mean
 	warm     map[string]clock.Time // when an object was last handled
+	// warming counts the requests in flight for objects that were not warm. A
+	// second request for such an object waits for the first, which makes it
+	// several times quicker.
+	warming map[string]int
+	awaited int // waiting jobs that would go to the target
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
@@ -40,12 +45,14 @@
 	return n
 }
 
-// note takes a target's word about its load.
+// note takes a target's word about its load in an answer. The request that was
+// answered is still counted in it: without its subtraction every target seemed
+// to have one request of somebody else, and a slot of three stayed idle.
 func (t *targetState) note(now clock.Time, l Load) {
 	if !l.Known {
 		return
 	}
-	t.others = max(0, l.Running+l.Waiting-t.inFlight)
+	t.others = max(0, l.Running+l.Waiting-1-t.inFlight)
 	t.reported = now
 }
 
@@ -68,6 +75,20 @@
 	t.warm[object] = now
 }
 
+func (t *targetState) startWarming(object string) {
+	if t.warming == nil {
+		t.warming = make(map[string]int)
+	}
+	t.warming[object]++
+}
+
+func (t *targetState) endWarming(object string) {
+	t.warming[object]--
+	if t.warming[object] <= 0 {
+		delete(t.warming, object)
+	}
+}
+
 // coldRoom reports whether one more request may be sent to the target within
 // the present second while it is cold.
 func (t *targetState) coldRoom(now clock.Time, perSecond int) bool {
