--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -62,6 +62,10 @@
 	// free slot more often and keep fewer objects warm.
 	localChoices  = 2
 	remoteChoices = 1
+	domainChoices = 1
+	// moveShare is the part of a cold start that is held against a target whose
+	// memory lacks an object. The rest pays for the requests that follow.
+	moveShare = 1.0
 	// queueAtTarget is how many requests beyond its slots may be in flight at a
 	// target from here. The target starts the next one without a round trip.
 	queueAtTarget = 1
@@ -97,7 +101,7 @@
 	// nearBytes and farBytes are the delay that a kilobyte of answer counts as
 	// when it crosses failure domains or regions: traffic between them is
 	// dear, and a large answer is better waited for nearby.
-	nearBytes = 3 * time.Millisecond
+	nearBytes = 10 * time.Millisecond
 	farBytes  = 8 * time.Millisecond
 	// shiftWindow is the time over which the share of requests that run in
 	// other regions is bounded, and shiftUse the part of the bound that is used.
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -90,12 +90,11 @@
 func (r *Reducer) chooseAmong(now clock.Time, j *job, ejectedToo bool) *targetState {
 	var best *targetState
 	lowest := math.Inf(1)
-	considered := make(map[fleet.Region]int, 4)
+	seen := considered{near: make(map[fleet.Region]int, 4)}
 	for _, t := range j.svc.rank(j.Object) {
-		if !r.eligible(now, j, t, ejectedToo) || considered[t.region] >= choices(t.region == r.region) {
+		if !r.eligible(now, j, t, ejectedToo) || !seen.take(t, j.Domain, r.region, t.isWarm(now, j.Object)) {
 			continue
 		}
-		considered[t.region]++
 		if t.region != r.region && !r.shift.room(now, r.opts.Bounds.RegionShift*shiftUse) {
 			continue
 		}
@@ -128,11 +127,28 @@
 	return true
 }
 
-func choices(local bool) int {
-	if local {
-		return localChoices
+// considered counts the targets that a choice has looked at.
+type considered struct {
+	near   map[fleet.Region]int
+	domain int // of the failure domain of the request's entry VM
+}
+
+// take reports whether t is one to look at: a target that is warm, the first
+// ones of each region, and the first of the request's own failure domain.
+func (c *considered) take(t *targetState, domain fleet.Domain, own fleet.Region, warm bool) bool {
+	most := remoteChoices
+	if t.region == own {
+		most = localChoices
+	}
+	inDomain := t.Domain == domain && c.domain < domainChoices
+	if !warm && !inDomain && c.near[t.region] >= most {
+		return false
 	}
-	return remoteChoices
+	if t.Domain == domain {
+		c.domain++
+	}
+	c.near[t.region]++
+	return true
 }
 
 // admits reports whether t's standing lets it take a request now.
@@ -153,18 +169,29 @@
 // cost is the time in ns after which t's answer to j is expected, and what its
 // bytes cost on the way, as a time.
 func (r *Reducer) cost(now clock.Time, j *job, t *targetState) float64 {
-	class := r.classOf(now, j, t)
-	if class == localFirst {
-		// The object is warm there or will be: it is the first choice.
-		class = warmHere
-	}
-	work := j.svc.work[class].Value(float64(initialWork[class]))
-	work *= t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
+	work := r.expectedWork(now, j, t)
 	ahead := t.load(now) + t.awaited
 	wait := float64(max(0, ahead+1-t.Slots)) / float64(max(t.Slots, 1)) * work
 	return r.trip(t.region) + work + wait + r.carriage(j, t)
 }
 
+// expectedWork is the latency expected at t without a wait, in ns.
+func (r *Reducer) expectedWork(now clock.Time, j *job, t *targetState) float64 {
+	class := r.classOf(now, j, t)
+	work := j.svc.work[class].Value(float64(initialWork[class]))
+	if class != warmHere {
+		warm := j.svc.work[warmHere].Value(float64(initialWarm))
+		if t.warming[j.Object] > 0 {
+			// The request that warms the object is half way, on average.
+			work = work/2 + warm
+		} else {
+			// Part of the cold start pays for later requests.
+			work = warm + (work-warm)*moveShare
+		}
+	}
+	return work * t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
+}
+
 // carriage is what carrying the answer costs, as a time.
 func (r *Reducer) carriage(j *job, t *targetState) float64 {
 	kilobytes := r.sizes[j.Route].or(0) / 1000
