--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -93,9 +93,6 @@
 	j.class = r.classOf(now, j, t)
 	j.waiting = max(0, t.load(now)+1-t.Slots)
 	t.inFlight++
-	if j.class != warmHere && j.Object != "" {
-		t.startWarming(j.Object)
-	}
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
@@ -133,33 +130,17 @@
 func (r *Reducer) jobDue(now clock.Time, j *job) {
 	switch {
 	case j.state == jobWaiting && !j.until.After(now):
-		r.waitedEnough(now, j)
+		r.deny(now, j)
 	case j.state == jobPlaced && j.req == nil && !j.expires.After(now):
 		r.release(now, j, &Report{Result: ResultUnknown})
 	}
 }
 
-// waitedEnough ends j's wait. A job that only waited for its object to become
-// warm is sent on all the same.
-func (r *Reducer) waitedEnough(now clock.Time, j *job) {
-	t := j.awaited
-	if t == nil || r.full(now, t) || !r.eligible(now, j, t, true) {
-		r.deny(now, j)
-		return
-	}
-	j.countAwaited(-1)
-	j.svc.waiting.Remove(&j.node)
-	r.grant(now, j, t)
-}
-
 // release takes the end of j's send.
 func (r *Reducer) release(now clock.Time, j *job, rep *Report) {
 	t := j.target
 	r.drop(j)
 	t.inFlight--
-	if j.class != warmHere && j.Object != "" {
-		t.endWarming(j.Object)
-	}
 	r.learnResult(now, t, rep)
 	if rep.Result == ResultServed {
 		r.learnWork(now, j, rep)
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -52,8 +52,8 @@
 	// returnMin and returnMax bound the time after which a refused caller is
 	// asked to come back, as parts of the aim; drawn at random between them, so
 	// that those refused together don't return together.
-	returnMin = 0.25
-	returnMax = 0.6
+	returnMin = 0.5
+	returnMax = 1.5
 	// noConfigReturn is the time to come back while no configuration is known:
 	// about what reading it from the store takes.
 	noConfigReturn = 500 * time.Millisecond
@@ -63,9 +63,6 @@
 	localChoices  = 2
 	remoteChoices = 1
 	domainChoices = 1
-	// moveShare is the part of a cold start that is held against a target whose
-	// memory lacks an object. The rest pays for the requests that follow.
-	moveShare = 1.0
 	// queueAtTarget is how many requests beyond its slots may be in flight at a
 	// target from here. The target starts the next one without a round trip.
 	queueAtTarget = 1
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -92,7 +92,9 @@
 	lowest := math.Inf(1)
 	seen := considered{near: make(map[fleet.Region]int, 4)}
 	for _, t := range j.svc.rank(j.Object) {
-		if !r.eligible(now, j, t, ejectedToo) || !seen.take(t, j.Domain, r.region, t.isWarm(now, j.Object)) {
+		// A request without an object is as quick at any target.
+		wanted := j.Object == "" && t.region == r.region || t.isWarm(now, j.Object)
+		if !r.eligible(now, j, t, ejectedToo) || !seen.take(t, j.Domain, r.region, wanted) {
 			continue
 		}
 		if t.region != r.region && !r.shift.room(now, r.opts.Bounds.RegionShift*shiftUse) {
@@ -103,7 +105,7 @@
 		}
 	}
 	j.awaited = best
-	if best != nil && (r.full(now, best) || best.warming[j.Object] > 0) {
+	if best != nil && r.full(now, best) {
 		return nil
 	}
 	return best
@@ -133,15 +135,15 @@
 	domain int // of the failure domain of the request's entry VM
 }
 
-// take reports whether t is one to look at: a target that is warm, the first
+// take reports whether t is one to look at: a target that is wanted, the first
 // ones of each region, and the first of the request's own failure domain.
-func (c *considered) take(t *targetState, domain fleet.Domain, own fleet.Region, warm bool) bool {
+func (c *considered) take(t *targetState, domain fleet.Domain, own fleet.Region, wanted bool) bool {
 	most := remoteChoices
 	if t.region == own {
 		most = localChoices
 	}
 	inDomain := t.Domain == domain && c.domain < domainChoices
-	if !warm && !inDomain && c.near[t.region] >= most {
+	if !wanted && !inDomain && c.near[t.region] >= most {
 		return false
 	}
 	if t.Domain == domain {
@@ -179,16 +181,6 @@
 func (r *Reducer) expectedWork(now clock.Time, j *job, t *targetState) float64 {
 	class := r.classOf(now, j, t)
 	work := j.svc.work[class].Value(float64(initialWork[class]))
-	if class != warmHere {
-		warm := j.svc.work[warmHere].Value(float64(initialWarm))
-		if t.warming[j.Object] > 0 {
-			// The request that warms the object is half way, on average.
-			work = work/2 + warm
-		} else {
-			// Part of the cold start pays for later requests.
-			work = warm + (work-warm)*moveShare
-		}
-	}
 	return work * t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
 }
 
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -27,11 +27,7 @@
 	answered clock.Time // when the last answer came
 	speed    target.Mean
 	warm     map[string]clock.Time // when an object was last handled
-	// warming counts the requests in flight for objects that were not warm. A
-	// second request for such an object waits for the first, which makes it
-	// several times quicker.
-	warming map[string]int
-	awaited int // waiting jobs that would go to the target
+	awaited  int                   // waiting jobs that would go to the target
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
@@ -75,20 +71,6 @@
 	t.warm[object] = now
 }
 
-func (t *targetState) startWarming(object string) {
-	if t.warming == nil {
-		t.warming = make(map[string]int)
-	}
-	t.warming[object]++
-}
-
-func (t *targetState) endWarming(object string) {
-	t.warming[object]--
-	if t.warming[object] <= 0 {
-		delete(t.warming, object)
-	}
-}
-
 // coldRoom reports whether one more request may be sent to the target within
 // the present second while it is cold.
 func (t *targetState) coldRoom(now clock.Time, perSecond int) bool {
