--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -77,7 +77,7 @@
 	initialNear = 2 * time.Millisecond
 	initialFar  = 100 * time.Millisecond
 	// reportFor is how long a target's word about requests of others counts.
-	reportFor = 300 * time.Millisecond
+	reportFor = time.Second
 	// connectFloor and connectTrips bound the opening of a connection: a target
 	// that does not answer by then is tried elsewhere, with proof that nothing
 	// ran.
