--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -181,6 +181,12 @@
 func (r *Reducer) expectedWork(now clock.Time, j *job, t *targetState) float64 {
 	class := r.classOf(now, j, t)
 	work := j.svc.work[class].Value(float64(initialWork[class]))
+	if class == localFirst {
+		// Objects keep to their first choice where nothing speaks against it:
+		// a coordinator that has just started knows no object's place, and
+		// finds most of them where its predecessor has put them.
+		work = (work + j.svc.work[warmHere].Value(float64(initialWarm))) / 2
+	}
 	return work * t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
 }
 
