Prove the placement: random fleets with invariants, scripted failures

Randomised runs of five entry VMs with lost messages, against books of what targets and callers see: one final answer each and in time, nothing sent again that may have run, not-run only with proof, homes, cold targets and repeats within their bounds.

Found by it: a second target was sent a request whose time was over (the search went on past the deadline).

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -71,6 +71,9 @@
 	a, to := q.asking.ask, q.asking.to
 	r.stopAsking(q)
 	r.avoided[to] = now.Add(avoidFor)
+	if !now.Before(q.due) {
+		return // the process has stood still; the request is about to end
+	}
 	a.Wait = 0
 	a.Left = q.due.Sub(now)
 	r.placeHere(now, q, a)
--- /dev/null
+++ b/decide/ingress/fleet_test.go
@@ -0,0 +1,423 @@
+package ingress
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// fleetSim runs several entry VMs against simulated targets on a simulated
+// clock, loses messages between them, and keeps books of its own of what the
+// targets and callers see.
+type fleetSim struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     clock.Time
+	events  simQueue
+	seq     uint64
+	vms     []*simVM
+	targets map[fleet.TargetID]*simTarget
+	bounds  Bounds
+	loss    float64 // share of messages between entry VMs that are lost
+	finals  int
+
+	repeats  []clock.Time // sends beyond the first of a request
+	requests []clock.Time
+}
+
+type simVM struct {
+	id   fleet.VMID
+	r    *Reducer
+	out  Ready
+	wake clock.Time
+	open map[RequestID]*simRequest
+	// owner finds the request of an attempt that is under way.
+	owner map[AttemptID]*simRequest
+	last  RequestID
+}
+
+type simRequest struct {
+	id         RequestID
+	idempotent bool
+	homes      []fleet.Region
+	due        clock.Time
+	sends      int
+	// mayRun says that a send may have run or still may.
+	mayRun  bool
+	running map[AttemptID]bool
+}
+
+type simTarget struct {
+	Target
+	region    fleet.Region
+	cold      clock.Time
+	coldSends []clock.Time
+	running   int
+}
+
+// simEvent runs at an instant.
+type simEvent struct {
+	at  clock.Time
+	seq uint64
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	n := len(*q) - 1
+	x := (*q)[n]
+	*q = (*q)[:n]
+	return x
+}
+
+// The simulated deployment.
+var (
+	simRegions = map[fleet.Domain]fleet.Region{"a1": "a", "a2": "a", "b1": "b"}
+	simDomains = []fleet.Domain{"a1", "a2", "b1"}
+	simBounds  = Bounds{ColdFactor: 1.5, ColdSlack: 5, RepeatRatio: 0.2, RepeatSlack: 30, RepeatWindow: 10 * time.Second, RegionShift: 0.15}
+	simRoutes  = []route.Route{
+		{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, Attempts: 3, Aim: 200 * time.Millisecond, Timeout: time.Second, Parts: []route.Part{{Service: "s1", Weight: 1}}},
+		{Name: "write", Host: "h", Prefix: "/write/", Attempts: 2, Aim: 300 * time.Millisecond, Priority: 1, Parts: []route.Part{{Service: "s2", Weight: 1}}},
+		{Name: "home", Host: "h", Prefix: "/home/", Attempts: 2, Homes: []fleet.Region{"b"}, Parts: []route.Part{{Service: "s1", Weight: 3}, {Service: "s2", Weight: 1}}},
+	}
+)
+
+func newFleetSim(t *testing.T, seed uint64) *fleetSim {
+	s := &fleetSim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: clock.Time(time.Hour),
+		targets: make(map[fleet.TargetID]*simTarget), bounds: simBounds,
+	}
+	if seed%2 == 1 {
+		s.bounds.RepeatSlack *= 10 // so that repeats are seldom refused
+	}
+	cfg := &route.Config{Version: 1, Routes: simRoutes, Services: map[fleet.ServiceName]route.Service{
+		"s1": {Name: "s1", ColdRate: 2.6, ColdTime: 3 * time.Second},
+		"s2": {Name: "s2", ColdRate: 2.6, ColdTime: 3 * time.Second},
+	}}
+	var members []fleet.VM
+	for i, d := range []fleet.Domain{"a1", "a2", "a2", "b1", "b1"} {
+		id := fleet.VMID(fmt.Sprintf("vm-%d", i))
+		members = append(members, fleet.VM{ID: id, Domain: d, Region: simRegions[d]})
+		vm := &simVM{id: id, wake: clock.Never, open: make(map[RequestID]*simRequest), owner: make(map[AttemptID]*simRequest)}
+		vm.r = New(Options{Self: id, Domain: d, Regions: simRegions, Bounds: s.bounds, Seed: seed, Start: s.now})
+		s.vms = append(s.vms, vm)
+	}
+	for _, vm := range s.vms {
+		s.step(vm, &Configured{Table: route.NewTable(cfg)})
+		s.step(vm, &MembersChanged{VMs: members})
+	}
+	return s
+}
+
+// step has one entry VM take an event and carries out the effects.
+func (s *fleetSim) step(vm *simVM, ev Event) {
+	vm.out.Reset()
+	vm.r.Step(s.now, ev, &vm.out)
+	if err := vm.r.Check(); err != nil {
+		s.t.Fatalf("%s after %T: %v", vm.id, ev, err)
+	}
+	out := vm.out
+	vm.out = Ready{}
+	for _, c := range out.Cancels {
+		if q := vm.owner[c.Attempt]; q != nil {
+			delete(vm.owner, c.Attempt)
+			delete(q.running, c.Attempt)
+			q.mayRun = true
+		}
+	}
+	for _, id := range out.Dropped {
+		s.final(vm, id)
+	}
+	for _, d := range out.Delivers {
+		s.final(vm, d.Request)
+	}
+	for _, f := range out.Refusals {
+		s.refused(vm, f)
+	}
+	for _, e := range out.Sends {
+		s.send(vm, e)
+	}
+	for _, tell := range out.Tells {
+		s.tell(vm, tell)
+	}
+	vm.wake = out.Wake
+	if out.Wake != clock.Never {
+		at := max(out.Wake, s.now)
+		s.at(at, func() {
+			if vm.wake <= s.now {
+				s.step(vm, &Tick{})
+			}
+		})
+	}
+}
+
+func (s *fleetSim) at(at clock.Time, run func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{at: at, seq: s.seq, run: run})
+}
+
+func (s *fleetSim) after(d time.Duration, run func()) { s.at(s.now.Add(d), run) }
+
+// final counts the only final effect that a request may have.
+func (s *fleetSim) final(vm *simVM, id RequestID) *simRequest {
+	q := vm.open[id]
+	if q == nil {
+		s.t.Fatalf("%s: request %d has a second end", vm.id, id)
+	}
+	delete(vm.open, id)
+	s.finals++
+	if late := s.now.Sub(q.due); late > answerMargin {
+		s.t.Fatalf("%s: request %d ends %v too late", vm.id, id, late)
+	}
+	return q
+}
+
+func (s *fleetSim) refused(vm *simVM, f Refusal) {
+	q := s.final(vm, f.Request)
+	if f.Verdict == verdict.NotRun && (q.mayRun || len(q.running) > 0) {
+		s.t.Fatalf("%s: request %d is said not to have run, but may have", vm.id, f.Request)
+	}
+}
+
+func (s *fleetSim) send(vm *simVM, e Send) {
+	q, t := vm.open[e.Request], s.targets[e.Target]
+	switch {
+	case q == nil:
+		s.t.Fatalf("%s: send for an ended request", vm.id)
+	case !q.idempotent && (q.mayRun || len(q.running) > 0):
+		s.t.Fatalf("%s: request %d is sent again although it may have run", vm.id, e.Request)
+	case len(q.homes) > 0 && !slices.Contains(q.homes, t.region):
+		s.t.Fatalf("%s: request %d leaves its homes", vm.id, e.Request)
+	case e.Left <= 0 || s.now.Add(e.Left) > q.due:
+		s.t.Fatalf("%s: request %d is given %v, more than is left", vm.id, e.Request, e.Left)
+	}
+	q.sends++
+	q.running[e.Attempt] = true
+	vm.owner[e.Attempt] = q
+	if q.sends > 1 {
+		s.repeats = append(s.repeats, s.now)
+	}
+	s.countCold(t)
+	s.answer(vm, q, t, e.Attempt)
+}
+
+// countCold holds every second of a cold target to the bound on all entry VMs.
+func (s *fleetSim) countCold(t *simTarget) {
+	if !s.now.Before(t.cold) {
+		return
+	}
+	t.coldSends = append(t.coldSends, s.now)
+	n := 0
+	for _, at := range t.coldSends {
+		if s.now.Sub(at) < time.Second {
+			n++
+		}
+	}
+	if most := 2.6*s.bounds.ColdFactor + s.bounds.ColdSlack; float64(n) > most {
+		s.t.Fatalf("cold target %s gets %d requests in a second", t.ID, n)
+	}
+}
+
+// answer draws what becomes of a send.
+func (s *fleetSim) answer(vm *simVM, q *simRequest, t *simTarget, id AttemptID) {
+	t.running++
+	load := Load{Known: true, Running: min(t.running, t.Slots), Waiting: max(0, t.running-t.Slots), Slots: t.Slots}
+	took := time.Duration(20+s.rng.IntN(100)) * time.Millisecond
+	end := func(d time.Duration, mayRun bool, ev func() Event) {
+		s.after(d, func() {
+			t.running--
+			if !q.running[id] {
+				return // cancelled
+			}
+			delete(q.running, id)
+			delete(vm.owner, id)
+			q.mayRun = q.mayRun || mayRun
+			s.step(vm, ev())
+		})
+	}
+	failed := func(v verdict.Verdict, why verdict.Reason) func() Event {
+		return func() Event { return &Failed{Attempt: id, Verdict: v, Reason: why} }
+	}
+	answered := func(o Outcome) func() Event {
+		return func() Event { return &Answered{Attempt: id, Outcome: o, Load: load, Bytes: 100} }
+	}
+	switch n := s.rng.IntN(100); {
+	case n < 70:
+		end(took, true, answered(Served))
+	case n < 75:
+		end(took, true, answered(ServerError))
+	case n < 82:
+		end(2*time.Millisecond, false, answered(Refused))
+	case n < 83:
+		end(2*time.Millisecond, false, answered(Misdirected))
+	case n < 85:
+		end(took, true, answered(Unfit))
+	case n < 90:
+		end(took, true, failed(verdict.MayHaveRun, verdict.ReasonConnectionLost))
+	case n < 97:
+		end(5*time.Millisecond, false, failed(verdict.NotRun, verdict.ReasonConnect))
+	default: // silence, for longer than any request has
+		end(time.Minute, true, failed(verdict.MayHaveRun, verdict.ReasonConnectionLost))
+	}
+}
+
+func (s *fleetSim) tell(from *simVM, tell Tell) {
+	if s.rng.Float64() < s.loss {
+		return
+	}
+	s.after(time.Duration(1+s.rng.IntN(3))*time.Millisecond, func() {
+		for _, vm := range s.vms {
+			if vm.id == tell.To {
+				s.step(vm, &Heard{From: from.id, Message: tell.Message})
+			}
+		}
+	})
+}
+
+// arrive has a caller send a request to an entry VM.
+func (s *fleetSim) arrive() {
+	vm := s.vms[s.rng.IntN(len(s.vms))]
+	rt := &simRoutes[s.rng.IntN(len(simRoutes))]
+	wait := time.Duration(300+s.rng.IntN(3000)) * time.Millisecond
+	vm.last++
+	q := &simRequest{
+		id: vm.last, idempotent: rt.Idempotent, homes: rt.Homes,
+		due: s.now.Add(patience(rt, wait)), running: make(map[AttemptID]bool),
+	}
+	vm.open[q.id] = q
+	s.requests = append(s.requests, s.now)
+	s.step(vm, &Arrive{
+		Request: q.id, Host: "h", Path: rt.Prefix + "x",
+		Object: fmt.Sprintf("o%d", s.rng.IntN(20)), Patience: wait,
+	})
+	if s.rng.IntN(20) == 0 {
+		s.after(time.Duration(s.rng.IntN(200))*time.Millisecond, func() {
+			if vm.open[q.id] != nil {
+				s.step(vm, &CallerGone{Request: q.id})
+			}
+		})
+	}
+}
+
+// change starts, drains or removes a target, or evacuates a failure domain.
+func (s *fleetSim) change(n int) {
+	switch s.rng.IntN(5) {
+	case 0, 1:
+		d := simDomains[s.rng.IntN(len(simDomains))]
+		t := &simTarget{region: simRegions[d], Target: Target{
+			ID: fleet.TargetID(fmt.Sprintf("t-%d", n)), Domain: d, Slots: 1 + s.rng.IntN(4),
+			Service: fleet.ServiceName(fmt.Sprintf("s%d", 1+s.rng.IntN(2))), Addr: "10.0.0.1:1",
+		}}
+		if s.rng.IntN(2) == 0 {
+			t.Cold = 3 * time.Second
+			t.cold = s.now.Add(t.Cold)
+		}
+		s.targets[t.ID] = t
+		s.all(&TargetsChanged{Set: []Target{t.Target}})
+	case 2:
+		if t := s.anyTarget(); t != nil {
+			t.Draining = true
+			s.all(&TargetsChanged{Set: []Target{t.Target}})
+		}
+	case 3:
+		if t := s.anyTarget(); t != nil {
+			s.all(&TargetsChanged{Gone: []fleet.TargetID{t.ID}, Unsure: s.rng.IntN(2) == 0})
+		}
+	case 4:
+		s.all(&Evacuated{Domain: simDomains[s.rng.IntN(len(simDomains))], Begin: s.rng.IntN(3) == 0})
+	}
+}
+
+func (s *fleetSim) anyTarget() *simTarget {
+	var ids []fleet.TargetID
+	for id := range s.targets {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	slices.Sort(ids)
+	return s.targets[ids[s.rng.IntN(len(ids))]]
+}
+
+func (s *fleetSim) all(ev Event) {
+	for _, vm := range s.vms {
+		s.step(vm, ev)
+	}
+}
+
+func (s *fleetSim) run(until clock.Time) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		ev := heap.Pop(&s.events).(simEvent)
+		s.now = max(s.now, ev.at)
+		ev.run()
+	}
+	s.now = until
+}
+
+// checkRepeats holds every window to the bound on repeats.
+func (s *fleetSim) checkRepeats() {
+	for _, from := range s.repeats {
+		in := func(list []clock.Time) (n int) {
+			for _, at := range list {
+				if at >= from && at < from.Add(s.bounds.RepeatWindow) {
+					n++
+				}
+			}
+			return n
+		}
+		most := s.bounds.RepeatRatio*float64(in(s.requests)) + s.bounds.RepeatSlack
+		if n := in(s.repeats); float64(n) > most {
+			s.t.Fatalf("%d repeats in a window, %.1f allowed", n, most)
+		}
+	}
+}
+
+// Symptom: any of the invariants above does not hold.
+// Sequence: random requests, outcomes, losses of messages between entry VMs,
+// targets that come, drain, vanish or are cold, evacuations.
+// Cause: named by the message; the seed repeats it.
+func TestRandomFleet(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newFleetSim(t, seed)
+			s.loss = float64(seed%4) / 20
+			for n := range 6 {
+				s.change(n)
+			}
+			for n := range 1500 {
+				s.arrive()
+				if s.rng.IntN(40) == 0 {
+					s.change(100 + n)
+				}
+				s.run(s.now.Add(time.Duration(s.rng.IntN(15)) * time.Millisecond))
+			}
+			s.run(s.now.Add(20 * time.Second))
+			for _, vm := range s.vms {
+				if len(vm.open) > 0 || len(vm.r.requests) > 0 || len(vm.r.asks) > 0 || len(vm.r.jobs) > 0 {
+					t.Fatalf("%s: %d open, %d kept, %d asks, %d jobs at the end", vm.id,
+						len(vm.open), len(vm.r.requests), len(vm.r.asks), len(vm.r.jobs))
+				}
+			}
+			if s.finals != 1500 {
+				t.Fatalf("%d of 1500 requests have ended", s.finals)
+			}
+			s.checkRepeats()
+		})
+	}
+}
--- /dev/null
+++ b/decide/ingress/invariant.go
@@ -0,0 +1,81 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Check reports the first inconsistency of the books. Randomised runs call it
+// after every step.
+func (r *Reducer) Check() error {
+	inFlight := make(map[*targetState]int)
+	awaited := make(map[*targetState]int)
+	for key, j := range r.jobs {
+		switch j.state {
+		case jobPlaced:
+			inFlight[j.target]++
+		case jobWaiting:
+			if !j.node.Queued() {
+				return fmt.Errorf("job %v waits outside of the queue", key)
+			}
+			if j.awaited != nil {
+				awaited[j.awaited]++
+			}
+		default:
+			return fmt.Errorf("job %v is kept in state %d", key, j.state)
+		}
+		if j.req != nil && r.requests[j.req.id] == nil {
+			return fmt.Errorf("job %v has outlived its request", key)
+		}
+	}
+	for id, t := range r.targets {
+		if t.inFlight != inFlight[t] {
+			return fmt.Errorf("target %s: %d counted in flight, %d placed", id, t.inFlight, inFlight[t])
+		}
+		if t.awaited != awaited[t] {
+			return fmt.Errorf("target %s: %d counted as awaited, %d wait", id, t.awaited, awaited[t])
+		}
+	}
+	return errors.Join(r.checkRequests(), r.checkQueues())
+}
+
+func (r *Reducer) checkRequests() error {
+	attempts := 0
+	for id, q := range r.requests {
+		attempts += len(q.running)
+		if len(q.running) == 0 && q.job == nil && q.asking == nil {
+			return fmt.Errorf("request %d: nothing is under way for it", id)
+		}
+		if q.sends > q.route.Attempts {
+			return fmt.Errorf("request %d: %d sends of %d", id, q.sends, q.route.Attempts)
+		}
+		if !q.route.Idempotent && len(q.running) > 1 {
+			return fmt.Errorf("request %d: not idempotent, sent twice", id)
+		}
+	}
+	if attempts != len(r.attempts) {
+		return fmt.Errorf("%d attempts kept, %d under way", len(r.attempts), attempts)
+	}
+	for id, q := range r.asks {
+		if q.asking == nil || q.asking.ask.ID != id {
+			return fmt.Errorf("ask %d is kept and not asked", id)
+		}
+	}
+	return nil
+}
+
+func (r *Reducer) checkQueues() error {
+	waiting := 0
+	for _, s := range r.services {
+		waiting += s.waiting.Len()
+	}
+	for _, j := range r.jobs {
+		if j.state == jobWaiting {
+			waiting--
+		}
+	}
+	if waiting != 0 {
+		return fmt.Errorf("%d more jobs queued than waiting", waiting)
+	}
+	return nil
+}
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -182,6 +182,7 @@
 // way, and is waited for a little longer.
 func (r *Reducer) timedOut(now clock.Time, q *request) {
 	if len(q.running) > 0 && now.Before(q.due.Add(answerMargin)) {
+		r.stopSearch(now, q) // a second target would get it with no time left
 		r.timers.add(timer{at: q.due.Add(answerMargin), request: q.id, purpose: dueAnswer})
 		return
 	}
@@ -211,16 +212,23 @@
 // finish forgets q and cancels what is still under way for it.
 func (r *Reducer) finish(now clock.Time, q *request) {
 	delete(r.requests, q.id)
-	r.stopAsking(q)
-	if q.job != nil {
-		r.withdraw(now, q.job)
-	}
+	r.stopSearch(now, q)
 	for _, a := range slices.Clone(q.running) {
 		r.out.Cancels = append(r.out.Cancels, Cancel{Request: q.id, Attempt: a.id})
 		r.endAttempt(now, a, &Report{Result: ResultUnknown})
 	}
 }
 
+// stopSearch ends the search for a target for q.
+func (r *Reducer) stopSearch(now clock.Time, q *request) {
+	r.stopAsking(q)
+	if q.job != nil {
+		j := q.job
+		q.job = nil
+		r.withdraw(now, j)
+	}
+}
+
 func (r *Reducer) callerGone(now clock.Time, ev *CallerGone) {
 	q, ok := r.requests[ev.Request]
 	if !ok {
--- /dev/null
+++ b/decide/route/route_test.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+func config(routes ...Route) *Config {
+	c := &Config{Routes: routes, Services: map[fleet.ServiceName]Service{"a": {}, "b": {}}}
+	return c
+}
+
+func TestMatch(t *testing.T) {
+	part := []Part{{Service: "a", Weight: 1}}
+	table := NewTable(config(
+		Route{Name: "root", Host: "one", Prefix: "/", Parts: part, Attempts: 1},
+		Route{Name: "deep", Host: "one", Prefix: "/x/y/", Parts: part, Attempts: 1},
+		Route{Name: "mid", Host: "one", Prefix: "/x/", Parts: part, Attempts: 1},
+		Route{Name: "two", Host: "two", Prefix: "/x/", Parts: part, Attempts: 1},
+	))
+	for _, c := range []struct{ host, path, want string }{
+		{"one", "/", "root"},
+		{"one", "/x", "root"}, // the prefix ends with a slash
+		{"one", "/x/", "mid"},
+		{"one", "/x/y/z", "deep"},
+		{"one", "/x/?q=/x/y/", "mid"},
+		{"ONE:8080", "/x/y/", "deep"},
+		{"two", "/x/y/", "two"},
+		{"two", "/", ""},
+		{"three", "/x/", ""},
+	} {
+		is := is.New(t)
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		is.Equal(got, c.want) // host and path
+	}
+}
+
+// Symptom: a configuration with a defect comes into force, and requests go to
+// a service that does not exist.
+// Sequence: operators write one.
+// Cause: it was decoded and not checked.
+func TestCheck(t *testing.T) {
+	ok := Route{Prefix: "/", Parts: []Part{{Service: "a", Weight: 1}}, Attempts: 1}
+	for _, c := range []struct {
+		change func(r *Route)
+		want   error
+	}{
+		{func(*Route) {}, nil},
+		{func(r *Route) { r.Parts = nil }, ErrNoParts},
+		{func(r *Route) { r.Parts = []Part{{Service: "a"}} }, ErrNoParts},
+		{func(r *Route) { r.Parts = []Part{{Service: "c", Weight: 1}} }, ErrService},
+		{func(r *Route) { r.Parts = []Part{{Service: "a", Weight: -1}} }, ErrNegative},
+		{func(r *Route) { r.Prefix = "/x" }, ErrPrefix},
+		{func(r *Route) { r.Timeout = -1 }, ErrNegative},
+		{func(r *Route) { r.Attempts = 0 }, ErrAttempts},
+	} {
+		is := is.New(t)
+		r := ok
+		c.change(&r)
+		is.True(errors.Is(config(r).Check(), c.want))
+	}
+}
+
+// Symptom: a service with a small weight gets far more or less than its share.
+// Sequence: some hundred requests on a route with two services.
+// Cause: shares that were drawn at random.
+func TestSplitKeepsItsShares(t *testing.T) {
+	is := is.New(t)
+	parts := []Part{{"a", 90}, {"b", 10}, {"c", 0}}
+	var s Split
+	got := map[fleet.ServiceName]int{}
+	for n := 1; n <= 1000; n++ {
+		got[s.Next(parts)]++
+		is.True(got["b"] >= n/10-1 && got["b"] <= n/10+1) // over any run
+	}
+	is.Equal(got["c"], 0)
+}
