Explain a request from log lines; bound the bodies held; test the relay

azurethread explain REQUEST-ID joins the lines of several VMs. Tests of the relay between entry VMs, of a dropped history, of a key that was taken away and of a leaving VM.

--- a/operate/command/command.go
+++ b/operate/command/command.go
@@ -57,6 +57,7 @@
 		s.lookupCommand(),
 		s.operationCommand(),
 		s.checkCommand(),
+		s.explainCommand(),
 	)
 	root.AddCommand(extra...)
 	return root
--- /dev/null
+++ b/operate/command/explain.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/azurethread/azurethread/operate/explain"
+)
+
+func (s *settings) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID [FILE...]",
+		Short: "Explain a request from the log lines of entry VMs, read from files or standard input",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			logs := cmd.InOrStdin()
+			if len(args) > 1 {
+				files, err := open(args[1:])
+				if err != nil {
+					return err
+				}
+				defer closeAll(files)
+				logs = io.MultiReader(readers(files)...)
+			}
+			r, err := explain.Read(args[0], logs)
+			if err != nil {
+				return err
+			}
+			return s.print(cmd.OutOrStdout(), r, func(w io.Writer) { explain.Print(w, r) })
+		},
+	}
+}
+
+func open(names []string) ([]*os.File, error) {
+	var files []*os.File
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			closeAll(files)
+			return nil, err
+		}
+		files = append(files, f)
+	}
+	return files, nil
+}
+
+func closeAll(files []*os.File) {
+	for _, f := range files {
+		_ = f.Close() // read only: nothing is lost
+	}
+}
+
+func readers(files []*os.File) []io.Reader {
+	var out []io.Reader
+	for _, f := range files {
+		out = append(out, f)
+	}
+	return out
+}
--- /dev/null
+++ b/operate/explain/explain.go
@@ -0,0 +1,202 @@
+// Package explain joins the log lines of several entry VMs into one time line
+// of a request: its own lines, and what the VMs came to believe, shortly
+// before, of the targets that it was sent to, of the store and of themselves.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one log line that bears on a request.
+type Line struct {
+	Time   time.Time      `json:"time"`
+	VM     string         `json:"vm,omitempty"`
+	Event  string         `json:"event"`
+	Text   string         `json:"text"`
+	Fields map[string]any `json:"fields"`
+}
+
+// Report is the time line of a request.
+type Report struct {
+	Request string `json:"request"`
+	Cause   string `json:"cause"` // in a sentence
+	Lines   []Line `json:"lines"`
+}
+
+// before is how long before a request's end other lines count.
+const before = 10 * time.Second
+
+// maxLine bounds one log line.
+const maxLine = 1 << 20
+
+// ErrNotFound means that no line speaks of the request. Of answered requests
+// only one in many has a line.
+var ErrNotFound = errors.New("explain: no line on this request")
+
+// Read makes the report on a request from log lines. What stands before the
+// first brace of a line, such as a time or a host name, is skipped, and so are
+// lines that are not JSON.
+func Read(request string, logs io.Reader) (*Report, error) {
+	all, err := parse(logs)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{Request: request}
+	var own []Line
+	targets := make(map[string]bool)
+	for _, l := range all {
+		if l.Fields["request"] == request {
+			own = append(own, l)
+			addTargets(targets, l)
+		}
+	}
+	if len(own) == 0 {
+		return nil, fmt.Errorf("%w: %s", ErrNotFound, request)
+	}
+	last := own[len(own)-1]
+	for _, l := range all {
+		if l.Fields["request"] == request || (near(l, last) && bears(l, last, targets)) {
+			r.Lines = append(r.Lines, l)
+		}
+	}
+	slices.SortStableFunc(r.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	r.Cause = cause(last)
+	return r, nil
+}
+
+func parse(logs io.Reader) ([]Line, error) {
+	var all []Line
+	s := bufio.NewScanner(logs)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		i := bytes.IndexByte(s.Bytes(), '{')
+		if i < 0 {
+			continue
+		}
+		var f map[string]any
+		if json.Unmarshal(s.Bytes()[i:], &f) != nil {
+			continue
+		}
+		l := Line{Fields: f, VM: text(f["vm"]), Event: text(f["event"]), Text: text(f["msg"])}
+		if l.VM == "" {
+			l.VM = lastWord(string(s.Bytes()[:i])) // as collectors of logs prefix it
+		}
+		at, err := time.Parse(time.RFC3339Nano, text(f["time"]))
+		if err != nil || l.Event == "" {
+			continue
+		}
+		l.Time = at
+		all = append(all, l)
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("explain: %w", err)
+	}
+	return all, nil
+}
+
+func text(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+func lastWord(s string) string {
+	words := strings.Fields(s)
+	if len(words) == 0 {
+		return ""
+	}
+	return words[len(words)-1]
+}
+
+// sends returns the sends of a request's line.
+func sends(l Line) []map[string]any {
+	list, _ := l.Fields["sends"].([]any)
+	var out []map[string]any
+	for _, x := range list {
+		if m, ok := x.(map[string]any); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func addTargets(to map[string]bool, l Line) {
+	for _, s := range sends(l) {
+		to[text(s["target"])] = true
+	}
+}
+
+// near reports whether l was written shortly before the request's line.
+func near(l, own Line) bool {
+	return !l.Time.After(own.Time) && own.Time.Sub(l.Time) <= before
+}
+
+// bears reports whether l speaks of something that decided the request.
+func bears(l, own Line, targets map[string]bool) bool {
+	switch l.Event {
+	case "target":
+		return targets[text(l.Fields["target"])]
+	case "store", "config", "evacuate", "members", "relay", "start", "stop", "reload":
+		return l.VM == own.VM
+	}
+	return false
+}
+
+// cause says in a sentence why a request ended as it did.
+func cause(l Line) string {
+	why, v := text(l.Fields["reason"]), text(l.Fields["verdict"])
+	n := len(sends(l))
+	switch {
+	case why == "" && v == "ran":
+		return "A target answered."
+	case why == "caller-gone":
+		return fmt.Sprintf("The caller left; %d sends were under way or over.", n)
+	case why == "not-ready":
+		return "The entry VM knew no configuration yet; nothing was sent."
+	case why == "unknown-service":
+		return "No route of the configuration in force matches; nothing was sent."
+	case n == 0:
+		return fmt.Sprintf("Refused without a send (%s): it has not run.", why)
+	case v == "not-run":
+		return fmt.Sprintf("Every one of %d sends was refused or never left (%s): it has not run.", n, why)
+	case why == "deadline":
+		return fmt.Sprintf("%d sends, and no answer in the time that caller and route allow: it may have run.", n)
+	default:
+		return fmt.Sprintf("%d sends; the last ended with %s: it may have run.", n, why)
+	}
+}
+
+// Print writes the report as text.
+func Print(w io.Writer, r *Report) {
+	fmt.Fprintf(w, "request %s: %s\n", r.Request, r.Cause)
+	for _, l := range r.Lines {
+		fmt.Fprintf(w, "%s  %-24s %-9s %s%s\n", l.Time.Format("15:04:05.000"), l.VM, l.Event, l.Text, details(l))
+		for _, s := range sends(l) {
+			fmt.Fprintf(w, "%12s  after %v ms to %v: %v in %v ms %v (%v)\n", "",
+				s["after_ms"], s["target"], s["outcome"], s["took_ms"], text(s["reason"]), s["verdict"])
+		}
+	}
+}
+
+// shown are the fields that details shows, in this order.
+var shown = []string{
+	"status", "verdict", "reason", "took_ms", "patience_ms", "retry_after_ms", "config", "store_age_ms",
+	"store_reached", "target", "draining", "cold_ms", "version", "revision", "domain", "begin", "count", "error",
+}
+
+func details(l Line) string {
+	var b strings.Builder
+	for _, name := range shown {
+		if v, ok := l.Fields[name]; ok && v != "" {
+			fmt.Fprintf(&b, " %s=%v", name, v)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/operate/explain/explain_test.go
@@ -0,0 +1,47 @@
+package explain
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const testLogs = `
+not a log line
+ 1.00 vm-a {"event":"target","level":"info","msg":"ejected","target":"t1","time":"2026-01-01T00:00:01Z"}
+ 1.10 vm-b {"event":"store","level":"warning","msg":"store is not reachable","time":"2026-01-01T00:00:01.1Z"}
+ 1.20 vm-a {"event":"store","level":"warning","msg":"store is not reachable","time":"2026-01-01T00:00:01.2Z"}
+ 1.30 vm-a {"event":"target","level":"info","msg":"ejected","target":"t9","time":"2026-01-01T00:00:01.3Z"}
+ 2.00 vm-b {"event":"request","request":"r1","vm":"vm-b","msg":"answered by this entry VM","status":504,"verdict":"may-have-run","reason":"deadline","sends":[{"target":"t1","after_ms":3,"took_ms":0,"outcome":"under way","verdict":"may-have-run"}],"time":"2026-01-01T00:00:02Z"}
+ 2.10 vm-b {"event":"request","request":"r2","vm":"vm-b","msg":"answered by this entry VM","status":503,"verdict":"not-run","reason":"overload","sends":null,"time":"2026-01-01T00:00:02.1Z"}
+ 2.20 vm-b {"event":"target","msg":"ejected","target":"t1","time":"2026-01-01T00:00:02.2Z"}
+{"event":"request", cut short
+`
+
+func TestJoinsWhatBearsOnTheRequest(t *testing.T) {
+	is := is.New(t)
+	r, err := Read("r1", strings.NewReader(testLogs))
+	is.NoErr(err)
+	is.True(strings.Contains(r.Cause, "may have run"))
+	var got []string
+	for _, l := range r.Lines {
+		got = append(got, l.VM+" "+l.Event)
+	}
+	// Not vm-a's store, not another target, and nothing from after the end.
+	is.Equal(got, []string{"vm-a target", "vm-b store", "vm-b request"})
+	var b bytes.Buffer
+	Print(&b, r)
+	is.True(strings.Contains(b.String(), "after 3 ms to t1"))
+}
+
+func TestRefusedWithoutASend(t *testing.T) {
+	is := is.New(t)
+	r, err := Read("r2", strings.NewReader(testLogs))
+	is.NoErr(err)
+	is.Equal(r.Cause, "Refused without a send (overload): it has not run.")
+	_, err = Read("r3", strings.NewReader(testLogs))
+	is.True(errors.Is(err, ErrNotFound))
+}
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -48,6 +48,8 @@
 	closed    bool
 
 	receiving atomic.Bool // part of a message has come
+	// unfinished counts the bytes held for a body that has not come whole.
+	unfinished atomic.Int64
 
 	queued   atomic.Int64 // bytes handed to nbio
 	written  atomic.Int64 // bytes that nbio has handed to the kernel
@@ -442,8 +444,16 @@
 	}
 }
 
+// dropUnfinished gives the room of a body back that has not come whole.
+func (c *conn) dropUnfinished() {
+	if n := c.unfinished.Swap(0); n > 0 {
+		c.s.held.Add(-n)
+	}
+}
+
 // onClose is called once when the connection has gone.
 func (c *conn) onClose() {
+	c.dropUnfinished()
 	c.mu.Lock()
 	c.closed = true
 	c.stopReadTimer()
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -32,7 +32,8 @@
 	gone     bool
 	answered bool
 	onGone   func()
-	counted  bool // included in the server's count of exchanges in flight
+	held     int64 // bytes of the body counted by Server.hold
+	counted  bool  // included in the server's count of exchanges in flight
 }
 
 // OnGone registers f to be called once if the caller closes its connection
@@ -60,6 +61,7 @@
 	x.answered = true
 	gone := x.gone
 	x.mu.Unlock()
+	x.release()
 	if !gone {
 		x.c.write(x, status, h, body)
 	}
@@ -67,6 +69,12 @@
 	return !gone
 }
 
+// release gives the room of the body back.
+func (x *Exchange) release() {
+	x.c.s.held.Add(-x.held)
+	x.held = 0
+}
+
 // abandon marks the caller as gone.
 func (x *Exchange) abandon() {
 	x.mu.Lock()
@@ -77,6 +85,7 @@
 	x.gone = true
 	f := x.onGone
 	x.mu.Unlock()
+	x.release()
 	if f != nil {
 		f()
 	}
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -336,3 +336,51 @@
 	is.Equal(res.Header.Get("X-Query"), "1")
 	is.Equal(b, "ab")
 }
+
+// Symptom: a process is ended for its memory while callers send large bodies.
+// Sequence: several bodies, each within the limit, are on their way at once.
+// Cause: only single bodies were bounded.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var waiting []*Exchange
+	arrived := make(chan *Exchange, 4)
+	s, err := Listen("127.0.0.1:0", Options{
+		Limits:    Limits{HeadBytes: testHead, BodyBytes: testBody, ReadTimeout: time.Minute, IdleTimeout: time.Minute},
+		HeldBytes: testBody * 3 / 2, WriteTimeout: time.Minute,
+		Refusal: func(int) (http.Header, []byte) { return nil, nil },
+	})
+	is.NoErr(err)
+	s.Serve(handlerFunc(func(x *Exchange) { arrived <- x }))
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Stop(ended)
+	})
+	body := strings.Repeat("a", testBody)
+	whole := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n" + body
+	chunked := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" + body + "\r\n0\r\n\r\n"
+	first, firstReader := dial(t, s)
+	_, err = io.WriteString(first, whole)
+	is.NoErr(err)
+	waiting = append(waiting, <-arrived)
+	for _, msg := range []string{whole, chunked} {
+		conn, r := dial(t, s)
+		_, _ = io.WriteString(conn, msg) // it may be cut by the refusal
+		res, _ := read(t, r, http.MethodPost)
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	}
+	waiting[0].Respond(http.StatusOK, nil, nil)
+	res, _ := read(t, firstReader, http.MethodPost)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(s.held.Load(), int64(0))
+	half, _ := dial(t, s)
+	_, err = io.WriteString(half, whole[:len(whole)/2])
+	is.NoErr(err)
+	for s.held.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(half.Close()) // its room must come back
+	for s.held.Load() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/serve/inbound/processor.go
+++ b/serve/inbound/processor.go
@@ -62,6 +62,9 @@
 		c.refuse(http.StatusRequestEntityTooLarge)
 		return
 	}
+	if length > 0 && !c.holdBody(int64(length)) {
+		return
+	}
 	if length > 0 && strings.EqualFold(c.req.Header.Get("Expect"), "100-continue") {
 		_, _ = c.nbc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -73,10 +76,23 @@
 		c.refuse(http.StatusRequestEntityTooLarge)
 		return errRefused
 	}
+	if c.inChunks && !c.holdBody(int64(len(data))) {
+		return errRefused
+	}
 	c.req.Body = append(c.req.Body, data...)
 	return nil
 }
 
+// holdBody makes room for n more bytes of the body, or refuses the message.
+func (c *conn) holdBody(n int64) bool {
+	if !c.s.hold(n) {
+		c.refuse(http.StatusServiceUnavailable)
+		return false
+	}
+	c.unfinished.Add(n)
+	return true
+}
+
 // OnTrailerHeader implements nbhttp.Processor. Trailers are not passed on.
 func (c *conn) OnTrailerHeader(*nbhttp.Parser, string, string) {}
 
@@ -89,6 +105,7 @@
 		return
 	}
 	x.close = wantsClose(&x.Request)
+	x.held = c.unfinished.Swap(0)
 	c.dispatch(x)
 }
 
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -40,6 +40,9 @@
 	// MaxBodyBytes is the largest body that SetLimits may ever allow; 0:
 	// Limits.BodyBytes.
 	MaxBodyBytes int
+	// HeldBytes bounds the bodies of all requests that are held at a time; 0:
+	// no bound. A request beyond it is refused with 503.
+	HeldBytes    int64
 	WriteTimeout time.Duration // for a caller to take an answer
 	Pollers      int           // 0: nbio's default
 	// Refusal gives the header and body of an answer that this package sends
@@ -55,6 +58,7 @@
 type Server struct {
 	opts     Options
 	inForce  atomic.Pointer[Limits]
+	held     atomic.Int64 // bytes of bodies, as announced or received
 	handler  Handler
 	engine   *nbhttp.Engine
 	listener net.Listener
@@ -115,6 +119,16 @@
 
 func (s *Server) limits() *Limits { return s.inForce.Load() }
 
+// hold counts n more bytes of a body, and reports false if they are too many.
+// Each body is held whole; a few large ones at once would end the process.
+func (s *Server) hold(n int64) bool {
+	if s.held.Add(n) <= s.opts.HeldBytes || s.opts.HeldBytes == 0 {
+		return true
+	}
+	s.held.Add(-n)
+	return false
+}
+
 // Addr returns the address listened on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/serve/kv"
 	"github.com/azurethread/azurethread/serve/kv/kvtest"
 )
 
@@ -151,6 +152,12 @@
 }
 
 func (w *world) entry(id string) *Server {
+	w.t.Helper()
+	return w.entryWith(id, w.store)
+}
+
+// entryWith starts an entry VM that reaches the store in its own way.
+func (w *world) entryWith(id string, store kv.Store) *Server {
 	w.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -173,7 +180,7 @@
 		},
 		LookupAnswer: func(addrs []string, _ time.Duration) ([]byte, error) { return json.Marshal(addrs) },
 	}
-	s, err := Start(set, w.store, log)
+	s, err := Start(set, store, log)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -84,6 +84,9 @@
 	// maxBodyBytes bounds the body of a request, which is held whole, whatever
 	// a configuration allows.
 	maxBodyBytes = 64 << 20
+	// bodyShare is the part of the memory that bodies of requests may take. Each
+	// is there twice while it is read, and once more while it is sent.
+	bodyShare = 8
 	// targetIdle is how long a free connection to a target is kept.
 	targetIdle = 8 * time.Second
 	// targetConnect bounds the opening of a connection where the decision
@@ -149,6 +152,7 @@
 			return err
 		}
 	}
+	s.set.Self.CallAddr = s.callers.Addr() // with the port in use
 	if s.set.MetricsAddr == "" {
 		return nil
 	}
@@ -170,6 +174,7 @@
 			IdleTimeout: firstIdleTimeout,
 		},
 		MaxBodyBytes: maxBodyBytes,
+		HeldBytes:    s.set.MemoryBytes / bodyShare,
 		WriteTimeout: writeTimeout,
 		Pollers:      1,
 		Refusal:      func(int) (http.Header, []byte) { return nil, nil },
--- /dev/null
+++ b/serve/ingress/store_test.go
@@ -0,0 +1,109 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/kv"
+	"github.com/azurethread/azurethread/serve/kv/kvtest"
+)
+
+// gate is a store that refuses the reads of one entry VM.
+type gate struct {
+	kv.Store
+	shut atomic.Bool
+}
+
+func (g *gate) refused() error {
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonOverload, Err: kvtest.ErrDown}
+}
+
+func (g *gate) Range(ctx context.Context, prefix string) (kv.Snapshot, error) {
+	if g.shut.Load() {
+		return kv.Snapshot{}, g.refused()
+	}
+	return g.Store.Range(ctx, prefix)
+}
+
+func (g *gate) Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (kv.Changes, error) {
+	c, err := g.Store.Watch(ctx, prefix, after, wait)
+	if g.shut.Load() {
+		return kv.Changes{}, g.refused()
+	}
+	return c, err
+}
+
+// Symptom: one entry VM serves an old configuration for as long as the store
+// refuses it, and sends to targets that have left.
+// Sequence: the store turns one VM away and serves the others; an operator
+// changes the configuration, and a target leaves.
+// Cause: a VM knew only what it read itself.
+func TestOthersPassOnTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	w.target("t1", ok("one"))
+	g := &gate{Store: w.store}
+	a := w.entry("vm-1")
+	b := w.entryWith("vm-2", g)
+	w.eventually("they know each other", func() bool { return len(*b.members.Load()) == 2 && len(*a.members.Load()) == 2 })
+	g.shut.Store(true)
+	w.target("t2", ok("two"))
+	w.store.Remove("test/target/t1")
+	rt := plain(true)
+	rt.Prefix = "/new/"
+	w.configure(2, rt)
+	w.eventually("the refused VM follows", func() bool { return b.version.Load() == 2 })
+	res, body := ask(t, b, http.MethodGet, "/new/x", "id-1")
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(body, "two")
+}
+
+// Symptom: changes are missed after the store has dropped its history.
+// Sequence: the store forgets its history while changes are made.
+// Cause: a watch that was refused was simply repeated.
+func TestDroppedHistory(t *testing.T) {
+	w := newWorld(t, plain(true))
+	w.target("t1", ok("one"))
+	s := w.entry("vm-1")
+	w.store.SetDown(true)
+	w.eventually("the store is lost", func() bool { return s.storeLost.Load() })
+	w.configure(2, plain(true))
+	w.store.Compact()
+	w.store.SetDown(false)
+	w.eventually("the change is in force", func() bool { return s.version.Load() == 2 })
+}
+
+// Symptom: callers are not sent to a VM that serves.
+// Sequence: the store takes the VM's key away, and no call shows it.
+// Cause: the VM renewed its lease and never looked at its key.
+func TestKeyThatWasTakenAwayComesBack(t *testing.T) {
+	w := newWorld(t, plain(true))
+	w.entry("vm-1")
+	time.Sleep(relistAfter) // a key just written is not written again
+	w.store.Remove(prefixMembers + "vm-1")
+	w.eventually("the key is back", func() bool {
+		_, listed := w.store.Get(prefixMembers + "vm-1")
+		return listed
+	})
+}
+
+// Symptom: look-ups name a VM that is leaving, and it takes requests until its
+// end.
+// Sequence: a planned stop.
+// Cause: its key stayed in the store until the lease ended.
+func TestLeavingVMIsNotNamed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	a, b := w.entry("vm-1"), w.entry("vm-2")
+	w.eventually("both are named", func() bool { return len(b.lookup(Lookup{Domain: "d1"})) == 2 })
+	is.NoErr(a.Stop())
+	w.eventually("one is named", func() bool { return len(b.lookup(Lookup{Domain: "d1"})) == 1 })
+	is.Equal(b.lookup(Lookup{Domain: "d1"})[0], b.set.Self.CallAddr)
+}
