Move the share of requests in other regions slowly, up and down, by the object

A service's share now begins at what the region's slots leave over, follows what is wanted at half of the allowed rate, and each object belongs to one side by its hash.

--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -96,7 +96,7 @@
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
-	r.countRegion(now, t)
+	j.svc.share.count(now, t.region != r.region)
 	if j.req != nil {
 		r.granted(now, j.req, j, t)
 		return
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -22,6 +22,7 @@
 	Object   string
 	Domain   fleet.Domain // of the asking VM
 	Priority int
+	Large    bool // its answer is large
 	Homes    []fleet.Region
 	Tried    []fleet.TargetID // targets it has been sent to
 	Wait     time.Duration    // that it may wait for a target
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -100,8 +100,4 @@
 	// dear, and a large answer is better waited for nearby.
 	nearBytes = 10 * time.Millisecond
 	farBytes  = 8 * time.Millisecond
-	// shiftWindow is the time over which the share of requests that run in
-	// other regions is bounded, and shiftUse the part of the bound that is used.
-	shiftWindow = 2 * time.Second
-	shiftUse    = 0.5
 )
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -84,12 +83,34 @@
 	return false
 }
 
+// option is the best target of one side and the time in ns after which its
+// answer is expected.
+type option struct {
+	t    *targetState
+	cost float64
+}
+
+func (o *option) offer(t *targetState, cost float64) {
+	if o.t == nil || cost < o.cost {
+		o.t, o.cost = t, cost
+	}
+}
+
 // chooseAmong compares the targets considered for j. Full ones are among them:
 // where waiting for one is quicker than the cold start of the object elsewhere,
 // j waits, and nil is returned.
 func (r *Reducer) chooseAmong(now clock.Time, j *job, ejectedToo bool) *targetState {
-	var best *targetState
-	lowest := math.Inf(1)
+	local, remote := r.options(now, j, ejectedToo)
+	best := r.sideOf(now, j, local, remote)
+	j.awaited = best.t
+	if best.t == nil || r.full(now, best.t) {
+		return nil
+	}
+	return best.t
+}
+
+// options returns the best target of the own region and of the others.
+func (r *Reducer) options(now clock.Time, j *job, ejectedToo bool) (local, remote option) {
 	seen := considered{near: make(map[fleet.Region]int, 4)}
 	for _, t := range j.svc.rank(j.Object) {
 		// A request without an object is as quick at any target.
@@ -97,18 +118,45 @@
 		if !r.eligible(now, j, t, ejectedToo) || !seen.take(t, j.Domain, r.region, wanted) {
 			continue
 		}
-		if t.region != r.region && !r.shift.room(now, r.opts.Bounds.RegionShift*shiftUse) {
-			continue
+		if t.region == r.region {
+			local.offer(t, r.cost(now, j, t))
+		} else {
+			remote.offer(t, r.cost(now, j, t))
 		}
-		if c := r.cost(now, j, t); c < lowest {
-			best, lowest = t, c
+	}
+	return local, remote
+}
+
+// sideOf decides between the own region and the others. Large answers stay
+// unless there is no target here; what is bound to regions has no choice.
+func (r *Reducer) sideOf(now clock.Time, j *job, local, remote option) option {
+	s := &j.svc.share
+	switch {
+	case local.t == nil || remote.t == nil:
+		if local.t == nil {
+			return remote
+		}
+		return local
+	case j.Large || len(j.Homes) > 0:
+		if len(j.Homes) > 0 && remote.cost < local.cost {
+			return remote
 		}
+		return local
 	}
-	j.awaited = best
-	if best != nil && r.full(now, best) {
-		return nil
+	if !s.known {
+		s.begin(now, r.firstShare(j.svc))
+	}
+	if j.state == jobNew {
+		s.follow(now, remote.cost < local.cost, r.shiftRate())
+	}
+	first, second, toRemote := local, remote, true
+	if s.remote(now, r.sideHash(j.Object)) {
+		first, second, toRemote = remote, local, false
+	}
+	if r.full(now, first.t) && !r.full(now, second.t) && s.mayCross(now, toRemote) {
+		return second
 	}
-	return best
+	return first
 }
 
 // full reports whether t has as many requests as it may.
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -27,7 +27,6 @@
 	lapses    clock.Time // the earliest of the targets'
 	members   []fleet.VM
 	trips     map[fleet.Region]*mean // round trip in ns
-	shift     regionShift
 
 	jobs    map[jobKey]*job           // places taken or waited for
 	asks    map[AskID]*request        // asks that are unanswered
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -17,6 +17,7 @@
 	waiting queue.FIFO[*job]
 	ranked  map[string][]*targetState // targets by rank for an object
 
+	share   regionShare
 	repeats repeatBudget
 	work    [workClasses]target.Mean // latency of answers, network aside
 	latency target.Quantiles
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -1,13 +1,27 @@
 package ingress
 
 import (
+	"time"
+
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/rank"
 )
 
-// regionShift bounds how fast the share of requests that run in other regions
-// rises. A region whose share jumps hands caches and load to another one that
-// is not prepared for it.
-type regionShift struct {
+// regionShare is the part of a service's requests from this region that run in
+// other regions. It moves slowly, up and down: a share that jumps hands load
+// and objects to targets that are not prepared for them, and takes them away
+// from those that are.
+//
+// Each object belongs to one side of the share by its hash, so that it has its
+// place in one region; only objects at the edge change sides when the share
+// moves.
+type regionShare struct {
+	known  bool
+	target float64 // the share that is kept to
+	wanted float64 // moving average of where requests would be answered sooner
+	at     clock.Time
+
 	now, before shiftCount
 	began       clock.Time // of the window that now counts
 }
@@ -15,39 +29,127 @@
 // shiftCount counts the requests of one window.
 type shiftCount struct{ all, remote int }
 
-// shiftFew is the number of requests in a window below which shares mean
-// nothing.
-const shiftFew = 10
+const (
+	// shiftWindow is the time over which the operators bound the change of the
+	// share, and shiftUse the part of their bound that is used: windows may lie
+	// anywhere, and the arrivals of a few dozen requests vary.
+	shiftWindow = 2 * time.Second
+	shiftUse    = 0.5
+	// shiftFew is the number of requests in a window below which shares mean
+	// nothing.
+	shiftFew = 10
+	// shiftBand is how far the share of the last seconds may lie off the
+	// target. Beyond it, requests go to the side that lacks them.
+	shiftBand = 0.05
+	// wantedWeight is the weight of one request in the wanted share.
+	wantedWeight = 0.03
+)
 
-func (s *regionShift) turn(now clock.Time) {
+// begin sets the first target: what the region's slots leave over if all
+// regions had the same number of requests.
+func (s *regionShare) begin(now clock.Time, first float64) {
+	s.known = true
+	s.target, s.wanted = first, first
+	s.at, s.began = now, now
+}
+
+// follow moves the target towards the wanted share, by at most a rate of change
+// in parts of the requests a second.
+func (s *regionShare) follow(now clock.Time, remote bool, rate float64) {
+	sample := 0.0
+	if remote {
+		sample = 1
+	}
+	s.wanted += wantedWeight * (sample - s.wanted)
+	step := rate * min(now.Sub(s.at), time.Second).Seconds()
+	s.at = now
+	s.target += min(max(s.wanted-s.target, -step), step)
+}
+
+// count counts a request that was placed.
+func (s *regionShare) count(now clock.Time, remote bool) {
+	s.turn(now)
+	s.now.all++
+	if remote {
+		s.now.remote++
+	}
+}
+
+func (s *regionShare) turn(now clock.Time) {
 	switch passed := now.Sub(s.began); {
+	case passed < shiftWindow/2:
 	case passed < shiftWindow:
-	case passed < 2*shiftWindow:
 		s.before, s.now = s.now, shiftCount{}
-		s.began = s.began.Add(shiftWindow)
+		s.began = s.began.Add(shiftWindow / 2)
 	default:
 		s.before, s.now = shiftCount{}, shiftCount{}
 		s.began = now
 	}
 }
 
-// room reports whether one more request may run in another region. more is the
-// part of the requests by which their share may rise from window to window.
-func (s *regionShift) room(now clock.Time, more float64) bool {
+// off is by how much the share of the last seconds lies above the target.
+func (s *regionShare) off(now clock.Time) float64 {
 	s.turn(now)
-	if s.before.all < shiftFew {
+	all := s.now.all + s.before.all
+	if all < shiftFew {
+		return 0
+	}
+	return float64(s.now.remote+s.before.remote)/float64(all) - s.target
+}
+
+// remote reports whether a request for an object, whose hash lies between 0 and
+// 1, belongs to the other regions.
+func (s *regionShare) remote(now clock.Time, hash float64) bool {
+	switch off := s.off(now); {
+	case off > shiftBand:
+		return false
+	case off < -shiftBand:
 		return true
+	default:
+		return hash < s.target
+	}
+}
+
+// mayCross reports whether a request may go to the side to which it does not
+// belong: the share stays near its target.
+func (s *regionShare) mayCross(now clock.Time, toRemote bool) bool {
+	if toRemote {
+		return s.off(now) < shiftBand
 	}
-	share := float64(s.before.remote)/float64(s.before.all) + more
-	expected := max(float64(s.now.all+1), float64(s.before.all)*float64(now.Sub(s.began))/float64(shiftWindow))
-	return float64(s.now.remote+1) <= share*expected
+	return s.off(now) > -shiftBand
 }
 
-// countRegion counts a request with the region of its target.
-func (r *Reducer) countRegion(now clock.Time, t *targetState) {
-	r.shift.turn(now)
-	r.shift.now.all++
-	if t.region != r.region {
-		r.shift.now.remote++
+// sideHash places an object on the scale of a share.
+func (r *Reducer) sideHash(object string) float64 {
+	if object == "" {
+		return r.rng.Float64()
 	}
+	const scale = 1 << 53
+	return float64(rank.Score("side", object)>>11) / scale
+}
+
+// firstShare is the share with which a service begins.
+func (r *Reducer) firstShare(s *service) float64 {
+	regions := make(map[fleet.Region]bool)
+	own, all := 0, 0
+	for _, t := range s.targets {
+		if t.Draining {
+			continue
+		}
+		regions[t.region] = true
+		all += t.Slots
+		if t.region == r.region {
+			own += t.Slots
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	fair := float64(all) / float64(max(len(regions), 1))
+	return max(0, 1-float64(own)/fair)
+}
+
+// shiftRate is how fast a share may move, in parts of the requests a second.
+func (r *Reducer) shiftRate() float64 {
+	return r.opts.Bounds.RegionShift * shiftUse / shiftWindow.Seconds()
 }
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -33,6 +33,8 @@
 	Parts  []Part // at least one; their weights sum to more than 0
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// Large says that answers are large, and dear to carry far.
+	Large bool
 	// Timeout is the longest time the operators want a request kept waiting;
 	// 0: the caller's deadline alone counts.
 	Timeout time.Duration
