Let a VM that is restarted while the store is away ask its neighbours

The addresses of some VMs in the settings are now asked, by peer.At, which reaches whoever is at an address. TestRestartWhileTheStoreIsAway failed first.

--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -36,6 +36,7 @@
 // follow keeps the copy of the store up to date and turns its changes into
 // events.
 func (s *Server) follow() {
+	s.askRelay() // a neighbour may answer sooner than the store, or it alone
 	for s.ctx.Err() == nil {
 		changed, err := s.read()
 		switch {
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -158,6 +158,17 @@
 
 // entryWith starts an entry VM that reaches the store in its own way.
 func (w *world) entryWith(id string, store kv.Store) *Server {
+	w.t.Helper()
+	s := w.start(id, store)
+	w.eventually("the entry VM is listed", func() bool {
+		_, listed := w.store.Get(prefixMembers + id)
+		return listed && s.knows(w.targets())
+	})
+	return s
+}
+
+// start starts an entry VM that knows others by their addresses.
+func (w *world) start(id string, store kv.Store, seeds ...string) *Server {
 	w.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -165,6 +176,7 @@
 		Self:        fleet.VM{ID: fleet.VMID(id), Domain: "d1", Region: "r1", CallAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0"},
 		ReadyAddr:   "127.0.0.1:0",
 		LookupAddr:  "127.0.0.1:0",
+		Seeds:       seeds,
 		Regions:     map[fleet.Domain]fleet.Region{"d1": "r1"},
 		MemoryBytes: 1 << 30,
 		StopTimeout: 3 * time.Second,
@@ -185,10 +197,6 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(s.end)
-	w.eventually("the entry VM is listed", func() bool {
-		_, listed := w.store.Get(prefixMembers + id)
-		return listed && s.knows(w.targets())
-	})
 	return s
 }
 
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"errors"
 	"slices"
 	"strings"
 
@@ -108,20 +107,23 @@
 	s.sendPeer(t.To, kind, t.Message)
 }
 
-var errUnknownVM = errors.New("ingress: entry VM is not known")
-
+// sendPeer sends a message to an entry VM. One that is not in the list of
+// entry VMs can be reached only on the connection that it has opened.
 func (s *Server) sendPeer(to fleet.VMID, kind peer.Kind, m any) {
+	vm, known := s.member(to)
+	if !known {
+		vm = fleet.VM{ID: to}
+	}
+	s.sendTo(vm, kind, m)
+}
+
+func (s *Server) sendTo(vm fleet.VM, kind peer.Kind, m any) {
 	b, err := peer.Encode(kind, m)
 	if err == nil {
-		vm, known := s.member(to)
-		if !known {
-			err = errUnknownVM
-		} else {
-			err = s.peers.Send(vm, b)
-		}
+		err = s.peers.Send(vm, b)
 	}
 	if err != nil {
-		s.log.WithError(err).WithField("to", to).Debug("message not sent")
+		s.log.WithError(err).WithField("to", vm.ID).Debug("message not sent")
 	}
 }
 
--- a/serve/ingress/relay.go
+++ b/serve/ingress/relay.go
@@ -37,12 +37,17 @@
 		return vm.ID == s.set.Self.ID
 	})
 	if len(others) == 0 {
-		return
+		// A VM that was restarted knows none but by their addresses.
+		for _, addr := range s.set.Seeds {
+			if addr != s.set.Self.PeerAddr {
+				others = append(others, peer.At(addr))
+			}
+		}
 	}
 	ask := relayAsk{AsOf: s.copyAsOf()}
 	for range min(relayFanOut, len(others)) {
 		s.relayTurn++
-		s.sendPeer(others[s.relayTurn%len(others)].ID, kindRelayAsk, &ask)
+		s.sendTo(others[s.relayTurn%len(others)], kindRelayAsk, &ask)
 	}
 }
 
--- a/serve/ingress/store_test.go
+++ b/serve/ingress/store_test.go
@@ -107,3 +107,21 @@
 	w.eventually("one is named", func() bool { return len(b.lookup(Lookup{Domain: "d1"})) == 1 })
 	is.Equal(b.lookup(Lookup{Domain: "d1"})[0], b.set.Self.CallAddr)
 }
+
+// Symptom: a VM that was restarted refuses everything for as long as the store
+// is away, although its neighbours serve.
+// Sequence: the store goes down, then a VM is restarted.
+// Cause: it knew other entry VMs from the store alone, and asked nobody.
+func TestRestartWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	w.target("t1", ok("one"))
+	a := w.entry("vm-1")
+	g := &gate{Store: w.store}
+	g.shut.Store(true)
+	b := w.start("vm-2", g, a.set.Self.PeerAddr)
+	w.eventually("it has a configuration", func() bool { return b.version.Load() == 1 && b.knows(1) })
+	res, body := ask(t, b, http.MethodGet, "/x", "id-1")
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(body, "one")
+}
--- a/serve/peer/conn.go
+++ b/serve/peer/conn.go
@@ -120,7 +120,7 @@
 
 // answered completes the handshake on the side that dialled.
 func (c *conn) answered(h *hello) error {
-	if h.ID != c.peer {
+	if h.ID != c.peer && !isAddress(c.peer) {
 		return fmt.Errorf("%w: reached %s in place of %s", ErrMisdirected, h.ID, c.peer)
 	}
 	c.incarnation = h.Incarnation
@@ -136,7 +136,7 @@
 // greeted answers the hello of the side that dialled. That hello may be a
 // recording: only a data frame makes the connection ready.
 func (c *conn) greeted(h *hello) error {
-	if h.Wants != c.t.o.ID {
+	if h.Wants != c.t.o.ID && !isAddress(h.Wants) {
 		return fmt.Errorf("%w: %s wants %s", ErrMisdirected, h.ID, h.Wants)
 	}
 	c.peer = h.ID
--- a/serve/peer/dial.go
+++ b/serve/peer/dial.go
@@ -1,11 +1,24 @@
 package peer
 
 import (
+	"strings"
+
 	"github.com/lesismal/nbio"
 
 	"github.com/azurethread/azurethread/decide/fleet"
 )
 
+// addressMark begins an id that stands for whoever is at an address.
+const addressMark = "@"
+
+// At returns what Send takes for the entry VM at addr, a host:port, whose id is
+// not known. Answers come from the same id.
+func At(addr string) fleet.VM {
+	return fleet.VM{ID: fleet.VMID(addressMark + addr), PeerAddr: addr}
+}
+
+func isAddress(id fleet.VMID) bool { return strings.HasPrefix(string(id), addressMark) }
+
 // dialIfNeeded starts a connection if there is none, or if the one in use has
 // gone silent.
 func (t *Transport) dialIfNeeded(r *remote) {
