Try targets that join; no second send after the deadline

A target that joins a running system gets one request. TestJoinedTargetsAreTried failed first.

TestNoHedgeAfterTheDeadline failed first.

--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -93,6 +93,7 @@
 	j.class = r.classOf(now, j, t)
 	j.waiting = max(0, t.load(now)+1-t.Slots)
 	t.inFlight++
+	t.untried = false
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -100,6 +100,9 @@
 // where waiting for one is quicker than the cold start of the object elsewhere,
 // j waits, and nil is returned.
 func (r *Reducer) chooseAmong(now clock.Time, j *job, ejectedToo bool) *targetState {
+	if t := r.untried(now, j); t != nil {
+		return t
+	}
 	local, remote := r.options(now, j, ejectedToo)
 	best := r.sideOf(now, j, local, remote)
 	j.awaited = best.t
@@ -109,6 +112,18 @@
 	return best.t
 }
 
+// untried returns a target of the own region that has joined and was never
+// used. Objects keep to their places, so without a first request to learn from
+// a new target would stay idle beside full ones.
+func (r *Reducer) untried(now clock.Time, j *job) *targetState {
+	for _, t := range j.svc.targets {
+		if t.untried && t.region == r.region && r.eligible(now, j, t, false) && !r.full(now, t) {
+			return t
+		}
+	}
+	return nil
+}
+
 // options returns the best target of the own region and of the others.
 func (r *Reducer) options(now clock.Time, j *job, ejectedToo bool) (local, remote option) {
 	seen := considered{near: make(map[fleet.Region]int, 4)}
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -25,6 +25,7 @@
 	targets   map[fleet.TargetID]*targetState
 	evacuated map[fleet.Domain]bool
 	lapses    clock.Time // the earliest of the targets'
+	began     clock.Time // when the first event was seen; 0: not yet
 	members   []fleet.VM
 	trips     map[fleet.Region]*mean // round trip in ns
 
@@ -64,6 +65,9 @@
 // Step takes an event seen at now and writes its effects to out.
 func (r *Reducer) Step(now clock.Time, ev Event, out *Ready) {
 	r.out = out
+	if r.began == 0 {
+		r.began = now
+	}
 	switch ev := ev.(type) {
 	case *Arrive:
 		r.arrive(now, ev)
--- a/decide/ingress/reducer_test.go
+++ b/decide/ingress/reducer_test.go
@@ -114,6 +114,28 @@
 	is.Equal(len(out.Sends), 0)
 }
 
+// Symptom: the same, when the time for a second send comes after the deadline.
+// Sequence: the target's own answer is still awaited for a moment then.
+// Cause: the second send looked at everything but the time.
+func TestNoHedgeAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{RepeatRatio: 1, RepeatSlack: 10}, selfVM)
+	rt := one("a")
+	rt.Timeout = hedgeFloor - answerMargin/2
+	s.configure(1, rt)
+	s.target("t1", "d1", 3)
+	s.target("t2", "d1", 3)
+	for id := RequestID(1); id <= 20; id++ { // earn the repeat
+		s.step(&Arrive{Request: id, Host: "h", Path: "/a/x"})
+		s.step(&CallerGone{Request: id})
+	}
+	is.Equal(len(s.step(&Arrive{Request: 100, Host: "h", Path: "/a/x"}).Sends), 1)
+	s.now = s.now.Add(rt.Timeout)
+	s.step(&Tick{})
+	s.now = s.now.Add(answerMargin / 2)
+	is.Equal(len(s.step(&Tick{}).Sends), 0)
+}
+
 // Symptom: the same, after the process has stood still for a while.
 // Sequence: the coordinator's word and the answer are both overdue when it goes
 // on.
@@ -236,3 +258,27 @@
 	}
 	is.Equal(len(s.step(&Arrive{Request: 100, Host: "h", Path: "/a/x"}).Sends), 0)
 }
+
+// Symptom: targets that were added during a busy day get no requests, and the
+// others no relief.
+// Sequence: targets join after every object has its place.
+// Cause: an object's place changes only when it is full, and nobody's first
+// choice is a new target.
+func TestJoinedTargetsAreTried(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{ColdFactor: 1, ColdSlack: 4}, selfVM)
+	s.configure(1, one("a"))
+	s.target("t1", "d1", 50)
+	ask := func(id RequestID, object string) Send {
+		send := s.step(&Arrive{Request: id, Host: "h", Path: "/a/x", Object: object}).Sends[0]
+		s.step(&Answered{Attempt: send.Attempt})
+		return send
+	}
+	for id := RequestID(1); id <= 10; id++ {
+		is.Equal(ask(id, "o").Target, fleet.TargetID("t1"))
+	}
+	s.now = s.now.Add(time.Minute)
+	s.step(&TargetsChanged{Set: []Target{{ID: "t2", Service: "svc", Domain: "d1", Slots: 3, Cold: 3 * time.Second}}})
+	is.Equal(ask(11, "new").Target, fleet.TargetID("t2"))
+	is.Equal(ask(12, "o").Target, fleet.TargetID("t1")) // once is enough
+}
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -149,7 +149,7 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if len(q.running) != 1 || q.job != nil || q.asking != nil || !r.mayRepeat(q) {
+	if len(q.running) != 1 || q.job != nil || q.asking != nil || !r.mayRepeat(q) || !now.Before(q.due) {
 		return
 	}
 	a := q.running[0]
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -25,9 +25,12 @@
 	others   int
 	reported clock.Time
 	answered clock.Time // when the last answer came
-	speed    target.Mean
-	warm     map[string]clock.Time // when an object was last handled
-	awaited  int                   // waiting jobs that would go to the target
+	// untried says that the target has joined a running system and no request
+	// was placed there yet.
+	untried bool
+	speed   target.Mean
+	warm    map[string]clock.Time // when an object was last handled
+	awaited int                   // waiting jobs that would go to the target
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
@@ -113,6 +116,7 @@
 	t, ok := r.targets[d.ID]
 	if !ok {
 		t = &targetState{region: r.opts.Regions[d.Domain]}
+		t.untried = now.Sub(r.began) > settleTime
 		r.targets[d.ID] = t
 	}
 	t.lapses = clock.Never
@@ -124,6 +128,10 @@
 	}
 }
 
+// settleTime is how long after its first event the reducer takes the targets
+// that it hears of for such as were there before.
+const settleTime = 5 * time.Second
+
 // lapseTime is how long a target is still used after its registration has gone
 // while the store was in trouble. Registrations of live targets are back within
 // about two seconds of the store's return; those still missing then are gone.
