Keep the mark against reusing a connection; one BodyAllowed; dead fields out

Found by reading the change once more. When bytes follow an answer without a body, the connection is marked not to be used again before its head is parsed, and parsing began by clearing the mark: the connection was lent out with bytes on it that belong to no request. Only the id that targets echo stood between them and the next request. TestBytesBehindAnAnswerEndTheConnection failed first.

inbound and outbound had the same rule about bodies, each its own; it is heads.BodyAllowed now. job.sent and Send.Attempts were set and never read. No assertion is changed; the test of inbound names the moved function.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -133,13 +133,12 @@
 
 // Send asks for a request to be sent to a target.
 type Send struct {
-	Attempt  AttemptID
-	Request  RequestID
-	Target   fleet.TargetID
-	Addr     string
-	Left     time.Duration // what the target may still take
-	Connect  time.Duration // bound on opening a connection
-	Attempts int           // how many this is of the request
+	Attempt AttemptID
+	Request RequestID
+	Target  fleet.TargetID
+	Addr    string
+	Left    time.Duration // what the target may still take
+	Connect time.Duration // bound on opening a connection
 }
 
 // Cancel asks for an attempt to be given up.
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -32,7 +32,6 @@
 	awaited *targetState
 
 	target  *targetState
-	sent    clock.Time
 	class   workClass
 	waiting int // requests ahead of it at the target, beyond the slots
 }
@@ -89,7 +88,7 @@
 // grant gives j its place at t.
 func (r *Reducer) grant(now clock.Time, j *job, t *targetState) {
 	j.state = jobPlaced
-	j.target, j.sent = t, now
+	j.target = t
 	j.class = r.classOf(now, j, t)
 	j.waiting = max(0, t.load(now)+1-t.Slots)
 	t.inFlight++
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -119,9 +119,8 @@
 	r.attempts[a.id] = a
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: a.id, Request: q.id, Target: t.ID, Addr: t.Addr,
-		Left:     q.due.Sub(now),
-		Connect:  connectFloor + time.Duration(connectTrips*r.trip(t.region)),
-		Attempts: q.sends,
+		Left:    q.due.Sub(now),
+		Connect: connectFloor + time.Duration(connectTrips*r.trip(t.region)),
 	})
 	if q.route.Idempotent && r.mayRepeat(q) {
 		r.timers.add(timer{at: now.Add(r.hedgeAfter(q.svc)), request: q.id, purpose: dueHedge})
--- a/serve/heads/heads.go
+++ b/serve/heads/heads.go
@@ -81,6 +81,11 @@
 	return f, status, err
 }
 
+// BodyAllowed reports whether an answer of this status can have a body.
+func BodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Readable returns what can be read of a head that is incomplete or malformed:
 // the first line's first two words, and every field line that is well-formed.
 func Readable(head []byte) (method, target string, fields http.Header) {
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -357,7 +357,7 @@
 	closing := c.closing || x.close || c.s.stopping.Load()
 	c.mu.Unlock()
 	encodeHead(b, status, h, len(body), closing)
-	sendBody := x.Method != http.MethodHead && bodyAllowed(status)
+	sendBody := x.Method != http.MethodHead && heads.BodyAllowed(status)
 	if sendBody && len(body) <= maxPooledBuffer {
 		b.Write(body)
 	}
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"strconv"
 	"sync"
+
+	"github.com/azurethread/azurethread/serve/heads"
 )
 
 // Request is one whole request of a caller.
@@ -104,11 +106,6 @@
 // maxPooledBuffer keeps one large answer from pinning its buffer for good.
 const maxPooledBuffer = 64 << 10
 
-// bodyAllowed reports whether an answer of this status carries a body.
-func bodyAllowed(status int) bool {
-	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // encodeHead writes the status line and the header fields.
 func encodeHead(b *bytes.Buffer, status int, h http.Header, length int, closing bool) {
 	b.WriteString("HTTP/1.1 ")
@@ -121,7 +118,7 @@
 	b.WriteString(text)
 	b.WriteString("\r\n")
 	_ = h.WriteSubset(b, skipped) // a bytes.Buffer does not fail
-	if bodyAllowed(status) {
+	if heads.BodyAllowed(status) {
 		b.WriteString("Content-Length: ")
 		b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(length), 10))
 		b.WriteString("\r\n")
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/serve/heads"
 )
 
 // handlerFunc adapts a function to Handler.
@@ -238,7 +240,7 @@
 		res, b := read(t, r, http.MethodGet)
 		is.Equal(res.StatusCode, status)
 		is.Equal(res.Header["X-A"], []string{"1", "2"})
-		is.Equal(b == "b", bodyAllowed(status))
+		is.Equal(b == "b", heads.BodyAllowed(status))
 	}
 }
 
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -143,7 +143,7 @@
 	}
 	c.left = max(f.Length, 0)
 	n := end - seen
-	if ends := f.Length == 0 || c.noBody || !bodyAllowed(status); ends && len(data) > n && status >= http.StatusOK {
+	if ends := f.Length == 0 || c.noBody || !heads.BodyAllowed(status); ends && len(data) > n && status >= http.StatusOK {
 		c.noReuse = true
 	}
 	return n, c.parser.Parse(withReason(head))
@@ -152,11 +152,6 @@
 // httpBytes is how every answer begins.
 var httpBytes = []byte("HTTP/1.")
 
-// bodyAllowed reports whether an answer of this status can have a body.
-func bodyAllowed(status int) bool {
-	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // watchEnd keeps the socket of an answer that ends with its connection beyond
 // the end of the connection, so that its way of ending can be looked at: nbio
 // reports a connection that ended with an error event as ended in good order,
@@ -251,7 +246,7 @@
 	c.partial.Store(true)
 	c.framed = false
 	c.foreign = false
-	c.noReuse = proto != "HTTP/1.1"
+	c.noReuse = c.noReuse || proto != "HTTP/1.1"
 	return nil
 }
 
@@ -352,12 +347,12 @@
 		c.endAnswer() // the final one, or the own one, follows
 		return
 	}
-	if !c.framed && !c.noBody && bodyAllowed(a.Status) && c.p.mayEndByClose(c) {
+	if !c.framed && !c.noBody && heads.BodyAllowed(a.Status) && c.p.mayEndByClose(c) {
 		c.watchEnd(a)
 		c.noReuse = true
 		return
 	}
-	if !c.framed && !c.noBody && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+	if !c.framed && !c.noBody && heads.BodyAllowed(a.Status) {
 		// The end of such an answer is the end of the connection, which looks
 		// the same when the receiver dies: wholeness cannot be told, and the
 		// parser reports it complete with no body at all.
--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -242,3 +242,24 @@
 		t.Fatal("the connection has not ended", err)
 	}
 }
+
+// Symptom: bytes that belong to no request are read as the answer to the next.
+// Sequence: an answer without a body comes in one piece with further bytes.
+// Cause: the mark against using the connection again was set before the head
+// was parsed, and parsing began by clearing it.
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, always(okAnswer))
+	p := newPool(t)
+	k, _ := newCall()
+	pe, _ := p.claim(addr, k, false)
+	c, err := pe.connect(k)
+	is.NoErr(err)
+	is.True(k.attach(c))
+	k.wrote(nil)
+	head := "HTTP/1.1 204 N\r\n\r\n"
+	n, err := c.take([]byte(head + "more"))
+	is.NoErr(err)
+	is.Equal(n, len(head))
+	is.Equal(pe.free(), 0)
+}
