Learn latency by route and by what is known of the object

Speeds of targets stood at 20 to 100 times the usual: requests without an object (2 ms) and with one (300 to 1000 ms), and routes of different work, were measured together, so the next ordinary answer looked a hundred times too long. Classes that were never measured kept an assumed 400 ms beside measured 1000, which drew first requests elsewhere. And a target counted as having an object only after its answer, though it has it from the start of the first request (second requests took 290 ms beside 900).

Now latency is kept by route and by object at hand, not at hand, none; an unmeasured class follows the measured one; an object is at hand from the grant, and not if the target refused it; one answer's ratio is bounded by 8; the discount for first choices is for objects that are known nowhere.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -140,24 +140,6 @@
 	}
 }
 
-// learnWork takes the latency of an answer.
-func (r *Reducer) learnWork(now clock.Time, j *job, rep *Report) {
-	t := j.target
-	t.remember(now, j.Object)
-	work := rep.Took - rep.Connect - time.Duration(r.trip(t.region))
-	work /= time.Duration(1 + j.waiting/max(t.Slots, 1))
-	work = max(work, time.Millisecond)
-	expected := j.svc.work[j.class].Value(float64(initialWork[j.class]))
-	t.speed.Observe(now, time.Duration(float64(work)/expected*float64(usualSpeed)))
-	j.svc.work[j.class].Observe(now, work)
-	size, ok := r.sizes[j.Route]
-	if !ok {
-		size = new(mean)
-		r.sizes[j.Route] = size
-	}
-	size.add(float64(rep.Bytes))
-}
-
 // judge counts an outcome for or against the target.
 func (r *Reducer) judge(now clock.Time, t *targetState, ok bool) {
 	if ok {
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -89,10 +89,11 @@
 func (r *Reducer) grant(now clock.Time, j *job, t *targetState) {
 	j.state = jobPlaced
 	j.target = t
-	j.class = r.classOf(now, j, t)
+	j.class = classOf(now, j, t)
 	j.waiting = max(0, t.load(now)+1-t.Slots)
 	t.inFlight++
 	t.untried = false
+	t.remember(now, j.Object)
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
@@ -142,8 +143,11 @@
 	r.drop(j)
 	t.inFlight--
 	r.learnResult(now, t, rep)
-	if rep.Result == ResultServed {
+	switch rep.Result {
+	case ResultServed:
 		r.learnWork(now, j, rep)
+	case ResultRefused, ResultUnreachable, ResultMisdirected:
+		t.forget(j)
 	}
 	r.pumpService(now, j.svc)
 }
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -74,10 +74,6 @@
 	queueAtTarget = 1
 	// warmFor is how long an object is taken to be remembered by a target.
 	warmFor = 30 * time.Second
-	// initialCold and initialWarm are the latency expected before anything was
-	// measured; only their order matters.
-	initialCold = 400 * time.Millisecond
-	initialWarm = 150 * time.Millisecond
 	// initialNear and initialFar are round trips inside a region and between
 	// regions, before a connection was opened.
 	initialNear = 2 * time.Millisecond
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -3,46 +3,12 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
-// workClass says what is known of an object at a target before a request for
-// it is sent there. Latency is learned for each class apart.
-type workClass uint8
-
-const (
-	warmHere    workClass = iota // handled there for this entry VM lately
-	localFirst                   // the first choice of this region
-	localOther                   // another target of this region
-	remoteFirst                  // the first choice of another region
-	workClasses
-)
-
-// initialWork is the latency expected before anything was measured.
-var initialWork = [workClasses]time.Duration{
-	warmHere: initialWarm, localFirst: initialCold, localOther: initialCold, remoteFirst: initialCold,
-}
-
-// usualSpeed is the value of a target's speed that is as fast as the others.
-const usualSpeed = time.Second
-
-func (r *Reducer) classOf(now clock.Time, j *job, t *targetState) workClass {
-	switch {
-	case t.isWarm(now, j.Object):
-		return warmHere
-	case t.region != r.region:
-		return remoteFirst
-	case r.firstIn(j, t.region) == t:
-		return localFirst
-	default:
-		return localOther
-	}
-}
-
 // firstIn returns the first usable target of a region in j's ranking.
 func (r *Reducer) firstIn(j *job, region fleet.Region) *targetState {
 	for _, t := range j.svc.rank(j.Object) {
@@ -240,22 +206,9 @@
 	return r.trip(t.region) + work + wait + r.carriage(j, t)
 }
 
-// expectedWork is the latency expected at t without a wait, in ns.
-func (r *Reducer) expectedWork(now clock.Time, j *job, t *targetState) float64 {
-	class := r.classOf(now, j, t)
-	work := j.svc.work[class].Value(float64(initialWork[class]))
-	if class == localFirst {
-		// Objects keep to their first choice where nothing speaks against it:
-		// a coordinator that has just started knows no object's place, and
-		// finds most of them where its predecessor has put them.
-		work = (work + j.svc.work[warmHere].Value(float64(initialWarm))) / 2
-	}
-	return work * t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
-}
-
 // carriage is what carrying the answer costs, as a time.
 func (r *Reducer) carriage(j *job, t *targetState) float64 {
-	kilobytes := r.sizes[j.Route].or(0) / 1000
+	kilobytes := r.routeOf(j.Route).size.or(0) / 1000
 	switch {
 	case t.Domain == j.Domain:
 		return 0
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -20,7 +20,7 @@
 
 	table     *route.Table
 	splits    map[string]*route.Split // by route name
-	sizes     map[string]*mean        // bytes of an answer, by route name
+	routes    map[string]*routeState  // by route name
 	services  map[fleet.ServiceName]*service
 	targets   map[fleet.TargetID]*targetState
 	evacuated map[fleet.Domain]bool
@@ -47,7 +47,7 @@
 		region:    o.Regions[o.Domain],
 		rng:       rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		splits:    make(map[string]*route.Split),
-		sizes:     make(map[string]*mean),
+		routes:    make(map[string]*routeState),
 		services:  make(map[fleet.ServiceName]*service),
 		targets:   make(map[fleet.TargetID]*targetState),
 		evacuated: make(map[fleet.Domain]bool),
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -19,7 +19,6 @@
 
 	share   regionShare
 	repeats repeatBudget
-	work    [workClasses]target.Mean // latency of answers, network aside
 	latency target.Quantiles
 }
 
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -74,6 +74,14 @@
 	t.warm[object] = now
 }
 
+// forget undoes the remembering of j's object when j was the first to bring it
+// and has not run.
+func (t *targetState) forget(j *job) {
+	if j.class == objectCold {
+		delete(t.warm, j.Object)
+	}
+}
+
 // coldRoom reports whether one more request may be sent to the target within
 // the present second while it is cold.
 func (t *targetState) coldRoom(now clock.Time, perSecond int) bool {
--- /dev/null
+++ b/decide/ingress/work.go
@@ -0,0 +1,117 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/target"
+)
+
+// workClass says what is known of an object at a target before a request for
+// it is sent there. Latency is learned for each class apart.
+type workClass uint8
+
+const (
+	// objectWarm: a request for the object was placed there lately. A target
+	// has the object at hand from the start of the first request for it, so
+	// one that is still in flight counts.
+	objectWarm workClass = iota
+	objectCold
+	objectNone // the request names no object
+	workClasses
+)
+
+// initialWork is the latency expected before anything was measured; only the
+// order and the ratios matter.
+var initialWork = [workClasses]time.Duration{
+	objectWarm: 150 * time.Millisecond,
+	objectCold: 400 * time.Millisecond,
+	objectNone: 150 * time.Millisecond,
+}
+
+// usualSpeed is the value of a target's speed that is as fast as the others;
+// twice that is half as fast.
+const usualSpeed = time.Second
+
+// maxSpeedRatio bounds what one answer says of a target's speed: the work of a
+// single request may lie far off the usual without being the target's doing.
+const maxSpeedRatio = 8
+
+// routeState is what was learned of the requests of one route. Routes to the
+// same service may ask for very different work.
+type routeState struct {
+	size mean                     // bytes of an answer
+	work [workClasses]target.Mean // latency of answers, network aside
+}
+
+func (r *Reducer) routeOf(name string) *routeState {
+	s, ok := r.routes[name]
+	if !ok {
+		s = new(routeState)
+		r.routes[name] = s
+	}
+	return s
+}
+
+// expected is the latency of a class in ns. One that was never measured is
+// derived from the other, so that the first choices don't take the unknown for
+// the quicker.
+func (s *routeState) expected(class workClass) float64 {
+	usual := float64(initialWork[class])
+	for other := range s.work {
+		if m := &s.work[other]; m.Known() && workClass(other) != objectNone && class != objectNone {
+			usual = m.Value(0) * float64(initialWork[class]) / float64(initialWork[other])
+		}
+	}
+	return s.work[class].Value(usual)
+}
+
+func classOf(now clock.Time, j *job, t *targetState) workClass {
+	switch {
+	case j.Object == "":
+		return objectNone
+	case t.isWarm(now, j.Object):
+		return objectWarm
+	default:
+		return objectCold
+	}
+}
+
+// expectedWork is the latency expected at t without a wait, in ns.
+func (r *Reducer) expectedWork(now clock.Time, j *job, t *targetState) float64 {
+	class := classOf(now, j, t)
+	s := r.routeOf(j.Route)
+	work := s.expected(class)
+	if class == objectCold && t.region == r.region && !r.warmSomewhere(now, j) && r.firstIn(j, t.region) == t {
+		// Objects keep to their first choice where nothing speaks against it:
+		// a coordinator that has just started knows no object's place, and
+		// finds most of them where its predecessor has put them.
+		work = (work + s.expected(objectWarm)) / 2
+	}
+	return work * t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
+}
+
+// warmSomewhere reports whether j's object is known to be warm at a target.
+func (r *Reducer) warmSomewhere(now clock.Time, j *job) bool {
+	for _, t := range j.svc.targets {
+		if t.isWarm(now, j.Object) {
+			return true
+		}
+	}
+	return false
+}
+
+// learnWork takes the latency of an answer.
+func (r *Reducer) learnWork(now clock.Time, j *job, rep *Report) {
+	t := j.target
+	t.remember(now, j.Object)
+	work := rep.Took - rep.Connect - time.Duration(r.trip(t.region))
+	work /= time.Duration(1 + j.waiting/max(t.Slots, 1))
+	work = max(work, time.Millisecond)
+	s := r.routeOf(j.Route)
+	ratio := float64(work) / s.expected(j.class)
+	ratio = min(max(ratio, 1.0/maxSpeedRatio), maxSpeedRatio)
+	t.speed.Observe(now, time.Duration(ratio*float64(usualSpeed)))
+	s.work[j.class].Observe(now, work)
+	s.size.add(float64(rep.Bytes))
+}
--- /dev/null
+++ b/decide/ingress/work_test.go
@@ -0,0 +1,115 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+const (
+	workWarm = 300 * time.Millisecond
+	workCold = 900 * time.Millisecond
+)
+
+// begin lets a request arrive and returns its send.
+func (s *bench) begin(id RequestID, path, object string) Send {
+	s.t.Helper()
+	out := s.step(&Arrive{Request: id, Host: "h", Path: path, Object: object})
+	if len(out.Sends) != 1 {
+		s.t.Fatalf("request %d: %d sends", id, len(out.Sends))
+	}
+	return out.Sends[0]
+}
+
+// serve lets a request arrive and be answered after took.
+func (s *bench) serve(id RequestID, path, object string, took time.Duration) fleet.TargetID {
+	s.t.Helper()
+	send := s.begin(id, path, object)
+	s.now = s.now.Add(took)
+	s.step(&Answered{Attempt: send.Attempt, Outcome: Served})
+	return send.Target
+}
+
+// Symptom: objects are handled at three places, each time from cold, while the
+// targets that have them at hand are idle.
+// Sequence: requests that name no object, or a route with little work, are
+// answered within milliseconds; then one takes its usual time.
+// Cause: all were measured together, so that the usual request seemed a hundred
+// times too long, and its target that much slower than the others.
+func TestQuickRequestsMakeNoTargetSlow(t *testing.T) {
+	cases := map[string]struct{ path, object string }{
+		"no object":     {path: "/a/x"},
+		"another route": {path: "/b/x", object: "small"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newBench(t, Bounds{}, selfVM)
+			s.configure(1, one("a"), one("b"))
+			for i := range 4 {
+				s.target(fleet.TargetID(fmt.Sprint("t", i)), "d1", 3)
+			}
+			for id := range RequestID(40) {
+				s.serve(id, tc.path, tc.object, 2*time.Millisecond)
+			}
+			first := s.serve(100, "/a/x", "large", workCold)
+			for id := RequestID(101); id < 110; id++ {
+				is.Equal(s.serve(id, "/a/x", "large", workWarm), first) // where it is at hand
+			}
+		})
+	}
+}
+
+// Symptom: an object that is asked for twice at once is handled from cold
+// twice.
+// Sequence: the second request comes while the first is in flight.
+// Cause: a target counted as having an object only once it had answered.
+func TestObjectInFlightIsAtHand(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{}, selfVM)
+	s.configure(1, one("a"))
+	for i := range 4 {
+		s.target(fleet.TargetID(fmt.Sprint("t", i)), "d1", 2)
+	}
+	for id := range RequestID(20) { // what warm and cold take
+		object := fmt.Sprint("o", id/2)
+		s.serve(id, "/a/x", object, []time.Duration{workCold, workWarm}[id%2])
+	}
+	first := s.begin(100, "/a/x", "hot")
+	second := s.begin(101, "/a/x", "hot")
+	third := s.begin(102, "/a/x", "hot")
+	is.Equal(second.Target, first.Target)
+	is.Equal(third.Target, first.Target) // a short wait there, against a cold start elsewhere
+}
+
+// Symptom: requests go to a target that does not have their object at hand,
+// past one that has.
+// Sequence: the first request for the object is refused there before it runs.
+// Cause: having sent it counted as the target's having the object.
+func TestRefusedRequestBringsNoObject(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{}, selfVM)
+	s.configure(1, one("a"))
+	s.target("t1", "d1", 3)
+	send := s.begin(1, "/a/x", "o")
+	is.True(s.r.targets["t1"].isWarm(s.now, "o"))
+	s.step(&Failed{Attempt: send.Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonConnect})
+	is.True(!s.r.targets["t1"].isWarm(s.now, "o"))
+}
+
+// Symptom: the first requests for an object go to another region, although the
+// own one is as quick.
+// Sequence: answers were measured only here, and take longer than was assumed.
+// Cause: what was never measured kept the assumed latency.
+func TestUnmeasuredWorkFollowsMeasured(t *testing.T) {
+	is := is.New(t)
+	var s routeState
+	s.work[objectWarm].Observe(1, 2*initialWork[objectWarm])
+	is.Equal(s.expected(objectCold), float64(2*initialWork[objectCold]))
+	is.Equal(s.expected(objectNone), float64(initialWork[objectNone]))
+}
