Queue at targets by whether the object is at hand; cross regions only if sooner

And cold requests queued before warm ones.

Now as many requests wait at a target as it has slots if it has their object, one if they name none, none if they would start cold; the other side of the regional share is taken only if it is expected to be sooner.

--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -68,10 +68,10 @@
 	localChoices  = 2
 	remoteChoices = 1
 	domainChoices = 1
-	// queueAtTarget is how many requests beyond its slots may be at a target: it
-	// starts the next one without a round trip. With none, slots stood idle and
-	// the mean worth fell by 0.03; with two, overload turned into lateness.
-	queueAtTarget = 1
+	// queueWithoutObject is how many requests beyond its slots may be at a target
+	// when one comes that names no object: the target starts the next one
+	// without a round trip.
+	queueWithoutObject = 1
 	// warmFor is how long an object is taken to be remembered by a target.
 	warmFor = 30 * time.Second
 	// initialNear and initialFar are round trips inside a region and between
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -72,7 +72,7 @@
 	local, remote := r.options(now, j, ejectedToo)
 	best := r.sideOf(now, j, local, remote)
 	j.awaited = best.t
-	if best.t == nil || r.full(now, best.t) {
+	if best.t == nil || full(now, j, best.t) {
 		return nil
 	}
 	return best.t
@@ -83,7 +83,7 @@
 // a new target would stay idle beside full ones.
 func (r *Reducer) untried(now clock.Time, j *job) *targetState {
 	for _, t := range j.svc.targets {
-		if t.untried && t.region == r.region && r.eligible(now, j, t, false) && !r.full(now, t) {
+		if t.untried && t.region == r.region && r.eligible(now, j, t, false) && !full(now, j, t) {
 			return t
 		}
 	}
@@ -134,15 +134,40 @@
 	if s.remote(now, r.sideHash(j.Object)) {
 		first, second, toRemote = remote, local, false
 	}
-	if r.full(now, first.t) && !r.full(now, second.t) && s.mayCross(now, toRemote) {
+	// A wait for a place where the object is at hand is often shorter than the
+	// cold start elsewhere, which would also take a slot for three times as long.
+	sooner := second.cost < first.cost
+	if sooner && full(now, j, first.t) && !full(now, j, second.t) && s.mayCross(now, toRemote) {
 		return second
 	}
 	return first
 }
 
-// full reports whether t has as many requests as it may.
-func (r *Reducer) full(now clock.Time, t *targetState) bool {
-	return t.load(now) >= t.Slots+queueAtTarget
+// full reports whether t has as many requests as it may for one more of j's
+// class.
+func full(now clock.Time, j *job, t *targetState) bool {
+	return t.load(now) >= t.Slots+queueAt(classOf(now, j, t), t.Slots)
+}
+
+// queueAt is how many requests beyond its slots may be at a target before one
+// of a class is sent there.
+//
+// An object that is at hand is worth a wait at the target: everywhere else its
+// request would start cold, miss its aim and take another's slot meanwhile. As
+// many as there are slots wait there, which is one round. A cold request gains
+// nothing by queueing and keeps those behind it waiting.
+//
+// With one request beyond the slots for all classes the mean worth of the
+// standard days was lower by 0.02 to 0.04, with two and one by 0.01 to 0.02.
+func queueAt(class workClass, slots int) int {
+	switch class {
+	case objectWarm:
+		return slots
+	case objectNone:
+		return queueWithoutObject
+	default:
+		return 0
+	}
 }
 
 // eligible reports whether j may be sent to t at all now, its load aside.
--- a/decide/ingress/reducer_test.go
+++ b/decide/ingress/reducer_test.go
@@ -267,7 +267,7 @@
 	s.target("t1", "d1", 3)
 	first := s.step(&Arrive{Request: 1, Host: "h", Path: "/a/x"}).Sends[0]
 	s.step(&Answered{Attempt: first.Attempt, Load: Load{Known: true, Running: 1, Slots: 3}})
-	for id := RequestID(2); id < 2+3+queueAtTarget; id++ {
+	for id := RequestID(2); id < 2+3+queueWithoutObject; id++ {
 		is.Equal(len(s.step(&Arrive{Request: id, Host: "h", Path: "/a/x"}).Sends), 1)
 	}
 	is.Equal(len(s.step(&Arrive{Request: 100, Host: "h", Path: "/a/x"}).Sends), 0)
--- a/decide/ingress/work_test.go
+++ b/decide/ingress/work_test.go
@@ -113,3 +113,48 @@
 	is.Equal(s.expected(objectCold), float64(2*initialWork[objectCold]))
 	is.Equal(s.expected(objectNone), float64(initialWork[objectNone]))
 }
+
+// placing has a region with one target of two slots, another region that is as
+// near, and an object that is at hand at the first.
+func placing(t *testing.T) *bench {
+	s := newBench(t, Bounds{RegionShift: 1}, selfVM)
+	s.configure(1, one("a"))
+	s.target("t1", "d1", 2)
+	for id := range RequestID(20) { // what warm and cold take
+		object := fmt.Sprint("o", id/2)
+		s.serve(id, "/a/x", object, []time.Duration{workCold, workWarm}[id%2])
+	}
+	s.target("far1", "far", 2)
+	return s
+}
+
+// Symptom: during a rush every object is handled from cold at several places,
+// and everything takes longer than it need.
+// Sequence: the place where an object is at hand has its slots taken; a target
+// of another region is idle.
+// Cause: full meant that the request goes elsewhere, whatever it takes there.
+func TestFullPlaceIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	s := placing(t)
+	for id := RequestID(100); id < 104; id++ { // two slots and one round
+		is.Equal(s.begin(id, "/a/x", "o0").Target, fleet.TargetID("t1"))
+	}
+	out := s.step(&Arrive{Request: 104, Host: "h", Path: "/a/x", Object: "o0"})
+	is.Equal(len(out.Sends), 0) // waits: one more round is shorter than a cold start
+}
+
+// Symptom: requests whose object is at hand wait behind cold starts.
+// Sequence: requests for new objects come while the slots are taken.
+// Cause: they queued at the target, where they keep others waiting and gain
+// nothing themselves.
+func TestColdRequestsDoNotQueueAtTargets(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{}, selfVM)
+	s.configure(1, one("a"))
+	s.target("t1", "d1", 2)
+	s.begin(1, "/a/x", "new1")
+	s.begin(2, "/a/x", "new2")
+	out := s.step(&Arrive{Request: 3, Host: "h", Path: "/a/x", Object: "new3"})
+	is.Equal(len(out.Sends), 0)
+	s.begin(4, "/a/x", "new1")
+}
