Leave objects on the side of the regional share where they are at hand

Now, while the share lies within its band, an object that is at hand on one side only stays there; beyond the band the bound goes first as before.

--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -131,7 +131,7 @@
 		s.follow(now, remote.cost < local.cost, r.shiftRate())
 	}
 	first, second, toRemote := local, remote, true
-	if s.remote(now, r.sideHash(j.Object)) {
+	if s.sideOf(now, r.sideHash(j.Object), atHand(now, j, local.t, remote.t)) == sideOthers {
 		first, second, toRemote = remote, local, false
 	}
 	// A wait for a place where the object is at hand is often shorter than the
@@ -143,6 +143,18 @@
 	return first
 }
 
+// atHand returns the side that alone has j's object at hand.
+func atHand(now clock.Time, j *job, local, remote *targetState) side {
+	switch here, there := local.isWarm(now, j.Object), remote.isWarm(now, j.Object); {
+	case here == there:
+		return sideAny
+	case here:
+		return sideOwn
+	default:
+		return sideOthers
+	}
+}
+
 // full reports whether t has as many requests as it may for one more of j's
 // class.
 func full(now clock.Time, j *job, t *targetState) bool {
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -97,16 +97,31 @@
 	return float64(s.now.remote+s.before.remote)/float64(all) - s.target
 }
 
-// remote reports whether a request for an object, whose hash lies between 0 and
-// 1, belongs to the other regions.
-func (s *regionShare) remote(now clock.Time, hash float64) bool {
+// side is the side of the share to which something belongs.
+type side uint8
+
+const (
+	sideAny side = iota
+	sideOwn
+	sideOthers
+)
+
+// sideOf returns the side to which a request for an object belongs. hash lies
+// between 0 and 1; atHand is the only side where the object is at hand, if
+// there is one. It goes before the hash while the share is near its target: an
+// object that changes sides starts cold there.
+func (s *regionShare) sideOf(now clock.Time, hash float64, atHand side) side {
 	switch off := s.off(now); {
 	case off > shiftBand:
-		return false
+		return sideOwn
 	case off < -shiftBand:
-		return true
+		return sideOthers
+	case atHand != sideAny:
+		return atHand
+	case hash < s.target:
+		return sideOthers
 	default:
-		return hash < s.target
+		return sideOwn
 	}
 }
 
--- a/decide/ingress/shift_test.go
+++ b/decide/ingress/shift_test.go
@@ -53,3 +53,23 @@
 	}
 	is.True(shares[0] > 0.3 && shares[0] < 0.7) // two of eight targets are here
 }
+
+// Symptom: while the share of other regions moves, objects start cold on the
+// other side although their place here is free.
+// Sequence: an object is at hand on one side; the share passes the object's
+// hash.
+// Cause: the hash alone decided.
+func TestObjectsStayOnTheirSide(t *testing.T) {
+	is := is.New(t)
+	s := regionShare{}
+	s.begin(1, 0.5)
+	const low, high = 0.1, 0.9
+	is.Equal(s.sideOf(1, low, sideAny), sideOthers)
+	is.Equal(s.sideOf(1, high, sideAny), sideOwn)
+	is.Equal(s.sideOf(1, low, sideOwn), sideOwn)
+	is.Equal(s.sideOf(1, high, sideOthers), sideOthers)
+	for range 20 { // the share of the last seconds falls below the band
+		s.count(1, false)
+	}
+	is.Equal(s.sideOf(1, high, sideOwn), sideOthers) // the bound goes first
+}
