Force objects to the other side of the share only far off it

Cause: a service of a region with few clients has 16 requests in two seconds, so its share strays by 0.1 by chance alone, and the correction beyond 0.05 sent objects that were at hand here to cold starts there.

Between one and two thirds of the operators' bound off the target, only requests that lose nothing are sent to the side that lacks them; beyond two thirds all. The bands are parts of the bound now, no longer fixed numbers that fitted 0.15; without a bound shares are free.

--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -124,11 +124,12 @@
 		}
 		return local
 	}
+	s.bound = r.shiftBound()
 	if !s.known {
 		s.begin(now, r.firstShare(j.svc))
 	}
 	if j.state == jobNew {
-		s.follow(now, remote.cost < local.cost, r.shiftRate())
+		s.follow(now, remote.cost < local.cost)
 	}
 	first, second, toRemote := local, remote, true
 	if s.sideOf(now, r.sideHash(j.Object), atHand(now, j, local.t, remote.t)) == sideOthers {
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -18,6 +18,7 @@
 // moves.
 type regionShare struct {
 	known  bool
+	bound  float64 // by which the share may change within shiftWindow
 	target float64 // the share that is kept to
 	wanted float64 // moving average of where requests would be answered sooner
 	at     clock.Time
@@ -38,9 +39,12 @@
 	// shiftFew is the number of requests in a window below which shares mean
 	// nothing.
 	shiftFew = 10
-	// shiftBand is how far the share of the last seconds may lie off the
-	// target. Beyond it, requests go to the side that lacks them.
-	shiftBand = 0.05
+	// shiftBand is how far the share of the last seconds may lie off the target,
+	// as a part of the operators' bound. Beyond it, requests go to the side that
+	// lacks them; those of an object that is at hand on the other side, and
+	// would start cold, only beyond shiftFar.
+	shiftBand = 1.0 / 3
+	shiftFar  = 2.0 / 3
 	// wantedWeight is the weight of one request in the wanted share.
 	wantedWeight = 0.03
 )
@@ -53,14 +57,15 @@
 	s.at, s.began = now, now
 }
 
-// follow moves the target towards the wanted share, by at most a rate of change
-// in parts of the requests a second.
-func (s *regionShare) follow(now clock.Time, remote bool, rate float64) {
+// follow moves the target towards the wanted share, by at most the part of the
+// bound that is used.
+func (s *regionShare) follow(now clock.Time, remote bool) {
 	sample := 0.0
 	if remote {
 		sample = 1
 	}
 	s.wanted += wantedWeight * (sample - s.wanted)
+	rate := s.bound * shiftUse / shiftWindow.Seconds()
 	step := rate * min(now.Sub(s.at), time.Second).Seconds()
 	s.at = now
 	s.target += min(max(s.wanted-s.target, -step), step)
@@ -111,13 +116,17 @@
 // there is one. It goes before the hash while the share is near its target: an
 // object that changes sides starts cold there.
 func (s *regionShare) sideOf(now clock.Time, hash float64, atHand side) side {
-	switch off := s.off(now); {
-	case off > shiftBand:
+	switch off := s.off(now) / s.bound; {
+	case off > shiftFar:
 		return sideOwn
-	case off < -shiftBand:
+	case off < -shiftFar:
 		return sideOthers
 	case atHand != sideAny:
 		return atHand
+	case off > shiftBand:
+		return sideOwn
+	case off < -shiftBand:
+		return sideOthers
 	case hash < s.target:
 		return sideOthers
 	default:
@@ -129,9 +138,9 @@
 // belong: the share stays near its target.
 func (s *regionShare) mayCross(now clock.Time, toRemote bool) bool {
 	if toRemote {
-		return s.off(now) < shiftBand
+		return s.off(now) < shiftBand*s.bound
 	}
-	return s.off(now) > -shiftBand
+	return s.off(now) > -shiftBand*s.bound
 }
 
 // sideHash places an object on the scale of a share.
@@ -164,7 +173,11 @@
 	return max(0, 1-float64(own)/fair)
 }
 
-// shiftRate is how fast a share may move, in parts of the requests a second.
-func (r *Reducer) shiftRate() float64 {
-	return r.opts.Bounds.RegionShift * shiftUse / shiftWindow.Seconds()
+// shiftBound is the operators' bound on the change of a share; 1 if they state
+// none.
+func (r *Reducer) shiftBound() float64 {
+	if b := r.opts.Bounds.RegionShift; b > 0 {
+		return b
+	}
+	return 1
 }
