Don't learn from objects that others brought, nor against guesses

Answers to requests whose object another region had brought were measured as cold work, and their targets as three times quick; and the first answers of a class were compared with a guess.

Now a cold request that is answered as if its object had been at hand counts once in eight, never makes a target fast, and a target's speed is learned only beside work that was measured.

--- a/decide/ingress/work.go
+++ b/decide/ingress/work.go
@@ -37,11 +37,17 @@
 // single request may lie far off the usual without being the target's doing.
 const maxSpeedRatio = 8
 
+// quickCounts: see wasAtHand.
+const quickCounts = 8
+
 // routeState is what was learned of the requests of one route. Routes to the
 // same service may ask for very different work.
 type routeState struct {
 	size mean                     // bytes of an answer
 	work [workClasses]target.Mean // latency of answers, network aside
+	// quick counts cold requests that were answered as if their objects had
+	// been at hand.
+	quick uint
 }
 
 func (r *Reducer) routeOf(name string) *routeState {
@@ -105,13 +111,45 @@
 func (r *Reducer) learnWork(now clock.Time, j *job, rep *Report) {
 	t := j.target
 	t.remember(now, j.Object)
+	s := r.routeOf(j.Route)
+	s.size.add(float64(rep.Bytes))
 	work := rep.Took - rep.Connect - time.Duration(r.trip(t.region))
 	work /= time.Duration(1 + j.waiting/max(t.Slots, 1))
 	work = max(work, time.Millisecond)
-	s := r.routeOf(j.Route)
-	ratio := float64(work) / s.expected(j.class)
-	ratio = min(max(ratio, 1.0/maxSpeedRatio), maxSpeedRatio)
-	t.speed.Observe(now, time.Duration(ratio*float64(usualSpeed)))
+	if j.class == objectCold && s.wasAtHand(work) {
+		return
+	}
+	if m := &s.work[j.class]; m.Known() { // the ratio to a guess says nothing
+		t.learnSpeed(now, j.class, float64(work)/m.Value(0))
+	}
 	s.work[j.class].Observe(now, work)
-	s.size.add(float64(rep.Bytes))
+}
+
+// learnSpeed takes how much longer than usual an answer took.
+func (t *targetState) learnSpeed(now clock.Time, class workClass, ratio float64) {
+	least := 1.0 / maxSpeedRatio
+	if class == objectCold {
+		least = 1 // a quick one may have found its object at hand
+	}
+	ratio = min(max(ratio, least), maxSpeedRatio)
+	t.speed.Observe(now, time.Duration(ratio*float64(usualSpeed)))
+}
+
+// wasAtHand reports whether a request for an object that was not known at its
+// target was answered as if the object had been at hand: another region's
+// requests, or those before this coordinator's time, have brought it. Measured
+// as cold work, such answers make cold starts seem cheap, and the target so
+// quick that others' objects are moved to it.
+//
+// One in quickCounts is measured all the same, so that cold work that has truly
+// become shorter is learned in the end.
+func (s *routeState) wasAtHand(work time.Duration) bool {
+	if !s.work[objectCold].Known() {
+		return false
+	}
+	if float64(work) > (s.expected(objectWarm)+s.expected(objectCold))/2 {
+		return false
+	}
+	s.quick++
+	return s.quick%quickCounts != 0
 }
--- a/decide/ingress/work_test.go
+++ b/decide/ingress/work_test.go
@@ -158,3 +158,29 @@
 	is.Equal(len(out.Sends), 0)
 	s.begin(4, "/a/x", "new1")
 }
+
+// Symptom: objects move to a target at which they start cold, away from a free
+// one that has them at hand.
+// Sequence: the target is sent objects that this coordinator doesn't know
+// there, and has them all the same: another region has sent them before.
+// Cause: it seemed three times as quick as the others, and cold work short.
+func TestObjectsBroughtByOthersMakeNoTargetFast(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{}, selfVM)
+	s.configure(1, one("a"))
+	s.target("t1", "d1", 3)
+	for id := range RequestID(20) {
+		object := fmt.Sprint("o", id/2)
+		s.serve(id, "/a/x", object, []time.Duration{workCold, workWarm}[id%2])
+	}
+	cold := s.r.routes["a"].expected(objectCold)
+	for id := RequestID(100); id < 107; id++ {
+		s.serve(id, "/a/x", fmt.Sprint("brought", id), workWarm)
+	}
+	is.Equal(s.r.routes["a"].expected(objectCold), cold)
+	is.True(s.r.targets["t1"].speed.Value(0) > 0.8*float64(usualSpeed))
+	for id := RequestID(200); id < 600; id++ { // all of it has become short
+		s.serve(id, "/a/x", fmt.Sprint("short", id), workWarm)
+	}
+	is.True(s.r.routes["a"].expected(objectCold) < cold/2)
+}
