Name two entry VMs of the region at least in look-ups

Now an answer names a second VM of the caller's region, by rank so that several small failure domains choose different ones; never one of another region while the own has any (homes).

--- a/serve/ingress/lookup.go
+++ b/serve/ingress/lookup.go
@@ -1,12 +1,14 @@
 package ingress
 
 import (
+	"cmp"
 	"net/http"
 	"net/url"
 	"slices"
 	"strings"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/serve/inbound"
 )
 
@@ -59,32 +61,64 @@
 	x.Respond(http.StatusOK, http.Header{"Content-Type": {"application/json"}}, body)
 }
 
-// lookup returns the addresses of the entry VMs nearest to the caller: those of
-// its failure domain, or else of its region, or else all.
+// leastLookup is the number of entry VMs that an answer names if the region has
+// as many. Callers use an answer for some seconds, also while they get no other
+// one: with a single address, all callers of its failure domain failed until
+// then when that VM ended. VMs of other regions are named only for want of any
+// in the caller's: a body may be bound to its region.
+const leastLookup = 2
+
+// lookup returns the addresses of the entry VMs that a caller should use.
 func (s *Server) lookup(l Lookup) []string {
-	vms := *s.members.Load()
-	near := func(keep func(fleet.VM) bool) []string {
-		var addrs []string
-		for _, vm := range vms {
-			if keep(vm) && len(addrs) < maxLookup {
-				addrs = append(addrs, vm.CallAddr)
-			}
-		}
-		return addrs
+	var addrs []string
+	for _, vm := range nearest(*s.members.Load(), l) {
+		addrs = append(addrs, vm.CallAddr)
+	}
+	if len(addrs) == 0 && s.takesRequests() {
+		return []string{s.set.Self.CallAddr}
 	}
-	for _, keep := range []func(fleet.VM) bool{
-		func(vm fleet.VM) bool { return vm.Domain == l.Domain },
-		func(vm fleet.VM) bool { return vm.Region == l.Region },
-		func(fleet.VM) bool { return true },
-	} {
-		if addrs := near(keep); len(addrs) > 0 {
-			return addrs
+	return addrs
+}
+
+// nearest returns the entry VMs of the caller's failure domain, with others of
+// its region where these are too few; all of the region if the domain has none,
+// and all there are if the region has none.
+func nearest(vms []fleet.VM, l Lookup) []fleet.VM {
+	vms = slices.Clone(vms)
+	salt := string(l.Domain)
+	slices.SortFunc(vms, func(a, b fleet.VM) int {
+		// By rank at the same distance, so that the callers of several failure
+		// domains don't all turn to the same VM.
+		return cmp.Or(
+			cmp.Compare(l.distance(a), l.distance(b)),
+			cmp.Compare(rank.Score(salt, string(b.ID)), rank.Score(salt, string(a.ID))),
+		)
+	})
+	for i, vm := range vms {
+		farther := l.distance(vm) > l.distance(vms[0])
+		if i >= maxLookup || (farther && (i >= leastLookup || l.distance(vm) == elsewhere)) {
+			return vms[:i]
 		}
 	}
-	if s.takesRequests() {
-		return []string{s.set.Self.CallAddr}
+	return vms
+}
+
+// Distances of an entry VM from a caller.
+const (
+	sameDomain = iota
+	sameRegion
+	elsewhere
+)
+
+func (l Lookup) distance(vm fleet.VM) int {
+	switch {
+	case vm.Domain == l.Domain:
+		return sameDomain
+	case vm.Region == l.Region:
+		return sameRegion
+	default:
+		return elsewhere
 	}
-	return nil
 }
 
 // setMembers takes the list of entry VMs.
