Test the lines of failed requests on failures brought about; measure their cost

Three failures are brought about at an entry VM (refused without a send, sent with unknown outcome, too late) and found again from its lines alone; a line without its sends fails two of the three. Credentials and bodies are shown to stay out of lines.

--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -21,8 +21,11 @@
 // region by rendezvous hashing of the object, the first of each other region
 // and of the caller's failure domain. Among these the one with the earliest
 // expected answer gets the request: network, what is in flight there, and the
-// work, which depends on whether the object is warm there. Which part of the
-// requests runs in other regions changes slowly (regionShare).
+// work, which depends on whether the object is warm there. Latency is learned by
+// route, as routes to one service may ask for very different work. A warm
+// object is worth a wait at its target, a cold start is not (queueAt). Which
+// part of the requests runs in other regions changes slowly (regionShare), and
+// objects stay where they are warm as long as that allows it.
 //
 // # Bounds that sum over entry VMs
 //
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -184,7 +184,7 @@
 	case d.TargetSet != nil:
 		t := d.TargetSet
 		targets.Set = append(targets.Set, *t)
-		line(eventTarget).WithField("target", t.ID).WithField("draining", t.Draining).
+		line(eventTarget).WithField("target", t.ID).WithField("domain", t.Domain).WithField("draining", t.Draining).
 			WithField("cold_ms", t.Cold.Milliseconds()).Info("registered")
 	case d.TargetGone != "":
 		targets.Gone = append(targets.Gone, d.TargetGone)
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -62,12 +62,13 @@
 
 // world is a store with a configuration, and entry VMs on loopback.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	store *kvtest.Store
+	log   io.Writer // takes the log lines
 }
 
-func newWorld(t *testing.T, routes ...route.Route) *world {
-	w := &world{t: t, store: kvtest.New()}
+func newWorld(t testing.TB, routes ...route.Route) *world {
+	w := &world{t: t, store: kvtest.New(), log: io.Discard}
 	w.configure(1, routes...)
 	return w
 }
@@ -171,7 +172,8 @@
 func (w *world) start(id string, store kv.Store, seeds ...string) *Server {
 	w.t.Helper()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(w.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
 	set := &Settings{
 		Self:        fleet.VM{ID: fleet.VMID(id), Domain: "d1", Region: "r1", CallAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0"},
 		ReadyAddr:   "127.0.0.1:0",
@@ -230,12 +232,12 @@
 
 // caller is one connection of a caller.
 type caller struct {
-	t *testing.T
+	t testing.TB
 	c net.Conn
 	r *bufio.Reader
 }
 
-func dial(t *testing.T, s *Server) *caller {
+func dial(t testing.TB, s *Server) *caller {
 	t.Helper()
 	c, err := net.Dial("tcp", s.callers.Addr())
 	if err != nil {
--- /dev/null
+++ b/serve/ingress/lines_test.go
@@ -0,0 +1,166 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/inbound"
+)
+
+// lines collects log lines.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// requestLine is what an engineer reads in the line of a failed request.
+type requestLine struct {
+	Event   string          `json:"event"`
+	Request string          `json:"request"`
+	Status  int             `json:"status"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  verdict.Reason  `json:"reason"`
+	Sends   []sendStep      `json:"sends"`
+	Config  uint64          `json:"config"`
+}
+
+func (l *lines) of(w *world, id string) requestLine {
+	w.t.Helper()
+	var found requestLine
+	w.eventually("line of "+id, func() bool {
+		for _, text := range strings.Split(l.String(), "\n") {
+			var r requestLine
+			if json.Unmarshal([]byte(text), &r) == nil && r.Event == eventRequest && r.Request == id {
+				found = r
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// Symptom: a user complains, and nobody can say what happened to the request.
+// Sequence: one of the ways in which a request fails.
+// Cause: its line lacked what had decided it.
+func TestFailedRequestsAreExplainedByTheirLines(t *testing.T) {
+	hangUp := func(c net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) }
+	silent := func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte() // until the other side gives up
+	}
+	cases := map[string]struct {
+		target  func(c net.Conn, r *bufio.Reader)
+		timeout time.Duration
+		want    requestLine
+	}{
+		"refused without a send": {
+			want: requestLine{Status: 503, Verdict: verdict.NotRun, Reason: verdict.ReasonNoTarget},
+		},
+		"sent and outcome unknown": {
+			target: hangUp,
+			want: requestLine{Status: 502, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost,
+				Sends: []sendStep{{Target: "t1", Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}}},
+		},
+		"too late": {
+			target: silent, timeout: 100 * time.Millisecond,
+			want: requestLine{Status: 504, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline,
+				Sends: []sendStep{{Target: "t1", Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCallerGone}}},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rt := plain(false)
+			rt.Timeout = tc.timeout
+			w := newWorld(t, rt)
+			log := new(lines)
+			w.log = log
+			if tc.target != nil {
+				w.rawTarget("t1", tc.target)
+			}
+			res, _ := ask(t, w.entry("vm-1"), http.MethodPost, "/x", "id-1")
+			is.Equal(res.StatusCode, tc.want.Status)
+			got := log.of(w, "id-1")
+			is.Equal(got.Status, tc.want.Status)
+			is.Equal(got.Verdict, tc.want.Verdict)
+			is.Equal(got.Reason, tc.want.Reason)
+			is.Equal(got.Config, uint64(1))
+			is.Equal(len(got.Sends), len(tc.want.Sends))
+			for i, s := range got.Sends {
+				is.Equal(s.Target, tc.want.Sends[i].Target)
+				is.Equal(s.Verdict, tc.want.Sends[i].Verdict)
+				is.Equal(s.Reason, tc.want.Sends[i].Reason)
+			}
+		})
+	}
+}
+
+// Symptom: a password is found in the logs.
+// Sequence: a request with credentials and a body fails.
+// Cause: its line held the whole head or body.
+func TestLinesHoldNoSecrets(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(false))
+	log := new(lines)
+	w.log = log
+	c := dial(t, w.entry("vm-1"))
+	const secret = "c2VjcmV0"
+	_, err := fmt.Fprintf(c.c, "POST /x?token=%s HTTP/1.1\r\nHost: %s\r\nX-Id: id-1\r\nAuthorization: %s\r\nContent-Length: %d\r\n\r\n%s",
+		secret, testHost, secret, len(secret), secret)
+	is.NoErr(err)
+	res, _ := c.hear(http.MethodPost)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	log.of(w, "id-1")
+	is.True(!strings.Contains(log.String(), secret))
+}
+
+// BenchmarkRequest is a request through an entry VM to a target, with the
+// caller's and the target's part.
+func BenchmarkRequest(b *testing.B) {
+	w := newWorld(b, plain(true))
+	w.target("t1", ok("body"))
+	c := dial(b, w.entry("vm-1"))
+	for b.Loop() {
+		c.say(http.MethodGet, "/x", "id-1")
+		if res, _ := c.hear(http.MethodGet); res.StatusCode != http.StatusOK {
+			b.Fatal(res.Status)
+		}
+	}
+}
+
+// BenchmarkRequestLine is one line on a request with one send. Of requests that
+// were answered, one in successEvery gets a line.
+func BenchmarkRequestLine(b *testing.B) {
+	w := newWorld(b, plain(true))
+	w.target("t1", ok("body"))
+	s := w.entry("vm-1")
+	x := &inbound.Exchange{Request: inbound.Request{Method: http.MethodGet, Header: http.Header{"Host": {testHost}}}}
+	k := &call{x: x, sends: []sendStep{{Target: "t1", Outcome: "served"}}}
+	for b.Loop() {
+		s.requestLine(k, http.StatusOK, verdict.Ran, verdict.ReasonNone).Info("answered by a target")
+	}
+}
