--- a/decide/ingress/work_test.go
+++ b/decide/ingress/work_test.go
@@ -200,7 +200,7 @@
 		s.target("t2", "d2", 3)
 		s.target("t3", "d3", 3)
 		if busy != "" {
-			s.r.targets[busy].inFlight = 2
+			s.r.targets[busy].inFlight = 5
 		}
 		var seen []fleet.TargetID
 		for _, t := range s.r.targets {
