One word for a warm object; forget routes that configurations no longer name

From reading the change as a newcomer: 'warm' and 'at hand' stood for the same thing, and what is learned by route was kept for routes that are gone, so a process grew with its operators' changes.

--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -132,10 +132,10 @@
 		s.follow(now, remote.cost < local.cost)
 	}
 	first, second, toRemote := local, remote, true
-	if s.sideOf(now, r.sideHash(j.Object), atHand(now, j, local.t, remote.t)) == sideOthers {
+	if s.sideOf(now, r.sideHash(j.Object), warmSide(now, j, local.t, remote.t)) == sideOthers {
 		first, second, toRemote = remote, local, false
 	}
-	// A wait for a place where the object is at hand is often shorter than the
+	// A wait for a target where the object is warm is often shorter than the
 	// cold start elsewhere, which would also take a slot for three times as long.
 	sooner := second.cost < first.cost
 	if sooner && full(now, j, first.t) && !full(now, j, second.t) && s.mayCross(now, toRemote) {
@@ -144,8 +144,8 @@
 	return first
 }
 
-// atHand returns the side that alone has j's object at hand.
-func atHand(now clock.Time, j *job, local, remote *targetState) side {
+// warmSide returns the side on which alone the object of j is warm.
+func warmSide(now clock.Time, j *job, local, remote *targetState) side {
 	switch here, there := local.isWarm(now, j.Object), remote.isWarm(now, j.Object); {
 	case here == there:
 		return sideAny
@@ -165,7 +165,7 @@
 // queueAt is how many requests beyond its slots may be at a target before one
 // of a class is sent there.
 //
-// An object that is at hand is worth a wait at the target: everywhere else its
+// A warm object is worth a wait at its target: everywhere else its
 // request would start cold, miss its aim and take another's slot meanwhile. As
 // many as there are slots wait there, which is one round. A cold request gains
 // nothing by queueing and keeps those behind it waiting.
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -112,6 +112,7 @@
 	for name := range r.splits {
 		delete(r.splits, name) // weights may have changed
 	}
+	r.forgetRoutes(ev.Table.Config)
 	r.pump(now)
 }
 
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -41,7 +41,7 @@
 	shiftFew = 10
 	// shiftBand is how far the share of the last seconds may lie off the target,
 	// as a part of the operators' bound. Beyond it, requests go to the side that
-	// lacks them; those of an object that is at hand on the other side, and
+	// lacks them; those of an object that is warm on the other side, and
 	// would start cold, only beyond shiftFar.
 	shiftBand = 1.0 / 3
 	shiftFar  = 2.0 / 3
@@ -112,17 +112,17 @@
 )
 
 // sideOf returns the side to which a request for an object belongs. hash lies
-// between 0 and 1; atHand is the only side where the object is at hand, if
-// there is one. It goes before the hash while the share is near its target: an
+// between 0 and 1; warm is the only side where the object is warm, if there is
+// one. It goes before the hash while the share is near its target: an
 // object that changes sides starts cold there.
-func (s *regionShare) sideOf(now clock.Time, hash float64, atHand side) side {
+func (s *regionShare) sideOf(now clock.Time, hash float64, warm side) side {
 	switch off := s.off(now) / s.bound; {
 	case off > shiftFar:
 		return sideOwn
 	case off < -shiftFar:
 		return sideOthers
-	case atHand != sideAny:
-		return atHand
+	case warm != sideAny:
+		return warm
 	case off > shiftBand:
 		return sideOwn
 	case off < -shiftBand:
--- a/decide/ingress/shift_test.go
+++ b/decide/ingress/shift_test.go
@@ -56,7 +56,7 @@
 
 // Symptom: while the share of other regions moves, objects start cold on the
 // other side although their place here is free.
-// Sequence: an object is at hand on one side; the share passes the object's
+// Sequence: an object is warm on one side; the share passes the object's
 // hash.
 // Cause: the hash alone decided.
 func TestObjectsStayOnTheirSide(t *testing.T) {
--- a/decide/ingress/work.go
+++ b/decide/ingress/work.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -13,8 +14,8 @@
 
 const (
 	// objectWarm: a request for the object was placed there lately. A target
-	// has the object at hand from the start of the first request for it, so
-	// one that is still in flight counts.
+	// remembers the object from the start of the first request for it, so one
+	// that is still in flight counts.
 	objectWarm workClass = iota
 	objectCold
 	objectNone // the request names no object
@@ -37,7 +38,7 @@
 // single request may lie far off the usual without being the target's doing.
 const maxSpeedRatio = 8
 
-// quickCounts: see wasAtHand.
+// quickCounts: see wasWarm.
 const quickCounts = 8
 
 // routeState is what was learned of the requests of one route. Routes to the
@@ -46,10 +47,11 @@
 	size mean                     // bytes of an answer
 	work [workClasses]target.Mean // latency of answers, network aside
 	// quick counts cold requests that were answered as if their objects had
-	// been at hand.
+	// been warm.
 	quick uint
 }
 
+// routeOf returns the state of a route; forgetRoutes bounds their number.
 func (r *Reducer) routeOf(name string) *routeState {
 	s, ok := r.routes[name]
 	if !ok {
@@ -59,6 +61,20 @@
 	return s
 }
 
+// forgetRoutes drops what was learned of routes that a new configuration no
+// longer has: their names would pile up over the days of a process.
+func (r *Reducer) forgetRoutes(c *route.Config) {
+	named := make(map[string]bool, len(c.Routes))
+	for i := range c.Routes {
+		named[c.Routes[i].Name] = true
+	}
+	for name := range r.routes {
+		if !named[name] {
+			delete(r.routes, name)
+		}
+	}
+}
+
 // expected is the latency of a class in ns. One that was never measured is
 // derived from the other, so that the first choices don't take the unknown for
 // the quicker.
@@ -116,7 +132,7 @@
 	work := rep.Took - rep.Connect - time.Duration(r.trip(t.region))
 	work /= time.Duration(1 + j.waiting/max(t.Slots, 1))
 	work = max(work, time.Millisecond)
-	if j.class == objectCold && s.wasAtHand(work) {
+	if j.class == objectCold && s.wasWarm(work) {
 		return
 	}
 	if m := &s.work[j.class]; m.Known() { // the ratio to a guess says nothing
@@ -129,21 +145,21 @@
 func (t *targetState) learnSpeed(now clock.Time, class workClass, ratio float64) {
 	least := 1.0 / maxSpeedRatio
 	if class == objectCold {
-		least = 1 // a quick one may have found its object at hand
+		least = 1 // a quick one may have found its object warm
 	}
 	ratio = min(max(ratio, least), maxSpeedRatio)
 	t.speed.Observe(now, time.Duration(ratio*float64(usualSpeed)))
 }
 
-// wasAtHand reports whether a request for an object that was not known at its
-// target was answered as if the object had been at hand: another region's
+// wasWarm reports whether a request for an object that was not known at its
+// target was answered as if the object had been warm: another region's
 // requests, or those before this coordinator's time, have brought it. Measured
 // as cold work, such answers make cold starts seem cheap, and the target so
 // quick that others' objects are moved to it.
 //
 // One in quickCounts is measured all the same, so that cold work that has truly
 // become shorter is learned in the end.
-func (s *routeState) wasAtHand(work time.Duration) bool {
+func (s *routeState) wasWarm(work time.Duration) bool {
 	if !s.work[objectCold].Known() {
 		return false
 	}
--- a/decide/ingress/work_test.go
+++ b/decide/ingress/work_test.go
@@ -36,7 +36,7 @@
 }
 
 // Symptom: objects are handled at three places, each time from cold, while the
-// targets that have them at hand are idle.
+// targets where they are warm are idle.
 // Sequence: requests that name no object, or a route with little work, are
 // answered within milliseconds; then one takes its usual time.
 // Cause: all were measured together, so that the usual request seemed a hundred
@@ -59,7 +59,7 @@
 			}
 			first := s.serve(100, "/a/x", "large", workCold)
 			for id := RequestID(101); id < 110; id++ {
-				is.Equal(s.serve(id, "/a/x", "large", workWarm), first) // where it is at hand
+				is.Equal(s.serve(id, "/a/x", "large", workWarm), first) // where it is warm
 			}
 		})
 	}
@@ -69,7 +69,7 @@
 // twice.
 // Sequence: the second request comes while the first is in flight.
 // Cause: a target counted as having an object only once it had answered.
-func TestObjectInFlightIsAtHand(t *testing.T) {
+func TestObjectInFlightIsWarm(t *testing.T) {
 	is := is.New(t)
 	s := newBench(t, Bounds{}, selfVM)
 	s.configure(1, one("a"))
@@ -87,8 +87,8 @@
 	is.Equal(third.Target, first.Target) // a short wait there, against a cold start elsewhere
 }
 
-// Symptom: requests go to a target that does not have their object at hand,
-// past one that has.
+// Symptom: requests go to a target that does not remember their object,
+// past one that does.
 // Sequence: the first request for the object is refused there before it runs.
 // Cause: having sent it counted as the target's having the object.
 func TestRefusedRequestBringsNoObject(t *testing.T) {
@@ -115,7 +115,7 @@
 }
 
 // placing has a region with one target of two slots, another region that is as
-// near, and an object that is at hand at the first.
+// near, and an object that is warm at the first.
 func placing(t *testing.T) *bench {
 	s := newBench(t, Bounds{RegionShift: 1}, selfVM)
 	s.configure(1, one("a"))
@@ -130,7 +130,7 @@
 
 // Symptom: during a rush every object is handled from cold at several places,
 // and everything takes longer than it need.
-// Sequence: the place where an object is at hand has its slots taken; a target
+// Sequence: the target where an object is warm has its slots taken; a target
 // of another region is idle.
 // Cause: full meant that the request goes elsewhere, whatever it takes there.
 func TestFullPlaceIsWaitedFor(t *testing.T) {
@@ -143,7 +143,7 @@
 	is.Equal(len(out.Sends), 0) // waits: one more round is shorter than a cold start
 }
 
-// Symptom: requests whose object is at hand wait behind cold starts.
+// Symptom: requests whose object is warm wait behind cold starts.
 // Sequence: requests for new objects come while the slots are taken.
 // Cause: they queued at the target, where they keep others waiting and gain
 // nothing themselves.
@@ -160,7 +160,7 @@
 }
 
 // Symptom: objects move to a target at which they start cold, away from a free
-// one that has them at hand.
+// one where they are warm.
 // Sequence: the target is sent objects that this coordinator doesn't know
 // there, and has them all the same: another region has sent them before.
 // Cause: it seemed three times as quick as the others, and cold work short.
@@ -186,7 +186,7 @@
 }
 
 // Symptom: after a restart of all entry VMs everything starts cold in the other
-// regions, although the targets there have the objects at hand.
+// regions, although the targets there remember the objects.
 // Sequence: an object's place lay in that one of several regions which was the
 // least loaded; the new coordinator chooses by the load of another moment.
 // Cause: one target of each other region was considered.
@@ -214,3 +214,18 @@
 	idle := choose("")
 	is.Equal(choose(idle), idle)
 }
+
+// Symptom: a process grows for as long as its operators change routes.
+// Sequence: configurations that name other routes each time.
+// Cause: what was learned of a route was kept for good.
+func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{}, selfVM)
+	s.configure(1, one("a"))
+	s.target("t1", "d1", 3)
+	s.serve(1, "/a/x", "o", workCold)
+	s.configure(2, one("a"), one("b"))
+	is.True(s.r.routes["a"].work[objectCold].Known()) // what stays is kept
+	s.configure(3, one("b"))
+	is.Equal(len(s.r.routes), 0)
+}
