One ranking by score; hash each entry VM once in a look-up

The ranking of targets for an object (decide/ingress) repeated rank.Order with another type, and the look-ups sorted with a comparison that hashed both names every time. rank.By serves all three; a look-up ranks only the VMs that it may name.

--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -46,21 +46,7 @@
 	if list, ok := s.ranked[object]; ok {
 		return list
 	}
-	type scored struct {
-		t     *targetState
-		score uint64
-	}
-	list := make([]scored, len(s.targets))
-	for i, t := range s.targets {
-		list[i] = scored{t: t, score: rank.Score(object, string(t.ID))}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.t.ID, b.t.ID))
-	})
-	out := make([]*targetState, len(list))
-	for i := range list {
-		out[i] = list[i].t
-	}
+	out := rank.By(object, s.targets, func(t *targetState) string { return string(t.ID) })
 	if s.ranked == nil || len(s.ranked) >= maxRanked {
 		s.ranked = make(map[string][]*targetState)
 	}
--- a/decide/rank/rank.go
+++ b/decide/rank/rank.go
@@ -26,26 +26,33 @@
 	return d.Sum64()
 }
 
-// Order returns ids by falling score.
-func Order(salt string, ids []fleet.VMID) []fleet.VMID {
+// By returns items by falling score of their names. Each name is hashed once.
+func By[T any](salt string, items []T, name func(T) string) []T {
 	type scored struct {
-		id    fleet.VMID
+		item  T
+		name  string
 		score uint64
 	}
-	list := make([]scored, len(ids))
-	for i, id := range ids {
-		list[i] = scored{id: id, score: Score(salt, string(id))}
+	list := make([]scored, len(items))
+	for i, it := range items {
+		n := name(it)
+		list[i] = scored{item: it, name: n, score: Score(salt, n)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 	})
-	out := make([]fleet.VMID, len(list))
+	out := make([]T, len(list))
 	for i := range list {
-		out[i] = list[i].id
+		out[i] = list[i].item
 	}
 	return out
 }
 
+// Order returns ids by falling score.
+func Order(salt string, ids []fleet.VMID) []fleet.VMID {
+	return By(salt, ids, func(id fleet.VMID) string { return string(id) })
+}
+
 // Children returns the children of self in the tree that fills its levels with
 // order, fanOut children a node; order[0] is the root. It returns nil if self
 // isn't in order.
--- a/serve/ingress/lookup.go
+++ b/serve/ingress/lookup.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"net/http"
 	"net/url"
 	"slices"
@@ -84,23 +83,29 @@
 // its region where these are too few; all of the region if the domain has none,
 // and all there are if the region has none.
 func nearest(vms []fleet.VM, l Lookup) []fleet.VM {
-	vms = slices.Clone(vms)
-	salt := string(l.Domain)
-	slices.SortFunc(vms, func(a, b fleet.VM) int {
-		// By rank at the same distance, so that the callers of several failure
-		// domains don't all turn to the same VM.
-		return cmp.Or(
-			cmp.Compare(l.distance(a), l.distance(b)),
-			cmp.Compare(rank.Score(salt, string(b.ID)), rank.Score(salt, string(a.ID))),
-		)
-	})
-	for i, vm := range vms {
-		farther := l.distance(vm) > l.distance(vms[0])
-		if i >= maxLookup || (farther && (i >= leastLookup || l.distance(vm) == elsewhere)) {
-			return vms[:i]
-		}
+	var at [elsewhere + 1][]fleet.VM
+	for _, vm := range vms {
+		d := l.distance(vm)
+		at[d] = append(at[d], vm)
+	}
+	named := l.rank(at[sameDomain])
+	switch {
+	case len(named) >= leastLookup:
+	case len(named) > 0:
+		others := l.rank(at[sameRegion])
+		named = append(named, others[:min(len(others), leastLookup-len(named))]...)
+	case len(at[sameRegion]) > 0:
+		named = l.rank(at[sameRegion])
+	default:
+		named = l.rank(at[elsewhere])
 	}
-	return vms
+	return named[:min(len(named), maxLookup)]
+}
+
+// rank orders VMs at the same distance, so that the callers of several failure
+// domains don't all turn to the same one.
+func (l Lookup) rank(vms []fleet.VM) []fleet.VM {
+	return rank.By(string(l.Domain), vms, func(vm fleet.VM) string { return string(vm.ID) })
 }
 
 // Distances of an entry VM from a caller.
--- a/serve/ingress/lookup_test.go
+++ b/serve/ingress/lookup_test.go
@@ -63,3 +63,15 @@
 	}
 	is.True(len(second) >= 4)
 }
+
+// BenchmarkNearest is a look-up among 85 entry VMs of three regions.
+func BenchmarkNearest(b *testing.B) {
+	var places []string
+	for i := range 85 {
+		places = append(places, fmt.Sprint([]string{"a", "b", "c"}[i%3], i%9))
+	}
+	vms := vmsOf(places...)
+	for b.Loop() {
+		nearest(vms, Lookup{Domain: "a3", Region: "a"})
+	}
+}
