Say once when a request may be repeated; look for warm targets once a choice

Three callers of mayRepeat checked the deadline beside it, and the fourth could only set a timer that does nothing; the check is part of it now. The class from which an unmeasured latency is derived is a table instead of a loop with two conditions. expectedWork asked of every cold target of the region whether the object is warm anywhere, a pass over all targets; only the first choice needs it, so that is asked first. Decisions are the same; tests unchanged.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -65,7 +65,7 @@
 // delivers the failure otherwise.
 func (r *Reducer) serverError(now clock.Time, a *attempt) {
 	q := a.req
-	again := q.route.Idempotent && r.mayRepeat(q) && len(q.running) == 0 && now.Before(q.due)
+	again := q.route.Idempotent && q.mayRepeat(now) && len(q.running) == 0
 	if !again || !q.svc.repeats.spend() {
 		r.deliver(now, a)
 		return
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -34,7 +34,7 @@
 	RepeatSlack  float64
 	RepeatWindow time.Duration
 	// RegionShift is the largest part of a region's requests that may change
-	// the region in which they run from one ShiftWindow to the next. 0: any.
+	// the region in which they run from one shiftWindow to the next. 0: any.
 	RegionShift float64
 }
 
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -9,10 +9,10 @@
 	"github.com/azurethread/azurethread/decide/target"
 )
 
-// firstIn returns the first usable target of a region in j's ranking.
-func (r *Reducer) firstIn(j *job, region fleet.Region) *targetState {
+// firstHere returns the first usable target of the own region in j's ranking.
+func (r *Reducer) firstHere(j *job) *targetState {
 	for _, t := range j.svc.rank(j.Object) {
-		if t.region == region && r.usable(j, t) {
+		if t.region == r.region && r.usable(j, t) {
 			return t
 		}
 	}
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -122,7 +122,7 @@
 		Left:    q.due.Sub(now),
 		Connect: connectFloor + time.Duration(connectTrips*r.trip(t.region)),
 	})
-	if q.route.Idempotent && r.mayRepeat(q) {
+	if q.route.Idempotent && q.mayRepeat(now) {
 		r.timers.add(timer{at: now.Add(r.hedgeAfter(q.svc)), request: q.id, purpose: dueHedge})
 	}
 }
@@ -148,7 +148,7 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if len(q.running) != 1 || q.job != nil || q.asking != nil || !r.mayRepeat(q) || !now.Before(q.due) {
+	if len(q.running) != 1 || q.job != nil || q.asking != nil || !q.mayRepeat(now) {
 		return
 	}
 	a := q.running[0]
@@ -159,8 +159,10 @@
 	r.obtain(now, q)
 }
 
-// mayRepeat reports whether the attempts that q may have are not used up.
-func (r *Reducer) mayRepeat(q *request) bool { return q.sends < q.route.Attempts }
+// mayRepeat reports whether q has attempts and time left for one more send.
+func (q *request) mayRepeat(now clock.Time) bool {
+	return q.sends < q.route.Attempts && now.Before(q.due)
+}
 
 // again sends q once more after an attempt has ended with a verdict that
 // allows it, or gives q up.
@@ -168,7 +170,7 @@
 	if len(q.running) > 0 {
 		return // another attempt is still under way
 	}
-	allowed := q.verdict.MayRepeat(q.route.Idempotent) && r.mayRepeat(q) && now.Before(q.due)
+	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRepeat(now)
 	if !allowed || !q.svc.repeats.spend() {
 		r.giveUp(now, q)
 		return
--- a/decide/ingress/work.go
+++ b/decide/ingress/work.go
@@ -75,16 +75,21 @@
 	}
 }
 
+// derivedFrom is the class from which the latency of one that was never
+// measured is derived.
+var derivedFrom = [workClasses]workClass{
+	objectWarm: objectCold,
+	objectCold: objectWarm,
+	objectNone: objectNone,
+}
+
 // expected is the latency of a class in ns. One that was never measured is
-// derived from the other, so that the first choices don't take the unknown for
+// derived from another, so that the first choices don't take the unknown for
 // the quicker.
 func (s *routeState) expected(class workClass) float64 {
-	usual := float64(initialWork[class])
-	for other := range s.work {
-		if m := &s.work[other]; m.Known() && workClass(other) != objectNone && class != objectNone {
-			usual = m.Value(0) * float64(initialWork[class]) / float64(initialWork[other])
-		}
-	}
+	other := derivedFrom[class]
+	assumed := float64(initialWork[other])
+	usual := s.work[other].Value(assumed) * float64(initialWork[class]) / assumed
 	return s.work[class].Value(usual)
 }
 
@@ -104,7 +109,7 @@
 	class := classOf(now, j, t)
 	s := r.routeOf(j.Route)
 	work := s.expected(class)
-	if class == objectCold && t.region == r.region && !r.warmSomewhere(now, j) && r.firstIn(j, t.region) == t {
+	if class == objectCold && r.firstHere(j) == t && !r.warmSomewhere(now, j) {
 		// Objects keep to their first choice where nothing speaks against it:
 		// a coordinator that has just started knows no object's place, and
 		// finds most of them where its predecessor has put them.
