Read times that callers state in one place

The entry VM of routes, and the daemon twice, each parsed a field of milliseconds with the same bounds (digits, not negative, an hour at most) under two constants of the same value. heads.Wait is what all three call; what each makes of an empty or bad field stays as it was.

--- a/serve/daemon/attempt.go
+++ b/serve/daemon/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/heads"
 	"github.com/azurethread/azurethread/serve/outbound"
 )
 
@@ -137,13 +138,13 @@
 		return 0
 	}
 	if ms, err := strconv.ParseInt(a.Header.Get(headerRetryMs), 10, 64); err == nil && ms > 0 {
-		return time.Duration(min(ms, maxDeadlineMs)) * time.Millisecond
+		return time.Duration(min(ms, heads.MaxWait.Milliseconds())) * time.Millisecond
 	}
 	s, err := strconv.ParseInt(a.Header.Get(headerRetry), 10, 64)
 	if err != nil || s < 0 {
 		return 0
 	}
-	return time.Duration(min(s, maxDeadlineMs/1000)) * time.Second
+	return time.Duration(min(s, int64(heads.MaxWait/time.Second))) * time.Second
 }
 
 // loadOf reads the load that a target may state with its answer.
--- a/serve/daemon/request.go
+++ b/serve/daemon/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/serve/heads"
 )
 
 // Paths of the callers' interface.
@@ -59,29 +60,20 @@
 // is false for a malformed value.
 func deadlineOf(h http.Header, now clock.Time) (deadline clock.Time, ok bool) {
 	v := h.Get(headerDeadline)
-	if v == "" {
-		return 0, true
+	d, ok := heads.Wait(v)
+	if v == "" || !ok {
+		return 0, ok
 	}
-	ms, err := strconv.ParseInt(v, 10, 64)
-	if err != nil || ms < 0 || ms > maxDeadlineMs {
-		return 0, false
-	}
-	return now.Add(time.Duration(ms) * time.Millisecond), true
+	return now.Add(d), true
 }
 
 // waitOf reads the wait that a forwarding entry VM expects; 0 when it states
 // none, which only makes this one less ready to queue the request.
 func waitOf(h http.Header) time.Duration {
-	ms, err := strconv.ParseInt(h.Get(headerWait), 10, 64)
-	if err != nil || ms < 0 || ms > maxDeadlineMs {
-		return 0
-	}
-	return time.Duration(ms) * time.Millisecond
+	d, _ := heads.Wait(h.Get(headerWait))
+	return d
 }
 
-// maxDeadlineMs is the longest wait a caller may state: one hour.
-const maxDeadlineMs = int64(time.Hour / time.Millisecond)
-
 // client is where a request comes from: the home region of its block of
 // clients, and the hash of the block.
 type client struct {
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -89,20 +89,14 @@
 	x.OnGone(func() { s.core.Post(&ingress.CallerGone{Request: k.id}) })
 }
 
-// maxPatience is the longest wait that a caller may state.
-const maxPatience = time.Hour
-
 // patience reads how long the caller waits; 0 when it does not say.
 func (s *Server) patience(h http.Header) (time.Duration, bool) {
 	v := h.Get(s.set.Fields.Patience)
-	if v == "" {
-		return 0, true
-	}
-	ms, err := strconv.ParseInt(v, 10, 64)
-	if err != nil || ms < 0 || ms > maxPatience.Milliseconds() {
-		return 0, false
+	d, ok := heads.Wait(v)
+	if v != "" && ok {
+		d = max(d, time.Millisecond) // 0 stands for a caller that does not say
 	}
-	return max(time.Duration(ms)*time.Millisecond, time.Millisecond), true
+	return d, ok
 }
 
 // send carries out a Send.
