Take a target's load for unknown when a number is missing

loadOf split the field by hand and, at its end, read the last number again for those that were missing: '9' meant nine running, nine waiting and nine slots, so the target seemed full. With strings.Cut the missing ones are empty and the load is unknown, as for any other malformed one. Whole loads read as before.

--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -211,18 +212,13 @@
 	return false
 }
 
-// loadOf reads a target's load: running, waiting and slots.
+// loadOf reads a target's load: running, waiting and slots. One that lacks any
+// of them is not known.
 func loadOf(v string) ingress.Load {
 	var n [3]int
-	rest := v
 	for i := range n {
-		field := rest
-		for j := range len(rest) {
-			if rest[j] == ',' {
-				field, rest = rest[:j], rest[j+1:]
-				break
-			}
-		}
+		var field string
+		field, v, _ = strings.Cut(v, ",")
 		x, err := strconv.Atoi(field)
 		if err != nil || x < 0 {
 			return ingress.Load{}
