--- a/serve/daemon/stop.go
+++ b/serve/daemon/stop.go
@@ -59,9 +59,7 @@
 		d.core.Close()
 	}
 	if d.callers != nil {
-		ended, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = d.callers.Stop(ended) // a second Stop only closes what is left
+		d.callers.Close()
 	}
 	if d.pool != nil {
 		d.pool.Close()
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -353,11 +353,7 @@
 	})
 	is.NoErr(err)
 	s.Serve(handlerFunc(func(x *Exchange) { arrived <- x }))
-	t.Cleanup(func() {
-		ended, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = s.Stop(ended)
-	})
+	t.Cleanup(s.Close)
 	body := strings.Repeat("a", testBody)
 	whole := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n" + body
 	chunked := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" + body + "\r\n0\r\n\r\n"
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -283,6 +283,14 @@
 	return err
 }
 
+// Close ends the server at once and cuts what is in flight. After Stop it only
+// closes what is left.
+func (s *Server) Close() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = s.Stop(ended) // its error says what was cut
+}
+
 // Refuse closes the listener and the connections on which nothing is under way.
 // Callers that go on opening or reusing connections would otherwise keep a
 // leaving VM busy until its end cuts them off.
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -284,11 +284,9 @@
 	if s.core != nil {
 		s.core.Close()
 	}
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
 	for _, l := range []*inbound.Server{s.callers, s.ready, s.lookups, s.pages} {
 		if l != nil {
-			_ = l.Stop(ended) // what is in flight has had its time
+			l.Close() // what is in flight has had its time
 		}
 	}
 	if s.pool != nil {
