Let a defect cost its route alone; know uploads, new starts and forged entries; serve pipelined requests together

Cause: one route type that the decoder did not know refused the whole configuration, so no request of the further customer was served. Beside it: an entry of another writer left the last good one in force; a target that starts again under its id was taken for the earlier start; requests sent ahead on a connection were served one after the other, and the kind with 800 ms in all is sent so.

Changed: configurations are decoded part by part; a route with a defect keeps its place and refuses, an unknown type is never repeated. Entries with a missing field, another type, an unknown state or failure domain name no target, also over a good one. A changed time of start begins a new target; idempotent requests at the ended start are sent again at once and kept connections to it are dropped. Repeatable requests sent ahead are served beside each other, answers in order.

Ruled out: leaving a route with a defect out (its requests would fall to a shorter prefix).

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -23,7 +23,7 @@
 
 // Target is a target as its latest registration describes it.
 type Target struct {
-	ID       fleet.TargetID // of one start of the target
+	ID       fleet.TargetID
 	Service  fleet.ServiceName
 	Addr     string // host:port
 	Domain   fleet.Domain
@@ -31,6 +31,10 @@
 	Draining bool
 	// Cold is how long the target stays cold, seen from the registration.
 	Cold time.Duration
+	// Born is the Unix millisecond of the target's start by its own clock; 0:
+	// not stated. A target may start again under its ID, and then holds nothing
+	// of before. Only whether it differs counts: clocks may jump.
+	Born int64
 }
 
 // TargetsChanged lists targets that were registered or changed, and those that
@@ -180,6 +184,9 @@
 	Dropped []RequestID
 	Tells   []Tell
 	Beliefs []Belief
+	// Restarted are addresses of targets that have started again: connections
+	// kept to them lead to processes that have ended.
+	Restarted []string
 	// Wake is when Tick is due at the latest.
 	Wake clock.Time
 }
@@ -193,5 +200,6 @@
 	r.Dropped = r.Dropped[:0]
 	r.Tells = r.Tells[:0]
 	r.Beliefs = r.Beliefs[:0]
+	r.Restarted = r.Restarted[:0]
 	r.Wake = clock.Never
 }
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -64,6 +64,13 @@
 		})
 		return
 	}
+	if rt.Unserved {
+		r.out.Refusals = append(r.out.Refusals, Refusal{
+			Request: ev.Request, Verdict: verdict.NotRun,
+			Reason: verdict.ReasonRouteDefect, RetryAfter: defaultAim,
+		})
+		return
+	}
 	q := &request{
 		id: ev.Request, route: rt, object: ev.Object, arrived: now,
 		svc: r.serviceOf(r.split(rt)), verdict: verdict.NotRun,
--- /dev/null
+++ b/decide/ingress/restart_test.go
@@ -0,0 +1,92 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+func (s *bench) start(id fleet.TargetID, born int64, cold time.Duration) *Ready {
+	return s.step(&TargetsChanged{Set: []Target{{
+		ID: id, Service: "svc", Domain: "d1", Slots: 2, Addr: "10.0.0.1:1", Born: born, Cold: cold,
+	}}})
+}
+
+// Symptom: a target that has just started is taken for full, for out of use and
+// for one that remembers objects; its callers wait for answers that can't come.
+// Sequence: it has requests in flight and has failed some; it dies and starts
+// again under its ID while this VM is cut off from it.
+// Cause: what was known was kept by the ID, which is that of several starts.
+func TestANewStartKnowsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{ColdFactor: 1, ColdSlack: 50}, selfVM)
+	rt := one("a")
+	rt.Idempotent = false
+	s.configure(1, rt)
+	s.start("t1", 1000, 0)
+	arrive := func(id RequestID) []Send {
+		return s.step(&Arrive{Request: id, Host: "h", Path: "/a/x", Object: "o"}).Sends
+	}
+	first := arrive(1)[0]
+	is.Equal(len(arrive(2)), 1)
+	old := s.r.targets["t1"]
+	old.standing.Eject(s.now, s.r.rng)
+	s.start("t1", 1000, 0) // the same start says so once more
+	is.True(s.r.targets["t1"] == old)
+
+	out := s.start("t1", 2000, time.Second)
+	is.Equal(out.Restarted, []string{"10.0.0.1:1"}) // kept connections lead nowhere
+	is.Equal(len(out.Refusals)+len(out.Sends), 0)   // nothing is run twice, nor given up
+	now := s.r.targets["t1"]
+	is.Equal(now.inFlight, 0)
+	is.True(!now.isWarm(s.now, "o"))
+	is.True(now.cold(s.now))
+	is.Equal(len(arrive(3)), 1) // it is in use
+
+	// A late answer of the earlier start is delivered, and says nothing of the
+	// new one.
+	out = s.step(&Answered{Attempt: first.Attempt, Load: Load{Known: true, Running: 9, Slots: 2}})
+	is.Equal(len(out.Delivers), 1)
+	is.Equal(now.inFlight, 1)
+	is.Equal(now.others, 0)
+}
+
+// Symptom: idempotent requests end with their deadline although other targets
+// are free.
+// Sequence: their target starts again; its connections never say that it ended.
+// Cause: only silence of half a second and more led to a second send.
+func TestRequestsAtAnEndedStartAreSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{RepeatRatio: 1, RepeatSlack: 10}, selfVM)
+	s.configure(1, one("a"))
+	s.start("t1", 1000, 0)
+	for id := RequestID(1); id <= 20; id++ { // earn the repeat
+		s.step(&Arrive{Request: id, Host: "h", Path: "/a/x"})
+		s.step(&CallerGone{Request: id})
+	}
+	is.Equal(len(s.step(&Arrive{Request: 100, Host: "h", Path: "/a/x"}).Sends), 1)
+	s.target("t2", "d1", 2)
+	out := s.start("t1", 2000, 0)
+	is.Equal(len(out.Sends), 1)
+	is.Equal(out.Sends[0].Target, fleet.TargetID("t2"))
+}
+
+// Symptom: requests fall to another service, or end as unknown.
+// Sequence: their route bears a value that is not understood.
+// Cause: the route was left out. It is kept and refuses what it can't place.
+func TestARouteWithADefectRefuses(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{}, selfVM)
+	broken := one("a")
+	broken.Unserved = true
+	s.configure(1, broken, one("b"))
+	s.target("t1", "d1", 2)
+	out := s.step(&Arrive{Request: 1, Host: "h", Path: "/a/x"})
+	is.Equal(out.Refusals[0].Verdict, verdict.NotRun)
+	is.Equal(out.Refusals[0].Reason, verdict.ReasonRouteDefect)
+	is.Equal(len(s.step(&Arrive{Request: 2, Host: "h", Path: "/b/x"}).Sends), 1)
+}
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -113,15 +115,26 @@
 			r.removeTarget(id)
 		}
 	}
+	var ended []*targetState
 	for _, d := range ev.Set {
-		r.setTarget(now, d)
+		if old := r.setTarget(now, d); old != nil {
+			ended = append(ended, old)
+		}
 	}
 	r.relist()
+	for _, old := range ended {
+		r.leaveStart(now, old)
+	}
 	r.pump(now)
 }
 
-func (r *Reducer) setTarget(now clock.Time, d Target) {
+// setTarget takes a registration. Where the target has started again it returns
+// what was known of the start that has ended.
+func (r *Reducer) setTarget(now clock.Time, d Target) (ended *targetState) {
 	t, ok := r.targets[d.ID]
+	if ok && t.restartedAs(d) {
+		ended, ok = t, false
+	}
 	if !ok {
 		t = &targetState{region: r.opts.Regions[d.Domain]}
 		t.untried = now.Sub(r.began) > settleTime
@@ -134,6 +147,38 @@
 		t.coldUntil = now.Add(d.Cold)
 		t.warm = nil
 	}
+	return ended
+}
+
+// restartedAs reports whether d is of a later start of t. The first one to
+// state its time is the start that was there before.
+func (t *targetState) restartedAs(d Target) bool {
+	return t.Born != 0 && d.Born != 0 && t.Born != d.Born
+}
+
+// leaveStart gives up what led to a start of a target that has ended: its kept
+// connections, which may never tell, and the hope of an answer. Requests that
+// may run again are sent elsewhere now; a late answer still counts.
+func (r *Reducer) leaveStart(now clock.Time, old *targetState) {
+	r.believe(old, "started again", 0)
+	r.out.Restarted = append(r.out.Restarted, old.Addr)
+	for _, a := range r.attemptsAt(old) {
+		if q := a.req; q.route.Idempotent {
+			r.hedge(now, q)
+		}
+	}
+}
+
+// attemptsAt returns the sends under way to t, in their order.
+func (r *Reducer) attemptsAt(t *targetState) []*attempt {
+	var list []*attempt
+	for _, a := range r.attempts {
+		if a.target == t {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	return list
 }
 
 // settleTime is how long after its first event the reducer takes the targets
--- a/decide/verdict/verdict.go
+++ b/decide/verdict/verdict.go
@@ -89,6 +89,7 @@
 const (
 	ReasonNone             Reason = ""
 	ReasonUnknownService   Reason = "unknown-service"
+	ReasonRouteDefect      Reason = "route-defect"
 	ReasonNotReady         Reason = "not-ready"
 	ReasonStopping         Reason = "stopping"
 	ReasonOverload         Reason = "overload"
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -41,9 +41,8 @@
 
 	mu        sync.Mutex
 	begun     bool // heard, for armIdleTimeout
-	current   *Exchange
-	waiting   []*Exchange // pipelined requests behind current
-	closing   bool        // close once current is answered
+	pipeline  pipeline
+	closing   bool        // close once what is in flight is answered
 	readTimer *time.Timer // bounds the message being received; nil: none
 	closed    bool
 
@@ -191,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.begun {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
+		c.armIdle()
 	}
 }
 
@@ -207,7 +206,7 @@
 func (c *conn) armReadTimer(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current != nil {
+	if !c.pipeline.empty() {
 		return
 	}
 	c.stopReadTimer()
@@ -219,7 +218,7 @@
 // deadline would close the connection without a word.
 func (c *conn) readTimedOut() {
 	c.mu.Lock()
-	if c.closed || c.closing || c.current != nil {
+	if c.closed || c.closing || !c.pipeline.empty() {
 		c.mu.Unlock()
 		return
 	}
@@ -229,15 +228,20 @@
 	x := &Exchange{c: c}
 	x.close = true
 	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
-	c.write(x, http.StatusRequestTimeout, h, body)
+	c.write(x, true, http.StatusRequestTimeout, h, body)
 	c.linger()
 }
 
+// armIdle bounds the wait for the next request.
+func (c *conn) armIdle() {
+	_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
+}
+
 // free reports whether nothing is under way on the connection.
 func (c *conn) free() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.current == nil && !c.closing && !c.inMessage() && !c.pending()
+	return c.pipeline.empty() && !c.closing && !c.inMessage() && !c.pending()
 }
 
 // stopReadTimer must be called with mu held.
@@ -259,7 +263,7 @@
 		return
 	}
 	c.closing = true
-	if c.current != nil {
+	if !c.pipeline.empty() {
 		c.mu.Unlock()
 		return
 	}
@@ -273,7 +277,7 @@
 		return
 	}
 	h, body := c.s.opts.Refusal(status)
-	c.write(x, status, h, body)
+	c.write(x, true, status, h, body)
 	c.linger()
 }
 
@@ -307,55 +311,54 @@
 	_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
-// dispatch takes a parsed request: it is served at once, or waits behind the
-// one in flight.
+// dispatch takes a parsed request: it is served at once, or waits behind those
+// in flight.
 func (c *conn) dispatch(x *Exchange) {
 	c.mu.Lock()
 	if c.closing || c.closed {
 		c.mu.Unlock()
 		return
 	}
-	if c.current != nil {
-		if len(c.waiting) >= maxPipelined {
-			c.closing = true
-			c.mu.Unlock()
-			return
-		}
-		c.waiting = append(c.waiting, x)
+	if len(c.pipeline.waiting) >= maxPipelined {
+		c.closing = true // what is left out counts as unread
 		c.mu.Unlock()
 		return
 	}
-	c.take(x)
+	c.pipeline.waiting = append(c.pipeline.waiting, x)
+	started := c.admit()
 	c.mu.Unlock()
-	c.serve(x)
+	c.serveAll(started)
 }
 
-// maxPipelined bounds the requests a caller may send ahead of its answers.
+// maxPipelined bounds the requests that wait behind those in flight.
 const maxPipelined = 16
 
-// take makes x the exchange in flight, which no read timeout bounds. It must be
-// called with mu held. The timeout is changed together with current: set after
-// it, the idle timeout of the exchange before could come last and close the
-// connection under x.
+// take adds x to the exchanges in flight, which no read timeout bounds. It must
+// be called with mu held. The timeout is changed together with the pipeline:
+// set after it, the idle timeout of the exchange before could come last and
+// close the connection under x.
 func (c *conn) take(x *Exchange) {
-	c.current = x
+	c.pipeline.inFlight = append(c.pipeline.inFlight, x)
 	c.stopReadTimer()
 	_ = c.nbc.SetReadDeadline(time.Time{})
 }
 
+func (c *conn) serveAll(list []*Exchange) {
+	for _, x := range list {
+		c.serve(x)
+	}
+}
+
 func (c *conn) serve(x *Exchange) {
 	c.s.begin()
 	x.counted = true
 	c.s.handler.Serve(x)
 }
 
-// write sends an answer.
-func (c *conn) write(x *Exchange, status int, h http.Header, body []byte) {
+// write sends an answer; closing says that it is the last on the connection.
+func (c *conn) write(x *Exchange, closing bool, status int, h http.Header, body []byte) {
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
-	c.mu.Lock()
-	closing := c.closing || x.close || c.s.stopping.Load()
-	c.mu.Unlock()
 	encodeHead(b, status, h, len(body), closing)
 	sendBody := x.Method != http.MethodHead && heads.BodyAllowed(status)
 	if sendBody && len(body) <= maxPooledBuffer {
@@ -391,39 +394,6 @@
 	}
 }
 
-// finished ends an exchange and starts the next pipelined one.
-func (c *conn) finished(x *Exchange) {
-	if x.counted {
-		c.s.end()
-	}
-	c.mu.Lock()
-	if c.current != x {
-		c.mu.Unlock()
-		return
-	}
-	c.current = nil
-	done := c.closing || x.close || c.s.stopping.Load()
-	var next *Exchange
-	switch {
-	case done:
-	case len(c.waiting) > 0:
-		next = c.waiting[0]
-		c.waiting = c.waiting[1:]
-		c.take(next)
-	default:
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
-	}
-	c.mu.Unlock()
-	switch {
-	case x.Refused != 0:
-		c.linger()
-	case done:
-		c.close()
-	case next != nil:
-		c.serve(next)
-	}
-}
-
 // close ends the connection once everything written has reached the kernel.
 // nbio's Close drops what is still queued: closing at once would cut a large
 // answer short for a caller that reads slowly.
@@ -457,14 +427,9 @@
 	c.mu.Lock()
 	c.closed = true
 	c.stopReadTimer()
-	x := c.current
-	waiting := c.waiting
-	c.waiting = nil
+	left := c.pipeline.end()
 	c.mu.Unlock()
-	if x != nil {
+	for _, x := range left {
 		x.abandon()
 	}
-	for _, w := range waiting {
-		w.abandon()
-	}
 }
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -36,6 +36,8 @@
 	onGone   func()
 	held     int64 // bytes of the body counted by Server.hold
 	counted  bool  // included in the server's count of exchanges in flight
+
+	answer *answer // guarded by the connection's mu; nil: none yet
 }
 
 // OnGone registers f to be called once if the caller closes its connection
@@ -64,13 +66,17 @@
 	gone := x.gone
 	x.mu.Unlock()
 	x.release()
-	if !gone {
-		x.c.write(x, status, h, body)
-	}
-	x.c.finished(x)
+	x.c.answered(x, answer{status, h, body})
 	return !gone
 }
 
+// hasGone reports whether the caller has gone before the answer.
+func (x *Exchange) hasGone() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gone
+}
+
 // release gives the room of the body back.
 func (x *Exchange) release() {
 	x.c.s.held.Add(-x.held)
--- /dev/null
+++ b/serve/inbound/pipeline_test.go
@@ -0,0 +1,207 @@
+package inbound
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A caller of these tests sends GETs to /1, /2 and so on in one write; GETs may
+// overlap. heldHandler keeps all exchanges until the test answers them.
+type heldHandler struct {
+	mu   sync.Mutex
+	held map[string]*Exchange
+	came chan string
+}
+
+func newHeldHandler() *heldHandler {
+	return &heldHandler{held: make(map[string]*Exchange), came: make(chan string, 100)}
+}
+
+func (h *heldHandler) Serve(x *Exchange) {
+	h.mu.Lock()
+	h.held[x.URI] = x
+	h.mu.Unlock()
+	h.came <- x.URI
+}
+
+func (h *heldHandler) answer(uri string) {
+	h.mu.Lock()
+	x := h.held[uri]
+	h.mu.Unlock()
+	echo(x)
+}
+
+func isGet(r *Request) bool { return r.Method == http.MethodGet }
+
+func getAhead(t *testing.T, conn net.Conn, n int) {
+	t.Helper()
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i+1)
+	}
+	if _, err := io.WriteString(conn, b.String()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Symptom: short requests miss their aim although their targets answer at once.
+// Sequence: a caller sends three requests ahead on one connection; each takes as
+// long as the others.
+// Cause: each was served only after the answer to the one before.
+func TestRequestsSentAheadAreServedTogether(t *testing.T) {
+	is := is.New(t)
+	h := newHeldHandler()
+	s := listenOverlapping(t, isGet, h.Serve)
+	conn, r := dial(t, s)
+	getAhead(t, conn, 3)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		is.Equal(<-h.came, want)
+	}
+	for _, uri := range []string{"/3", "/1", "/2"} { // in any order
+		h.answer(uri)
+	}
+	for _, want := range []string{"/1 ", "/2 ", "/3 "} {
+		_, b := read(t, r, http.MethodGet)
+		is.Equal(b, want) // in the order of the requests
+	}
+	getAhead(t, conn, 1)
+	is.Equal(<-h.came, "/1") // the connection goes on
+	h.answer("/1")
+	_, b := read(t, r, http.MethodGet)
+	is.Equal(b, "/1 ")
+}
+
+// Symptom: a posting runs twice.
+// Sequence: it is sent behind a read; the read's answer closes the connection,
+// and its caller sends the posting again, as what lies behind that answer counts
+// as unread.
+// Cause: it was passed on beside the read. Only what may be repeated is.
+func TestOnlyRepeatableRequestsOverlap(t *testing.T) {
+	is := is.New(t)
+	h := newHeldHandler()
+	s := listenOverlapping(t, isGet, h.Serve)
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(<-h.came, "/1")
+	h.answer("/1")
+	res, _ := read(t, r, http.MethodGet)
+	is.True(res.Close)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(len(h.came), 0) // the posting was passed on by nobody
+}
+
+// Symptom: a caller sees its connection end without an answer to requests that
+// were passed on.
+// Sequence: a planned stop begins while several of its requests are in flight.
+// Cause: the first answer after the beginning of the stop said that the
+// connection closes. The last one says so; what is not in flight yet is left
+// unread.
+func TestStopAnswersAllInFlight(t *testing.T) {
+	is := is.New(t)
+	h := newHeldHandler()
+	s := listenOverlapping(t, isGet, h.Serve)
+	conn, r := dial(t, s)
+	getAhead(t, conn, maxOverlap+2)
+	for range maxOverlap {
+		<-h.came
+	}
+	s.Leave()
+	for i := maxOverlap; i >= 1; i-- {
+		h.answer(fmt.Sprint("/", i))
+	}
+	for i := range maxOverlap {
+		res, b := read(t, r, http.MethodGet)
+		is.Equal(b, fmt.Sprintf("/%d ", i+1))
+		is.Equal(res.Close, i == maxOverlap-1)
+	}
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(len(h.came), 0)
+}
+
+// Symptom: targets work for a caller that has left.
+// Sequence: it closes its connection with several requests in flight.
+// Cause: only the oldest was told.
+func TestAllInFlightLearnThatTheCallerLeft(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan string, 3)
+	s := listenOverlapping(t, isGet, func(x *Exchange) {
+		uri := x.URI
+		x.OnGone(func() { gone <- uri })
+	})
+	conn, _ := dial(t, s)
+	getAhead(t, conn, 3)
+	time.Sleep(20 * time.Millisecond)
+	is.NoErr(conn.Close())
+	seen := map[string]bool{}
+	for range 3 {
+		seen[<-gone] = true
+	}
+	is.Equal(len(seen), 3)
+}
+
+// Symptom: an answer is given to another request, is lost, or a stop hangs.
+// Sequence: many callers send requests ahead; answers come in any order from
+// several goroutines, and some are there at once.
+// Cause: the turn of an answer and its writing were decided apart.
+func TestRandomPipelines(t *testing.T) {
+	is := is.New(t)
+	s := listenOverlapping(t, isGet, func(x *Exchange) {
+		if len(x.URI)%2 == 0 {
+			echo(x)
+			return
+		}
+		go echo(x)
+	})
+	var callers sync.WaitGroup
+	for range 8 {
+		conn, r := dial(t, s)
+		callers.Go(func() { pipelineCaller(t, conn, r) })
+	}
+	callers.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(s.Stop(ctx))
+}
+
+func pipelineCaller(t *testing.T, conn net.Conn, r *bufio.Reader) {
+	const ahead = 12
+	for range 40 {
+		var b strings.Builder
+		for i := range ahead {
+			method := "GET"
+			if i%5 == 4 {
+				method = "DELETE" // does not overlap
+			}
+			fmt.Fprintf(&b, "%s /%d HTTP/1.1\r\nHost: a\r\n\r\n", method, i)
+		}
+		if _, err := io.WriteString(conn, b.String()); err != nil {
+			t.Error(err)
+			return
+		}
+		for i := range ahead {
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			body, err := io.ReadAll(res.Body)
+			if want := fmt.Sprintf("/%d ", i); err != nil || string(body) != want {
+				t.Errorf("%q in place of %q: %v", body, want, err)
+				return
+			}
+		}
+	}
+}
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -52,6 +52,10 @@
 	// sent before. A refusal of such a one is left to the handler, as only the
 	// handler can tell what became of the earlier send. May be nil.
 	Known func(h http.Header) bool
+	// Overlaps reports whether a request may be served beside others that its
+	// caller has sent ahead on the same connection. Nil: none may; each then
+	// waits for the answer to the one before.
+	Overlaps func(r *Request) bool
 }
 
 // Server accepts callers' connections.
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -36,6 +36,9 @@
 	for i := range out.Refusals {
 		s.refuse(&out.Refusals[i])
 	}
+	for _, addr := range out.Restarted {
+		s.pool.Discard(addr, 0)
+	}
 	for i := range out.Sends {
 		s.send(&out.Sends[i])
 	}
--- a/serve/ingress/events.go
+++ b/serve/ingress/events.go
@@ -136,7 +136,7 @@
 		"took_ms":       now.Sub(k.at).Milliseconds(),
 		"patience_ms":   k.patience.Milliseconds(),
 		"sends":         sends,
-		"config":        s.version.Load(),
+		"config":        s.version(),
 		"store_age_ms":  now.Sub(clock.Time(s.storeHeard.Load())).Milliseconds(),
 		"store_reached": !s.storeLost.Load(),
 	})
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -134,7 +134,7 @@
 // apply turns changes of the copy into events. unsure says that removals may
 // come from trouble of the store. copyMu must be held.
 func (s *Server) apply(changes []mirror.Change, unsure bool) {
-	var targets ingress.TargetsChanged
+	var targets, void ingress.TargetsChanged
 	membersChanged := false
 	for _, c := range changes {
 		if strings.HasPrefix(c.Key, prefixMembers) {
@@ -144,7 +144,10 @@
 		if !s.concerns(c.Key) {
 			continue
 		}
-		s.applyOne(c, &targets)
+		s.applyOne(c, &targets, &void)
+	}
+	if len(void.Gone) > 0 {
+		s.core.Post(&void) // never unsure: nothing is wrong with the store
 	}
 	if len(targets.Set) > 0 || len(targets.Gone) > 0 {
 		targets.Unsure = unsure
@@ -165,19 +168,23 @@
 	return false
 }
 
-// applyOne decodes one change. What can't be decoded changes nothing: the last
-// good value stays in force.
-func (s *Server) applyOne(c mirror.Change, targets *ingress.TargetsChanged) {
+// applyOne decodes one change and adds what it says of a target to targets, or
+// to void if its registration can't be believed. A configuration that can't be
+// decoded changes nothing: the last good one stays in force.
+func (s *Server) applyOne(c mirror.Change, targets, void *ingress.TargetsChanged) {
 	d, err := s.set.Translate.Change(c)
 	line := func(event string) *logrus.Entry {
 		return s.event(event).WithField("key", c.Key).WithField("revision", c.Revision)
 	}
+	for _, defect := range d.Defects {
+		line(eventStore).WithError(defect).Error("part of a value in the store is not understood")
+	}
 	switch {
 	case err != nil:
 		line(eventStore).WithError(err).Error("value in the store cannot be decoded")
 	case d.Configured != nil:
 		s.configure(d.Configured)
-		line(eventConfig).WithField("version", s.version.Load()).Info("configuration is in force")
+		line(eventConfig).WithField("version", s.version()).Info("configuration is in force")
 	case d.Evacuated != nil:
 		s.core.Post(d.Evacuated)
 		line(eventEvacuate).WithField("domain", d.Evacuated.Domain).WithField("begin", d.Evacuated.Begin).Info("evacuation changed")
@@ -186,6 +193,9 @@
 		targets.Set = append(targets.Set, *t)
 		line(eventTarget).WithField("target", t.ID).WithField("domain", t.Domain).WithField("draining", t.Draining).
 			WithField("cold_ms", t.Cold.Milliseconds()).Info("registered")
+	case d.TargetVoid != "":
+		void.Gone = append(void.Gone, d.TargetVoid)
+		line(eventTarget).WithField("target", d.TargetVoid).Warn("registration names no target")
 	case d.TargetGone != "":
 		targets.Gone = append(targets.Gone, d.TargetGone)
 		line(eventTarget).WithField("target", d.TargetGone).Info("registration is gone")
@@ -204,8 +214,15 @@
 	}
 	s.callers.SetLimits(limits)
 	s.core.Post(ev)
-	s.version.Store(ev.Table.Config.Version)
-	s.configured.Store(true)
+	s.table.Store(ev.Table)
+}
+
+// version returns that of the configuration in force; 0: none yet.
+func (s *Server) version() uint64 {
+	if t := s.table.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
 }
 
 // or returns v, or otherwise if v is not set.
--- a/serve/ingress/lookup.go
+++ b/serve/ingress/lookup.go
@@ -27,7 +27,7 @@
 }
 
 // takesRequests reports whether callers should use this VM.
-func (s *Server) takesRequests() bool { return s.configured.Load() && !s.leaving.Load() }
+func (s *Server) takesRequests() bool { return s.table.Load() != nil && !s.leaving.Load() }
 
 func path(x *inbound.Exchange) string {
 	p, _, _ := strings.Cut(x.URI, "?")
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -100,7 +100,7 @@
 	gauge := func(name string, f func() any) { s.metrics.vars.Set(name, expvar.Func(f)) }
 	gauge("requests_in_flight", func() any { return s.calls.len() })
 	gauge("caller_connections", func() any { return s.callers.Connections() })
-	gauge("config_version", func() any { return s.version.Load() })
+	gauge("config_version", func() any { return s.version() })
 	gauge("store_reached", func() any { return !s.storeLost.Load() })
 	gauge("store_age_ms", func() any {
 		return s.now().Sub(clock.Time(s.storeHeard.Load())).Milliseconds()
--- a/serve/ingress/register.go
+++ b/serve/ingress/register.go
@@ -32,7 +32,7 @@
 	var lease kv.Lease
 	defer func() { s.unregister(lease) }()
 	for s.ctx.Err() == nil {
-		if !s.configured.Load() {
+		if s.table.Load() == nil {
 			s.pause(registerPoll)
 			continue
 		}
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -19,6 +19,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/serve/core"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/kv"
@@ -42,9 +43,9 @@
 	lookups *inbound.Server
 	pages   *inbound.Server // metrics; nil: not served
 
-	members    atomic.Pointer[[]fleet.VM] // entry VMs that look-ups may name
-	configured atomic.Bool                // a configuration is in force
-	leaving    atomic.Bool                // a planned stop has begun
+	members atomic.Pointer[[]fleet.VM]  // entry VMs that look-ups may name
+	table   atomic.Pointer[route.Table] // of the configuration in force; nil: none yet
+	leaving atomic.Bool                 // a planned stop has begun
 
 	peers     *peer.Transport
 	copyMu    sync.Mutex
@@ -56,7 +57,6 @@
 	storeHeard   atomic.Int64 // when the store last answered, a clock.Time
 	// storeFailures counts calls that failed.
 	storeFailures atomic.Int64
-	version       atomic.Uint64 // of the configuration in force
 	metrics       *metrics
 	lines         sampler
 	relist        chan struct{}
@@ -179,6 +179,7 @@
 		WriteTimeout: writeTimeout,
 		Pollers:      1,
 		Refusal:      func(int) (http.Header, []byte) { return nil, nil },
+		Overlaps:     s.overlaps,
 	})
 }
 
@@ -202,6 +203,17 @@
 	return d.Dial(network, addr)
 }
 
+// overlaps reports whether a request may be served beside others that were sent
+// ahead on the same connection: only one that may be repeated.
+func (s *Server) overlaps(r *inbound.Request) bool {
+	table := s.table.Load()
+	if table == nil {
+		return false
+	}
+	rt := table.Match(r.Header.Get("Host"), r.URI)
+	return rt != nil && rt.Idempotent
+}
+
 func (s *Server) run() {
 	s.callers.Serve(handlerFunc(s.serveCall))
 	s.ready.Serve(handlerFunc(s.serveReady))
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -70,12 +70,17 @@
 }
 
 // Change is one change of the store in the terms of the decisions. Of its
-// fields one is set, or none where a change has no meaning here.
+// fields but Defects one is set, or none where a change has no meaning here.
 type Change struct {
 	Configured *ingress.Configured
 	Evacuated  *ingress.Evacuated
 	TargetSet  *ingress.Target
 	TargetGone fleet.TargetID
+	// TargetVoid is a target whose registration can't be believed: it is not
+	// used, whatever was registered before.
+	TargetVoid fleet.TargetID
+	// Defects are what was not understood and handled with care, for the log.
+	Defects []error
 }
 
 // Translator decodes what operators and targets write to the store.
