Let entry VMs recall where objects are warm and tell the coordinator

Change: an ask names the target where the asking VM's last request for the object ran; the coordinator believes it if it knows nothing itself.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -48,6 +48,7 @@
 	case ServerError:
 		r.serverError(now, a)
 	case Served:
+		q.svc.noteServed(now, q.object, t)
 		r.deliver(now, a)
 	}
 }
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -55,6 +55,7 @@
 	j.until = now.Add(min(a.Wait, a.Left))
 	j.expires = now.Add(a.Left + expiryMargin)
 	r.jobs[key] = j
+	r.believeRecalled(now, j)
 	return j
 }
 
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -25,6 +25,7 @@
 	Large    bool // its answer is large
 	Homes    []fleet.Region
 	Tried    []fleet.TargetID // targets it has been sent to
+	Recalled fleet.TargetID   // where the asking VM's last request for the object ran; "": not known
 	Wait     time.Duration    // that it may wait for a target
 	Left     time.Duration    // until its final answer is due
 }
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -17,6 +17,8 @@
 	waiting queue.FIFO[*job]
 	ranked  map[string][]*targetState // targets by rank for an object
 
+	recall recall // where this VM's own requests ran
+
 	share   regionShare
 	repeats repeatBudget
 	latency target.Quantiles
