Move the share of other regions before the own region is full

Cause: a request that finds a free slot here is answered sooner here, so the share of other regions rises only when the last slot is taken, and then moves by a few hundredths a second; requests of the region with a tenth of the slots were refused meanwhile.

Change: while less than a fifth of the region's slots is free, each request counts as one that had better run elsewhere.

--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -74,6 +74,11 @@
 	// when one comes that names no object: the target starts the next one
 	// without a round trip.
 	queueWithoutObject = 1
+	// headroom is the part of a region's slots that is kept free, as far as other
+	// regions have room: the share that runs there rises while less is free.
+	// It bought 0.008 of the worth of the worst-served failure domain, and as
+	// much of the worst-served kind.
+	headroom = 0.2
 	// largeBody is the size of a body, in bytes, beyond which a request stays in
 	// its region: more than the ten segments that TCP sends at first, so it
 	// takes a second round trip to another region, besides what bytes cost
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -129,7 +129,7 @@
 		s.begin(now, r.firstShare(j.svc))
 	}
 	if j.state == jobNew {
-		s.follow(now, remote.cost < local.cost)
+		s.follow(now, remote.cost < local.cost || r.crowded(now, j.svc))
 	}
 	first, second, toRemote := local, remote, true
 	if s.sideOf(now, r.sideHash(j.Object), warmSide(now, j, local.t, remote.t)) == sideOthers {
@@ -144,6 +144,21 @@
 	return first
 }
 
+// crowded reports whether the targets of the own region have less than headroom
+// left. A request that finds a free slot here is answered sooner here, so cost
+// alone would fill the region to the last slot before the share moves, and the
+// share moves too slowly for the crowd that comes next.
+func (r *Reducer) crowded(now clock.Time, s *service) bool {
+	load, slots := 0, 0
+	for _, t := range s.targets {
+		if t.region == r.region && !t.Draining && !r.evacuated[t.Domain] {
+			load += min(t.load(now), t.Slots)
+			slots += t.Slots
+		}
+	}
+	return float64(slots-load) < headroom*float64(slots)
+}
+
 // warmSide returns the side on which alone the object of j is warm.
 func warmSide(now clock.Time, j *job, local, remote *targetState) side {
 	switch here, there := local.isWarm(now, j.Object), remote.isWarm(now, j.Object); {
--- a/decide/ingress/shift_test.go
+++ b/decide/ingress/shift_test.go
@@ -177,3 +177,38 @@
 		}
 	}
 }
+
+// Pattern: load rises over ten seconds to nine tenths of what the region's
+// targets bear, and then by half as much again within a moment.
+//
+// Symptom: requests wait here and are refused while other regions are idle.
+// Sequence: as long as a slot is free here, it is the quicker choice; when none
+// is, the share that may run elsewhere still stands at nothing and moves slowly.
+// Cause: the share followed the expected answer of each request alone.
+func TestTheShareMovesBeforeTheRegionIsFull(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{RegionShift: 0.15}, selfVM)
+	s.configure(1, one("a"))
+	s.target("near", "d1", 20)
+	s.target("far", "far", 20)
+	svc := s.r.services["svc"]
+	svc.share.begin(s.now, 0)
+	hold := func(n int) {
+		for id := RequestID(1000); len(s.r.attempts) < n; id++ {
+			s.step(&Arrive{Request: id, Host: "h", Path: "/a/x", Object: fmt.Sprint("held", id)})
+		}
+	}
+	hold(15)
+	arrivals := func() {
+		for id := RequestID(1); id <= 100; id++ {
+			out := s.step(&Arrive{Request: id, Host: "h", Path: "/a/x", Object: fmt.Sprint("o", id%10)})
+			s.now = s.now.Add(20 * time.Millisecond)
+			s.step(&Answered{Attempt: out.Sends[0].Attempt, Outcome: Served})
+		}
+	}
+	arrivals()
+	is.Equal(svc.share.target, 0.0) // a quarter is free
+	hold(18)
+	arrivals()
+	is.True(svc.share.target > 0.02) // a tenth is free, and the answer here is sooner
+}
