Have refused callers come back when there is room

Cause: the coordinator knows how long its queue at a target is and did not say it; callers came back after half to one and a half aims, late whatever they found.

Change: a denial states when room is expected; the caller is asked to return then and up to as long again later, within 0.1 and 1.5 aims.

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -110,7 +110,7 @@
 		if q, ok := r.asks[m.ID]; ok {
 			delete(r.asks, m.ID)
 			q.asking = nil
-			r.denied(now, q, m.Reason)
+			r.denied(now, q, m.Reason, m.Room)
 		}
 	case *Withdraw:
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok {
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -109,13 +109,22 @@
 
 // deny tells j's entry VM that there is no target for it.
 func (r *Reducer) deny(now clock.Time, j *job) {
-	reason := r.whyWaiting(now, j)
+	reason, room := r.whyWaiting(now, j), r.roomAfter(now, j)
 	r.drop(j)
 	if j.req != nil {
-		r.denied(now, j.req, reason)
+		r.denied(now, j.req, reason, room)
 		return
 	}
-	r.tell(j.key.vm, &Deny{ID: j.key.id, Reason: reason})
+	r.tell(j.key.vm, &Deny{ID: j.key.id, Reason: reason, Room: room})
+}
+
+// roomAfter is the time after which the target that j waited for has room for
+// it; 0 if there is none.
+func (r *Reducer) roomAfter(now clock.Time, j *job) time.Duration {
+	if j.awaited == nil {
+		return 0
+	}
+	return time.Duration(r.expectedWait(now, j, j.awaited))
 }
 
 // drop forgets j.
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -40,6 +40,9 @@
 type Deny struct {
 	ID     AskID
 	Reason verdict.Reason
+	// Room is the time after which the target that it would go to has room for
+	// it, as expected; 0: not known.
+	Room time.Duration
 }
 
 // Withdraw says that an Ask is void, granted or not.
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -52,11 +52,11 @@
 	queueShare = 0.25
 	// defaultAim stands for the aim of a route that has none.
 	defaultAim = time.Second
-	// returnMin and returnMax bound the time after which a refused caller is
-	// asked to come back, as parts of the aim; drawn at random between them, so
-	// that those refused together don't return together.
-	returnMin = 0.5
-	returnMax = 1.5
+	// returnMin and returnMax bound the time after which room is expected for a
+	// refused caller, as parts of the aim. Sooner, it would meet the same crowd;
+	// later, its answer is late whenever it comes.
+	returnMin = 0.1
+	returnMax = 0.75
 	// noConfigReturn is the time to come back while no configuration is known:
 	// about what reading it from the store takes.
 	noConfigReturn = 500 * time.Millisecond
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -254,10 +254,13 @@
 // cost is the time in ns after which t's answer to j is expected, and what its
 // bytes cost on the way, as a time.
 func (r *Reducer) cost(now clock.Time, j *job, t *targetState) float64 {
-	work := r.expectedWork(now, j, t)
+	return r.trip(t.region) + r.expectedWork(now, j, t) + r.expectedWait(now, j, t) + r.carriage(j, t)
+}
+
+// expectedWait is how long j would wait at t for a slot, in ns.
+func (r *Reducer) expectedWait(now clock.Time, j *job, t *targetState) float64 {
 	ahead := t.load(now) + t.awaited
-	wait := float64(max(0, ahead+1-t.Slots)) / float64(max(t.Slots, 1)) * work
-	return r.trip(t.region) + work + wait + r.carriage(j, t)
+	return float64(max(0, ahead+1-t.Slots)) / float64(max(t.Slots, 1)) * r.expectedWork(now, j, t)
 }
 
 // carriage is what carrying the answer costs, as a time.
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -25,6 +25,7 @@
 	tried   []fleet.TargetID
 	verdict verdict.Verdict // of all attempts that have ended
 	reason  verdict.Reason  // of the last one
+	room    time.Duration   // after which there may be a target for it; 0: not known
 	job     *job            // in search of a target here
 	asking  *asking         // in search of a target elsewhere
 }
@@ -138,9 +139,10 @@
 	}
 }
 
-// denied ends a search for a target without one.
-func (r *Reducer) denied(now clock.Time, q *request, why verdict.Reason) {
+// denied ends a search for a target without one. room is when there may be one.
+func (r *Reducer) denied(now clock.Time, q *request, why verdict.Reason, room time.Duration) {
 	q.job = nil
+	q.room = room
 	if len(q.running) > 0 {
 		return // a hedge; the first send is still under way
 	}
@@ -215,10 +217,13 @@
 	r.finish(now, q)
 }
 
-// returnAfter is when the caller of a refused request should come back.
+// returnAfter is when the caller of a refused request should come back: when
+// there is room, and up to as long again, so that those refused together return
+// over the time in which room comes free, not all at its beginning.
 func (r *Reducer) returnAfter(q *request) time.Duration {
-	part := returnMin + (returnMax-returnMin)*r.rng.Float64()
-	return time.Duration(part * float64(q.aim()))
+	aim := float64(q.aim())
+	room := min(max(float64(q.room), returnMin*aim), returnMax*aim)
+	return time.Duration(room * (1 + r.rng.Float64()))
 }
 
 // finish forgets q and cancels what is still under way for it.
