--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -67,13 +67,15 @@
 func (r *Reducer) serverError(now clock.Time, a *attempt) {
 	q := a.req
 	again := q.route.Idempotent && q.mayRepeat(now) && len(q.running) == 0
-	if !again || !q.svc.repeats.spend() {
+	if !again || (!q.searching() && !q.svc.repeats.spend()) {
 		r.deliver(now, a)
 		return
 	}
 	q.verdict = verdict.Join(q.verdict, verdict.MayHaveRun)
 	q.reason = verdict.ReasonInternal
-	r.obtain(now, q)
+	if !q.searching() {
+		r.obtain(now, q)
+	}
 }
 
 func (r *Reducer) deliver(now clock.Time, a *attempt) {
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -24,6 +24,9 @@
 		default:
 			return fmt.Errorf("job %v is kept in state %d", key, j.state)
 		}
+		if j.req != nil && j.state == jobWaiting && j.req.job != j {
+			return fmt.Errorf("job %v waits beside another search of its request", key)
+		}
 		if j.req != nil && r.requests[j.req.id] == nil {
 			return fmt.Errorf("job %v has outlived its request", key)
 		}
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -161,7 +161,7 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if len(q.running) != 1 || q.job != nil || q.asking != nil || !q.mayRepeat(now) {
+	if len(q.running) != 1 || q.searching() || !q.mayRepeat(now) {
 		return
 	}
 	a := q.running[0]
@@ -172,6 +172,10 @@
 	r.obtain(now, q)
 }
 
+// searching reports whether a target is sought for q. A second search beside it
+// would end q twice, or send it twice at once.
+func (q *request) searching() bool { return q.job != nil || q.asking != nil }
+
 // mayRepeat reports whether q has attempts and time left for one more send.
 func (q *request) mayRepeat(now clock.Time) bool {
 	return q.sends < q.route.Attempts && now.Before(q.due)
@@ -180,8 +184,8 @@
 // again sends q once more after an attempt has ended with a verdict that
 // allows it, or gives q up.
 func (r *Reducer) again(now clock.Time, q *request) {
-	if len(q.running) > 0 {
-		return // another attempt is still under way
+	if len(q.running) > 0 || q.searching() {
+		return // another attempt is still under way, or about to be
 	}
 	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRepeat(now)
 	if !allowed || !q.svc.repeats.spend() {
