An emulator of the fleet, and azurethread experiment

Change: decide/emulate plays a pattern, which is data, against the real reducers of all entry VMs with modelled targets, callers and distances; the same seed repeats a play. Mechanisms of the decisions can be switched off by name. azurethread experiment compares variants by seeds in a table, JSON and a plot. Tests name patterns: a small region that is helped, VMs restarted in turn, one VM that places for its region.

--- a/cmd/azurethread/main.go
+++ b/cmd/azurethread/main.go
@@ -10,6 +10,7 @@
 	"github.com/azurethread/azurethread/operate/capacity"
 	"github.com/azurethread/azurethread/operate/command"
 	"github.com/azurethread/azurethread/operate/demo"
+	"github.com/azurethread/azurethread/operate/experiment"
 )
 
 // version is set by the linker.
@@ -18,5 +19,5 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(command.Execute(ctx, command.New(version, demo.Command(), capacity.Command())))
+	os.Exit(command.Execute(ctx, command.New(version, demo.Command(), capacity.Command(), experiment.Command())))
 }
--- /dev/null
+++ b/decide/emulate/emulate_test.go
@@ -0,0 +1,147 @@
+package emulate
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/ingress"
+)
+
+func pattern(t *testing.T, change func(*Pattern)) *Pattern {
+	t.Helper()
+	b, err := os.ReadFile("testdata/small-region.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := Read(bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(p)
+	}
+	return p
+}
+
+// mean plays a pattern with a few seeds and returns the mean of a figure.
+func mean(p *Pattern, without ingress.Mechanisms, figure func(*Result) float64) float64 {
+	const seeds = 3
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		sum += figure(Run(p, Variant{Seed: seed + 1, Without: without}))
+	}
+	return sum / seeds
+}
+
+func worthOf(r *Result) float64 { return r.All.Worth() }
+
+func TestPlaysRepeat(t *testing.T) {
+	is := is.New(t)
+	p := pattern(t, func(p *Pattern) {
+		p.Events = append(p.Events,
+			Event{Kind: KillVMs, At: 3, For: 1, Share: 0.5},
+			Event{Kind: RestartTargets, At: 5, For: 1, Share: 0.3})
+	})
+	play := func() string {
+		b, err := json.Marshal(Run(p, Variant{Seed: 7}))
+		is.NoErr(err)
+		return string(b)
+	}
+	is.Equal(play(), play())
+}
+
+// Every caller has one end, whatever happens.
+func TestEveryCallerIsCountedOnce(t *testing.T) {
+	for _, e := range []Event{
+		{Kind: Burst, At: 4, For: 3, X: 3},
+		{Kind: Evacuate, At: 4, For: 4, Domain: "a1"},
+		{Kind: KillVMs, At: 4, For: 1},
+		{Kind: RestartTargets, At: 4, For: 1, Share: 0.5},
+		{Kind: SlowTargets, At: 4, For: 4, Share: 0.4, X: 8},
+		{Kind: GreyTargets, At: 4, For: 4, Share: 0.4, X: 0.5},
+		{Kind: ShedTargets, At: 4, For: 4, X: 0.5, Service: "read"},
+	} {
+		t.Run(string(e.Kind), func(t *testing.T) {
+			is := is.New(t)
+			p := pattern(t, func(p *Pattern) { p.Seconds, p.Events = 10, []Event{e} })
+			r := Run(p, Variant{Seed: 1})
+			is.True(r.All.Asked > 10_000)
+			is.Equal(r.All.Asked, r.All.InAim+r.All.Late+r.All.Refused+r.All.Failed)
+			is.True(r.All.Worth() > 0.5)
+			is.True(r.WorstWindows() <= r.All.Worth())
+		})
+	}
+}
+
+func TestBadPatternsAreNamed(t *testing.T) {
+	b, err := os.ReadFile("testdata/small-region.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, with, say string }{
+		{`"seconds": 24`, `"seconds": 0`, "seconds"},
+		{`"service": "read"`, `"service": "none"`, "look"},
+		{`"kind": "burst"`, `"kind": "flood"`, "flood"},
+		{`"name": "small-region"`, `"nam": "x"`, "nam"},
+		{`"slots": 9`, `"slots": 0`, "read"},
+	} {
+		is := is.New(t)
+		_, err := Read(strings.NewReader(strings.Replace(string(b), c.old, c.with, 1)))
+		is.True(errors.Is(err, ErrPattern))
+		is.True(strings.Contains(err.Error(), c.say))
+	}
+}
+
+// Pattern: three regions of equal load, one with a tenth of the slots; a failure
+// domain of the largest is emptied for six seconds, then a crowd of 1.6 times
+// the callers comes for four.
+//
+// Symptom: callers of the small region are refused beside free targets
+// elsewhere.
+// Cause: without a share that runs elsewhere its targets are all there is;
+// without headroom the share rises when they are full.
+func TestASmallRegionIsHelped(t *testing.T) {
+	is := is.New(t)
+	p := pattern(t, nil)
+	all := mean(p, 0, (*Result).WorstDomain)
+	is.True(all > 0.75)
+	is.True(mean(p, ingress.Elsewhere, (*Result).WorstDomain) < all-0.3)
+	is.True(mean(p, ingress.Headroom, (*Result).WorstDomain) < all)
+}
+
+// Pattern: the entry VMs of the largest region are restarted in turn.
+//
+// Symptom: half of the answers are late for two seconds after each restart.
+// Cause: where objects are warm was known to the coordinator alone.
+func TestRestartsInTurnLoseNoPlaces(t *testing.T) {
+	is := is.New(t)
+	p := pattern(t, func(p *Pattern) {
+		p.Events = nil
+		for i := range 6 {
+			domain := p.Domains[i%2].Name
+			p.Events = append(p.Events, Event{Kind: KillVMs, At: 4 + 3*float64(i), For: 1, Share: 0.5, Domain: domain})
+		}
+	})
+	for seed := range uint64(3) {
+		with := Run(p, Variant{Seed: seed + 1})
+		without := Run(p, Variant{Seed: seed + 1, Without: ingress.Recall})
+		is.True(with.All.Worth() > without.All.Worth())
+	}
+}
+
+// Pattern: the load of an ordinary day, warm after some seconds.
+//
+// Symptom: targets work on cold objects and refuse requests, while others are
+// idle.
+// Cause: each entry VM counts only its own requests at a target.
+func TestOneVMPlacesForItsRegion(t *testing.T) {
+	is := is.New(t)
+	p := pattern(t, func(p *Pattern) { p.Events, p.Seconds = nil, 12 })
+	is.True(mean(p, 0, worthOf) > mean(p, ingress.Coordinators, worthOf)+0.02)
+}
--- /dev/null
+++ b/decide/emulate/fleet.go
@@ -0,0 +1,317 @@
+package emulate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/clock/clocktest"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// Variant is a way of playing a pattern.
+type Variant struct {
+	Seed    uint64
+	Without ingress.Mechanisms
+}
+
+// fleetRun is one play.
+type fleetRun struct {
+	p       *Pattern
+	variant Variant
+	rng     *rand.Rand
+	now     clock.Time
+	began   clock.Time // of the load
+	events  clocktest.Queue[func()]
+	table   *route.Table
+	regions map[fleet.Domain]fleet.Region
+	vms     []*vm
+	targets map[fleet.TargetID]*target
+	order   []*target // in the order in which they were made
+	load    map[fleet.Domain]float64
+	books   books
+}
+
+// vm is one entry VM.
+type vm struct {
+	self     fleet.VM
+	r        *ingress.Reducer // nil: down
+	starts   int
+	wake     clock.Time // of the next tick; clock.Never: none
+	out      ingress.Ready
+	last     ingress.RequestID
+	open     map[ingress.RequestID]*try
+	attempts map[ingress.AttemptID]*send
+}
+
+// send is one request of a VM at a target.
+type send struct {
+	vm     *vm
+	starts int // of the VM
+	id     ingress.AttemptID
+	q      *try
+	t      *target
+	run    *run
+	ended  bool
+}
+
+const (
+	// settle is how long the fleet runs before its load begins.
+	settle = time.Second
+	// learnTime is how long it takes until all VMs know of a change of targets
+	// or evacuations.
+	learnTime = 100 * time.Millisecond
+	// drainTime is how long the fleet runs after its load has ended.
+	drainTime = 20 * time.Second
+)
+
+// Run plays a pattern.
+func Run(p *Pattern, v Variant) *Result {
+	f := &fleetRun{
+		p: p, variant: v, rng: rand.New(rand.NewPCG(v.Seed, 11)), now: clock.Time(time.Hour),
+		regions: make(map[fleet.Domain]fleet.Region), targets: make(map[fleet.TargetID]*target),
+		load: make(map[fleet.Domain]float64),
+	}
+	f.began = f.now.Add(settle)
+	f.books.begin(p)
+	f.configure()
+	f.placeTargets()
+	f.startVMs()
+	f.after(settle, f.beginLoad)
+	f.play(f.began.Add(seconds(p.Seconds) + drainTime))
+	return f.books.result(v)
+}
+
+func (f *fleetRun) at(at clock.Time, run func())      { f.events.Push(max(at, f.now), run) }
+func (f *fleetRun) after(d time.Duration, run func()) { f.at(f.now.Add(d), run) }
+func (f *fleetRun) second() float64                   { return f.now.Sub(f.began).Seconds() }
+func (f *fleetRun) chosen(share float64, i, of int) bool {
+	return share == 0 || float64(i) < share*float64(of)
+}
+
+func (f *fleetRun) play(until clock.Time) {
+	for {
+		at, run, ok := f.events.Pop(until)
+		if !ok {
+			f.now = until
+			return
+		}
+		f.now = max(f.now, at)
+		run()
+	}
+}
+
+// configure makes the one configuration of the play.
+func (f *fleetRun) configure() {
+	cfg := &route.Config{Version: 1, Services: make(map[fleet.ServiceName]route.Service)}
+	for _, s := range f.p.Services {
+		cfg.Services[s.Name] = route.Service{Name: s.Name, ColdRate: s.ColdRate, ColdTime: seconds(s.ColdTime)}
+	}
+	for _, k := range f.p.Kinds {
+		cfg.Routes = append(cfg.Routes, route.Route{
+			Name: k.Name, Host: "h", Prefix: "/" + k.Name + "/", Idempotent: k.Idempotent, Attempts: 3,
+			Aim: millis(k.AimMS), Priority: k.Priority, Affinity: true,
+			Parts: []route.Part{{Service: k.Service, Weight: 1}},
+		})
+	}
+	f.table = route.NewTable(cfg)
+	for _, d := range f.p.Domains {
+		f.regions[d.Name] = d.Region
+		f.load[d.Name] = 1
+	}
+}
+
+func (f *fleetRun) placeTargets() {
+	for i := range f.p.Services {
+		s := &f.p.Services[i]
+		for _, d := range f.p.Domains {
+			for range d.Targets[s.Name] {
+				id := fleet.TargetID(fmt.Sprintf("%s-%s-%d", s.Name, d.Name, len(f.order)))
+				t := &target{region: d.Region, svc: s, slow: 1, reg: ingress.Target{
+					ID: id, Service: s.Name, Addr: string(id), Domain: d.Name, Slots: s.Slots, Born: 1,
+				}}
+				f.targets[id] = t
+				f.order = append(f.order, t)
+			}
+		}
+	}
+}
+
+func (f *fleetRun) startVMs() {
+	for _, d := range f.p.Domains {
+		for i := range d.VMs {
+			f.vms = append(f.vms, &vm{self: fleet.VM{
+				ID: fleet.VMID(fmt.Sprintf("vm-%s-%d", d.Name, i)), Domain: d.Name, Region: d.Region,
+			}})
+		}
+	}
+	for _, v := range f.vms {
+		f.start(v)
+	}
+}
+
+// start begins a process of v, which reads everything at once.
+func (f *fleetRun) start(v *vm) {
+	v.starts++
+	v.wake = clock.Never
+	v.open = make(map[ingress.RequestID]*try)
+	v.attempts = make(map[ingress.AttemptID]*send)
+	v.r = ingress.New(ingress.Options{
+		Self: v.self.ID, Domain: v.self.Domain, Regions: f.regions, Start: f.now,
+		Seed: f.variant.Seed + uint64(v.starts), Without: f.variant.Without,
+		Bounds: ingress.Bounds{
+			ColdFactor: f.p.ColdFactor, ColdSlack: f.p.ColdSlack, RepeatRatio: f.p.RepeatRatio,
+			RepeatSlack: f.p.RepeatSlack, RepeatWindow: 10 * time.Second, RegionShift: f.p.RegionShift,
+		},
+	})
+	f.step(v, &ingress.Configured{Table: f.table})
+	var all ingress.TargetsChanged
+	for _, t := range f.order {
+		if !t.down {
+			all.Set = append(all.Set, t.registration(f.now))
+		}
+	}
+	f.step(v, &all)
+	members := make([]fleet.VM, len(f.vms))
+	for i, o := range f.vms {
+		members[i] = o.self
+	}
+	f.step(v, &ingress.MembersChanged{VMs: members})
+}
+
+// registration is what t says of itself at now.
+func (t *target) registration(now clock.Time) ingress.Target {
+	reg := t.reg
+	reg.Cold = max(t.coldEnd.Sub(now), 0)
+	return reg
+}
+
+// tellAll has all VMs learn of something after a while.
+func (f *fleetRun) tellAll(event func() ingress.Event) {
+	f.after(learnTime, func() {
+		for _, v := range f.vms {
+			f.step(v, event())
+		}
+	})
+}
+
+// step has an entry VM take an event and carries out the effects.
+func (f *fleetRun) step(v *vm, ev ingress.Event) {
+	if v.r == nil {
+		return
+	}
+	v.out.Reset()
+	v.r.Step(f.now, ev, &v.out)
+	out := v.out
+	v.out = ingress.Ready{}
+	for _, c := range out.Cancels {
+		f.cancel(v, c.Attempt)
+	}
+	for _, d := range out.Delivers {
+		f.delivered(v, d)
+	}
+	for i := range out.Refusals {
+		f.refused(v, &out.Refusals[i])
+	}
+	for i := range out.Sends {
+		f.send(v, &out.Sends[i])
+	}
+	for _, tell := range out.Tells {
+		f.tell(v, tell)
+	}
+	f.arm(v, out.Wake)
+}
+
+// arm has the process of v tick at wake, in place of when it would have.
+func (f *fleetRun) arm(v *vm, wake clock.Time) {
+	if wake == v.wake || wake == clock.Never {
+		return
+	}
+	v.wake = wake
+	starts := v.starts
+	f.at(wake, func() {
+		if v.starts == starts && v.wake == wake {
+			v.wake = clock.Never
+			f.step(v, &ingress.Tick{})
+		}
+	})
+}
+
+// way is the one-way latency between two failure domains.
+func (f *fleetRun) way(a, b fleet.Domain) time.Duration {
+	switch {
+	case a == b:
+		return millis(f.p.Network.DomainMS)
+	case f.regions[a] == f.regions[b]:
+		return millis(f.p.Network.RegionMS)
+	default:
+		return millis(f.p.Network.FarMS)
+	}
+}
+
+func (f *fleetRun) tell(from *vm, tell ingress.Tell) {
+	i := slices.IndexFunc(f.vms, func(v *vm) bool { return v.self.ID == tell.To })
+	if i < 0 {
+		return
+	}
+	to := f.vms[i]
+	f.after(f.way(from.self.Domain, to.self.Domain), func() {
+		f.step(to, &ingress.Heard{From: from.self.ID, Message: tell.Message})
+	})
+}
+
+// send carries a request to a target.
+func (f *fleetRun) send(v *vm, e *ingress.Send) {
+	t, q := f.targets[e.Target], v.open[e.Request]
+	s := &send{vm: v, starts: v.starts, id: e.Attempt, q: q, t: t}
+	v.attempts[e.Attempt] = s
+	q.sends++
+	f.after(f.way(v.self.Domain, t.reg.Domain), func() {
+		if s.ended {
+			return // cancelled on the way
+		}
+		if t.down {
+			f.after(f.way(v.self.Domain, t.reg.Domain), func() {
+				f.end(s, &ingress.Failed{Attempt: s.id, Verdict: verdict.NotRun, Reason: verdict.ReasonConnect})
+			})
+			return
+		}
+		s.run = &run{send: s, object: q.object, start: t.reg.Born}
+		t.take(f, s.run)
+	})
+}
+
+// answer carries an answer of t back.
+func (f *fleetRun) answer(t *target, r *run, o ingress.Outcome) {
+	s, load := r.send, t.load()
+	f.after(f.way(t.reg.Domain, s.vm.self.Domain), func() {
+		f.end(s, &ingress.Answered{Attempt: s.id, Outcome: o, Load: load})
+	})
+}
+
+// end reports the end of a send to its VM, if the process is still there.
+func (f *fleetRun) end(s *send, ev ingress.Event) {
+	if s.ended || s.vm.starts != s.starts {
+		return
+	}
+	s.ended = true
+	delete(s.vm.attempts, s.id)
+	f.step(s.vm, ev)
+}
+
+func (f *fleetRun) cancel(v *vm, id ingress.AttemptID) {
+	s := v.attempts[id]
+	if s == nil {
+		return
+	}
+	s.ended = true
+	delete(v.attempts, id)
+	if s.run != nil {
+		s.run.over = true
+	}
+}
--- /dev/null
+++ b/decide/emulate/result.go
@@ -0,0 +1,159 @@
+package emulate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// WindowSeconds is the length of the windows of a Result.
+const WindowSeconds = 2
+
+// Tally counts what became of some callers.
+type Tally struct {
+	Asked   int     `json:"asked"`
+	InAim   int     `json:"in_aim"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"` // in the end
+	Failed  int     `json:"failed"`
+	Earned  float64 `json:"earned"` // worth
+	Owed    float64 `json:"owed"`
+}
+
+// Worth is the part of the worth owed that was earned; 1 if none was owed.
+func (t *Tally) Worth() float64 {
+	if t.Owed == 0 {
+		return 1
+	}
+	return t.Earned / t.Owed
+}
+
+// Result is what callers saw of a play.
+type Result struct {
+	Pattern string                  `json:"pattern"`
+	Seed    uint64                  `json:"seed"`
+	All     Tally                   `json:"all"`
+	Kinds   map[string]*Tally       `json:"kinds"`
+	Domains map[fleet.Domain]*Tally `json:"domains"`
+	Windows []*Tally                `json:"windows"` // of WindowSeconds each
+	// Late counts late answers by what made them so, Refusals what callers were
+	// told in the end, and Returned refusals after which they came back.
+	Late     map[string]int         `json:"late"`
+	Refusals map[verdict.Reason]int `json:"refusals"`
+	Returned int                    `json:"returned"`
+}
+
+// Causes of late answers.
+const (
+	lateReturned = "returned" // its caller had been refused before
+	lateRepeated = "repeated" // it was sent more than once
+	lateOther    = "wait or work"
+)
+
+// WorstWindows is the mean worth of the two worst windows.
+func (r *Result) WorstWindows() float64 {
+	var worth []float64
+	for _, w := range r.Windows {
+		if w.Asked > 0 {
+			worth = append(worth, w.Worth())
+		}
+	}
+	if len(worth) == 0 {
+		return 1
+	}
+	slices.Sort(worth)
+	worst := worth[:min(2, len(worth))]
+	sum := 0.0
+	for _, w := range worst {
+		sum += w
+	}
+	return sum / float64(len(worst))
+}
+
+// WorstDomain is the worth of the failure domain whose callers were served
+// worst.
+func (r *Result) WorstDomain() float64 { return worst(r.Domains) }
+
+// WorstKind is the worth of the kind that was served worst.
+func (r *Result) WorstKind() float64 { return worst(r.Kinds) }
+
+func worst[K cmp.Ordered](m map[K]*Tally) float64 {
+	least := 1.0
+	for _, t := range m {
+		least = min(least, t.Worth())
+	}
+	return least
+}
+
+// books keeps the counts of a play.
+type books struct{ r Result }
+
+func (b *books) begin(p *Pattern) {
+	b.r = Result{
+		Pattern: p.Name, Kinds: make(map[string]*Tally), Domains: make(map[fleet.Domain]*Tally),
+		Late: make(map[string]int), Refusals: make(map[verdict.Reason]int),
+	}
+	for _, k := range p.Kinds {
+		b.r.Kinds[k.Name] = new(Tally)
+	}
+	for _, d := range p.Domains {
+		b.r.Domains[d.Name] = new(Tally)
+	}
+	for range int(p.Seconds)/WindowSeconds + 1 {
+		b.r.Windows = append(b.r.Windows, new(Tally))
+	}
+}
+
+// each changes all tallies that a caller belongs to.
+func (b *books) each(c *caller, change func(*Tally)) {
+	for _, t := range []*Tally{&b.r.All, b.r.Kinds[c.kind.Name], b.r.Domains[c.domain.Name], b.r.Windows[c.window]} {
+		change(t)
+	}
+}
+
+func (b *books) asked(c *caller, second float64) {
+	c.window = min(int(second)/WindowSeconds, len(b.r.Windows)-1)
+	b.each(c, func(t *Tally) {
+		t.Asked++
+		t.Owed += c.kind.Worth
+	})
+}
+
+// answered counts an answer that came after took.
+func (b *books) answered(q *try, took time.Duration) {
+	k := q.kind
+	if took <= millis(k.AimMS) {
+		b.each(q.caller, func(t *Tally) {
+			t.InAim++
+			t.Earned += k.Worth
+		})
+		return
+	}
+	switch {
+	case q.retries < k.Retries:
+		b.r.Late[lateReturned]++
+	case q.sends > 1:
+		b.r.Late[lateRepeated]++
+	default:
+		b.r.Late[lateOther]++
+	}
+	b.each(q.caller, func(t *Tally) {
+		t.Late++
+		t.Earned += k.LateWorth
+	})
+}
+
+func (b *books) refused(c *caller, why verdict.Reason) {
+	b.r.Refusals[why]++
+	b.each(c, func(t *Tally) { t.Refused++ })
+}
+
+func (b *books) failed(c *caller) { b.each(c, func(t *Tally) { t.Failed++ }) }
+
+func (b *books) result(v Variant) *Result {
+	b.r.Seed = v.Seed
+	return &b.r
+}
--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -172,6 +172,9 @@
 // eject takes t out of use for a while, unless too many are already: the rest
 // would be overloaded by the requests of the ejected.
 func (r *Reducer) eject(now clock.Time, t *targetState) {
+	if !r.on(Ejection) {
+		return
+	}
 	all, out := 0, 0
 	for _, o := range t.svc.targets {
 		if o.region != t.region {
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -20,6 +20,8 @@
 	Seed  uint64
 	// Start is when this process began.
 	Start clock.Time
+	// Without are the mechanisms that are switched off, for experiments.
+	Without Mechanisms
 }
 
 // Bounds are the operators' limits on all entry VMs together.
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -72,7 +72,7 @@
 	local, remote := r.options(now, j, ejectedToo)
 	best := r.sideOf(now, j, local, remote)
 	j.awaited = best.t
-	if best.t == nil || full(now, j, best.t) {
+	if best.t == nil || r.full(now, j, best.t) {
 		return nil
 	}
 	return best.t
@@ -83,7 +83,7 @@
 // a new target would stay idle beside full ones.
 func (r *Reducer) untried(now clock.Time, j *job) *targetState {
 	for _, t := range j.svc.targets {
-		if t.untried && t.region == r.region && r.eligible(now, j, t, false) && !full(now, j, t) {
+		if t.untried && t.region == r.region && r.on(Joined) && r.eligible(now, j, t, false) && !r.full(now, j, t) {
 			return t
 		}
 	}
@@ -118,6 +118,8 @@
 			return remote
 		}
 		return local
+	case !r.on(Elsewhere):
+		return local
 	case j.Large || len(j.Homes) > 0:
 		if len(j.Homes) > 0 && remote.cost < local.cost {
 			return remote
@@ -129,7 +131,7 @@
 		s.begin(now, r.firstShare(j.svc))
 	}
 	if j.state == jobNew {
-		s.follow(now, remote.cost < local.cost || r.crowded(now, j.svc))
+		s.follow(now, remote.cost < local.cost || (r.on(Headroom) && r.crowded(now, j.svc)))
 	}
 	first, second, toRemote := local, remote, true
 	if s.sideOf(now, r.sideHash(j.Object), warmSide(now, j, local.t, remote.t)) == sideOthers {
@@ -138,7 +140,7 @@
 	// A wait for a target where the object is warm is often shorter than the
 	// cold start elsewhere, which would also take a slot for three times as long.
 	sooner := second.cost < first.cost
-	if sooner && full(now, j, first.t) && !full(now, j, second.t) && s.mayCross(now, toRemote) {
+	if sooner && r.full(now, j, first.t) && !r.full(now, j, second.t) && s.mayCross(now, toRemote) {
 		return second
 	}
 	return first
@@ -173,8 +175,8 @@
 
 // full reports whether t has as many requests as it may for one more of j's
 // class.
-func full(now clock.Time, j *job, t *targetState) bool {
-	return t.load(now) >= t.Slots+queueAt(classOf(now, j, t), t.Slots)
+func (r *Reducer) full(now clock.Time, j *job, t *targetState) bool {
+	return t.load(now) >= t.Slots+r.queueAt(classOf(now, j, t), t.Slots)
 }
 
 // queueAt is how many requests beyond its slots may be at a target before one
@@ -187,9 +189,12 @@
 //
 // With one request beyond the slots for all classes the mean worth of the
 // standard days was lower by 0.02 to 0.04, with two and one by 0.01 to 0.02.
-func queueAt(class workClass, slots int) int {
+func (r *Reducer) queueAt(class workClass, slots int) int {
 	switch class {
 	case objectWarm:
+		if !r.on(WaitAtTarget) {
+			return queueWithoutObject
+		}
 		return slots
 	case objectNone:
 		return queueWithoutObject
@@ -267,7 +272,7 @@
 func (r *Reducer) carriage(j *job, t *targetState) float64 {
 	kilobytes := r.routeOf(j.Route).size.or(0) / 1000
 	switch {
-	case t.Domain == j.Domain:
+	case t.Domain == j.Domain || !r.on(Carriage):
 		return 0
 	case t.region == r.region:
 		return kilobytes * float64(nearBytes)
--- a/decide/ingress/recall.go
+++ b/decide/ingress/recall.go
@@ -47,7 +47,7 @@
 // believeRecalled takes another entry VM's word for where the object of j is
 // warm, if nothing is known here.
 func (r *Reducer) believeRecalled(now clock.Time, j *job) {
-	if j.Recalled == "" || j.Object == "" || r.warmSomewhere(now, j) {
+	if j.Recalled == "" || j.Object == "" || !r.on(Recall) || r.warmSomewhere(now, j) {
 		return
 	}
 	if t, ok := r.targets[j.Recalled]; ok && t.svc == j.svc {
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -49,9 +49,6 @@
 	return defaultAim
 }
 
-// large reports whether q or its answer is dear to carry to another region.
-func (q *request) large() bool { return q.route.Large || q.bytes > largeBody }
-
 // arrive takes a request of a caller.
 func (r *Reducer) arrive(now clock.Time, ev *Arrive) {
 	if r.table == nil {
@@ -161,7 +158,7 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if len(q.running) != 1 || q.searching() || !q.mayRepeat(now) {
+	if !r.on(SecondSend) || len(q.running) != 1 || q.searching() || !q.mayRepeat(now) {
 		return
 	}
 	a := q.running[0]
--- a/decide/ingress/work.go
+++ b/decide/ingress/work.go
@@ -109,7 +109,7 @@
 	class := classOf(now, j, t)
 	s := r.routeOf(j.Route)
 	work := s.expected(class)
-	if class == objectCold && r.firstHere(j) == t && !r.warmSomewhere(now, j) {
+	if class == objectCold && r.on(FirstChoice) && r.firstHere(j) == t && !r.warmSomewhere(now, j) {
 		// Objects keep to their first choice where nothing speaks against it:
 		// a coordinator that has just started knows no object's place, and
 		// finds most of them where its predecessor has put them.
--- a/operate/capacity/plot.go
+++ b/operate/capacity/plot.go
@@ -2,25 +2,19 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-	_ "gonum.org/v1/plot/vg/vgsvg" // registers the format
-)
 
-// The size of a plot.
-const (
-	plotWidth  = 14 * vg.Centimeter
-	plotHeight = 9 * vg.Centimeter
-	// legendRoom is how far the vertical axis goes beyond the values, so that
-	// the legend hides none.
-	legendRoom = 1.3
+	"github.com/azurethread/azurethread/operate/render"
 )
 
+// legendRoom is how far the vertical axis goes beyond the values, so that the
+// legend hides none.
+const legendRoom = 1.3
+
 // figureOf is one plot: measured points and fitted lines of some series that
 // share their axes.
 type figureOf struct {
@@ -55,7 +49,7 @@
 			continue
 		}
 		p.Y.Max *= legendRoom
-		if err := save(p, filepath.Join(folder, f.file)); err != nil {
+		if err := render.SVG(p, filepath.Join(folder, f.file)); err != nil {
 			return err
 		}
 	}
@@ -82,22 +76,3 @@
 	p.Legend.Add(f.series.Title, scatter, line)
 	return nil
 }
-
-func save(p *plot.Plot, path string) error {
-	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
-	if err != nil {
-		return fmt.Errorf("capacity: plot %s: %w", path, err)
-	}
-	f, err := os.Create(path)
-	if err != nil {
-		return fmt.Errorf("capacity: %w", err)
-	}
-	if _, err := w.WriteTo(f); err != nil {
-		_ = f.Close() // the write's error is the one to report
-		return fmt.Errorf("capacity: plot %s: %w", path, err)
-	}
-	if err := f.Close(); err != nil {
-		return fmt.Errorf("capacity: %w", err)
-	}
-	return nil
-}
--- a/operate/capacity/render.go
+++ b/operate/capacity/render.go
@@ -30,7 +30,7 @@
 	return nil
 }
 
-func render(b *strings.Builder, t table.Writer) {
+func renderTable(b *strings.Builder, t table.Writer) {
 	b.WriteString(t.RenderMarkdown())
 	b.WriteByte('\n')
 }
@@ -59,7 +59,7 @@
 		{"shifts running at once", s.Shifts},
 		{"interval between steps of a shift", s.Step},
 	})
-	render(b, t)
+	renderTable(b, t)
 }
 
 func rolesTable(b *strings.Builder, rows []row) {
@@ -67,7 +67,7 @@
 	for _, r := range rows {
 		t.AppendRow(table.Row{r.quantity, r.figureText(), r.boundText(), marginText(r), string(r.figure.basis), r.mechanism})
 	}
-	render(b, t)
+	renderTable(b, t)
 }
 
 func (r row) figureText() string {
@@ -129,7 +129,7 @@
 	for _, n := range all[:min(tightestRows, len(all))] {
 		t.AppendRow(table.Row{n.role, n.row.quantity, n.row.figureText(), n.row.boundText(), marginText(n.row), string(n.row.figure.basis)})
 	}
-	render(b, t)
+	renderTable(b, t)
 }
 
 // fitsTable lists the fitted lines.
@@ -148,7 +148,7 @@
 			orDash(f.series.Cores), orDash(f.series.Date),
 		})
 	}
-	render(b, t)
+	renderTable(b, t)
 }
 
 // onceTable lists what was measured at one size only.
@@ -164,7 +164,7 @@
 			t.AppendRow(table.Row{name, s.Title, fmt.Sprintf("%s %s", countText(p.X), s.X), pointText(s, p.Y), orDash(s.Cores), orDash(s.Date)})
 		}
 	}
-	render(b, t)
+	renderTable(b, t)
 	b.WriteString("\nCommands:\n\n")
 	for _, c := range m.commands() {
 		fmt.Fprintf(b, "- `%s`\n", c)
--- /dev/null
+++ b/operate/experiment/experiment.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+
+	"github.com/azurethread/azurethread/decide/emulate"
+	"github.com/azurethread/azurethread/decide/ingress"
+)
+
+// plan is a set of plays: each pattern by each variant and seed.
+type plan struct {
+	patterns []*emulate.Pattern
+	variants []variant
+	seeds    int
+}
+
+// variant is a set of mechanisms that are switched off.
+type variant struct {
+	name    string
+	without ingress.Mechanisms
+}
+
+// complete names the variant with everything on, which comes first.
+const complete = "complete"
+
+// each stands for all mechanisms, one variant apiece.
+const each = "each"
+
+var errSeeds = errors.New("experiment: --seeds must be at least 1")
+
+// newPlan reads the files and checks the variants.
+func newPlan(files, without []string, seeds int) (*plan, error) {
+	if seeds < 1 {
+		return nil, errSeeds
+	}
+	p := &plan{seeds: seeds, variants: []variant{{name: complete}}}
+	for _, name := range without {
+		names := []string{name}
+		if name == each {
+			names = ingress.MechanismNames()
+		}
+		for _, n := range names {
+			m, err := ingress.ParseMechanisms(n)
+			if err != nil {
+				return nil, err
+			}
+			p.variants = append(p.variants, variant{name: "without " + n, without: m})
+		}
+	}
+	for _, file := range files {
+		pattern, err := readPattern(file)
+		if err != nil {
+			return nil, err
+		}
+		p.patterns = append(p.patterns, pattern)
+	}
+	return p, nil
+}
+
+func readPattern(file string) (*emulate.Pattern, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	defer f.Close()
+	p, err := emulate.Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return p, nil
+}
+
+// outcome is what the plays of one pattern and variant gave, by seed.
+type outcome struct {
+	Pattern string            `json:"pattern"`
+	Variant string            `json:"variant"`
+	Plays   []*emulate.Result `json:"plays"`
+}
+
+// run plays everything, a few plays at a time, and reports each that has ended.
+func (p *plan) run(jobs int, ended func(done, all int)) []*outcome {
+	var outcomes []*outcome
+	type play struct {
+		pattern *emulate.Pattern
+		variant emulate.Variant
+		into    **emulate.Result
+	}
+	var plays []play
+	for _, pattern := range p.patterns {
+		for _, v := range p.variants {
+			o := &outcome{Pattern: pattern.Name, Variant: v.name, Plays: make([]*emulate.Result, p.seeds)}
+			outcomes = append(outcomes, o)
+			for seed := range p.seeds {
+				plays = append(plays, play{
+					pattern: pattern, into: &o.Plays[seed],
+					variant: emulate.Variant{Seed: uint64(seed) + 1, Without: v.without},
+				})
+			}
+		}
+	}
+	queue := make(chan play)
+	var workers sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for range max(jobs, 1) {
+		workers.Go(func() {
+			for x := range queue {
+				*x.into = emulate.Run(x.pattern, x.variant)
+				mu.Lock()
+				done++
+				ended(done, len(plays))
+				mu.Unlock()
+			}
+		})
+	}
+	for _, x := range plays {
+		queue <- x
+	}
+	close(queue)
+	workers.Wait()
+	return outcomes
+}
+
+// figure is one column of the table.
+type figure struct {
+	title string
+	of    func(*emulate.Result) float64
+}
+
+var figures = []figure{
+	{"worth", func(r *emulate.Result) float64 { return r.All.Worth() }},
+	{"worst windows", (*emulate.Result).WorstWindows},
+	{"worst domain", (*emulate.Result).WorstDomain},
+	{"worst kind", (*emulate.Result).WorstKind},
+	{"refused", func(r *emulate.Result) float64 { return part(r.All.Refused, r.All.Asked) }},
+	{"failed", func(r *emulate.Result) float64 { return part(r.All.Failed, r.All.Asked) }},
+	{"came back", func(r *emulate.Result) float64 { return part(r.Returned, r.All.Asked) }},
+}
+
+func part(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+
+// meanAndSpread returns the mean of a figure, and the distance between its
+// largest and smallest value.
+func (o *outcome) meanAndSpread(f figure) (mean, spread float64) {
+	least, most := f.of(o.Plays[0]), f.of(o.Plays[0])
+	for _, r := range o.Plays {
+		v := f.of(r)
+		mean += v / float64(len(o.Plays))
+		least, most = min(least, v), max(most, v)
+	}
+	return mean, most - least
+}
--- a/operate/render/conflict.go
+++ b/operate/render/conflict.go
@@ -16,7 +16,7 @@
 // field in which they differ.
 func Conflict(w io.Writer, c admin.Conflict) {
 	yours, current := flatten(c.Yours), flatten(c.Current)
-	t := newTable(w, "field", "yours", "current")
+	t := NewTable(w, "field", "yours", "current")
 	t.AppendRow(table.Row{"revision", fmt.Sprintf("based on %d", c.Expect), found(c.Found)})
 	for _, k := range keys(yours, current) {
 		if y, n := yours[k], current[k]; y != n || c.Yours == nil {
--- a/operate/render/render.go
+++ b/operate/render/render.go
@@ -18,8 +18,8 @@
 // JSON prints v as one line of JSON.
 func JSON(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
 
-// newTable returns a plain table, which also reads well in a pipe.
-func newTable(w io.Writer, header ...any) table.Writer {
+// NewTable returns a plain table, which also reads well in a pipe.
+func NewTable(w io.Writer, header ...any) table.Writer {
 	t := table.NewWriter()
 	t.SetOutputMirror(w)
 	style := table.StyleDefault
@@ -63,7 +63,7 @@
 
 // Services prints a list of services.
 func Services(w io.Writer, list []catalogue.Service) {
-	t := newTable(w, "service", "idempotent", "priority", "timeout", "token", "revision")
+	t := NewTable(w, "service", "idempotent", "priority", "timeout", "token", "revision")
 	for _, s := range list {
 		priority := s.Priority
 		if priority == "" {
@@ -84,7 +84,7 @@
 
 // Shifts prints a list of traffic shifts.
 func Shifts(w io.Writer, list []catalogue.Shift) {
-	t := newTable(w, "id", "state", "class", "owner", "service", "from", "to", "share", "cap", "hold", "revision")
+	t := NewTable(w, "id", "state", "class", "owner", "service", "from", "to", "share", "cap", "hold", "revision")
 	for _, s := range list {
 		t.AppendRow(table.Row{
 			s.ID, s.State, s.Class, s.Owner, orAll(s.Service), s.From, orAll(s.To),
@@ -97,7 +97,7 @@
 // Shift prints all of one traffic shift, its limits with their defaults.
 func Shift(w io.Writer, s catalogue.Shift) {
 	l := s.Limits.WithDefaults()
-	t := newTable(w)
+	t := NewTable(w)
 	t.AppendRows([]table.Row{
 		{"id", s.ID},
 		{"state", s.State},
@@ -124,7 +124,7 @@
 
 // Status prints what one entry VM knows of the system.
 func Status(w io.Writer, s admin.Status) {
-	t := newTable(w)
+	t := NewTable(w)
 	t.AppendRows([]table.Row{
 		{"entry VM", fmt.Sprintf("%s (%s, %s)", s.VM, s.Region, s.Domain)},
 		{"revision", fmt.Sprintf("%d, confirmed %s ago", s.Revision, time.Duration(s.RevisionAge).Round(time.Millisecond))},
@@ -163,7 +163,7 @@
 		return
 	}
 	fmt.Fprintln(w)
-	t := newTable(w, "region", "service", "in flight", "capacity", "headroom", "age")
+	t := NewTable(w, "region", "service", "in flight", "capacity", "headroom", "age")
 	for _, l := range list {
 		t.AppendRow(table.Row{
 			l.Region, l.Service, fmt.Sprintf("%.1f", l.InFlight), fmt.Sprintf("%.0f", l.Capacity),
@@ -178,7 +178,7 @@
 		return
 	}
 	fmt.Fprintln(w)
-	t := newTable(w, "shift", "state", "service", "from", "to", "share", "moved", "cap", "hold")
+	t := NewTable(w, "shift", "state", "service", "from", "to", "share", "moved", "cap", "hold")
 	for _, s := range list {
 		t.AppendRow(table.Row{
 			s.ID, s.State, orAll(s.Service), s.From, orAll(s.To),
@@ -192,7 +192,7 @@
 func Lookup(w io.Writer, l client.Lookup) {
 	fmt.Fprintf(w, "home %s, steered to %s, shift %s, keep for %s\n",
 		orDash(l.Home), orDash(l.Region), orDash(l.Shift), time.Duration(l.TTLMs)*time.Millisecond)
-	t := newTable(w, "order", "entry VM", "address", "region", "domain")
+	t := NewTable(w, "order", "entry VM", "address", "region", "domain")
 	for i, v := range l.EntryVMs {
 		t.AppendRow(table.Row{i + 1, v.ID, v.Addr, v.Region, v.Domain})
 	}
--- /dev/null
+++ b/operate/render/svg.go
@@ -0,0 +1,36 @@
+package render
+
+import (
+	"fmt"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // registers the format
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 14 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// SVG writes a plot to a file.
+func SVG(p *plot.Plot, path string) error {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	if _, err := w.WriteTo(f); err != nil {
+		_ = f.Close() // the write's error is the one to report
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
