--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -41,8 +41,9 @@
 	r.nextAsk++
 	a := Ask{
 		ID: r.nextAsk, Service: q.svc.name, Route: q.route.Name, Object: q.object,
-		Domain: r.opts.Domain, Priority: q.route.Priority, Large: q.route.Large || (r.on(LargeBodies) && q.bytes > largeBody), Homes: q.route.Homes,
-		Tried: q.tried, Recalled: r.recalledAt(now, q.svc, q.object), Wait: max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
+		Domain: r.opts.Domain, Priority: q.route.Priority, Large: r.large(q), Homes: q.route.Homes,
+		Tried: q.tried, Recalled: r.recalledAt(now, q.svc, q.object),
+		Wait: max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
 	}
 	to := r.coordinator(r.region, q.svc.name)
 	if to == "" || to == r.opts.Self || !r.on(Coordinators) || r.avoided[to].After(now) {
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -49,6 +49,11 @@
 	return defaultAim
 }
 
+// large reports whether q or its answer is dear to carry to another region.
+func (r *Reducer) large(q *request) bool {
+	return q.route.Large || (r.on(LargeBodies) && q.bytes > largeBody)
+}
+
 // arrive takes a request of a caller.
 func (r *Reducer) arrive(now clock.Time, ev *Arrive) {
 	if r.table == nil {
