--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -115,23 +115,25 @@
 // entry chooses an entry VM of the caller's failure domain, or else of its
 // region.
 func (f *fleetRun) entry(c *caller) *vm {
-	var own, near []*vm
-	for _, v := range f.vms {
-		switch {
-		case c.hasTried(v) || v.self.Region != c.domain.Region:
-		case v.self.Domain == c.domain.Name:
-			own = append(own, v)
-		default:
-			near = append(near, v)
-		}
+	if !f.now.Before(c.due) {
+		return nil
 	}
-	if len(own) == 0 {
-		own = near
+	untried := c.untried(f.inDomain[c.domain.Name])
+	if len(untried) == 0 {
+		untried = c.untried(f.inRegion[c.domain.Region]) // of other failure domains
 	}
-	if len(own) == 0 || !f.now.Before(c.due) {
+	if len(untried) == 0 {
 		return nil
 	}
-	return own[f.rng.IntN(len(own))]
+	return untried[f.rng.IntN(len(untried))]
+}
+
+// untried returns those of vms that the caller has not tried.
+func (c *caller) untried(vms []*vm) []*vm {
+	if len(c.tried) == 0 {
+		return vms
+	}
+	return slices.DeleteFunc(slices.Clone(vms), c.hasTried)
 }
 
 func (c *caller) hasTried(v *vm) bool { return slices.Contains(c.tried, v) }
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -31,6 +30,11 @@
 	table   *route.Table
 	regions map[fleet.Domain]fleet.Region
 	vms     []*vm
+	// The VMs by id, by failure domain and by region.
+	byID     map[fleet.VMID]*vm
+	inDomain map[fleet.Domain][]*vm
+	inRegion map[fleet.Region][]*vm
+
 	targets map[fleet.TargetID]*target
 	order   []*target // in the order in which they were made
 	load    map[fleet.Domain]float64
@@ -75,7 +79,8 @@
 	f := &fleetRun{
 		p: p, variant: v, rng: rand.New(rand.NewPCG(v.Seed, 11)), now: clock.Time(time.Hour),
 		regions: make(map[fleet.Domain]fleet.Region), targets: make(map[fleet.TargetID]*target),
-		load: make(map[fleet.Domain]float64),
+		load: make(map[fleet.Domain]float64), byID: make(map[fleet.VMID]*vm),
+		inDomain: make(map[fleet.Domain][]*vm), inRegion: make(map[fleet.Region][]*vm),
 	}
 	f.began = f.now.Add(settle)
 	f.books.begin(p)
@@ -145,9 +150,13 @@
 func (f *fleetRun) startVMs() {
 	for _, d := range f.p.Domains {
 		for i := range d.VMs {
-			f.vms = append(f.vms, &vm{self: fleet.VM{
+			v := &vm{self: fleet.VM{
 				ID: fleet.VMID(fmt.Sprintf("vm-%s-%d", d.Name, i)), Domain: d.Name, Region: d.Region,
-			}})
+			}}
+			f.vms = append(f.vms, v)
+			f.byID[v.self.ID] = v
+			f.inDomain[d.Name] = append(f.inDomain[d.Name], v)
+			f.inRegion[d.Region] = append(f.inRegion[d.Region], v)
 		}
 	}
 	for _, v := range f.vms {
@@ -255,11 +264,10 @@
 }
 
 func (f *fleetRun) tell(from *vm, tell ingress.Tell) {
-	i := slices.IndexFunc(f.vms, func(v *vm) bool { return v.self.ID == tell.To })
-	if i < 0 {
+	to := f.byID[tell.To]
+	if to == nil {
 		return
 	}
-	to := f.vms[i]
 	f.after(f.way(from.self.Domain, to.self.Domain), func() {
 		f.step(to, &ingress.Heard{From: from.self.ID, Message: tell.Message})
 	})
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -62,6 +62,8 @@
 	AdminAddr   string      `json:"admin_addr"` // host:port for operators
 	Incarnation Incarnation `json:"incarnation"`
 	State       State       `json:"state"`
+	// Cores is the VM's share of a processor, in cores; 0: not stated.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Target describes one upstream machine of one service.
--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -129,12 +129,15 @@
 	case ResultServed:
 		t.answered = now
 		t.note(now, rep.Load)
+		r.reportedBy(now, t)
 		r.judge(now, t, true)
 	case ResultRefused:
 		t.answered = now
 		t.refused(now, rep.Load)
+		r.reportedBy(now, t)
 	case ResultMisdirected:
 		t.Draining = true // its address belongs to another target
+		r.list(now, t)
 		r.believe(t, "address taken over", 0)
 	case ResultFailed:
 		r.judge(now, t, false)
--- /dev/null
+++ b/decide/ingress/bench_test.go
@@ -0,0 +1,215 @@
+package ingress_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/route"
+)
+
+// fleetSize is a fleet of three regions with three failure domains each.
+type fleetSize struct{ vms, targets, objects int }
+
+var fleetSizes = []fleetSize{{10, 160, 200}, {100, 500, 700}, {300, 1600, 2000}}
+
+// loaded is one entry VM that knows a whole fleet.
+type loaded struct {
+	size fleetSize
+	r    *ingress.Reducer
+	out  ingress.Ready
+	now  clock.Time
+	next ingress.RequestID
+}
+
+func newLoaded(size fleetSize, self string) *loaded {
+	regions := make(map[fleet.Domain]fleet.Region)
+	var domains []fleet.Domain
+	for i := range 9 {
+		d := fleet.Domain(fmt.Sprint("d", i))
+		regions[d] = fleet.Region(fmt.Sprint("r", i%3))
+		domains = append(domains, d)
+	}
+	l := &loaded{size: size, now: clock.Time(time.Hour)}
+	l.r = ingress.New(ingress.Options{Self: fleet.VMID(self), Domain: "d0", Regions: regions, Seed: 1,
+		Bounds: ingress.Bounds{RegionShift: 0.15, ColdFactor: 1.5, ColdSlack: 10}})
+	cfg := &route.Config{Version: 1, Services: map[fleet.ServiceName]route.Service{"svc": {Name: "svc", ColdRate: 2.6, ColdTime: 3 * time.Second}},
+		Routes: []route.Route{{Name: "a", Host: "h", Prefix: "/a/", Idempotent: true, Attempts: 3, Aim: 600 * time.Millisecond,
+			Parts: []route.Part{{Service: "svc", Weight: 1}}}}}
+	l.step(&ingress.Configured{Table: route.NewTable(cfg)})
+	var vms []fleet.VM
+	for i := range size.vms {
+		d := domains[i%9]
+		vms = append(vms, fleet.VM{ID: fleet.VMID(fmt.Sprint("vm", i)), Domain: d, Region: regions[d]})
+	}
+	vms = append(vms, fleet.VM{ID: "self", Domain: "d0", Region: "r0"})
+	if self == "self" {
+		for i := range vms[:len(vms)-1] {
+			vms[i].State = fleet.Leaving // self coordinates every service
+		}
+	}
+	l.step(&ingress.MembersChanged{VMs: vms})
+	var targets []ingress.Target
+	for i := range size.targets {
+		targets = append(targets, ingress.Target{ID: fleet.TargetID(fmt.Sprint("t", i)), Service: "svc", Domain: domains[i%9], Slots: 3})
+	}
+	l.step(&ingress.TargetsChanged{Set: targets})
+	return l
+}
+
+func (l *loaded) step(ev ingress.Event) {
+	l.out.Reset()
+	l.r.Step(l.now, ev, &l.out)
+}
+
+// ask has another entry VM ask for a target, and returns the grant's number; 0
+// if the request waits.
+func (l *loaded) ask(object string, wait time.Duration) ingress.AskID {
+	l.next++
+	id := ingress.AskID(l.next)
+	l.step(&ingress.Heard{From: "vm0", Message: &ingress.Ask{ID: id, Service: "svc", Route: "a", Object: object, Domain: "d3", Wait: wait, Left: 4 * time.Second}})
+	if len(l.out.Tells) == 0 {
+		return 0
+	}
+	return id
+}
+
+func (l *loaded) report(id ingress.AskID) {
+	l.step(&ingress.Heard{From: "vm0", Message: &ingress.Report{ID: id, Result: ingress.ResultServed, Took: 250 * time.Millisecond,
+		Load: ingress.Load{Known: true, Running: 1, Slots: 3}}})
+}
+
+// BenchmarkCoordinator measures a request at the coordinator, from the ask of
+// another entry VM to the report of its end, with a tenth of the region's slots
+// taken.
+func BenchmarkCoordinator(b *testing.B) {
+	for _, size := range fleetSizes {
+		for _, cold := range []bool{false, true} {
+			b.Run(fmt.Sprintf("vms=%d/targets=%d/cold=%v", size.vms, size.targets, cold), func(b *testing.B) {
+				l := newLoaded(size, "self")
+				names := objectNames(size.objects)
+				var open []ingress.AskID
+				l.serve(names, &open, size.targets/10, 3*size.objects)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					if cold && i%size.objects == 0 { // what is warm is forgotten
+						l.now = l.now.Add(31 * time.Second)
+					}
+					l.serve(names, &open, size.targets/10, 1)
+				}
+			})
+		}
+	}
+}
+
+func objectNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprint("o", i)
+	}
+	return names
+}
+
+// serve has n requests come while held ones are under way, the oldest of which
+// end.
+func (l *loaded) serve(names []string, open *[]ingress.AskID, held, n int) {
+	for range n {
+		l.now = l.now.Add(100 * time.Microsecond)
+		if id := l.ask(names[int(l.next)%len(names)], 0); id != 0 {
+			*open = append(*open, id)
+		}
+		if len(*open) > held {
+			l.report((*open)[0])
+			*open = (*open)[1:]
+		}
+	}
+}
+
+// BenchmarkCrowdedCoordinator measures the same while every target is full and a
+// thousand requests wait: one ends, one that waits gets its place, one comes.
+func BenchmarkCrowdedCoordinator(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
+			l := newLoaded(size, "self")
+			names := objectNames(size.objects)
+			var open []ingress.AskID
+			waiting := 0
+			for n := 0; waiting < 1000; n++ {
+				if id := l.ask(names[n%len(names)], time.Hour); id != 0 {
+					open = append(open, id)
+				} else {
+					waiting++
+				}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				l.now = l.now.Add(100 * time.Microsecond)
+				l.report(open[0])
+				open = open[1:]
+				for _, t := range l.out.Tells {
+					if g, ok := t.Message.(*ingress.Grant); ok {
+						open = append(open, g.ID)
+					}
+				}
+				if id := l.ask(names[i%len(names)], time.Hour); id != 0 {
+					open = append(open, id)
+				}
+				if len(open) == 0 {
+					b.Fatal("nothing is under way")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAsker measures a request at an entry VM that asks a coordinator.
+func BenchmarkAsker(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
+			l := newLoaded(size, "vm3")
+			names := objectNames(size.objects)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				l.now = l.now.Add(100 * time.Microsecond)
+				l.next++
+				l.step(&ingress.Arrive{Request: l.next, Host: "h", Path: "/a/x", Object: names[i%len(names)], Patience: 4 * time.Second})
+				if len(l.out.Tells) != 1 {
+					b.Fatal("asks nobody")
+				}
+				tell := l.out.Tells[0]
+				l.step(&ingress.Heard{From: tell.To, Message: &ingress.Grant{ID: tell.Message.(*ingress.Ask).ID, Target: fleet.TargetID(fmt.Sprint("t", i%size.targets))}})
+				l.step(&ingress.Answered{Attempt: l.out.Sends[0].Attempt, Outcome: ingress.Served})
+			}
+		})
+	}
+}
+
+// BenchmarkJoin measures the change of a target's registration at a coordinator
+// that knows all objects, and the next request after it.
+func BenchmarkJoin(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
+			l := newLoaded(size, "self")
+			names := objectNames(size.objects)
+			var open []ingress.AskID
+			l.serve(names, &open, size.targets/10, 3*size.objects)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				id := fleet.TargetID(fmt.Sprint("t", i/2%size.targets))
+				if i%2 == 0 {
+					l.step(&ingress.TargetsChanged{Gone: []fleet.TargetID{id}})
+				} else {
+					l.step(&ingress.TargetsChanged{Set: []ingress.Target{{ID: id, Service: "svc", Domain: fleet.Domain(fmt.Sprint("d", i/2%9)), Slots: 3}}})
+				}
+				l.serve(names, &open, size.targets/10, 1)
+			}
+		})
+	}
+}
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -17,17 +17,45 @@
 )
 
 // coordinator returns the entry VM that places requests for a service at the
-// targets of a region: the first of the region's VMs by rendezvous hashing. It
-// counts every request at a target, so targets are neither overrun nor left
-// idle. It returns "" when the region has no entry VM.
+// targets of a region: the first of the region's strong VMs by rendezvous
+// hashing. It counts every request at a target, so targets are neither overrun
+// nor left idle. It returns "" when the region has no entry VM.
+//
+// A VM with a sixth of a core does not keep up with the asks of a region that
+// has a thousand requests a second: askers time out and place by what they know
+// themselves, and all of them at the same targets.
 func (r *Reducer) coordinator(region fleet.Region, s fleet.ServiceName) fleet.VMID {
+	key := coordination{region, s}
+	id, kept := r.coordinators[key]
+	if !kept {
+		id = r.electCoordinator(region, s)
+		r.coordinators[key] = id
+	}
+	return id
+}
+
+// coordination is what a coordinator is for.
+type coordination struct {
+	region  fleet.Region
+	service fleet.ServiceName
+}
+
+// setMembers takes the list of entry VMs.
+func (r *Reducer) setMembers(vms []fleet.VM) {
+	r.members = vms
+	clear(r.coordinators)
+}
+
+func (r *Reducer) electCoordinator(region fleet.Region, s fleet.ServiceName) fleet.VMID {
+	var own []fleet.VM
+	for _, m := range r.members {
+		if m.State == fleet.Live && m.Region == region {
+			own = append(own, m)
+		}
+	}
 	var first fleet.VMID
 	var best uint64
-	for i := range r.members {
-		m := &r.members[i]
-		if m.State != fleet.Live || m.Region != region {
-			continue
-		}
+	for _, m := range fleet.Strong(own) {
 		score := rank.Score(string(s), string(m.ID))
 		if first == "" || score > best || (score == best && m.ID < first) {
 			first, best = m.ID, score
@@ -111,6 +139,7 @@
 		if q, ok := r.asks[m.ID]; ok {
 			delete(r.asks, m.ID)
 			q.asking = nil
+			q.svc.share.hear(now, m.Share)
 			r.denied(now, q, m.Reason, m.Room)
 		}
 	case *Withdraw:
@@ -133,6 +162,7 @@
 		r.tell(from, &Withdraw{ID: m.ID})
 		return
 	}
+	q.svc.share.hear(now, m.Share)
 	a := q.asking.ask
 	t, known := r.targets[m.Target]
 	if !known || t.Draining || r.evacuated[t.Domain] {
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -130,8 +130,12 @@
 	Reason  verdict.Reason
 }
 
-// Bounded changes the operators' limits.
-type Bounded struct{ Bounds Bounds }
+// Bounded changes the operators' limits, and for how long a target serves after
+// its registration has gone.
+type Bounded struct {
+	Bounds Bounds
+	Drain  time.Duration // 0: not known
+}
 
 // Tick lets time pass.
 type Tick struct{}
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Check reports the first inconsistency of the books. Randomised runs call it
@@ -39,7 +40,7 @@
 			return fmt.Errorf("target %s: %d counted as awaited, %d wait", id, t.awaited, awaited[t])
 		}
 	}
-	return errors.Join(r.checkRequests(), r.checkQueues())
+	return errors.Join(r.checkRequests(), r.checkQueues(), r.checkKept())
 }
 
 func (r *Reducer) checkRequests() error {
@@ -82,3 +83,41 @@
 	}
 	return nil
 }
+
+// checkKept holds what is kept up to date against what it is derived from.
+func (r *Reducer) checkKept() error {
+	waiting := make(map[*targetState]int)
+	for key, j := range r.jobs {
+		for _, x := range j.considered {
+			if j.state != jobWaiting {
+				break
+			}
+			waiting[x.t]++
+			if !slices.Contains(x.t.waiters, j) {
+				return fmt.Errorf("job %v considers %s and is not woken by it", key, x.t.ID)
+			}
+		}
+	}
+	for name, s := range r.services {
+		load, slots, listed := 0, 0, 0
+		for _, t := range s.targets {
+			load += t.countedLoad
+			slots += t.countedSlots
+			listed += count(t.listed)
+			if len(t.waiters) != waiting[t] {
+				return fmt.Errorf("target %s: %d waiters kept, %d wait", t.ID, len(t.waiters), waiting[t])
+			}
+			if may := !t.Draining && !r.evacuated[t.Domain]; may != t.listed {
+				return fmt.Errorf("target %s: listed %v, may get requests %v", t.ID, t.listed, may)
+			}
+		}
+		for _, g := range s.groups {
+			listed -= len(g)
+		}
+		if load != s.here.load || slots != s.here.slots || listed != 0 {
+			return fmt.Errorf("service %s: crowd %d of %d, its targets %d of %d; %d more listed than grouped",
+				name, s.here.load, s.here.slots, load, slots, listed)
+		}
+	}
+	return nil
+}
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -22,14 +24,18 @@
 	Ask
 	req     *request // of this entry VM; nil: the job of another one
 	svc     *service
+	obj     *object // that it is about; nil: none
 	arrived clock.Time
 	until   clock.Time // when it stops waiting for a target
 	expires clock.Time // when its place is free again whatever is heard
 	node    queue.Node[*job]
 	state   jobState
 
+	// considered are the targets that the latest choice compared.
+	considered []scored
 	// awaited is the target that a waiting job would go to.
 	awaited *targetState
+	turn    uint64 // its place among the waiting jobs of its priority
 
 	target  *targetState
 	class   workClass
@@ -51,6 +57,9 @@
 
 func (r *Reducer) newJob(now clock.Time, key jobKey, a Ask) *job {
 	j := &job{key: key, Ask: a, svc: r.serviceOf(a.Service), arrived: now}
+	if j.Object != "" {
+		j.obj = j.svc.objects.get(j.Object)
+	}
 	j.node.Item = j
 	j.until = now.Add(min(a.Wait, a.Left))
 	j.expires = now.Add(a.Left + expiryMargin)
@@ -75,14 +84,32 @@
 		at = at.Prev()
 	}
 	j.svc.waiting.InsertAfter(at, &j.node)
-	j.countAwaited(+1)
+	j.svc.turns++
+	j.turn = j.svc.turns
+	j.startWaiting()
 	r.timers.add(timer{at: j.until, purpose: dueJob, job: j})
 }
 
-// countAwaited counts a waiting job at the target that it would go to.
-func (j *job) countAwaited(n int) {
+// startWaiting counts j at the target that it would go to, and has a free place
+// at any that it considers wake it.
+func (j *job) startWaiting() {
+	if j.awaited != nil {
+		j.awaited.awaited++
+	}
+	for _, x := range j.considered {
+		x.t.waiters = append(x.t.waiters, j)
+	}
+}
+
+// stopWaiting undoes startWaiting.
+func (j *job) stopWaiting() {
 	if j.awaited != nil {
-		j.awaited.awaited += n
+		j.awaited.awaited--
+	}
+	for _, x := range j.considered {
+		if at := slices.Index(x.t.waiters, j); at >= 0 {
+			x.t.waiters = slices.Delete(x.t.waiters, at, at+1)
+		}
 	}
 }
 
@@ -93,8 +120,9 @@
 	j.class = classOf(now, j, t)
 	j.waiting = max(0, t.load(now)+1-t.Slots)
 	t.inFlight++
-	t.untried = false
-	t.remember(now, j.Object)
+	r.recount(now, t)
+	t.tried()
+	j.obj.remember(now, t)
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
@@ -104,7 +132,7 @@
 		return
 	}
 	r.timers.add(timer{at: j.expires, purpose: dueJob, job: j})
-	r.tell(j.key.vm, &Grant{ID: j.key.id, Target: t.ID})
+	r.tell(j.key.vm, &Grant{ID: j.key.id, Target: t.ID, Share: j.svc.share.stated()})
 }
 
 // deny tells j's entry VM that there is no target for it.
@@ -115,7 +143,7 @@
 		r.denied(now, j.req, reason, room)
 		return
 	}
-	r.tell(j.key.vm, &Deny{ID: j.key.id, Reason: reason, Room: room})
+	r.tell(j.key.vm, &Deny{ID: j.key.id, Reason: reason, Room: room, Share: j.svc.share.stated()})
 }
 
 // roomAfter is the time after which the target that j waited for has room for
@@ -130,7 +158,7 @@
 // drop forgets j.
 func (r *Reducer) drop(j *job) {
 	if j.node.Queued() {
-		j.countAwaited(-1)
+		j.stopWaiting()
 		j.svc.waiting.Remove(&j.node)
 	}
 	j.state = jobOver
@@ -150,16 +178,20 @@
 // release takes the end of j's send.
 func (r *Reducer) release(now clock.Time, j *job, rep *Report) {
 	t := j.target
+	load := t.load(now)
 	r.drop(j)
 	t.inFlight--
 	r.learnResult(now, t, rep)
+	r.recount(now, t)
 	switch rep.Result {
 	case ResultServed:
 		r.learnWork(now, j, rep)
 	case ResultRefused, ResultUnreachable, ResultMisdirected:
-		t.forget(j)
+		if j.class == objectCold { // j was the first to bring it, and has not run
+			j.obj.forget(t)
+		}
 	}
-	r.pumpService(now, j.svc)
+	r.pumpAfter(now, t, load)
 }
 
 // withdraw ends j whose request needs no target any more.
@@ -182,23 +214,62 @@
 	return verdict.ReasonNoTarget
 }
 
+const (
+	// pumpAll is the number of waiting jobs of a service up to which each end of
+	// a request has all of them tried.
+	pumpAll = 32
+	// pumpEvery is the time between two tries of more waiting jobs than that. It
+	// is short beside the aims of callers, and has a coordinator with a thousand
+	// waiting jobs spend a twentieth of a core on them.
+	pumpEvery = 50 * time.Millisecond
+)
+
+// pumpAfter places waiting jobs after the end of a request at t. load is what
+// was at t before.
+//
+// Jobs that considered t may go there now. Others have become able to go
+// somewhere only because time has passed: the share may have moved, or an
+// ejection have ended.
+func (r *Reducer) pumpAfter(now clock.Time, t *targetState, load int) {
+	s := t.svc
+	if s.waiting.Len() <= pumpAll || now.Sub(s.pumped) >= pumpEvery {
+		r.pumpService(now, s)
+		return
+	}
+	waiters := slices.Clone(t.waiters)
+	slices.SortFunc(waiters, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.turn, b.turn))
+	})
+	for _, j := range waiters {
+		if t.load(now) >= load {
+			return
+		}
+		r.retry(now, j)
+	}
+}
+
 // pumpService places the jobs that wait, where there is room now.
 func (r *Reducer) pumpService(now clock.Time, s *service) {
+	s.pumped = now
 	for n := s.waiting.Front(); n != nil; {
 		next := n.Next()
-		j := n.Item
-		j.countAwaited(-1)
-		t := r.choose(now, j)
-		j.countAwaited(+1)
-		if t != nil {
-			j.countAwaited(-1)
-			s.waiting.Remove(n)
-			r.grant(now, j, t)
-		}
+		r.retry(now, n.Item)
 		n = next
 	}
 }
 
+// retry places a waiting job if there is room for it now.
+func (r *Reducer) retry(now clock.Time, j *job) {
+	j.stopWaiting()
+	t := r.choose(now, j)
+	if t == nil {
+		j.startWaiting()
+		return
+	}
+	j.svc.waiting.Remove(&j.node)
+	r.grant(now, j, t)
+}
+
 // dropJobsOfLost releases what entry VMs held that are gone.
 func (r *Reducer) dropJobsOfLost(now clock.Time) {
 	live := make(map[fleet.VMID]bool, len(r.members))
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -34,6 +34,16 @@
 type Grant struct {
 	ID     AskID
 	Target fleet.TargetID
+	Share  HeardShare
+}
+
+// HeardShare is what a coordinator says of the part of its service's requests
+// that run in other regions. Whoever places requests after it, or beside it for
+// want of its answer, begins with that part: one that began with a guess moved a
+// third of a region's requests at once.
+type HeardShare struct {
+	Known     bool
+	Elsewhere float64 // 0 to 1
 }
 
 // Deny says that there is no target for an Ask.
@@ -42,7 +52,8 @@
 	Reason verdict.Reason
 	// Room is the time after which the target that it would go to has room for
 	// it, as expected; 0: not known.
-	Room time.Duration
+	Room  time.Duration
+	Share HeardShare
 }
 
 // Withdraw says that an Ask is void, granted or not.
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -5,20 +5,9 @@
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/clock"
-	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
-// firstHere returns the first usable target of the own region in j's ranking.
-func (r *Reducer) firstHere(j *job) *targetState {
-	for _, t := range j.svc.rank(j.Object) {
-		if t.region == r.region && r.usable(j, t) {
-			return t
-		}
-	}
-	return nil
-}
-
 // usable reports whether t may get requests at all.
 func (r *Reducer) usable(j *job, t *targetState) bool {
 	home := len(j.Homes) == 0 || slices.Contains(j.Homes, t.region)
@@ -49,19 +38,6 @@
 	return false
 }
 
-// option is the best target of one side and the time in ns after which its
-// answer is expected.
-type option struct {
-	t    *targetState
-	cost float64
-}
-
-func (o *option) offer(t *targetState, cost float64) {
-	if o.t == nil || cost < o.cost {
-		o.t, o.cost = t, cost
-	}
-}
-
 // chooseAmong compares the targets considered for j. Full ones are among them:
 // where waiting for one is quicker than the cold start of the object elsewhere,
 // j waits, and nil is returned.
@@ -70,44 +46,29 @@
 		return t
 	}
 	local, remote := r.options(now, j, ejectedToo)
-	best := r.sideOf(now, j, local, remote)
-	j.awaited = best.t
-	if best.t == nil || r.full(now, j, best.t) {
+	best := r.sideOf(now, j, local, remote).t
+	j.awaited = best
+	if best == nil || r.full(now, j, best) {
 		return nil
 	}
-	return best.t
+	return best
 }
 
 // untried returns a target of the own region that has joined and was never
 // used. Objects keep to their places, so without a first request to learn from
 // a new target would stay idle beside full ones.
 func (r *Reducer) untried(now clock.Time, j *job) *targetState {
-	for _, t := range j.svc.targets {
-		if t.untried && t.region == r.region && r.on(Joined) && r.eligible(now, j, t, false) && !r.full(now, j, t) {
+	if !r.on(Joined) {
+		return nil
+	}
+	for _, t := range j.svc.untried {
+		if r.eligible(now, j, t, false) && !r.full(now, j, t) {
 			return t
 		}
 	}
 	return nil
 }
 
-// options returns the best target of the own region and of the others.
-func (r *Reducer) options(now clock.Time, j *job, ejectedToo bool) (local, remote option) {
-	var seen considered
-	for _, t := range j.svc.rank(j.Object) {
-		// A request without an object is as quick at any target.
-		wanted := j.Object == "" && t.region == r.region || t.isWarm(now, j.Object)
-		if !r.eligible(now, j, t, ejectedToo) || !seen.take(t, j.Domain, r.region, wanted) {
-			continue
-		}
-		if t.region == r.region {
-			local.offer(t, r.cost(now, j, t))
-		} else {
-			remote.offer(t, r.cost(now, j, t))
-		}
-	}
-	return local, remote
-}
-
 // sideOf decides between the own region and the others. Large answers stay
 // unless there is no target here; what is bound to regions has no choice.
 func (r *Reducer) sideOf(now clock.Time, j *job, local, remote option) option {
@@ -146,24 +107,9 @@
 	return first
 }
 
-// crowded reports whether the targets of the own region have less than headroom
-// left. A request that finds a free slot here is answered sooner here, so cost
-// alone would fill the region to the last slot before the share moves, and the
-// share moves too slowly for the crowd that comes next.
-func (r *Reducer) crowded(now clock.Time, s *service) bool {
-	load, slots := 0, 0
-	for _, t := range s.targets {
-		if t.region == r.region && !t.Draining && !r.evacuated[t.Domain] {
-			load += min(t.load(now), t.Slots)
-			slots += t.Slots
-		}
-	}
-	return float64(slots-load) < headroom*float64(slots)
-}
-
 // warmSide returns the side on which alone the object of j is warm.
 func warmSide(now clock.Time, j *job, local, remote *targetState) side {
-	switch here, there := local.isWarm(now, j.Object), remote.isWarm(now, j.Object); {
+	switch here, there := j.obj.warmAt(now, local), j.obj.warmAt(now, remote); {
 	case here == there:
 		return sideAny
 	case here:
@@ -216,31 +162,6 @@
 	return true
 }
 
-// considered counts the targets that a choice has looked at.
-type considered struct {
-	own, others int // of the own region, and of all others together
-	domain      int // of the failure domain of the request's entry VM
-}
-
-// take reports whether t is one to look at: a target that is wanted, the first
-// ones of the own region and of the others, and the first of the request's own
-// failure domain.
-func (c *considered) take(t *targetState, domain fleet.Domain, own fleet.Region, wanted bool) bool {
-	count, most := &c.others, remoteChoices
-	if t.region == own {
-		count, most = &c.own, localChoices
-	}
-	inDomain := t.Domain == domain && c.domain < domainChoices
-	if !wanted && !inDomain && *count >= most {
-		return false
-	}
-	if t.Domain == domain {
-		c.domain++
-	}
-	*count++
-	return true
-}
-
 // admits reports whether t's standing lets it take a request now.
 func (r *Reducer) admits(now clock.Time, t *targetState) bool {
 	if t.standing.Standing() == target.Ejected && !t.standing.Until().After(now) {
--- a/decide/ingress/recall.go
+++ b/decide/ingress/recall.go
@@ -47,10 +47,10 @@
 // believeRecalled takes another entry VM's word for where the object of j is
 // warm, if nothing is known here.
 func (r *Reducer) believeRecalled(now clock.Time, j *job) {
-	if j.Recalled == "" || j.Object == "" || !r.on(Recall) || r.warmSomewhere(now, j) {
+	if j.Recalled == "" || j.Object == "" || !r.on(Recall) || j.obj.warmSomewhere(now) {
 		return
 	}
 	if t, ok := r.targets[j.Recalled]; ok && t.svc == j.svc {
-		t.remember(now, j.Object)
+		j.obj.remember(now, t)
 	}
 }
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -15,6 +15,8 @@
 type Reducer struct {
 	opts   Options
 	region fleet.Region
+	groups map[fleet.Domain]group // of the own region's failure domains
+	found  [localChoices]scored   // memory of firstEligible
 	rng    *rand.Rand
 	out    *Ready
 
@@ -27,7 +29,9 @@
 	lapses    clock.Time // the earliest of the targets'
 	began     clock.Time // when the first event was seen; 0: not yet
 	members   []fleet.VM
-	trips     map[fleet.Region]*mean // round trip in ns
+	// coordinators are those that members name, as far as they were asked for.
+	coordinators map[coordination]fleet.VMID
+	trips        map[fleet.Region]*mean // round trip in ns
 
 	jobs    map[jobKey]*job           // places taken or waited for
 	asks    map[AskID]*request        // asks that are unanswered
@@ -43,22 +47,24 @@
 // New returns a Reducer that knows no configuration.
 func New(o Options) *Reducer {
 	return &Reducer{
-		opts:      o,
-		region:    o.Regions[o.Domain],
-		rng:       rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		splits:    make(map[string]*route.Split),
-		routes:    make(map[string]*routeState),
-		services:  make(map[fleet.ServiceName]*service),
-		targets:   make(map[fleet.TargetID]*targetState),
-		evacuated: make(map[fleet.Domain]bool),
-		trips:     make(map[fleet.Region]*mean),
-		jobs:      make(map[jobKey]*job),
-		asks:      make(map[AskID]*request),
-		avoided:   make(map[fleet.VMID]clock.Time),
-		nextAsk:   AskID(o.Start),
-		requests:  make(map[RequestID]*request),
-		attempts:  make(map[AttemptID]*attempt),
-		lapses:    clock.Never,
+		opts:         o,
+		region:       o.Regions[o.Domain],
+		groups:       groupsOf(o.Regions, o.Regions[o.Domain]),
+		rng:          rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		splits:       make(map[string]*route.Split),
+		routes:       make(map[string]*routeState),
+		services:     make(map[fleet.ServiceName]*service),
+		targets:      make(map[fleet.TargetID]*targetState),
+		evacuated:    make(map[fleet.Domain]bool),
+		trips:        make(map[fleet.Region]*mean),
+		coordinators: make(map[coordination]fleet.VMID),
+		jobs:         make(map[jobKey]*job),
+		asks:         make(map[AskID]*request),
+		avoided:      make(map[fleet.VMID]clock.Time),
+		nextAsk:      AskID(o.Start),
+		requests:     make(map[RequestID]*request),
+		attempts:     make(map[AttemptID]*attempt),
+		lapses:       clock.Never,
 	}
 }
 
@@ -84,13 +90,13 @@
 	case *Evacuated:
 		r.evacuate(now, ev)
 	case *MembersChanged:
-		r.members = ev.VMs
+		r.setMembers(ev.VMs)
 		r.dropJobsOfLost(now)
 		r.pump(now)
 	case *Heard:
 		r.heard(now, ev)
 	case *Bounded:
-		r.opts.Bounds = ev.Bounds
+		r.opts.Bounds, r.opts.Drain = ev.Bounds, ev.Drain
 	case *Tick:
 	}
 	r.expireLapsed(now)
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -4,18 +4,24 @@
 	"cmp"
 	"slices"
 
+	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/queue"
-	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
 // service is what is known of one service.
 type service struct {
 	name    fleet.ServiceName
-	targets []*targetState // by id
+	targets []*targetState   // by id
+	groups  [][]*targetState // those that may get requests, by group, in no order
+	untried []*targetState   // of the own region, by id
+	unnamed []*targetState   // in the order without an object; nil: not computed
+	here    crowd
+	objects objects
 	waiting queue.FIFO[*job]
-	ranked  map[string][]*targetState // targets by rank for an object
+	turns   uint64     // given to waiting jobs
+	pumped  clock.Time // when all of them were last tried
 
 	recall recall // where this VM's own requests ran
 
@@ -27,35 +33,29 @@
 func (r *Reducer) serviceOf(name fleet.ServiceName) *service {
 	s, ok := r.services[name]
 	if !ok {
-		s = &service{name: name}
+		s = &service{name: name, groups: make([][]*targetState, 1+len(r.groups))}
 		r.services[name] = s
 	}
 	return s
 }
 
-// sort gives the targets an order that does not depend on the order of a map:
-// the same events must always have the same effects.
-func (s *service) sort() {
-	slices.SortFunc(s.targets, func(a, b *targetState) int { return cmp.Compare(a.ID, b.ID) })
+// insertByID and deleteByID keep a list of targets by id: the order of a map
+// must not show, as the same events must always have the same effects.
+func insertByID(list []*targetState, t *targetState) []*targetState {
+	at, _ := slices.BinarySearchFunc(list, t, compareIDs)
+	return slices.Insert(list, at, t)
 }
 
-// maxRanked bounds the objects whose ranking is kept for each service.
-const maxRanked = 2048
-
-// rank returns the targets of s in the order in which they are considered for
-// an object.
-func (s *service) rank(object string) []*targetState {
-	if list, ok := s.ranked[object]; ok {
+func deleteByID(list []*targetState, t *targetState) []*targetState {
+	at, found := slices.BinarySearchFunc(list, t, compareIDs)
+	if !found {
 		return list
 	}
-	out := rank.By(object, s.targets, func(t *targetState) string { return string(t.ID) })
-	if s.ranked == nil || len(s.ranked) >= maxRanked {
-		s.ranked = make(map[string][]*targetState)
-	}
-	s.ranked[object] = out
-	return out
+	return slices.Delete(list, at, at+1)
 }
 
+func compareIDs(a, b *targetState) int { return cmp.Compare(a.ID, b.ID) }
+
 // repeatBudget pays for sends beyond the first of a request.
 type repeatBudget struct{ tokens float64 }
 
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -25,11 +25,25 @@
 
 	now, before shiftCount
 	began       clock.Time // of the window that now counts
+
+	ran shiftHistory
 }
 
 // shiftCount counts the requests of one window.
 type shiftCount struct{ all, remote int }
 
+func (c shiftCount) share() float64 { return float64(c.remote) / float64(c.all) }
+
+func (c *shiftCount) add(o shiftCount) {
+	c.all += o.all
+	c.remote += o.remote
+}
+
+func (c *shiftCount) subtract(o shiftCount) {
+	c.all -= o.all
+	c.remote -= o.remote
+}
+
 const (
 	// shiftWindow is the time over which the operators bound the change of the
 	// share, and shiftUse the part of their bound that is used: the rest is for
@@ -58,6 +72,23 @@
 	s.at, s.began = now, now
 }
 
+// stated is what a coordinator says of its share.
+func (s *regionShare) stated() HeardShare { return HeardShare{Known: s.known, Elsewhere: s.target} }
+
+// hear takes a coordinator's share, to begin with if this VM has to place
+// requests itself.
+func (s *regionShare) hear(now clock.Time, h HeardShare) {
+	if !h.Known || !(h.Elsewhere >= 0 && h.Elsewhere <= 1) {
+		return
+	}
+	if !s.known {
+		s.began = now
+	}
+	s.known = true
+	s.target, s.wanted = h.Elsewhere, h.Elsewhere
+	s.at = now
+}
+
 // follow moves the target towards the wanted share, by at most the part of the
 // bound that is used, and no further than the band around the share that ran:
 // what the operators bound is the change of that. A target that had run away
@@ -83,10 +114,12 @@
 // count counts a request that was placed.
 func (s *regionShare) count(now clock.Time, remote bool) {
 	s.turn(now)
-	s.now.all++
+	one := shiftCount{all: 1}
 	if remote {
-		s.now.remote++
+		one.remote = 1
 	}
+	s.now.add(one)
+	s.ran.count(now, one)
 }
 
 func (s *regionShare) turn(now clock.Time) {
@@ -125,7 +158,10 @@
 // one. It goes before the hash while the share is near its target: an
 // object that changes sides starts cold there.
 func (s *regionShare) sideOf(now clock.Time, hash float64, warm side) side {
+	forced := s.ran.forced(now, s.bound)
 	switch off := s.off(now) / s.bound; {
+	case forced != sideAny:
+		return forced
 	case off > shiftFar:
 		return sideOwn
 	case off < -shiftFar:
@@ -146,10 +182,11 @@
 // mayCross reports whether a request may go to the side to which it does not
 // belong: the share stays near its target.
 func (s *regionShare) mayCross(now clock.Time, toRemote bool) bool {
+	forced := s.ran.forced(now, s.bound)
 	if toRemote {
-		return s.off(now) < shiftBand*s.bound
+		return forced != sideOwn && s.off(now) < shiftBand*s.bound
 	}
-	return s.off(now) > -shiftBand*s.bound
+	return forced != sideOthers && s.off(now) > -shiftBand*s.bound
 }
 
 // sideHash places an object on the scale of a share.
--- a/decide/ingress/shift_test.go
+++ b/decide/ingress/shift_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -212,3 +213,104 @@
 	arrivals()
 	is.True(svc.share.target > 0.02) // a tenth is free, and the answer here is sooner
 }
+
+// Pattern: the coordinator of a service dies, or does not answer in time, while
+// a third of the region's requests run in other regions.
+//
+// Symptom: more than the operators' part of the region's requests change the
+// region in which they run within two seconds.
+// Sequence: VMs that asked the coordinator place by themselves; each begins with
+// the share that it works out from slots alone.
+// Cause: only the coordinator knew the share that had come about.
+func TestASuccessorBeginsWithTheShareOfItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{RegionShift: 0.15}, selfVM, otherVM)
+	s.configure(1, one("a"))
+	for i := range 4 {
+		s.target(fleet.TargetID(fmt.Sprint("near", i)), "d1", 3)
+		s.target(fleet.TargetID(fmt.Sprint("far", i)), "far", 3)
+	}
+	svc := fleet.ServiceName("svc")
+	if s.r.coordinator("r1", svc) == selfVM {
+		s.step(&MembersChanged{VMs: []fleet.VM{{ID: otherVM, Domain: "d1", Region: "r1"}}})
+	}
+	ask := s.step(&Arrive{Request: 1, Host: "h", Path: "/a/x", Object: "o"}).Tells[0]
+	is.Equal(ask.To, otherVM)
+	s.step(&Heard{From: otherVM, Message: &Grant{ID: ask.Message.(*Ask).ID, Target: "near1", Share: HeardShare{Known: true, Elsewhere: 0.33}}})
+	is.Equal(s.r.services[svc].share.target, 0.33)
+	s.step(&MembersChanged{VMs: []fleet.VM{{ID: selfVM, Domain: "d1", Region: "r1"}}})
+	remote, all := 0, 0
+	for n := range 200 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		out := s.step(&Arrive{Request: RequestID(n + 2), Host: "h", Path: "/a/x", Object: fmt.Sprint(n)})
+		all++
+		if out.Sends[0].Target[:3] == "far" {
+			remote++
+		}
+		s.step(&Answered{Attempt: out.Sends[0].Attempt})
+	}
+	share := float64(remote) / float64(all)
+	is.True(share > 0.33-0.15 && share < 0.33+0.15)
+	for _, wrong := range []float64{-1, 2, math.NaN()} { // another VM's words are not believed blindly
+		s.r.services[svc].share.hear(s.now, HeardShare{Known: true, Elsewhere: wrong})
+		is.True(s.r.services[svc].share.target <= 1 && s.r.services[svc].share.target >= 0)
+	}
+}
+
+// Pattern: a failure domain is taken back, and objects are warm on both sides of
+// the region's border, or now on the one and now on the other.
+//
+// Symptom: a third of the region's requests change the region in which they run
+// within two seconds.
+// Sequence: what is warm moves the share that runs from the upper edge of the
+// band around the target to the lower one, while the target moves as well.
+// Cause: the bands were measured against the target, and nothing against what
+// had run before.
+func TestWarmObjectsDoNotMoveTheShareBeyondTheBound(t *testing.T) {
+	const bound, perSecond = 0.15, 600
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		s := regionShare{bound: bound}
+		now := clock.Time(time.Hour)
+		s.begin(now, 0.4)
+		var ran []bool
+		warm, wanted := 0.5, true
+		for n := range 30 * perSecond {
+			if n%(perSecond*3/2) == 0 {
+				warm, wanted = rng.Float64(), rng.IntN(2) == 0
+			}
+			s.follow(now, wanted)
+			known := sideAny
+			switch x := rng.Float64(); {
+			case x < 0.9*warm:
+				known = sideOwn
+			case x < 0.9:
+				known = sideOthers
+			}
+			remote := s.sideOf(now, rng.Float64(), known) == sideOthers
+			if rng.IntN(4) == 0 && s.mayCross(now, !remote) {
+				remote = !remote
+			}
+			s.count(now, remote)
+			ran = append(ran, remote)
+			now = now.Add(time.Second / perSecond)
+		}
+		window := int(shiftWindow.Seconds() * perSecond)
+		for from := 0; from+2*window <= len(ran); from += 37 {
+			change := shareOf(ran[from+window:from+2*window]) - shareOf(ran[from:from+window])
+			if math.Abs(change) > bound {
+				t.Fatalf("seed %d: %.3f of the requests change sides at %.2f s", seed, change, float64(from)/perSecond)
+			}
+		}
+	}
+}
+
+func shareOf(remote []bool) float64 {
+	n := 0
+	for _, is := range remote {
+		if is {
+			n++
+		}
+	}
+	return float64(n) / float64(len(remote))
+}
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -51,3 +51,6 @@
 	}
 	return 0
 }
+
+// Bounds returns the operators' limits that are in force.
+func (r *Reducer) Bounds() Bounds { return r.opts.Bounds }
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -13,11 +13,18 @@
 // targetState is what is known of one start of a target.
 type targetState struct {
 	Target
-	region    fleet.Region
-	svc       *service
-	inFlight  int
-	lapses    clock.Time // when it is taken to be gone unless it comes back
-	coldUntil clock.Time
+	region fleet.Region
+	svc    *service
+	group  group
+	listed bool // among its service's groups
+	gone   bool // its registration is; it is kept for what is under way there
+	// countedLoad and countedSlots are its part of its service's crowd.
+	countedLoad, countedSlots int
+	inFlight                  int
+	lapses                    clock.Time // when it is taken to be gone unless it comes back
+	coldUntil                 clock.Time
+	// coldStarts counts the times that it lost what it remembered.
+	coldStarts uint32
 	// coldSends are the instants of sends during the last second, while cold.
 	coldSends []clock.Time
 
@@ -31,8 +38,8 @@
 	// was placed there yet.
 	untried bool
 	speed   target.Mean
-	warm    map[string]clock.Time // when an object was last handled
-	awaited int                   // waiting jobs that would go to the target
+	awaited int    // waiting jobs that would go to the target
+	waiters []*job // those that consider it
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
@@ -57,33 +64,6 @@
 	t.reported = now
 }
 
-// isWarm reports whether the target is taken to remember the object.
-func (t *targetState) isWarm(now clock.Time, object string) bool {
-	at, ok := t.warm[object]
-	return ok && now.Sub(at) < warmFor
-}
-
-// warmObjects bounds the memory for objects of one target.
-const warmObjects = 4096
-
-func (t *targetState) remember(now clock.Time, object string) {
-	if object == "" {
-		return
-	}
-	if t.warm == nil || len(t.warm) >= warmObjects {
-		t.warm = make(map[string]clock.Time)
-	}
-	t.warm[object] = now
-}
-
-// forget undoes the remembering of j's object when j was the first to bring it
-// and has not run.
-func (t *targetState) forget(j *job) {
-	if j.class == objectCold {
-		delete(t.warm, j.Object)
-	}
-}
-
 // coldRoom reports whether one more request may be sent to the target within
 // the present second while it is cold.
 func (t *targetState) coldRoom(now clock.Time, perSecond int) bool {
@@ -112,7 +92,7 @@
 			t.lapses = now.Add(r.lapseTime())
 			r.lapses = clock.Min(r.lapses, t.lapses)
 		default:
-			r.removeTarget(id)
+			r.removeTarget(now, t)
 		}
 	}
 	var ended []*targetState
@@ -121,7 +101,6 @@
 			ended = append(ended, old)
 		}
 	}
-	r.relist()
 	for _, old := range ended {
 		r.leaveStart(now, old)
 	}
@@ -132,24 +111,76 @@
 // what was known of the start that has ended.
 func (r *Reducer) setTarget(now clock.Time, d Target) (ended *targetState) {
 	t, ok := r.targets[d.ID]
-	if ok && t.restartedAs(d) {
+	switch {
+	case ok && t.restartedAs(d):
+		r.removeTarget(now, t)
 		ended, ok = t, false
+	case ok && (t.Service != d.Service || t.Domain != d.Domain):
+		r.removeTarget(now, t)
+		ok = false
 	}
 	if !ok {
-		t = &targetState{region: r.opts.Regions[d.Domain]}
-		t.untried = now.Sub(r.began) > settleTime
-		r.targets[d.ID] = t
+		t = r.addTarget(now, d)
 	}
 	t.lapses = clock.Never
 	t.Target = d
-	t.svc = r.serviceOf(d.Service)
 	if d.Cold > 0 {
 		t.coldUntil = now.Add(d.Cold)
-		t.warm = nil
+		t.coldStarts++
 	}
+	r.list(now, t)
 	return ended
 }
 
+// addTarget begins to keep a target.
+func (r *Reducer) addTarget(now clock.Time, d Target) *targetState {
+	t := &targetState{Target: d, region: r.opts.Regions[d.Domain], group: r.groups[d.Domain], svc: r.serviceOf(d.Service)}
+	r.targets[d.ID] = t
+	t.svc.targets = insertByID(t.svc.targets, t)
+	t.svc.unnamed = nil
+	if t.untried = now.Sub(r.began) > settleTime; t.untried && t.region == r.region {
+		t.svc.untried = insertByID(t.svc.untried, t)
+	}
+	return t
+}
+
+// removeTarget forgets a target. What is under way there still counts on it.
+func (r *Reducer) removeTarget(now clock.Time, t *targetState) {
+	delete(r.targets, t.ID)
+	t.gone = true
+	t.svc.targets = deleteByID(t.svc.targets, t)
+	t.svc.unnamed = nil
+	t.tried()
+	r.list(now, t)
+}
+
+// tried notes that a request was placed at t.
+func (t *targetState) tried() {
+	if t.untried {
+		t.untried = false
+		t.svc.untried = deleteByID(t.svc.untried, t)
+	}
+}
+
+// list brings t's place among its service's groups, and in the orders kept for
+// objects, in line with whether it may get requests.
+func (r *Reducer) list(now clock.Time, t *targetState) {
+	may := !t.gone && !t.Draining && !r.evacuated[t.Domain]
+	group := &t.svc.groups[t.group]
+	switch {
+	case may && !t.listed:
+		t.listed = true
+		*group = append(*group, t)
+		t.svc.objects.each(func(o *object) { o.joined(t.svc, t) })
+	case !may && t.listed:
+		t.listed = false
+		at := slices.Index(*group, t)
+		*group = slices.Delete(*group, at, at+1)
+		t.svc.objects.each(func(o *object) { o.left(t.svc, t) })
+	}
+	r.recount(now, t)
+}
+
 // restartedAs reports whether d is of a later start of t. The first one to
 // state its time is the start that was there before.
 func (t *targetState) restartedAs(d Target) bool {
@@ -208,32 +239,15 @@
 		return
 	}
 	r.lapses = clock.Never
-	for id, t := range r.targets {
+	for _, t := range r.targets {
 		switch {
 		case t.lapses == clock.Never:
 		case !t.lapses.After(now):
-			r.removeTarget(id)
+			r.removeTarget(now, t)
 		default:
 			r.lapses = clock.Min(r.lapses, t.lapses)
 		}
 	}
-	r.relist()
-}
-
-func (r *Reducer) removeTarget(id fleet.TargetID) { delete(r.targets, id) }
-
-// relist brings each service's list of targets up to date.
-func (r *Reducer) relist() {
-	for _, s := range r.services {
-		s.targets = s.targets[:0]
-	}
-	for _, t := range r.targets {
-		t.svc.targets = append(t.svc.targets, t)
-	}
-	for _, s := range r.services {
-		s.ranked = nil
-		s.sort()
-	}
 }
 
 // evacuate opens or ends the evacuation of a failure domain. Its targets may
@@ -245,13 +259,20 @@
 	}
 	if ev.Begin {
 		r.evacuated[ev.Domain] = true
-		return
+	} else {
+		delete(r.evacuated, ev.Domain)
 	}
-	delete(r.evacuated, ev.Domain)
 	for _, t := range r.targets {
-		if t.Domain == ev.Domain {
+		if t.Domain != ev.Domain {
+			continue
+		}
+		if !ev.Begin {
 			t.coldUntil = max(t.coldUntil, now.Add(r.coldTime(t.Service)))
 		}
+		r.list(now, t)
+	}
+	if ev.Begin {
+		return
 	}
 	r.pump(now)
 }
--- a/decide/ingress/work.go
+++ b/decide/ingress/work.go
@@ -97,7 +97,7 @@
 	switch {
 	case j.Object == "":
 		return objectNone
-	case t.isWarm(now, j.Object):
+	case j.obj.warmAt(now, t):
 		return objectWarm
 	default:
 		return objectCold
@@ -109,7 +109,7 @@
 	class := classOf(now, j, t)
 	s := r.routeOf(j.Route)
 	work := s.expected(class)
-	if class == objectCold && r.on(FirstChoice) && r.firstHere(j) == t && !r.warmSomewhere(now, j) {
+	if class == objectCold && r.on(FirstChoice) && !j.obj.warmSomewhere(now) && r.firstHere(j) == t {
 		// Objects keep to their first choice where nothing speaks against it:
 		// a coordinator that has just started knows no object's place, and
 		// finds most of them where its predecessor has put them.
@@ -118,20 +118,10 @@
 	return work * t.speed.At(now, float64(usualSpeed)) / float64(usualSpeed)
 }
 
-// warmSomewhere reports whether j's object is known to be warm at a target.
-func (r *Reducer) warmSomewhere(now clock.Time, j *job) bool {
-	for _, t := range j.svc.targets {
-		if t.isWarm(now, j.Object) {
-			return true
-		}
-	}
-	return false
-}
-
 // learnWork takes the latency of an answer.
 func (r *Reducer) learnWork(now clock.Time, j *job, rep *Report) {
 	t := j.target
-	t.remember(now, j.Object)
+	j.obj.remember(now, t)
 	s := r.routeOf(j.Route)
 	s.size.add(float64(rep.Bytes))
 	work := rep.Took - rep.Connect - time.Duration(r.trip(t.region))
--- a/decide/ingress/work_test.go
+++ b/decide/ingress/work_test.go
@@ -196,6 +196,7 @@
 		regions := map[fleet.Domain]fleet.Region{"d1": "r1", "d2": "r2", "d3": "r3"}
 		s := newBench(t, Bounds{RegionShift: 1}, selfVM)
 		s.r.opts.Regions = regions
+		s.r.groups = groupsOf(regions, "r1")
 		s.configure(1, one("a"))
 		s.target("t2", "d2", 3)
 		s.target("t3", "d3", 3)
@@ -204,7 +205,7 @@
 		}
 		var seen []fleet.TargetID
 		for _, t := range s.r.targets {
-			local, remote := s.r.options(s.now, &job{Ask: Ask{Service: "svc", Object: "o"}, svc: t.svc}, false)
+			local, remote := s.r.options(s.now, &job{Ask: Ask{Service: "svc", Object: "o"}, svc: t.svc, obj: t.svc.objects.get("o")}, false)
 			is.True(local.t == nil)
 			seen = append(seen, remote.t.ID)
 		}
