--- a/decide/reader/reader.go
+++ b/decide/reader/reader.go
@@ -14,6 +14,7 @@
 package reader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -55,8 +56,11 @@
 	if isReader {
 		return fleet.VM{}, false
 	}
-	// Each follower has its own order, so that the readers share the asks.
-	for _, vm := range rank.By(string(self.ID), readers, nameOf) {
+	// Each follower has its own order, so that the readers share the asks, but
+	// for one of its own failure domain: words from there cross no other.
+	order := rank.By(string(self.ID), readers, nameOf)
+	slices.SortStableFunc(order, func(a, b fleet.VM) int { return cmp.Compare(distance(self, a), distance(self, b)) })
+	for _, vm := range order {
 		if !c.distrusted[vm.ID].After(now) {
 			return vm, true
 		}
@@ -75,7 +79,36 @@
 	if len(own) <= fewVMs {
 		return nil
 	}
-	return rank.By("reader", own, nameOf)[:perRegion]
+	return spread(append(rank.By("reader", fleet.Strong(own), nameOf), rank.By("reader", own, nameOf)...))
+}
+
+// spread returns the first perRegion different VMs of an order, and of these at
+// most one of a failure domain as long as other domains have any: readers that
+// are lost together leave their followers to the store.
+func spread(order []fleet.VM) []fleet.VM {
+	var chosen, rest []fleet.VM
+	named := make(map[fleet.VMID]bool)
+	domains := make(map[fleet.Domain]bool)
+	for _, vm := range order {
+		switch {
+		case named[vm.ID]:
+			continue
+		case domains[vm.Domain]:
+			rest = append(rest, vm)
+		default:
+			chosen = append(chosen, vm)
+		}
+		named[vm.ID], domains[vm.Domain] = true, true
+	}
+	return append(chosen, rest...)[:perRegion]
+}
+
+// distance is 0 inside a failure domain and 1 between two.
+func distance(a, b fleet.VM) int {
+	if a.Domain == b.Domain {
+		return 0
+	}
+	return 1
 }
 
 func nameOf(vm fleet.VM) string { return string(vm.ID) }
--- a/decide/reader/reader_test.go
+++ b/decide/reader/reader_test.go
@@ -86,3 +86,32 @@
 	is.True(Fresh(maxAge))
 	is.True(!Fresh(maxAge + 1))
 }
+
+// Pattern: a region of thirty-three small VMs and nine large ones in three
+// failure domains. The readers are large, one in each domain, and are asked by
+// the VMs of their own.
+func TestReadersAreStrongAndSpread(t *testing.T) {
+	is := is.New(t)
+	var vms []fleet.VM
+	for i := range 42 {
+		vm := fleet.VM{ID: fleet.VMID(fmt.Sprint("vm-", i)), Region: "r1", Domain: fleet.Domain(fmt.Sprint("d", i%3)), Cores: 0.16}
+		if i < 9 {
+			vm.Cores = 0.8
+		}
+		vms = append(vms, vm)
+	}
+	readers := readersOf("r1", vms)
+	is.Equal(len(readers), perRegion)
+	domains := map[fleet.Domain]bool{}
+	for _, vm := range readers {
+		is.Equal(vm.Cores, 0.8)
+		domains[vm.Domain] = true
+	}
+	is.Equal(len(domains), 3)
+	for _, vm := range vms[9:] {
+		var c Choice
+		from, ok := c.From(now, vm, vms)
+		is.True(ok)
+		is.Equal(from.Domain, vm.Domain)
+	}
+}
