Name two strong VMs of a failure domain alone as well

Hypothesis: with three strong ones at least, fleets with two of them a failure domain still spread their callers over all VMs, most of which have a sixth of a core.

--- a/serve/ingress/lookup.go
+++ b/serve/ingress/lookup.go
@@ -110,17 +110,12 @@
 	return named[:min(len(named), maxLookup)]
 }
 
-const (
-	// strongEnough is the part of the processor shares of VMs at the same
-	// distance that the strong ones must hold to be named alone: they then bear
-	// three times their part of the load. At 1.3 ms of a core for a request, what
-	// idle VMs take included, three with 0.8 of a core are half busy at 900
-	// requests a second.
-	strongEnough = 0.3
-	// leastStrong is how many strong ones must be there: when one ends, its
-	// callers are at most a third of the failure domain's.
-	leastStrong = 3
-)
+// strongEnough is the part of the processor shares of VMs at the same
+// distance that the strong ones must hold to be named alone: they then bear
+// three times their part of the load. At 1.3 ms of a core for a request, what
+// idle VMs take included, three with 0.8 of a core are half busy at 900
+// requests a second.
+const strongEnough = 0.3
 
 // bearing returns those of VMs at the same distance that callers should use: the
 // strong ones where these bear a good part of what all bear, and otherwise all.
@@ -129,7 +124,7 @@
 // most are kept open, and no request waits for a sixth of a core.
 func bearing(vms []fleet.VM) []fleet.VM {
 	strong := fleet.Strong(vms)
-	if len(strong) >= leastStrong && cores(strong) >= strongEnough*cores(vms) {
+	if len(strong) >= leastLookup && cores(strong) >= strongEnough*cores(vms) {
 		return strong
 	}
 	return vms
--- a/serve/ingress/lookup_test.go
+++ b/serve/ingress/lookup_test.go
@@ -83,6 +83,7 @@
 	}
 	l := Lookup{Domain: "a1", Region: "a"}
 	is.Equal(len(nearest(sized(3, 30), l)), 3)
+	is.Equal(len(nearest(sized(2, 8), l)), 2)
 	is.Equal(len(nearest(sized(2, 30), l)), 32) // too few of them to bear it
 	is.Equal(len(nearest(sized(1, 2), l)), 3)   // one may be down
 	is.Equal(len(nearest(sized(0, 9), l)), 9)
