Forget targets' words about their load also where nobody asks for them

Cause: words of targets were dropped when a coordinator asked how crowded its region is; an entry VM that only asks others kept one for each answer. Found in reading.

--- a/decide/ingress/crowd.go
+++ b/decide/ingress/crowd.go
@@ -37,17 +37,14 @@
 // reportedBy notes that t has just stated its load.
 func (r *Reducer) reportedBy(now clock.Time, t *targetState) {
 	if t.region == r.region && t.others > 0 {
+		r.expireReports(now, &t.svc.here)
 		t.svc.here.reports = append(t.svc.here.reports, report{target: t, at: now})
 	}
 	r.recount(now, t)
 }
 
-// crowded reports whether the targets of the own region have less than headroom
-// left. A request that finds a free slot here is answered sooner here, so cost
-// alone would fill the region to the last slot before the share moves, and the
-// share moves too slowly for the crowd that comes next.
-func (r *Reducer) crowded(now clock.Time, s *service) bool {
-	c := &s.here
+// expireReports recounts the targets whose words no longer count.
+func (r *Reducer) expireReports(now clock.Time, c *crowd) {
 	for c.next < len(c.reports) && now.Sub(c.reports[c.next].at) >= reportFor {
 		r.recount(now, c.reports[c.next].target)
 		c.next++
@@ -56,5 +53,14 @@
 		c.reports = append(c.reports[:0], c.reports[c.next:]...)
 		c.next = 0
 	}
+}
+
+// crowded reports whether the targets of the own region have less than headroom
+// left. A request that finds a free slot here is answered sooner here, so cost
+// alone would fill the region to the last slot before the share moves, and the
+// share moves too slowly for the crowd that comes next.
+func (r *Reducer) crowded(now clock.Time, s *service) bool {
+	c := &s.here
+	r.expireReports(now, c)
 	return float64(c.slots-c.load) < headroom*float64(c.slots)
 }
--- a/decide/ingress/index_test.go
+++ b/decide/ingress/index_test.go
@@ -302,3 +302,22 @@
 		t.Fatalf("%d places", len(kept.warm))
 	}
 }
+
+// Symptom: an entry VM grows for as long as it runs.
+// Sequence: it asks a coordinator for each request, and so never asks itself how
+// crowded its region is, which is where words that are too old were dropped.
+// Cause: targets' words about requests of others were kept until then.
+func TestReportsOfTargetsAreForgotten(t *testing.T) {
+	x := newIndexRun(t, 3)
+	s, tg := x.r.services["svc"], x.r.targets[x.some().ID]
+	for tg.region != x.r.region {
+		tg = x.r.targets[x.some().ID]
+	}
+	for range 5000 {
+		x.now = x.now.Add(10 * time.Millisecond)
+		x.r.learnResult(x.now, tg, &Report{Result: ResultServed, Load: Load{Known: true, Running: 3, Waiting: 2, Slots: 3}})
+	}
+	if n := len(s.here.reports); n > 1000 {
+		t.Fatalf("%d words are kept of a second with 100", n)
+	}
+}
