Say in lines where requests were placed, and what a send's target and connection were

Change: a send in a request's line has the target's failure domain and the time that its connection took to open; a VM that places requests writes every 2 s where those of each service went, and the share that it keeps to; sends are counted by failure domain.

Tests: the failed requests' lines, and a new one for the lines on placing.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -145,6 +145,7 @@
 	Attempt AttemptID
 	Request RequestID
 	Target  fleet.TargetID
+	Domain  fleet.Domain // of the target
 	Addr    string
 	Left    time.Duration // what the target may still take
 	Connect time.Duration // bound on opening a connection
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -127,6 +127,7 @@
 		t.coldSends = append(t.coldSends, now)
 	}
 	j.svc.share.count(now, t.region != r.region)
+	j.svc.notePlaced(t.region)
 	if j.req != nil {
 		r.granted(now, j.req, j, t)
 		return
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -132,7 +132,7 @@
 	q.tried = append(q.tried, t.ID)
 	r.attempts[a.id] = a
 	r.out.Sends = append(r.out.Sends, Send{
-		Attempt: a.id, Request: q.id, Target: t.ID, Addr: t.Addr,
+		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr,
 		Left:    q.due.Sub(now),
 		Connect: connectFloor + time.Duration(connectTrips*r.trip(t.region)),
 	})
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -26,6 +26,7 @@
 	recall recall // where this VM's own requests ran
 
 	share   regionShare
+	placed  map[fleet.Region]int // requests since TakePlaced, by region
 	repeats repeatBudget
 	latency target.Quantiles
 }
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -112,9 +112,10 @@
 	k.mu.Lock()
 	k.attempts[e.Attempt] = a
 	a.index = len(k.sends)
-	k.sends = append(k.sends, sendStep{Target: e.Target, AfterMS: now.Sub(k.at).Milliseconds(), Outcome: "under way"})
+	k.sends = append(k.sends, sendStep{Target: e.Target, Domain: e.Domain, AfterMS: now.Sub(k.at).Milliseconds(), Outcome: "under way"})
 	k.mu.Unlock()
 	s.metrics.sends.Add(1)
+	s.metrics.domains.Add(string(e.Domain), 1)
 	id := e.Attempt
 	c := s.pool.Do(e.Addr, s.request(k.x, e), func(ans *outbound.Answer, err *verdict.Error) {
 		s.ended(k, id, a, ans, err)
@@ -162,6 +163,7 @@
 	outcome := s.outcome(ans)
 	k.mu.Lock()
 	a.answer = ans
+	k.sends[a.index].ConnectMS = ans.Connected.Milliseconds()
 	k.mu.Unlock()
 	s.noteEnd(k, a, outcome.String(), outcome.Verdict(), verdict.ReasonNone)
 	s.core.Post(&ingress.Answered{
--- a/serve/ingress/lines_test.go
+++ b/serve/ingress/lines_test.go
@@ -83,12 +83,12 @@
 		"sent and outcome unknown": {
 			target: hangUp,
 			want: requestLine{Status: 502, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost,
-				Sends: []sendStep{{Target: "t1", Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}}},
+				Sends: []sendStep{{Target: "t1", Domain: "d1", Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}}},
 		},
 		"too late": {
 			target: silent, timeout: 100 * time.Millisecond,
 			want: requestLine{Status: 504, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline,
-				Sends: []sendStep{{Target: "t1", Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCallerGone}}},
+				Sends: []sendStep{{Target: "t1", Domain: "d1", Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCallerGone}}},
 		},
 	}
 	for name, tc := range cases {
@@ -112,6 +112,7 @@
 			is.Equal(len(got.Sends), len(tc.want.Sends))
 			for i, s := range got.Sends {
 				is.Equal(s.Target, tc.want.Sends[i].Target)
+				is.Equal(s.Domain, tc.want.Sends[i].Domain)
 				is.Equal(s.Verdict, tc.want.Sends[i].Verdict)
 				is.Equal(s.Reason, tc.want.Sends[i].Reason)
 			}
@@ -119,6 +120,38 @@
 	}
 }
 
+// Symptom: much of a region's traffic is seen to change its region, and nobody
+// can say whether the entry VMs placed it so.
+// Sequence: a VM places requests; one in many of them has a line.
+// Cause: no line said where requests were placed.
+func TestLinesSayWhereRequestsWerePlaced(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	log := new(lines)
+	w.log = log
+	w.target("t1", ok("body"))
+	s := w.entry("vm-1")
+	const requests = 3
+	for i := range requests {
+		res, _ := ask(t, s, http.MethodGet, "/x", fmt.Sprint("id-", i))
+		is.Equal(res.StatusCode, http.StatusOK)
+	}
+	s.end()
+	total := 0
+	for _, text := range strings.Split(log.String(), "\n") {
+		var line struct {
+			Event    string         `json:"event"`
+			Service  string         `json:"service"`
+			ByRegion map[string]int `json:"by_region"`
+		}
+		if json.Unmarshal([]byte(text), &line) == nil && line.Event == eventPlaced {
+			is.Equal(line.Service, "svc")
+			total += line.ByRegion["r1"]
+		}
+	}
+	is.Equal(total, requests)
+}
+
 // Symptom: a password is found in the logs.
 // Sequence: a request with credentials and a body fails.
 // Cause: its line held the whole head or body.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -22,6 +22,7 @@
 	reasons  *expvar.Map // own answers, by reason
 	verdicts *expvar.Map // own answers, by verdict
 	sends    *expvar.Int
+	domains  *expvar.Map // sends, by failure domain of the target
 	outcomes *expvar.Map // ends of sends, by outcome
 	gone     *expvar.Int // callers that left
 	beliefs  *expvar.Map // changes of what is held of targets
@@ -69,13 +70,14 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), statuses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(),
-		verdicts: new(expvar.Map).Init(), sends: new(expvar.Int), outcomes: new(expvar.Map).Init(),
+		verdicts: new(expvar.Map).Init(), sends: new(expvar.Int), domains: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
 		gone: new(expvar.Int), beliefs: new(expvar.Map).Init(), latency: newLatency(), refusals: newLatency(),
 	}
 	m.vars.Set("answers_by_status", m.statuses)
 	m.vars.Set("refusals_by_reason", m.reasons)
 	m.vars.Set("refusals_by_verdict", m.verdicts)
 	m.vars.Set("sends", m.sends)
+	m.vars.Set("sends_by_domain", m.domains)
 	m.vars.Set("sends_by_outcome", m.outcomes)
 	m.vars.Set("callers_gone", m.gone)
 	m.vars.Set("target_beliefs", m.beliefs)
--- /dev/null
+++ b/serve/ingress/placed.go
@@ -0,0 +1,38 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/ingress"
+)
+
+// placedEvery is the time between two lines on where requests were placed: the
+// span over which operators bound the change of a region's share.
+const placedEvery = 2 * time.Second
+
+// reportPlaced writes where this VM placed requests, a line for each service.
+// Few VMs place any, and of the requests themselves one in many has a line, so
+// nothing else shows how the share of a region moved.
+func (s *Server) reportPlaced() {
+	tick := time.NewTicker(placedEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.logPlaced()
+		case <-s.ctx.Done():
+			s.logPlaced()
+			return
+		}
+	}
+}
+
+func (s *Server) logPlaced() {
+	var placed []ingress.Placed
+	s.core.Ask(func(_ clock.Time, r *ingress.Reducer) { placed = r.TakePlaced() })
+	for _, p := range placed {
+		s.event(eventPlaced).WithField("service", p.Service).WithField("by_region", p.ByRegion).
+			WithField("kept", p.Kept).WithField("wanted", p.Wanted).Info("requests were placed")
+	}
+}
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -235,6 +235,7 @@
 	}
 	s.loop(s.follow)
 	s.loop(s.register)
+	s.loop(s.reportPlaced)
 }
 
 func (s *Server) loop(f func()) {
