Have the next VM in line stand in for a silent coordinator

Cause: until the lease of a coordinator that has died ends, each VM of its region placed its own requests by itself, and none counted those of the others. Once a second all of them were put to the dead one again, and waited up to a quarter of the aim and 60 ms.

Change: a request is put to the first of the two VMs next in line that are not silent, which is the same one for all; a silent VM is tried with one request, not with all. What holds over VMs (cold targets, repeats) does not rest on it: cold targets stay with the first in line. The kept line replaces the elected VM, by rank.Order instead of a loop of its own.

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -25,13 +25,23 @@
 // has a thousand requests a second: askers time out and place by what they know
 // themselves, and all of them at the same targets.
 func (r *Reducer) coordinator(region fleet.Region, s fleet.ServiceName) fleet.VMID {
+	line := r.line(region, s)
+	if len(line) == 0 {
+		return ""
+	}
+	return line[0]
+}
+
+// line returns the strong VMs of a region in the order in which they are to
+// place requests for a service.
+func (r *Reducer) line(region fleet.Region, s fleet.ServiceName) []fleet.VMID {
 	key := coordination{region, s}
-	id, kept := r.coordinators[key]
+	line, kept := r.lines[key]
 	if !kept {
-		id = r.electCoordinator(region, s)
-		r.coordinators[key] = id
+		line = r.inLine(region, s)
+		r.lines[key] = line
 	}
-	return id
+	return line
 }
 
 // coordination is what a coordinator is for.
@@ -43,25 +53,23 @@
 // setMembers takes the list of entry VMs.
 func (r *Reducer) setMembers(vms []fleet.VM) {
 	r.members = vms
-	clear(r.coordinators)
+	clear(r.lines)
+	r.forgetUnlisted()
 }
 
-func (r *Reducer) electCoordinator(region fleet.Region, s fleet.ServiceName) fleet.VMID {
+func (r *Reducer) inLine(region fleet.Region, s fleet.ServiceName) []fleet.VMID {
 	var own []fleet.VM
 	for _, m := range r.members {
 		if m.State == fleet.Live && m.Region == region {
 			own = append(own, m)
 		}
 	}
-	var first fleet.VMID
-	var best uint64
-	for _, m := range fleet.Strong(own) {
-		score := rank.Score(string(s), string(m.ID))
-		if first == "" || score > best || (score == best && m.ID < first) {
-			first, best = m.ID, score
-		}
+	strong := fleet.Strong(own)
+	ids := make([]fleet.VMID, len(strong))
+	for i := range strong {
+		ids[i] = strong[i].ID
 	}
-	return first
+	return rank.Order(string(s), ids)
 }
 
 // obtain seeks a target for the next send of q.
@@ -73,13 +81,14 @@
 		Tried: q.tried, Recalled: r.recalledAt(now, q.svc, q.object),
 		Wait: max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
 	}
-	to := r.coordinator(r.region, q.svc.name)
-	if to == "" || to == r.opts.Self || !r.on(Coordinators) || r.avoided[to].After(now) {
+	to := r.placer(now, q.svc.name)
+	if to == "" || to == r.opts.Self || !r.on(Coordinators) {
 		r.placeHere(now, q, a)
 		return
 	}
 	q.asking = &asking{ask: a, to: to}
 	r.asks[a.ID] = q
+	r.noteAsk(to, a.ID)
 	r.tell(to, &a)
 	r.timers.add(timer{at: now.Add(a.Wait + askTimeout), purpose: dueAsk, request: q.id, ask: a.ID})
 }
@@ -99,7 +108,7 @@
 	}
 	a, to := q.asking.ask, q.asking.to
 	r.stopAsking(q)
-	r.avoided[to] = now.Add(avoidFor)
+	r.noteSilent(now, to)
 	if !now.Before(q.due) {
 		return // the process has stood still; the request is about to end
 	}
@@ -114,6 +123,7 @@
 		return
 	}
 	delete(r.asks, q.asking.ask.ID)
+	r.noteWithdrawn(q.asking.to, q.asking.ask.ID)
 	r.tell(q.asking.to, &Withdraw{ID: q.asking.ask.ID})
 	q.asking = nil
 }
@@ -134,8 +144,10 @@
 	case *Ask:
 		r.place(now, r.newJob(now, jobKey{vm: ev.From, id: m.ID}, *m))
 	case *Grant:
+		r.noteHeard(ev.From)
 		r.heardGrant(now, ev.From, m)
 	case *Deny:
+		r.noteHeard(ev.From)
 		if q, ok := r.asks[m.ID]; ok {
 			delete(r.asks, m.ID)
 			q.asking = nil
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -29,13 +29,14 @@
 	lapses    clock.Time // the earliest of the targets'
 	began     clock.Time // when the first event was seen; 0: not yet
 	members   []fleet.VM
-	// coordinators are those that members name, as far as they were asked for.
-	coordinators map[coordination]fleet.VMID
-	trips        map[fleet.Region]*mean // round trip in ns
-
-	jobs    map[jobKey]*job           // places taken or waited for
-	asks    map[AskID]*request        // asks that are unanswered
-	avoided map[fleet.VMID]clock.Time // coordinators that did not answer
+	// lines are the VMs that place requests by what members names, as far as
+	// they were asked for.
+	lines map[coordination][]fleet.VMID
+	trips map[fleet.Region]*mean // round trip in ns
+
+	jobs    map[jobKey]*job         // places taken or waited for
+	asks    map[AskID]*request      // asks that are unanswered
+	silent  map[fleet.VMID]*silence // coordinators that did not answer
 	nextAsk AskID
 
 	requests    map[RequestID]*request
@@ -47,24 +48,24 @@
 // New returns a Reducer that knows no configuration.
 func New(o Options) *Reducer {
 	return &Reducer{
-		opts:         o,
-		region:       o.Regions[o.Domain],
-		groups:       groupsOf(o.Regions, o.Regions[o.Domain]),
-		rng:          rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		splits:       make(map[string]*route.Split),
-		routes:       make(map[string]*routeState),
-		services:     make(map[fleet.ServiceName]*service),
-		targets:      make(map[fleet.TargetID]*targetState),
-		evacuated:    make(map[fleet.Domain]bool),
-		trips:        make(map[fleet.Region]*mean),
-		coordinators: make(map[coordination]fleet.VMID),
-		jobs:         make(map[jobKey]*job),
-		asks:         make(map[AskID]*request),
-		avoided:      make(map[fleet.VMID]clock.Time),
-		nextAsk:      AskID(o.Start),
-		requests:     make(map[RequestID]*request),
-		attempts:     make(map[AttemptID]*attempt),
-		lapses:       clock.Never,
+		opts:      o,
+		region:    o.Regions[o.Domain],
+		groups:    groupsOf(o.Regions, o.Regions[o.Domain]),
+		rng:       rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		splits:    make(map[string]*route.Split),
+		routes:    make(map[string]*routeState),
+		services:  make(map[fleet.ServiceName]*service),
+		targets:   make(map[fleet.TargetID]*targetState),
+		evacuated: make(map[fleet.Domain]bool),
+		trips:     make(map[fleet.Region]*mean),
+		lines:     make(map[coordination][]fleet.VMID),
+		jobs:      make(map[jobKey]*job),
+		asks:      make(map[AskID]*request),
+		silent:    make(map[fleet.VMID]*silence),
+		nextAsk:   AskID(o.Start),
+		requests:  make(map[RequestID]*request),
+		attempts:  make(map[AttemptID]*attempt),
+		lapses:    clock.Never,
 	}
 }
 
