One insertion into a list of the best; the pool of connections in three files

Change: insertBest takes its bound; pool.go holds the pool, peer.go a receiver's connections, dial.go their opening. Behaviour as before.

--- a/decide/ingress/consider.go
+++ b/decide/ingress/consider.go
@@ -46,18 +46,18 @@
 
 // considerNamed notes the targets that are considered for j's object.
 func (r *Reducer) considerNamed(now clock.Time, j *job, ejectedToo bool) {
-	var here [localChoices]scored
-	n := 0
+	var memory [localChoices]scored
+	here := memory[:0]
 	for g := groupElsewhere + 1; int(g) < len(j.svc.groups); g++ {
 		own := g == r.groups[j.Domain]
 		for i, x := range r.firstEligible(now, j, g, localChoices, ejectedToo) {
 			if own && i < domainChoices {
 				j.consider(x)
 			}
-			n = insertBest(here[:], n, x)
+			here = insertBest(here, x, localChoices)
 		}
 	}
-	for _, x := range here[:n] {
+	for _, x := range here {
 		j.consider(x)
 	}
 	for _, x := range r.firstEligible(now, j, groupElsewhere, remoteChoices, ejectedToo) {
@@ -71,22 +71,6 @@
 	}
 }
 
-// insertBest puts x at its place among the n best ones in list, if it is one of
-// them, and returns how many there are then.
-func insertBest(list []scored, n int, x scored) int {
-	at := n
-	for at > 0 && x.before(list[at-1]) {
-		at--
-	}
-	if at == len(list) {
-		return n
-	}
-	n = min(n+1, len(list))
-	copy(list[at+1:n], list[at:n-1])
-	list[at] = x
-	return n
-}
-
 // consider notes a target unless it is noted already.
 func (j *job) consider(x scored) {
 	if !j.considers(x.t) {
@@ -122,14 +106,13 @@
 		return found
 	}
 	// The ones that are kept are out of use, cold or tried: look at all.
-	var best [localChoices]scored
-	n := 0
+	found = found[:0]
 	for _, t := range j.svc.groups[g] {
 		if r.eligible(now, j, t, ejectedToo) {
-			n = insertBest(best[:most], n, j.obj.score(t))
+			found = insertBest(found, j.obj.score(t), most)
 		}
 	}
-	return append(found[:0], best[:n]...)
+	return found
 }
 
 // considerUnnamed notes the targets for a request that names no object: it is as
--- a/decide/ingress/object.go
+++ b/decide/ingress/object.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -188,25 +187,27 @@
 	o.first = make([][]scored, len(s.groups))
 	for g, members := range s.groups {
 		for _, t := range members {
-			o.first[g] = insertFirst(o.first[g], o.score(t))
+			o.first[g] = insertBest(o.first[g], o.score(t), firstKept)
 		}
 	}
 }
 
-// insertFirst puts x at its place among the first ones, if it is one of them.
-func insertFirst(first []scored, x scored) []scored {
-	at, _ := slices.BinarySearchFunc(first, x, compareScored)
-	if at >= firstKept {
-		return first
+// insertBest puts x at its place among the most best ones in list, if it is one
+// of them.
+func insertBest(list []scored, x scored, most int) []scored {
+	at := len(list)
+	for at > 0 && x.before(list[at-1]) {
+		at--
 	}
-	if len(first) == firstKept {
-		first = first[:firstKept-1]
+	switch {
+	case at == most:
+		return list
+	case len(list) < most:
+		list = append(list, scored{})
 	}
-	return slices.Insert(first, at, x)
-}
-
-func compareScored(a, b scored) int {
-	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.t.ID, b.t.ID))
+	copy(list[at+1:], list[at:])
+	list[at] = x
+	return list
 }
 
 // joined takes a target that has come into use.
@@ -222,7 +223,7 @@
 	if !all && len(first) > 0 && first[len(first)-1].before(x) {
 		return
 	}
-	o.first[t.group] = insertFirst(first, x)
+	o.first[t.group] = insertBest(first, x, firstKept)
 }
 
 // left takes a target that has gone out of use. Once the last of those kept has
--- /dev/null
+++ b/serve/outbound/dial.go
@@ -0,0 +1,131 @@
+package outbound
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// dial opens a connection for k, or for the next request if k has got another
+// one meanwhile.
+func (pe *peer) dial(k *Call) {
+	c, claimed, err := pe.connect(k)
+	pe.mu.Lock()
+	pe.dialing--
+	pe.mu.Unlock()
+	if claimed == nil && err != nil && (k.req.Fresh || pe.stopWaiting(k)) {
+		claimed = k
+	}
+	switch {
+	case claimed == nil:
+	case err != nil:
+		// Nothing has been sent: the request has not run.
+		claimed.finish(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: err})
+	default:
+		c.start(claimed)
+	}
+	pe.lend()
+}
+
+// wantsSpare reports whether no connection is free, nor one on its way, and
+// counts a dial then.
+func (pe *peer) wantsSpare() bool {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if len(pe.idle) > 0 || pe.dialing > 0 {
+		return false
+	}
+	pe.dialing++
+	return true
+}
+
+// dialSpare opens a connection that no request waits for. What it fails of, the
+// next request will find out.
+func (pe *peer) dialSpare() {
+	pe.dial(&Call{req: &Request{}, done: func(*Answer, *verdict.Error) {}})
+}
+
+// connect opens a connection for k and returns the request that has claimed it,
+// which ends with the error if there is one; nil: none has.
+func (pe *peer) connect(k *Call) (*conn, *Call, error) {
+	opts := &pe.pool.opts
+	timeout := opts.DialTimeout
+	if k.req.Connect > 0 {
+		timeout = k.req.Connect
+	}
+	began := opts.Now()
+	nc, err := opts.Dial("tcp", pe.addr, timeout)
+	if err != nil {
+		return nil, nil, fmt.Errorf("outbound: %w", err)
+	}
+	return pe.add(nc, k, opts.Now().Sub(began))
+}
+
+// claimNew returns the request that gets a connection opened for k.
+func (pe *peer) claimNew(k *Call) *Call {
+	if k.req.Fresh || pe.stopWaiting(k) {
+		return k
+	}
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if len(pe.waiting) == 0 {
+		return nil
+	}
+	next := pe.waiting[0]
+	pe.waiting = slices.Delete(pe.waiting, 0, 1)
+	return next
+}
+
+// add hands a new connection to the pollers.
+func (pe *peer) add(nc net.Conn, k *Call, connected time.Duration) (*conn, *Call, error) {
+	p := pe.pool
+	p.adding.RLock()
+	defer p.adding.RUnlock()
+	if p.closed {
+		_ = nc.Close()
+		return nil, nil, errClosed
+	}
+	nbc, err := nbio.NBConn(nc)
+	if err != nil {
+		_ = nc.Close()
+		return nil, nil, fmt.Errorf("outbound: %w", err)
+	}
+	claimed := pe.claimNew(k)
+	c := &conn{p: pe, nbc: nbc, call: claimed, connected: connected}
+	c.parser = nbhttp.NewParser(nbc, p.engine, c, true, runInline)
+	nbc.SetSession(c.parser)
+	nbc.OnData(c.onData)
+	c.built.Store(true)
+	pe.mu.Lock()
+	pe.open++
+	pe.mu.Unlock()
+	if _, err := p.engine.AddConn(nbc); err != nil {
+		pe.drop(c)
+		pe.countOut(c) // nbio may report the close as well
+		_ = nbc.Close()
+		return nil, claimed, fmt.Errorf("outbound: %w", err)
+	}
+	if claimed == nil {
+		pe.keep(c)
+	}
+	return c, claimed, nil
+}
+
+// keep puts a new connection among the free ones, unless it has ended already.
+func (pe *peer) keep(c *conn) {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.connected = 0
+	c.idle = pe.pool.opts.IdleTimeout
+	c.since = pe.pool.opts.Now()
+	pe.idle = append(pe.idle, c)
+}
