--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -14,8 +14,9 @@
 // of a region, the coordinator of a service, places all requests for it: it
 // knows every request in flight at the region's targets and where objects are
 // warm. Other entry VMs ask it for a target (Ask, Grant, Deny), send the request
-// themselves, and report its end. A coordinator that does not answer in time is
-// done without: the entry VM places the request by what it knows itself.
+// themselves, and report its end. While a coordinator is silent the next VM in
+// line stands in for it (placer); the request that has found it silent is placed
+// by what its entry VM knows itself.
 //
 // Considered are the targets at which the object is warm, the first two of the
 // region by rendezvous hashing of the object, the first of the other regions and
