--- a/decide/ingress/standin_test.go
+++ b/decide/ingress/standin_test.go
@@ -73,14 +73,14 @@
 	s, first, second := standInBench(t)
 	s.silence()
 	s.now = s.now.Add(avoidFor)
-	to, probe := asked(s.step(&Arrive{Request: 2, Host: "h", Path: "/a/x"}))
+	to, _ := asked(s.step(&Arrive{Request: 2, Host: "h", Path: "/a/x"}))
 	is.Equal(to, []fleet.VMID{first})
 	to, _ = asked(s.step(&Arrive{Request: 3, Host: "h", Path: "/a/x"}))
 	is.Equal(to, []fleet.VMID{second})
 
 	// The caller of the one request leaves: the next one tries.
 	s.step(&CallerGone{Request: 2})
-	to, probe = asked(s.step(&Arrive{Request: 4, Host: "h", Path: "/a/x"}))
+	to, probe := asked(s.step(&Arrive{Request: 4, Host: "h", Path: "/a/x"}))
 	is.Equal(to, []fleet.VMID{first})
 
 	// It answers, and is the coordinator again.
