Compress whole copies of the store between entry VMs

After a restart of 300 VMs one reader's link carries those of fifty followers for longer than the 1.5 s that these wait; they ask on, and the store too. Change: whole copies have messages of their own, compressed with zstd, packed once for all that ask for the same one; a VM whose copy is too old for what is known of removals gets one too. Pages that are damaged or grow beyond a message are refused. Tests: the copies of a failure domain fit its reader's link (fails with the uncompressed form: 36 MB against 12.5); whole, packed once, bad pages refused; a copy that is too old is replaced. Two comments state the new size.

--- /dev/null
+++ b/serve/ingress/copy.go
@@ -0,0 +1,113 @@
+package ingress
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/serve/peer"
+)
+
+// A VM that has no copy of the store takes a whole one. Copies are compressed:
+// after a restart of a fleet of 300 VMs one of 3,300 keys goes to each of them,
+// most of them from a few readers. As they were, 0.9 MB each, a reader's link of
+// 200 Mbit/s carried those of fifty followers for longer than these wait; they
+// asked others and the store as well, and served eight seconds later.
+
+// copyAsk asks for a whole copy.
+type copyAsk struct {
+	// Follow asks a VM that has none yet to answer once it has.
+	Follow bool
+}
+
+// copyPage is a part of a whole copy; its fields are those of relay.
+type copyPage struct {
+	AsOf   mirror.Revision
+	Age    time.Duration
+	Sure   bool
+	Page   int
+	More   bool
+	Packed []byte // a copyItems, compressed
+}
+
+// copyItems is what is compressed.
+type copyItems struct {
+	Changes []mirror.Change
+}
+
+// receivedCopyAsk answers another entry VM that has no copy.
+func (s *Server) receivedCopyAsk(from fleet.VMID, b peer.Body) error {
+	var ask copyAsk
+	if err := peer.Decode(b, peer.MaxBody, &ask); err != nil {
+		return err
+	}
+	s.copyMu.Lock()
+	valid := s.copy.Valid()
+	if !valid && ask.Follow && len(s.awaiting) < maxAwaiting {
+		s.awaiting[from] = true
+	}
+	s.copyMu.Unlock()
+	if valid {
+		s.sendCopy(from)
+	}
+	return nil
+}
+
+// maxAwaiting bounds the VMs that wait for this one's first copy.
+const maxAwaiting = 1024
+
+// answerAwaiting sends the copy to the VMs that asked before there was one: after
+// a restart of a whole region all ask their readers at once.
+func (s *Server) answerAwaiting() {
+	s.copyMu.Lock()
+	to := slices.Collect(maps.Keys(s.awaiting))
+	clear(s.awaiting)
+	s.copyMu.Unlock()
+	if len(to) > 0 {
+		s.sendCopy(to...)
+	}
+}
+
+// sendCopy sends the whole copy to other entry VMs, packed once for all of them.
+func (s *Server) sendCopy(to ...fleet.VMID) {
+	s.copyMu.Lock()
+	head := s.relayHead()
+	s.copyMu.Unlock()
+	pages, err := s.packed.of(head.AsOf, func() relay {
+		s.copyMu.Lock()
+		defer s.copyMu.Unlock()
+		return s.wholeRelay()
+	})
+	if err != nil {
+		s.relayFailed(head.AsOf, err)
+		return
+	}
+	for i, data := range pages {
+		page := copyPage{AsOf: head.AsOf, Age: head.Age, Sure: head.Sure, Page: i, More: i < len(pages)-1, Packed: data}
+		b, err := peer.Encode(kindCopy, &page)
+		if err != nil {
+			s.relayFailed(head.AsOf, err)
+			return
+		}
+		for _, id := range to {
+			s.sendBody(s.peerOf(id), b)
+		}
+	}
+}
+
+// receivedCopy takes a part of another entry VM's copy.
+func (s *Server) receivedCopy(from fleet.VMID, b peer.Body) error {
+	var page copyPage
+	if err := peer.Decode(b, peer.MaxBody, &page); err != nil {
+		return err
+	}
+	changes, err := unpack(page.Packed)
+	if err != nil {
+		return err
+	}
+	return s.takeRelay(from, &relay{
+		AsOf: page.AsOf, Full: true, Changes: changes, Age: page.Age, Sure: page.Sure, Page: page.Page, More: page.More,
+	})
+}
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -28,8 +28,9 @@
 	// that starts list themselves within that time; with the usual pause each read
 	// the store once or twice more before it knew whom to follow.
 	startPause = time.Second
-	// firstCopyWait is how long the reader's copy is awaited: half a megabyte for
-	// each of thirty followers takes a link of 200 Mbit/s 0.6 s.
+	// firstCopyWait is how long the reader's copy is awaited. One of 3,300 keys has
+	// 0.15 MB, packed; for each of fifty followers that takes a link of 200 Mbit/s
+	// 0.3 s, and those wait that were restarted a little earlier than the reader.
 	firstCopyWait = 1500 * time.Millisecond
 	// watchPause lets changes that come together be read by one call. Calls are
 	// priced, and a fleet of 85 made 4,647 of them in a minute with half of this
@@ -41,8 +42,8 @@
 	retryPause    = 400 * time.Millisecond
 	maxRetryPause = 1600 * time.Millisecond
 	// firstReadPatience is how long the first read may take before neighbours are
-	// asked as well. Their copies cross regions, half a megabyte each with some
-	// 1,900 keys, and the store's answer takes a tenth of this time.
+	// asked as well. Their copies cross regions, 0.15 MB each with some 3,300 keys,
+	// and the store's answer takes a tenth of this time.
 	firstReadPatience = 300 * time.Millisecond
 	// relayEvery is how often neighbours are asked while the store fails.
 	relayEvery = 400 * time.Millisecond
--- /dev/null
+++ b/serve/ingress/pack.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/serve/peer"
+)
+
+// packedCopies keeps the last copy that was packed: after a restart of a whole
+// region every follower asks for the same one.
+type packedCopies struct {
+	mu    sync.Mutex
+	asOf  mirror.Revision
+	pages [][]byte
+	drop  *time.Timer
+}
+
+// keepPacked is how long a packed copy is kept after it was asked for.
+const keepPacked = 5 * time.Second
+
+// of returns the packed pages of a copy that is complete up to asOf; whole
+// returns one at least as new. A page that is newer than asOf does no harm: what
+// its receiver asks for next says the same once more.
+func (p *packedCopies) of(asOf mirror.Revision, whole func() relay) ([][]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pages == nil || p.asOf != asOf {
+		r := whole()
+		pages, err := packAll(&r)
+		if err != nil {
+			return nil, err
+		}
+		p.asOf, p.pages = r.AsOf, pages
+	}
+	if p.drop == nil {
+		p.drop = time.AfterFunc(keepPacked, p.forget)
+	}
+	p.drop.Reset(keepPacked)
+	return p.pages, nil
+}
+
+func (p *packedCopies) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pages = nil
+}
+
+func packAll(r *relay) ([][]byte, error) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+		zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		return nil, fmt.Errorf("ingress: pack: %w", err)
+	}
+	defer func() { _ = enc.Close() }() // nothing is buffered: EncodeAll writes all
+	var pages [][]byte
+	for _, page := range r.split() {
+		b, err := peer.Encode(kindCopy, &copyItems{Changes: page.Changes})
+		if err != nil {
+			return nil, err
+		}
+		pages = append(pages, enc.EncodeAll(b.Data, nil))
+	}
+	return pages, nil
+}
+
+// unpack refuses pages that are larger than any that is sent: a damaged one must
+// not fill the memory.
+func unpack(packed []byte) ([]mirror.Change, error) {
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(peer.MaxBody))
+	if err != nil {
+		return nil, fmt.Errorf("ingress: unpack: %w", err)
+	}
+	defer dec.Close()
+	data, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, fmt.Errorf("ingress: unpack: %w", err)
+	}
+	var items copyItems
+	if err := peer.Decode(peer.Body{Kind: kindCopy, Data: data}, peer.MaxBody, &items); err != nil {
+		return nil, err
+	}
+	return items.Changes, nil
+}
--- /dev/null
+++ b/serve/ingress/pack_test.go
@@ -0,0 +1,123 @@
+package ingress
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/serve/peer"
+)
+
+// fleetCopy is a copy of n keys that differ as those of targets do.
+func fleetCopy(n int) relay {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := relay{AsOf: 7, Full: true}
+	for i := range n {
+		domain := rng.IntN(6)
+		r.Changes = append(r.Changes, mirror.Change{Item: mirror.Item{
+			Key: fmt.Sprintf("targets/service-%d/i-%010x", i%3, rng.Uint64()>>24),
+			Value: fmt.Appendf(nil, `{"id":"i-%010x","address":"10.%d.%d.%d:%d","service":"service-%d","domain":"region-%d-%d","slots":9,"born":%d,"version":"v1","state":"ready","lease":%d}`,
+				rng.Uint64()>>24, domain, rng.IntN(256), rng.IntN(256), 8000+rng.IntN(1000), i%3, domain%3, domain/3, 1790945471008930305+rng.Int64N(1e12), rng.Int64()),
+			Revision: mirror.Revision(rng.IntN(7)),
+		}})
+	}
+	return r
+}
+
+// Symptom: a fleet of 300 VMs and 3,000 targets serves eight seconds after all of
+// its VMs were killed, one of 100 after half a second.
+// Sequence: fifty VMs of a failure domain take their copies from one of them;
+// those that wait in vain ask others, in other regions too, and the store.
+// Cause: a copy had 0.9 MB, and fifty of them take a link of 200 Mbit/s longer
+// than the 1.5 s that they wait. Within a third of that time it carries 12.5 MB.
+func TestCopiesOfAFailureDomainPassItsReadersLink(t *testing.T) {
+	is := is.New(t)
+	const followers, bytesPerSecond = 50, 200e6 / 8
+	r := fleetCopy(3300)
+	pages, err := packAll(&r)
+	is.NoErr(err)
+	size := 0
+	for _, p := range pages {
+		size += len(p)
+	}
+	is.True(float64(followers*size) < firstCopyWait.Seconds()/3*bytesPerSecond)
+}
+
+func TestPackedCopiesAreWhole(t *testing.T) {
+	is := is.New(t)
+	r := fleetCopy(3300)
+	pages, err := packAll(&r)
+	is.NoErr(err)
+	var got []mirror.Change
+	for _, p := range pages {
+		changes, err := unpack(p)
+		is.NoErr(err)
+		got = append(got, changes...)
+	}
+	is.Equal(got, r.Changes)
+}
+
+// A page that is damaged, cut off or grows beyond any message is refused.
+func TestBadPagesAreRefused(t *testing.T) {
+	r := fleetCopy(10)
+	pages, err := packAll(&r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	large := relay{Full: true, Changes: []mirror.Change{{Item: mirror.Item{Value: make([]byte, peer.MaxBody-1024)}}}}
+	largest, err := packAll(&large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := unpack(largest[0]); err != nil {
+		t.Errorf("the largest page: %v", err)
+	}
+	damaged := append([]byte(nil), pages[0]...)
+	damaged[len(damaged)/2] ^= 0x55
+	for name, page := range map[string][]byte{
+		"empty": nil, "cut off": pages[0][:len(pages[0])-3], "damaged": damaged, "bomb": bomb(t),
+	} {
+		if _, err := unpack(page); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// The same copy is packed once, a newer one anew.
+func TestACopyIsPackedOnce(t *testing.T) {
+	is := is.New(t)
+	var p packedCopies
+	packed := 0
+	of := func(asOf mirror.Revision) {
+		_, err := p.of(asOf, func() relay {
+			packed++
+			r := fleetCopy(3)
+			r.AsOf = asOf
+			return r
+		})
+		is.NoErr(err)
+	}
+	of(7)
+	of(7)
+	is.Equal(packed, 1)
+	of(8)
+	is.Equal(packed, 2)
+	p.forget()
+	of(8)
+	is.Equal(packed, 3)
+}
+
+// bomb is a page of a few KB that grows to 64 MB.
+func bomb(t *testing.T) []byte {
+	t.Helper()
+	enc, err := zstd.NewWriter(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer enc.Close()
+	return enc.EncodeAll(make([]byte, 64<<20), nil)
+}
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -23,6 +23,8 @@
 const (
 	kindRelayAsk = peer.KindRelay + iota
 	kindRelay
+	kindCopyAsk
+	kindCopy
 )
 
 // provisionPeers starts the transport between entry VMs.
@@ -78,6 +80,10 @@
 		return s.receivedRelayAsk(from, b)
 	case kindRelay:
 		return s.receivedRelay(from, b)
+	case kindCopyAsk:
+		return s.receivedCopyAsk(from, b)
+	case kindCopy:
+		return s.receivedCopy(from, b)
 	default:
 		return peer.ErrKind
 	}
--- a/serve/ingress/reader_test.go
+++ b/serve/ingress/reader_test.go
@@ -186,6 +186,31 @@
 	is.True(asker.copyValid())
 }
 
+// Pattern: a VM has a copy from before those of its neighbours begin, whose
+// removals since then nobody knows any more; the store refuses it. It gets a whole
+// copy.
+func TestACopyThatIsTooOldIsReplaced(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	w.target("t1", ok("one"))
+	from := w.entry("vm-1")
+	g := &gate{Store: w.store}
+	g.shut.Store(true)
+	asker := w.start("vm-2", g)
+	asker.copyMu.Lock()
+	asker.copy = mirror.Mirror{}
+	_, taken := asker.copy.Replace([]mirror.Item{{Key: "gone", Revision: 1}}, 1)
+	asker.copyMu.Unlock()
+	is.True(taken)
+	_, answered := asker.askReader(from.set.Self, time.Minute)
+	is.True(answered)
+	is.True(asker.copyAsOf() >= from.copyAsOf())
+	asker.copyMu.Lock()
+	defer asker.copyMu.Unlock()
+	_, there := asker.copy.Get("gone")
+	is.True(!there)
+}
+
 // fullReads is a store that counts the reads of everything.
 type fullReads struct {
 	kv.Store
--- a/serve/ingress/relay.go
+++ b/serve/ingress/relay.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -58,15 +56,23 @@
 			}
 		}
 	}
-	ask := relayAsk{AsOf: s.copyAsOf()}
 	turn := int(s.relayTurn.Add(1))
 	for _, list := range [][]fleet.VM{near, far} {
 		if len(list) > 0 {
-			s.sendTo(list[turn%len(list)], kindRelayAsk, &ask)
+			s.ask(list[turn%len(list)], false)
 		}
 	}
 }
 
+// ask asks a VM for what this one lacks.
+func (s *Server) ask(from fleet.VM, follow bool) {
+	if asOf := s.copyAsOf(); asOf > 0 {
+		s.sendTo(from, kindRelayAsk, &relayAsk{AsOf: asOf, Follow: follow})
+		return
+	}
+	s.sendTo(from, kindCopyAsk, &copyAsk{Follow: follow})
+}
+
 // neighbours returns the other entry VMs: those of the own failure domain, whose
 // words cross no other, and the rest. One of each is asked at a time, as the
 // whole domain may be cut off.
@@ -107,7 +113,7 @@
 	case <-s.relayed: // a late word
 	default:
 	}
-	s.sendTo(from, kindRelayAsk, &relayAsk{AsOf: s.copyAsOf(), Follow: true})
+	s.ask(from, true)
 	select {
 	case word := <-s.relayed:
 		return word, true
@@ -144,55 +150,42 @@
 	}
 	s.copyMu.Lock()
 	valid := s.copy.Valid()
-	if !valid && ask.Follow && len(s.awaiting) < maxAwaiting {
-		s.awaiting[from] = true
-	}
-	var r relay
-	if valid {
-		r = s.relayOf(ask.AsOf)
-	}
+	r, known := s.relayOf(ask.AsOf)
 	s.copyMu.Unlock()
-	if valid && (ask.Follow || r.AsOf > ask.AsOf) {
+	switch {
+	case !valid:
+	case !known:
+		s.sendCopy(from)
+	case ask.Follow || r.AsOf > ask.AsOf:
 		s.sendRelay(r, from)
 	}
 	return nil
 }
 
-// maxAwaiting bounds the VMs that wait for this one's first copy.
-const maxAwaiting = 1024
-
-// answerAwaiting sends the copy to the VMs that asked before there was one: after
-// a restart of a whole region all ask their readers at once.
-func (s *Server) answerAwaiting() {
-	s.copyMu.Lock()
-	to := slices.Collect(maps.Keys(s.awaiting))
-	clear(s.awaiting)
-	var r relay
-	if len(to) > 0 {
-		r = s.relayOf(0)
-	}
-	s.copyMu.Unlock()
-	if len(to) > 0 {
-		s.sendRelay(r, to...)
-	}
-}
-
-// relayOf returns what a VM with a copy of this revision lacks. copyMu must be
-// held.
-func (s *Server) relayOf(after mirror.Revision) relay {
-	r := relay{
+// relayHead returns a relay without its changes. copyMu must be held.
+func (s *Server) relayHead() relay {
+	return relay{
 		AsOf: s.copy.AsOf(),
 		Age:  s.now().Sub(clock.Time(s.storeHeard.Load())),
 		Sure: !s.storeUnsure(),
 	}
+}
+
+// relayOf returns what a VM with a copy of this revision lacks; false: that is no
+// longer known. copyMu must be held.
+func (s *Server) relayOf(after mirror.Revision) (relay, bool) {
+	r := s.relayHead()
 	if r.AsOf <= after {
-		return r
-	}
-	changes, known := s.copy.Since(after)
-	if known {
-		r.Changes = changes
-		return r
+		return r, true
 	}
+	var known bool
+	r.Changes, known = s.copy.Since(after)
+	return r, known
+}
+
+// wholeRelay returns all items. copyMu must be held.
+func (s *Server) wholeRelay() relay {
+	r := s.relayHead()
 	r.Full = true
 	for _, it := range s.copy.Items(everything) {
 		r.Changes = append(r.Changes, mirror.Change{Item: it})
@@ -208,10 +201,15 @@
 	if err := peer.Decode(b, peer.MaxBody, &page); err != nil {
 		return err
 	}
+	return s.takeRelay(from, &page)
+}
+
+// takeRelay takes one message of another entry VM's copy.
+func (s *Server) takeRelay(from fleet.VMID, page *relay) error {
 	if page.AsOf == 0 {
 		return errRelay
 	}
-	r, whole := s.partial.add(from, &page)
+	r, whole := s.partial.add(from, page)
 	if !whole {
 		return nil
 	}
--- a/serve/ingress/relaypage.go
+++ b/serve/ingress/relaypage.go
@@ -17,20 +17,22 @@
 	maxRelayBytes = 32 << 20
 )
 
-// sendRelay sends r to other entry VMs, encoded once for all of them.
-func (s *Server) sendRelay(r relay, to ...fleet.VMID) {
+// sendRelay sends r to another entry VM.
+func (s *Server) sendRelay(r relay, to fleet.VMID) {
 	for _, page := range r.split() {
 		b, err := peer.Encode(kindRelay, page)
 		if err != nil {
-			s.event(eventRelay).WithError(err).WithField("revision", r.AsOf).Error("copy of the store cannot be passed on")
+			s.relayFailed(r.AsOf, err)
 			return
 		}
-		for _, id := range to {
-			s.sendBody(s.peerOf(id), b)
-		}
+		s.sendBody(s.peerOf(to), b)
 	}
 }
 
+func (s *Server) relayFailed(asOf mirror.Revision, err error) {
+	s.event(eventRelay).WithError(err).WithField("revision", asOf).Error("copy of the store cannot be passed on")
+}
+
 // split returns the messages of r.
 func (r *relay) split() []*relay {
 	var pages []*relay
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -58,6 +58,7 @@
 	readers   reader.Choice       // touched by follow alone
 	relayed   chan relayWord
 	partial   relayPages
+	packed    packedCopies
 	awaiting  map[fleet.VMID]bool // VMs that wait for the first copy; guarded by copyMu
 
 	storeLost    atomic.Bool  // the last call to the store failed
