Fit lines and powers by functions of their own

Cause: the power was a special case in three places of newFit and one of scale.of, added on top of the straight line. Change: newFit chooses between fitLine and fitPower; each has its own bound on points.

--- a/operate/capacity/fit.go
+++ b/operate/capacity/fit.go
@@ -45,8 +45,6 @@
 		return math.Log2(x)
 	case quadratic:
 		return x * x
-	case power:
-		return math.Log(x)
 	default:
 		return x
 	}
@@ -72,27 +70,17 @@
 	return linear
 }
 
-// newFit fits a series by least squares of the relative deviations, so that
-// the points at small sizes count as much as those at large ones. It reports
-// false for series of too few points.
+// newFit fits a series. It reports false for one that can't be fitted.
 func newFit(s slope.Series) (fit, bool) {
 	f := fit{series: s, scale: scaleOf(s.Name)}
-	if len(s.Points) < minPowerPoints || f.scale != power && len(s.Points) < minPoints {
-		return fit{}, false
-	}
-	var xs, ys, weights []float64
-	for _, p := range s.Points {
-		if f.scale == power && p.Y <= 0 {
-			return fit{}, false
-		}
-		xs = append(xs, f.scale.of(p.X))
-		ys = append(ys, p.Y)
-		weights = append(weights, 1/math.Max(p.Y*p.Y, math.SmallestNonzeroFloat32))
-	}
+	fitted := false
 	if f.scale == power {
-		f.fitPower(xs, ys)
+		fitted = f.fitPower()
 	} else {
-		f.offset, f.slope = stat.LinearRegression(xs, ys, weights, false)
+		fitted = f.fitLine()
+	}
+	if !fitted {
+		return fit{}, false
 	}
 	for _, p := range s.Points {
 		f.residual = math.Max(f.residual, math.Abs(f.at(p.X)/p.Y-1))
@@ -100,14 +88,38 @@
 	return f, true
 }
 
-// fitPower fits the logarithms of ys to those of the sizes.
-func (f *fit) fitPower(xs, ys []float64) {
-	logs := make([]float64, len(ys))
-	for i, y := range ys {
-		logs[i] = math.Log(y)
+// fitLine fits by least squares of the relative deviations, so that the points
+// at small sizes count as much as those at large ones.
+func (f *fit) fitLine() bool {
+	if len(f.series.Points) < minPoints {
+		return false
+	}
+	var xs, ys, weights []float64
+	for _, p := range f.series.Points {
+		xs = append(xs, f.scale.of(p.X))
+		ys = append(ys, p.Y)
+		weights = append(weights, 1/math.Max(p.Y*p.Y, math.SmallestNonzeroFloat32))
+	}
+	f.offset, f.slope = stat.LinearRegression(xs, ys, weights, false)
+	return true
+}
+
+// fitPower fits a line through the logarithms; there is none of zero.
+func (f *fit) fitPower() bool {
+	if len(f.series.Points) < minPowerPoints {
+		return false
+	}
+	var xs, ys []float64
+	for _, p := range f.series.Points {
+		if p.Y <= 0 {
+			return false
+		}
+		xs = append(xs, math.Log(p.X))
+		ys = append(ys, math.Log(p.Y))
 	}
-	f.offset, f.slope = stat.LinearRegression(xs, logs, nil, false)
+	f.offset, f.slope = stat.LinearRegression(xs, ys, nil, false)
 	f.offset = math.Exp(f.offset)
+	return true
 }
 
 // at returns the fit's value, which is never below zero.
