Say in lines what sent requests to other regions

Cause: a line of placements told how many requests of a service crossed, not why. Whether the bound on change holds a share up, or targets of the own region can't be used, looked the same.

Change: every placement keeps what decided for its region, and whether the own region's best target was expected to answer sooner; the line of placements counts both for the requests that crossed. The decisions are unchanged.

Ruled out: counting choices instead of requests; waiting requests choose many times.

--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -36,6 +36,10 @@
 	// awaited is the target that a waiting job would go to.
 	awaited *targetState
 	turn    uint64 // its place among the waiting jobs of its priority
+	// why is what decided for the region of the latest choice, and slower says
+	// that the own region's best target was expected to answer sooner.
+	why    Why
+	slower bool
 
 	target  *targetState
 	class   workClass
@@ -127,7 +131,7 @@
 		t.coldSends = append(t.coldSends, now)
 	}
 	j.svc.share.count(now, t.region != r.region)
-	j.svc.notePlaced(t.region)
+	j.svc.notePlaced(t.region, j, t.region != r.region)
 	if j.req != nil {
 		r.granted(now, j.req, j, t)
 		return
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -46,7 +46,10 @@
 		return t
 	}
 	local, remote := r.options(now, j, ejectedToo)
-	best := r.sideOf(now, j, local, remote).t
+	chosen, why := r.sideOf(now, j, local, remote)
+	best := chosen.t
+	j.why = why
+	j.slower = local.t != nil && local.cost < chosen.cost
 	j.awaited = best
 	if best == nil || r.full(now, j, best) {
 		return nil
@@ -69,23 +72,21 @@
 	return nil
 }
 
-// sideOf decides between the own region and the others. Large answers stay
-// unless there is no target here; what is bound to regions has no choice.
-func (r *Reducer) sideOf(now clock.Time, j *job, local, remote option) option {
+// sideOf decides between the own region and the others, and says why. Large
+// answers stay unless there is no target here; what is bound to regions has no
+// choice.
+func (r *Reducer) sideOf(now clock.Time, j *job, local, remote option) (option, Why) {
 	s := &j.svc.share
 	switch {
-	case local.t == nil || remote.t == nil:
-		if local.t == nil {
-			return remote
-		}
-		return local
-	case !r.on(Elsewhere):
-		return local
+	case local.t == nil:
+		return remote, r.whyNoneHere(now, j)
+	case remote.t == nil || !r.on(Elsewhere):
+		return local, WhyOnly
 	case j.Large || len(j.Homes) > 0:
 		if len(j.Homes) > 0 && remote.cost < local.cost {
-			return remote
+			return remote, WhyHomes
 		}
-		return local
+		return local, WhyOnly
 	}
 	s.bound = r.shiftBound()
 	if !s.known {
@@ -95,16 +96,17 @@
 		s.follow(now, remote.cost < local.cost || (r.on(Headroom) && r.crowded(now, j.svc)))
 	}
 	first, second, toRemote := local, remote, true
-	if s.sideOf(now, r.sideHash(j.Object), warmSide(now, j, local.t, remote.t)) == sideOthers {
+	belongs, why := s.sideOf(now, r.sideHash(j.Object), warmSide(now, j, local.t, remote.t))
+	if belongs == sideOthers {
 		first, second, toRemote = remote, local, false
 	}
 	// A wait for a target where the object is warm is often shorter than the
 	// cold start elsewhere, which would also take a slot for three times as long.
 	sooner := second.cost < first.cost
 	if sooner && r.full(now, j, first.t) && !r.full(now, j, second.t) && s.mayCross(now, toRemote) {
-		return second
+		return second, WhyFull
 	}
-	return first
+	return first, why
 }
 
 // warmSide returns the side on which alone the object of j is warm.
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -26,7 +26,7 @@
 	recall recall // where this VM's own requests ran
 
 	share   regionShare
-	placed  map[fleet.Region]int // requests since TakePlaced, by region
+	placed  *placements // since TakePlaced; nil: none
 	repeats repeatBudget
 	latency target.Quantiles
 }
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -152,29 +152,29 @@
 	sideOthers
 )
 
-// sideOf returns the side to which a request for an object belongs. hash lies
-// between 0 and 1; warm is the only side where the object is warm, if there is
-// one. It goes before the hash while the share is near its target: an
+// sideOf returns the side to which a request for an object belongs, and why.
+// hash lies between 0 and 1; warm is the only side where the object is warm, if
+// there is one. It goes before the hash while the share is near its target: an
 // object that changes sides starts cold there.
-func (s *regionShare) sideOf(now clock.Time, hash float64, warm side) side {
+func (s *regionShare) sideOf(now clock.Time, hash float64, warm side) (side, Why) {
 	forced := s.ran.forced(now, s.bound)
 	switch off := s.off(now) / s.bound; {
 	case forced != sideAny:
-		return forced
+		return forced, WhyHistory
 	case off > shiftFar:
-		return sideOwn
+		return sideOwn, WhyFarOff
 	case off < -shiftFar:
-		return sideOthers
+		return sideOthers, WhyFarOff
 	case warm != sideAny:
-		return warm
+		return warm, WhyWarm
 	case off > shiftBand:
-		return sideOwn
+		return sideOwn, WhyBand
 	case off < -shiftBand:
-		return sideOthers
+		return sideOthers, WhyBand
 	case hash < s.target:
-		return sideOthers
+		return sideOthers, WhyHash
 	default:
-		return sideOwn
+		return sideOwn, WhyHash
 	}
 }
 
--- a/decide/ingress/shift_test.go
+++ b/decide/ingress/shift_test.go
@@ -67,19 +67,19 @@
 	s := regionShare{bound: 0.15}
 	s.begin(1, 0.5)
 	const low, high = 0.1, 0.9
-	is.Equal(s.sideOf(1, low, sideAny), sideOthers)
-	is.Equal(s.sideOf(1, high, sideAny), sideOwn)
-	is.Equal(s.sideOf(1, low, sideOwn), sideOwn)
-	is.Equal(s.sideOf(1, high, sideOthers), sideOthers)
+	is.Equal(sideOnly(&s, 1, low, sideAny), sideOthers)
+	is.Equal(sideOnly(&s, 1, high, sideAny), sideOwn)
+	is.Equal(sideOnly(&s, 1, low, sideOwn), sideOwn)
+	is.Equal(sideOnly(&s, 1, high, sideOthers), sideOthers)
 	for i := range 40 { // 0.425 ran elsewhere: half of the bound too few
 		s.count(1, i < 17)
 	}
-	is.Equal(s.sideOf(1, high, sideAny), sideOthers)
-	is.Equal(s.sideOf(1, low, sideOwn), sideOwn) // others can make up for it
+	is.Equal(sideOnly(&s, 1, high, sideAny), sideOthers)
+	is.Equal(sideOnly(&s, 1, low, sideOwn), sideOwn) // others can make up for it
 	for range 10 {                               // 0.34
 		s.count(1, false)
 	}
-	is.Equal(s.sideOf(1, high, sideOwn), sideOthers) // the bound goes first
+	is.Equal(sideOnly(&s, 1, high, sideOwn), sideOthers) // the bound goes first
 }
 
 // Pattern: the region's targets are replaced by fewer; objects stay where they
@@ -99,7 +99,7 @@
 	const warmElsewhere = 0.5
 	for n := range 2000 { // 100 requests a second for 20 s
 		s.follow(now, false) // the own region would answer sooner
-		remote := s.sideOf(now, 0.99, []side{sideOwn, sideOthers}[n%2]) == sideOthers
+		remote := sideOnly(&s, now, 0.99, []side{sideOwn, sideOthers}[n%2]) == sideOthers
 		s.count(now, remote)
 		is.True(s.off(now) < shiftFar*s.bound) // nothing is ever forced
 		now = now.Add(10 * time.Millisecond)
@@ -287,7 +287,7 @@
 			case x < 0.9:
 				known = sideOthers
 			}
-			remote := s.sideOf(now, rng.Float64(), known) == sideOthers
+			remote := sideOnly(&s, now, rng.Float64(), known) == sideOthers
 			if rng.IntN(4) == 0 && s.mayCross(now, !remote) {
 				remote = !remote
 			}
@@ -314,3 +314,9 @@
 	}
 	return float64(n) / float64(len(remote))
 }
+
+// sideOnly is sideOf without the reason.
+func sideOnly(s *regionShare, now clock.Time, hash float64, warm side) side {
+	chosen, _ := s.sideOf(now, hash, warm)
+	return chosen
+}
--- a/serve/ingress/placed.go
+++ b/serve/ingress/placed.go
@@ -33,6 +33,7 @@
 	s.core.Ask(func(_ clock.Time, r *ingress.Reducer) { placed = r.TakePlaced() })
 	for _, p := range placed {
 		s.event(eventPlaced).WithField("service", p.Service).WithField("by_region", p.ByRegion).
+			WithField("crossed", p.Crossed).WithField("slower", p.Slower).
 			WithField("kept", p.Kept).WithField("wanted", p.Wanted).Info("requests were placed")
 	}
 }
