Limit the share at each moment instead of forcing all requests to a side

What callers saw: twelve seconds after their region had come back from a loss a third of makedonia's requests to the busiest service still crossed to other regions, 110 ms for nothing, and each half second all of them or none.

Cause: an on/off control with a late measurement. The bound compared the means of two whole windows; beyond it every request was forced to a side, until means that lag by a second had followed. Its output was the next measurement: 1.000 of the requests elsewhere, then .002, then 1.000. The share that is kept to stays within a band around what ran, so it was drawn up by requests that it had not sent, and sent more.

The two tests fail before: the kept share rises where nothing is wanted; a quarter of a second lies beyond the mean of two seconds by more than the bound and chance.

Change: the history gives limits for the share at each moment, around the mean of the latest window by half of what may change in one; a share that keeps to one of them changes by just that. Each side is owed what lies below its limit, and gets as many requests as it is owed, the same objects first. The kept share is drawn towards what ran only where that is wanted.

Ruled out: a kept share that may run away from what ran (a test forbids it where the region is full).

--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -26,7 +26,8 @@
 	now, before shiftCount
 	began       clock.Time // of the window that now counts
 
-	ran shiftHistory
+	ran  shiftHistory
+	owed debts
 }
 
 // shiftCount counts the requests of one window.
@@ -90,11 +91,11 @@
 }
 
 // follow moves the target towards the wanted share, by at most the part of the
-// bound that is used, and no further than the band around the share that ran:
-// what the operators bound is the change of that. A target that had run away
-// from it, since objects stay where they are warm, forced requests back into a
-// region that was full: at one with a tenth of the slots, 3 in 100 of its
-// requests were refused beside free targets elsewhere.
+// bound that is used, and no further than the band around the share that ran.
+// A target that had run away from it, since objects stay where they are warm,
+// forced requests back into a region that was full: at one with a tenth of the
+// slots, 3 in 100 of its requests were refused beside free targets elsewhere.
+// That alone never moves it away from the wanted share.
 func (s *regionShare) follow(now clock.Time, remote bool) {
 	sample := 0.0
 	if remote {
@@ -107,6 +108,9 @@
 	band := shiftBand * s.bound
 	ran := s.target + s.off(now)
 	wanted := min(max(s.wanted, ran-band), ran+band)
+	if (wanted > s.target) != (s.wanted > s.target) {
+		return
+	}
 	s.target += min(max(wanted-s.target, -step), step)
 }
 
@@ -118,6 +122,8 @@
 		one.remote = 1
 	}
 	s.now.add(one)
+	low, high := s.ran.limits(now, s.bound)
+	s.owed.count(low, high, one)
 	s.ran.count(now, one)
 }
 
@@ -157,7 +163,8 @@
 // there is one. It goes before the hash while the share is near its target: an
 // object that changes sides starts cold there.
 func (s *regionShare) sideOf(now clock.Time, hash float64, warm side) (side, Why) {
-	forced := s.ran.forced(now, s.bound)
+	low, high := s.ran.limits(now, s.bound)
+	forced := s.owed.forced(low, high, hash)
 	switch off := s.off(now) / s.bound; {
 	case forced != sideAny:
 		return forced, WhyHistory
@@ -181,11 +188,10 @@
 // mayCross reports whether a request may go to the side to which it does not
 // belong: the share stays near its target.
 func (s *regionShare) mayCross(now clock.Time, toRemote bool) bool {
-	forced := s.ran.forced(now, s.bound)
 	if toRemote {
-		return forced != sideOwn && s.off(now) < shiftBand*s.bound
+		return s.owed.own < 1 && s.off(now) < shiftBand*s.bound
 	}
-	return forced != sideOthers && s.off(now) > -shiftBand*s.bound
+	return s.owed.others < 1 && s.off(now) > -shiftBand*s.bound
 }
 
 // sideHash places an object on the scale of a share.
