Leave requests without a choice out of a region's share

Cause: requests counted as the region's share that had one side only: those of the third of a second in which VMs are back and targets are not (512 of the busiest service at one coordinator, 'none-here' in its lines), those that cold targets have no room for, first requests of targets that have joined. The bound then allowed no faster return than from that share.

Change: only what was placed by a choice between two sides counts for the share, the kept one and the bound on its change. What has no choice doesn't become less by a bound, and no more requests follow it.

--- a/decide/ingress/history_test.go
+++ b/decide/ingress/history_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
 )
 
 // returning is a region whose requests ran elsewhere for the most part and are
@@ -90,3 +92,41 @@
 		}
 	}
 }
+
+// Guards against a region that returns from a loss and goes on sending its
+// requests elsewhere: those of the time in which it had no target count as its
+// share.
+func TestRequestsBeforeTheFirstChoiceDoNotHoldTheShareUp(t *testing.T) {
+	is := is.New(t)
+	s := newBench(t, Bounds{RegionShift: 0.15}, selfVM)
+	s.configure(1, one("a"))
+	for i := range 20 {
+		s.target(fleet.TargetID(fmt.Sprint("far", i)), "far", 3)
+	}
+	id := RequestID(0)
+	ask := func() Send {
+		id++
+		out := s.step(&Arrive{Request: id, Host: "h", Path: "/a/x", Object: fmt.Sprint("o", id%50)})
+		send := out.Sends[0]
+		s.now = s.now.Add(5 * time.Millisecond)
+		s.step(&Answered{Attempt: send.Attempt, Outcome: Served})
+		return send
+	}
+	for range 100 {
+		is.Equal(ask().Domain, fleet.Domain("far"))
+	}
+	for i := range 20 {
+		s.target(fleet.TargetID(fmt.Sprint("near", i)), "d1", 3)
+	}
+	s.r.services["svc"].objects = objects{} // its VMs were lost as well
+	away := 0
+	const asked = 400 // two seconds
+	for range asked {
+		if ask().Domain == "far" {
+			away++
+		}
+	}
+	// Both regions have as many targets: nothing is wanted elsewhere. What may
+	// run there nonetheless is a change that operators allow.
+	is.True(float64(away)/asked < 0.15)
+}
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -40,6 +40,8 @@
 	// that the own region's best target was expected to answer sooner.
 	why    Why
 	slower bool
+	// chose says that the latest choice had a target on both sides.
+	chose bool
 
 	target  *targetState
 	class   workClass
@@ -130,7 +132,11 @@
 	if t.cold(now) {
 		t.coldSends = append(t.coldSends, now)
 	}
-	j.svc.share.count(now, t.region != r.region)
+	if j.chose {
+		// What has one side only is none of the share, whose change the bound
+		// slows: counted, it would hold the share up after a lack of targets here.
+		j.svc.share.count(now, t.region != r.region)
+	}
 	j.svc.notePlaced(t.region, j, t.region != r.region)
 	if j.req != nil {
 		r.granted(now, j.req, j, t)
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -43,9 +43,11 @@
 // j waits, and nil is returned.
 func (r *Reducer) chooseAmong(now clock.Time, j *job, ejectedToo bool) *targetState {
 	if t := r.untried(now, j); t != nil {
+		j.chose = false
 		return t
 	}
 	local, remote := r.options(now, j, ejectedToo)
+	j.chose = local.t != nil && remote.t != nil
 	chosen, why := r.sideOf(now, j, local, remote)
 	best := chosen.t
 	j.why = why
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -114,7 +114,7 @@
 	s.target += min(max(wanted-s.target, -step), step)
 }
 
-// count counts a request that was placed.
+// count counts a request that was placed by a choice between two sides.
 func (s *regionShare) count(now clock.Time, remote bool) {
 	s.turn(now)
 	one := shiftCount{all: 1}
