Test: the share of a region that returns from a loss does not swing

The pattern is a region that loses its VMs for 4 s and its targets for 4.5 s, and returns to a crowd of 1.5 times its callers.

--- a/decide/emulate/emulate_test.go
+++ b/decide/emulate/emulate_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -207,3 +208,32 @@
 		}
 	}
 }
+
+// Guards against a share that swings between all and none of a region's
+// requests after the region has lost its VMs and targets: callers' latency and
+// the load of targets swing with it, however even the mean of two seconds is.
+func TestTheShareDoesNotSwingAfterALoss(t *testing.T) {
+	const (
+		region = "b"
+		window = time.Second / 2
+		first  = 11*time.Second + window // the first requests have places
+		chance = 4                       // standard deviations
+	)
+	p := patternOf(t, "lost-region", nil)
+	// What a share changes by from one window to the next that moves evenly, as
+	// fast as operators allow.
+	bound := p.RegionShift * window.Seconds() / ShiftWindow.Seconds()
+	for seed := range uint64(3) {
+		f := newRun(p, Variant{Seed: seed + 1})
+		f.play(f.over())
+		reached := f.books.reached[region]
+		for at := first; at < seconds(p.Seconds)-2*window; at += window / 2 {
+			from := f.began.Add(at)
+			s := Shift{Region: region, Second: at.Seconds()}
+			s.Before, s.After = sum(reached, from, from.Add(window)), sum(reached, from.Add(window), from.Add(2*window))
+			if s.Change() > bound+chance*s.chance() {
+				t.Fatalf("seed %d: the share changes by %.3f at %.2f s", seed, s.Change(), s.Second)
+			}
+		}
+	}
+}
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -82,6 +82,13 @@
 
 // Run plays a pattern.
 func Run(p *Pattern, v Variant) *Result {
+	f := newRun(p, v)
+	f.play(f.over())
+	return f.books.result(v)
+}
+
+// newRun prepares the play of a pattern.
+func newRun(p *Pattern, v Variant) *fleetRun {
 	f := &fleetRun{
 		p: p, variant: v, rng: rand.New(rand.NewPCG(v.Seed, 11)), now: clock.Time(time.Hour),
 		regions: make(map[fleet.Domain]fleet.Region), targets: make(map[fleet.TargetID]*target),
@@ -94,10 +101,12 @@
 	f.placeTargets()
 	f.startVMs()
 	f.after(settle, f.beginLoad)
-	f.play(f.began.Add(seconds(p.Seconds) + drainTime))
-	return f.books.result(v)
+	return f
 }
 
+// over is when the last requests have ended.
+func (f *fleetRun) over() clock.Time { return f.began.Add(seconds(f.p.Seconds) + drainTime) }
+
 func (f *fleetRun) at(at clock.Time, run func())      { f.events.Push(max(at, f.now), run) }
 func (f *fleetRun) after(d time.Duration, run func()) { f.at(f.now.Add(d), run) }
 func (f *fleetRun) second() float64                   { return f.now.Sub(f.began).Seconds() }
