Draw 120 sites where mechanisms are held to the worst tenth

The tenth of 40 sites are 4, whose standard error is itself known to two fifths; three of those lie beyond by chance once in 35 for such a few (Student's t), not once in 700 as the test says, and it asks this of twelve mechanisms.

Change: three times as many sites, the first 40 among them; the bound of three standard errors stays.

--- a/decide/emulate/sites_test.go
+++ b/decide/emulate/sites_test.go
@@ -172,7 +172,7 @@
 	return gain, stat.StdErr(deviation, float64(len(gains)))
 }
 
-var drawnSites = flag.Int("sites", 40, "how many sites TestNoMechanismHarmsTheWorstSites draws")
+var drawnSites = flag.Int("sites", 120, "how many sites TestNoMechanismHarmsTheWorstSites draws")
 
 // Pattern: deployments, loads and troubles drawn at random.
 //
