Name requests by their content in their lines

Cause of the gap: the line of a failed request held the caller's id of the attempt, which is new with each one, and neither the path nor anything derived from it. So a request that comes again could not be told from many, and the hypotheses on the query of death not from each other.

Change: a fingerprint of method, host, path with query, and body stands in each request's line.

--- /dev/null
+++ b/decide/quarantine/fingerprint_test.go
@@ -0,0 +1,48 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Two requests of different content must not be taken for one.
+func TestFingerprintsTellContentsApart(t *testing.T) {
+	is := is.New(t)
+	contents := []Content{
+		{Method: "GET", Host: "h", URI: "/a"},
+		{Method: "POST", Host: "h", URI: "/a"},
+		{Method: "GET", Host: "h/", URI: "a"},
+		{Method: "GET", Host: "h", URI: "/a?b"},
+		{Method: "GET", Host: "h", URI: "/a", Caller: "c"},
+		{Method: "GET", Host: "h", URI: "/a", Body: []byte("c")},
+	}
+	seen := make(map[Fingerprint]int)
+	for i, c := range contents {
+		f := FingerprintOf(c)
+		is.Equal(f, FingerprintOf(c))
+		if other, ok := seen[f]; ok {
+			t.Fatalf("contents %d and %d have one fingerprint", other, i)
+		}
+		seen[f] = i
+	}
+}
+
+func TestFingerprintIsReadAsItIsWritten(t *testing.T) {
+	is := is.New(t)
+	f := FingerprintOf(Content{Method: "GET", URI: "/a"})
+	text, err := f.MarshalText()
+	is.NoErr(err)
+	var read Fingerprint
+	is.NoErr(read.UnmarshalText(text))
+	is.Equal(read, f)
+	is.True(read.UnmarshalText(text[1:]) != nil)
+	is.True(read.UnmarshalText([]byte("zz"+string(text[2:]))) != nil)
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	c := Content{Method: "GET", Host: "shop.example", URI: "/lookup/4a/665c"}
+	for b.Loop() {
+		FingerprintOf(c)
+	}
+}
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/heads"
 	"github.com/azurethread/azurethread/serve/inbound"
@@ -20,6 +21,8 @@
 	id ingress.RequestID
 	x  *inbound.Exchange
 	at clock.Time // when it came
+	// fingerprint is that of the request's content.
+	fingerprint quarantine.Fingerprint
 	// patience is how long the caller waits; 0: not stated.
 	patience time.Duration
 
@@ -84,6 +87,7 @@
 	object := x.Header.Get(s.set.Fields.Object)
 	k := s.calls.add(x, s.now())
 	k.patience = patience
+	k.fingerprint = quarantine.FingerprintOf(quarantine.Content{Method: x.Method, Host: host, URI: x.URI, Body: x.Body})
 	s.core.Post(&ingress.Arrive{
 		Request: k.id, Host: host, Path: x.URI, Object: object, Patience: patience, Bytes: len(x.Body),
 	})
--- a/serve/ingress/events.go
+++ b/serve/ingress/events.go
@@ -133,6 +133,7 @@
 		"vm":            s.set.Self.ID,
 		"method":        k.x.Method,
 		"host":          k.x.Header.Get("Host"),
+		"fingerprint":   k.fingerprint,
 		"status":        status,
 		"verdict":       v,
 		"reason":        why,
--- a/serve/ingress/lines_test.go
+++ b/serve/ingress/lines_test.go
@@ -45,6 +45,8 @@
 	Reason  verdict.Reason  `json:"reason"`
 	Sends   []sendStep      `json:"sends"`
 	Config  uint64          `json:"config"`
+
+	Fingerprint string `json:"fingerprint"`
 }
 
 func (l *lines) of(w *world, id string) requestLine {
@@ -197,3 +199,22 @@
 		s.requestLine(k, http.StatusOK, verdict.Ran, verdict.ReasonNone).Info("answered by a target")
 	}
 }
+
+// Nobody can tell from the lines that a failed request came again: each attempt
+// of its caller has another id.
+func TestLinesOfEqualRequestsShareAFingerprint(t *testing.T) {
+	is := is.New(t)
+	log := new(lines)
+	w := newWorld(t, plain(true))
+	w.log = log
+	s := w.entry("vm-1")
+	fingerprint := func(path, id string) string {
+		res, _ := ask(t, s, http.MethodGet, path, id)
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+		return log.of(w, id).Fingerprint
+	}
+	first := fingerprint("/a", "id-1")
+	is.True(first != "")
+	is.Equal(fingerprint("/a", "id-2"), first)
+	is.True(fingerprint("/b", "id-3") != first)
+}
