Tests of queries of death in the emulator, known red

What callers see: a request that ends each target that runs it takes target after target, and what else runs there is lost with them.

The emulator gets such requests (event query-of-death) and counts ends, sends that come later than 4 s after the third end, and requests of others that are lost.

Arrive carries the fingerprint from now on; nothing decides by it yet.

--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -21,6 +22,8 @@
 	window  int // of the result, in which it came
 	done    bool
 	tried   []*vm // that could not be reached
+	content quarantine.Fingerprint
+	deadly  *deadly // nil: a usual caller
 }
 
 // try is one attempt of a caller at an entry VM.
@@ -61,6 +64,7 @@
 	if k.Objects > 0 {
 		c.object = fmt.Sprintf("%s/%s/%d", d.Region, k.Name, f.rng.IntN(k.Objects))
 	}
+	c.content = f.content(k)
 	f.books.asked(c, f.second())
 	f.attempt(c)
 }
@@ -107,7 +111,7 @@
 		v.open[v.last] = q
 		f.step(v, &ingress.Arrive{
 			Request: v.last, Host: "h", Path: "/" + c.kind.Name + "/x", Object: c.object,
-			Patience: c.due.Sub(f.now), Bytes: c.kind.BodyBytes,
+			Patience: c.due.Sub(f.now), Bytes: c.kind.BodyBytes, Fingerprint: c.content,
 		})
 	})
 }
@@ -144,13 +148,21 @@
 		return
 	}
 	if !f.now.Before(c.due) {
-		c.done = true
+		f.finished(c)
 		f.books.failed(c)
 		return
 	}
 	f.attempt(c)
 }
 
+// finished notes that c has its final answer or none.
+func (f *fleetRun) finished(c *caller) {
+	c.done = true
+	if c.deadly != nil {
+		f.deadlyAgain(c.deadly)
+	}
+}
+
 // delivered takes a target's answer.
 func (f *fleetRun) delivered(v *vm, d ingress.Deliver) {
 	q := v.open[d.Request]
@@ -159,7 +171,7 @@
 		return
 	}
 	f.after(millis(f.p.Network.CallerMS), func() {
-		q.done = true
+		f.finished(q.caller)
 		f.books.answered(q, f.now.Sub(q.began))
 	})
 }
@@ -177,7 +189,7 @@
 	}
 	repeat := e.Verdict.MayRepeat(q.kind.Idempotent) && e.Reason != verdict.ReasonDeadline
 	if !repeat || q.retries == 0 {
-		q.done = true
+		f.finished(q.caller)
 		f.books.refused(q.caller, e.Reason)
 		return
 	}
@@ -195,7 +207,7 @@
 			continue
 		}
 		if !q.kind.Idempotent && q.sends > 0 || q.retries == 0 {
-			q.done = true
+			f.finished(q.caller)
 			f.books.failed(q.caller)
 			continue
 		}
--- /dev/null
+++ b/decide/emulate/deadly_test.go
@@ -0,0 +1,58 @@
+package emulate
+
+import (
+	"fmt"
+	"testing"
+)
+
+// queryOfDeath is a pattern in which a caller sends a query of death all day.
+func queryOfDeath(t *testing.T, change func(*Pattern)) *Pattern {
+	return pattern(t, func(p *Pattern) {
+		p.Events = []Event{{Kind: QueryOfDeath, At: 4, For: 18, Service: "read", Domain: "a1"}}
+		if change != nil {
+			change(p)
+		}
+	})
+}
+
+// maxLateSends is how often a query of death may reach targets once the fleet
+// must know it.
+const maxLateSends = 3
+
+// A request that ends every target that runs it is sent to target after target,
+// as each attempt of its caller looks new.
+func TestQueryOfDeathIsKeptFromTargets(t *testing.T) {
+	patterns := map[string]func(*Pattern){
+		"one caller":            nil,
+		"it comes very often":   func(p *Pattern) { p.Events[0].X = 0.1 },
+		"it comes now and then": func(p *Pattern) { p.Events[0].X = 3 },
+		"little else comes": func(p *Pattern) {
+			for i := range p.Domains {
+				p.Domains[i].PerSecond = 2
+			}
+		},
+		"callers of two regions": func(p *Pattern) {
+			other := p.Events[0]
+			other.Domain = "c1"
+			p.Events = append(p.Events, other)
+		},
+		"entry VMs are restarted": func(p *Pattern) {
+			p.Events = append(p.Events, Event{Kind: KillVMs, At: 9, For: 1, Domain: "a1"})
+		},
+	}
+	for name, change := range patterns {
+		t.Run(name, func(t *testing.T) {
+			p := queryOfDeath(t, change)
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					for _, d := range Run(p, Variant{Seed: seed}).Deadly {
+						t.Logf("%+v", d)
+						if d.Late > maxLateSends {
+							t.Errorf("%d sends reached targets %v after the third end or later, %d are allowed", d.Late, DeadlyGrace, maxLateSends)
+						}
+					}
+				})
+			}
+		})
+	}
+}
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -35,6 +35,8 @@
 	case ShedTargets:
 		f.eachTarget(e, func(t *target) { t.shed = e.X })
 		f.after(last, func() { f.eachTarget(e, func(t *target) { t.shed = 0 }) })
+	case QueryOfDeath:
+		f.beginDeadly(e)
 	}
 }
 
@@ -109,6 +111,7 @@
 				continue
 			}
 			s.run.over = true
+			f.books.lost(s.q)
 			f.after(f.way(t.reg.Domain, v.self.Domain), func() {
 				f.end(s, &ingress.Failed{
 					Attempt: s.id, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost,
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -38,6 +38,7 @@
 	targets map[fleet.TargetID]*target
 	order   []*target // in the order in which they were made
 	load    map[fleet.Domain]float64
+	last    uint64 // number of the latest content that is sent once only
 	books   books
 }
 
@@ -313,7 +314,7 @@
 			})
 			return
 		}
-		f.books.reach(f.now, q.domain.Region, t.region)
+		f.books.reach(f.now, q, t.region)
 		s.run = &run{send: s, object: q.object, start: t.reg.Born}
 		t.take(f, s.run)
 	})
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -74,6 +74,7 @@
 	Spread     float64           `json:"spread"`      // of the work: it lies within this part above or below
 	WarmGain   float64           `json:"warm_gain"`   // part of the work that a remembered object saves
 	Objects    int               `json:"objects"`     // in each region
+	Contents   int               `json:"contents"`    // different requests; 0: no two are the same
 	BodyBytes  int               `json:"body_bytes"`
 	Retries    int               `json:"retries"` // attempts of a caller after its first
 	Worth      float64           `json:"worth"`   // of an answer within the aim
@@ -102,9 +103,13 @@
 	// ShedTargets has a share of a service's targets refuse the part X of their
 	// requests.
 	ShedTargets EventKind = "shed-targets"
+	// QueryOfDeath has a caller of Domain send a request to Service that ends
+	// each target that runs it, and the same one again X seconds after each end
+	// of its attempts.
+	QueryOfDeath EventKind = "query-of-death"
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets}
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, QueryOfDeath}
 
 // Event is something that happens to the deployment.
 type Event struct {
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -58,6 +58,8 @@
 	// WorstShift is the change of a region's share that exceeds the operators'
 	// bound most, of all windows of the play.
 	WorstShift Shift `json:"worst_shift"`
+	// Deadly is what queries of death have done, in the order of their events.
+	Deadly []Deadly `json:"deadly,omitempty"`
 }
 
 // Causes of late answers.
@@ -108,6 +110,8 @@
 	pattern *Pattern
 	began   clock.Time               // of the load
 	reached map[fleet.Region][]reach // by the region of the callers
+	deadly  []*Deadly
+	ending  *deadly // under which a target ends right now; nil: none
 }
 
 func (b *books) begin(p *Pattern, began clock.Time) {
@@ -130,6 +134,9 @@
 
 // each changes all tallies that a caller belongs to.
 func (b *books) each(c *caller, change func(*Tally)) {
+	if c.deadly != nil {
+		return // nobody misses its answer
+	}
 	for _, t := range []*Tally{&b.r.All, b.r.Kinds[c.kind.Name], b.r.Domains[c.domain.Name], b.r.Windows[c.window]} {
 		change(t)
 	}
@@ -145,6 +152,9 @@
 
 // answered counts an answer that came after took.
 func (b *books) answered(q *try, took time.Duration) {
+	if q.deadly != nil {
+		return
+	}
 	k := q.kind
 	if took <= millis(k.AimMS) {
 		b.each(q.caller, func(t *Tally) {
@@ -168,11 +178,19 @@
 }
 
 // reach counts a request of callers of one region that has reached a target.
-func (b *books) reach(now clock.Time, from, to fleet.Region) {
+func (b *books) reach(now clock.Time, q *try, to fleet.Region) {
+	if q.deadly != nil {
+		b.reachDeadly(now, q.deadly)
+		return
+	}
+	from := q.domain.Region
 	b.reached[from] = append(b.reached[from], reach{at: now, away: from != to})
 }
 
 func (b *books) refused(c *caller, why verdict.Reason) {
+	if c.deadly != nil {
+		return
+	}
 	b.r.Refusals[why]++
 	b.each(c, func(t *Tally) { t.Refused++ })
 }
@@ -181,6 +199,9 @@
 
 func (b *books) result(v Variant) *Result {
 	b.r.Seed = v.Seed
+	for _, d := range b.deadly {
+		b.r.Deadly = append(b.r.Deadly, *d)
+	}
 	b.r.WorstShift = b.worstShift(b.pattern.RegionShift, ShiftWindow, seconds(b.pattern.Seconds))
 	return &b.r
 }
--- a/decide/emulate/target.go
+++ b/decide/emulate/target.go
@@ -74,6 +74,10 @@
 	t.running++
 	took := t.work(f, r.send.q.kind, r.object)
 	start := t.reg.Born
+	if r.send.q.deadly != nil {
+		f.after(deadlyWork, func() { f.endUnder(t, r, start) })
+		return
+	}
 	f.after(took, func() {
 		if t.reg.Born != start || t.down {
 			return // it has ended meanwhile
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -65,6 +66,8 @@
 	// Patience is how long the caller waits; 0: not stated.
 	Patience time.Duration
 	Bytes    int // of the body
+	// Fingerprint is that of its content.
+	Fingerprint quarantine.Fingerprint
 }
 
 // CallerGone says that the caller of a request has closed its connection.
