Keep requests that end targets away from them

One request took 19 and 27 targets of a service that has 14 at a time; in the worst five seconds 802 of 1,706 other requests were late or refused.

Cause: nothing names a request across the attempts of its caller. Each attempt has an id of its own and comes to any entry VM, so each was new and was sent to as many targets as its route allows. The class: work that is harmful by its content, repeated because each try looks new. Ruled out: many sends within one attempt (two, as allowed), and ends by other causes.

Change: decide/quarantine counts the starts of targets that ended under a fingerprint, one after the other and without an answer; three of them keep it away from targets, on all entry VMs. An end is proved by a refused connection, a new start or a taken address, not by a lost connection. A whole answer clears all. Two arbiters count, from the second end on all VMs are told, and the store holds what is kept away for those that start. The send after a loss goes where fewest others run, and no attempt puts a third target at risk.

--- a/decide/emulate/deadly.go
+++ b/decide/emulate/deadly.go
@@ -1,12 +1,15 @@
 package emulate
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/quarantine"
 )
 
@@ -132,3 +135,26 @@
 	binary.BigEndian.PutUint64(f[:], n)
 	return f
 }
+
+// keepQuarantine carries a change of a quarantine to the store, of which all
+// entry VMs learn.
+func (f *fleetRun) keepQuarantine(q *ingress.Quarantine) {
+	fp := q.Record.Fingerprint
+	switch {
+	case q.Keep:
+		rec := q.Record
+		f.kept[fp] = &rec
+	case q.Remove:
+		delete(f.kept, fp)
+	default:
+		return
+	}
+	f.tellAll(func() ingress.Event { return &ingress.QuarantineRead{Fingerprint: fp, Record: f.kept[fp]} })
+}
+
+// sortedFingerprints returns the keys of a map in order, so that plays repeat.
+func sortedFingerprints[V any](m map[quarantine.Fingerprint]V) []quarantine.Fingerprint {
+	keys := slices.Collect(maps.Keys(m))
+	slices.SortFunc(keys, func(a, b quarantine.Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return keys
+}
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -38,7 +39,8 @@
 	targets map[fleet.TargetID]*target
 	order   []*target // in the order in which they were made
 	load    map[fleet.Domain]float64
-	last    uint64 // number of the latest content that is sent once only
+	kept    map[quarantine.Fingerprint]*quarantine.Record // in the store
+	last    uint64                                        // number of the latest content that is sent once only
 	books   books
 }
 
@@ -96,6 +98,7 @@
 		load: make(map[fleet.Domain]float64), byID: make(map[fleet.VMID]*vm),
 		inDomain: make(map[fleet.Domain][]*vm), inRegion: make(map[fleet.Region][]*vm),
 	}
+	f.kept = make(map[quarantine.Fingerprint]*quarantine.Record)
 	f.began = f.now.Add(settle)
 	f.books.begin(p, f.began)
 	f.configure()
@@ -208,6 +211,9 @@
 		members[i] = o.self
 	}
 	f.step(v, &ingress.MembersChanged{VMs: members})
+	for _, fp := range sortedFingerprints(f.kept) {
+		f.step(v, &ingress.QuarantineRead{Fingerprint: fp, Record: f.kept[fp]})
+	}
 }
 
 // registration is what t says of itself at now.
@@ -247,6 +253,12 @@
 	for i := range out.Sends {
 		f.send(v, &out.Sends[i])
 	}
+	for i := range out.Quarantines {
+		f.keepQuarantine(&out.Quarantines[i])
+	}
+	for _, p := range out.Probes {
+		f.probe(v, p)
+	}
 	for _, tell := range out.Tells {
 		f.tell(v, tell)
 	}
@@ -341,6 +353,23 @@
 	f.step(s.vm, ev)
 }
 
+// probe tells an entry VM whether a target listens.
+func (f *fleetRun) probe(v *vm, p ingress.Probe) {
+	t, starts := f.targets[p.Target], v.starts
+	way := f.way(v.self.Domain, t.reg.Domain)
+	f.after(way, func() {
+		found := ingress.ListeningYes
+		if t.down {
+			found = ingress.ListeningNo
+		}
+		f.after(way, func() {
+			if v.starts == starts {
+				f.step(v, &ingress.Probed{Target: p.Target, Born: p.Born, Listening: found})
+			}
+		})
+	})
+}
+
 func (f *fleetRun) cancel(v *vm, id ingress.AttemptID) {
 	s := v.attempts[id]
 	if s == nil {
--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -48,6 +48,7 @@
 	case ServerError:
 		r.serverError(now, a)
 	case Served:
+		r.clearQuarantine(now, q.fingerprint)
 		q.svc.noteServed(now, q.object, t)
 		r.deliver(now, a)
 	}
@@ -116,6 +117,9 @@
 		rep.Result = ResultUnreachable
 	}
 	r.endAttempt(now, a, rep)
+	if ev.Verdict != verdict.NotRun {
+		r.lostUnder(now, a, ev.Reason)
+	}
 	if ev.Verdict == verdict.NotRun {
 		r.notRun(now, a.req, ev.Reason)
 	} else {
@@ -136,7 +140,8 @@
 		t.refused(now, rep.Load)
 		r.reportedBy(now, t)
 	case ResultMisdirected:
-		t.Draining = true // its address belongs to another target
+		r.ended(now, t) // its address belongs to another target
+		t.Draining = true
 		r.list(now, t)
 		r.believe(t, "address taken over", 0)
 	case ResultFailed:
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/rank"
 )
 
@@ -78,7 +79,7 @@
 	a := Ask{
 		ID: r.nextAsk, Service: q.svc.name, Route: q.route.Name, Object: q.object,
 		Domain: r.opts.Domain, Priority: q.route.Priority, Large: r.large(q), Homes: q.route.Homes,
-		Tried: q.tried, Recalled: r.recalledAt(now, q.svc, q.object),
+		Alone: r.mayBeDeadly(now, q), Tried: q.tried, Recalled: r.recalledAt(now, q.svc, q.object),
 		Wait: max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
 	}
 	to := r.placer(now, q.svc.name)
@@ -158,6 +159,8 @@
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok {
 			r.withdraw(now, j)
 		}
+	case *quarantine.Record:
+		r.heardQuarantine(now, m)
 	case *Report:
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok && j.state == jobPlaced {
 			r.release(now, j, m)
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -137,6 +137,33 @@
 	Reason  verdict.Reason
 }
 
+// Probed is the outcome of a Probe.
+type Probed struct {
+	Target    fleet.TargetID
+	Born      int64
+	Listening Listening
+}
+
+// Listening says whether a process listens at a target's address.
+type Listening uint8
+
+const (
+	// ListeningUnknown means that there was no word from the target's host.
+	ListeningUnknown Listening = iota
+	// ListeningNo means that the host has refused a connection: nobody listens.
+	ListeningNo
+	// ListeningYes means that a connection was opened.
+	ListeningYes
+)
+
+// QuarantineRead is what the store says of a fingerprint.
+type QuarantineRead struct {
+	Fingerprint quarantine.Fingerprint
+	// Record is what stands there; nil: it was taken out, and the quarantine is
+	// lifted.
+	Record *quarantine.Record
+}
+
 // Bounded changes the operators' limits, and for how long a target serves after
 // its registration has gone.
 type Bounded struct {
@@ -160,6 +187,23 @@
 	Spare bool
 }
 
+// Probe asks whether a target listens: a connection is to be opened and closed.
+type Probe struct {
+	Target fleet.TargetID
+	Born   int64 // tells the starts of a target apart
+	Addr   string
+	Wait   time.Duration // for the connection
+}
+
+// Quarantine is a change of what is kept away from targets, for the log and the
+// store.
+type Quarantine struct {
+	Record quarantine.Record
+	// Keep asks for the record to be kept in the store, and Remove for what
+	// stands there to be taken out.
+	Keep, Remove bool
+}
+
 // Cancel asks for an attempt to be given up.
 type Cancel struct {
 	Request RequestID
@@ -202,6 +246,9 @@
 	// Restarted are addresses of targets that have started again: connections
 	// kept to them lead to processes that have ended.
 	Restarted []string
+	// Probes are asked of targets that may have ended.
+	Probes      []Probe
+	Quarantines []Quarantine
 	// Wake is when Tick is due at the latest.
 	Wake clock.Time
 }
@@ -216,5 +263,7 @@
 	r.Tells = r.Tells[:0]
 	r.Beliefs = r.Beliefs[:0]
 	r.Restarted = r.Restarted[:0]
+	r.Probes = r.Probes[:0]
+	r.Quarantines = r.Quarantines[:0]
 	r.Wake = clock.Never
 }
--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -30,6 +32,8 @@
 
 	repeats  []clock.Time // sends beyond the first of a request
 	requests []clock.Time
+
+	contents deadlyContents
 }
 
 type simVM struct {
@@ -52,6 +56,7 @@
 	// mayRun says that a send may have run or still may.
 	mayRun  bool
 	running map[AttemptID]bool
+	content quarantine.Fingerprint
 }
 
 type simTarget struct {
@@ -60,6 +65,15 @@
 	cold      clock.Time
 	coldSends []clock.Time
 	running   int
+	// under are the requests that it has, by what ends them with it.
+	under map[simAttempt]func()
+	down  bool
+}
+
+// simAttempt names an attempt of one of the entry VMs.
+type simAttempt struct {
+	vm *simVM
+	id AttemptID
 }
 
 // The simulated deployment.
@@ -121,7 +135,7 @@
 		s.final(vm, id)
 	}
 	for _, d := range out.Delivers {
-		s.final(vm, d.Request)
+		s.contents.answered(s.final(vm, d.Request).content)
 	}
 	for _, f := range out.Refusals {
 		s.refused(vm, f)
@@ -129,6 +143,12 @@
 	for _, e := range out.Sends {
 		s.send(vm, e)
 	}
+	for _, p := range out.Probes {
+		s.probe(vm, p)
+	}
+	for i := range out.Quarantines {
+		s.keep(&out.Quarantines[i])
+	}
 	for _, tell := range out.Tells {
 		s.tell(vm, tell)
 	}
@@ -163,6 +183,7 @@
 
 func (s *fleetSim) refused(vm *simVM, f Refusal) {
 	q := s.final(vm, f.Request)
+	s.keptAway(q, f)
 	if f.Verdict == verdict.NotRun && (q.mayRun || len(q.running) > 0) {
 		s.t.Fatalf("%s: request %d is said not to have run, but may have", vm.id, f.Request)
 	}
@@ -209,11 +230,39 @@
 
 // answer draws what becomes of a send.
 func (s *fleetSim) answer(vm *simVM, q *simRequest, t *simTarget, id AttemptID) {
+	if t.down {
+		s.after(time.Millisecond, func() {
+			if q.running[id] {
+				delete(q.running, id)
+				delete(vm.owner, id)
+				s.step(vm, &Failed{Attempt: id, Verdict: verdict.NotRun, Reason: verdict.ReasonConnect})
+			}
+		})
+		return
+	}
+	s.reached(q, t)
 	t.running++
 	load := Load{Known: true, Running: min(t.running, t.Slots), Waiting: max(0, t.running-t.Slots), Slots: t.Slots}
 	took := time.Duration(20+s.rng.IntN(100)) * time.Millisecond
+	key, born := simAttempt{vm, id}, t.Born
+	t.under[key] = func() {
+		if q.running[id] {
+			delete(q.running, id)
+			delete(vm.owner, id)
+			q.mayRun = true
+			s.step(vm, &Failed{Attempt: id, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+		}
+	}
+	if q.content == s.contents.deadly {
+		s.after(took, func() { s.endTarget(t, born, true) })
+		return
+	}
 	end := func(d time.Duration, mayRun bool, ev func() Event) {
 		s.after(d, func() {
+			if t.Born != born || t.down {
+				return // it has ended meanwhile
+			}
+			delete(t.under, key)
 			t.running--
 			if !q.running[id] {
 				return // cancelled
@@ -271,13 +320,13 @@
 	vm.last++
 	q := &simRequest{
 		id: vm.last, idempotent: rt.Idempotent, homes: rt.Homes,
-		due: s.now.Add(patience(rt, wait)), running: make(map[AttemptID]bool),
+		due: s.now.Add(patience(rt, wait)), running: make(map[AttemptID]bool), content: s.drawContent(),
 	}
 	vm.open[q.id] = q
 	s.requests = append(s.requests, s.now)
 	s.step(vm, &Arrive{
 		Request: q.id, Host: "h", Path: rt.Prefix + "x",
-		Object: fmt.Sprintf("o%d", s.rng.IntN(20)), Patience: wait,
+		Object: fmt.Sprintf("o%d", s.rng.IntN(20)), Patience: wait, Fingerprint: q.content,
 	})
 	if s.rng.IntN(20) == 0 {
 		s.after(time.Duration(s.rng.IntN(200))*time.Millisecond, func() {
@@ -290,13 +339,17 @@
 
 // change starts, drains or removes a target, or evacuates a failure domain.
 func (s *fleetSim) change(n int) {
-	switch s.rng.IntN(5) {
+	switch s.rng.IntN(6) {
+	case 5:
+		if t := s.anyTarget(); t != nil {
+			s.endTarget(t, t.Born, false)
+		}
 	case 0, 1:
 		d := simDomains[s.rng.IntN(len(simDomains))]
 		t := &simTarget{region: simRegions[d], Target: Target{
 			ID: fleet.TargetID(fmt.Sprintf("t-%d", n)), Domain: d, Slots: 1 + s.rng.IntN(4),
-			Service: fleet.ServiceName(fmt.Sprintf("s%d", 1+s.rng.IntN(2))), Addr: "10.0.0.1:1",
-		}}
+			Service: fleet.ServiceName(fmt.Sprintf("s%d", 1+s.rng.IntN(2))), Addr: "10.0.0.1:1", Born: 1,
+		}, under: make(map[simAttempt]func())}
 		if s.rng.IntN(2) == 0 {
 			t.Cold = 3 * time.Second
 			t.cold = s.now.Add(t.Cold)
@@ -318,17 +371,18 @@
 }
 
 func (s *fleetSim) anyTarget() *simTarget {
-	var ids []fleet.TargetID
-	for id := range s.targets {
-		ids = append(ids, id)
-	}
+	ids := s.targetIDs()
 	if len(ids) == 0 {
 		return nil
 	}
-	slices.Sort(ids)
 	return s.targets[ids[s.rng.IntN(len(ids))]]
 }
 
+// targetIDs returns the ids of all targets in order.
+func (s *fleetSim) targetIDs() []fleet.TargetID {
+	return slices.Sorted(maps.Keys(s.targets))
+}
+
 func (s *fleetSim) all(ev Event) {
 	for _, vm := range s.vms {
 		s.step(vm, ev)
@@ -391,6 +445,7 @@
 				t.Fatalf("%d of 1500 requests have ended", s.finals)
 			}
 			s.checkRepeats()
+			s.checkDeadly()
 		})
 	}
 }
--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -39,11 +39,14 @@
 	Ejection
 	// SpareConnections keep one connection free to targets of other regions.
 	SpareConnections
+	// Quarantining keeps requests away that end the targets that run them.
+	Quarantining
 )
 
 var mechanismNames = []string{
 	"recall", "coordinators", "second-send", "headroom", "elsewhere", "large-bodies",
 	"carriage", "wait-at-target", "first-choice", "joined", "ejection", "spare-connections",
+	"quarantining",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -26,6 +26,7 @@
 	Homes    []fleet.Region
 	Tried    []fleet.TargetID // targets it has been sent to
 	Recalled fleet.TargetID   // where the asking VM's last request for the object ran; "": not known
+	Alone    bool             // it may end its target: where fewest others run
 	Wait     time.Duration    // that it may wait for a target
 	Left     time.Duration    // until its final answer is due
 }
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -46,6 +46,9 @@
 		j.chose = false
 		return t
 	}
+	if j.Alone {
+		return r.leastBusy(now, j, ejectedToo)
+	}
 	local, remote := r.options(now, j, ejectedToo)
 	j.chose = local.t != nil && remote.t != nil
 	chosen, why := r.sideOf(now, j, local, remote)
--- a/decide/ingress/placed.go
+++ b/decide/ingress/placed.go
@@ -37,6 +37,7 @@
 	WhyFull    Why = "full-here" // the side to which it belongs has no free slot and is slower
 
 	WhyOnly  Why = "only"  // no target elsewhere may take it
+	WhyAlone Why = "alone" // it may end its target
 	WhyHomes Why = "homes" // its route is bound to regions
 
 	// No target of the own region may take it; the rest of the name says what
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 )
 
@@ -43,6 +44,9 @@
 	attempts    map[AttemptID]*attempt
 	nextAttempt AttemptID
 	timers      timers
+
+	quarantine quarantine.List
+	enforcing  []quarantine.Fingerprint // came into quarantine in this step
 }
 
 // New returns a Reducer that knows no configuration.
@@ -96,12 +100,17 @@
 		r.pump(now)
 	case *Heard:
 		r.heard(now, ev)
+	case *Probed:
+		r.probed(now, ev)
+	case *QuarantineRead:
+		r.quarantineRead(now, ev)
 	case *Bounded:
 		r.opts.Bounds, r.opts.Drain = ev.Bounds, ev.Drain
 	case *Tick:
 	}
 	r.expireLapsed(now)
 	r.expire(now)
+	r.enforce(now)
 	out.Wake = clock.Min(r.timers.next(), r.lapses)
 	r.out = nil
 }
@@ -135,9 +144,13 @@
 }
 
 func (r *Reducer) fire(now clock.Time, t timer) {
-	if t.purpose == dueJob {
+	switch t.purpose {
+	case dueJob:
 		r.jobDue(now, t.job)
 		return
+	case dueQuarantine:
+		r.expireQuarantine(now)
+		return
 	}
 	q, ok := r.requests[t.request]
 	if !ok {
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -26,8 +27,14 @@
 	verdict verdict.Verdict // of all attempts that have ended
 	reason  verdict.Reason  // of the last one
 	room    time.Duration   // after which there may be a target for it; 0: not known
-	job     *job            // in search of a target here
-	asking  *asking         // in search of a target elsewhere
+	// fingerprint is that of its content.
+	fingerprint quarantine.Fingerprint
+	// losses is how many sends ended with their connection, and trial says that
+	// it is let through although its fingerprint is in quarantine.
+	losses int
+	trial  bool
+	job    *job    // in search of a target here
+	asking *asking // in search of a target elsewhere
 }
 
 // attempt is one send of a request.
@@ -80,7 +87,13 @@
 	}
 	q := &request{
 		id: ev.Request, route: rt, object: ev.Object, bytes: ev.Bytes, arrived: now,
-		svc: r.serviceOf(r.split(rt)), verdict: verdict.NotRun,
+		svc: r.serviceOf(r.split(rt)), verdict: verdict.NotRun, fingerprint: ev.Fingerprint,
+	}
+	if wait, kept := r.keptAway(now, q); kept {
+		r.out.Refusals = append(r.out.Refusals, Refusal{
+			Request: q.id, Verdict: verdict.NotRun, Reason: verdict.ReasonQuarantined, RetryAfter: wait,
+		})
+		return
 	}
 	q.due = now.Add(patience(rt, ev.Patience))
 	r.requests[q.id] = q
@@ -134,7 +147,7 @@
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr,
 		Left:    q.due.Sub(now),
-		Connect: connectFloor + time.Duration(connectTrips*r.trip(t.region)),
+		Connect: r.connectBound(t),
 		Spare:   t.region != r.region && r.on(SpareConnections),
 	})
 	if q.route.Idempotent && q.mayRepeat(now) {
@@ -142,6 +155,11 @@
 	}
 }
 
+// connectBound is how long opening a connection to t may take.
+func (r *Reducer) connectBound(t *targetState) time.Duration {
+	return connectFloor + time.Duration(connectTrips*r.trip(t.region))
+}
+
 // denied ends a search for a target without one. room is when there may be one.
 func (r *Reducer) denied(now clock.Time, q *request, why verdict.Reason, room time.Duration) {
 	q.job = nil
@@ -164,7 +182,7 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if !r.on(SecondSend) || len(q.running) != 1 || q.searching() || !q.mayRepeat(now) {
+	if !r.on(SecondSend) || len(q.running) != 1 || q.searching() || !q.mayRepeat(now) || !r.mayTryAnother(now, q) {
 		return
 	}
 	a := q.running[0]
@@ -190,7 +208,7 @@
 	if len(q.running) > 0 || q.searching() {
 		return // another attempt is still under way, or about to be
 	}
-	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRepeat(now)
+	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRepeat(now) && r.mayTryAnother(now, q)
 	if !allowed || !q.svc.repeats.spend() {
 		r.giveUp(now, q)
 		return
--- a/decide/ingress/restart_test.go
+++ b/decide/ingress/restart_test.go
@@ -133,7 +133,7 @@
 			s.loss = float64(seed%4) / 20
 			for i := range 8 {
 				d := simDomains[i%len(simDomains)]
-				tg := &simTarget{region: simRegions[d], Target: Target{
+				tg := &simTarget{under: make(map[simAttempt]func()), region: simRegions[d], Target: Target{
 					ID: fleet.TargetID(fmt.Sprint("t-", i)), Domain: d, Slots: 3, Born: 1,
 					Service: fleet.ServiceName(fmt.Sprint("s", 1+i%2)), Addr: "10.0.0.1:1",
 				}}
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -13,6 +13,10 @@
 	Asks     int                                 `json:"asks"`     // unanswered by coordinators
 	Timers   int                                 `json:"timers"`
 	Services map[fleet.ServiceName]ServiceStatus `json:"services"`
+	// Suspects are the fingerprints that are known to have been at the end of a
+	// target, and Quarantined those of them that are kept away from targets.
+	Suspects    int `json:"suspects"`
+	Quarantined int `json:"quarantined"`
 }
 
 // ServiceStatus is what the reducer holds of one service.
@@ -30,6 +34,7 @@
 func (r *Reducer) Status(now clock.Time) Status {
 	st := Status{
 		Requests: len(r.requests), Jobs: len(r.jobs), Asks: len(r.asks), Timers: r.timers.Len(),
+		Suspects: r.quarantine.Len(), Quarantined: r.quarantine.Quarantined(),
 		Services: make(map[fleet.ServiceName]ServiceStatus, len(r.services)),
 	}
 	for name, s := range r.services {
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -37,9 +37,15 @@
 	// untried says that the target has joined a running system and no request
 	// was placed there yet.
 	untried bool
-	speed   target.Mean
-	awaited int    // waiting jobs that would go to the target
-	waiters []*job // those that consider it
+	// hasEnded says that this start is known to have ended. lost are the requests
+	// that were under way when their connections did, while that is not known,
+	// and probing says that the target is being asked.
+	hasEnded bool
+	lost     []lostRequest
+	probing  bool
+	speed    target.Mean
+	awaited  int    // waiting jobs that would go to the target
+	waiters  []*job // those that consider it
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
@@ -146,6 +152,7 @@
 
 // removeTarget forgets a target. What is under way there still counts on it.
 func (r *Reducer) removeTarget(now clock.Time, t *targetState) {
+	r.ended(now, t)
 	delete(r.targets, t.ID)
 	t.gone = true
 	t.svc.targets = deleteByID(t.svc.targets, t)
@@ -192,6 +199,7 @@
 // may run again are sent elsewhere now; a late answer still counts.
 func (r *Reducer) leaveStart(now clock.Time, old *targetState) {
 	r.believe(old, "started again", 0)
+	r.endedUnderAll(now, old)
 	r.out.Restarted = append(r.out.Restarted, old.Addr)
 	for _, a := range r.attemptsAt(old) {
 		if q := a.req; q.route.Idempotent {
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -10,10 +10,11 @@
 type purpose uint8
 
 const (
-	dueAnswer purpose = iota // the request must have its final answer
-	dueHedge                 // it may be sent a second time
-	dueAsk                   // its coordinator must have answered
-	dueJob                   // the job's wait or place ends
+	dueAnswer     purpose = iota // the request must have its final answer
+	dueHedge                     // it may be sent a second time
+	dueAsk                       // its coordinator must have answered
+	dueJob                       // the job's wait or place ends
+	dueQuarantine                // a fingerprint need not be kept away any more
 )
 
 // timer is one thing that is due for a request. Timers are not removed when
--- /dev/null
+++ b/decide/quarantine/list.go
@@ -0,0 +1,170 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+
+	"github.com/azurethread/azurethread/decide/clock"
+)
+
+// maxRecords bounds the list. A record takes some hundred bytes, and a target's
+// end makes one for each request that was under way there.
+const maxRecords = 4096
+
+// List holds the records that one entry VM knows. The zero List is empty.
+type List struct {
+	records map[Fingerprint]*Record
+}
+
+// Len returns the number of records.
+func (l *List) Len() int { return len(l.records) }
+
+// Find returns the record of a fingerprint, nil if there is none. It is valid
+// until the next change of the list and must not be changed.
+func (l *List) Find(now clock.Time, f Fingerprint) *Record {
+	r, ok := l.records[f]
+	if !ok {
+		return nil
+	}
+	if !r.Expires().After(now) {
+		delete(l.records, f)
+		return nil
+	}
+	return r
+}
+
+// Ends returns the number of ends of a fingerprint after which no answer has
+// come.
+func (l *List) Ends(now clock.Time, f Fingerprint) int {
+	if r := l.Find(now, f); r != nil {
+		return r.Ends()
+	}
+	return 0
+}
+
+// Change is what has become of a record.
+type Change struct {
+	Record  Record // as it is now; it shares nothing with the list
+	Changed bool
+	// Before says that the fingerprint was in quarantine.
+	Before bool
+}
+
+// Lifted reports whether the fingerprint has come out of quarantine.
+func (c *Change) Lifted() bool { return c.Before && !c.Record.Quarantined() }
+
+// Ended notes that a target has ended under a fingerprint.
+func (l *List) Ended(now clock.Time, f Fingerprint, route string, e End) Change {
+	end := Record{Fingerprint: f, Route: route, Ended: []End{e}, Since: now}
+	if r := l.Find(now, f); r != nil {
+		end.Round = r.Round
+	}
+	return l.Merge(now, &end)
+}
+
+// Merge adds what another entry VM or the store knows.
+func (l *List) Merge(now clock.Time, other *Record) Change {
+	add := other.clone()
+	add.Since = min(add.Since, now) // the sender's clock may be ahead
+	if !add.Expires().After(now) {
+		return Change{Record: add}
+	}
+	r := l.Find(now, add.Fingerprint)
+	if r == nil {
+		r = &Record{Fingerprint: add.Fingerprint}
+		l.add(now, r)
+	}
+	before := r.Quarantined()
+	changed := r.merge(&add)
+	return Change{Record: r.clone(), Changed: changed, Before: before}
+}
+
+// Answered notes that a request with the fingerprint was answered.
+func (l *List) Answered(now clock.Time, f Fingerprint) Change {
+	r := l.Find(now, f)
+	if r == nil || r.Ends() == 0 {
+		return Change{}
+	}
+	before := r.Quarantined()
+	r.clear()
+	r.Since = now
+	return Change{Record: r.clone(), Changed: true, Before: before}
+}
+
+// Tried notes that a request with the fingerprint is let through.
+func (l *List) Tried(now clock.Time, f Fingerprint) Change {
+	r := l.Find(now, f)
+	if r == nil {
+		return Change{}
+	}
+	r.Trials++
+	r.Since = now
+	return Change{Record: r.clone(), Changed: true, Before: r.Quarantined()}
+}
+
+// Expire forgets records that are over and returns those that were in
+// quarantine.
+func (l *List) Expire(now clock.Time) []Fingerprint {
+	var over []Fingerprint
+	for f, r := range l.records {
+		if r.Expires().After(now) {
+			continue
+		}
+		delete(l.records, f)
+		if r.Quarantined() {
+			over = append(over, f)
+		}
+	}
+	slices.SortFunc(over, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return over
+}
+
+// Quarantined returns the number of fingerprints that are kept away.
+func (l *List) Quarantined() int {
+	n := 0
+	for _, r := range l.records {
+		if r.Quarantined() {
+			n++
+		}
+	}
+	return n
+}
+
+// add keeps a record. A full list first forgets what is over, and then the
+// records with the fewest ends, the oldest of these.
+func (l *List) add(now clock.Time, r *Record) {
+	if l.records == nil {
+		l.records = make(map[Fingerprint]*Record)
+	}
+	if len(l.records) >= maxRecords {
+		l.Expire(now)
+	}
+	if len(l.records) >= maxRecords {
+		l.evict()
+	}
+	l.records[r.Fingerprint] = r
+}
+
+// evict forgets an eighth of the records, as comparing all of them takes a
+// millisecond.
+func (l *List) evict() {
+	type ranked struct {
+		ends int
+		r    *Record
+	}
+	all := make([]ranked, 0, len(l.records))
+	for _, r := range l.records {
+		all = append(all, ranked{r.Ends(), r})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.ends, b.ends),
+			cmp.Compare(a.r.Since, b.r.Since),
+			bytes.Compare(a.r.Fingerprint[:], b.r.Fingerprint[:]),
+		)
+	})
+	for _, x := range all[:maxRecords/8] {
+		delete(l.records, x.r.Fingerprint)
+	}
+}
--- /dev/null
+++ b/decide/quarantine/record.go
@@ -0,0 +1,185 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+)
+
+// MaxEnds is the number of ends, one after the other and without an answer, that put a fingerprint into
+// quarantine. Fewer would hold for requests that were beside a query of death
+// twice, or at two crashes.
+const MaxEnds = 3
+
+// Suspected is the number of ends from which all entry VMs are told. It is
+// seldom reached by chance, and the next end may put the fingerprint into
+// quarantine.
+const Suspected = 2
+
+const (
+	// maxStarts bounds each list of a record, as peers and the store may send
+	// any number.
+	maxStarts = 16
+	// keepCleared is how long a cleared record is kept, so that an end which is
+	// heard of late stays cleared.
+	keepCleared = 30 * time.Second
+	// keepEnds is how long ends count that do not make a quarantine. A caller
+	// that comes back less often costs a target in five minutes.
+	keepEnds = 5 * time.Minute
+	// keepQuarantined is how long a quarantine lasts after its last trial.
+	keepQuarantined = 24 * time.Hour
+)
+
+// trialAfter is the time from the latest end to a trial, by the number of
+// trials before. The first one comes soon: an innocent fingerprint has its
+// answer then. After the last there is none.
+var trialAfter = [...]time.Duration{10 * time.Second, 2 * time.Minute, 20 * time.Minute}
+
+// Start is one start of a target.
+type Start struct {
+	Target fleet.TargetID
+	Born   int64 // as it was registered; 0: not stated
+}
+
+// End is the end of a start of a target while a request was under way there.
+type End struct {
+	Start
+	Sent clock.Time // when the request was sent there
+	At   clock.Time // when its connection was lost
+}
+
+// Record is what is known of a fingerprint.
+type Record struct {
+	Fingerprint Fingerprint
+	Route       string // of its requests, for operators
+	Ended       []End  // one for each start
+	// Cleared are the starts after whose end it was answered.
+	Cleared []Start
+	// Round counts how often the lists began anew because they were full. What is
+	// said of an earlier round is void.
+	Round int
+	// Trials is how often it was let through while in quarantine.
+	Trials int
+	// Since is when the latest end was seen or the latest trial began.
+	Since clock.Time
+}
+
+// Ends returns the number of ends, one after the other, after which no answer
+// has come. Of targets that end together one counts: requests that come all the
+// time are under way at many of them, and a query of death goes on to the next
+// target when one has ended.
+func (r *Record) Ends() int {
+	open := r.open()
+	slices.SortFunc(open, func(a, b End) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Sent, b.Sent))
+	})
+	n := 0
+	var latest clock.Time
+	for _, e := range open {
+		if n == 0 || !e.Sent.Before(latest) {
+			n++
+			latest = e.At
+		}
+	}
+	return n
+}
+
+// open returns the ends that are not cleared.
+func (r *Record) open() []End {
+	return slices.DeleteFunc(slices.Clone(r.Ended), func(e End) bool { return slices.Contains(r.Cleared, e.Start) })
+}
+
+// Quarantined reports whether requests with the fingerprint are kept away.
+func (r *Record) Quarantined() bool { return r.Ends() >= MaxEnds }
+
+// TrialAt returns when the next request may be let through.
+func (r *Record) TrialAt() clock.Time {
+	if r.Trials >= len(trialAfter) {
+		return r.Expires()
+	}
+	return r.Since.Add(trialAfter[r.Trials])
+}
+
+// Expires returns when the record is forgotten.
+func (r *Record) Expires() clock.Time {
+	switch n := r.Ends(); {
+	case n == 0:
+		return r.Since.Add(keepCleared)
+	case n < MaxEnds:
+		return r.Since.Add(keepEnds)
+	default:
+		return r.Since.Add(keepQuarantined)
+	}
+}
+
+// clone returns a copy that shares nothing with r.
+func (r *Record) clone() Record {
+	c := *r
+	c.Ended = slices.Clone(r.Ended)
+	c.Cleared = slices.Clone(r.Cleared)
+	return c
+}
+
+// merge adds what other knows and reports whether anything was new.
+func (r *Record) merge(other *Record) bool {
+	before := r.clone()
+	switch {
+	case other.Round > r.Round:
+		r.Round, r.Ended, r.Cleared = other.Round, nil, nil
+		r.add(other)
+	case other.Round == r.Round:
+		r.add(other)
+	}
+	r.Trials = max(r.Trials, other.Trials)
+	if r.Route == "" {
+		r.Route = other.Route
+	}
+	changed := r.Round != before.Round || r.Trials != before.Trials ||
+		!slices.Equal(r.Ended, before.Ended) || len(r.Cleared) != len(before.Cleared)
+	if changed {
+		r.Since = max(r.Since, other.Since)
+	}
+	return changed
+}
+
+// add adds the lists of other. Where they don't fit a new round begins without
+// what is cleared.
+func (r *Record) add(other *Record) {
+	for _, e := range other.Ended {
+		r.addEnd(e)
+	}
+	for _, s := range other.Cleared {
+		if !slices.Contains(r.Cleared, s) {
+			r.Cleared = append(r.Cleared, s)
+		}
+	}
+	if open := r.open(); len(r.Ended) > maxStarts && len(open) < len(r.Ended) {
+		r.Round++
+		r.Ended, r.Cleared = open, nil
+	}
+	r.Ended = r.Ended[:min(len(r.Ended), maxStarts)]
+	r.Cleared = r.Cleared[:min(len(r.Cleared), maxStarts)]
+}
+
+// addEnd adds an end. Of what several VMs have seen of one start the earliest
+// counts.
+func (r *Record) addEnd(e End) {
+	i := slices.IndexFunc(r.Ended, func(o End) bool { return o.Start == e.Start })
+	if i < 0 {
+		r.Ended = append(r.Ended, e)
+		return
+	}
+	r.Ended[i].Sent = min(r.Ended[i].Sent, e.Sent)
+	r.Ended[i].At = min(r.Ended[i].At, e.At)
+}
+
+// clear clears all ends.
+func (r *Record) clear() {
+	r.Cleared = nil
+	for _, e := range r.Ended {
+		r.Cleared = append(r.Cleared, e.Start)
+	}
+}
--- a/decide/verdict/verdict.go
+++ b/decide/verdict/verdict.go
@@ -112,6 +112,7 @@
 	ReasonCallerGone       Reason = "caller-gone"
 	ReasonRetriesExhausted Reason = "retries-exhausted"
 	ReasonInternal         Reason = "internal"
+	ReasonQuarantined      Reason = "quarantined"
 )
 
 // Error is a failure with its verdict.
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -63,7 +63,7 @@
 	}
 	last := own[len(own)-1]
 	for _, l := range all {
-		if l.Fields["request"] == request || (near(l, last) && bears(l, last, targets)) {
+		if l.Fields["request"] == request || (near(l, last) && bears(l, last, targets)) || keepsAway(l, last) {
 			r.Lines = append(r.Lines, l)
 		}
 	}
@@ -133,6 +133,13 @@
 	}
 }
 
+// keepsAway reports whether l tells of a quarantine of requests like own, which
+// may have begun long before.
+func keepsAway(l, own Line) bool {
+	f := text(own.Fields["fingerprint"])
+	return l.Event == "quarantine" && f != "" && text(l.Fields["fingerprint"]) == f && !l.Time.After(own.Time)
+}
+
 // near reports whether l was written shortly before the request's line.
 func near(l, own Line) bool {
 	return !l.Time.After(own.Time) && own.Time.Sub(l.Time) <= before
@@ -204,7 +211,7 @@
 var shown = []string{
 	"status", "verdict", "reason", "took_ms", "patience_ms", "retry_after_ms", "config", "store_age_ms",
 	"store_reached", "target", "registered", "draining", "gone", "cold_ms", "version", "revision", "domain", "begin",
-	"count", "changed", "settings", "error",
+	"count", "changed", "settings", "error", "fingerprint", "route", "ends", "trials",
 }
 
 func details(l Line) string {
--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -58,3 +58,17 @@
 	is.NoErr(err)
 	is.Equal(r.Lines[2].Text, "registrations changed")
 }
+
+// The caller of a request that is kept away complains, and the lines that say
+// why are hours old.
+func TestJoinsTheQuarantineOfARefusedRequest(t *testing.T) {
+	is := is.New(t)
+	logs := `vm-a {"event":"quarantine","level":"warning","msg":"request is kept away from targets, as it ends them","fingerprint":"f1","route":"r","time":"2026-01-01T00:00:01Z"}
+vm-a {"event":"quarantine","level":"warning","msg":"request is kept away from targets, as it ends them","fingerprint":"f2","route":"r","time":"2026-01-01T00:00:01Z"}
+vm-b {"event":"request","request":"r1","vm":"vm-b","msg":"answered by this entry VM","status":503,"verdict":"not-run","reason":"quarantined","fingerprint":"f1","sends":null,"time":"2026-01-01T05:00:00Z"}
+`
+	r, err := Read("r1", strings.NewReader(logs))
+	is.NoErr(err)
+	is.Equal(len(r.Lines), 2)
+	is.Equal(r.Lines[0].Fields["fingerprint"], "f1")
+}
--- a/serve/ingress/apply.go
+++ b/serve/ingress/apply.go
@@ -23,6 +23,10 @@
 			membersChanged = true
 			continue
 		}
+		if strings.HasPrefix(c.Key, prefixQuarantine) {
+			s.applyQuarantine(c)
+			continue
+		}
 		if !s.concerns(c.Key) {
 			continue
 		}
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -90,6 +90,7 @@
 	k.fingerprint = quarantine.FingerprintOf(quarantine.Content{Method: x.Method, Host: host, URI: x.URI, Body: x.Body})
 	s.core.Post(&ingress.Arrive{
 		Request: k.id, Host: host, Path: x.URI, Object: object, Patience: patience, Bytes: len(x.Body),
+		Fingerprint: k.fingerprint,
 	})
 	x.OnGone(func() { s.core.Post(&ingress.CallerGone{Request: k.id}) })
 }
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -42,6 +42,12 @@
 	for i := range out.Sends {
 		s.send(&out.Sends[i])
 	}
+	for _, p := range out.Probes {
+		s.probe(p)
+	}
+	for i := range out.Quarantines {
+		s.quarantined(&out.Quarantines[i])
+	}
 	for i := range out.Tells {
 		s.tell(&out.Tells[i])
 	}
--- a/serve/ingress/events.go
+++ b/serve/ingress/events.go
@@ -27,6 +27,8 @@
 	eventRelay     = "relay"
 	eventCondensed = "requests-condensed"
 	eventPlaced    = "placed"
+
+	eventQuarantine = "quarantine"
 )
 
 const (
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -25,6 +25,7 @@
 	domains  *expvar.Map // sends, by failure domain of the target
 	outcomes *expvar.Map // ends of sends, by outcome
 	gone     *expvar.Int // callers that left
+	probes   *expvar.Int // of targets that may have ended
 	beliefs  *expvar.Map // changes of what is held of targets
 	latency  *latency
 	refusals *latency
@@ -71,7 +72,7 @@
 	m := &metrics{
 		vars: new(expvar.Map).Init(), statuses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(),
 		verdicts: new(expvar.Map).Init(), sends: new(expvar.Int), domains: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
-		gone: new(expvar.Int), beliefs: new(expvar.Map).Init(), latency: newLatency(), refusals: newLatency(),
+		gone: new(expvar.Int), probes: new(expvar.Int), beliefs: new(expvar.Map).Init(), latency: newLatency(), refusals: newLatency(),
 	}
 	m.vars.Set("answers_by_status", m.statuses)
 	m.vars.Set("refusals_by_reason", m.reasons)
@@ -80,6 +81,7 @@
 	m.vars.Set("sends_by_domain", m.domains)
 	m.vars.Set("sends_by_outcome", m.outcomes)
 	m.vars.Set("callers_gone", m.gone)
+	m.vars.Set("target_probes", m.probes)
 	m.vars.Set("target_beliefs", m.beliefs)
 	m.vars.Set("answer_latency", expvar.Func(m.latency.value))
 	m.vars.Set("refusal_latency", expvar.Func(m.refusals.value))
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/serve/peer"
 )
 
@@ -18,6 +19,7 @@
 	kindDeny
 	kindWithdraw
 	kindReport
+	kindQuarantine
 )
 
 const (
@@ -76,6 +78,8 @@
 		m = new(ingress.Withdraw)
 	case kindReport:
 		m = new(ingress.Report)
+	case kindQuarantine:
+		m = new(quarantine.Record)
 	case kindRelayAsk:
 		return s.receivedRelayAsk(from, b)
 	case kindRelay:
@@ -109,6 +113,8 @@
 		kind = kindWithdraw
 	case *ingress.Report:
 		kind = kindReport
+	case *quarantine.Record:
+		kind = kindQuarantine
 	}
 	s.sendPeer(t.To, kind, t.Message)
 }
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -67,6 +67,7 @@
 	// storeFailures counts calls that failed.
 	storeFailures atomic.Int64
 	metrics       *metrics
+	quarantines   quarantineWrites
 	lines         sampler
 	relist        chan struct{}
 	listed        clock.Time // when register last wrote this VM's key
@@ -112,6 +113,7 @@
 func Start(set *Settings, store kv.Store, log logrus.FieldLogger) (*Server, error) {
 	s := &Server{set: set, started: *set, store: store, log: log, relist: make(chan struct{}, 1), relayed: make(chan relayWord, 1), metrics: newMetrics()}
 	s.tuned.Store(set.tuning())
+	s.quarantines = newQuarantineWrites()
 	s.listing = make(map[string]fleet.VM)
 	s.awaiting = make(map[fleet.VMID]bool)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -237,6 +239,7 @@
 	s.loop(s.follow)
 	s.loop(s.register)
 	s.loop(s.reportPlaced)
+	s.loop(s.keepQuarantines)
 }
 
 func (s *Server) loop(f func()) {
