--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -37,7 +37,7 @@
 		r.learnTrip(t.region, ev.Connect)
 	}
 	r.endAttempt(now, a, &Report{
-		Result: results[ev.Outcome], Load: ev.Load, Bytes: ev.Bytes,
+		Result: results[ev.Outcome], Load: ev.Load, Limit: ev.Limit, Bytes: ev.Bytes,
 		Took: now.Sub(a.sent), Connect: ev.Waited,
 	})
 	switch ev.Outcome {
@@ -129,6 +129,7 @@
 
 // learnResult takes what the end of a send says about its target.
 func (r *Reducer) learnResult(now clock.Time, t *targetState, rep *Report) {
+	r.learnLimit(now, t, rep.Limit)
 	switch rep.Result {
 	case ResultServed:
 		t.answered = now
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -79,6 +79,7 @@
 	Attempt AttemptID
 	Outcome Outcome
 	Load    Load
+	Limit   RateLimit
 	Bytes   int // of the body
 	// Connect is how long the connection took to open, if this is its first
 	// answer; 0 otherwise.
@@ -130,6 +131,16 @@
 	Slots   int
 }
 
+// RateLimit is what an answer says of the requests that its target takes from all
+// entry VMs together.
+type RateLimit struct {
+	// Heard says that there was an answer, and that what it says could be read.
+	Heard bool
+	// Named says that the answer names a limit. Without one there is none.
+	Named     bool
+	PerSecond float64
+}
+
 // Failed says that an attempt has ended without an answer.
 type Failed struct {
 	Attempt AttemptID
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -67,6 +67,7 @@
 	ID      AskID
 	Result  Result
 	Load    Load
+	Limit   RateLimit
 	Bytes   int           // of the answer's body
 	Took    time.Duration // from the send to the answer
 	Connect time.Duration // of it, the wait for a connection
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -25,6 +25,7 @@
 	Draining int     `json:"draining"`
 	Cold     int     `json:"cold"`
 	Ejected  int     `json:"ejected"`
+	Limited  int     `json:"limited"`   // by a rate that they have named
 	InFlight int     `json:"in_flight"` // placed by this entry VM
 	Waiting  int     `json:"waiting"`   // for a target
 	Repeats  float64 `json:"repeats"`   // that the budget pays for
@@ -43,6 +44,7 @@
 			v.InFlight += t.inFlight
 			v.Draining += count(t.Draining)
 			v.Cold += count(t.cold(now))
+			v.Limited += count(t.limit.named)
 			v.Ejected += count(t.standing.Standing() == target.Ejected)
 		}
 		st.Services[name] = v
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -44,6 +44,7 @@
 	lost     []lostRequest
 	probing  bool
 	speed    target.Mean
+	limit    rateLimit
 	awaited  int    // waiting jobs that would go to the target
 	waiters  []*job // those that consider it
 }
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -176,6 +176,7 @@
 		Attempt: id,
 		Outcome: outcome,
 		Load:    loadOf(ans.Header.Get(s.set.Fields.Load)),
+		Limit:   s.limitOf(k, a, ans),
 		Bytes:   len(ans.Body),
 		Connect: ans.Connected,
 		Waited:  ans.Waited,
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -27,7 +27,7 @@
 // Header fields, keys and places of the tests.
 var testFields = Fields{
 	RequestID: "X-Id", Patience: "X-Patience", Object: "X-Object", Stamp: "X-Stamp",
-	Target: "X-Target", Load: "X-Load", NotRun: "X-Not-Run",
+	Target: "X-Target", Load: "X-Load", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
 }
 
 const (
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -26,9 +26,11 @@
 	outcomes *expvar.Map // ends of sends, by outcome
 	gone     *expvar.Int // callers that left
 	probes   *expvar.Int // of targets that may have ended
-	beliefs  *expvar.Map // changes of what is held of targets
-	latency  *latency
-	refusals *latency
+	// badLimits counts rate limits of targets that could not be read.
+	badLimits *expvar.Int
+	beliefs   *expvar.Map // changes of what is held of targets
+	latency   *latency
+	refusals  *latency
 }
 
 // latency is a histogram of durations.
@@ -72,7 +74,7 @@
 	m := &metrics{
 		vars: new(expvar.Map).Init(), statuses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(),
 		verdicts: new(expvar.Map).Init(), sends: new(expvar.Int), domains: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
-		gone: new(expvar.Int), probes: new(expvar.Int), beliefs: new(expvar.Map).Init(), latency: newLatency(), refusals: newLatency(),
+		gone: new(expvar.Int), probes: new(expvar.Int), badLimits: new(expvar.Int), beliefs: new(expvar.Map).Init(), latency: newLatency(), refusals: newLatency(),
 	}
 	m.vars.Set("answers_by_status", m.statuses)
 	m.vars.Set("refusals_by_reason", m.reasons)
@@ -82,6 +84,7 @@
 	m.vars.Set("sends_by_outcome", m.outcomes)
 	m.vars.Set("callers_gone", m.gone)
 	m.vars.Set("target_probes", m.probes)
+	m.vars.Set("target_limits_unread", m.badLimits)
 	m.vars.Set("target_beliefs", m.beliefs)
 	m.vars.Set("answer_latency", expvar.Func(m.latency.value))
 	m.vars.Set("refusal_latency", expvar.Func(m.refusals.value))
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -55,6 +55,9 @@
 	Target    string // the target that is meant to run the request
 	Load      string // a target's load: running, waiting, slots
 	NotRun    string // a target's word that it has not run the request
+	// RateLimits name how many requests a second a target takes from all entry
+	// VMs together, the first one that is there.
+	RateLimits []string
 }
 
 // Pages are paths of the pages that are served beside callers' requests.
