--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -35,6 +35,9 @@
 	case ShedTargets:
 		f.eachTarget(e, func(t *target) { t.shed = e.X })
 		f.after(last, func() { f.eachTarget(e, func(t *target) { t.shed = 0 }) })
+	case LimitTargets:
+		f.eachTarget(e, func(t *target) { f.books.limit(f.now, t, e.X) })
+		f.after(last, func() { f.eachTarget(e, func(t *target) { t.limited.until = f.now }) })
 	case QueryOfDeath:
 		f.beginDeadly(e)
 	}
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -327,6 +327,7 @@
 			return
 		}
 		f.books.reach(f.now, q, t.region)
+		t.limited.reach(f.now, v)
 		s.run = &run{send: s, object: q.object, start: t.reg.Born}
 		t.take(f, s.run)
 	})
@@ -334,12 +335,15 @@
 
 // answer carries an answer of t back.
 func (f *fleetRun) answer(t *target, r *run, o ingress.Outcome) {
-	s, load := r.send, t.load()
+	s, load, limit := r.send, t.load(), t.names(f.now)
 	f.after(f.way(t.reg.Domain, s.vm.self.Domain), func() {
 		if !s.ended && s.vm.starts == s.starts {
 			f.freed(s.vm, t)
 		}
-		f.end(s, &ingress.Answered{Attempt: s.id, Outcome: o, Load: load, Connect: s.opened, Waited: s.waited})
+		if limit.Named {
+			t.limited.tell(f.now, s.vm)
+		}
+		f.end(s, &ingress.Answered{Attempt: s.id, Outcome: o, Load: load, Limit: limit, Connect: s.opened, Waited: s.waited})
 	})
 }
 
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -103,13 +103,16 @@
 	// ShedTargets has a share of a service's targets refuse the part X of their
 	// requests.
 	ShedTargets EventKind = "shed-targets"
+	// LimitTargets has a share of a service's targets name a limit of X requests a
+	// second in their answers.
+	LimitTargets EventKind = "limit-targets"
 	// QueryOfDeath has a caller of Domain send a request to Service that ends
 	// each target that runs it, and the same one again X seconds after each end
 	// of its attempts.
 	QueryOfDeath EventKind = "query-of-death"
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, QueryOfDeath}
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath}
 
 // Event is something that happens to the deployment.
 type Event struct {
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -58,6 +58,9 @@
 	// WorstShift is the change of a region's share that exceeds the operators'
 	// bound most, of all windows of the play.
 	WorstShift Shift `json:"worst_shift"`
+	// WorstLimit is where targets that have named a limit got most beyond what it
+	// allows.
+	WorstLimit Overrun `json:"worst_limit"`
 	// Deadly is what queries of death have done, in the order of their events.
 	Deadly []Deadly `json:"deadly,omitempty"`
 }
@@ -110,6 +113,7 @@
 	pattern *Pattern
 	began   clock.Time               // of the load
 	reached map[fleet.Region][]reach // by the region of the callers
+	limited []*limited
 	deadly  []*Deadly
 	ending  *deadly // under which a target ends right now; nil: none
 }
@@ -199,6 +203,7 @@
 
 func (b *books) result(v Variant) *Result {
 	b.r.Seed = v.Seed
+	b.r.WorstLimit = worstOverrun(b.limited)
 	for _, d := range b.deadly {
 		b.r.Deadly = append(b.r.Deadly, *d)
 	}
--- a/decide/emulate/target.go
+++ b/decide/emulate/target.go
@@ -17,9 +17,10 @@
 	svc    *Service
 
 	down    bool
-	slow    float64 // work is multiplied by it
-	grey    float64 // part of the requests that fail
-	shed    float64 // part of the requests that are refused
+	slow    float64  // work is multiplied by it
+	grey    float64  // part of the requests that fail
+	shed    float64  // part of the requests that are refused
+	limited *limited // the rate that it names; nil: it has never named one
 	coldEnd clock.Time
 
 	running int
