Do not let a trial without a result prolong a quarantine

What callers see: an innocent request that is in quarantine by chance waits two minutes longer because the target of its first trial was full.

Change: a trial counts when it is sent, not when its request comes; what a target refuses is sent once more; and the wait grows with the trials that ended a target, or from the second one without a result on. The first wait is 8 s instead of 10, twice what the fleet may take to learn, so that two trials fit into the bound, which is unchanged.

--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -25,6 +25,8 @@
 	// suspectReturn is when the caller of a request comes back that may not run
 	// beside another one like it: when that one has been answered.
 	suspectReturn = 500 * time.Millisecond
+	// trialSends is how often a trial is sent that targets refuse to run.
+	trialSends = 2
 )
 
 // arbitersOf returns the VMs that count the ends of a fingerprint: this one alone
@@ -79,12 +81,22 @@
 		return suspectReturn, true
 	}
 	q.trial = true
-	tried := r.quarantine.Tried(now, q.fingerprint)
-	r.tellAll(&tried.Record)
-	r.report(&tried.Record)
 	return 0, false
 }
 
+// noteTrial counts a request that is sent although its fingerprint is in
+// quarantine.
+func (r *Reducer) noteTrial(now clock.Time, q *request) {
+	if !q.trial || q.sends > 1 {
+		return
+	}
+	c := r.quarantine.Tried(now, q.fingerprint)
+	if c.Changed {
+		r.tellAll(&c.Record)
+		r.report(&c.Record)
+	}
+}
+
 // mayBeDeadly reports whether q was at the end of a target, or may have been.
 func (r *Reducer) mayBeDeadly(now clock.Time, q *request) bool {
 	return r.on(Quarantining) && (q.losses > 0 || r.quarantine.Ends(now, q.fingerprint) > 0)
@@ -94,8 +106,11 @@
 // a send has ended. Its caller may come again, to whichever VM; by then all know
 // what the earlier sends have shown.
 func (r *Reducer) mayTryAnother(now clock.Time, q *request) bool {
-	if !r.on(Quarantining) {
+	switch {
+	case !r.on(Quarantining):
 		return true
+	case q.verdict == verdict.NotRun:
+		return !q.trial || q.sends < trialSends // no target was put at risk yet
 	}
 	ends := r.quarantine.Ends(now, q.fingerprint)
 	return ends < quarantine.Suspected && (ends == 0 || q.losses < quarantine.Suspected)
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -144,6 +144,7 @@
 	q.running = append(q.running, a)
 	q.tried = append(q.tried, t.ID)
 	r.attempts[a.id] = a
+	r.noteTrial(now, q)
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr,
 		Left:    q.due.Sub(now),
--- a/decide/quarantine/record.go
+++ b/decide/quarantine/record.go
@@ -33,10 +33,12 @@
 	keepQuarantined = 24 * time.Hour
 )
 
-// trialAfter is the time from the latest end to a trial, by the number of
-// trials before. The first one comes soon: an innocent fingerprint has its
-// answer then. After the last there is none.
-var trialAfter = [...]time.Duration{10 * time.Second, 2 * time.Minute, 20 * time.Minute}
+// trialAfter is the time from the latest end or trial to the next trial, by the
+// number of trials that ended a target. The first one comes soon: an innocent
+// fingerprint has its answer then. One trial may show nothing, as when its target
+// is full; each further one that does counts like one that ended a target. There
+// are no more trials than times.
+var trialAfter = [...]time.Duration{8 * time.Second, 2 * time.Minute, 20 * time.Minute}
 
 // Start is one start of a target.
 type Start struct {
@@ -100,7 +102,9 @@
 	if r.Trials >= len(trialAfter) {
 		return r.Expires()
 	}
-	return r.Since.Add(trialAfter[r.Trials])
+	shown := r.Ends() - MaxEnds // by trials
+	step := min(max(shown, r.Trials-1, 0), len(trialAfter)-1)
+	return r.Since.Add(trialAfter[step])
 }
 
 // Expires returns when the record is forgotten.
