Keep to the rates that targets name, over all entry VMs

What targets saw: one that had named a limit of 4.8 requests a second got 160 in 4 s, 34 are allowed.

Cause: nothing in the product heeded the limit; nothing read it either. The class: a word of a target that the product passes on without acting on it.

Change: the coordinator of the target's service and region keeps to the limit for all VMs, as it does for cold targets, whose record of sends the limit shares; coordinators of other regions only ask whether it has ended. Asks tell coordinators of limits, a limited target counts with the slots that its rate can fill, and only a success to a request sent after the limit was last named ends it.

--- a/decide/emulate/ratelimit_test.go
+++ b/decide/emulate/ratelimit_test.go
@@ -32,6 +32,13 @@
 				p.Events = append(p.Events, Event{Kind: KillVMs, At: 6 + 2*float64(i), For: 1, Domain: d.Name})
 			}
 		},
+		"entry VMs are restarted again and again": func(p *Pattern) {
+			for _, d := range p.Domains {
+				for at := 7.0; at < 20; at += 1.5 {
+					p.Events = append(p.Events, Event{Kind: KillVMs, At: at, For: 0.2, Domain: d.Name, Share: 0.5})
+				}
+			}
+		},
 	}
 	for name, change := range patterns {
 		t.Run(name, func(t *testing.T) {
--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -129,7 +129,7 @@
 
 // learnResult takes what the end of a send says about its target.
 func (r *Reducer) learnResult(now clock.Time, t *targetState, rep *Report) {
-	r.learnLimit(now, t, rep.Limit)
+	r.learnLimit(now, t, rep)
 	switch rep.Result {
 	case ResultServed:
 		t.answered = now
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -61,7 +61,7 @@
 func (r *Reducer) inLine(region fleet.Region, s fleet.ServiceName) []fleet.VMID {
 	var own []fleet.VM
 	for _, m := range r.members {
-		if m.State == fleet.Live && m.Region == region {
+		if m.State == fleet.Live && (m.Region == region || region == anyRegion) {
 			own = append(own, m)
 		}
 	}
@@ -80,7 +80,8 @@
 		ID: r.nextAsk, Service: q.svc.name, Route: q.route.Name, Object: q.object,
 		Domain: r.opts.Domain, Priority: q.route.Priority, Large: r.large(q), Homes: q.route.Homes,
 		Alone: r.mayBeDeadly(now, q), Tried: q.tried, Recalled: r.recalledAt(now, q.svc, q.object),
-		Wait: max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
+		Limited: r.limitsOf(now, q.svc),
+		Wait:    max(r.queueEnd(q).Sub(now), 0), Left: q.due.Sub(now),
 	}
 	to := r.placer(now, q.svc.name)
 	if to == "" || to == r.opts.Self || !r.on(Coordinators) {
@@ -143,6 +144,7 @@
 func (r *Reducer) heard(now clock.Time, ev *Heard) {
 	switch m := ev.Message.(type) {
 	case *Ask:
+		r.hearLimits(now, m.Limited)
 		r.place(now, r.newJob(now, jobKey{vm: ev.From, id: m.ID}, *m))
 	case *Grant:
 		r.noteHeard(ev.From)
--- a/decide/ingress/crowd.go
+++ b/decide/ingress/crowd.go
@@ -26,7 +26,8 @@
 	}
 	load, slots := 0, 0
 	if t.listed {
-		load, slots = min(t.load(now), t.Slots), t.Slots
+		slots = t.rateSlots()
+		load = min(t.load(now), slots)
 	}
 	c := &t.svc.here
 	c.load += load - t.countedLoad
--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -35,13 +35,15 @@
 //
 // # Bounds that sum over entry VMs
 //
-// A cold target bears few requests a second, and repeats are bounded for each
-// service, over all entry VMs together, whoever is cut off. Neither bound may
-// rest on messages between them:
+// A cold target bears few requests a second, another one names the rate that it
+// takes, and repeats are bounded for each service, over all entry VMs together,
+// whoever is cut off. None of these bounds may rest on messages between them:
 //
 //   - A cold target gets requests through one entry VM, the coordinator for its
 //     service in its region. Entry VMs that disagree about the members name two
 //     coordinators at most in practice, so each keeps to half of the bound.
+//   - A target that names a rate limit gets requests through the same VM, which
+//     keeps to half of what operators allow beyond it (rateLimit).
 //   - Repeats are paid out of a bucket that starts empty, earns a fixed share
 //     of a token for each request taken, and holds this VM's part of the fixed
 //     allowance at most. The parts sum below the bound for any subset of the
--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -68,6 +68,18 @@
 	// under are the requests that it has, by what ends them with it.
 	under map[simAttempt]func()
 	down  bool
+	limit RateLimit // that it names
+}
+
+// limitOf is what t says of its limit, which it may change at any moment.
+func (s *fleetSim) limitOf(t *simTarget) RateLimit {
+	switch s.rng.IntN(60) {
+	case 0:
+		t.limit = RateLimit{Heard: true, Named: true, PerSecond: float64(s.rng.IntN(10))}
+	case 1:
+		t.limit = RateLimit{Heard: true}
+	}
+	return t.limit
 }
 
 // simAttempt names an attempt of one of the entry VMs.
@@ -277,7 +289,7 @@
 		return func() Event { return &Failed{Attempt: id, Verdict: v, Reason: why} }
 	}
 	answered := func(o Outcome) func() Event {
-		return func() Event { return &Answered{Attempt: id, Outcome: o, Load: load, Bytes: 100} }
+		return func() Event { return &Answered{Attempt: id, Outcome: o, Load: load, Limit: s.limitOf(t), Bytes: 100} }
 	}
 	switch n := s.rng.IntN(100); {
 	case n < 70:
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -109,11 +109,12 @@
 // checkService holds the counts and groups of s against its targets; waiting is
 // how many jobs consider each.
 func (r *Reducer) checkService(s *service, waiting map[*targetState]int) error {
-	load, slots, listed := 0, 0, 0
+	load, slots, listed, limited := 0, 0, 0, 0
 	for _, t := range s.targets {
 		load += t.countedLoad
 		slots += t.countedSlots
 		listed += count(t.listed)
+		limited += count(t.limit.named)
 		if len(t.waiters) != waiting[t] {
 			return fmt.Errorf("target %s: %d waiters kept, %d wait", t.ID, len(t.waiters), waiting[t])
 		}
@@ -121,6 +122,9 @@
 			return fmt.Errorf("target %s: listed %v, may get requests %v", t.ID, t.listed, may)
 		}
 	}
+	if limited != len(s.limited) {
+		return fmt.Errorf("service %s: %d targets name a limit, %d are kept", s.name, limited, len(s.limited))
+	}
 	for _, g := range s.groups {
 		listed -= len(g)
 	}
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -129,8 +129,8 @@
 	r.recount(now, t)
 	t.tried()
 	j.obj.remember(now, t)
-	if t.cold(now) {
-		t.coldSends = append(t.coldSends, now)
+	if t.cold(now) || t.limit.named {
+		t.sends.add(now, keepSends)
 	}
 	if j.chose {
 		// What has one side only is none of the share, whose change the bound
--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -41,12 +41,14 @@
 	SpareConnections
 	// Quarantining keeps requests away that end the targets that run them.
 	Quarantining
+	// RateLimits keep to the rates that targets name.
+	RateLimits
 )
 
 var mechanismNames = []string{
 	"recall", "coordinators", "second-send", "headroom", "elsewhere", "large-bodies",
 	"carriage", "wait-at-target", "first-choice", "joined", "ejection", "spare-connections",
-	"quarantining",
+	"quarantining", "rate-limits",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -27,10 +27,20 @@
 	Tried    []fleet.TargetID // targets it has been sent to
 	Recalled fleet.TargetID   // where the asking VM's last request for the object ran; "": not known
 	Alone    bool             // it may end its target: where fewest others run
+	Limited  []NamedLimit     // some of the targets that the asking VM knows to name a rate limit
 	Wait     time.Duration    // that it may wait for a target
 	Left     time.Duration    // until its final answer is due
 }
 
+// NamedLimit is what one entry VM knows of a target's rate limit. A coordinator
+// that has just begun learns of it by the first asks: until an answer came to it,
+// it would have the target overrun by VMs that know better.
+type NamedLimit struct {
+	Target    fleet.TargetID
+	PerSecond float64
+	Age       time.Duration // since an answer has named it
+}
+
 // Grant names the target for an Ask.
 type Grant struct {
 	ID     AskID
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -163,10 +163,10 @@
 		return false
 	case !ejectedToo && !r.admits(now, t):
 		return false
-	case t.cold(now):
-		return r.owns(t) && t.coldRoom(now, r.coldQuota(t))
+	case t.cold(now) && (!r.owns(t) || !t.coldRoom(now, r.coldQuota(t))):
+		return false
 	}
-	return true
+	return r.limitRoom(now, t)
 }
 
 // admits reports whether t's standing lets it take a request now.
--- a/decide/ingress/placed.go
+++ b/decide/ingress/placed.go
@@ -47,6 +47,7 @@
 	WhyTried       Why = "none-here: tried"
 	WhyEjected     Why = "none-here: ejected"
 	WhyNotOwner    Why = "none-here: cold, of another coordinator"
+	WhyNoLimitRoom Why = "none-here: no room in its rate limit"
 	WhyNoColdRoom  Why = "none-here: cold, no room this second"
 	WhyUnspecified Why = "none-here"
 )
@@ -72,6 +73,8 @@
 		return WhyNotOwner
 	case t.cold(now):
 		return WhyNoColdRoom
+	case !r.limitRoom(now, t):
+		return WhyNoLimitRoom
 	default:
 		return WhyUnspecified
 	}
--- a/decide/ingress/reducer_test.go
+++ b/decide/ingress/reducer_test.go
@@ -14,10 +14,11 @@
 
 // bench holds one reducer on a clock of its own.
 type bench struct {
-	t   *testing.T
-	r   *Reducer
-	now clock.Time
-	out Ready
+	t    *testing.T
+	r    *Reducer
+	now  clock.Time
+	out  Ready
+	last RequestID // of gets
 }
 
 const (
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -16,6 +16,7 @@
 	targets []*targetState   // by id
 	groups  [][]*targetState // those that may get requests, by group, in no order
 	untried []*targetState   // of the own region, by id
+	limited []*targetState   // that name a rate limit, by id
 	unnamed []*targetState   // in the order without an object; nil: not computed
 	here    crowd
 	objects objects
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -25,8 +25,8 @@
 	coldUntil                 clock.Time
 	// coldStarts counts the times that it lost what it remembered.
 	coldStarts uint32
-	// coldSends are the instants of sends during the last second, while cold.
-	coldSends []clock.Time
+	// sends are those of the last seconds, while it is cold or names a limit.
+	sends sends
 
 	standing target.Outlier
 	// others is how many requests of other entry VMs the target reported at
@@ -74,14 +74,7 @@
 // coldRoom reports whether one more request may be sent to the target within
 // the present second while it is cold.
 func (t *targetState) coldRoom(now clock.Time, perSecond int) bool {
-	kept := t.coldSends[:0]
-	for _, at := range t.coldSends {
-		if now.Sub(at) < time.Second+coldSpread {
-			kept = append(kept, at)
-		}
-	}
-	t.coldSends = kept
-	return len(kept) < perSecond
+	return t.sends.within(now, time.Second+coldSpread) < perSecond
 }
 
 // coldSpread widens the second over which sends to a cold target are counted.
@@ -157,6 +150,7 @@
 	delete(r.targets, t.ID)
 	t.gone = true
 	t.svc.targets = deleteByID(t.svc.targets, t)
+	t.svc.limited = deleteByID(t.svc.limited, t)
 	t.svc.unnamed = nil
 	t.tried()
 	r.list(now, t)
