--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -133,6 +133,7 @@
 	switch rep.Result {
 	case ResultServed:
 		t.answered = now
+		t.hasEnded = false // nobody listened for a moment
 		t.note(now, rep.Load)
 		r.reportedBy(now, t)
 		r.judge(now, t, true)
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -62,6 +62,36 @@
 	return best
 }
 
+// leastBusy returns the target with the fewest requests, for one that may end
+// it: they would be lost with it.
+func (r *Reducer) leastBusy(now clock.Time, j *job, ejectedToo bool) *targetState {
+	var best *targetState
+	for _, t := range j.svc.targets {
+		if r.eligible(now, j, t, ejectedToo) && (best == nil || r.lessBusy(now, t, best)) {
+			best = t
+		}
+	}
+	j.chose, j.why, j.slower = false, WhyAlone, false
+	j.awaited, j.considered = best, j.considered[:0]
+	if best == nil {
+		return nil
+	}
+	j.considered = append(j.considered, scored{t: best})
+	if r.full(now, j, best) {
+		return nil
+	}
+	return best
+}
+
+// lessBusy compares two targets: those of the own region come first, then the
+// ones with fewer requests.
+func (r *Reducer) lessBusy(now clock.Time, a, b *targetState) bool {
+	if r.here(a) != r.here(b) {
+		return r.here(a)
+	}
+	return a.load(now) < b.load(now)
+}
+
 // untried returns a target of the own region that has joined and was never
 // used. Objects keep to their places, so without a first request to learn from
 // a new target would stay idle beside full ones.
--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -27,6 +27,9 @@
 	suspectReturn = 500 * time.Millisecond
 	// trialSends is how often a trial is sent that targets refuse to run.
 	trialSends = 2
+	// expireEvery is how often quarantines that are over are looked for. They
+	// last a day.
+	expireEvery = time.Hour
 )
 
 // arbitersOf returns the VMs that count the ends of a fingerprint: this one alone
@@ -125,7 +128,7 @@
 	c := r.quarantine.Ended(now, l.fingerprint, l.route, quarantine.End{Start: t.start(), Sent: l.sent, At: l.at})
 	if c.Changed {
 		r.announce(&c.Record)
-		r.changed(&c)
+		r.changed(now, &c)
 	}
 }
 
@@ -160,7 +163,7 @@
 	if len(c.Record.Ended) > len(m.Ended) && r.isArbiter(c.Record.Fingerprint) {
 		r.announce(&c.Record)
 	}
-	r.changed(&c)
+	r.changed(now, &c)
 }
 
 // quarantineRead takes what the store says. An entry that is taken out lifts
@@ -173,7 +176,7 @@
 		c = r.quarantine.Merge(now, ev.Record)
 	}
 	if c.Changed {
-		r.enforceLater(&c.Record)
+		r.enforceLater(now, &c.Record)
 	}
 	if ev.Record != nil && !r.isKept(now, ev.Fingerprint) {
 		// Two arbiters may write in an order that leaves what is over: entry VMs
@@ -196,26 +199,34 @@
 	c := r.quarantine.Answered(now, f)
 	if c.Changed {
 		r.announce(&c.Record)
-		r.changed(&c)
+		r.changed(now, &c)
 	}
 }
 
 // changed reports a change that concerns a quarantine, and has it enforced.
-func (r *Reducer) changed(c *quarantine.Change) {
+func (r *Reducer) changed(now clock.Time, c *quarantine.Change) {
 	if c.Record.Quarantined() || c.Lifted() {
 		r.report(&c.Record)
 	}
-	r.enforceLater(&c.Record)
+	r.enforceLater(now, &c.Record)
 }
 
 // enforceLater has a quarantine enforced at the end of the step, as the step may
 // be about one of the requests.
-func (r *Reducer) enforceLater(rec *quarantine.Record) {
+func (r *Reducer) enforceLater(now clock.Time, rec *quarantine.Record) {
 	if !rec.Quarantined() {
 		return
 	}
 	r.enforcing = append(r.enforcing, rec.Fingerprint)
-	r.timers.add(timer{at: rec.Expires(), purpose: dueQuarantine})
+	r.expireLater(now)
+}
+
+// expireLater has quarantines looked through for those that are over.
+func (r *Reducer) expireLater(now clock.Time) {
+	if !r.expiring {
+		r.expiring = true
+		r.timers.add(timer{at: now.Add(expireEvery), purpose: dueQuarantine})
+	}
 }
 
 // enforce ends the searches of requests whose fingerprints have come into
@@ -267,34 +278,8 @@
 	for _, f := range r.quarantine.Expire(now) {
 		r.report(&quarantine.Record{Fingerprint: f})
 	}
-}
-
-// leastBusy returns the target with the fewest requests, for one that may end
-// it: they would be lost with it.
-func (r *Reducer) leastBusy(now clock.Time, j *job, ejectedToo bool) *targetState {
-	var best *targetState
-	for _, t := range j.svc.targets {
-		if r.eligible(now, j, t, ejectedToo) && (best == nil || r.lessBusy(now, t, best)) {
-			best = t
-		}
-	}
-	j.chose, j.why, j.slower = false, WhyAlone, false
-	j.awaited, j.considered = best, j.considered[:0]
-	if best == nil {
-		return nil
-	}
-	j.considered = append(j.considered, scored{t: best})
-	if r.full(now, j, best) {
-		return nil
-	}
-	return best
-}
-
-// lessBusy compares two targets: those of the own region come first, then the
-// ones with fewer requests.
-func (r *Reducer) lessBusy(now clock.Time, a, b *targetState) bool {
-	if r.here(a) != r.here(b) {
-		return r.here(a)
+	r.expiring = false
+	if r.quarantine.Quarantined() > 0 {
+		r.expireLater(now)
 	}
-	return a.load(now) < b.load(now)
 }
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -47,6 +47,7 @@
 
 	quarantine quarantine.List
 	enforcing  []quarantine.Fingerprint // came into quarantine in this step
+	expiring   bool                     // a timer looks for quarantines that are over
 }
 
 // New returns a Reducer that knows no configuration.
--- a/decide/quarantine/fingerprint_test.go
+++ b/decide/quarantine/fingerprint_test.go
@@ -46,3 +46,11 @@
 		FingerprintOf(c)
 	}
 }
+
+func BenchmarkFingerprintOfABody(b *testing.B) {
+	c := Content{Method: "POST", Host: "shop.example", URI: "/upload/4a/665c", Body: make([]byte, 1<<20)}
+	b.SetBytes(int64(len(c.Body)))
+	for b.Loop() {
+		FingerprintOf(c)
+	}
+}
