One order of strong VMs for coordinators and arbiters

The two had the same filter, choice of strong VMs and rendezvous order, written twice. No behaviour changes; the tests of decide/ingress pass unchanged.

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -39,7 +39,7 @@
 	key := coordination{region, s}
 	line, kept := r.lines[key]
 	if !kept {
-		line = r.inLine(region, s)
+		line = r.strongInOrder(region, string(s))
 		r.lines[key] = line
 	}
 	return line
@@ -58,7 +58,9 @@
 	r.forgetUnlisted()
 }
 
-func (r *Reducer) inLine(region fleet.Region, s fleet.ServiceName) []fleet.VMID {
+// strongInOrder returns the strong VMs of a region by rendezvous hashing of a
+// name: the same order at all VMs that know the same members.
+func (r *Reducer) strongInOrder(region fleet.Region, name string) []fleet.VMID {
 	var own []fleet.VM
 	for _, m := range r.members {
 		if m.State == fleet.Live && (m.Region == region || region == anyRegion) {
@@ -70,7 +72,7 @@
 	for i := range strong {
 		ids[i] = strong[i].ID
 	}
-	return rank.Order(string(s), ids)
+	return rank.Order(name, ids)
 }
 
 // obtain seeks a target for the next send of q.
--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -8,7 +8,6 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/quarantine"
-	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -35,21 +34,10 @@
 // arbitersOf returns the VMs that count the ends of a fingerprint: this one alone
 // while it knows of none.
 func (r *Reducer) arbitersOf(f quarantine.Fingerprint) []fleet.VMID {
-	var live []fleet.VM
-	for _, m := range r.members {
-		if m.State == fleet.Live {
-			live = append(live, m)
-		}
-	}
-	if len(live) == 0 {
+	line := r.strongInOrder(anyRegion, string(f[:]))
+	if len(line) == 0 {
 		return []fleet.VMID{r.opts.Self}
 	}
-	strong := fleet.Strong(live)
-	ids := make([]fleet.VMID, len(strong))
-	for i := range strong {
-		ids[i] = strong[i].ID
-	}
-	line := rank.Order(string(f[:]), ids)
 	return line[:min(len(line), arbiters)]
 }
 
