Document the reason of a quarantine; tests tell of limits in both regions

TestReasonsArePublished failed: the new reason stood neither on the page for callers nor among the statuses. doc.go tells where requests that end targets are dealt with. The asks' test has targets of two regions now: told of the own region's alone, it would not find all.

--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -49,6 +49,15 @@
 //     allowance at most. The parts sum below the bound for any subset of the
 //     entry VMs, also right after all of them were restarted.
 //
+// # Requests that end targets
+//
+// A request may end each target that runs it, and comes again at any entry VM.
+// Package quarantine counts the ends by the content of requests; here they are
+// proved (Probe, ended), told to the VMs that count them and then to all
+// (announce), and acted upon: a request whose content is in quarantine is refused
+// on arrival (keptAway), and one that may be deadly goes where the fewest others
+// run (leastBusy).
+//
 // # What callers are told
 //
 // Every refusal carries the joined verdict of all sends. Not-run is said only
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -162,8 +162,8 @@
 	return n
 }
 
-// Entry VMs that tell only of the first limits leave the others to be learned
-// from overruns.
+// Entry VMs that tell only of the first limits, or of those of their region, leave
+// the others to be learned from overruns.
 func TestAsksTellOfAllLimitsInTurn(t *testing.T) {
 	is := is.New(t)
 	s := newBench(t, Bounds{}, selfVM, otherVM)
@@ -172,7 +172,7 @@
 	const targets = 3 * maxNamedLimits
 	for n := range targets {
 		id := fleet.TargetID(fmt.Sprint("t", n))
-		s.target(id, "d1", 3)
+		s.target(id, []fleet.Domain{"d1", "far"}[n%2], 3)
 		s.r.out = &s.out
 		s.r.nameLimit(s.now, s.r.targets[id], rateLimit{named: true, perSecond: 1, at: s.now})
 	}
--- a/serve/daemon/answer.go
+++ b/serve/daemon/answer.go
@@ -36,6 +36,7 @@
 var failures = map[verdict.Reason]failure{
 	verdict.ReasonUnknownService:   {http.StatusNotFound, "The catalogue holds no such service."},
 	verdict.ReasonRouteDefect:      {http.StatusServiceUnavailable, "The configuration of the route was not understood."},
+	verdict.ReasonQuarantined:      {http.StatusServiceUnavailable, "Requests like this one end the targets that run them."},
 	verdict.ReasonNotReady:         {http.StatusServiceUnavailable, "This entry VM has no configuration yet."},
 	verdict.ReasonStopping:         {http.StatusServiceUnavailable, "This entry VM is leaving. Use another one."},
 	verdict.ReasonOverload:         {http.StatusServiceUnavailable, "There is no capacity for the request now."},
