Count the waits for connections, by failure domain

Of the incident of a region's share at the end of requests, hypothesis 1 hangs on how many requests wait for a connection to another region. The lines of requests sample one answered send in 64: 56 first sends of kriti to other regions in ten seconds, 21 of which waited. Two counters say it for all of them.

--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -169,8 +169,13 @@
 	outcome := s.outcome(ans)
 	k.mu.Lock()
 	a.answer = ans
-	k.sends[a.index].WaitedMS = ans.Waited.Milliseconds()
+	step := &k.sends[a.index]
+	step.WaitedMS = ans.Waited.Milliseconds()
+	domain := step.Domain
 	k.mu.Unlock()
+	if ans.Waited > 0 {
+		s.metrics.waited(domain, ans.Waited)
+	}
 	s.noteEnd(k, a, outcome.String(), outcome.Verdict(), verdict.ReasonNone)
 	s.core.Post(&ingress.Answered{
 		Attempt: id,
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/inbound"
 )
@@ -23,6 +24,10 @@
 	verdicts *expvar.Map // own answers, by verdict
 	sends    *expvar.Int
 	domains  *expvar.Map // sends, by failure domain of the target
+	// waits and waitMS count the answered sends that waited for a connection, and
+	// how long they did in ms, by failure domain of the target.
+	waits    *expvar.Map
+	waitMS   *expvar.Map
 	outcomes *expvar.Map // ends of sends, by outcome
 	gone     *expvar.Int // callers that left
 	probes   *expvar.Int // of targets that may have ended
@@ -73,7 +78,8 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), statuses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(),
-		verdicts: new(expvar.Map).Init(), sends: new(expvar.Int), domains: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
+		verdicts: new(expvar.Map).Init(), sends: new(expvar.Int), domains: new(expvar.Map).Init(),
+		waits: new(expvar.Map).Init(), waitMS: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(),
 		gone: new(expvar.Int), probes: new(expvar.Int), badLimits: new(expvar.Int), beliefs: new(expvar.Map).Init(), latency: newLatency(), refusals: newLatency(),
 	}
 	m.vars.Set("answers_by_status", m.statuses)
@@ -81,6 +87,8 @@
 	m.vars.Set("refusals_by_verdict", m.verdicts)
 	m.vars.Set("sends", m.sends)
 	m.vars.Set("sends_by_domain", m.domains)
+	m.vars.Set("connection_waits_by_domain", m.waits)
+	m.vars.Set("connection_wait_ms_by_domain", m.waitMS)
 	m.vars.Set("sends_by_outcome", m.outcomes)
 	m.vars.Set("callers_gone", m.gone)
 	m.vars.Set("target_probes", m.probes)
@@ -91,6 +99,12 @@
 	return m
 }
 
+// waited counts a send that waited for a connection.
+func (m *metrics) waited(at fleet.Domain, took time.Duration) {
+	m.waits.Add(string(at), 1)
+	m.waitMS.Add(string(at), took.Milliseconds())
+}
+
 func (m *metrics) delivered(status int, took time.Duration) {
 	m.statuses.Add(strconv.Itoa(status), 1)
 	m.latency.add(took)
