--- a/decide/emulate/emulate_test.go
+++ b/decide/emulate/emulate_test.go
@@ -237,3 +237,18 @@
 		}
 	}
 }
+
+// Guards against requests to other regions that are on their way for longer than
+// the network takes: when requests end, what still reaches targets is nearly all
+// in other regions.
+func TestTheEndOfRequestsKeepsTheShareOfARegion(t *testing.T) {
+	const chance = 3 // standard deviations: one window in 700 lies beyond
+	p := patternOf(t, "requests-end", nil)
+	for seed := range uint64(3) {
+		worst := Run(p, Variant{Seed: seed + 1}).WorstShift
+		if worst.Deviates >= chance {
+			t.Errorf("seed %d: at %.1f s the share of %s changes from %.3f of %d to %.3f of %d, %.1f standard deviations beyond the bound",
+				seed+1, worst.Second, worst.Region, worst.Before.part(), worst.Before.All, worst.After.part(), worst.After.All, worst.Deviates)
+		}
+	}
+}
--- a/decide/emulate/reach.go
+++ b/decide/emulate/reach.go
@@ -44,17 +44,14 @@
 
 // worstShift compares, for each region and at each step of the load, the
 // requests that reached targets in the window before with those in the window
-// after, and returns the change that is hardest to put down to chance.
-//
-// Windows that go beyond the load are left out: what reaches targets then is
-// what was on its way, and only requests to other regions are on their way for
-// long.
+// after, and returns the change that is hardest to put down to chance. The last
+// window begins with the end of the load: it holds what was on its way then.
 func (b *books) worstShift(bound float64, window, load time.Duration) Shift {
 	var worst Shift
 	for _, region := range sortedKeys(b.reached) {
 		list := b.reached[region]
 		slices.SortStableFunc(list, func(x, y reach) int { return cmp.Compare(x.at, y.at) })
-		for at := b.began.Add(window); at.Add(window) <= b.began.Add(load); at = at.Add(shiftStep) {
+		for at := b.began.Add(window); at <= b.began.Add(load); at = at.Add(shiftStep) {
 			s := Shift{Region: region, Second: at.Sub(b.began).Seconds()}
 			s.Before, s.After = sum(list, at.Add(-window), at), sum(list, at, at.Add(window))
 			if min(s.Before.All, s.After.All) < shiftLeast {
