Quarantine: count only the ends that trials have brought about

What callers see: an innocent request that is kept away by chance waits two minutes instead of 8 s for its next trial.

Trace: the fingerprint came into quarantine at 5.87 s; at 7.42 s the end of a target became known under which the request had been lost at 4.52 s. It was the fourth, and each beyond the third was taken for one that a trial had ended. No trial had been.

Change: an end counts as a trial's if its request was sent half of the shortest wait after the third end or later, when all entry VMs know of the quarantine, and as many at most as there were trials. TestOnlyTrialsPutOffTheNextOne failed before.

--- a/decide/quarantine/list_test.go
+++ b/decide/quarantine/list_test.go
@@ -136,6 +136,21 @@
 	is.Equal(l.Find(now.Add(keepQuarantined), f), nil)
 }
 
+// Guards against an innocent request that waits for two minutes although none of
+// its trials has ended a target: another attempt was under way when its
+// fingerprint came into quarantine, and its target ended as well.
+func TestOnlyTrialsPutOffTheNextOne(t *testing.T) {
+	is := is.New(t)
+	var l List
+	f := numbered(1)
+	endUnder(&l, f, 1, MaxEnds+1)
+	rec := l.Find(testNow, f)
+	is.Equal(rec.TrialAt(), rec.Since.Add(trialAfter[0]))
+	l.Tried(rec.TrialAt(), f) // and shows nothing, as when its target is full
+	rec = l.Find(testNow, f)
+	is.Equal(rec.TrialAt(), rec.Since.Add(trialAfter[0]))
+}
+
 // A caller that has many different requests end with targets must not fill the
 // memory, nor push out what is in quarantine.
 func TestListIsBounded(t *testing.T) {
--- a/decide/quarantine/record.go
+++ b/decide/quarantine/record.go
@@ -73,20 +73,38 @@
 // has come. Of targets that end together one counts: requests that come all the
 // time are under way at many of them, and a query of death goes on to the next
 // target when one has ended.
-func (r *Record) Ends() int {
+func (r *Record) Ends() int { return len(r.inTurn()) }
+
+// inTurn returns the ends that Ends counts, in their order.
+func (r *Record) inTurn() []End {
 	open := r.open()
 	slices.SortFunc(open, func(a, b End) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Sent, b.Sent))
 	})
-	n := 0
-	var latest clock.Time
+	var list []End
 	for _, e := range open {
-		if n == 0 || !e.Sent.Before(latest) {
+		if len(list) == 0 || !e.Sent.Before(list[len(list)-1].At) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// byTrials returns how many trials have ended a target. Other attempts may have
+// been sent before all entry VMs knew of the quarantine.
+func (r *Record) byTrials() int {
+	list := r.inTurn()
+	if len(list) <= MaxEnds {
+		return 0
+	}
+	known := list[MaxEnds-1].At.Add(trialAfter[0] / 2)
+	n := 0
+	for _, e := range list[MaxEnds:] {
+		if !e.Sent.Before(known) {
 			n++
-			latest = e.At
 		}
 	}
-	return n
+	return min(n, r.Trials)
 }
 
 // open returns the ends that are not cleared.
@@ -102,8 +120,7 @@
 	if r.Trials >= len(trialAfter) {
 		return r.Expires()
 	}
-	shown := r.Ends() - MaxEnds // by trials
-	step := min(max(shown, r.Trials-1, 0), len(trialAfter)-1)
+	step := min(max(r.byTrials(), r.Trials-1, 0), len(trialAfter)-1)
 	return r.Since.Add(trialAfter[step])
 }
 
