Quarantine: a trial that no target has begun to run is none

What callers see: an innocent request that is kept away by chance waits two minutes longer because the targets of its trials were down or full.

Change: a trial is counted once it may have run, not when it is sent. Sends that no target has begun to run put none at risk, so there may be more of them. A VM that ends with a trial under way leaves it uncounted, which may cost one more target.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -67,6 +67,7 @@
 // delivers the failure otherwise.
 func (r *Reducer) serverError(now clock.Time, a *attempt) {
 	q := a.req
+	r.noteTrial(now, q)
 	again := q.route.Idempotent && q.mayRepeat(now) && len(q.running) == 0
 	if !again || (!q.searching() && !q.svc.repeats.spend()) {
 		r.deliver(now, a)
@@ -103,6 +104,7 @@
 func (r *Reducer) ran(now clock.Time, q *request, why verdict.Reason) {
 	q.verdict = verdict.Join(q.verdict, verdict.MayHaveRun)
 	q.reason = why
+	r.noteTrial(now, q)
 	r.again(now, q)
 }
 
--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -75,12 +75,14 @@
 	return 0, false
 }
 
-// noteTrial counts a request that is sent although its fingerprint is in
-// quarantine.
+// noteTrial counts a request that was sent although its fingerprint is in
+// quarantine, once it may have run. What no target has begun to run puts none at
+// risk, and says nothing.
 func (r *Reducer) noteTrial(now clock.Time, q *request) {
-	if !q.trial || q.sends > 1 {
+	if !q.trial || q.counted {
 		return
 	}
+	q.counted = true
 	c := r.quarantine.Tried(now, q.fingerprint)
 	if c.Changed {
 		r.tellAll(&c.Record)
--- a/decide/ingress/quarantine_test.go
+++ b/decide/ingress/quarantine_test.go
@@ -116,6 +116,31 @@
 	is.Equal(out.Refusals[0].Reason, verdict.ReasonQuarantined)
 }
 
+// Guards against an innocent request that is kept away for minutes because the
+// targets of its trials were full or down.
+func TestATrialThatHasNotRunIsNone(t *testing.T) {
+	is := is.New(t)
+	s := quarantineBench(t)
+	for s.r.quarantine.Quarantined() == 0 {
+		for out := s.arrives(); len(out.Sends) > 0; {
+			out = s.loses(out.Sends[0], ListeningNo)
+		}
+	}
+	rec := s.r.quarantine.Find(s.now, oneContent)
+	s.now = rec.TrialAt()
+	for range 3 {
+		out := s.arrives()
+		is.Equal(len(out.Sends), 1) // a trial
+		for len(out.Sends) > 0 {
+			out = s.step(&Failed{Attempt: out.Sends[0].Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonConnect})
+		}
+		is.Equal(out.Refusals[0].Verdict, verdict.NotRun)
+	}
+	out := s.arrives()
+	s.step(&Failed{Attempt: out.Sends[0].Attempt, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+	is.Equal(len(s.arrives().Sends), 0) // that one may have run
+}
+
 // What is over stays in the store, and entry VMs that start read it for good.
 func TestQuarantinesThatAreOverLeaveTheStore(t *testing.T) {
 	is := is.New(t)
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -31,10 +31,11 @@
 	fingerprint quarantine.Fingerprint
 	// losses is how many sends ended with their connection, and trial says that
 	// it is let through although its fingerprint is in quarantine.
-	losses int
-	trial  bool
-	job    *job    // in search of a target here
-	asking *asking // in search of a target elsewhere
+	losses  int
+	trial   bool
+	counted bool    // as a trial
+	job     *job    // in search of a target here
+	asking  *asking // in search of a target elsewhere
 }
 
 // attempt is one send of a request.
@@ -144,7 +145,6 @@
 	q.running = append(q.running, a)
 	q.tried = append(q.tried, t.ID)
 	r.attempts[a.id] = a
-	r.noteTrial(now, q)
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr,
 		Left:    q.due.Sub(now),
@@ -256,6 +256,9 @@
 func (r *Reducer) finish(now clock.Time, q *request) {
 	delete(r.requests, q.id)
 	r.stopSearch(now, q)
+	if len(q.running) > 0 {
+		r.noteTrial(now, q)
+	}
 	for _, a := range slices.Clone(q.running) {
 		r.out.Cancels = append(r.out.Cancels, Cancel{Request: q.id, Attempt: a.id})
 		r.endAttempt(now, a, &Report{Result: ResultUnknown})
