Carry requests to other regions through entry VMs near their targets

What callers saw: two in five answers from other regions came 110 ms later than the way takes; and when requests ended, 43 to 45 in 100 of the requests of the region with a tenth of the slots changed their region (SHIFT).

Cause: entry VMs meet each of a thousand targets of other regions less often than targets keep a free connection, and opening one takes two crossings. So half of what was on its way to other regions when requests ended waited for a connection.

Ruled out: fewer far targets (they fill up); connections kept to all of them (27,000, opened anew each ten seconds).

Change: a request for a target of another region goes to an entry VM of the target's failure domain, its gateway, over connections that stay open (docs/design/gateways.md). The sender keeps the target, the deadline, the repeats and the verdict; the gateway sends once and passes on what comes.

--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -30,6 +30,9 @@
 type try struct {
 	*caller
 	sends int
+	// sender is the send that a gateway carries with this try; nil: a caller's own.
+	sender *send
+	answer *ingress.Answered // the latest
 }
 
 // beginLoad starts the arrivals of each failure domain, and the events.
@@ -167,6 +170,10 @@
 func (f *fleetRun) delivered(v *vm, d ingress.Deliver) {
 	q := v.open[d.Request]
 	delete(v.open, d.Request)
+	if q != nil && q.sender != nil {
+		f.fromGateway(q.sender, q.answer)
+		return
+	}
 	if q == nil || q.done {
 		return
 	}
@@ -184,6 +191,10 @@
 func (f *fleetRun) refused(v *vm, e *ingress.Refusal) {
 	q := v.open[e.Request]
 	delete(v.open, e.Request)
+	if q != nil && q.sender != nil {
+		f.fromGateway(q.sender, &ingress.Failed{Verdict: e.Verdict, Reason: e.Reason})
+		return
+	}
 	if q == nil || q.done {
 		return
 	}
@@ -203,6 +214,10 @@
 func (f *fleetRun) lost(v *vm) {
 	for _, id := range sortedKeys(v.open) {
 		q := v.open[id]
+		if q.sender != nil {
+			f.gatewayLost(q.sender)
+			continue
+		}
 		if q.done {
 			continue
 		}
--- a/decide/emulate/emulate_test.go
+++ b/decide/emulate/emulate_test.go
@@ -238,6 +238,19 @@
 	}
 }
 
+// Guards against requests to other regions that wait for connections, which take
+// two crossings to open.
+func TestRequestsToOtherRegionsTakeOneCrossing(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"requests-end", "far-region", "lost-region"} {
+		p := patternOf(t, name, nil)
+		for seed := range uint64(3) {
+			r := Run(p, Variant{Seed: seed + 1})
+			is.True(r.FarDelay < p.Network.FarMS/10)
+		}
+	}
+}
+
 // Guards against requests to other regions that are on their way for longer than
 // the network takes: when requests end, what still reaches targets is nearly all
 // in other regions.
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -55,6 +55,9 @@
 	open     map[ingress.RequestID]*try
 	attempts map[ingress.AttemptID]*send
 	links    links
+	// carried counts the requests that it was given to carry: their numbers fall
+	// from the highest, those of its own callers rise.
+	carried ingress.RequestID
 }
 
 // send is one request of a VM at a target.
@@ -65,11 +68,14 @@
 	q      *try
 	t      *target
 	run    *run
-	carry  func()        // carries it to the target, once it has a connection
-	anew   bool          // no other send of its VM used the target lately
-	began  clock.Time    // of its wait for a connection
-	waited time.Duration // for a connection
-	opened time.Duration // that opening its connection took; 0: it was open
+	gate   *vm               // that carries it; nil: none does
+	gateID ingress.RequestID // the request's number there; 0: it is not there yet
+	carry  func()            // carries it to the gateway or target, once it has a connection
+	anew   bool              // no other send of its VM used the target lately
+	placed clock.Time        // when its target was chosen
+	began  clock.Time        // of its wait for a connection
+	waited time.Duration     // for a connection
+	opened time.Duration     // that opening its connection took; 0: it was open
 	ended  bool
 }
 
@@ -170,7 +176,7 @@
 	for _, d := range f.p.Domains {
 		for i := range d.VMs {
 			v := &vm{self: fleet.VM{
-				ID: fleet.VMID(fmt.Sprintf("vm-%s-%d", d.Name, i)), Domain: d.Name, Region: d.Region,
+				ID: fleet.VMID(fmt.Sprintf("vm-%s-%d", d.Name, i)), Domain: d.Name, Region: d.Region, GatewayAddr: "gateway",
 			}}
 			f.vms = append(f.vms, v)
 			f.byID[v.self.ID] = v
@@ -305,10 +311,14 @@
 // send carries a request to a target.
 func (f *fleetRun) send(v *vm, e *ingress.Send) {
 	t, q := f.targets[e.Target], v.open[e.Request]
-	s := &send{vm: v, starts: v.starts, id: e.Attempt, q: q, t: t}
+	s := &send{vm: v, starts: v.starts, id: e.Attempt, q: q, t: t, placed: f.now}
 	v.attempts[e.Attempt] = s
 	q.sends++
 	s.carry = func() { f.carry(s) }
+	if e.Gateway != "" {
+		s.gate = f.byID[e.Gateway]
+		s.carry = func() { f.toGateway(s) }
+	}
 	f.connect(s, e.Spare)
 }
 
@@ -327,6 +337,7 @@
 			return
 		}
 		f.books.reach(f.now, q, t.region)
+		f.noteReached(s)
 		t.limited.reach(f.now, v)
 		s.run = &run{send: s, object: q.object, start: t.reg.Born}
 		t.take(f, s.run)
@@ -338,7 +349,7 @@
 	s, load, limit := r.send, t.load(), t.names(f.now)
 	f.after(f.way(t.reg.Domain, s.vm.self.Domain), func() {
 		if !s.ended && s.vm.starts == s.starts {
-			f.freed(s.vm, t)
+			f.freed(s)
 		}
 		if limit.Named {
 			t.limited.tell(f.now, s.vm)
@@ -354,6 +365,9 @@
 	}
 	s.ended = true
 	delete(s.vm.attempts, s.id)
+	if a, ok := ev.(*ingress.Answered); ok {
+		s.q.answer = a
+	}
 	f.step(s.vm, ev)
 }
 
@@ -384,4 +398,9 @@
 	if s.run != nil {
 		s.run.over = true
 	}
+	if s.gateID != 0 {
+		f.after(f.way(v.self.Domain, s.gate.self.Domain), func() {
+			f.step(s.gate, &ingress.CallerGone{Request: s.gateID})
+		})
+	}
 }
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -55,6 +55,10 @@
 	// lately.
 	Far       int `json:"far"`
 	FarWaited int `json:"far_waited"`
+	// FarDelay is how much longer than the network takes the requests to other
+	// regions were on their way, in ms: the mean of those that reached targets in
+	// the second half of the load.
+	FarDelay float64 `json:"far_delay_ms"`
 	// WorstShift is the change of a region's share that exceeds the operators'
 	// bound most, of all windows of the play.
 	WorstShift Shift `json:"worst_shift"`
@@ -113,6 +117,7 @@
 	pattern *Pattern
 	began   clock.Time               // of the load
 	reached map[fleet.Region][]reach // by the region of the callers
+	delayed durations                // of requests to other regions
 	limited []*limited
 	deadly  []*Deadly
 	ending  *deadly // under which a target ends right now; nil: none
@@ -203,6 +208,7 @@
 
 func (b *books) result(v Variant) *Result {
 	b.r.Seed = v.Seed
+	b.r.FarDelay = b.delayed.meanMS()
 	b.r.WorstLimit = worstOverrun(b.limited)
 	for _, d := range b.deadly {
 		b.r.Deadly = append(b.r.Deadly, *d)
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -53,13 +53,16 @@
 
 // VM describes one entry VM.
 type VM struct {
-	ID          VMID        `json:"id"`
-	Region      Region      `json:"region"`
-	Domain      Domain      `json:"domain"`
-	Site        Site        `json:"site"`
-	CallAddr    string      `json:"call_addr"`  // host:port for callers and forwarded requests
-	PeerAddr    string      `json:"peer_addr"`  // host:port for frames between entry VMs
-	AdminAddr   string      `json:"admin_addr"` // host:port for operators
+	ID        VMID   `json:"id"`
+	Region    Region `json:"region"`
+	Domain    Domain `json:"domain"`
+	Site      Site   `json:"site"`
+	CallAddr  string `json:"call_addr"`  // host:port for callers and forwarded requests
+	PeerAddr  string `json:"peer_addr"`  // host:port for frames between entry VMs
+	AdminAddr string `json:"admin_addr"` // host:port for operators
+	// GatewayAddr is the host:port for requests of entry VMs of other regions to
+	// targets near this one; empty: it takes none.
+	GatewayAddr string      `json:"gateway_addr,omitempty"`
 	Incarnation Incarnation `json:"incarnation"`
 	State       State       `json:"state"`
 	// Cores is the VM's share of a processor, in cores; 0: not stated.
--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -13,6 +13,7 @@
 // its place.
 func (r *Reducer) endAttempt(now clock.Time, a *attempt, rep *Report) {
 	delete(r.attempts, a.id)
+	r.noteWithdrawn(a.gateway, askNumber(a.id))
 	a.req.running = slices.DeleteFunc(a.req.running, func(o *attempt) bool { return o == a })
 	switch {
 	case a.job != nil && a.job.state == jobPlaced:
@@ -28,7 +29,11 @@
 func (r *Reducer) answered(now clock.Time, ev *Answered) {
 	a, ok := r.attempts[ev.Attempt]
 	if !ok {
-		return // given up meanwhile
+		r.carriedAnswered(ev) // or given up meanwhile
+		return
+	}
+	if a.gateway != "" {
+		r.noteHeard(a.gateway)
 	}
 	q, t := a.req, a.target
 	t.answered = now
@@ -112,6 +117,11 @@
 func (r *Reducer) failed(now clock.Time, ev *Failed) {
 	a, ok := r.attempts[ev.Attempt]
 	if !ok {
+		r.carriedFailed(ev)
+		return
+	}
+	if ev.Reason == verdict.ReasonGateway {
+		r.gatewayFailed(now, a, ev.Verdict)
 		return
 	}
 	rep := &Report{Result: ResultFailed, Took: now.Sub(a.sent)}
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -55,6 +55,7 @@
 func (r *Reducer) setMembers(vms []fleet.VM) {
 	r.members = vms
 	clear(r.lines)
+	clear(r.gateways)
 	r.forgetUnlisted()
 }
 
@@ -92,7 +93,7 @@
 	}
 	q.asking = &asking{ask: a, to: to}
 	r.asks[a.ID] = q
-	r.noteAsk(to, a.ID)
+	r.noteAsk(to, askNumber(a.ID))
 	r.tell(to, &a)
 	r.timers.add(timer{at: now.Add(a.Wait + askTimeout), purpose: dueAsk, request: q.id, ask: a.ID})
 }
@@ -127,7 +128,7 @@
 		return
 	}
 	delete(r.asks, q.asking.ask.ID)
-	r.noteWithdrawn(q.asking.to, q.asking.ask.ID)
+	r.noteWithdrawn(q.asking.to, askNumber(q.asking.ask.ID))
 	r.tell(q.asking.to, &Withdraw{ID: q.asking.ask.ID})
 	q.asking = nil
 }
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -73,6 +73,17 @@
 // CallerGone says that the caller of a request has closed its connection.
 type CallerGone struct{ Request RequestID }
 
+// Carry is a request that an entry VM of another region has placed at a target
+// near this one. Its answer or refusal is for that VM.
+type Carry struct {
+	Request RequestID
+	Target  fleet.TargetID
+	Left    time.Duration // what the target may still take
+}
+
+// Received says that the gateway of an attempt has the request.
+type Received struct{ Attempt AttemptID }
+
 // Answered is a whole answer of a target. Of an answer that is no answer to
 // the request, such as one of another request, the transport reports Failed.
 type Answered struct {
@@ -141,7 +152,8 @@
 	PerSecond float64
 }
 
-// Failed says that an attempt has ended without an answer.
+// Failed says that an attempt has ended without an answer. With
+// verdict.ReasonGateway it has ended on the way to its gateway or back.
 type Failed struct {
 	Attempt AttemptID
 	Verdict verdict.Verdict
@@ -192,9 +204,13 @@
 	Target  fleet.TargetID
 	Domain  fleet.Domain // of the target
 	Addr    string
+	// Gateway is the entry VM that carries the request to the target; "": it is
+	// sent from here.
+	Gateway fleet.VMID
 	Left    time.Duration // what the target may still take
 	Connect time.Duration // bound on opening a connection
-	// Spare asks that a connection to the target stay free beside those in use.
+	// Spare asks that a connection to the gateway or target stay free beside those
+	// in use.
 	Spare bool
 }
 
--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -45,6 +45,8 @@
 	// owner finds the request of an attempt that is under way.
 	owner map[AttemptID]*simRequest
 	last  RequestID
+	// answer is the latest of a target.
+	answer *Answered
 }
 
 type simRequest struct {
@@ -57,6 +59,8 @@
 	mayRun  bool
 	running map[AttemptID]bool
 	content quarantine.Fingerprint
+	carried *simCarried // nil: a caller's own
+	gates   []simGate   // that have it
 }
 
 type simTarget struct {
@@ -115,7 +119,7 @@
 	var members []fleet.VM
 	for i, d := range []fleet.Domain{"a1", "a2", "a2", "b1", "b1"} {
 		id := fleet.VMID(fmt.Sprintf("vm-%d", i))
-		members = append(members, fleet.VM{ID: id, Domain: d, Region: simRegions[d]})
+		members = append(members, fleet.VM{ID: id, Domain: d, Region: simRegions[d], GatewayAddr: "gateway"})
 		vm := &simVM{id: id, wake: clock.Never, open: make(map[RequestID]*simRequest), owner: make(map[AttemptID]*simRequest)}
 		vm.r = New(Options{Self: id, Domain: d, Regions: simRegions, Bounds: s.bounds, Seed: seed, Start: s.now})
 		s.vms = append(s.vms, vm)
@@ -130,6 +134,10 @@
 // step has one entry VM take an event and carries out the effects.
 func (s *fleetSim) step(vm *simVM, ev Event) {
 	vm.out.Reset()
+	if a, ok := ev.(*Answered); ok {
+		vm.answer = a
+	}
+	answer := vm.answer
 	vm.r.Step(s.now, ev, &vm.out)
 	if err := vm.r.Check(); err != nil {
 		s.t.Fatalf("%s after %T: %v", vm.id, ev, err)
@@ -141,13 +149,21 @@
 			delete(vm.owner, c.Attempt)
 			delete(q.running, c.Attempt)
 			q.mayRun = true
+			s.leaveGateways(q, c.Attempt)
 		}
 	}
 	for _, id := range out.Dropped {
 		s.final(vm, id)
 	}
 	for _, d := range out.Delivers {
-		s.contents.answered(s.final(vm, d.Request).content)
+		q := s.final(vm, d.Request)
+		if c := q.carried; c != nil {
+			passed := *answer
+			passed.Attempt = c.attempt
+			s.after(time.Millisecond, func() { s.endCarried(c.sender, c.q, &passed) })
+			continue
+		}
+		s.contents.answered(q.content)
 	}
 	for _, f := range out.Refusals {
 		s.refused(vm, f)
@@ -186,7 +202,9 @@
 		s.t.Fatalf("%s: request %d has a second end", vm.id, id)
 	}
 	delete(vm.open, id)
-	s.finals++
+	if q.carried == nil {
+		s.finals++
+	}
 	if late := s.now.Sub(q.due); late > answerMargin {
 		s.t.Fatalf("%s: request %d ends %v too late", vm.id, id, late)
 	}
@@ -195,10 +213,16 @@
 
 func (s *fleetSim) refused(vm *simVM, f Refusal) {
 	q := s.final(vm, f.Request)
-	s.keptAway(q, f)
 	if f.Verdict == verdict.NotRun && (q.mayRun || len(q.running) > 0) {
 		s.t.Fatalf("%s: request %d is said not to have run, but may have", vm.id, f.Request)
 	}
+	if c := q.carried; c != nil {
+		s.after(time.Millisecond, func() {
+			s.endCarried(c.sender, c.q, &Failed{Attempt: c.attempt, Verdict: f.Verdict, Reason: f.Reason})
+		})
+		return
+	}
+	s.keptAway(q, f)
 }
 
 func (s *fleetSim) send(vm *simVM, e Send) {
@@ -206,6 +230,8 @@
 	switch {
 	case q == nil:
 		s.t.Fatalf("%s: send for an ended request", vm.id)
+	case q.carried != nil && q.sends > 0:
+		s.t.Fatalf("%s: carried request %d is sent again", vm.id, e.Request)
 	case !q.idempotent && (q.mayRun || len(q.running) > 0):
 		s.t.Fatalf("%s: request %d is sent again although it may have run", vm.id, e.Request)
 	case len(q.homes) > 0 && !slices.Contains(q.homes, t.region):
@@ -213,10 +239,13 @@
 	case e.Left <= 0 || s.now.Add(e.Left) > q.due:
 		s.t.Fatalf("%s: request %d is given %v, more than is left", vm.id, e.Request, e.Left)
 	}
-	q.sends++
 	q.running[e.Attempt] = true
 	vm.owner[e.Attempt] = q
-	if q.sends > 1 {
+	if e.Gateway != "" {
+		s.throughGateway(vm, q, e)
+		return
+	}
+	if q.sends++; q.sends > 1 || (q.carried != nil && q.carried.q.passed()) {
 		s.repeats = append(s.repeats, s.now)
 	}
 	s.countCold(t)
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -60,6 +60,9 @@
 	if attempts != len(r.attempts) {
 		return fmt.Errorf("%d attempts kept, %d under way", len(r.attempts), attempts)
 	}
+	if len(r.carries) != len(r.carriesBy) {
+		return fmt.Errorf("%d requests carried, %d by their attempts", len(r.carries), len(r.carriesBy))
+	}
 	for id, q := range r.asks {
 		if q.asking == nil || q.asking.ask.ID != id {
 			return fmt.Errorf("ask %d is kept and not asked", id)
--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -43,12 +43,14 @@
 	Quarantining
 	// RateLimits keep to the rates that targets name.
 	RateLimits
+	// Gateways carry requests for targets of other regions.
+	Gateways
 )
 
 var mechanismNames = []string{
 	"recall", "coordinators", "second-send", "headroom", "elsewhere", "large-bodies",
 	"carriage", "wait-at-target", "first-choice", "joined", "ejection", "spare-connections",
-	"quarantining", "rate-limits",
+	"quarantining", "rate-limits", "gateways",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -43,7 +43,13 @@
 	requests    map[RequestID]*request
 	attempts    map[AttemptID]*attempt
 	nextAttempt AttemptID
-	timers      timers
+	// gateways are the VMs of a failure domain that carry requests there, as far
+	// as they were asked for. carries are the requests of others that this VM
+	// carries, and carriesBy the same by their attempts.
+	gateways  map[fleet.Domain][]fleet.VMID
+	carries   map[RequestID]*carried
+	carriesBy map[AttemptID]*carried
+	timers    timers
 
 	quarantine quarantine.List
 	enforcing  []quarantine.Fingerprint // came into quarantine in this step
@@ -70,6 +76,9 @@
 		nextAsk:   AskID(o.Start),
 		requests:  make(map[RequestID]*request),
 		attempts:  make(map[AttemptID]*attempt),
+		gateways:  make(map[fleet.Domain][]fleet.VMID),
+		carries:   make(map[RequestID]*carried),
+		carriesBy: make(map[AttemptID]*carried),
 		lapses:    clock.Never,
 	}
 }
@@ -83,8 +92,12 @@
 	switch ev := ev.(type) {
 	case *Arrive:
 		r.arrive(now, ev)
+	case *Carry:
+		r.carry(now, ev)
 	case *CallerGone:
 		r.callerGone(now, ev)
+	case *Received:
+		r.received(ev.Attempt)
 	case *Answered:
 		r.answered(now, ev)
 	case *Failed:
@@ -152,6 +165,9 @@
 	case dueQuarantine:
 		r.expireQuarantine(now)
 		return
+	case dueCarried:
+		r.carriedDue(t.request)
+		return
 	}
 	q, ok := r.requests[t.request]
 	if !ok {
@@ -164,6 +180,8 @@
 		r.hedge(now, q)
 	case dueAsk:
 		r.askDue(now, q, t.ask)
+	case dueGateway:
+		r.gatewayDue(now, q, t.attempt)
 	}
 }
 
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -47,6 +47,10 @@
 	job    *job       // its place, if this entry VM has given it
 	lender fleet.VMID // or else the coordinator that has, for an ask
 	ask    AskID
+	// gateway is the VM that carries it; "": it is sent from here. received says
+	// that the gateway has it.
+	gateway  fleet.VMID
+	received bool
 }
 
 // aim is the latency within which the answer has its full value.
@@ -139,18 +143,13 @@
 // granted sends q to t. j is the place there, nil if a coordinator has lent it.
 func (r *Reducer) granted(now clock.Time, q *request, j *job, t *targetState) {
 	r.nextAttempt++
-	a := &attempt{id: r.nextAttempt, req: q, target: t, sent: now, job: j}
+	a := &attempt{id: r.nextAttempt, req: q, target: t, sent: now, job: j, gateway: r.gatewayTo(now, t)}
 	q.job = nil
 	q.sends++
 	q.running = append(q.running, a)
 	q.tried = append(q.tried, t.ID)
 	r.attempts[a.id] = a
-	r.out.Sends = append(r.out.Sends, Send{
-		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr,
-		Left:    q.due.Sub(now),
-		Connect: r.connectBound(t),
-		Spare:   t.region != r.region && r.on(SpareConnections),
-	})
+	r.sendOut(now, a)
 	if q.route.Idempotent && q.mayRepeat(now) {
 		r.timers.add(timer{at: now.Add(r.hedgeAfter(q.svc)), request: q.id, purpose: dueHedge})
 	}
@@ -183,17 +182,26 @@
 // hedge sends q a second time if its target has answered nobody since the
 // first send: it may be down without having closed its connections.
 func (r *Reducer) hedge(now clock.Time, q *request) {
-	if !r.on(SecondSend) || len(q.running) != 1 || q.searching() || !q.mayRepeat(now) || !r.mayTryAnother(now, q) {
+	if !r.mayHedge(now, q) {
 		return
 	}
 	a := q.running[0]
 	if a.target.answered.After(a.sent) || !q.svc.repeats.spendSpare(r.repeatLimit()) {
 		return
 	}
-	r.suspect(now, a.target)
+	if a.gateway == "" || a.received {
+		r.suspect(now, a.target)
+	}
 	r.obtain(now, q)
 }
 
+// mayHedge reports whether q may be sent a second time while its first send is
+// under way.
+func (r *Reducer) mayHedge(now clock.Time, q *request) bool {
+	return r.on(SecondSend) && q.route.Idempotent && len(q.running) == 1 && !q.searching() &&
+		q.mayRepeat(now) && r.mayTryAnother(now, q)
+}
+
 // searching reports whether a target is sought for q. A second search beside it
 // would end q twice, or send it twice at once.
 func (q *request) searching() bool { return q.job != nil || q.asking != nil }
@@ -278,6 +286,7 @@
 func (r *Reducer) callerGone(now clock.Time, ev *CallerGone) {
 	q, ok := r.requests[ev.Request]
 	if !ok {
+		r.carriedGone(ev.Request)
 		return
 	}
 	r.out.Dropped = append(r.out.Dropped, q.id)
--- a/decide/ingress/standin.go
+++ b/decide/ingress/standin.go
@@ -10,15 +10,19 @@
 // of them: if each placed its own requests, as it does where nobody is left to
 // ask, none would count those of the others.
 
-// silence is a coordinator's that did not answer an ask in time.
+// silence is that of a coordinator or gateway that did not answer in time.
 type silence struct {
 	until clock.Time // it is not asked before
 	// probe is the one ask that finds out whether it answers again; 0: none is
 	// under way. With all asks put to it, those of a third of a second would
 	// wait for a dead VM once a second.
-	probe AskID
+	probe askNumber
 }
 
+// askNumber numbers what a VM is asked for: an AskID of a coordinator, or the
+// AttemptID of a request that a gateway is to carry.
+type askNumber uint64
+
 // mostAsked is how many in line are asked at most: beyond two it is likely to be
 // this VM that is cut off.
 const mostAsked = 2
@@ -42,14 +46,14 @@
 }
 
 // noteAsk makes an ask the probe of a silent VM.
-func (r *Reducer) noteAsk(to fleet.VMID, id AskID) {
+func (r *Reducer) noteAsk(to fleet.VMID, id askNumber) {
 	if s, silent := r.silent[to]; silent {
 		s.probe = id
 	}
 }
 
 // noteWithdrawn ends a probe that will have no answer.
-func (r *Reducer) noteWithdrawn(to fleet.VMID, id AskID) {
+func (r *Reducer) noteWithdrawn(to fleet.VMID, id askNumber) {
 	if s, silent := r.silent[to]; silent && s.probe == id {
 		s.probe = 0
 	}
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -15,6 +15,8 @@
 	dueAsk                       // its coordinator must have answered
 	dueJob                       // the job's wait or place ends
 	dueQuarantine                // a fingerprint need not be kept away any more
+	dueGateway                   // the gateway must have said that it has the request
+	dueCarried                   // the time of a carried request is over
 )
 
 // timer is one thing that is due for a request. Timers are not removed when
@@ -24,8 +26,9 @@
 	seq     uint64 // breaks ties, so that the order is always the same
 	request RequestID
 	purpose purpose
-	ask     AskID // of dueAsk
-	job     *job  // of dueJob
+	ask     AskID     // of dueAsk
+	attempt AttemptID // of dueGateway
+	job     *job      // of dueJob
 }
 
 type timers struct {
--- a/decide/verdict/verdict.go
+++ b/decide/verdict/verdict.go
@@ -22,8 +22,11 @@
 	Ran
 )
 
-// Header is the HTTP response header carrying a verdict.
-const Header = "Azurethread-Verdict"
+// The HTTP response headers that carry a verdict and its Reason.
+const (
+	Header       = "Azurethread-Verdict"
+	HeaderReason = "Azurethread-Reason"
+)
 
 var names = [...]string{
 	MayHaveRun: "may-have-run",
@@ -113,6 +116,7 @@
 	ReasonRetriesExhausted Reason = "retries-exhausted"
 	ReasonInternal         Reason = "internal"
 	ReasonQuarantined      Reason = "quarantined"
+	ReasonGateway          Reason = "gateway-failed"
 )
 
 // Error is a failure with its verdict.
--- a/serve/daemon/answer.go
+++ b/serve/daemon/answer.go
@@ -47,6 +47,7 @@
 	verdict.ReasonConnectionLost:   {http.StatusBadGateway, "The connection to the target was lost."},
 	verdict.ReasonSilent:           {http.StatusBadGateway, "The target did not answer in time."},
 	verdict.ReasonAnswerCut:        {http.StatusBadGateway, "The target's answer was not whole."},
+	verdict.ReasonGateway:          {http.StatusBadGateway, "The entry VM that carried the request to its target was lost."},
 	verdict.ReasonShed:             {http.StatusServiceUnavailable, "The targets refused the request."},
 	verdict.ReasonBodyTooLarge:     {http.StatusRequestEntityTooLarge, "The request body is larger than the limit."},
 	verdict.ReasonBadRequest:       {http.StatusBadRequest, "The request is malformed."},
--- a/serve/daemon/attempt.go
+++ b/serve/daemon/attempt.go
@@ -116,11 +116,7 @@
 // states its verdict and reason.
 func refusedBy(a *outbound.Answer, remote bool) *verdict.Error {
 	if remote {
-		v, ok := verdict.Parse(a.Header.Get(verdict.Header))
-		if !ok || v == verdict.Ran {
-			return nil
-		}
-		return &verdict.Error{Verdict: v, Reason: verdict.Reason(a.Header.Get(headerReason))}
+		return heads.Failure(a.Header)
 	}
 	if a.Header.Get(headerRefused) != verdict.NotRun.String() {
 		return nil
--- a/serve/daemon/request.go
+++ b/serve/daemon/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/heads"
 )
 
@@ -27,10 +28,10 @@
 	headerHops     = "Azurethread-Hops"        // times the request has been forwarded
 	headerClient   = "Azurethread-Client"      // the client's home region and block, as a look-up gave it
 	headerWait     = "Azurethread-Wait-Ms"     // on forwarded requests: the wait expected at the sender
-	headerReason   = "Azurethread-Reason"      // why a request was refused or failed
-	headerRefused  = "Azurethread-Refused"     // a target's own word that it has not run a request
-	headerLoad     = "Azurethread-Load"        // in flight/slots of the answering target
-	headerRetry    = "Retry-After"             // seconds
+	headerReason   = verdict.HeaderReason
+	headerRefused  = "Azurethread-Refused" // a target's own word that it has not run a request
+	headerLoad     = "Azurethread-Load"    // in flight/slots of the answering target
+	headerRetry    = "Retry-After"         // seconds
 	headerRetryMs  = "Azurethread-Retry-After-Ms"
 )
 
--- /dev/null
+++ b/serve/heads/failure_test.go
@@ -0,0 +1,24 @@
+package heads
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+func TestFailureIsReadAsItIsStated(t *testing.T) {
+	is := is.New(t)
+	h := make(http.Header)
+	is.True(Failure(h) == nil)
+	SetFailure(h, verdict.NotRun, verdict.ReasonGateway)
+	got := Failure(h)
+	is.Equal(got.Verdict, verdict.NotRun)
+	is.Equal(got.Reason, verdict.ReasonGateway)
+	DropFailure(h)
+	is.Equal(len(h), 0)
+	SetFailure(h, verdict.Ran, verdict.ReasonNone) // an answer, whatever else it is
+	is.True(Failure(h) == nil)
+}
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -70,6 +70,14 @@
 	return !gone
 }
 
+// processing is the interim answer of Acknowledge.
+var processing = []byte("HTTP/1.1 102 Processing\r\n\r\n")
+
+// Acknowledge tells the caller, before the answer, that the whole request has
+// come. Only a handler may call it, before Serve returns, and only on connections
+// that carry one request at a time.
+func (x *Exchange) Acknowledge() { _ = x.c.send(processing) } // its failure is that of the connection
+
 // hasGone reports whether the caller has gone before the answer.
 func (x *Exchange) hasGone() bool {
 	x.mu.Lock()
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -25,6 +25,8 @@
 	fingerprint quarantine.Fingerprint
 	// patience is how long the caller waits; 0: not stated.
 	patience time.Duration
+	// carried says that it is carried for another entry VM, which keeps the books.
+	carried bool
 
 	mu       sync.Mutex
 	attempts map[ingress.AttemptID]*attempt
@@ -117,14 +119,20 @@
 	k.mu.Lock()
 	k.attempts[e.Attempt] = a
 	a.index = len(k.sends)
-	k.sends = append(k.sends, sendStep{Target: e.Target, Domain: e.Domain, AfterMS: now.Sub(k.at).Milliseconds(), Outcome: "under way"})
+	k.sends = append(k.sends, sendStep{Target: e.Target, Domain: e.Domain, Gateway: e.Gateway, AfterMS: now.Sub(k.at).Milliseconds(), Outcome: "under way"})
 	k.mu.Unlock()
-	s.metrics.sends.Add(1)
-	s.metrics.domains.Add(string(e.Domain), 1)
+	if !k.carried {
+		s.metrics.sends.Add(1)
+		s.metrics.domains.Add(string(e.Domain), 1)
+	}
 	id := e.Attempt
-	c := s.pool.Do(e.Addr, s.request(k.x, e), func(ans *outbound.Answer, err *verdict.Error) {
-		s.ended(k, id, a, ans, err)
-	})
+	done := func(ans *outbound.Answer, err *verdict.Error) { s.ended(k, id, a, ans, err) }
+	var c *outbound.Call
+	if e.Gateway != "" {
+		c = s.sendThroughGateway(k, e, done)
+	} else {
+		c = s.pool.Do(e.Addr, s.request(k.x, e), done)
+	}
 	k.mu.Lock()
 	a.call = c
 	k.mu.Unlock()
@@ -173,7 +181,7 @@
 	step.WaitedMS = ans.Waited.Milliseconds()
 	domain := step.Domain
 	k.mu.Unlock()
-	if ans.Waited > 0 {
+	if ans.Waited > 0 && !k.carried {
 		s.metrics.waited(domain, ans.Waited)
 	}
 	s.noteEnd(k, a, outcome.String(), outcome.Verdict(), verdict.ReasonNone)
@@ -190,7 +198,9 @@
 
 // noteEnd records the end of an attempt for its request's line.
 func (s *Server) noteEnd(k *call, a *attempt, outcome string, v verdict.Verdict, why verdict.Reason) {
-	s.metrics.outcomes.Add(outcome, 1)
+	if !k.carried {
+		s.metrics.outcomes.Add(outcome, 1)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	st := &k.sends[a.index]
@@ -266,6 +276,10 @@
 	k.mu.Lock()
 	a := k.attempts[e.Attempt].answer
 	k.mu.Unlock()
+	if k.carried {
+		s.deliverCarried(k, a)
+		return
+	}
 	heads.EndToEnd(a.Header)
 	k.x.Respond(a.Status, a.Header, a.Body)
 	s.logDelivered(k, a.Status)
@@ -277,6 +291,10 @@
 	if k == nil {
 		return
 	}
+	if k.carried {
+		s.refuseCarried(k, e)
+		return
+	}
 	h := s.refusalHeader(k.x)
 	if e.RetryAfter > 0 {
 		h["Retry-After"] = []string{retryAfter(e.RetryAfter)}
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -26,7 +26,7 @@
 		}
 	}
 	for _, id := range out.Dropped {
-		if k := s.calls.take(id); k != nil {
+		if k := s.calls.take(id); k != nil && !k.carried {
 			s.logGone(k)
 		}
 	}
--- a/serve/ingress/events.go
+++ b/serve/ingress/events.go
@@ -43,6 +43,7 @@
 type sendStep struct {
 	Target   fleet.TargetID  `json:"target"`
 	Domain   fleet.Domain    `json:"domain"`              // of the target
+	Gateway  fleet.VMID      `json:"gateway,omitempty"`   // that carried it
 	AfterMS  int64           `json:"after_ms"`            // since the request came
 	WaitedMS int64           `json:"waited_ms,omitempty"` // for a connection; 0: one was free
 	TookMS   int64           `json:"took_ms"`             // 0: not ended
--- /dev/null
+++ b/serve/ingress/gateway.go
@@ -0,0 +1,161 @@
+package ingress
+
+import (
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/heads"
+	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/outbound"
+)
+
+// Requests go to a gateway as HTTP, on connections of their own: bodies and
+// answers are of any size, a connection that ends tells each side of one request
+// alone, and the kernel keeps a slow reader from holding up the others. The
+// request is the caller's own with one more header field, carryHeader.
+
+const (
+	// carryHeader says what a gateway is to do with a request: the target, the
+	// milliseconds that it may still take, and the mark of the deployment,
+	// separated by spaces.
+	carryHeader = "Azurethread-Carry"
+	// carryMarkBytes is how much of the deployment's key marks a request. Like the
+	// key it keeps deployments apart and proves nothing.
+	carryMarkBytes = 8
+	// gatewayIdle is how long a free connection to a gateway is used again, and
+	// gatewayIdleMargin for how much longer the gateway keeps it.
+	gatewayIdle       = 30 * time.Second
+	gatewayIdleMargin = 15 * time.Second
+	// gatewayBodyShare is the part of the memory that bodies of carried requests
+	// may take, beside those of callers.
+	gatewayBodyShare = 16
+)
+
+// provisionGateway starts what carries requests between regions.
+func (s *Server) provisionGateway() error {
+	key := deploymentKey(s.set)
+	s.carryMark = hex.EncodeToString(key[:carryMarkBytes])
+	var err error
+	if s.gateways, err = s.newPool(gatewayIdle); err != nil {
+		return err
+	}
+	if s.set.Self.GatewayAddr == "" {
+		return nil
+	}
+	s.carriers, err = inbound.Listen(s.set.Self.GatewayAddr, inbound.Options{
+		Limits: inbound.Limits{
+			HeadBytes:   maxCarriedHead,
+			BodyBytes:   maxBodyBytes,
+			ReadTimeout: firstReadTimeout,
+			BodyTimeout: bodyTimeout,
+			IdleTimeout: gatewayIdle + gatewayIdleMargin,
+		},
+		HeldBytes:    s.set.MemoryBytes / gatewayBodyShare,
+		WriteTimeout: writeTimeout,
+		Pollers:      1,
+		Refusal:      func(int) (http.Header, []byte) { return notCarried(), nil },
+	})
+	if err != nil {
+		return err
+	}
+	s.set.Self.GatewayAddr = s.carriers.Addr() // with the port in use
+	return nil
+}
+
+// maxCarriedHead bounds the head of a carried request: what operators allow
+// callers was checked by the VM that took it.
+const maxCarriedHead = 1 << 20
+
+// notCarried says that nothing has become of a request here.
+func notCarried() http.Header {
+	h := make(http.Header, 2)
+	heads.SetFailure(h, verdict.NotRun, verdict.ReasonGateway)
+	return h
+}
+
+// sendThroughGateway hands a request to the gateway that carries it.
+func (s *Server) sendThroughGateway(k *call, e *ingress.Send, done outbound.Done) *outbound.Call {
+	vm, known := s.member(e.Gateway)
+	if !known || vm.GatewayAddr == "" {
+		done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonGateway})
+		return nil
+	}
+	h := k.x.Header.Clone()
+	heads.EndToEnd(h)
+	h[carryHeader] = []string{s.carryLine(e)}
+	id := e.Attempt
+	return s.gateways.Do(vm.GatewayAddr, &outbound.Request{
+		Method: k.x.Method, URI: k.x.URI, Host: k.x.Header.Get("Host"), Header: h, Body: k.x.Body,
+		Acknowledged: func() { s.core.Post(&ingress.Received{Attempt: id}) },
+		Connect:      e.Connect,
+		Spare:        e.Spare,
+	}, func(ans *outbound.Answer, err *verdict.Error) {
+		switch {
+		case err != nil && err.Reason == verdict.ReasonCallerGone:
+			// It was given up here.
+		case err != nil:
+			err = &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonGateway, Err: err}
+		case heads.Failure(ans.Header) != nil:
+			ans, err = nil, heads.Failure(ans.Header)
+		}
+		done(ans, err)
+	})
+}
+
+// carryLine is the value of carryHeader.
+func (s *Server) carryLine(e *ingress.Send) string {
+	left := strconv.FormatInt(max(e.Left.Milliseconds(), 1), 10)
+	return strings.Join([]string{string(e.Target), left, s.carryMark}, " ")
+}
+
+// serveCarried takes a request that another entry VM has placed at a target near
+// this one.
+func (s *Server) serveCarried(x *inbound.Exchange) {
+	ev, ok := s.carryOf(x.Header)
+	if !ok {
+		x.Respond(http.StatusBadRequest, notCarried(), nil)
+		return
+	}
+	delete(x.Header, carryHeader)
+	x.Acknowledge()
+	k := s.calls.add(x, s.now())
+	k.carried = true
+	ev.Request = k.id
+	s.metrics.carried.Add(1)
+	s.core.Post(ev)
+	x.OnGone(func() { s.core.Post(&ingress.CallerGone{Request: k.id}) })
+}
+
+// carryOf reads carryHeader.
+func (s *Server) carryOf(h http.Header) (*ingress.Carry, bool) {
+	part := strings.Split(h.Get(carryHeader), " ")
+	if len(part) != 3 || subtle.ConstantTimeCompare([]byte(part[2]), []byte(s.carryMark)) == 0 {
+		return nil, false
+	}
+	left, ok := heads.Wait(part[1])
+	if !ok || part[0] == "" {
+		return nil, false
+	}
+	return &ingress.Carry{Target: fleet.TargetID(part[0]), Left: left}, true
+}
+
+// deliverCarried passes a target's answer on to the entry VM of the request.
+func (s *Server) deliverCarried(k *call, ans *outbound.Answer) {
+	heads.EndToEnd(ans.Header)
+	heads.DropFailure(ans.Header)
+	k.x.Respond(ans.Status, ans.Header, ans.Body)
+}
+
+// refuseCarried states the verdict of a request that has got no answer.
+func (s *Server) refuseCarried(k *call, e *ingress.Refusal) {
+	h := make(http.Header, 2)
+	heads.SetFailure(h, e.Verdict, e.Reason)
+	k.x.Respond(http.StatusBadGateway, h, nil)
+}
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -135,9 +135,12 @@
 	w.register(id, ln.Addr().String())
 }
 
-func (w *world) register(id, addr string) {
+func (w *world) register(id, addr string) { w.registerIn("d1", id, addr) }
+
+// registerIn registers a target in a failure domain.
+func (w *world) registerIn(d fleet.Domain, id, addr string) {
 	b, err := json.Marshal(ingress.Target{
-		ID: fleet.TargetID(id), Service: "svc", Addr: addr, Domain: "d1", Slots: 4,
+		ID: fleet.TargetID(id), Service: "svc", Addr: addr, Domain: d, Slots: 4,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -162,7 +165,13 @@
 // entryWith starts an entry VM that reaches the store in its own way.
 func (w *world) entryWith(id string, store kv.Store) *Server {
 	w.t.Helper()
-	s := w.start(id, store)
+	return w.listed(w.start(id, store))
+}
+
+// listed waits until an entry VM is in the store's list and knows the targets.
+func (w *world) listed(s *Server) *Server {
+	w.t.Helper()
+	id := string(s.set.Self.ID)
 	w.eventually("the entry VM is listed", func() bool {
 		_, listed := w.store.Get(prefixMembers + id)
 		return listed && s.knows(w.targets())
@@ -172,16 +181,28 @@
 
 // start starts an entry VM that knows others by their addresses.
 func (w *world) start(id string, store kv.Store, seeds ...string) *Server {
+	w.t.Helper()
+	return w.startIn("d1", id, store, seeds...)
+}
+
+// testRegions are the regions of the tests' failure domains.
+var testRegions = map[fleet.Domain]fleet.Region{"d1": "r1", "far": "r2"}
+
+// startIn starts an entry VM in a failure domain.
+func (w *world) startIn(d fleet.Domain, id string, store kv.Store, seeds ...string) *Server {
 	w.t.Helper()
 	log := logrus.New()
 	log.SetOutput(w.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	set := &Settings{
-		Self:        fleet.VM{ID: fleet.VMID(id), Domain: "d1", Region: "r1", CallAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0"},
+		Self: fleet.VM{
+			ID: fleet.VMID(id), Domain: d, Region: testRegions[d],
+			CallAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0", GatewayAddr: "127.0.0.1:0",
+		},
 		ReadyAddr:   "127.0.0.1:0",
 		LookupAddr:  "127.0.0.1:0",
 		Seeds:       seeds,
-		Regions:     map[fleet.Domain]fleet.Region{"d1": "r1"},
+		Regions:     testRegions,
 		MemoryBytes: 1 << 30,
 		StopTimeout: 3 * time.Second,
 		LookupTTL:   time.Second,
--- a/serve/ingress/reload.go
+++ b/serve/ingress/reload.go
@@ -45,6 +45,7 @@
 		{"domain", s.Self.Domain != old.Self.Domain},
 		{"call-addr", s.Self.CallAddr != old.Self.CallAddr},
 		{"peer-addr", s.Self.PeerAddr != old.Self.PeerAddr},
+		{"gateway-addr", s.Self.GatewayAddr != old.Self.GatewayAddr},
 		{"cores", s.Self.Cores != old.Self.Cores},
 		{"ready-addr", s.ReadyAddr != old.ReadyAddr},
 		{"lookup-addr", s.LookupAddr != old.LookupAddr},
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -38,9 +39,13 @@
 	now     func() clock.Time
 
 	core  *core.Core[*ingress.Reducer]
-	pool  *outbound.Pool
+	pool  *outbound.Pool // to targets
 	calls calls
 
+	gateways  *outbound.Pool  // to entry VMs that carry requests
+	carriers  *inbound.Server // from entry VMs that have this one carry; nil: it carries none
+	carryMark string          // see carryHeader
+
 	callers *inbound.Server
 	ready   *inbound.Server
 	lookups *inbound.Server
@@ -136,15 +141,7 @@
 
 func (s *Server) provision() error {
 	var err error
-	s.pool, err = outbound.NewPool(outbound.Options{
-		DialTimeout:    targetConnect,
-		IdleTimeout:    targetIdle,
-		MaxAnswerBytes: maxAnswerBytes,
-		Pollers:        1,
-		Now:            s.now,
-		Dial:           dialTarget,
-	})
-	if err != nil {
+	if s.pool, err = s.newPool(targetIdle); err != nil {
 		return err
 	}
 	r := ingress.New(ingress.Options{
@@ -160,6 +157,9 @@
 	if err := s.provisionPeers(); err != nil {
 		return err
 	}
+	if err := s.provisionGateway(); err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		at   **inbound.Server
 		addr string
@@ -180,6 +180,18 @@
 	return nil
 }
 
+// newPool makes a pool of connections that are free for idle at most.
+func (s *Server) newPool(idle time.Duration) (*outbound.Pool, error) {
+	return outbound.NewPool(outbound.Options{
+		DialTimeout:    targetConnect,
+		IdleTimeout:    idle,
+		MaxAnswerBytes: maxAnswerBytes,
+		Pollers:        1,
+		Now:            s.now,
+		Dial:           dialTarget,
+	})
+}
+
 func (s *Server) listen(addr string) (*inbound.Server, error) {
 	return inbound.Listen(addr, inbound.Options{
 		Limits: inbound.Limits{
@@ -233,6 +245,9 @@
 	s.callers.Serve(handlerFunc(s.serveCall))
 	s.ready.Serve(handlerFunc(s.serveReady))
 	s.lookups.Serve(handlerFunc(s.serveLookup))
+	if s.carriers != nil {
+		s.carriers.Serve(handlerFunc(s.serveCarried))
+	}
 	if s.pages != nil {
 		s.pages.Serve(handlerFunc(s.serveMetrics))
 	}
@@ -272,6 +287,9 @@
 	defer cancel()
 	s.leaving.Store(true)
 	s.callers.Leave()
+	if s.carriers != nil {
+		s.carriers.Leave()
+	}
 	s.event(eventStop).WithField("in_flight", s.calls.len()).Info("entry VM is leaving")
 	s.cancel() // register gives the lease up
 	select {
@@ -280,6 +298,11 @@
 	}
 	s.callers.Refuse()
 	err := s.callers.Stop(ctx)
+	if s.carriers != nil {
+		// Only now: other entry VMs learn later than callers that this one leaves.
+		s.carriers.Refuse()
+		err = errors.Join(err, s.carriers.Stop(ctx))
+	}
 	s.end()
 	if err != nil {
 		return fmt.Errorf("ingress: %w", err)
@@ -302,13 +325,15 @@
 	if s.core != nil {
 		s.core.Close()
 	}
-	for _, l := range []*inbound.Server{s.callers, s.ready, s.lookups, s.pages} {
+	for _, l := range []*inbound.Server{s.callers, s.carriers, s.ready, s.lookups, s.pages} {
 		if l != nil {
 			l.Close() // what is in flight has had its time
 		}
 	}
-	if s.pool != nil {
-		s.pool.Close()
+	for _, p := range []*outbound.Pool{s.pool, s.gateways} {
+		if p != nil {
+			p.Close()
+		}
 	}
 }
 
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -12,7 +12,8 @@
 // Settings of one entry VM.
 type Settings struct {
 	// Self says who and where this entry VM is. CallAddr takes callers'
-	// requests, PeerAddr other entry VMs.
+	// requests, PeerAddr messages of other entry VMs, and GatewayAddr the requests
+	// that they have this one carry; empty: it carries none.
 	Self fleet.VM
 	// ReadyAddr serves the page that says whether this VM takes requests.
 	ReadyAddr string
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -30,6 +30,9 @@
 	// Fresh asks for a new connection even where one is free: the free ones
 	// are suspected to have gone silent.
 	Fresh bool
+	// Acknowledged is called when the receiver says, before its answer, that it has
+	// the request. It must not block; nil: nobody asks.
+	Acknowledged func()
 	// Spare asks for one more connection where the request takes the last one
 	// that is free.
 	Spare bool
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -346,6 +346,9 @@
 	if a == nil {
 		return
 	}
+	if a.Status == http.StatusProcessing {
+		c.p.acknowledged(c)
+	}
 	if a.Status < http.StatusOK || c.foreign {
 		c.endAnswer() // the final one, or the own one, follows
 		return
--- a/serve/outbound/outbound_test.go
+++ b/serve/outbound/outbound_test.go
@@ -242,3 +242,25 @@
 		is.Equal(string((<-ch).a.Body), c.conn)
 	}
 }
+
+// Guards against a receiver that is taken for silent because its interim answer
+// is not seen, or is taken for the answer.
+func TestAcknowledgementComesBeforeTheAnswer(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t)
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	addr := receiver(t, always(interim+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	for range 2 { // the second one on the same connection
+		acknowledged := make(chan bool, 2)
+		answered := make(chan outcome, 1)
+		p.Do(addr, &Request{
+			Method: http.MethodGet, URI: "/", Header: http.Header{}, Acknowledged: func() { acknowledged <- true },
+		}, func(a *Answer, err *verdict.Error) { answered <- outcome{a, err} })
+		got := <-answered
+		is.Equal(got.err, nil)
+		is.Equal(got.a.Status, http.StatusOK)
+		is.Equal(string(got.a.Body), "ok")
+		is.Equal(len(acknowledged), 1)
+	}
+	is.Equal(p.Connections(addr), 1)
+}
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -185,6 +185,16 @@
 	return k == nil || k.req.Own == nil || k.req.Own(c.answer.Status, c.answer.Header)
 }
 
+// acknowledged tells the sender of c's request that the receiver has it.
+func (pe *peer) acknowledged(c *conn) {
+	pe.mu.Lock()
+	k := c.call
+	pe.mu.Unlock()
+	if k != nil && k.req.Acknowledged != nil {
+		k.req.Acknowledged()
+	}
+}
+
 // mayEndByClose reports whether c's request takes an answer without a length.
 func (pe *peer) mayEndByClose(c *conn) bool {
 	pe.mu.Lock()
