Store writer: keep the reason for a wait beyond the caller's time

What operators saw, once in some hundred runs of TestNoWriteWhileBehind: a write that waits for a higher revision is answered retries-exhausted instead of not-ready.

Cause, by reading and now by a test that fails each time: the caller's time ended while the writer read the head once more, and the error of that read replaced the reason of the tries before it.

Change: a try that the end of the caller's time has cut short keeps the error of the one before.

--- a/serve/store/store_test.go
+++ b/serve/store/store_test.go
@@ -305,6 +305,34 @@
 	is.Equal(document1(is, f.view).Revision, uint64(0))
 }
 
+// cutting ends its caller's time during a later read.
+type cutting struct {
+	api.Store
+	reads  int
+	cancel context.CancelFunc
+}
+
+func (c *cutting) Get(ctx context.Context, key string) (api.Entry, error) {
+	if c.reads++; c.reads > 1 {
+		c.cancel()
+		return api.Entry{}, ctx.Err()
+	}
+	return c.Store.Get(ctx, key)
+}
+
+// Guards against a writer that forgets why it waits when its caller's time ends
+// while it looks once more.
+func TestTheReasonForAWaitOutlivesTheCallersTime(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.behind = true
+	ctx, cancel := context.WithCancel(t.Context())
+	w := f.newWriter(&cutting{Store: f.view, cancel: cancel})
+	_, err := w.Change(ctx, putService(opID(1), "calc-lookup", 0))
+	is.Equal(verdictOf(is, err), verdict.NotRun)
+	is.True(errors.Is(err, ErrBehind))
+}
+
 // Symptom: the platform keeps older data for good, and loses the newer when
 // the fleet is replaced. Sequence: it is put back, and nobody writes. Cause:
 // nobody gives it what is in force; or two daemons do, and undo each other.
--- a/serve/store/writer.go
+++ b/serve/store/writer.go
@@ -137,12 +137,14 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = firstWait
 	wait.MaxInterval = maxWait
-	var err error
+	var err error // of the latest try that the end of ctx has not cut short
 	for range MaxTries {
-		var done Accepted
-		done, err = a.try(ctx)
-		if err == nil || final(err) {
-			return done, a.result(err)
+		done, failed := a.try(ctx)
+		if failed == nil || final(failed) {
+			return done, a.result(failed)
+		}
+		if err == nil || ctx.Err() == nil {
+			err = failed
 		}
 		if !sleep(ctx, wait.NextBackOff()) {
 			break
