--- a/decide/emulate/deadly_test.go
+++ b/decide/emulate/deadly_test.go
@@ -42,9 +42,11 @@
 	}
 	for name, change := range patterns {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := queryOfDeath(t, change)
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
 					for _, d := range Run(p, Variant{Seed: seed}).Deadly {
 						t.Logf("%+v", d)
 						if d.Late > maxLateSends {
--- a/decide/emulate/ratelimit_test.go
+++ b/decide/emulate/ratelimit_test.go
@@ -42,9 +42,11 @@
 	}
 	for name, change := range patterns {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := limits(t, change)
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
 					w := Run(p, Variant{Seed: seed}).WorstLimit
 					t.Logf("%+v", w)
 					if float64(w.Got) > w.Allowed {
