--- a/decide/emulate/deadly.go
+++ b/decide/emulate/deadly.go
@@ -52,17 +52,24 @@
 	counts  *Deadly
 }
 
-// beginDeadly has a caller begin to send a query of death.
+// beginDeadly has callers begin to send a query of death, one after the other.
 func (f *fleetRun) beginDeadly(e *Event) {
 	k := slices.IndexFunc(f.p.Kinds, func(k Kind) bool { return e.Service == "" || k.Service == e.Service })
 	d := slices.IndexFunc(f.p.Domains, func(d Domain) bool { return e.Domain == "" || d.Name == e.Domain })
 	f.last++
-	f.sendDeadly(&deadly{
+	q := &deadly{
 		event: e, kind: &f.p.Kinds[k], domain: &f.p.Domains[d], content: contentOf(f.last),
 		until: f.now.Add(seconds(e.For)), counts: f.books.newDeadly(),
-	})
+	}
+	callers := max(e.Callers, 1)
+	for i := range callers {
+		f.after(q.pause()*time.Duration(i)/time.Duration(callers), func() { f.sendDeadly(q) })
+	}
 }
 
+// pause is the time between the attempts of one caller.
+func (d *deadly) pause() time.Duration { return cmp.Or(seconds(d.event.X), deadlyPause) }
+
 // sendDeadly has the caller send its request, and come back as others do.
 func (f *fleetRun) sendDeadly(d *deadly) {
 	k := d.kind
@@ -76,11 +83,10 @@
 
 // deadlyAgain has the caller send the request anew after a pause.
 func (f *fleetRun) deadlyAgain(d *deadly) {
-	pause := cmp.Or(seconds(d.event.X), deadlyPause)
-	if f.now.Add(pause).After(d.until) {
+	if f.now.Add(d.pause()).After(d.until) {
 		return
 	}
-	f.after(pause, func() { f.sendDeadly(d) })
+	f.after(d.pause(), func() { f.sendDeadly(d) })
 }
 
 // endUnder ends the start of t that runs the query of death r.
--- a/decide/emulate/deadly_test.go
+++ b/decide/emulate/deadly_test.go
@@ -25,6 +25,7 @@
 	patterns := map[string]func(*Pattern){
 		"one caller":            nil,
 		"it comes very often":   func(p *Pattern) { p.Events[0].X = 0.1 },
+		"many callers send it":  func(p *Pattern) { p.Events[0].Callers = 12 },
 		"it comes now and then": func(p *Pattern) { p.Events[0].X = 3 },
 		"little else comes": func(p *Pattern) {
 			for i := range p.Domains {
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -106,9 +106,9 @@
 	// LimitTargets has a share of a service's targets name a limit of X requests a
 	// second in their answers.
 	LimitTargets EventKind = "limit-targets"
-	// QueryOfDeath has a caller of Domain send a request to Service that ends
-	// each target that runs it, and the same one again X seconds after each end
-	// of its attempts.
+	// QueryOfDeath has Callers of Domain send a request to Service that ends each
+	// target that runs it, and each of them the same one again X seconds after the
+	// end of its attempts.
 	QueryOfDeath EventKind = "query-of-death"
 )
 
@@ -121,6 +121,7 @@
 	For     float64           `json:"for"`
 	Share   float64           `json:"share"` // 0: all
 	X       float64           `json:"x"`
+	Callers int               `json:"callers"` // 0: one
 	Domain  fleet.Domain      `json:"domain"`  // empty: all
 	Service fleet.ServiceName `json:"service"` // empty: all
 }
