--- a/serve/ingress/pack.go
+++ b/serve/ingress/pack.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
-
 	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/serve/pack"
 	"github.com/azurethread/azurethread/serve/peer"
 )
 
@@ -51,35 +50,22 @@
 }
 
 func packAll(r *relay) ([][]byte, error) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
-		zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		return nil, fmt.Errorf("ingress: pack: %w", err)
-	}
-	defer func() { _ = enc.Close() }() // nothing is buffered: EncodeAll writes all
 	var pages [][]byte
 	for _, page := range r.split() {
 		b, err := peer.Encode(kindCopy, &copyItems{Changes: page.Changes})
 		if err != nil {
 			return nil, err
 		}
-		pages = append(pages, enc.EncodeAll(b.Data, nil))
+		pages = append(pages, b.Data)
 	}
-	return pages, nil
+	return pack.All(pack.Fast, pages...)
 }
 
-// unpack refuses pages that are larger than any that is sent: a damaged one must
-// not fill the memory.
+// unpack refuses pages that are larger than any that is sent.
 func unpack(packed []byte) ([]mirror.Change, error) {
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(peer.MaxBody))
-	if err != nil {
-		return nil, fmt.Errorf("ingress: unpack: %w", err)
-	}
-	defer dec.Close()
-	data, err := dec.DecodeAll(packed, nil)
+	data, err := pack.Open(packed, peer.MaxBody)
 	if err != nil {
-		return nil, fmt.Errorf("ingress: unpack: %w", err)
+		return nil, fmt.Errorf("ingress: %w", err)
 	}
 	var items copyItems
 	if err := peer.Decode(peer.Body{Kind: kindCopy, Data: data}, peer.MaxBody, &items); err != nil {
--- /dev/null
+++ b/serve/pack/pack_test.go
@@ -0,0 +1,34 @@
+package pack
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestOpenReturnsWhatWasPacked(t *testing.T) {
+	for _, l := range []Level{Fast, Small} {
+		is := is.New(t)
+		parts := [][]byte{nil, []byte("a"), bytes.Repeat([]byte("ab"), 10_000)}
+		packed, err := All(l, parts...)
+		is.NoErr(err)
+		is.True(len(packed[2]) < 1000)
+		for i, p := range packed {
+			plain, err := Open(p, 20_000)
+			is.NoErr(err)
+			is.True(bytes.Equal(plain, parts[i]))
+		}
+	}
+}
+
+// Guards against a few bytes that unpack to more than the memory holds.
+func TestOpenIsBounded(t *testing.T) {
+	is := is.New(t)
+	packed, err := All(Small, make([]byte, 1<<20))
+	is.NoErr(err)
+	_, err = Open(packed[0], 1<<19)
+	is.True(err != nil)
+	_, err = Open([]byte("not packed"), 1<<19)
+	is.True(err != nil)
+}
--- a/serve/store/document.go
+++ b/serve/store/document.go
@@ -6,10 +6,9 @@
 	"errors"
 	"fmt"
 
-	"github.com/klauspost/compress/zstd"
-
 	"github.com/azurethread/azurethread/decide/catalogue"
 	"github.com/azurethread/azurethread/decide/config"
+	"github.com/azurethread/azurethread/serve/pack"
 	"github.com/azurethread/azurethread/serve/platform"
 )
 
@@ -141,7 +140,7 @@
 	}
 	outside := *d
 	outside.Catalogue = nil
-	outside.Packed, err = pack(body)
+	outside.Packed, err = compress(body)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -160,12 +159,12 @@
 	return value, chunks, err
 }
 
-func pack(body []byte) ([]byte, error) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+func compress(body []byte) ([]byte, error) {
+	packed, err := pack.All(pack.Small, body)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	return enc.EncodeAll(body, nil), nil
+	return packed[0], nil
 }
 
 // cut cuts a compressed catalogue into chunks.
@@ -258,12 +257,7 @@
 }
 
 func unpack(packed []byte) (*catalogue.Catalogue, error) {
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxCatalogue))
-	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	defer dec.Close()
-	body, err := dec.DecodeAll(packed, nil)
+	body, err := pack.Open(packed, maxCatalogue)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
