Name homes as what sends a request elsewhere; small duplicates of decide/ingress

Lines of placements said "none-here: no target" of requests whose route is bound to other regions: whyNoneHere now asks for that first, with a test. Counts and decisions are the same.

notePlaced takes from the job what it was given beside it, failed asks for its verdict once, and here() stands for the comparison of regions everywhere.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -129,14 +129,12 @@
 		rep.Result = ResultUnreachable
 	}
 	r.endAttempt(now, a, rep)
-	if ev.Verdict != verdict.NotRun {
-		r.lostUnder(now, a, ev.Reason)
-	}
 	if ev.Verdict == verdict.NotRun {
 		r.notRun(now, a.req, ev.Reason)
-	} else {
-		r.ran(now, a.req, ev.Reason)
+		return
 	}
+	r.lostUnder(now, a, ev.Reason)
+	r.ran(now, a.req, ev.Reason)
 }
 
 // learnResult takes what the end of a send says about its target.
--- a/decide/ingress/consider.go
+++ b/decide/ingress/consider.go
@@ -35,7 +35,7 @@
 		r.considerNamed(now, j, ejectedToo)
 	}
 	for _, x := range j.considered {
-		if x.t.region == r.region {
+		if r.here(x.t) {
 			local.offer(x, r.cost(now, j, x.t))
 		} else {
 			remote.offer(x, r.cost(now, j, x.t))
@@ -120,13 +120,13 @@
 func (r *Reducer) considerUnnamed(now clock.Time, j *job, ejectedToo bool) {
 	elsewhere := 0
 	for i, t := range j.svc.unnamedOrder() {
-		if t.region != r.region && elsewhere == remoteChoices {
+		if !r.here(t) && elsewhere == remoteChoices {
 			continue
 		}
 		if !r.eligible(now, j, t, ejectedToo) {
 			continue
 		}
-		if t.region != r.region {
+		if !r.here(t) {
 			elsewhere++
 		}
 		// The place in the order stands for the score.
--- a/decide/ingress/crowd.go
+++ b/decide/ingress/crowd.go
@@ -21,7 +21,7 @@
 
 // recount takes what has changed at t.
 func (r *Reducer) recount(now clock.Time, t *targetState) {
-	if t.region != r.region || t.svc == nil {
+	if !r.here(t) || t.svc == nil {
 		return
 	}
 	load, slots := 0, 0
@@ -37,7 +37,7 @@
 
 // reportedBy notes that t has just stated its load.
 func (r *Reducer) reportedBy(now clock.Time, t *targetState) {
-	if t.region == r.region && t.others > 0 {
+	if r.here(t) && t.others > 0 {
 		r.expireReports(now, &t.svc.here)
 		t.svc.here.reports = append(t.svc.here.reports, report{target: t, at: now})
 	}
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -29,7 +29,7 @@
 // gatewayTo returns the entry VM that is to carry a request to t, "" if it is
 // sent from here.
 func (r *Reducer) gatewayTo(now clock.Time, t *targetState) fleet.VMID {
-	if t.region == r.region || !r.on(Gateways) {
+	if r.here(t) || !r.on(Gateways) {
 		return ""
 	}
 	line := r.gatewaysOf(t.Domain)
@@ -72,7 +72,7 @@
 		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr, Gateway: a.gateway,
 		Left:    q.due.Sub(now),
 		Connect: r.connectBound(t),
-		Spare:   t.region != r.region && r.on(SpareConnections),
+		Spare:   !r.here(t) && r.on(SpareConnections),
 	})
 	if a.gateway == "" {
 		return
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -135,9 +135,9 @@
 	if j.chose {
 		// What has one side only is none of the share, whose change the bound
 		// slows: counted, it would hold the share up after a lack of targets here.
-		j.svc.share.count(now, t.region != r.region)
+		j.svc.share.count(now, !r.here(t))
 	}
-	j.svc.notePlaced(t.region, j, t.region != r.region)
+	r.notePlaced(j)
 	if j.req != nil {
 		r.granted(now, j.req, j, t)
 		return
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -232,7 +232,7 @@
 	switch {
 	case t.Domain == j.Domain || !r.on(Carriage):
 		return 0
-	case t.region == r.region:
+	case r.here(t):
 		return kilobytes * float64(nearBytes)
 	default:
 		return kilobytes * float64(farBytes)
--- a/decide/ingress/placed.go
+++ b/decide/ingress/placed.go
@@ -54,6 +54,9 @@
 
 // whyNoneHere says why no target of the own region may take j.
 func (r *Reducer) whyNoneHere(now clock.Time, j *job) Why {
+	if len(j.Homes) > 0 && !slices.Contains(j.Homes, r.region) {
+		return WhyHomes
+	}
 	var t *targetState
 	if j.obj != nil {
 		t = r.firstHere(j)
@@ -112,13 +115,14 @@
 	return out
 }
 
-// notePlaced counts a request that was placed in a region.
-func (s *service) notePlaced(region fleet.Region, j *job, crossed bool) {
+// notePlaced counts a request that was placed.
+func (r *Reducer) notePlaced(j *job) {
+	s := j.svc
 	if s.placed == nil {
 		s.placed = &placements{byRegion: make(map[fleet.Region]int), crossed: make(map[Why]int)}
 	}
-	s.placed.byRegion[region]++
-	if !crossed {
+	s.placed.byRegion[j.target.region]++
+	if r.here(j.target) {
 		return
 	}
 	s.placed.crossed[j.why]++
--- a/decide/ingress/placed_test.go
+++ b/decide/ingress/placed_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
 )
 
 // Guards against crossings to other regions that no line explains.
@@ -27,6 +29,12 @@
 			s.target("near", "d1", 3)
 			s.r.services["svc"].objects.get("o").remember(s.now, s.r.targets["far"])
 		}, WhyWarm, 0},
+		{"its route is bound to the other region", func(s *bench) {
+			s.target("near", "d1", 3)
+			rt := one("a")
+			rt.Homes = []fleet.Region{"r2"}
+			s.configure(2, rt)
+		}, WhyHomes, 0},
 		{"the share would fall too fast", func(s *bench) {
 			s.target("near", "d1", 3)
 			share := &s.r.services["svc"].share
--- a/decide/ingress/shift.go
+++ b/decide/ingress/shift.go
@@ -213,7 +213,7 @@
 		}
 		regions[t.region] = true
 		all += t.Slots
-		if t.region == r.region {
+		if r.here(t) {
 			own += t.Slots
 		}
 	}
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -138,7 +138,7 @@
 	r.targets[d.ID] = t
 	t.svc.targets = insertByID(t.svc.targets, t)
 	t.svc.unnamed = nil
-	if t.untried = now.Sub(r.began) > settleTime; t.untried && t.region == r.region {
+	if t.untried = now.Sub(r.began) > settleTime; t.untried && r.here(t) {
 		t.svc.untried = insertByID(t.svc.untried, t)
 	}
 	return t
