Keep the strong VMs of a region, not only their order

Each message about a quarantine had all VMs walked for the strong ones among them, at 300 VMs and two messages for each request that is lost with a target. They are kept until the list of VMs changes, and gateways are chosen by the same function.

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -55,6 +55,7 @@
 func (r *Reducer) setMembers(vms []fleet.VM) {
 	r.members = vms
 	clear(r.lines)
+	clear(r.strong)
 	clear(r.gateways)
 	r.forgetUnlisted()
 }
@@ -62,18 +63,28 @@
 // strongInOrder returns the strong VMs of a region by rendezvous hashing of a
 // name: the same order at all VMs that know the same members.
 func (r *Reducer) strongInOrder(region fleet.Region, name string) []fleet.VMID {
-	var own []fleet.VM
-	for _, m := range r.members {
-		if m.State == fleet.Live && (m.Region == region || region == anyRegion) {
-			own = append(own, m)
+	strong, kept := r.strong[region]
+	if !kept {
+		strong = r.strongAmong(func(m *fleet.VM) bool { return m.Region == region || region == anyRegion })
+		r.strong[region] = strong
+	}
+	return rank.Order(name, strong)
+}
+
+// strongAmong returns the strong ones of the live VMs that fit.
+func (r *Reducer) strongAmong(fits func(*fleet.VM) bool) []fleet.VMID {
+	var all []fleet.VM
+	for i := range r.members {
+		if m := &r.members[i]; m.State == fleet.Live && fits(m) {
+			all = append(all, *m)
 		}
 	}
-	strong := fleet.Strong(own)
+	strong := fleet.Strong(all)
 	ids := make([]fleet.VMID, len(strong))
 	for i := range strong {
 		ids[i] = strong[i].ID
 	}
-	return rank.Order(name, ids)
+	return ids
 }
 
 // obtain seeks a target for the next send of q.
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -49,18 +49,8 @@
 	if kept {
 		return line
 	}
-	var carry []fleet.VM
-	for _, m := range r.members {
-		if m.Domain == d && m.State == fleet.Live && m.GatewayAddr != "" {
-			carry = append(carry, m)
-		}
-	}
-	strong := fleet.Strong(carry)
-	ids := make([]fleet.VMID, len(strong))
-	for i := range strong {
-		ids[i] = strong[i].ID
-	}
-	line = rank.Order(string(r.opts.Self), ids)
+	carry := r.strongAmong(func(m *fleet.VM) bool { return m.Domain == d && m.GatewayAddr != "" })
+	line = rank.Order(string(r.opts.Self), carry)
 	r.gateways[d] = line
 	return line
 }
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -30,10 +30,11 @@
 	lapses    clock.Time // the earliest of the targets'
 	began     clock.Time // when the first event was seen; 0: not yet
 	members   []fleet.VM
-	// lines are the VMs that place requests by what members names, as far as
-	// they were asked for.
-	lines map[coordination][]fleet.VMID
-	trips map[fleet.Region]*mean // round trip in ns
+	// lines are the VMs that place requests by what members names, and strong the
+	// strong ones of each region, as far as they were asked for.
+	lines  map[coordination][]fleet.VMID
+	strong map[fleet.Region][]fleet.VMID
+	trips  map[fleet.Region]*mean // round trip in ns
 
 	jobs    map[jobKey]*job         // places taken or waited for
 	asks    map[AskID]*request      // asks that are unanswered
@@ -70,6 +71,7 @@
 		evacuated: make(map[fleet.Domain]bool),
 		trips:     make(map[fleet.Region]*mean),
 		lines:     make(map[coordination][]fleet.VMID),
+		strong:    make(map[fleet.Region][]fleet.VMID),
 		jobs:      make(map[jobKey]*job),
 		asks:      make(map[AskID]*request),
 		silent:    make(map[fleet.VMID]*silence),
