End the exchanges of callers that have left

What operators saw: a planned stop that takes all of its time and ends with "requests in flight", once a caller has left this entry VM before its answer. Callers' library sees nothing, but the process is killed by the platform.

Cause: a request whose caller has gone was forgotten without an answer, and inbound counts an exchange as in flight until it is answered. Gateways cancel more often than callers leave, so they brought it to light; it was there before.

Change: such an exchange is dropped, as the daemon of our own interface did by a status that is never sent; both now call Exchange.Drop. TestStopDoesNotWaitForCallersThatHaveLeft failed before.

--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -206,13 +206,10 @@
 	}
 	d.metrics.callerGone.Add(1)
 	d.core.Post(&dispatch.CallerGone{Req: c.id})
-	c.x.Respond(statusCallerGone, nil, nil)
+	c.x.Drop()
 	c.span.end(verdict.MayHaveRun, verdict.ReasonCallerGone)
 }
 
-// statusCallerGone is recorded for a caller that left; it is never sent.
-const statusCallerGone = 499
-
 // refuse answers an exchange that does not become a call.
 func (d *Daemon) refuse(x *inbound.Exchange, e errorBody) {
 	d.metrics.reply(e.Verdict, e.Reason)
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -70,6 +70,13 @@
 	return !gone
 }
 
+// Drop ends the exchange of a caller that has gone: nothing is sent. An exchange
+// counts as in flight until it is answered or dropped.
+func (x *Exchange) Drop() { x.Respond(statusCallerGone, nil, nil) }
+
+// statusCallerGone stands for the answer to a caller that has gone.
+const statusCallerGone = 499
+
 // processing is the interim answer of Acknowledge.
 var processing = []byte("HTTP/1.1 102 Processing\r\n\r\n")
 
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -26,7 +26,12 @@
 		}
 	}
 	for _, id := range out.Dropped {
-		if k := s.calls.take(id); k != nil && !k.carried {
+		k := s.calls.take(id)
+		if k == nil {
+			continue
+		}
+		k.x.Drop()
+		if !k.carried {
 			s.logGone(k)
 		}
 	}
--- a/serve/ingress/stop_test.go
+++ b/serve/ingress/stop_test.go
@@ -69,3 +69,23 @@
 	}
 	return cut
 }
+
+// Guards against planned stops that take all of their time once a caller has left
+// before its answer: its request counted as in flight for good.
+func TestStopDoesNotWaitForCallersThatHaveLeft(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plain(true))
+	working, cancelled := make(chan struct{}), make(chan struct{})
+	w.target("t1", func(_ http.ResponseWriter, r *http.Request) {
+		close(working)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	s := w.entry("vm-1")
+	c := dial(t, s)
+	c.say(http.MethodGet, "/", "id-1")
+	<-working
+	_ = c.c.Close()
+	<-cancelled
+	is.NoErr(s.Stop()) // it would say that requests are in flight
+}
