--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -28,6 +28,10 @@
 // part of the requests runs in other regions changes slowly (regionShare), and
 // objects stay where they are warm as long as that allows it.
 //
+// The entry VM that has the request sends it, to a target of another region by
+// way of an entry VM near that target (gatewayTo). Such a gateway decides nothing
+// but the end of what it carries (Carry).
+//
 // A choice costs the same however many targets and entry VMs there are: what it
 // needs is kept for each object (object), service (crowd) and list of entry VMs,
 // and brought up to date by the event that changes it. Check holds what is kept
