ingress: a target that cannot be connected to costs a request no attempt

Cause: a refused connection counted as one of the route's attempts (two there) and its successor was paid from the retry budget. Both bounds protect targets from work that arrives twice; nothing arrived.

Change: as long as a request may wait for a target at all (a quarter of its goal), up to eight targets that cannot be connected to cost neither. After that a failed connection counts as before, so that hosts that do not respond do not take the whole time of a request. A trial of a quarantined request counts them all the same.

Ruled out: sharing the proof of an end with the other VMs (the issue's second question). With the first change a VM meets a terminated target once, for a millisecond; not built.

Tried and dropped: refusing a request at once that has been at every target (triedAll); a restarted target is one that it may wait for, as TestAFailureStartsNoSecondSearch shows.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -104,6 +104,25 @@
 	r.retryRequest(now, q)
 }
 
+// connectFailed continues after a target could not be connected to. The request did
+// not arrive there, so this is neither one of its attempts nor a retry for the
+// target's service, as long as q may still wait for a target. Otherwise a request
+// would be refused after meeting a few terminated targets, while others are free.
+func (r *Reducer) connectFailed(now clock.Time, q *request) {
+	if q.connectFailures >= maxConnectFailures || !now.Before(r.waitDeadline(q)) || len(q.running) > 0 || q.searching() {
+		r.attemptNotRun(now, q, verdict.ReasonConnect)
+		return
+	}
+	q.connectFailures++
+	q.sends--
+	q.reason = verdict.ReasonConnect
+	if !r.mayRiskTarget(now, q) {
+		r.refuse(now, q)
+		return
+	}
+	r.findTarget(now, q)
+}
+
 // attemptMayHaveRun continues after an attempt that has run, or may have run,
 // without an answer that can be delivered.
 func (r *Reducer) attemptMayHaveRun(now clock.Time, q *request, reason verdict.Reason) {
@@ -129,6 +148,10 @@
 		rep.Result = ResultUnreachable
 	}
 	r.endAttempt(now, a, rep)
+	if rep.Result == ResultUnreachable && ev.Verdict == verdict.NotRun {
+		r.connectFailed(now, a.req)
+		return
+	}
 	if ev.Verdict == verdict.NotRun {
 		r.attemptNotRun(now, a.req, ev.Reason)
 		return
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -21,12 +21,14 @@
 	arrived  clock.Time
 	deadline clock.Time // when its final answer is due
 
-	sends     int
-	running   []*attempt
-	tried     []fleet.TargetID
-	verdict   verdict.Verdict // joined over all attempts that have ended
-	reason    verdict.Reason  // of the last attempt
-	freeAfter time.Duration   // until there may be a target for it; 0: unknown
+	sends int // except those whose targets could not be connected to
+	// connectFailures counts the targets that could not be connected to.
+	connectFailures int
+	running         []*attempt
+	tried           []fleet.TargetID
+	verdict         verdict.Verdict // joined over all attempts that have ended
+	reason          verdict.Reason  // of the last attempt
+	freeAfter       time.Duration   // until there may be a target for it; 0: unknown
 	// fingerprint identifies its content.
 	fingerprint quarantine.Fingerprint
 	// lostConnections is the number of sends that ended with their connection.
