Client accounts: keys, priorities and homes, decided where the route is

Change: decide/route holds accounts by the digests of their keys. The reducer identifies a request's account from the table that gives its route, so nothing is sent before both are decided; a Send states the account and whether credentials may pass (only where a configuration has no accounts). Keys that are taken away end the searches of waiting requests and allow no further send. The account's priority goes before the route's; homes of both bind, and 403 says that they have no region in common. Defects: a key that two accounts hold works for neither, an account whose limits can't be read is refused (503), one without readable keys is left out (401). Errors name the field, never the value, which may be a key. Quarantine stays by content alone: what crashes a target does so whoever sends it.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -72,7 +72,7 @@
 func (r *Reducer) serverError(now clock.Time, a *attempt) {
 	q := a.req
 	r.countTrial(now, q)
-	retry := q.route.Idempotent && q.mayRetry(now) && len(q.running) == 0
+	retry := q.route.Idempotent && q.mayRetry(now) && len(q.running) == 0 && !r.keyRevoked(q)
 	if !retry || (!q.searching() && !q.svc.retryBudget.spend()) {
 		r.deliver(now, a)
 		return
@@ -116,7 +116,7 @@
 	q.connectFailures++
 	q.sends--
 	q.reason = verdict.ReasonConnect
-	if !r.mayRiskTarget(now, q) {
+	if !r.mayRiskTarget(now, q) || r.keyRevoked(q) {
 		r.refuse(now, q)
 		return
 	}
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -95,7 +95,7 @@
 	r.nextPlacement++
 	p := PlacementRequest{
 		ID: r.nextPlacement, Service: q.svc.name, Route: q.route.Name, Object: q.object,
-		Domain: r.opts.Domain, Priority: q.route.Priority, Large: r.isLarge(q), AllowedRegions: q.route.Homes,
+		Domain: r.opts.Domain, Priority: q.priority, Large: r.isLarge(q), AllowedRegions: q.allowedRegions,
 		MayCrashTarget: r.mayCrashTarget(now, q), Tried: q.tried, LastTarget: r.lastTargetFor(now, q.svc, q.object),
 		Limits:  r.limitsFor(now, q.svc),
 		MaxWait: max(r.waitDeadline(q).Sub(now), 0), TimeLeft: q.deadline.Sub(now),
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -69,6 +69,9 @@
 	Bytes   int // of the body
 	// Fingerprint identifies the request's content.
 	Fingerprint quarantine.Fingerprint
+	// Key is the digest of the key that the caller presents; nil: none that can be
+	// read.
+	Key *route.KeyDigest
 }
 
 // CallerGone reports that the caller of a request has closed its connection.
@@ -214,6 +217,12 @@
 	// KeepSpare requests that one more connection to the gateway or target be kept
 	// free beside those in use.
 	KeepSpare bool
+	// Account is the client account of the request, which the target is told; "":
+	// none.
+	Account route.AccountName
+	// KeepCredentials lets the caller's credentials pass: there are no accounts, so
+	// they are not a key of one.
+	KeepCredentials bool
 }
 
 // Probe requests a check whether a target listens, by opening and closing a
@@ -251,6 +260,7 @@
 	Verdict    verdict.Verdict
 	Reason     verdict.Reason
 	RetryAfter time.Duration // 0: not stated
+	Account    route.AccountName
 }
 
 // TargetStateChange is a change of a target's state as seen by the reducer, for
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -63,6 +63,7 @@
 		TimeLeft:       q.deadline.Sub(now),
 		ConnectTimeout: r.connectTimeout(t),
 		KeepSpare:      !r.isLocal(t) && r.on(SpareConnections),
+		Account:        q.account, KeepCredentials: !r.table.Config.RequiresKeys(),
 	})
 	if a.gateway == "" {
 		return
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -146,6 +146,7 @@
 		delete(r.splits, name) // weights may have changed
 	}
 	r.dropRemovedRoutes(ev.Table.Config)
+	r.refuseRevoked(now)
 	r.dispatchAll(now)
 }
 
@@ -219,6 +220,16 @@
 	return list
 }
 
+// sortedRequests returns the requests without a final answer, by ID.
+func (r *Reducer) sortedRequests() []*request {
+	list := make([]*request, 0, len(r.requests))
+	for _, q := range r.requests {
+		list = append(list, q)
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
 // movingAverage is an exponentially weighted moving average.
 type movingAverage struct {
 	value float64
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -13,13 +13,20 @@
 
 // request is a request of a caller until its final answer.
 type request struct {
-	id       RequestID
-	route    *route.Route
-	svc      *service
-	object   string
-	bytes    int // of the body
-	arrived  clock.Time
-	deadline clock.Time // when its final answer is due
+	id     RequestID
+	route  *route.Route
+	svc    *service
+	object string
+	bytes  int // of the body
+	// account is the client account whose key the request presents, "" if none is
+	// needed; key is that key. priority and allowedRegions result from the route and
+	// the account.
+	account        route.AccountName
+	key            *route.KeyDigest
+	priority       int
+	allowedRegions []fleet.Region
+	arrived        clock.Time
+	deadline       clock.Time // when its final answer is due
 
 	sends int // except those whose targets could not be connected to
 	// connectFailures counts the targets that could not be connected to.
@@ -95,8 +102,15 @@
 	}
 	q := &request{
 		id: ev.Request, route: rt, object: ev.Object, bytes: ev.Bytes, arrived: now,
-		svc: r.serviceOf(r.pickService(rt)), verdict: verdict.NotRun, fingerprint: ev.Fingerprint,
+		verdict: verdict.NotRun, fingerprint: ev.Fingerprint,
 	}
+	if reason, ok := r.applyAccount(q, ev.Key); !ok {
+		r.out.Refusals = append(r.out.Refusals, Refusal{
+			Request: q.id, Verdict: verdict.NotRun, Reason: reason, Account: q.account, RetryAfter: accountRetryAfter(reason),
+		})
+		return
+	}
+	q.svc = r.serviceOf(r.pickService(rt))
 	if wait, refused := r.quarantineDelay(now, q); refused {
 		r.out.Refusals = append(r.out.Refusals, Refusal{
 			Request: q.id, Verdict: verdict.NotRun, Reason: verdict.ReasonQuarantined, RetryAfter: wait,
@@ -203,7 +217,7 @@
 // running.
 func (r *Reducer) mayHedge(now clock.Time, q *request) bool {
 	return r.on(Hedging) && q.route.Idempotent && len(q.running) == 1 && !q.searching() &&
-		q.mayRetry(now) && r.mayRiskTarget(now, q)
+		q.mayRetry(now) && r.mayRiskTarget(now, q) && !r.keyRevoked(q)
 }
 
 // searching reports whether a search for a target is under way for q. A second
@@ -221,7 +235,7 @@
 	if len(q.running) > 0 || q.searching() {
 		return // another attempt or search is still running
 	}
-	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRetry(now) && r.mayRiskTarget(now, q)
+	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRetry(now) && r.mayRiskTarget(now, q) && !r.keyRevoked(q)
 	if !allowed || !q.svc.retryBudget.spend() {
 		r.refuse(now, q)
 		return
@@ -246,7 +260,7 @@
 
 // refuse reports to q's caller that there will be no answer.
 func (r *Reducer) refuse(now clock.Time, q *request) {
-	f := Refusal{Request: q.id, Verdict: q.verdict, Reason: q.reason}
+	f := Refusal{Request: q.id, Verdict: q.verdict, Reason: q.reason, Account: q.account}
 	if q.verdict == verdict.NotRun {
 		f.RetryAfter = r.retryAfter(q)
 	}
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -21,6 +21,7 @@
 type Config struct {
 	Version  uint64
 	Routes   []Route
+	Accounts []Account
 	Services map[fleet.ServiceName]Service
 	Limits   Limits
 }
@@ -54,6 +55,8 @@
 	// Otherwise they would match a route with a shorter prefix and run at a
 	// service that isn't meant for them.
 	Disabled bool
+	// Public says that requests need no key of an account.
+	Public bool
 }
 
 // Part is one service of a route and its weight.
@@ -146,6 +149,8 @@
 type Table struct {
 	Config *Config
 	hosts  map[string][]*Route // by descending length of the prefix
+	byKey  map[KeyDigest]*Account
+	byName map[AccountName]*Account
 }
 
 // NewTable indexes c, which must not be modified afterwards.
@@ -158,6 +163,7 @@
 	for _, rs := range t.hosts {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.indexAccounts()
 	return t
 }
 
--- a/decide/verdict/verdict.go
+++ b/decide/verdict/verdict.go
@@ -117,6 +117,11 @@
 	ReasonInternal         Reason = "internal"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonGateway          Reason = "gateway-failed"
+	ReasonKeyMissing       Reason = "key-missing"
+	ReasonKeyUnknown       Reason = "key-unknown"
+	ReasonAccountDefect    Reason = "account-defect"
+	ReasonNoCommonRegion   Reason = "no-common-region"
+	ReasonOverQuota        Reason = "over-quota"
 )
 
 // Error is a failure with its verdict.
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -10,6 +10,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/heads"
 	"github.com/azurethread/azurethread/serve/inbound"
@@ -25,6 +26,9 @@
 	fingerprint quarantine.Fingerprint
 	// timeout is how long the caller waits, 0 if not stated.
 	timeout time.Duration
+	// account is the client account, "" until the request is sent or refused, or if
+	// there is none.
+	account route.AccountName
 	// forwarded means that this VM, as a gateway, forwards the request for another
 	// entry VM, which counts and logs it.
 	forwarded bool
@@ -93,7 +97,7 @@
 	k.fingerprint = quarantine.FingerprintOf(quarantine.Content{Method: x.Method, Host: host, URI: x.URI, Body: x.Body})
 	s.core.Post(&ingress.Arrive{
 		Request: k.id, Host: host, Path: x.URI, Object: object, Timeout: timeout, Bytes: len(x.Body),
-		Fingerprint: k.fingerprint,
+		Fingerprint: k.fingerprint, Key: presentedKey(x.Header),
 	})
 	x.OnCallerGone(func() { s.core.Post(&ingress.CallerGone{Request: k.id}) })
 }
@@ -121,6 +125,7 @@
 	k.mu.Lock()
 	k.attempts[e.Attempt] = a
 	a.sendIndex = len(k.sends)
+	k.account = e.Account
 	k.sends = append(k.sends, sendRecord{Target: e.Target, Domain: e.Domain, Gateway: e.Gateway, AfterMS: now.Sub(k.receivedAt).Milliseconds(), Outcome: "under way"})
 	k.mu.Unlock()
 	if !k.forwarded {
@@ -133,19 +138,19 @@
 	if e.Gateway != "" {
 		c = s.sendThroughGateway(k, e, done)
 	} else {
-		c = s.targetPool.Do(e.Addr, s.targetRequest(k.exchange, e), done)
+		c = s.targetPool.Do(e.Addr, s.targetRequest(k, e), done)
 	}
 	k.mu.Lock()
 	a.call = c
 	k.mu.Unlock()
 }
 
-// targetRequest builds the request for a target from the caller's request: it
-// removes the hop-by-hop fields and adds the intended target and the time left.
-func (s *Server) targetRequest(x *inbound.Exchange, e *ingress.Send) *outbound.Request {
+// targetRequest builds the request for a target from the received request: it adds
+// the intended target and the time left.
+func (s *Server) targetRequest(k *call, e *ingress.Send) *outbound.Request {
 	f := &s.settings.Fields
-	h := x.Header.Clone()
-	heads.RemoveHopByHop(h)
+	x := k.exchange
+	h := s.passedHeader(k, e)
 	h[f.Target] = []string{string(e.Target)}
 	h[f.Timeout] = []string{strconv.FormatInt(max(e.TimeLeft.Milliseconds(), 1), 10)}
 	id := x.Header.Get(f.RequestID)
@@ -158,6 +163,18 @@
 	}
 }
 
+// passedHeader returns the fields of a received request that are passed on, without
+// the hop-by-hop ones. The fields of a forwarded request were already processed by
+// the entry VM that received it from its caller.
+func (s *Server) passedHeader(k *call, e *ingress.Send) http.Header {
+	h := k.exchange.Header.Clone()
+	heads.RemoveHopByHop(h)
+	if !k.forwarded {
+		setAccount(h, s.settings.Fields.Account, e)
+	}
+	return h
+}
+
 // answersRequest reports whether an answer belongs to the request with this id.
 // A target may answer a request twice, the second time when the answer to the
 // next request on the connection is due; the echoed id distinguishes them.
@@ -304,7 +321,11 @@
 	if e.RetryAfter > 0 {
 		h["Retry-After"] = []string{formatRetryAfter(e.RetryAfter)}
 	}
+	k.account = e.Account
 	status := refusalStatus(e)
+	if status == http.StatusUnauthorized {
+		h[challengeField] = []string{challenge}
+	}
 	k.exchange.Respond(status, h, nil)
 	s.logRefused(k, status, e)
 }
@@ -324,6 +345,12 @@
 	switch {
 	case e.Reason == verdict.ReasonUnknownService:
 		return http.StatusNotFound
+	case e.Verdict == verdict.NotRun && isUnauthorized(e.Reason):
+		return http.StatusUnauthorized
+	case e.Verdict == verdict.NotRun && e.Reason == verdict.ReasonNoCommonRegion:
+		return http.StatusForbidden
+	case e.Verdict == verdict.NotRun && e.Reason == verdict.ReasonOverQuota:
+		return http.StatusTooManyRequests
 	case e.Verdict == verdict.NotRun:
 		return http.StatusServiceUnavailable
 	case e.Reason == verdict.ReasonDeadline:
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -89,8 +89,7 @@
 		done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonGateway})
 		return nil
 	}
-	h := k.exchange.Header.Clone()
-	heads.RemoveHopByHop(h)
+	h := s.passedHeader(k, e)
 	h[forwardHeader] = []string{s.forwardHeaderValue(e)}
 	id := e.Attempt
 	return s.gatewayPool.Do(vm.GatewayAddr, &outbound.Request{
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -131,7 +131,7 @@
 func (s *Server) requestLine(k *call, status int, v verdict.Verdict, why verdict.Reason) *logrus.Entry {
 	now := s.now()
 	k.mu.Lock()
-	sends := append([]sendRecord(nil), k.sends...)
+	sends, account := append([]sendRecord(nil), k.sends...), k.account
 	k.mu.Unlock()
 	return s.log.WithFields(logrus.Fields{
 		"event":         eventRequest,
@@ -139,6 +139,7 @@
 		"vm":            s.settings.Self.ID,
 		"method":        k.exchange.Method,
 		"host":          k.exchange.Header.Get("Host"),
+		"account":       account,
 		"fingerprint":   k.fingerprint,
 		"status":        status,
 		"verdict":       v,
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -57,6 +57,7 @@
 	Target    string // the target intended to run the request
 	Load      string // a target's load: requests running, requests waiting, slots
 	NotRun    string // present if the target has not run the request
+	Account   string // tells a target the client account of a request
 	// RateLimits state how many requests per second a target accepts from all entry
 	// VMs together. The first field that is present counts.
 	RateLimits []string
