Quotas of client accounts: tokens issued by the strong VMs, moved to where requests are

Change: decide/quota turns the operators' rule into a budget (rate and depth of tokens); the strong VMs issue equal parts of it, and the coordinator that places a request anyway charges it, so an admitted request costs no message. A coordinator with more requests than tokens asks two other strong VMs each 250 ms for what they don't need, for all its accounts in one message. Tokens come only from time in fixed parts, so cuts, restarts and two coordinators at once can't exceed the budget; a new process starts with none. A weak VM that reaches no coordinator has a small part of its own. Beyond the quota: 429, not run, the time to come back one after the other; a line with what decided it; status and explain.

--- a/decide/ingress/account.go
+++ b/decide/ingress/account.go
@@ -76,11 +76,21 @@
 	}
 }
 
+// isPermanent reports whether a request refused for this reason would be refused
+// again until the configuration changes.
+func isPermanent(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonKeyMissing, verdict.ReasonKeyUnknown, verdict.ReasonNoCommonRegion:
+		return true
+	}
+	return false
+}
+
 // accountRetryAfter returns the retry delay for a request refused because of its
-// account. Only an account with a defect may be served later.
+// account.
 func accountRetryAfter(reason verdict.Reason) time.Duration {
-	if reason == verdict.ReasonAccountDefect {
-		return defaultAim
+	if isPermanent(reason) {
+		return 0
 	}
-	return 0
+	return defaultAim
 }
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -54,8 +54,9 @@
 }
 
 // setMembers applies a new list of entry VMs.
-func (r *Reducer) setMembers(vms []fleet.VM) {
+func (r *Reducer) setMembers(now clock.Time, vms []fleet.VM) {
 	r.members = vms
+	r.updateIssuers(now)
 	clear(r.coordinatorOrders)
 	clear(r.strongVMs)
 	clear(r.gateways)
@@ -94,7 +95,7 @@
 func (r *Reducer) findTarget(now clock.Time, q *request) {
 	r.nextPlacement++
 	p := PlacementRequest{
-		ID: r.nextPlacement, Service: q.svc.name, Route: q.route.Name, Object: q.object,
+		ID: r.nextPlacement, Service: q.svc.name, Route: q.route.Name, Object: q.object, Account: q.account,
 		Domain: r.opts.Domain, Priority: q.priority, Large: r.isLarge(q), AllowedRegions: q.allowedRegions,
 		MayCrashTarget: r.mayCrashTarget(now, q), Tried: q.tried, LastTarget: r.lastTargetFor(now, q.svc, q.object),
 		Limits:  r.limitsFor(now, q.svc),
@@ -178,6 +179,10 @@
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok {
 			r.withdraw(now, j)
 		}
+	case *TokenRequest:
+		r.grantTokens(now, ev.From, m)
+	case *TokenGrant:
+		r.acceptTokens(now, m)
 	case *quarantine.Record:
 		r.mergeQuarantine(now, m)
 	case *Report:
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -6,6 +6,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/decide/quota"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -263,6 +264,18 @@
 	Account    route.AccountName
 }
 
+// QuotaRefusal is the decision that an account has no token left at this VM, for the
+// log.
+type QuotaRefusal struct {
+	Account    route.AccountName
+	From       fleet.VMID   // that received the request
+	Quota      route.Quota  // of the account
+	Own        quota.Budget // this VM's part
+	Tokens     float64      // left here
+	Demand     float64      // requests per second that were to be placed here
+	RetryAfter time.Duration
+}
+
 // TargetStateChange is a change of a target's state as seen by the reducer, for
 // the log.
 type TargetStateChange struct {
@@ -290,8 +303,9 @@
 	// pooled connections to them may be dead.
 	SilentGateways []fleet.VMID
 	// Probes check targets that may have terminated.
-	Probes      []Probe
-	Quarantines []Quarantine
+	Probes        []Probe
+	Quarantines   []Quarantine
+	QuotaRefusals []QuotaRefusal
 	// WakeAt is the latest time at which Tick is due.
 	WakeAt clock.Time
 }
@@ -309,5 +323,6 @@
 	r.SilentGateways = r.SilentGateways[:0]
 	r.Probes = r.Probes[:0]
 	r.Quarantines = r.Quarantines[:0]
+	r.QuotaRefusals = r.QuotaRefusals[:0]
 	r.WakeAt = clock.Never
 }
--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/decide/quota"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -34,6 +35,9 @@
 	requests []clock.Time
 
 	contents crashContents
+
+	cut      map[fleet.VMID]bool // VMs that exchange no messages with others
+	accounts *simAccounts        // nil: there are none
 }
 
 type simVM struct {
@@ -59,6 +63,7 @@
 	mayRun    bool
 	running   map[AttemptID]bool
 	content   quarantine.Fingerprint
+	account   route.AccountName
 	forwarded *simForwarded       // nil: a caller's own request
 	gateways  []simGatewayRequest // that have received it
 }
@@ -97,8 +102,9 @@
 var (
 	simRegions = map[fleet.Domain]fleet.Region{"a1": "a", "a2": "a", "b1": "b"}
 	simDomains = []fleet.Domain{"a1", "a2", "b1"}
-	simBounds  = Bounds{ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 30, RetryWindow: 10 * time.Second, RegionShift: 0.15}
-	simRoutes  = []route.Route{
+	simBounds  = Bounds{ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 30, RetryWindow: 10 * time.Second, RegionShift: 0.15,
+		Quota: quota.Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20}}
+	simRoutes = []route.Route{
 		{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, Attempts: 3, Aim: 200 * time.Millisecond, Timeout: time.Second, Parts: []route.Part{{Service: "s1", Weight: 1}}},
 		{Name: "write", Host: "h", Prefix: "/write/", Attempts: 2, Aim: 300 * time.Millisecond, Priority: 1, Parts: []route.Part{{Service: "s2", Weight: 1}}},
 		{Name: "home", Host: "h", Prefix: "/home/", Attempts: 2, Homes: []fleet.Region{"b"}, Parts: []route.Part{{Service: "s1", Weight: 3}, {Service: "s2", Weight: 1}}},
@@ -225,6 +231,9 @@
 		return
 	}
 	s.countRefusal(q, f)
+	if s.accounts != nil && f.Reason == verdict.ReasonOverQuota {
+		s.accounts.refused++
+	}
 }
 
 func (s *fleetSim) send(vm *simVM, e Send) {
@@ -238,6 +247,8 @@
 		s.t.Fatalf("%s: request %d is sent again although it may have run", vm.id, e.Request)
 	case len(q.allowedRegions) > 0 && !slices.Contains(q.allowedRegions, t.region):
 		s.t.Fatalf("%s: request %d is sent outside of its allowed regions", vm.id, e.Request)
+	case e.Account != q.account:
+		s.t.Fatalf("%s: request %d of account %q is sent for account %q", vm.id, e.Request, q.account, e.Account)
 	case e.TimeLeft <= 0 || s.now.Add(e.TimeLeft) > q.deadline:
 		s.t.Fatalf("%s: request %d is sent with %v left, beyond its deadline", vm.id, e.Request, e.TimeLeft)
 	}
@@ -302,6 +313,9 @@
 		return
 	}
 	end := func(d time.Duration, mayRun bool, ev func() Event) {
+		if mayRun {
+			s.accounts.countRun(s.now, q.account)
+		}
 		s.after(d, func() {
 			if t.StartedAt != born || t.down {
 				return // it has terminated meanwhile
@@ -344,7 +358,7 @@
 }
 
 func (s *fleetSim) deliverMessage(from *simVM, msg OutgoingMessage) {
-	if s.rng.Float64() < s.loss {
+	if s.rng.Float64() < s.loss || s.cut[from.id] || s.cut[msg.To] {
 		return
 	}
 	s.after(time.Duration(1+s.rng.IntN(3))*time.Millisecond, func() {
@@ -369,7 +383,7 @@
 	vm.open[q.id] = q
 	s.requests = append(s.requests, s.now)
 	s.step(vm, &Arrive{
-		Request: q.id, Host: "h", Path: rt.Prefix + "x",
+		Request: q.id, Host: "h", Path: rt.Prefix + "x", Key: s.accounts.identify(s.rng, q),
 		Object: fmt.Sprintf("o%d", s.rng.IntN(20)), Timeout: wait, Fingerprint: q.content,
 	})
 	if s.rng.IntN(20) == 0 {
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -40,7 +40,7 @@
 			return fmt.Errorf("target %s: counted as preferred by %d jobs, preferred by %d", id, t.preferredBy, preferred[t])
 		}
 	}
-	return errors.Join(r.checkRequests(), r.checkQueues(), r.checkCaches())
+	return errors.Join(r.checkRequests(), r.checkAccounts(), r.checkQueues(), r.checkCaches())
 }
 
 func (r *Reducer) checkRequests() error {
@@ -71,6 +71,22 @@
 	return nil
 }
 
+// checkAccounts checks that no request without a valid account is on its way to a
+// target, and that every request that was placed for a limited account was charged.
+func (r *Reducer) checkAccounts() error {
+	for id, q := range r.requests {
+		if q.searching() && r.keyRevoked(q) {
+			return fmt.Errorf("request %d: searches a target for account %q without a valid key", id, q.account)
+		}
+	}
+	for key, j := range r.jobs {
+		if a, _ := r.limitedAccount(j.Account); a != nil && j.Account != "" && !j.charged && r.on(Quotas) && j.state != jobDone && j.arrived > r.configuredAt {
+			return fmt.Errorf("job %v: not charged to account %q", key, j.Account)
+		}
+	}
+	return nil
+}
+
 func (r *Reducer) checkQueues() error {
 	waiting := 0
 	for _, s := range r.services {
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -49,6 +49,9 @@
 	target      *targetState
 	class       workClass
 	queuedAhead int // requests ahead of it at the target, beyond the slots
+	// charged means that it holds a token of its account, taken at chargedAt.
+	charged   bool
+	chargedAt clock.Time
 }
 
 type jobState uint8
@@ -79,6 +82,10 @@
 
 // place finds a target for j, queues j, or denies it.
 func (r *Reducer) place(now clock.Time, j *job) {
+	if reason, retryAfter := r.charge(now, j); reason != verdict.ReasonNone {
+		r.denyFor(now, j, reason, retryAfter)
+		return
+	}
 	if t := r.choose(now, j); t != nil {
 		r.grant(now, j, t)
 		return
@@ -152,6 +159,13 @@
 // deny reports to j's entry VM that there is no target for it.
 func (r *Reducer) deny(now clock.Time, j *job) {
 	reason, freeAfter := r.denyReason(now, j), r.freeAfter(now, j)
+	r.refund(now, j)
+	r.denyFor(now, j, reason, freeAfter)
+}
+
+// denyFor reports a reason for which j is not placed. It may be placed after
+// freeAfter.
+func (r *Reducer) denyFor(now clock.Time, j *job, reason verdict.Reason, freeAfter time.Duration) {
 	r.removeJob(j)
 	if j.req != nil {
 		r.placementDenied(now, j.req, reason, freeAfter)
@@ -201,6 +215,7 @@
 	case ResultServed:
 		r.observeWork(now, j, rep)
 	case ResultRefused, ResultUnreachable, ResultMisdirected:
+		r.refund(now, j)
 		if j.class == objectCold { // j was the first request for the object and has not run
 			j.obj.unmarkWarm(t)
 		}
@@ -214,6 +229,7 @@
 	case jobPlaced:
 		r.release(now, j, &Report{Result: ResultUnknown})
 	default:
+		r.refund(now, j)
 		r.removeJob(j)
 	}
 }
--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -10,7 +10,7 @@
 // Mechanisms is a set of parts of the decision logic that can be switched off, so
 // that experiments can measure the effect of each. In production none is switched
 // off.
-type Mechanisms uint16
+type Mechanisms uint32
 
 // The mechanisms.
 const (
@@ -48,12 +48,17 @@
 	RateLimits
 	// Gateways sends requests for targets of other regions through gateways.
 	Gateways
+	// Quotas keeps within the quotas of client accounts.
+	Quotas
+	// TokenTransfers lets VMs transfer quota tokens that they do not need; without
+	// it, each keeps its part.
+	TokenTransfers
 )
 
 var mechanismNames = []string{
 	"recall", "coordinators", "second-send", "headroom", "elsewhere", "large-bodies",
 	"carriage", "wait-at-target", "first-choice", "joined", "ejection", "spare-connections",
-	"quarantining", "rate-limits", "gateways",
+	"quarantining", "rate-limits", "gateways", "quotas", "token-transfers",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -21,7 +22,8 @@
 	Service        fleet.ServiceName
 	Route          string // selects the measured size of answers
 	Object         string
-	Domain         fleet.Domain // of the requesting VM
+	Account        route.AccountName // whose quota is charged; "": none
+	Domain         fleet.Domain      // of the requesting VM
 	Priority       int
 	Large          bool // the body or the answer is large
 	AllowedRegions []fleet.Region
@@ -103,6 +105,24 @@
 	ResultUnreachable
 )
 
+// AccountTokens is a number of quota tokens of one client account.
+type AccountTokens struct {
+	Account route.AccountName
+	Tokens  float64
+}
+
+// TokenRequest asks for quota tokens that the receiver does not need.
+type TokenRequest struct {
+	ID       PlacementID
+	Accounts []AccountTokens
+}
+
+// TokenGrant transfers quota tokens to the sender of a TokenRequest.
+type TokenGrant struct {
+	ID       PlacementID
+	Accounts []AccountTokens
+}
+
 // OutgoingMessage requests that a message be sent to another entry VM.
 type OutgoingMessage struct {
 	To      fleet.VMID
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quota"
 )
 
 // Options of a Reducer.
@@ -38,6 +39,8 @@
 	// RegionShift is the largest share of a region's requests that may change the
 	// region in which they run from one shiftWindow to the next. 0: unlimited.
 	RegionShift float64
+	// Quota is the rule for the quotas of client accounts.
+	Quota quota.Rule
 }
 
 // Timing and weights of the decisions.
--- /dev/null
+++ b/decide/ingress/quota.go
@@ -0,0 +1,346 @@
+package ingress
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quota"
+	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// The quota of a client account applies to all entry VMs together. The VM that
+// places a request charges it to the account, so an admitted request costs no
+// message of its own, and the requests of an account that arrive thinly at many VMs
+// are counted by few. Tokens are issued by the strong VMs, from which coordinators
+// are chosen, in equal parts; coordinators with more requests than tokens get the
+// tokens that other strong VMs do not need (TokenRequest).
+//
+// A weak VM places requests only while it reaches no coordinator. A small part of
+// the budget is set aside for that.
+
+const (
+	// isolatedShare is the part of the budget of an account that the weak VMs
+	// issue.
+	isolatedShare = 0.15
+	// issuerTTL is how long a VM that is no longer a member keeps its part of the
+	// budgets: it may be cut off and still issue tokens.
+	issuerTTL = time.Minute
+	// tokenInterval is the time between two requests for tokens.
+	tokenInterval = 250 * time.Millisecond
+	// tokenPeers is how many VMs a VM asks for tokens at a time, each of them for all
+	// its accounts.
+	tokenPeers = 2
+	// tokensAhead and tokensKept are for how long a VM wants to have tokens, and
+	// for how long it keeps them when another one asks.
+	tokensAhead = time.Second
+	tokensKept  = 300 * time.Millisecond
+	// maxTokenAccounts limits the accounts in one request for tokens.
+	maxTokenAccounts = 128
+	// accountTTL is how long the state of an account that is not used is kept.
+	accountTTL = 10 * time.Second
+	// isolatedGap is the longest time between two requests that a weak VM places
+	// itself in one period without a coordinator.
+	isolatedGap = time.Second
+	// maxQuotaRetryAfter limits the retry delay of a request beyond a quota.
+	maxQuotaRetryAfter = 2 * time.Second
+)
+
+// issuers are the VMs that issue tokens.
+type issuers struct {
+	seen         map[fleet.VMID]issuer
+	strong, weak int
+	selfStrong   bool
+}
+
+// issuer is an entry VM that is a member, or was until recently.
+type issuer struct {
+	vm     fleet.VM
+	seenAt clock.Time
+}
+
+// accountState is the state of one limited account at this VM.
+type accountState struct {
+	name   route.AccountName
+	bucket quota.Bucket
+	// demand measures the requests that were to be placed here, admitted those that
+	// were charged.
+	demand, admitted quota.Meter
+	usedAt           clock.Time
+	// queueEnd is when the latest refused request is expected to be admitted.
+	queueEnd clock.Time
+	// isolated are the tokens of a weak VM, which fill only while it places requests
+	// itself. They start at a random fraction of one, so that of many such VMs some
+	// admit their first request.
+	isolated   float64
+	isolatedAt clock.Time // of the last request that it placed itself; 0: none
+	// charged and refused count requests.
+	charged, refused uint64
+}
+
+// updateIssuers applies a new list of members.
+func (r *Reducer) updateIssuers(now clock.Time) {
+	if r.issuers.seen == nil {
+		r.issuers.seen = make(map[fleet.VMID]issuer)
+	}
+	for i := range r.members {
+		r.issuers.seen[r.members[i].ID] = issuer{vm: r.members[i], seenAt: now}
+	}
+	var vms []fleet.VM
+	for _, id := range slices.Sorted(maps.Keys(r.issuers.seen)) {
+		if x := r.issuers.seen[id]; now.Sub(x.seenAt) <= issuerTTL {
+			vms = append(vms, x.vm)
+		} else {
+			delete(r.issuers.seen, id)
+		}
+	}
+	strong := fleet.Strong(vms)
+	r.issuers.strong, r.issuers.weak = len(strong), len(vms)-len(strong)
+	r.issuers.selfStrong = slices.ContainsFunc(strong, func(v fleet.VM) bool { return v.ID == r.opts.Self })
+	for _, s := range r.accounts {
+		if a := r.table.Account(s.name); a != nil {
+			s.bucket.SetBudget(now, r.ownBudget(a))
+		}
+	}
+}
+
+// ownBudget returns the part of an account's budget that this VM issues.
+func (r *Reducer) ownBudget(a *route.Account) quota.Budget {
+	b := r.budgetOf(a)
+	switch {
+	case !r.issuers.selfStrong || r.issuers.strong == 0:
+		return quota.Budget{Depth: b.Depth * r.strongPart()} // holds tokens of others
+	case r.issuers.weak == 0:
+		return b.Part(1 / float64(r.issuers.strong))
+	}
+	p := b.Part((1 - isolatedShare) / float64(r.issuers.strong))
+	p.Depth = b.Depth * r.strongPart()
+	return p
+}
+
+// strongPart returns the part of the depth of budgets that one VM may save up.
+func (r *Reducer) strongPart() float64 { return 1 / float64(max(r.issuers.strong, 1)) }
+
+func (r *Reducer) budgetOf(a *route.Account) quota.Budget {
+	return r.opts.Bounds.Quota.Budget(a.Quota.PerSecond, a.Quota.Burst)
+}
+
+// limitedAccount returns the account of a name if it has a quota, else nil. known
+// is false if the configuration in force has no such account.
+func (r *Reducer) limitedAccount(name route.AccountName) (a *route.Account, known bool) {
+	if r.table == nil {
+		return nil, false
+	}
+	a = r.table.Account(name)
+	if a == nil || !a.Quota.Limited() {
+		return nil, a != nil
+	}
+	return a, true
+}
+
+// accountStateOf returns the state of a limited account.
+func (r *Reducer) accountStateOf(now clock.Time, a *route.Account) *accountState {
+	s, ok := r.accounts[a.Name]
+	if !ok {
+		s = &accountState{name: a.Name, bucket: quota.NewBucket(now, r.startedAt, r.ownBudget(a)), usedAt: now, isolated: r.rng.Float64()}
+		r.accounts[a.Name] = s
+		r.scheduleTokens(now)
+	}
+	return s
+}
+
+// charge takes a token for j from its account's quota. If there is none, it returns
+// the reason and the time after which the caller may retry.
+func (r *Reducer) charge(now clock.Time, j *job) (reason verdict.Reason, retryAfter time.Duration) {
+	if j.Account == "" || !r.on(Quotas) {
+		return verdict.ReasonNone, 0
+	}
+	a, known := r.limitedAccount(j.Account)
+	switch {
+	case !known:
+		return verdict.ReasonNotReady, minQuotaRetryAfter // the configuration is older than that of j's VM
+	case a == nil:
+		return verdict.ReasonNone, 0
+	}
+	s := r.accountStateOf(now, a)
+	s.usedAt = now
+	s.demand.Add(now)
+	if !s.bucket.Take(now, 1) && !r.takeIsolated(now, j, a, s) {
+		s.refused++
+		wait := s.nextAdmission(now)
+		r.out.QuotaRefusals = append(r.out.QuotaRefusals, QuotaRefusal{
+			Account: a.Name, From: j.key.vm, Quota: a.Quota, Own: r.ownBudget(a),
+			Tokens: s.bucket.Tokens(now), Demand: s.demand.PerSecond(now), RetryAfter: wait,
+		})
+		return verdict.ReasonOverQuota, wait
+	}
+	s.admitted.Add(now)
+	s.charged++
+	j.charged, j.chargedAt = true, now
+	return verdict.ReasonNone, 0
+}
+
+// minQuotaRetryAfter is the least retry delay of a request without a token: the time
+// in which tokens of other VMs may arrive.
+const minQuotaRetryAfter = tokenInterval
+
+// takeIsolated takes a token that is set aside for a weak VM which places its own
+// requests.
+func (r *Reducer) takeIsolated(now clock.Time, j *job, a *route.Account, s *accountState) bool {
+	if j.req == nil || r.issuers.selfStrong || r.issuers.weak == 0 {
+		return false
+	}
+	rate := r.budgetOf(a).Rate * isolatedShare / float64(r.issuers.weak)
+	if gap := now.Sub(s.isolatedAt); s.isolatedAt != 0 && gap < isolatedGap {
+		s.isolated = min(s.isolated+rate*gap.Seconds(), max(1, rate))
+	}
+	s.isolatedAt = now
+	if s.isolated < 1 {
+		return false
+	}
+	s.isolated--
+	return true
+}
+
+// nextAdmission returns the time after which a refused request may be admitted. The
+// refused requests return one after the other at the rate at which this VM admits
+// requests, so that the delay is true for each of them.
+func (s *accountState) nextAdmission(now clock.Time) time.Duration {
+	rate := max(s.admitted.PerSecond(now), s.bucket.Rate())
+	first := now.Add(max(min(s.bucket.TimeTo(now, 1), maxQuotaRetryAfter), minQuotaRetryAfter))
+	if rate > 0 {
+		s.queueEnd = s.queueEnd.Add(time.Duration(float64(time.Second) / rate))
+	}
+	s.queueEnd = clock.Min(max(s.queueEnd, first), now.Add(maxQuotaRetryAfter))
+	return s.queueEnd.Sub(now)
+}
+
+// refund returns the token of a request that was not run. A token that was taken
+// long ago is lost: it belongs to an earlier window.
+func (r *Reducer) refund(now clock.Time, j *job) {
+	if !j.charged {
+		return
+	}
+	j.charged = false
+	if s, ok := r.accounts[j.Account]; ok && now.Sub(j.chargedAt) <= quota.RefundTimeout {
+		s.bucket.Put(now, 1)
+	}
+}
+
+// applyQuotas applies the quotas of a new configuration.
+func (r *Reducer) applyQuotas(now clock.Time) {
+	for name, s := range r.accounts {
+		if a, _ := r.limitedAccount(name); a == nil {
+			delete(r.accounts, name)
+		} else {
+			s.bucket.SetBudget(now, r.ownBudget(a))
+		}
+	}
+}
+
+func (r *Reducer) scheduleTokens(now clock.Time) {
+	if !r.tokensScheduled {
+		r.tokensScheduled = true
+		r.timers.add(timer{at: now.Add(tokenInterval), purpose: dueTokens})
+	}
+}
+
+// tokensDue requests tokens for the accounts that will need them, and drops the
+// state of those that are not used.
+func (r *Reducer) tokensDue(now clock.Time) {
+	r.tokensScheduled = false
+	for name, s := range r.accounts {
+		if now.Sub(s.usedAt) >= accountTTL && s.bucket.Full(now) {
+			delete(r.accounts, name)
+		}
+	}
+	for id, at := range r.tokenRequests {
+		if now.Sub(at) > quota.TransferTimeout {
+			delete(r.tokenRequests, id)
+		}
+	}
+	r.requestTokens(now)
+	if len(r.accounts) > 0 {
+		r.scheduleTokens(now)
+	}
+}
+
+// sortedAccounts returns the states of accounts by name.
+func (r *Reducer) sortedAccounts() []*accountState {
+	return slices.SortedFunc(maps.Values(r.accounts), func(a, b *accountState) int { return cmp.Compare(a.name, b.name) })
+}
+
+// requestTokens asks other strong VMs for the tokens that are missing here, a few of
+// them in turn.
+func (r *Reducer) requestTokens(now clock.Time) {
+	if !r.on(TokenTransfers) {
+		return
+	}
+	var want []AccountTokens
+	for _, s := range r.sortedAccounts() {
+		need := s.demand.PerSecond(now) * tokensAhead.Seconds()
+		if need < minDemand {
+			continue
+		}
+		missing := min(need+1-s.bucket.Tokens(now), s.bucket.Room(now))
+		if missing > 0 && len(want) < maxTokenAccounts {
+			want = append(want, AccountTokens{Account: s.name, Tokens: missing})
+		}
+	}
+	peers := r.strongOrder(anyRegion, "")
+	if len(want) == 0 || len(peers) == 0 {
+		return
+	}
+	for range min(tokenPeers, len(peers)) {
+		r.tokenTurn++
+		to := peers[r.tokenTurn%len(peers)]
+		if to == r.opts.Self {
+			continue
+		}
+		r.nextPlacement++
+		r.tokenRequests[r.nextPlacement] = now
+		r.sendMessage(to, &TokenRequest{ID: r.nextPlacement, Accounts: want})
+	}
+}
+
+// minDemand is the rate of requests below which a VM asks for no tokens.
+const minDemand = 0.05
+
+// grantTokens gives another VM the tokens that this one does not need.
+func (r *Reducer) grantTokens(now clock.Time, from fleet.VMID, m *TokenRequest) {
+	var given []AccountTokens
+	for _, want := range m.Accounts[:min(len(m.Accounts), maxTokenAccounts)] {
+		a, _ := r.limitedAccount(want.Account)
+		if a == nil {
+			continue
+		}
+		s := r.accountStateOf(now, a)
+		keep := s.demand.PerSecond(now) * tokensKept.Seconds()
+		if n := s.bucket.TakeUpTo(now, want.Tokens, keep); n > 0 {
+			s.usedAt = now
+			given = append(given, AccountTokens{Account: a.Name, Tokens: n})
+		}
+	}
+	if len(given) > 0 {
+		r.sendMessage(from, &TokenGrant{ID: m.ID, Accounts: given})
+	}
+}
+
+// acceptTokens adds tokens of another VM, unless their request is too old or they
+// were already received.
+func (r *Reducer) acceptTokens(now clock.Time, m *TokenGrant) {
+	at, ok := r.tokenRequests[m.ID]
+	delete(r.tokenRequests, m.ID)
+	if !ok || now.Sub(at) > quota.TransferTimeout {
+		return
+	}
+	for _, x := range m.Accounts {
+		if s, used := r.accounts[x.Account]; used {
+			s.bucket.Put(now, x.Tokens)
+		}
+	}
+}
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -29,7 +29,9 @@
 	evacuated map[fleet.Domain]bool
 	nextLapse clock.Time // the earliest lapsesAt of the targets
 	startedAt clock.Time // when the first event was handled; 0: not yet
-	members   []fleet.VM
+	// configuredAt is when the configuration came into force.
+	configuredAt clock.Time
+	members      []fleet.VM
 	// coordinatorOrders and strongVMs are caches derived from members: the
 	// coordinators of a service in order, and the strong VMs of a region
 	// (fleet.Strong).
@@ -53,6 +55,14 @@
 	forwardsByAttempt map[AttemptID]*forwarded
 	timers            timers
 
+	// accounts are the limited client accounts in use at this VM. tokenRequests are
+	// unanswered requests for tokens, by ID, with the time at which they were sent.
+	accounts        map[route.AccountName]*accountState
+	issuers         issuers
+	tokenRequests   map[PlacementID]clock.Time
+	tokenTurn       int // selects the next VMs to ask for tokens
+	tokensScheduled bool
+
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
 	expiryScheduled bool                     // a timer for expired quarantines is set
@@ -82,6 +92,8 @@
 		gateways:          make(map[fleet.Domain][]fleet.VMID),
 		forwards:          make(map[RequestID]*forwarded),
 		forwardsByAttempt: make(map[AttemptID]*forwarded),
+		accounts:          make(map[route.AccountName]*accountState),
+		tokenRequests:     make(map[PlacementID]clock.Time),
 		nextLapse:         clock.Never,
 	}
 }
@@ -112,7 +124,7 @@
 	case *Evacuated:
 		r.applyEvacuation(now, ev)
 	case *MembersChanged:
-		r.setMembers(ev.VMs)
+		r.setMembers(now, ev.VMs)
 		r.releaseJobsOfLostVMs(now)
 		r.dispatchAll(now)
 	case *IncomingMessage:
@@ -141,11 +153,12 @@
 	if r.table != nil && ev.Table.Config.Version < r.table.Config.Version {
 		return
 	}
-	r.table = ev.Table
+	r.table, r.configuredAt = ev.Table, now
 	for name := range r.splits {
 		delete(r.splits, name) // weights may have changed
 	}
 	r.dropRemovedRoutes(ev.Table.Config)
+	r.applyQuotas(now)
 	r.refuseRevoked(now)
 	r.dispatchAll(now)
 }
@@ -172,6 +185,9 @@
 	case dueForward:
 		r.forwardTimedOut(t.request)
 		return
+	case dueTokens:
+		r.tokensDue(now)
+		return
 	}
 	q, ok := r.requests[t.request]
 	if !ok {
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -261,7 +261,11 @@
 // refuse reports to q's caller that there will be no answer.
 func (r *Reducer) refuse(now clock.Time, q *request) {
 	f := Refusal{Request: q.id, Verdict: q.verdict, Reason: q.reason, Account: q.account}
-	if q.verdict == verdict.NotRun {
+	switch {
+	case q.verdict != verdict.NotRun || isPermanent(q.reason):
+	case q.reason == verdict.ReasonOverQuota:
+		f.RetryAfter = q.freeAfter
+	default:
 		f.RetryAfter = r.retryAfter(q)
 	}
 	r.out.Refusals = append(r.out.Refusals, f)
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -1,8 +1,12 @@
 package ingress
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -18,8 +22,24 @@
 	// are kept away from targets.
 	Suspects    int `json:"suspects"`
 	Quarantined int `json:"quarantined"`
+	// Accounts are the busiest limited accounts whose requests this VM places.
+	Accounts map[route.AccountName]AccountStatus `json:"accounts"`
+}
+
+// AccountStatus summarises the state of one limited account at this VM.
+type AccountStatus struct {
+	PerSecond float64 `json:"per_second"` // the account's quota
+	OwnRate   float64 `json:"own_rate"`   // tokens that this VM issues per second
+	OwnDepth  float64 `json:"own_depth"`  // tokens that it may save up
+	Tokens    float64 `json:"tokens"`
+	Demand    float64 `json:"demand"` // requests per second
+	Admitted  uint64  `json:"admitted"`
+	OverQuota uint64  `json:"over_quota"`
 }
 
+// maxAccountStatus is how many accounts Status contains.
+const maxAccountStatus = 20
+
 // ServiceStatus summarises the state of one service.
 type ServiceStatus struct {
 	Targets  int     `json:"targets"`
@@ -50,9 +70,31 @@
 		}
 		st.Services[name] = v
 	}
+	st.Accounts = r.accountStatus(now)
 	return st
 }
 
+// accountStatus returns the state of the busiest accounts.
+func (r *Reducer) accountStatus(now clock.Time) map[route.AccountName]AccountStatus {
+	list := r.sortedAccounts()
+	slices.SortStableFunc(list, func(a, b *accountState) int {
+		return cmp.Compare(b.charged+b.refused, a.charged+a.refused)
+	})
+	out := make(map[route.AccountName]AccountStatus)
+	for _, s := range list[:min(len(list), maxAccountStatus)] {
+		a, _ := r.limitedAccount(s.name)
+		if a == nil {
+			continue
+		}
+		own := r.ownBudget(a)
+		out[s.name] = AccountStatus{
+			PerSecond: a.Quota.PerSecond, OwnRate: own.Rate, OwnDepth: own.Depth, Tokens: s.bucket.Tokens(now),
+			Demand: s.demand.PerSecond(now), Admitted: s.charged, OverQuota: s.refused,
+		}
+	}
+	return out
+}
+
 func count(is bool) int {
 	if is {
 		return 1
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -17,6 +17,7 @@
 	dueQuarantine                // expired quarantines are removed
 	dueGateway                   // the gateway must have acknowledged the request
 	dueForward                   // the time of a forwarded request is over
+	dueTokens                    // tokens of accounts are requested
 )
 
 // timer is an action scheduled for a time. Timers are not removed when they become
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -154,6 +154,8 @@
 	switch l.Event {
 	case "target":
 		return namesAny(l, targets)
+	case "quota":
+		return stringOf(own.Fields["reason"]) == "over-quota" && l.Fields["account"] == own.Fields["account"]
 	case "store", "config", "evacuate", "members", "relay", "start", "stop", "reload":
 		return l.VM == own.VM
 	}
@@ -186,6 +188,16 @@
 		return fmt.Sprintf("The caller disconnected; %d sends were in progress or had ended.", n)
 	case why == "not-ready":
 		return "The entry VM had no configuration yet; nothing was sent."
+	case why == "key-missing":
+		return "The request presented no key that can be read, and its route is not public; nothing was sent."
+	case why == "key-unknown":
+		return "No account of the configuration in force holds the key; nothing was sent after that was known."
+	case why == "no-common-region":
+		return "The route and the account allow no common region; nothing was sent."
+	case why == "account-defect":
+		return "The account has a defect in the configuration; nothing was sent."
+	case why == "over-quota":
+		return fmt.Sprintf("Account %s had no token left at the entry VM that places its requests; it has not run there.", stringOf(l.Fields["account"]))
 	case why == "unknown-service":
 		return "No route of the configuration in force matches; nothing was sent."
 	case n == 0:
@@ -216,6 +228,7 @@
 	"status", "verdict", "reason", "took_ms", "patience_ms", "retry_after_ms", "config", "store_age_ms",
 	"store_reached", "target", "registered", "draining", "gone", "cold_ms", "version", "revision", "domain", "begin",
 	"count", "changed", "settings", "error", "fingerprint", "route", "ends", "trials",
+	"account", "from", "rate", "burst", "own_rate", "own_depth", "tokens", "demand",
 }
 
 func details(l Line) string {
--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -71,3 +71,22 @@
 	is.Equal(len(r.Lines), 2)
 	is.Equal(r.Lines[0].Fields["fingerprint"], "f1")
 }
+
+// A request without a valid key, or over its account's quota, must be explained
+// without its sends. The decision may have been made at another entry VM.
+func TestReadExplainsAccounts(t *testing.T) {
+	is := is.New(t)
+	logs := `vm-c {"event":"quota","vm":"vm-c","account":"north","from":"vm-b","tokens":0.3,"msg":"account has no token left here","time":"2026-01-01T00:00:01Z"}
+vm-c {"event":"quota","vm":"vm-c","account":"south","from":"vm-b","tokens":0.3,"msg":"account has no token left here","time":"2026-01-01T00:00:01Z"}
+vm-b {"event":"request","request":"r1","vm":"vm-b","account":"north","status":429,"verdict":"not-run","reason":"over-quota","sends":null,"time":"2026-01-01T00:00:02Z"}
+vm-b {"event":"request","request":"r2","vm":"vm-b","account":"","status":401,"verdict":"not-run","reason":"key-unknown","sends":null,"time":"2026-01-01T00:00:02Z"}
+`
+	r, err := Read("r1", strings.NewReader(logs))
+	is.NoErr(err)
+	is.True(strings.Contains(r.Cause, "north"))
+	is.Equal(len(r.Lines), 2) // the decision of vm-c and the request itself
+	r, err = Read("r2", strings.NewReader(logs))
+	is.NoErr(err)
+	is.True(strings.Contains(r.Cause, "holds the key"))
+	is.Equal(len(r.Lines), 1)
+}
--- a/serve/ingress/account.go
+++ b/serve/ingress/account.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -51,3 +53,18 @@
 func isUnauthorized(why verdict.Reason) bool {
 	return why == verdict.ReasonKeyMissing || why == verdict.ReasonKeyUnknown
 }
+
+// logQuotaRefusal records why a request was refused over quota, at the VM that
+// decided it. The lines are limited like those of failed requests.
+func (s *Server) logQuotaRefusal(e *ingress.QuotaRefusal) {
+	line, condensed := s.quotaSampler.sampleFailure(s.now())
+	if !line {
+		return
+	}
+	s.event(eventQuota).WithFields(logrus.Fields{
+		"vm": s.settings.Self.ID, "account": e.Account, "from": e.From, "config": s.configVersion(),
+		"rate": e.Quota.PerSecond, "burst": e.Quota.Burst, "own_rate": e.Own.Rate, "own_depth": e.Own.Depth,
+		"tokens": e.Tokens, "demand": e.Demand, "retry_after_ms": e.RetryAfter.Milliseconds(),
+		"store_age_ms": s.storeAge().Milliseconds(), "condensed": condensed,
+	}).Info("account has no token left here")
+}
--- a/serve/ingress/apply.go
+++ b/serve/ingress/apply.go
@@ -104,6 +104,7 @@
 	line := func(event string) *logrus.Entry {
 		return s.event(event).WithField("key", c.Key).WithField("revision", c.Revision)
 	}
+	s.metrics.defects.Add(int64(len(d.Defects)))
 	for _, defect := range d.Defects {
 		line(eventStore).WithError(defect).Error("part of a value in the store is invalid")
 	}
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -56,6 +56,9 @@
 	for i := range out.Quarantines {
 		s.quarantineChanged(&out.Quarantines[i])
 	}
+	for i := range out.QuotaRefusals {
+		s.logQuotaRefusal(&out.QuotaRefusals[i])
+	}
 	for i := range out.Messages {
 		s.sendMessage(&out.Messages[i])
 	}
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -28,6 +28,7 @@
 var testFields = Fields{
 	RequestID: "X-Id", Timeout: "X-Patience", Object: "X-Object", Stamp: "X-Stamp",
 	Target: "X-Target", Load: "X-Load", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
+	Account: "X-Account",
 }
 
 const (
@@ -103,7 +104,10 @@
 }
 
 // startTarget registers a target that answers with h.
-func (w *testEnv) startTarget(id string, h http.HandlerFunc) {
+func (w *testEnv) startTarget(id string, h http.HandlerFunc) { w.startTargetIn("d1", id, h) }
+
+// startTargetIn starts a target in a failure domain.
+func (w *testEnv) startTargetIn(d fleet.Domain, id string, h http.HandlerFunc) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		w.t.Fatal(err)
@@ -111,7 +115,7 @@
 	srv := &http.Server{Handler: h}
 	go func() { _ = srv.Serve(ln) }()
 	w.t.Cleanup(func() { _ = srv.Close() })
-	w.registerTarget(id, ln.Addr().String())
+	w.registerTargetIn(d, id, ln.Addr().String())
 }
 
 // startRawTarget registers a target that serves each connection with f.
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -31,6 +31,7 @@
 	eventGateway   = "gateway"
 
 	eventQuarantine = "quarantine"
+	eventQuota      = "quota"
 )
 
 const (
@@ -148,7 +149,7 @@
 		"patience_ms":   k.timeout.Milliseconds(),
 		"sends":         sends,
 		"config":        s.configVersion(),
-		"store_age_ms":  now.Sub(clock.Time(s.storeReadAt.Load())).Milliseconds(),
+		"store_age_ms":  s.storeAge().Milliseconds(),
 		"store_reached": !s.storeUnreachable.Load(),
 	})
 }
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -38,6 +38,7 @@
 	probes         *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
 	unreadLimits       *expvar.Int
+	defects            *expvar.Int // parts of values in the store that were invalid
 	targetStateChanges *expvar.Map // by kind of change
 	answerLatency      *latencyHistogram
 	refusalLatency     *latencyHistogram
@@ -85,7 +86,7 @@
 		vars: new(expvar.Map).Init(), answersByStatus: new(expvar.Map).Init(), refusalsByReason: new(expvar.Map).Init(),
 		refusalsByVerdict: new(expvar.Map).Init(), sends: new(expvar.Int), sendsByDomain: new(expvar.Map).Init(),
 		connWaits: new(expvar.Map).Init(), connWaitMS: new(expvar.Map).Init(), sendsByOutcome: new(expvar.Map).Init(), forwarded: new(expvar.Int), silentGateways: new(expvar.Int),
-		callersGone: new(expvar.Int), probes: new(expvar.Int), unreadLimits: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
+		callersGone: new(expvar.Int), probes: new(expvar.Int), unreadLimits: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
 	}
 	m.vars.Set("answers_by_status", m.answersByStatus)
 	m.vars.Set("refusals_by_reason", m.refusalsByReason)
@@ -100,6 +101,7 @@
 	m.vars.Set("callers_gone", m.callersGone)
 	m.vars.Set("target_probes", m.probes)
 	m.vars.Set("target_limits_unread", m.unreadLimits)
+	m.vars.Set("store_defects", m.defects)
 	m.vars.Set("target_beliefs", m.targetStateChanges)
 	m.vars.Set("answer_latency", expvar.Func(m.answerLatency.summary))
 	m.vars.Set("refusal_latency", expvar.Func(m.refusalLatency.summary))
@@ -131,7 +133,7 @@
 	gauge("config_version", func() any { return s.configVersion() })
 	gauge("store_reached", func() any { return !s.storeUnreachable.Load() })
 	gauge("store_age_ms", func() any {
-		return s.now().Sub(clock.Time(s.storeReadAt.Load())).Milliseconds()
+		return s.storeAge().Milliseconds()
 	})
 	gauge("store_failures", func() any { return s.storeFailures.Load() })
 	gauge("entry_vms", func() any { return len(s.members.Load().vms) })
@@ -144,6 +146,11 @@
 	gauge("placement", func() any { return s.placement() })
 }
 
+// storeAge returns how long ago this VM's copy last matched the store.
+func (s *Server) storeAge() time.Duration {
+	return s.now().Sub(clock.Time(s.storeReadAt.Load()))
+}
+
 // serveMetrics serves the metrics as one JSON object.
 func (s *Server) serveMetrics(x *inbound.Exchange) {
 	if path(x) != metricsPath {
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -20,6 +20,8 @@
 	kindWithdraw
 	kindReport
 	kindQuarantine
+	kindTokenRequest
+	kindTokenGrant
 )
 
 const (
@@ -81,6 +83,10 @@
 		m = new(ingress.Report)
 	case kindQuarantine:
 		m = new(quarantine.Record)
+	case kindTokenRequest:
+		m = new(ingress.TokenRequest)
+	case kindTokenGrant:
+		m = new(ingress.TokenGrant)
 	case kindRelayRequest:
 		return s.receiveRelayRequest(from, b)
 	case kindRelay:
@@ -117,6 +123,10 @@
 		kind = kindReport
 	case *quarantine.Record:
 		kind = kindQuarantine
+	case *ingress.TokenRequest:
+		kind = kindTokenRequest
+	case *ingress.TokenGrant:
+		kind = kindTokenGrant
 	}
 	s.sendToID(t.To, kind, t.Message)
 }
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -74,6 +74,7 @@
 	metrics       *metrics
 	quarantines   quarantineQueue
 	sampler       sampler
+	quotaSampler  sampler // of refusals over quota
 	relist        chan struct{}
 	listedAt      clock.Time // when keepRegistered last wrote this VM's key
 
