Quotas: requests wait briefly for tokens that other VMs hold

Cause: a coordinator's bucket holds a twelfth of an account's depth but sees a third of its requests; it ran empty between two transfers while the account used less than half of its quota.

Change: a request without a token waits, no longer than for a target, until a transfer brings one; as many wait as were admitted in 0.3 s, so an account beyond its quota is still refused at once. While any wait, tokens are requested each 40 ms, otherwise each 100 ms, from one VM of the region and one of any.

--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -21,7 +22,8 @@
 	retries     int
 	window      int // index of the Result's window in which it started
 	done        bool
-	unreachable []*vm // VMs to which it could not connect
+	unreachable []*vm    // VMs to which it could not connect
+	account     *Account // nil: there are none
 	content     quarantine.Fingerprint
 	deathQuery  *deathQuery // nil for ordinary callers
 }
@@ -50,7 +52,7 @@
 // scheduleArrival schedules the next caller of a failure domain, which schedules
 // the one after it.
 func (sim *simulation) scheduleArrival(d *Domain) {
-	rate := d.PerSecond * sim.loadFactor[d.Name]
+	rate := d.PerSecond * sim.loadFactor[d.Name] * d.Wave.factor(sim.loadSeconds())
 	if rate <= 0 {
 		return
 	}
@@ -65,8 +67,13 @@
 
 // startCaller starts a request of a random kind.
 func (sim *simulation) startCaller(d *Domain) {
+	sim.startCallerOf(d, sim.drawAccount(d.Region))
+}
+
+// startCallerOf starts a request of an account.
+func (sim *simulation) startCallerOf(d *Domain, a *Account) {
 	k := sim.drawKind()
-	c := &caller{kind: k, domain: d, startedAt: sim.now, deadline: sim.now.Add(millis(k.PatienceMS)), retries: k.Retries}
+	c := &caller{account: a, kind: k, domain: d, startedAt: sim.now, deadline: sim.now.Add(millis(k.PatienceMS)), retries: k.Retries}
 	if k.Objects > 0 {
 		c.object = fmt.Sprintf("%s/%s/%d", d.Region, k.Name, sim.rng.IntN(k.Objects))
 	}
@@ -117,6 +124,7 @@
 		q := &entryAttempt{caller: c}
 		v.openRequests[v.lastRequest] = q
 		sim.step(v, &ingress.Arrive{
+			Key:     c.key(),
 			Request: v.lastRequest, Host: "h", Path: "/" + c.kind.Name + "/x", Object: c.object,
 			Timeout: c.deadline.Sub(sim.now), Bytes: c.kind.BodyBytes, Fingerprint: c.content,
 		})
@@ -139,6 +147,14 @@
 	return untried[sim.rng.IntN(len(untried))]
 }
 
+// key returns the key that the caller presents, nil if there are no accounts.
+func (c *caller) key() *route.KeyDigest {
+	if c.account == nil {
+		return nil
+	}
+	return keyOf(c.account.Name)
+}
+
 // reachable returns the VMs except those to which the caller could not connect.
 func (c *caller) reachable(vms []*vm) []*vm {
 	if len(c.unreachable) == 0 {
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -40,6 +40,14 @@
 		sim.after(last, func() { sim.eachTarget(e, func(t *target) { t.limit.until = sim.now }) })
 	case QueryOfDeath:
 		sim.startDeathQuery(e)
+	case HotAccount:
+		sim.startHotCallers(e)
+	case LowerQuota:
+		sim.lowerQuota(e, e.Value)
+		sim.after(last, func() { sim.lowerQuota(e, 1) })
+	case CutVMs:
+		sim.setCut(e, true)
+		sim.after(last, func() { sim.setCut(e, false) })
 	}
 }
 
@@ -72,15 +80,25 @@
 
 func hash(t *target) uint64 { return rank.Score("event", string(t.registered.ID)) }
 
-func (sim *simulation) killVMs(e *Event) {
-	var matching []*vm
+// matchingVMs returns the entry VMs that an event applies to.
+func (sim *simulation) matchingVMs(e *Event) []*vm {
+	var all, matching []*vm
 	for _, v := range sim.vms {
 		if e.Domain == "" || e.Domain == v.self.Domain {
+			all = append(all, v)
+		}
+	}
+	for i, v := range all {
+		if sim.selected(e.Share, i, len(all)) {
 			matching = append(matching, v)
 		}
 	}
-	for i, v := range matching {
-		if !sim.selected(e.Share, i, len(matching)) || v.reducer == nil {
+	return matching
+}
+
+func (sim *simulation) killVMs(e *Event) {
+	for _, v := range sim.matchingVMs(e) {
+		if v.reducer == nil {
 			continue
 		}
 		v.reducer = nil
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -29,8 +29,12 @@
 	loadStart clock.Time // start of the load
 	events    clocktest.Queue[func()]
 	table     *route.Table
-	regions   map[fleet.Domain]fleet.Region
-	vms       []*vm
+	// configVersion is the version of table, and quotaFactor by what the accounts'
+	// quotas are multiplied in it.
+	configVersion uint64
+	quotaFactor   map[route.AccountName]float64
+	regions       map[fleet.Domain]fleet.Region
+	vms           []*vm
 	// The VMs by ID, by failure domain and by region.
 	vmByID      map[fleet.VMID]*vm
 	vmsInDomain map[fleet.Domain][]*vm
@@ -55,6 +59,7 @@
 	openRequests  map[ingress.RequestID]*entryAttempt
 	attempts      map[ingress.AttemptID]*targetSend
 	connections   connectionPools
+	cut           bool // exchanges no messages with other VMs
 	// lastGatewayRequest counts the requests that it forwarded as a gateway. Their
 	// IDs count down from the highest one; those of callers count up.
 	lastGatewayRequest ingress.RequestID
@@ -106,7 +111,12 @@
 	}
 	sim.quarantines = make(map[quarantine.Fingerprint]*quarantine.Record)
 	sim.loadStart = sim.now.Add(warmUp)
+	sim.configVersion, sim.quotaFactor = 1, make(map[route.AccountName]float64)
 	sim.recorder.init(p, sim.loadStart)
+	for _, d := range p.Domains {
+		sim.regions[d.Name] = d.Region
+		sim.loadFactor[d.Name] = 1
+	}
 	sim.configure()
 	sim.placeTargets()
 	sim.startVMs()
@@ -141,9 +151,9 @@
 	}
 }
 
-// configure builds the only configuration of the run.
+// configure builds the configuration.
 func (sim *simulation) configure() {
-	cfg := &route.Config{Version: 1, Services: make(map[fleet.ServiceName]route.Service)}
+	cfg := &route.Config{Version: sim.configVersion, Accounts: sim.accounts(), Services: make(map[fleet.ServiceName]route.Service)}
 	for _, s := range sim.pattern.Services {
 		cfg.Services[s.Name] = route.Service{Name: s.Name, ColdRate: s.ColdRate, ColdTime: seconds(s.ColdTime)}
 	}
@@ -155,10 +165,6 @@
 		})
 	}
 	sim.table = route.NewTable(cfg)
-	for _, d := range sim.pattern.Domains {
-		sim.regions[d.Name] = d.Region
-		sim.loadFactor[d.Name] = 1
-	}
 }
 
 func (sim *simulation) placeTargets() {
@@ -183,6 +189,12 @@
 			v := &vm{self: fleet.VM{
 				ID: fleet.VMID(fmt.Sprintf("vm-%s-%d", d.Name, i)), Domain: d.Name, Region: d.Region, GatewayAddr: "gateway",
 			}}
+			if d.StrongVMs > 0 {
+				v.self.Cores = WeakCores
+				if i < d.StrongVMs {
+					v.self.Cores = StrongCores
+				}
+			}
 			sim.vms = append(sim.vms, v)
 			sim.vmByID[v.self.ID] = v
 			sim.vmsInDomain[d.Name] = append(sim.vmsInDomain[d.Name], v)
@@ -208,6 +220,7 @@
 		Bounds: ingress.Bounds{
 			ColdFactor: sim.pattern.ColdFactor, ColdSlack: sim.pattern.ColdSlack, RetryRatio: sim.pattern.RepeatRatio,
 			RetrySlack: sim.pattern.RepeatSlack, RetryWindow: 10 * time.Second, RegionShift: sim.pattern.RegionShift,
+			Quota: sim.pattern.Quota.rule(),
 		},
 	})
 	sim.step(v, &ingress.Configured{Table: sim.table})
@@ -306,7 +319,7 @@
 
 func (sim *simulation) sendMessage(from *vm, m ingress.OutgoingMessage) {
 	to := sim.vmByID[m.To]
-	if to == nil {
+	if to == nil || from.cut || to.cut {
 		return
 	}
 	sim.after(sim.latency(from.self.Domain, to.self.Domain), func() {
@@ -343,6 +356,7 @@
 			return
 		}
 		sim.recorder.countArrival(sim.now, q, t.region)
+		sim.recorder.countAccount(sim.now, q)
 		sim.recordFarDelay(s)
 		t.limit.countArrival(sim.now, v)
 		s.execution = &execution{send: s, object: q.object, targetStart: t.registered.StartedAt}
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
 )
 
 // Pattern describes a deployment, its load and the events of a run. Times are in
@@ -27,6 +28,9 @@
 	Domains  []Domain  `json:"domains"`
 	Services []Service `json:"services"`
 	Kinds    []Kind    `json:"kinds"`
+	// Accounts are the client accounts; without any, requests need no key.
+	Accounts []Account `json:"accounts"`
+	Quota    QuotaRule `json:"quota"`
 	Events   []Event   `json:"events"`
 }
 
@@ -47,6 +51,10 @@
 	Region    fleet.Region `json:"region"`
 	VMs       int          `json:"vms"`
 	PerSecond float64      `json:"per_second"` // rate of its callers' requests
+	// StrongVMs is how many of the VMs have StrongCores instead of WeakCores; 0
+	// means that all VMs are alike.
+	StrongVMs int   `json:"strong_vms"`
+	Wave      *Wave `json:"wave"` // nil for a constant load
 	// Targets is the number of targets of each service.
 	Targets map[fleet.ServiceName]int `json:"targets"`
 }
@@ -110,9 +118,22 @@
 	// every target that executes it. Each of them sends the same request again
 	// Value seconds after its last attempt has ended.
 	QueryOfDeath EventKind = "query-of-death"
+	// HotAccount adds Value requests per second of Account.
+	HotAccount EventKind = "hot-account"
+	// LowerQuota multiplies the quota of Account, or of all accounts, by Value.
+	LowerQuota EventKind = "lower-quota"
+	// CutVMs cuts a share of the entry VMs off from the others.
+	CutVMs EventKind = "cut-vms"
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath}
+// StrongCores and WeakCores are the processor shares of VMs in a domain with strong
+// VMs.
+const (
+	StrongCores = 0.8
+	WeakCores   = 0.16
+)
+
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs}
 
 // Event is a fault, a change of load or another event of a run.
 type Event struct {
@@ -124,6 +145,7 @@
 	Callers  int               `json:"callers"` // 0 means one
 	Domain   fleet.Domain      `json:"domain"`  // empty for all
 	Service  fleet.ServiceName `json:"service"` // empty for all
+	Account  route.AccountName `json:"account"` // empty for all
 }
 
 // ErrPattern is the error for an invalid pattern.
@@ -171,10 +193,19 @@
 			return bad("kind %q: unknown service %q, or share, aim_ms, patience_ms or work_ms is not positive, or objects is negative", k.Name, k.Service)
 		}
 	}
+	for _, a := range p.Accounts {
+		if a.Name == "" || a.Share < 0 || a.PerSecond < 0 || a.Burst < 0 {
+			return bad("account %q: name is empty, or share, rate or burst is negative", a.Name)
+		}
+	}
 	for i, e := range p.Events {
 		if !slices.Contains(eventKinds, e.Kind) || e.Start < 0 || e.Share < 0 || e.Share > 1 {
 			return bad("event %d: unknown kind %q, or at %v or share %v is out of range", i, e.Kind, e.Start, e.Share)
 		}
+		known := slices.ContainsFunc(p.Accounts, func(a Account) bool { return a.Name == e.Account })
+		if (e.Kind == HotAccount || e.Account != "") && !known {
+			return bad("event %d: unknown account %q", i, e.Account)
+		}
 	}
 	return nil
 }
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -65,6 +66,8 @@
 	// WorstLimit is the window in which a target received the most requests beyond
 	// its limit.
 	WorstLimit Overrun `json:"worst_limit"`
+	// WorstQuota is the window in which an account exceeded its quota the most.
+	WorstQuota QuotaOverrun `json:"worst_quota"`
 	// DeathQueries holds the effects of the queries of death, in the order of their
 	// events.
 	DeathQueries []DeathQueryCounts `json:"deadly,omitempty"`
@@ -121,6 +124,7 @@
 	limits       []*rateLimit
 	deathQueries []*DeathQueryCounts
 	crashCause   *deathQuery // of the crash in progress; nil if none
+	accounts     map[route.AccountName]*accountRecord
 }
 
 func (rec *recorder) init(p *Pattern, began clock.Time) {
@@ -210,6 +214,7 @@
 	rec.result.Seed = v.Seed
 	rec.result.FarDelay = rec.farDelays.meanMS()
 	rec.result.WorstLimit = worstOverrun(rec.limits)
+	rec.result.WorstQuota = rec.worstQuota()
 	for _, d := range rec.deathQueries {
 		rec.result.DeathQueries = append(rec.result.DeathQueries, *d)
 	}
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -22,6 +22,10 @@
 			if j.preferred != nil {
 				preferred[j.preferred]++
 			}
+		case jobUncharged:
+			if s := r.accounts[j.Account]; s == nil || !slices.Contains(s.waiting, j) {
+				return fmt.Errorf("job %v: waits for a token, but not in its account's queue", key)
+			}
 		default:
 			return fmt.Errorf("job %v: unexpected state %d", key, j.state)
 		}
@@ -80,7 +84,7 @@
 		}
 	}
 	for key, j := range r.jobs {
-		if a, _ := r.limitedAccount(j.Account); a != nil && j.Account != "" && !j.charged && r.on(Quotas) && j.state != jobDone && j.arrived > r.configuredAt {
+		if a, _ := r.limitedAccount(j.Account); a != nil && j.Account != "" && !j.charged && r.on(Quotas) && (j.state == jobWaiting || j.state == jobPlaced) && j.arrived > r.configuredAt {
 			return fmt.Errorf("job %v: not charged to account %q", key, j.Account)
 		}
 	}
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -57,7 +57,8 @@
 type jobState uint8
 
 const (
-	jobNew jobState = iota
+	jobNew       jobState = iota
+	jobUncharged          // waits for a token of its account
 	jobWaiting
 	jobPlaced
 	jobDone
@@ -82,10 +83,13 @@
 
 // place finds a target for j, queues j, or denies it.
 func (r *Reducer) place(now clock.Time, j *job) {
-	if reason, retryAfter := r.charge(now, j); reason != verdict.ReasonNone {
-		r.denyFor(now, j, reason, retryAfter)
-		return
+	if r.admit(now, j) {
+		r.placeCharged(now, j)
 	}
+}
+
+// placeCharged finds a target for j, which is within its account's quota.
+func (r *Reducer) placeCharged(now clock.Time, j *job) {
 	if t := r.choose(now, j); t != nil {
 		r.grant(now, j, t)
 		return
@@ -196,6 +200,8 @@
 // jobDue ends j's wait, or frees its place if no report came.
 func (r *Reducer) jobDue(now clock.Time, j *job) {
 	switch {
+	case j.state == jobUncharged && !j.waitUntil.After(now):
+		r.denyOverQuota(now, j)
 	case j.state == jobWaiting && !j.waitUntil.After(now):
 		r.deny(now, j)
 	case j.state == jobPlaced && j.req == nil && !j.expiresAt.After(now):
--- a/decide/ingress/quota.go
+++ b/decide/ingress/quota.go
@@ -30,11 +30,10 @@
 	// issuerTTL is how long a VM that is no longer a member keeps its part of the
 	// budgets: it may be cut off and still issue tokens.
 	issuerTTL = time.Minute
-	// tokenInterval is the time between two requests for tokens.
-	tokenInterval = 250 * time.Millisecond
-	// tokenPeers is how many VMs a VM asks for tokens at a time, each of them for all
-	// its accounts.
-	tokenPeers = 2
+	// tokenInterval is the time between two requests for tokens, and
+	// urgentTokenInterval while requests wait for them.
+	tokenInterval       = 100 * time.Millisecond
+	urgentTokenInterval = 40 * time.Millisecond
 	// tokensAhead and tokensKept are for how long a VM wants to have tokens, and
 	// for how long it keeps them when another one asks.
 	tokensAhead = time.Second
@@ -73,6 +72,9 @@
 	usedAt           clock.Time
 	// queueEnd is when the latest refused request is expected to be admitted.
 	queueEnd clock.Time
+	// waiting are jobs that wait for a token, in the order of their arrival. Those
+	// that have ended meanwhile are skipped.
+	waiting []*job
 	// isolated are the tokens of a weak VM, which fill only while it places requests
 	// itself. They start at a random fraction of one, so that of many such VMs some
 	// admit their first request.
@@ -148,45 +150,105 @@
 	if !ok {
 		s = &accountState{name: a.Name, bucket: quota.NewBucket(now, r.startedAt, r.ownBudget(a)), usedAt: now, isolated: r.rng.Float64()}
 		r.accounts[a.Name] = s
-		r.scheduleTokens(now)
+		r.scheduleTokens(now, tokenInterval)
 	}
 	return s
 }
 
-// charge takes a token for j from its account's quota. If there is none, it returns
-// the reason and the time after which the caller may retry.
-func (r *Reducer) charge(now clock.Time, j *job) (reason verdict.Reason, retryAfter time.Duration) {
+// admit charges j to its account. It reports false if j was denied or waits for a
+// token.
+func (r *Reducer) admit(now clock.Time, j *job) bool {
 	if j.Account == "" || !r.on(Quotas) {
-		return verdict.ReasonNone, 0
+		return true
 	}
 	a, known := r.limitedAccount(j.Account)
 	switch {
-	case !known:
-		return verdict.ReasonNotReady, minQuotaRetryAfter // the configuration is older than that of j's VM
+	case !known: // the configuration is older than that of j's VM
+		r.denyFor(now, j, verdict.ReasonNotReady, minQuotaRetryAfter)
+		return false
 	case a == nil:
-		return verdict.ReasonNone, 0
+		return true
 	}
 	s := r.accountStateOf(now, a)
 	s.usedAt = now
 	s.demand.Add(now)
-	if !s.bucket.Take(now, 1) && !r.takeIsolated(now, j, a, s) {
-		s.refused++
-		wait := s.nextAdmission(now)
-		r.out.QuotaRefusals = append(r.out.QuotaRefusals, QuotaRefusal{
-			Account: a.Name, From: j.key.vm, Quota: a.Quota, Own: r.ownBudget(a),
-			Tokens: s.bucket.Tokens(now), Demand: s.demand.PerSecond(now), RetryAfter: wait,
-		})
-		return verdict.ReasonOverQuota, wait
+	r.admitWaiting(now, s)
+	if !s.anyWaiting() && (s.bucket.Take(now, 1) || r.takeIsolated(now, j, a, s)) {
+		s.charge(now, j)
+		return true
+	}
+	if j.waitUntil.After(now) && s.mayWait(now) {
+		j.state = jobUncharged
+		s.waiting = append(s.waiting, j)
+		r.timers.add(timer{at: j.waitUntil, purpose: dueJob, job: j})
+		r.scheduleTokens(now, urgentTokenInterval)
+		return false
 	}
+	r.denyOverQuota(now, j)
+	return false
+}
+
+// charge records that j was paid for with a token of s.
+func (s *accountState) charge(now clock.Time, j *job) {
 	s.admitted.Add(now)
 	s.charged++
 	j.charged, j.chargedAt = true, now
-	return verdict.ReasonNone, 0
 }
 
-// minQuotaRetryAfter is the least retry delay of a request without a token: the time
-// in which tokens of other VMs may arrive.
-const minQuotaRetryAfter = tokenInterval
+// mayWait reports whether another request may wait for a token. As many may wait as
+// were recently admitted in the time that they may wait, so that only requests of an
+// account beyond its quota are refused at once.
+func (s *accountState) mayWait(now clock.Time) bool {
+	return float64(len(s.waiting)) < max(minTokenQueue, tokenQueueTime.Seconds()*s.admitted.PerSecond(now))
+}
+
+const (
+	// tokenQueueTime determines how many requests of an account wait for tokens:
+	// those that are admitted in that time.
+	tokenQueueTime = 300 * time.Millisecond
+	// minTokenQueue is how many requests of an account may wait in any case.
+	minTokenQueue = 2
+	// minQuotaRetryAfter is the least retry delay of a request without a token: the
+	// time in which tokens of other VMs may arrive.
+	minQuotaRetryAfter = 250 * time.Millisecond
+)
+
+// anyWaiting reports whether a request waits for a token. It drops those that have
+// ended.
+func (s *accountState) anyWaiting() bool {
+	for len(s.waiting) > 0 && s.waiting[0].state != jobUncharged {
+		s.waiting = s.waiting[1:]
+	}
+	return len(s.waiting) > 0
+}
+
+// admitWaiting places the requests for which there are tokens now.
+func (r *Reducer) admitWaiting(now clock.Time, s *accountState) {
+	for s.anyWaiting() && s.bucket.Take(now, 1) {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		j.state = jobNew
+		s.charge(now, j)
+		r.placeCharged(now, j)
+	}
+}
+
+// denyOverQuota denies j for lack of a token.
+func (r *Reducer) denyOverQuota(now clock.Time, j *job) {
+	a, _ := r.limitedAccount(j.Account)
+	if a == nil { // the configuration has changed meanwhile
+		r.denyFor(now, j, verdict.ReasonNotReady, minQuotaRetryAfter)
+		return
+	}
+	s := r.accountStateOf(now, a)
+	s.refused++
+	wait := s.nextAdmission(now)
+	r.out.QuotaRefusals = append(r.out.QuotaRefusals, QuotaRefusal{
+		Account: a.Name, From: j.key.vm, Quota: a.Quota, Own: r.ownBudget(a),
+		Tokens: s.bucket.Tokens(now), Demand: s.demand.PerSecond(now), RetryAfter: wait,
+	})
+	r.denyFor(now, j, verdict.ReasonOverQuota, wait)
+}
 
 // takeIsolated takes a token that is set aside for a weak VM which places its own
 // requests.
@@ -228,31 +290,57 @@
 	j.charged = false
 	if s, ok := r.accounts[j.Account]; ok && now.Sub(j.chargedAt) <= quota.RefundTimeout {
 		s.bucket.Put(now, 1)
+		if s.anyWaiting() {
+			r.scheduleTokens(now, 0)
+		}
 	}
 }
 
 // applyQuotas applies the quotas of a new configuration.
 func (r *Reducer) applyQuotas(now clock.Time) {
-	for name, s := range r.accounts {
-		if a, _ := r.limitedAccount(name); a == nil {
-			delete(r.accounts, name)
+	for _, s := range r.sortedAccounts() {
+		if a, _ := r.limitedAccount(s.name); a == nil {
+			r.releaseWaiting(now, s)
+			delete(r.accounts, s.name)
 		} else {
 			s.bucket.SetBudget(now, r.ownBudget(a))
 		}
 	}
 }
 
-func (r *Reducer) scheduleTokens(now clock.Time) {
-	if !r.tokensScheduled {
-		r.tokensScheduled = true
-		r.timers.add(timer{at: now.Add(tokenInterval), purpose: dueTokens})
+// releaseWaiting places or denies the jobs that wait for tokens of an account that
+// has no limit any more or is gone.
+func (r *Reducer) releaseWaiting(now clock.Time, s *accountState) {
+	for s.anyWaiting() {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		j.state = jobNew
+		if r.admit(now, j) {
+			r.placeCharged(now, j)
+		}
+	}
+}
+
+// scheduleTokens requests tokens after the given time at the latest.
+func (r *Reducer) scheduleTokens(now clock.Time, after time.Duration) {
+	if at := now.Add(after); at.Before(r.tokensAt) {
+		r.tokensAt = at
+		r.timers.add(timer{at: at, purpose: dueTokens})
 	}
 }
 
 // tokensDue requests tokens for the accounts that will need them, and drops the
 // state of those that are not used.
 func (r *Reducer) tokensDue(now clock.Time) {
-	r.tokensScheduled = false
+	if r.tokensAt.After(now) {
+		return // an earlier one has replaced this timer
+	}
+	r.tokensAt = clock.Never
+	waiting := false
+	for _, s := range r.sortedAccounts() {
+		r.admitWaiting(now, s)
+		waiting = waiting || s.anyWaiting()
+	}
 	for name, s := range r.accounts {
 		if now.Sub(s.usedAt) >= accountTTL && s.bucket.Full(now) {
 			delete(r.accounts, name)
@@ -264,8 +352,11 @@
 		}
 	}
 	r.requestTokens(now)
-	if len(r.accounts) > 0 {
-		r.scheduleTokens(now)
+	switch {
+	case waiting:
+		r.scheduleTokens(now, urgentTokenInterval)
+	case len(r.accounts) > 0:
+		r.scheduleTokens(now, tokenInterval)
 	}
 }
 
@@ -274,8 +365,8 @@
 	return slices.SortedFunc(maps.Values(r.accounts), func(a, b *accountState) int { return cmp.Compare(a.name, b.name) })
 }
 
-// requestTokens asks other strong VMs for the tokens that are missing here, a few of
-// them in turn.
+// requestTokens asks another strong VM of the region, and one of any region, for the
+// tokens that are missing here. All are asked in turn.
 func (r *Reducer) requestTokens(now clock.Time) {
 	if !r.on(TokenTransfers) {
 		return
@@ -286,21 +377,26 @@
 		if need < minDemand {
 			continue
 		}
-		missing := min(need+1-s.bucket.Tokens(now), s.bucket.Room(now))
+		missing := float64(len(s.waiting)) + min(need+1-s.bucket.Tokens(now), s.bucket.Room(now))
 		if missing > 0 && len(want) < maxTokenAccounts {
 			want = append(want, AccountTokens{Account: s.name, Tokens: missing})
 		}
 	}
-	peers := r.strongOrder(anyRegion, "")
-	if len(want) == 0 || len(peers) == 0 {
+	if len(want) == 0 {
 		return
 	}
-	for range min(tokenPeers, len(peers)) {
-		r.tokenTurn++
+	r.tokenTurn++
+	asked := fleet.VMID("")
+	for _, scope := range []fleet.Region{r.region, anyRegion} {
+		peers := r.strongOrder(scope, string(r.opts.Self))
+		if len(peers) == 0 {
+			continue
+		}
 		to := peers[r.tokenTurn%len(peers)]
-		if to == r.opts.Self {
+		if to == r.opts.Self || to == asked {
 			continue
 		}
+		asked = to
 		r.nextPlacement++
 		r.tokenRequests[r.nextPlacement] = now
 		r.sendMessage(to, &TokenRequest{ID: r.nextPlacement, Accounts: want})
@@ -340,7 +436,21 @@
 	}
 	for _, x := range m.Accounts {
 		if s, used := r.accounts[x.Account]; used {
-			s.bucket.Put(now, x.Tokens)
+			r.putTokens(now, s, x.Tokens)
+		}
+	}
+}
+
+// putTokens adds tokens of another VM and places the requests that wait for them.
+func (r *Reducer) putTokens(now clock.Time, s *accountState, n float64) {
+	for n > 0 {
+		before := s.bucket.Tokens(now)
+		s.bucket.Put(now, n)
+		n -= s.bucket.Tokens(now) - before
+		waiting := len(s.waiting)
+		r.admitWaiting(now, s)
+		if len(s.waiting) == waiting {
+			return // what is left does not fit
 		}
 	}
 }
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -57,11 +57,11 @@
 
 	// accounts are the limited client accounts in use at this VM. tokenRequests are
 	// unanswered requests for tokens, by ID, with the time at which they were sent.
-	accounts        map[route.AccountName]*accountState
-	issuers         issuers
-	tokenRequests   map[PlacementID]clock.Time
-	tokenTurn       int // selects the next VMs to ask for tokens
-	tokensScheduled bool
+	accounts      map[route.AccountName]*accountState
+	issuers       issuers
+	tokenRequests map[PlacementID]clock.Time
+	tokenTurn     int        // selects the next VMs to ask for tokens
+	tokensAt      clock.Time // when tokens are requested next
 
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
@@ -94,6 +94,7 @@
 		forwardsByAttempt: make(map[AttemptID]*forwarded),
 		accounts:          make(map[route.AccountName]*accountState),
 		tokenRequests:     make(map[PlacementID]clock.Time),
+		tokensAt:          clock.Never,
 		nextLapse:         clock.Never,
 	}
 }
