Quotas: no token is requested twice, and weak VMs without a coordinator serve more

Causes, found in the emulator (regional-peaks, and the same with a third of the VMs cut off): (1) a weak VM that places requests itself filled its tokens only between two requests of one account, and its requests queued for transfers that can't come, so it refused two thirds; (2) a coordinator asked several VMs for the same missing tokens, and what did not fit was lost.

Changes: tokens of a weak VM fill for as long as it has no coordinator, it has a fifth of the budget for two fifths of such VMs, and refuses at once; requested tokens count as half received until their request ends, which is always answered; a request that waits has tokens requested at once, from four VMs.

TestQuotasHoldInEveryWindow and TestQuotasHoldInTheFleet: no window above the rule.

--- a/decide/emulate/account.go
+++ b/decide/emulate/account.go
@@ -135,7 +135,7 @@
 // setCut cuts VMs off from all others, or ends that. Targets and callers still reach
 // them.
 func (sim *simulation) setCut(e *Event, cut bool) {
-	for _, v := range sim.matchingVMs(e) {
+	for _, v := range sim.shuffledVMs(e) {
 		v.cut = cut
 	}
 }
@@ -156,6 +156,7 @@
 type accountRecord struct {
 	account Account
 	arrived []clock.Time
+	owed    quota.Bucket // of what is within the quota as callers ask
 	quotas  []quotaPeriod
 }
 
@@ -168,6 +169,13 @@
 func (rec *recorder) quotaChanged(now clock.Time, a Account, factor float64) {
 	r := rec.accountRecord(a)
 	r.quotas = append(r.quotas, quotaPeriod{from: now, factor: factor})
+	r.owed.SetBudget(now, quota.Budget{Rate: a.PerSecond * factor, Depth: a.Burst * factor})
+}
+
+// isOwed reports whether a request that its caller makes now is within its account's
+// quota. Others are not part of the load that has to be served.
+func (rec *recorder) isOwed(now clock.Time, a *Account) bool {
+	return a == nil || a.PerSecond == 0 || rec.accountRecord(*a).owed.Take(now, 1)
 }
 
 func (rec *recorder) accountRecord(a Account) *accountRecord {
@@ -177,6 +185,7 @@
 	r, ok := rec.accounts[a.Name]
 	if !ok {
 		r = &accountRecord{account: a, quotas: []quotaPeriod{{factor: 1}}}
+		r.owed = quota.NewBucket(rec.loadStart, 0, quota.Budget{Rate: a.PerSecond, Depth: a.Burst})
 		rec.accounts[a.Name] = r
 	}
 	return r
--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -24,6 +24,7 @@
 	done        bool
 	unreachable []*vm    // VMs to which it could not connect
 	account     *Account // nil: there are none
+	beyondQuota bool
 	content     quarantine.Fingerprint
 	deathQuery  *deathQuery // nil for ordinary callers
 }
@@ -78,6 +79,7 @@
 		c.object = fmt.Sprintf("%s/%s/%d", d.Region, k.Name, sim.rng.IntN(k.Objects))
 	}
 	c.content = sim.drawContent(k)
+	c.beyondQuota = !sim.recorder.isOwed(sim.now, a)
 	sim.recorder.countAsked(c, sim.loadSeconds())
 	sim.attempt(c)
 }
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -96,6 +96,21 @@
 	return matching
 }
 
+// shuffledVMs returns the entry VMs that an event applies to, spread over the failure
+// domains. The order is a fixed shuffle.
+func (sim *simulation) shuffledVMs(e *Event) []*vm {
+	all := sim.matchingVMs(&Event{Domain: e.Domain})
+	score := func(v *vm) uint64 { return rank.Score("event", string(v.self.ID)) }
+	slices.SortFunc(all, func(a, b *vm) int { return cmp.Compare(score(a), score(b)) })
+	var matching []*vm
+	for i, v := range all {
+		if sim.selected(e.Share, i, len(all)) {
+			matching = append(matching, v)
+		}
+	}
+	return matching
+}
+
 func (sim *simulation) killVMs(e *Event) {
 	for _, v := range sim.matchingVMs(e) {
 		if v.reducer == nil {
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -147,8 +147,8 @@
 
 // updateTallies applies change to all tallies that a caller belongs to.
 func (rec *recorder) updateTallies(c *caller, change func(*Tally)) {
-	if c.deathQuery != nil {
-		return // queries of death are not part of the load
+	if c.deathQuery != nil || c.beyondQuota {
+		return // not part of the load that has to be served
 	}
 	for _, t := range []*Tally{&rec.result.All, rec.result.Kinds[c.kind.Name], rec.result.Domains[c.domain.Name], rec.result.Windows[c.window]} {
 		change(t)
@@ -201,7 +201,7 @@
 }
 
 func (rec *recorder) countRefused(c *caller, why verdict.Reason) {
-	if c.deathQuery != nil {
+	if c.deathQuery != nil || c.beyondQuota {
 		return
 	}
 	rec.result.Refusals[why]++
--- a/decide/ingress/quota.go
+++ b/decide/ingress/quota.go
@@ -25,8 +25,13 @@
 
 const (
 	// isolatedShare is the part of the budget of an account that the weak VMs
-	// issue.
-	isolatedShare = 0.15
+	// issue, and isolatedVMs the part of them that is assumed to place requests
+	// itself at the same time. If more of them do, they are cut off from strong VMs,
+	// which then get only their own callers' requests and use little of their part.
+	isolatedShare = 0.2
+	isolatedVMs   = 0.4
+	// isolatedDepth is how many tokens a weak VM may save up.
+	isolatedDepth = 2
 	// issuerTTL is how long a VM that is no longer a member keeps its part of the
 	// budgets: it may be cut off and still issue tokens.
 	issuerTTL = time.Minute
@@ -62,6 +67,19 @@
 	seenAt clock.Time
 }
 
+// isolation is the time during which a weak VM placed requests itself.
+type isolation struct {
+	total time.Duration
+	last  clock.Time // of the last request that it placed itself; 0: none
+}
+
+func (i *isolation) extend(now clock.Time) {
+	if gap := now.Sub(i.last); i.last != 0 && gap < isolatedGap {
+		i.total += gap
+	}
+	i.last = now
+}
+
 // accountState is the state of one limited account at this VM.
 type accountState struct {
 	name   route.AccountName
@@ -77,9 +95,11 @@
 	waiting []*job
 	// isolated are the tokens of a weak VM, which fill only while it places requests
 	// itself. They start at a random fraction of one, so that of many such VMs some
-	// admit their first request.
-	isolated   float64
-	isolatedAt clock.Time // of the last request that it placed itself; 0: none
+	// admit their first request. isolatedFor is the isolation.total to which they
+	// were filled.
+	isolated    float64
+	isolatedFor time.Duration
+	requested   float64 // tokens in unanswered requests
 	// charged and refused count requests.
 	charged, refused uint64
 }
@@ -173,15 +193,16 @@
 	s.usedAt = now
 	s.demand.Add(now)
 	r.admitWaiting(now, s)
-	if !s.anyWaiting() && (s.bucket.Take(now, 1) || r.takeIsolated(now, j, a, s)) {
+	isolated := j.req != nil && !r.issuers.selfStrong && r.issuers.weak > 0
+	if (!s.anyWaiting() && s.bucket.Take(now, 1)) || (isolated && r.takeIsolated(now, a, s)) {
 		s.charge(now, j)
 		return true
 	}
-	if j.waitUntil.After(now) && s.mayWait(now) {
+	if !isolated && j.waitUntil.After(now) && s.mayWait(now) {
 		j.state = jobUncharged
 		s.waiting = append(s.waiting, j)
 		r.timers.add(timer{at: j.waitUntil, purpose: dueJob, job: j})
-		r.scheduleTokens(now, urgentTokenInterval)
+		r.scheduleTokens(now, max(r.tokensAskedAt.Add(urgentTokenInterval).Sub(now), 0))
 		return false
 	}
 	r.denyOverQuota(now, j)
@@ -205,9 +226,9 @@
 const (
 	// tokenQueueTime determines how many requests of an account wait for tokens:
 	// those that are admitted in that time.
-	tokenQueueTime = 300 * time.Millisecond
+	tokenQueueTime = 500 * time.Millisecond
 	// minTokenQueue is how many requests of an account may wait in any case.
-	minTokenQueue = 2
+	minTokenQueue = 4
 	// minQuotaRetryAfter is the least retry delay of a request without a token: the
 	// time in which tokens of other VMs may arrive.
 	minQuotaRetryAfter = 250 * time.Millisecond
@@ -252,15 +273,11 @@
 
 // takeIsolated takes a token that is set aside for a weak VM which places its own
 // requests.
-func (r *Reducer) takeIsolated(now clock.Time, j *job, a *route.Account, s *accountState) bool {
-	if j.req == nil || r.issuers.selfStrong || r.issuers.weak == 0 {
-		return false
-	}
-	rate := r.budgetOf(a).Rate * isolatedShare / float64(r.issuers.weak)
-	if gap := now.Sub(s.isolatedAt); s.isolatedAt != 0 && gap < isolatedGap {
-		s.isolated = min(s.isolated+rate*gap.Seconds(), max(1, rate))
-	}
-	s.isolatedAt = now
+func (r *Reducer) takeIsolated(now clock.Time, a *route.Account, s *accountState) bool {
+	r.isolation.extend(now)
+	rate := r.budgetOf(a).Rate * isolatedShare / max(isolatedVMs*float64(r.issuers.weak), 1)
+	s.isolated = min(s.isolated+rate*(r.isolation.total-s.isolatedFor).Seconds(), max(isolatedDepth, rate))
+	s.isolatedFor = r.isolation.total
 	if s.isolated < 1 {
 		return false
 	}
@@ -346,12 +363,15 @@
 			delete(r.accounts, name)
 		}
 	}
-	for id, at := range r.tokenRequests {
-		if now.Sub(at) > quota.TransferTimeout {
-			delete(r.tokenRequests, id)
+	for id, m := range r.tokenRequests {
+		if now.Sub(m.sentAt) > quota.TransferTimeout {
+			r.endTokenRequest(id, m)
 		}
 	}
 	r.requestTokens(now)
+	if waiting {
+		r.requestTokens(now) // from two more VMs
+	}
 	switch {
 	case waiting:
 		r.scheduleTokens(now, urgentTokenInterval)
@@ -377,7 +397,7 @@
 		if need < minDemand {
 			continue
 		}
-		missing := float64(len(s.waiting)) + min(need+1-s.bucket.Tokens(now), s.bucket.Room(now))
+		missing := float64(len(s.waiting)) + min(need+1-s.bucket.Tokens(now), s.bucket.Room(now)) - expectedGrant*s.requested
 		if missing > 0 && len(want) < maxTokenAccounts {
 			want = append(want, AccountTokens{Account: s.name, Tokens: missing})
 		}
@@ -386,6 +406,7 @@
 		return
 	}
 	r.tokenTurn++
+	r.tokensAskedAt = now
 	asked := fleet.VMID("")
 	for _, scope := range []fleet.Region{r.region, anyRegion} {
 		peers := r.strongOrder(scope, string(r.opts.Self))
@@ -398,11 +419,35 @@
 		}
 		asked = to
 		r.nextPlacement++
-		r.tokenRequests[r.nextPlacement] = now
+		r.tokenRequests[r.nextPlacement] = tokenRequest{sentAt: now, accounts: want}
+		for _, x := range want {
+			r.accounts[x.Account].requested += x.Tokens
+		}
 		r.sendMessage(to, &TokenRequest{ID: r.nextPlacement, Accounts: want})
 	}
 }
 
+// tokenRequest is a TokenRequest that was not answered.
+type tokenRequest struct {
+	sentAt   clock.Time
+	accounts []AccountTokens
+}
+
+// expectedGrant is the part of the requested tokens that is expected to be granted.
+// If all of it were requested again meanwhile, more would arrive than a bucket holds,
+// and the rest would be lost.
+const expectedGrant = 0.5
+
+// endTokenRequest removes a request that was answered or is too old.
+func (r *Reducer) endTokenRequest(id PlacementID, m tokenRequest) {
+	delete(r.tokenRequests, id)
+	for _, x := range m.accounts {
+		if s, used := r.accounts[x.Account]; used {
+			s.requested = max(s.requested-x.Tokens, 0)
+		}
+	}
+}
+
 // minDemand is the rate of requests below which a VM asks for no tokens.
 const minDemand = 0.05
 
@@ -421,17 +466,18 @@
 			given = append(given, AccountTokens{Account: a.Name, Tokens: n})
 		}
 	}
-	if len(given) > 0 {
-		r.sendMessage(from, &TokenGrant{ID: m.ID, Accounts: given})
-	}
+	r.sendMessage(from, &TokenGrant{ID: m.ID, Accounts: given})
 }
 
 // acceptTokens adds tokens of another VM, unless their request is too old or they
 // were already received.
 func (r *Reducer) acceptTokens(now clock.Time, m *TokenGrant) {
-	at, ok := r.tokenRequests[m.ID]
-	delete(r.tokenRequests, m.ID)
-	if !ok || now.Sub(at) > quota.TransferTimeout {
+	request, ok := r.tokenRequests[m.ID]
+	if !ok {
+		return
+	}
+	r.endTokenRequest(m.ID, request)
+	if now.Sub(request.sentAt) > quota.TransferTimeout {
 		return
 	}
 	for _, x := range m.Accounts {
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -59,9 +59,11 @@
 	// unanswered requests for tokens, by ID, with the time at which they were sent.
 	accounts      map[route.AccountName]*accountState
 	issuers       issuers
-	tokenRequests map[PlacementID]clock.Time
+	isolation     isolation
+	tokenRequests map[PlacementID]tokenRequest
 	tokenTurn     int        // selects the next VMs to ask for tokens
 	tokensAt      clock.Time // when tokens are requested next
+	tokensAskedAt clock.Time
 
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
@@ -93,7 +95,7 @@
 		forwards:          make(map[RequestID]*forwarded),
 		forwardsByAttempt: make(map[AttemptID]*forwarded),
 		accounts:          make(map[route.AccountName]*accountState),
-		tokenRequests:     make(map[PlacementID]clock.Time),
+		tokenRequests:     make(map[PlacementID]tokenRequest),
 		tokensAt:          clock.Never,
 		nextLapse:         clock.Never,
 	}
--- a/operate/e2e/doc_test.go
+++ b/operate/e2e/doc_test.go
@@ -18,6 +18,8 @@
 var statusNames = map[string]int{
 	"StatusBadRequest":            http.StatusBadRequest,
 	"StatusUnauthorized":          http.StatusUnauthorized,
+	"StatusForbidden":             http.StatusForbidden,
+	"StatusTooManyRequests":       http.StatusTooManyRequests,
 	"StatusNotFound":              http.StatusNotFound,
 	"StatusConflict":              http.StatusConflict,
 	"StatusGone":                  http.StatusGone,
--- a/serve/daemon/answer.go
+++ b/serve/daemon/answer.go
@@ -36,6 +36,11 @@
 var responseByReason = map[verdict.Reason]reasonResponse{
 	verdict.ReasonUnknownService:   {http.StatusNotFound, "The catalogue holds no such service."},
 	verdict.ReasonRouteDefect:      {http.StatusServiceUnavailable, "The configuration of the route was not understood."},
+	verdict.ReasonKeyMissing:       {http.StatusUnauthorized, "The request presents no key that can be read."},
+	verdict.ReasonKeyUnknown:       {http.StatusUnauthorized, "No client account holds the key."},
+	verdict.ReasonNoCommonRegion:   {http.StatusForbidden, "The route and the account allow no common region."},
+	verdict.ReasonAccountDefect:    {http.StatusServiceUnavailable, "The configuration of the account was not understood."},
+	verdict.ReasonOverQuota:        {http.StatusTooManyRequests, "The account has used its quota."},
 	verdict.ReasonQuarantined:      {http.StatusServiceUnavailable, "Requests like this one end the targets that run them."},
 	verdict.ReasonNotReady:         {http.StatusServiceUnavailable, "This entry VM has no configuration yet."},
 	verdict.ReasonStopping:         {http.StatusServiceUnavailable, "This entry VM is leaving. Use another one."},
