--- a/decide/ingress/bench_test.go
+++ b/decide/ingress/bench_test.go
@@ -170,27 +170,61 @@
 }
 
 // BenchmarkReceivingVM measures one request at an entry VM that asks a coordinator
-// for its target.
+// for its target, without and with client accounts.
 func BenchmarkReceivingVM(b *testing.B) {
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
-			m := newFleetMember(size, "vm3")
-			names := objectNames(size.objects)
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				m.now = m.now.Add(100 * time.Microsecond)
-				m.next++
-				m.step(&ingress.Arrive{Request: m.next, Host: "h", Path: "/a/x", Object: names[i%len(names)], Timeout: 4 * time.Second})
-				if len(m.out.Messages) != 1 {
-					b.Fatal("no placement request is sent")
-				}
-				msg := m.out.Messages[0]
-				m.step(&ingress.IncomingMessage{From: msg.To, Message: &ingress.Grant{ID: msg.Message.(*ingress.PlacementRequest).ID, Target: fleet.TargetID(fmt.Sprint("t", i%size.targets))}})
-				m.step(&ingress.Answered{Attempt: m.out.Sends[0].Attempt, Outcome: ingress.Served})
-			}
+			benchmarkReceivingVM(b, size, 0)
+		})
+		b.Run(fmt.Sprintf("vms=%d/targets=%d/accounts=86", size.vms, size.targets), func(b *testing.B) {
+			benchmarkReceivingVM(b, size, 86)
+		})
+	}
+}
+
+func benchmarkReceivingVM(b *testing.B, size fleetSize, accounts int) {
+	m := newFleetMember(size, "vm3")
+	names := objectNames(size.objects)
+	keys := m.configureAccounts(accounts)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		m.now = m.now.Add(100 * time.Microsecond)
+		m.next++
+		arrival := &ingress.Arrive{Request: m.next, Host: "h", Path: "/a/x", Object: names[i%len(names)], Timeout: 4 * time.Second}
+		if accounts > 0 {
+			key := route.DigestKey(keys[i%accounts])
+			arrival.Key = &key
+		}
+		m.step(arrival)
+		if len(m.out.Messages) != 1 {
+			b.Fatal("no placement request is sent")
+		}
+		msg := m.out.Messages[0]
+		m.step(&ingress.IncomingMessage{From: msg.To, Message: &ingress.Grant{ID: msg.Message.(*ingress.PlacementRequest).ID, Target: fleet.TargetID(fmt.Sprint("t", i%size.targets))}})
+		m.step(&ingress.Answered{Attempt: m.out.Sends[0].Attempt, Outcome: ingress.Served})
+	}
+}
+
+// configureAccounts puts a configuration with n limited accounts in force, and
+// returns a key of each.
+func (m *fleetMember) configureAccounts(n int) []string {
+	if n == 0 {
+		return nil
+	}
+	var keys []string
+	cfg := &route.Config{Version: 2, Services: map[fleet.ServiceName]route.Service{"svc": {Name: "svc"}},
+		Routes: []route.Route{{Name: "a", Host: "h", Prefix: "/a/", Idempotent: true, Attempts: 3, Aim: 600 * time.Millisecond,
+			Parts: []route.Part{{Service: "svc", Weight: 1}}}}}
+	for i := range n {
+		keys = append(keys, fmt.Sprintf("key-of-account-%06d", i))
+		cfg.Accounts = append(cfg.Accounts, route.Account{
+			Name: route.AccountName(fmt.Sprint("account-", i)), Keys: []route.KeyDigest{route.DigestKey(keys[i])},
+			Quota: route.Quota{PerSecond: 1e9, Burst: 1e9},
 		})
 	}
+	m.step(&ingress.Configured{Table: route.NewTable(cfg)})
+	return keys
 }
 
 // BenchmarkJoin measures a change of a target's registration at a coordinator that
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -83,6 +83,9 @@
 			return fmt.Errorf("request %d: searches a target for account %q without a valid key", id, q.account)
 		}
 	}
+	if len(r.accountList) != len(r.accounts) || !slices.IsSortedFunc(r.accountList, compareNames) {
+		return fmt.Errorf("%d accounts listed of %d, or not by name", len(r.accountList), len(r.accounts))
+	}
 	for key, j := range r.jobs {
 		if a, _ := r.limitedAccount(j.Account); a != nil && j.Account != "" && !j.charged && r.on(Quotas) && (j.state == jobWaiting || j.state == jobPlaced) && j.arrived > r.configuredAt {
 			return fmt.Errorf("job %v: not charged to account %q", key, j.Account)
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -18,11 +18,13 @@
 
 // PlacementRequest asks the coordinator of a service for a target.
 type PlacementRequest struct {
-	ID             PlacementID
-	Service        fleet.ServiceName
-	Route          string // selects the measured size of answers
-	Object         string
-	Account        route.AccountName // whose quota is charged; "": none
+	ID      PlacementID
+	Service fleet.ServiceName
+	Route   string // selects the measured size of answers
+	Object  string
+	// Account is whose quota is charged; "": none. It is not part of the message for
+	// requests without an account, whose encoding is older.
+	Account        route.AccountName `json:"-"`
 	Domain         fleet.Domain      // of the requesting VM
 	Priority       int
 	Large          bool // the body or the answer is large
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -58,6 +58,7 @@
 	// accounts are the limited client accounts in use at this VM. tokenRequests are
 	// unanswered requests for tokens, by ID, with the time at which they were sent.
 	accounts      map[route.AccountName]*accountState
+	accountList   []*accountState // by name
 	issuers       issuers
 	isolation     isolation
 	tokenRequests map[PlacementID]tokenRequest
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -76,7 +76,7 @@
 
 // accountStatus returns the state of the busiest accounts.
 func (r *Reducer) accountStatus(now clock.Time) map[route.AccountName]AccountStatus {
-	list := r.sortedAccounts()
+	list := slices.Clone(r.accountList)
 	slices.SortStableFunc(list, func(a, b *accountState) int {
 		return cmp.Compare(b.charged+b.refused, a.charged+a.refused)
 	})
--- a/serve/ingress/account.go
+++ b/serve/ingress/account.go
@@ -55,7 +55,7 @@
 }
 
 // logQuotaRefusal records why a request was refused over quota, at the VM that
-// decided it. The lines are limited like those of failed requests.
+// decided it.
 func (s *Server) logQuotaRefusal(e *ingress.QuotaRefusal) {
 	line, condensed := s.quotaSampler.sampleFailure(s.now())
 	if !line {
--- a/serve/ingress/account_test.go
+++ b/serve/ingress/account_test.go
@@ -14,6 +14,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/serve/peer"
 )
 
 // writeAccounts writes a configuration with one service and accounts, each with one
@@ -181,3 +182,38 @@
 		}
 	})
 }
+
+// Guards against a fleet of old and new builds that misread each other's placement
+// requests: the encoding of those without an account must stay as it was.
+func TestPlacementRequestsKeepTheirEncoding(t *testing.T) {
+	is := is.New(t)
+	plain, err := peer.Encode(kindPlacementRequest, &ingress.PlacementRequest{ID: 7, Service: "svc"})
+	is.NoErr(err)
+	const fields = 14 // of the struct without the account
+	is.Equal(plain.Data[0], byte(0x90|fields))
+	sent := accountPlacement{Account: "north", Request: ingress.PlacementRequest{ID: 7, Service: "svc", Object: "o"}}
+	b, err := peer.Encode(peer.KindAccountPlacement, &sent)
+	is.NoErr(err)
+	var got accountPlacement
+	is.NoErr(peer.Decode(b, peer.MaxBody, &got))
+	is.Equal(got.Account, sent.Account)
+	is.Equal(got.Request.Object, "o")
+}
+
+// Requests of accounts are placed by a coordinator that is another VM.
+func TestCoordinatorChargesTheAccount(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(true))
+	w.writeAccounts(2, "north")
+	target := &recordingTarget{headers: make(map[string]http.Header)}
+	w.startTarget("t1", target.ServeHTTP)
+	vms := []*Server{w.startListed("vm-1"), w.startListed("vm-2")}
+	for _, s := range vms {
+		w.eventually("the VMs know each other", func() bool { return len(s.members.Load().vms) == len(vms) })
+	}
+	for _, s := range vms { // one of them asks the other
+		id := "id-" + s.settings.Self.CallAddr
+		is.Equal(requestWith(t, s, id, "Authorization: Bearer "+testKey("north")).StatusCode, http.StatusOK)
+		is.Equal(target.header(id)[testFields.Account], []string{"north"})
+	}
+}
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -40,6 +41,8 @@
 	// maxFailureLinesPerSecond limits the log lines for failed requests. The rest
 	// are counted in a line of their own.
 	maxFailureLinesPerSecond = 100
+	// maxQuotaLinesPerSecond limits the log lines for decisions over quota.
+	maxQuotaLinesPerSecond = 10
 )
 
 // sendRecord is one send of a call in the call's log line.
@@ -62,6 +65,9 @@
 	failed    int // lines for failures in this second
 	condensed int // failures without a line in this second
 	second    clock.Time
+	// maxFailures limits the lines for failures in a second; 0:
+	// maxFailureLinesPerSecond.
+	maxFailures int
 }
 
 // sampleSuccess reports whether an answered request gets a log line.
@@ -85,7 +91,7 @@
 		condensed = s.condensed
 		s.second, s.failed, s.condensed = now, 0, 0
 	}
-	if s.failed >= maxFailureLinesPerSecond {
+	if s.failed >= cmp.Or(s.maxFailures, maxFailureLinesPerSecond) {
 		s.condensed++
 		return false, condensed
 	}
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/serve/peer"
 )
 
@@ -31,6 +32,12 @@
 	kindCopy
 )
 
+// accountPlacement is the message of a placement request with a client account.
+type accountPlacement struct {
+	Account route.AccountName
+	Request ingress.PlacementRequest
+}
+
 // startPeers starts the transport between entry VMs.
 func (s *Server) startPeers() error {
 	var err error
@@ -83,6 +90,8 @@
 		m = new(ingress.Report)
 	case kindQuarantine:
 		m = new(quarantine.Record)
+	case peer.KindAccountPlacement:
+		return s.receiveAccountPlacement(from, b)
 	case kindTokenRequest:
 		m = new(ingress.TokenRequest)
 	case kindTokenGrant:
@@ -105,13 +114,27 @@
 	return nil
 }
 
+func (s *Server) receiveAccountPlacement(from fleet.VMID, b peer.Body) error {
+	var p accountPlacement
+	if err := peer.Decode(b, peer.MaxBody, &p); err != nil {
+		return err
+	}
+	p.Request.Account = p.Account
+	s.core.Post(&ingress.IncomingMessage{From: from, Message: &p.Request})
+	return nil
+}
+
 // sendMessage executes an OutgoingMessage. A message that cannot be sent is
 // dropped, just as it may be lost in the network: the sender of a request has a
 // timeout.
 func (s *Server) sendMessage(t *ingress.OutgoingMessage) {
 	var kind peer.Kind
-	switch t.Message.(type) {
+	switch m := t.Message.(type) {
 	case *ingress.PlacementRequest:
+		if m.Account != "" {
+			s.sendToID(t.To, peer.KindAccountPlacement, &accountPlacement{Account: m.Account, Request: *m})
+			return
+		}
 		kind = kindPlacementRequest
 	case *ingress.Grant:
 		kind = kindGrant
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -120,6 +120,7 @@
 	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, 1), metrics: newMetrics()}
 	s.reloadable.Store(set.reloadable())
 	s.quarantines = newQuarantineQueue()
+	s.quotaSampler.maxFailures = maxQuotaLinesPerSecond
 	s.membersByKey = make(map[string]fleet.VM)
 	s.awaiting = make(map[fleet.VMID]bool)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/serve/peer/body.go
+++ b/serve/peer/body.go
@@ -31,6 +31,9 @@
 	KindMachine Kind = 128
 	// KindIngress is the first of 32 kinds for the placement of requests.
 	KindIngress Kind = 160
+	// KindAccountPlacement is the last of these kinds: a placement request with a
+	// client account. Like KindIngress, it is acknowledged.
+	KindAccountPlacement Kind = 191
 	// KindRelay is the first of 32 kinds by which entry VMs relay the contents
 	// of the metadata store.
 	KindRelay Kind = 192
@@ -42,7 +45,7 @@
 // they answer another message or are sent along with one. Acknowledging them
 // would add a frame to each exchange.
 func (k Kind) needsNoAck() bool {
-	return k == KindLoad || (k > KindIngress && k < KindRelay) || (k < KindLoad && member.IsAnswer(uint8(k-KindMember)))
+	return k == KindLoad || (k > KindIngress && k < KindAccountPlacement) || (k < KindLoad && member.IsAnswer(uint8(k-KindMember)))
 }
 
 func noneNeedsAck(bodies []Body) bool {
