emulate: a comment that said the opposite of LowerQuota

Cause: it said that an event divides the quota; its value multiplies it. No code changed; TestQuotasHoldInTheFleet and TestAccountsWithinTheirQuotasAreServed pass.

--- a/decide/emulate/account.go
+++ b/decide/emulate/account.go
@@ -53,8 +53,8 @@
 	return &d
 }
 
-// accounts returns the accounts of the configuration. The HotAccount events do not
-// change them; a LowerQuota event in force divides its account's quota.
+// accounts returns the accounts of the configuration, with the factors that LowerQuota
+// events have put on their quotas.
 func (sim *simulation) accounts() []route.Account {
 	var list []route.Account
 	for _, a := range sim.pattern.Accounts {
