ingress: the wait for a connection at a gateway stands in the request's line

Whether a request to another region waits at its gateway could not be told from lines or metrics: the VM that received the request knows only how long the answer took. A gateway now adds the wait to its answer, the VM puts it into the send's record (gateway_waited_ms), and the gateway counts it (carried_connection_waits, carried_connection_wait_ms).

Not shown before: TestWaitAtTheGatewayIsLogged does not build without the field.

--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -199,6 +199,9 @@
 	a.answer = ans
 	rec := &k.sends[a.sendIndex]
 	rec.WaitedMS = ans.ConnectionWait.Milliseconds()
+	if rec.Gateway != "" {
+		rec.GatewayWaitedMS = takeGatewayWait(ans.Header)
+	}
 	domain := rec.Domain
 	k.mu.Unlock()
 	if ans.ConnectionWait > 0 && !k.forwarded {
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -25,6 +25,10 @@
 	// forwardHeader tells a gateway what to do with a request. Its value is the
 	// target, the milliseconds left and the deployment tag, separated by spaces.
 	forwardHeader = "Azurethread-Carry"
+	// gatewayWaitHeader is in the answer of a gateway: the milliseconds for which the
+	// request waited there for a connection to the target. It is absent if one was
+	// idle.
+	gatewayWaitHeader = "Azurethread-Gateway-Waited-Ms"
 	// deploymentTagBytes is how much of the deployment's key is in the tag. Like
 	// the key, the tag separates deployments and authenticates nothing.
 	deploymentTagBytes = 8
@@ -169,9 +173,26 @@
 func (s *Server) deliverForwarded(k *call, ans *outbound.Answer) {
 	heads.RemoveHopByHop(ans.Header)
 	heads.RemoveFailure(ans.Header)
+	delete(ans.Header, gatewayWaitHeader)
+	if wait := ans.ConnectionWait; wait > 0 {
+		s.metrics.gatewayConnWaits.Add(1)
+		s.metrics.gatewayConnWaitMS.Add(wait.Milliseconds())
+		ans.Header[gatewayWaitHeader] = []string{strconv.FormatInt(wait.Milliseconds(), 10)}
+	}
 	k.exchange.Respond(ans.Status, ans.Header, ans.Body)
 }
 
+// takeGatewayWait removes and returns the time in ms for which a request waited at its
+// gateway for a connection.
+func takeGatewayWait(h http.Header) int64 {
+	wait, ok := heads.ParseMillis(h.Get(gatewayWaitHeader))
+	delete(h, gatewayWaitHeader)
+	if !ok {
+		return 0
+	}
+	return wait.Milliseconds()
+}
+
 // refuseForwarded returns the verdict of a request without an answer to the
 // entry VM that received it.
 func (s *Server) refuseForwarded(k *call, e *ingress.Refusal) {
--- a/serve/ingress/gateway_test.go
+++ b/serve/ingress/gateway_test.go
@@ -279,3 +279,31 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.Equal(gate.metrics.forwarded.Value(), int64(2))
 }
+
+// Guards against a wait at the gateway that no line or metric shows: the request's own
+// entry VM sees only how long the answer took.
+func TestWaitAtTheGatewayIsLogged(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	log := new(logBuffer)
+	w.log = log
+	w.startRemoteTarget("t1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(testFields.Stamp, "s")
+		rw.Header().Set(testFields.RequestID, r.Header.Get(testFields.RequestID))
+		rw.Header().Set(gatewayWaitHeader, "5000") // the target sets a field of this name itself
+		rw.WriteHeader(http.StatusInternalServerError)
+	}))
+	near, gate := w.startTwoRegions()
+	for i, id := range []string{"id-1", "id-2"} {
+		res, _ := doRequestWithBody(t, near, http.MethodPost, id, nil)
+		is.Equal(res.StatusCode, http.StatusInternalServerError)
+		is.Equal(res.Header.Get(gatewayWaitHeader), "")
+		send := log.requestLine(w, id).Sends[0]
+		is.Equal(gate.metrics.gatewayConnWaits.Value(), int64(1)) // the second request finds the connection idle
+		if i == 0 {
+			is.Equal(send.GatewayWaitedMS, gate.metrics.gatewayConnWaitMS.Value())
+		} else {
+			is.Equal(send.GatewayWaitedMS, int64(0))
+		}
+	}
+}
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -47,15 +47,17 @@
 
 // sendRecord is one send of a call in the call's log line.
 type sendRecord struct {
-	Target   fleet.TargetID  `json:"target"`
-	Domain   fleet.Domain    `json:"domain"`              // of the target
-	Gateway  fleet.VMID      `json:"gateway,omitempty"`   // that forwarded it
-	AfterMS  int64           `json:"after_ms"`            // since the request arrived
-	WaitedMS int64           `json:"waited_ms,omitempty"` // for a connection; 0: one was idle
-	TookMS   int64           `json:"took_ms"`             // 0: not finished
-	Outcome  string          `json:"outcome"`
-	Reason   verdict.Reason  `json:"reason,omitempty"`
-	Verdict  verdict.Verdict `json:"verdict"`
+	Target   fleet.TargetID `json:"target"`
+	Domain   fleet.Domain   `json:"domain"`              // of the target
+	Gateway  fleet.VMID     `json:"gateway,omitempty"`   // that forwarded it
+	AfterMS  int64          `json:"after_ms"`            // since the request arrived
+	WaitedMS int64          `json:"waited_ms,omitempty"` // for a connection; 0: one was idle
+	// GatewayWaitedMS is how long it waited at its gateway for a connection.
+	GatewayWaitedMS int64           `json:"gateway_waited_ms,omitempty"`
+	TookMS          int64           `json:"took_ms"` // 0: not finished
+	Outcome         string          `json:"outcome"`
+	Reason          verdict.Reason  `json:"reason,omitempty"`
+	Verdict         verdict.Verdict `json:"verdict"`
 }
 
 // sampler selects the requests that get a log line.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -32,6 +32,10 @@
 	connWaitMS     *expvar.Map
 	sendsByOutcome *expvar.Map // finished sends
 	forwarded      *expvar.Int // requests forwarded as a gateway
+	// gatewayConnWaits and gatewayConnWaitMS count the forwarded requests that waited
+	// for a connection to their target, and the milliseconds they waited.
+	gatewayConnWaits  *expvar.Int
+	gatewayConnWaitMS *expvar.Int
 	// silentGateways counts gateways that did not acknowledge a request.
 	silentGateways *expvar.Int
 	callersGone    *expvar.Int // callers that closed their connection
@@ -85,7 +89,7 @@
 	m := &metrics{
 		vars: new(expvar.Map).Init(), answersByStatus: new(expvar.Map).Init(), refusalsByReason: new(expvar.Map).Init(),
 		refusalsByVerdict: new(expvar.Map).Init(), sends: new(expvar.Int), sendsByDomain: new(expvar.Map).Init(),
-		connWaits: new(expvar.Map).Init(), connWaitMS: new(expvar.Map).Init(), sendsByOutcome: new(expvar.Map).Init(), forwarded: new(expvar.Int), silentGateways: new(expvar.Int),
+		connWaits: new(expvar.Map).Init(), connWaitMS: new(expvar.Map).Init(), sendsByOutcome: new(expvar.Map).Init(), forwarded: new(expvar.Int), gatewayConnWaits: new(expvar.Int), gatewayConnWaitMS: new(expvar.Int), silentGateways: new(expvar.Int),
 		callersGone: new(expvar.Int), probes: new(expvar.Int), unreadLimits: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
 	}
 	m.vars.Set("answers_by_status", m.answersByStatus)
@@ -97,6 +101,8 @@
 	m.vars.Set("connection_wait_ms_by_domain", m.connWaitMS)
 	m.vars.Set("sends_by_outcome", m.sendsByOutcome)
 	m.vars.Set("requests_carried", m.forwarded)
+	m.vars.Set("carried_connection_waits", m.gatewayConnWaits)
+	m.vars.Set("carried_connection_wait_ms", m.gatewayConnWaitMS)
 	m.vars.Set("gateways_silent", m.silentGateways)
 	m.vars.Set("callers_gone", m.callersGone)
 	m.vars.Set("target_probes", m.probes)
