ingress: what targets state about their availability is read, logged and counted

Nothing read Server-Leaving or a target's Retry-After, so no line or metric said that a target had stated either, when, or to which entry VM. The transport now hands over the head of each answer that belongs to its request (also if its body is cut off afterwards, also at a gateway), the fields are parsed, a `target` line says when a VM first hears of either, `leaving` and `back_off` count such targets, and fields that cannot be read are counted (target_notices_unread) and ignored. Package notice says what a statement means and how long it binds. No decision uses it yet.

rateLimit's parser of decimal numbers now serves Retry-After too.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/quota"
 	"github.com/azurethread/azurethread/decide/route"
@@ -106,6 +107,15 @@
 	ConnectionWait time.Duration
 }
 
+// NoticeReceived reports what the head of an answer states about the availability
+// of its target. It comes before the Answered or Failed of the attempt, which may
+// have been cancelled meanwhile.
+type NoticeReceived struct {
+	Target    fleet.TargetID
+	StartedAt int64 // of the target's instance to which the request was sent
+	Notice    notice.Notice
+}
+
 // Outcome classifies an answer.
 type Outcome uint8
 
@@ -208,8 +218,10 @@
 	Attempt AttemptID
 	Request RequestID
 	Target  fleet.TargetID
-	Domain  fleet.Domain // of the target
-	Addr    string
+	// StartedAt identifies the target's instance.
+	StartedAt int64
+	Domain    fleet.Domain // of the target
+	Addr      string
 	// Gateway is the entry VM that forwards the request to the target; "": it is
 	// sent directly.
 	Gateway        fleet.VMID
@@ -282,6 +294,9 @@
 	Target fleet.TargetID
 	Change string
 	Until  clock.Time // 0: no end
+	// Stated is the duration that the target stated, and Age how long ago the state
+	// that is changed began; 0: does not apply.
+	Stated, Age time.Duration
 }
 
 // Ready holds the effects of one Step. The slices belong to the caller, who resets
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -59,7 +59,7 @@
 func (r *Reducer) emitSend(now clock.Time, a *attempt) {
 	q, t := a.req, a.target
 	r.out.Sends = append(r.out.Sends, Send{
-		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, Addr: t.Addr, Gateway: a.gateway,
+		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, StartedAt: t.StartedAt, Addr: t.Addr, Gateway: a.gateway,
 		TimeLeft:       q.deadline.Sub(now),
 		ConnectTimeout: r.connectTimeout(t),
 		KeepSpare:      !r.isLocal(t) && r.on(SpareConnections),
@@ -143,7 +143,7 @@
 	r.forwards[f.request] = f
 	r.forwardsByAttempt[f.attempt] = f
 	r.out.Sends = append(r.out.Sends, Send{
-		Attempt: f.attempt, Request: f.request, Target: t.ID, Domain: t.Domain, Addr: t.Addr,
+		Attempt: f.attempt, Request: f.request, Target: t.ID, StartedAt: t.StartedAt, Domain: t.Domain, Addr: t.Addr,
 		TimeLeft: ev.TimeLeft, ConnectTimeout: r.connectTimeout(t),
 	})
 	r.timers.add(timer{at: now.Add(ev.TimeLeft + answerMargin), purpose: dueForward, request: f.request})
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -119,6 +119,8 @@
 		r.gatewayAccepted(ev.Attempt)
 	case *Answered:
 		r.answered(now, ev)
+	case *NoticeReceived:
+		r.noticeReceived(now, ev)
 	case *Failed:
 		r.failed(now, ev)
 	case *Configured:
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -47,6 +47,8 @@
 	Cold     int     `json:"cold"`
 	Ejected  int     `json:"ejected"`
 	Limited  int     `json:"limited"`   // with a rate limit
+	Leaving  int     `json:"leaving"`   // that say so in their answers
+	BackOff  int     `json:"back_off"`  // that have asked for a backoff
 	InFlight int     `json:"in_flight"` // placed by this entry VM
 	Waiting  int     `json:"waiting"`   // for a target
 	Retries  float64 `json:"repeats"`   // that the budget pays for
@@ -66,6 +68,8 @@
 			v.Draining += count(t.Draining)
 			v.Cold += count(t.cold(now))
 			v.Limited += count(t.limit.active)
+			v.Leaving += count(t.availability.Leaving())
+			v.BackOff += count(t.availability.BackingOff())
 			v.Ejected += count(t.standing.State() == target.Ejected)
 		}
 		st.Services[name] = v
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -40,13 +41,15 @@
 	// terminated means that this instance is known to have terminated. lost are
 	// the requests that were under way when their connections were lost, kept
 	// until that is known; probing means that a probe is under way.
-	terminated  bool
-	lost        []lostRequest
-	probing     bool
-	speed       target.Mean
-	limit       rateLimit
-	preferredBy int    // waiting jobs that prefer the target
-	waiters     []*job // waiting jobs with the target among their candidates
+	terminated bool
+	lost       []lostRequest
+	probing    bool
+	speed      target.Mean
+	limit      rateLimit
+	// availability is what the target's answers state.
+	availability notice.Availability
+	preferredBy  int    // waiting jobs that prefer the target
+	waiters      []*job // waiting jobs with the target among their candidates
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -157,6 +157,7 @@
 	return &outbound.Request{
 		Method: x.Method, URI: x.URI, Host: x.Header.Get("Host"), Header: h, Body: x.Body,
 		IsOwnAnswer:    func(status int, h http.Header) bool { return s.answersRequest(id, status, h) },
+		HeadReceived:   s.noticeReader(e),
 		MayEndByClose:  true,
 		ConnectTimeout: e.ConnectTimeout,
 		KeepSpare:      e.KeepSpare,
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -64,6 +64,6 @@
 	}
 	for _, c := range out.StateChanges {
 		s.metrics.targetStateChanges.Add(c.Change, 1)
-		s.event(eventTarget).WithField("target", c.Target).WithField("until", c.Until).Info(c.Change)
+		s.logTargetState(&c)
 	}
 }
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -98,6 +98,7 @@
 	id := e.Attempt
 	return s.gatewayPool.Do(vm.GatewayAddr, &outbound.Request{
 		Method: k.exchange.Method, URI: k.exchange.URI, Host: k.exchange.Header.Get("Host"), Header: h, Body: k.exchange.Body,
+		HeadReceived:   s.noticeReader(e),
 		Acknowledged:   func() { s.core.Post(&ingress.GatewayAccepted{Attempt: id}) },
 		ConnectTimeout: e.ConnectTimeout,
 		KeepSpare:      e.KeepSpare,
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -28,7 +28,7 @@
 var testFields = Fields{
 	RequestID: "X-Id", Timeout: "X-Patience", Object: "X-Object", Stamp: "X-Stamp",
 	Target: "X-Target", Load: "X-Load", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
-	Account: "X-Account",
+	Account: "X-Account", Leaving: []string{"X-Leaving"},
 }
 
 const (
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -42,6 +42,7 @@
 	probes         *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
 	unreadLimits       *expvar.Int
+	unreadNotices      *expvar.Int // notices in answers that could not be parsed
 	defects            *expvar.Int // parts of values in the store that were invalid
 	targetStateChanges *expvar.Map // by kind of change
 	answerLatency      *latencyHistogram
@@ -90,7 +91,7 @@
 		vars: new(expvar.Map).Init(), answersByStatus: new(expvar.Map).Init(), refusalsByReason: new(expvar.Map).Init(),
 		refusalsByVerdict: new(expvar.Map).Init(), sends: new(expvar.Int), sendsByDomain: new(expvar.Map).Init(),
 		connWaits: new(expvar.Map).Init(), connWaitMS: new(expvar.Map).Init(), sendsByOutcome: new(expvar.Map).Init(), forwarded: new(expvar.Int), gatewayConnWaits: new(expvar.Int), gatewayConnWaitMS: new(expvar.Int), silentGateways: new(expvar.Int),
-		callersGone: new(expvar.Int), probes: new(expvar.Int), unreadLimits: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
+		callersGone: new(expvar.Int), probes: new(expvar.Int), unreadLimits: new(expvar.Int), unreadNotices: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
 	}
 	m.vars.Set("answers_by_status", m.answersByStatus)
 	m.vars.Set("refusals_by_reason", m.refusalsByReason)
@@ -107,6 +108,7 @@
 	m.vars.Set("callers_gone", m.callersGone)
 	m.vars.Set("target_probes", m.probes)
 	m.vars.Set("target_limits_unread", m.unreadLimits)
+	m.vars.Set("target_notices_unread", m.unreadNotices)
 	m.vars.Set("store_defects", m.defects)
 	m.vars.Set("target_beliefs", m.targetStateChanges)
 	m.vars.Set("answer_latency", expvar.Func(m.answerLatency.summary))
--- a/serve/ingress/ratelimit.go
+++ b/serve/ingress/ratelimit.go
@@ -43,29 +43,34 @@
 	s.event(eventTarget).WithError(err).WithField("target", target).Warn("rate limit cannot be parsed")
 }
 
-// Errors from parsing rate limits.
+// Errors from parsing header fields.
 var (
-	errRateRepeated = errors.New("header field has several values")
-	errRateForm     = errors.New("not a decimal number")
+	errRepeated = errors.New("header field has several values")
+	errDecimal  = errors.New("not a decimal number")
 )
 
-// maxRateDigits limits the length of a rate. More digits would not change its
-// value noticeably.
-const maxRateDigits = 32
-
-// parseRate parses a decimal number of requests per second. Signs, exponents and
-// words for infinity are rejected.
+// parseRate parses a decimal number of requests per second.
 func parseRate(values []string) (float64, error) {
 	if len(values) != 1 {
-		return 0, errRateRepeated
+		return 0, errRepeated
 	}
-	v := strings.TrimSpace(values[0])
-	if v == "" || len(v) > maxRateDigits || strings.Trim(v, "0123456789.") != "" {
-		return 0, errRateForm
+	return parseDecimal(values[0])
+}
+
+// maxDecimalDigits limits the length of a decimal number. More digits would not
+// change its value noticeably.
+const maxDecimalDigits = 32
+
+// parseDecimal parses a decimal number. Signs, exponents and words for infinity are
+// rejected.
+func parseDecimal(v string) (float64, error) {
+	v = strings.TrimSpace(v)
+	if v == "" || len(v) > maxDecimalDigits || strings.Trim(v, "0123456789.") != "" {
+		return 0, errDecimal
 	}
-	rate, err := strconv.ParseFloat(v, 64)
+	x, err := strconv.ParseFloat(v, 64)
 	if err != nil {
-		return 0, errRateForm
+		return 0, errDecimal
 	}
-	return rate, nil
+	return x, nil
 }
--- a/serve/ingress/ratelimit_test.go
+++ b/serve/ingress/ratelimit_test.go
@@ -25,7 +25,7 @@
 		is.True(err != nil)
 	}
 	_, err := parseRate([]string{"1", "2"})
-	is.Equal(err, errRateRepeated)
+	is.Equal(err, errRepeated)
 }
 
 // limitedTargets returns the number of targets of the service that are known to
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -61,6 +61,9 @@
 	// RateLimits state how many requests per second a target accepts from all entry
 	// VMs together. The first field that is present counts.
 	RateLimits []string
+	// Leaving states that a target is leaving. The first field that is present
+	// counts.
+	Leaving []string
 }
 
 // Pages are the paths of the pages served in addition to callers' requests.
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -30,6 +30,9 @@
 	// NewConnection asks for a new connection even if one is idle, because the idle
 	// ones are suspected to be silent.
 	NewConnection bool
+	// HeadReceived is called with the head of the answer, before its body is
+	// received: the answer may still fail. It must not block; may be nil.
+	HeadReceived func(status int, h http.Header)
 	// Acknowledged is called when the receiver reports, before its answer, that
 	// it has received the request. It must not block; may be nil.
 	Acknowledged func()
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -293,6 +293,9 @@
 		c.foreignAnswer = true
 		c.noReuse = true
 	}
+	if !c.foreignAnswer && c.answer.Status >= http.StatusOK {
+		c.p.reportHead(c)
+	}
 	if len(c.answer.Header["Content-Length"]) > 1 {
 		// nbhttp uses the first length; which of them is right cannot be
 		// determined.
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -199,6 +199,16 @@
 	}
 }
 
+// reportHead calls HeadReceived of c's request.
+func (pe *peer) reportHead(c *conn) {
+	pe.mu.Lock()
+	k := c.call
+	pe.mu.Unlock()
+	if k != nil && k.req.HeadReceived != nil {
+		k.req.HeadReceived(c.answer.Status, c.answer.Header)
+	}
+}
+
 // mayEndByClose reports whether c's request accepts an answer without a length.
 func (pe *peer) mayEndByClose(c *conn) bool {
 	pe.mu.Lock()
