--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -33,10 +34,13 @@
 type entryAttempt struct {
 	*caller
 	sends int
+	// sentAt is when the caller sent it.
+	sentAt clock.Time
 	// gatewaySend is the send that a gateway forwards with this attempt; nil if
 	// the attempt is a caller's own.
 	gatewaySend *targetSend
 	answer      *ingress.Answered // the latest
+	notice      notice.Notice     // in the latest answer
 }
 
 // beginLoad starts the arrivals in each failure domain and schedules the events.
@@ -116,6 +120,7 @@
 		sim.after(noVMDelay, func() { sim.retryOrGiveUp(c) })
 		return
 	}
+	sentAt := sim.now
 	sim.after(oneWay, func() {
 		if v.reducer == nil {
 			c.unreachable = append(c.unreachable, v)
@@ -123,7 +128,7 @@
 			return
 		}
 		v.lastRequest++
-		q := &entryAttempt{caller: c}
+		q := &entryAttempt{caller: c, sentAt: sentAt}
 		v.openRequests[v.lastRequest] = q
 		sim.step(v, &ingress.Arrive{
 			Key:     c.key(),
@@ -193,7 +198,7 @@
 	q := v.openRequests[d.Request]
 	delete(v.openRequests, d.Request)
 	if q != nil && q.gatewaySend != nil {
-		sim.returnFromGateway(q.gatewaySend, q.answer)
+		sim.returnFromGateway(q.gatewaySend, q.answer, q.notice)
 		return
 	}
 	if q == nil || q.done {
@@ -214,7 +219,7 @@
 	q := v.openRequests[e.Request]
 	delete(v.openRequests, e.Request)
 	if q != nil && q.gatewaySend != nil {
-		sim.returnFromGateway(q.gatewaySend, &ingress.Failed{Verdict: e.Verdict, Reason: e.Reason})
+		sim.returnFromGateway(q.gatewaySend, &ingress.Failed{Verdict: e.Verdict, Reason: e.Reason}, notice.Notice{})
 		return
 	}
 	if q == nil || q.done {
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -38,6 +39,12 @@
 	case LimitTargets:
 		sim.eachTarget(e, func(t *target) { sim.recorder.startLimit(sim.now, t, e.Value) })
 		sim.after(last, func() { sim.eachTarget(e, func(t *target) { t.limit.until = sim.now }) })
+	case LeaveTargets:
+		sim.eachTarget(e, func(t *target) { t.leaving = true })
+		sim.after(last, func() { sim.eachTarget(e, sim.removeTarget) })
+	case BackoffTargets:
+		sim.eachTarget(e, func(t *target) { t.backoff = seconds(e.Value) })
+		sim.after(last, func() { sim.eachTarget(e, func(t *target) { t.backoff = 0 }) })
 	case QueryOfDeath:
 		sim.startDeathQuery(e)
 	case HotAccount:
@@ -139,6 +146,16 @@
 	})
 }
 
+// removeTarget stops t for good and removes its registration.
+func (sim *simulation) removeTarget(t *target) {
+	t.down = true
+	t.queue, t.running = nil, 0
+	sim.failRunning(t)
+	sim.broadcast(func() ingress.Event {
+		return &ingress.TargetsChanged{Removed: []fleet.TargetID{t.registered.ID}}
+	})
+}
+
 // failRunning fails the requests at t; they may have run.
 func (sim *simulation) failRunning(t *target) {
 	for _, v := range sim.vms {
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -359,6 +359,7 @@
 		sim.recorder.countAccount(sim.now, q)
 		sim.recordFarDelay(s)
 		t.limit.countArrival(sim.now, v)
+		sim.recorder.notices.countArrival(sim.now, s)
 		s.execution = &execution{send: s, object: q.object, targetStart: t.registered.StartedAt}
 		t.handleRequest(sim, s.execution)
 	})
@@ -367,6 +368,8 @@
 // sendAnswer returns an answer of t to the sending VM.
 func (sim *simulation) sendAnswer(t *target, r *execution, o ingress.Outcome) {
 	s, load, limit := r.send, t.load(), t.advertisedLimit(sim.now)
+	stated := t.notice(o)
+	sim.recorder.notices.countAnswer(sim.now, s, stated)
 	sim.after(sim.latency(t.registered.Domain, s.vm.self.Domain), func() {
 		if !s.ended && s.vm.processNumber == s.processNumber {
 			sim.releaseConnection(s)
@@ -374,6 +377,7 @@
 		if limit.Limited {
 			t.limit.markKnown(sim.now, s.vm)
 		}
+		sim.receiveNotice(s, stated)
 		sim.endSend(s, &ingress.Answered{Attempt: s.id, Outcome: o, Load: load, Limit: limit, ConnectTime: s.connectTime, ConnectionWait: s.connectionWait})
 	})
 }
--- a/decide/emulate/gateway.go
+++ b/decide/emulate/gateway.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -37,17 +38,19 @@
 	g := s.gateway
 	g.lastGatewayRequest++
 	s.gatewayRequest = ingress.RequestID(math.MaxUint64) - g.lastGatewayRequest
-	g.openRequests[s.gatewayRequest] = &entryAttempt{caller: s.attempt.caller, gatewaySend: s}
+	g.openRequests[s.gatewayRequest] = &entryAttempt{caller: s.attempt.caller, sentAt: s.attempt.sentAt, gatewaySend: s}
 	sim.step(g, &ingress.ForwardRequest{Request: s.gatewayRequest, Target: s.target.registered.ID, TimeLeft: s.attempt.deadline.Sub(sim.now)})
 }
 
-// returnFromGateway returns the result of a forwarded request to the VM of s.
-func (sim *simulation) returnFromGateway(s *targetSend, end any) {
+// returnFromGateway returns the result of a forwarded request, and the notice in it,
+// to the VM of s.
+func (sim *simulation) returnFromGateway(s *targetSend, end any, stated notice.Notice) {
 	s.gatewayRequest = 0 // the request has ended there
 	sim.after(sim.latency(s.gateway.self.Domain, s.vm.self.Domain), func() {
 		if !s.ended && s.vm.processNumber == s.processNumber {
 			sim.releaseConnection(s)
 		}
+		sim.receiveNotice(s, stated)
 		switch e := end.(type) {
 		case *ingress.Answered:
 			e.Attempt, e.ConnectTime, e.ConnectionWait = s.id, s.connectTime, s.connectionWait
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -114,6 +114,13 @@
 	// LimitTargets makes a share of a service's targets state a limit of Value
 	// requests per second in their answers.
 	LimitTargets EventKind = "limit-targets"
+	// LeaveTargets makes a share of a service's targets state in their answers that
+	// they are leaving. They stop after Duration; their registrations are unchanged
+	// until then.
+	LeaveTargets EventKind = "leave-targets"
+	// BackoffTargets makes a share of a service's targets refuse all requests and ask
+	// for a backoff of Value seconds.
+	BackoffTargets EventKind = "backoff-targets"
 	// QueryOfDeath makes Callers in Domain send a request to Service that crashes
 	// every target that executes it. Each of them sends the same request again
 	// Value seconds after its last attempt has ended.
@@ -133,7 +140,7 @@
 	WeakCores   = 0.16
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs}
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets}
 
 // Event is a fault, a change of load or another event of a run.
 type Event struct {
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -66,6 +66,8 @@
 	// WorstLimit is the window in which a target received the most requests beyond
 	// its limit.
 	WorstLimit Overrun `json:"worst_limit"`
+	// Notices counts the requests that targets got in spite of their notices.
+	Notices NoticeCounts `json:"notices"`
 	// WorstQuota is the window in which an account exceeded its quota the most.
 	WorstQuota QuotaOverrun `json:"worst_quota"`
 	// DeathQueries holds the effects of the queries of death, in the order of their
@@ -122,6 +124,7 @@
 	arrivals     map[fleet.Region][]arrival // by region of the callers
 	farDelays    durations                  // of requests to other regions
 	limits       []*rateLimit
+	notices      noticeRecorder
 	deathQueries []*DeathQueryCounts
 	crashCause   *deathQuery // of the crash in progress; nil if none
 	accounts     map[route.AccountName]*accountRecord
@@ -214,6 +217,7 @@
 	rec.result.Seed = v.Seed
 	rec.result.FarDelay = rec.farDelays.meanMS()
 	rec.result.WorstLimit = worstOverrun(rec.limits)
+	rec.result.Notices = rec.notices.counts()
 	rec.result.WorstQuota = rec.worstQuota()
 	for _, d := range rec.deathQueries {
 		rec.result.DeathQueries = append(rec.result.DeathQueries, *d)
--- a/decide/emulate/target.go
+++ b/decide/emulate/target.go
@@ -17,10 +17,12 @@
 	service    *Service
 
 	down         bool
-	slowFactor   float64    // multiplies the work
-	errorShare   float64    // share of the requests that fail
-	refusedShare float64    // share of the requests that are refused
-	limit        *rateLimit // latest limit that it stated; nil if none
+	slowFactor   float64       // multiplies the work
+	errorShare   float64       // share of the requests that fail
+	refusedShare float64       // share of the requests that are refused
+	limit        *rateLimit    // latest limit that it stated; nil if none
+	leaving      bool          // it states that it is leaving
+	backoff      time.Duration // it refuses all requests and asks for this; 0 if not
 	coldEnd      clock.Time
 
 	running int
@@ -58,6 +60,9 @@
 // handleRequest executes, queues or refuses a request.
 func (t *target) handleRequest(sim *simulation, r *execution) {
 	switch {
+	case t.backoff > 0:
+		r.ended = true
+		sim.sendAnswer(t, r, ingress.Refused)
 	case t.refusedShare > 0 && sim.rng.Float64() < t.refusedShare:
 		r.ended = true
 		sim.sendAnswer(t, r, ingress.Refused)
