ingress: a target that states that it is leaving gets no further request

Cause: nothing acted on the field.

Change: what sends checks its own knowledge last. A grant of a target that this VM knows to be leaving goes back to the coordinator with the reason, at no cost to the request, and the coordinator is asked again; a gateway returns the request not run and says why; requests that still wait for a connection are recalled. The VM that got the answer tells its coordinator at once, which tells its region and the coordinators of the others; a coordinator that is asked for the first time is told all. The statement holds for that instance of the target, also over a registration that lapses and returns within a minute. If all targets that may run a request are leaving, it is refused at once, not run. A leaving target is taken out of what choices consider, as a draining one, so a choice costs what it did.

--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -219,7 +219,7 @@
 	q := v.openRequests[e.Request]
 	delete(v.openRequests, e.Request)
 	if q != nil && q.gatewaySend != nil {
-		sim.returnFromGateway(q.gatewaySend, &ingress.Failed{Verdict: e.Verdict, Reason: e.Reason}, notice.Notice{})
+		sim.returnFromGateway(q.gatewaySend, &ingress.Failed{Verdict: e.Verdict, Reason: e.Reason}, e.Notice)
 		return
 	}
 	if q == nil || q.done {
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -269,6 +269,9 @@
 	for _, c := range out.Cancels {
 		sim.cancel(v, c.Attempt)
 	}
+	for _, c := range out.Recalls {
+		sim.recall(v, c.Attempt)
+	}
 	for _, d := range out.Delivers {
 		sim.handleDeliver(v, d)
 	}
--- a/decide/emulate/notice.go
+++ b/decide/emulate/notice.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/notice"
+	"github.com/azurethread/azurethread/decide/verdict"
 )
 
 // noticeGrace is how long after a notice an entry VM's requests may still reach the
@@ -128,3 +129,20 @@
 	sim.recorder.notices.countReceived(sim.now, s, n)
 	sim.step(s.vm, &ingress.NoticeReceived{Target: s.target.registered.ID, StartedAt: s.target.registered.StartedAt, Notice: n})
 }
+
+// recall ends a send that still waits for a connection.
+func (sim *simulation) recall(v *vm, id ingress.AttemptID) {
+	s := v.attempts[id]
+	if s == nil || s.ended {
+		return
+	}
+	p := v.connections.pool(s.connectionEnd())
+	at := slices.Index(p.waiting, s)
+	if at < 0 {
+		return
+	}
+	p.waiting = slices.Delete(p.waiting, at, at+1)
+	sim.after(0, func() {
+		sim.endSend(s, &ingress.Failed{Attempt: s.id, Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable})
+	})
+}
--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -104,18 +104,18 @@
 	r.retryRequest(now, q)
 }
 
-// connectFailed continues after a target could not be connected to. The request did
-// not arrive there, so this is neither one of its attempts nor a retry for the
-// target's service, as long as q may still wait for a target. Otherwise a request
-// would be refused after meeting a few terminated targets, while others are free.
-func (r *Reducer) connectFailed(now clock.Time, q *request) {
-	if q.connectFailures >= maxConnectFailures || !now.Before(r.waitDeadline(q)) || len(q.running) > 0 || q.searching() {
-		r.attemptNotRun(now, q, verdict.ReasonConnect)
+// targetNotReached continues after a send that did not reach its target. This is
+// neither one of the request's attempts nor a retry for the target's service, as long
+// as q may still wait for a target. Otherwise a request would be refused after meeting
+// a few targets that have terminated or are leaving, while others are free.
+func (r *Reducer) targetNotReached(now clock.Time, q *request, reason verdict.Reason) {
+	if q.notReached >= maxNotReached || !now.Before(r.waitDeadline(q)) || len(q.running) > 0 || q.searching() {
+		r.attemptNotRun(now, q, reason)
 		return
 	}
-	q.connectFailures++
+	q.notReached++
 	q.sends--
-	q.reason = verdict.ReasonConnect
+	q.reason = reason
 	if !r.mayRiskTarget(now, q) || r.keyRevoked(q) {
 		r.refuse(now, q)
 		return
@@ -144,15 +144,18 @@
 		return
 	}
 	rep := &Report{Result: ResultFailed, Took: now.Sub(a.sent)}
-	if ev.Reason == verdict.ReasonConnect {
+	switch {
+	case ev.Reason == verdict.ReasonConnect:
 		rep.Result = ResultUnreachable
+	case ev.Reason == verdict.ReasonUnavailable && ev.Verdict == verdict.NotRun:
+		rep.Result = ResultNotSent
 	}
 	r.endAttempt(now, a, rep)
-	if rep.Result == ResultUnreachable && ev.Verdict == verdict.NotRun {
-		r.connectFailed(now, a.req)
+	switch {
+	case ev.Verdict == verdict.NotRun && (rep.Result == ResultUnreachable || rep.Result == ResultNotSent):
+		r.targetNotReached(now, a.req, ev.Reason)
 		return
-	}
-	if ev.Verdict == verdict.NotRun {
+	case ev.Verdict == verdict.NotRun:
 		r.attemptNotRun(now, a.req, ev.Reason)
 		return
 	}
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -57,6 +57,9 @@
 func (r *Reducer) setMembers(now clock.Time, vms []fleet.VM) {
 	r.members = vms
 	r.updateIssuers(now)
+	for _, s := range r.services {
+		s.briefed = "" // the coordinator may have restarted
+	}
 	clear(r.coordinatorOrders)
 	clear(r.strongVMs)
 	clear(r.gateways)
@@ -106,6 +109,7 @@
 		r.placeLocally(now, q, p)
 		return
 	}
+	r.briefCoordinator(now, to, q.svc)
 	q.pending = &pendingPlacement{request: p, coordinator: to}
 	r.placements[p.ID] = q
 	r.startProbe(to, probeID(p.ID))
@@ -179,6 +183,8 @@
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok {
 			r.withdraw(now, j)
 		}
+	case *TargetNotices:
+		r.mergeNotices(now, m)
 	case *TokenRequest:
 		r.grantTokens(now, ev.From, m)
 	case *TokenGrant:
@@ -194,7 +200,7 @@
 
 // handleGrant sends a request to the target that the coordinator granted. A grant
 // is returned if its request has ended, or if this VM does not know the target or
-// knows that it is leaving.
+// knows that it is not available.
 func (r *Reducer) handleGrant(now clock.Time, from fleet.VMID, m *Grant) {
 	q, ok := r.placements[m.ID]
 	if !ok {
@@ -210,6 +216,10 @@
 		r.placeLocally(now, q, p)
 		return
 	}
+	if t.availability.Leaving() {
+		r.returnGrant(now, q, from, t)
+		return
+	}
 	delete(r.placements, m.ID)
 	q.pending = nil
 	r.sendTo(now, q, nil, t)
--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -57,6 +57,12 @@
 //     part of the fixed allowance. The parts add up to less than the limit for any
 //     subset of the entry VMs, also right after all of them were restarted.
 //
+// # Notices of targets
+//
+// A target may state in any answer that it is leaving (package notice). The VM that received the answer is bound, so the VM that
+// sends checks its own knowledge last, and returns what a coordinator without that
+// knowledge has granted. Coordinators are told at once, and spare the target for all.
+//
 // # Requests that crash targets
 //
 // A request may crash every target that runs it, and may arrive again at any entry
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -261,6 +261,13 @@
 	Attempt AttemptID
 }
 
+// Recall requests that an attempt be given up if it still waits for a connection,
+// with Failed, verdict.NotRun and verdict.ReasonUnavailable. Otherwise it continues.
+type Recall struct {
+	Request RequestID
+	Attempt AttemptID
+}
+
 // Deliver requests that the answer of an attempt be given to the caller.
 type Deliver struct {
 	Request RequestID
@@ -274,6 +281,8 @@
 	Reason     verdict.Reason
 	RetryAfter time.Duration // 0: not stated
 	Account    route.AccountName
+	// Notice is why a gateway did not send the request to its target.
+	Notice notice.Notice
 }
 
 // QuotaRefusal is the decision that an account has no token left at this VM, for the
@@ -304,6 +313,7 @@
 type Ready struct {
 	Sends    []Send
 	Cancels  []Cancel
+	Recalls  []Recall
 	Delivers []Deliver
 	Refusals []Refusal
 	// Abandoned are requests that need no answer because their callers have gone.
@@ -329,6 +339,7 @@
 func (r *Ready) Reset() {
 	r.Sends = r.Sends[:0]
 	r.Cancels = r.Cancels[:0]
+	r.Recalls = r.Recalls[:0]
 	r.Delivers = r.Delivers[:0]
 	r.Refusals = r.Refusals[:0]
 	r.Abandoned = r.Abandoned[:0]
--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -38,6 +38,7 @@
 
 	cut      map[fleet.VMID]bool // VMs that exchange no messages with others
 	accounts *simAccounts        // nil: there are none
+	notices  *simNotices         // nil: no target states any
 }
 
 type simVM struct {
@@ -159,6 +160,9 @@
 			s.cancelAtGateways(q, c.Attempt)
 		}
 	}
+	for _, c := range out.Recalls {
+		s.recall(vm, c)
+	}
 	for _, id := range out.Abandoned {
 		s.recordFinal(vm, id)
 	}
@@ -252,6 +256,7 @@
 	case e.TimeLeft <= 0 || s.now.Add(e.TimeLeft) > q.deadline:
 		s.t.Fatalf("%s: request %d is sent with %v left, beyond its deadline", vm.id, e.Request, e.TimeLeft)
 	}
+	s.checkNotice(vm, e)
 	q.running[e.Attempt] = true
 	vm.owner[e.Attempt] = q
 	if e.Gateway != "" {
@@ -328,7 +333,11 @@
 			delete(q.running, id)
 			delete(vm.owner, id)
 			q.mayRun = q.mayRun || mayRun
-			s.step(vm, ev())
+			end := ev()
+			if _, answered := end.(*Answered); answered {
+				s.receiveNotice(vm, t, born, s.drawNotice(t))
+			}
+			s.step(vm, end)
 		})
 	}
 	failed := func(v verdict.Verdict, why verdict.Reason) func() Event {
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -1,10 +1,13 @@
 package ingress
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -104,6 +107,11 @@
 // the same target directly.
 func (r *Reducer) gatewayFailed(now clock.Time, a *attempt, v verdict.Verdict) {
 	r.markSilent(now, a.gateway)
+	if v == verdict.NotRun && a.target.availability.Leaving() {
+		r.endAttempt(now, a, &Report{Result: ResultNotSent})
+		r.targetNotReached(now, a.req, verdict.ReasonUnavailable)
+		return
+	}
 	if v == verdict.NotRun && now.Before(a.req.deadline) {
 		delete(r.attempts, a.id)
 		r.nextAttempt++
@@ -125,6 +133,8 @@
 type forwarded struct {
 	request RequestID
 	attempt AttemptID
+	target  *targetState
+	sent    clock.Time
 }
 
 // forward sends a request of another entry VM to the target at which it was
@@ -138,8 +148,14 @@
 		})
 		return
 	}
+	if t.availability.Leaving() {
+		r.out.Refusals = append(r.out.Refusals, Refusal{
+			Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable, Notice: notice.Notice{Leaving: true},
+		})
+		return
+	}
 	r.nextAttempt++
-	f := &forwarded{request: ev.Request, attempt: r.nextAttempt}
+	f := &forwarded{request: ev.Request, attempt: r.nextAttempt, target: t, sent: now}
 	r.forwards[f.request] = f
 	r.forwardsByAttempt[f.attempt] = f
 	r.out.Sends = append(r.out.Sends, Send{
@@ -160,10 +176,28 @@
 
 // forwardFailed returns the failure of a forwarded request.
 func (r *Reducer) forwardFailed(ev *Failed) {
-	if f, ok := r.forwardsByAttempt[ev.Attempt]; ok {
-		r.removeForward(f)
-		r.out.Refusals = append(r.out.Refusals, Refusal{Request: f.request, Verdict: ev.Verdict, Reason: ev.Reason})
+	f, ok := r.forwardsByAttempt[ev.Attempt]
+	if !ok {
+		return
+	}
+	r.removeForward(f)
+	refusal := Refusal{Request: f.request, Verdict: ev.Verdict, Reason: ev.Reason}
+	if ev.Reason == verdict.ReasonUnavailable {
+		refusal.Notice = notice.Notice{Leaving: f.target.availability.Leaving()}
+	}
+	r.out.Refusals = append(r.out.Refusals, refusal)
+}
+
+// forwardsAt returns the requests that are forwarded to t, in their order.
+func (r *Reducer) forwardsAt(t *targetState) []*forwarded {
+	var list []*forwarded
+	for _, f := range r.forwards {
+		if f.target == t {
+			list = append(list, f)
+		}
 	}
+	slices.SortFunc(list, func(a, b *forwarded) int { return cmp.Compare(a.attempt, b.attempt) })
+	return list
 }
 
 // forwardTimedOut gives up a forwarded request whose time is over.
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -44,7 +44,23 @@
 			return fmt.Errorf("target %s: counted as preferred by %d jobs, preferred by %d", id, t.preferredBy, preferred[t])
 		}
 	}
-	return errors.Join(r.checkRequests(), r.checkAccounts(), r.checkQueues(), r.checkCaches())
+	return errors.Join(r.checkRequests(), r.checkNotices(), r.checkAccounts(), r.checkQueues(), r.checkCaches())
+}
+
+// checkNotices checks that nothing was sent to a target after this VM had received
+// its notice.
+func (r *Reducer) checkNotices() error {
+	for id, a := range r.attempts {
+		if v := &a.target.availability; a.gateway == "" && v.Leaving() && a.sent.After(v.LeavingSince()) {
+			return fmt.Errorf("attempt %d: sent to target %s after its notice", id, a.target.ID)
+		}
+	}
+	for id, f := range r.forwards {
+		if v := &f.target.availability; v.Leaving() && f.sent.After(v.LeavingSince()) {
+			return fmt.Errorf("request %d: forwarded to target %s after its notice", id, f.target.ID)
+		}
+	}
+	return nil
 }
 
 func (r *Reducer) checkRequests() error {
@@ -135,22 +151,26 @@
 // checkService compares the counts and groups of s with its targets; waiting is
 // the number of jobs that have each target as a candidate.
 func (r *Reducer) checkService(s *service, waiting map[*targetState]int) error {
-	load, slots, listed, limited := 0, 0, 0, 0
+	load, slots, listed, limited, unavailable := 0, 0, 0, 0, 0
 	for _, t := range s.targets {
 		load += t.countedLoad
 		slots += t.countedSlots
 		listed += count(t.listed)
 		limited += count(t.limit.active)
+		unavailable += count(t.availability.Leaving())
 		if len(t.waiters) != waiting[t] {
 			return fmt.Errorf("target %s: %d waiters, but %d waiting jobs with it as a candidate", t.ID, len(t.waiters), waiting[t])
 		}
-		if may := !t.Draining && !r.evacuated[t.Domain]; may != t.listed {
+		if may := !t.Draining && !r.evacuated[t.Domain] && !t.availability.Leaving(); may != t.listed {
 			return fmt.Errorf("target %s: listed is %v, but may get requests is %v", t.ID, t.listed, may)
 		}
 	}
 	if limited != len(s.limited) {
 		return fmt.Errorf("service %s: %d targets with a rate limit, but %d listed", s.name, limited, len(s.limited))
 	}
+	if unavailable != len(s.unavailable) {
+		return fmt.Errorf("service %s: %d targets not available by their notices, but %d listed", s.name, unavailable, len(s.unavailable))
+	}
 	for _, g := range s.groups {
 		listed -= len(g)
 	}
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -94,6 +94,9 @@
 		r.grant(now, j, t)
 		return
 	}
+	if r.denyUnavailable(now, j) {
+		return
+	}
 	if !j.waitUntil.After(now) {
 		r.deny(now, j)
 		return
@@ -220,7 +223,7 @@
 	switch rep.Result {
 	case ResultServed:
 		r.observeWork(now, j, rep)
-	case ResultRefused, ResultUnreachable, ResultMisdirected:
+	case ResultRefused, ResultUnreachable, ResultMisdirected, ResultNotSent:
 		r.refund(now, j)
 		if j.class == objectCold { // j was the first request for the object and has not run
 			j.obj.unmarkWarm(t)
@@ -247,6 +250,9 @@
 			return verdict.ReasonOverload
 		}
 	}
+	if r.allLeaving(j) {
+		return verdict.ReasonUnavailable
+	}
 	return verdict.ReasonNoTarget
 }
 
@@ -300,6 +306,7 @@
 	t := r.choose(now, j)
 	if t == nil {
 		j.startWaiting()
+		r.denyUnavailable(now, j)
 		return
 	}
 	j.svc.waiting.Remove(&j.node)
--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -53,12 +53,14 @@
 	// TokenTransfers lets VMs transfer quota tokens that they do not need; without
 	// it, each keeps its part.
 	TokenTransfers
+	// Notices follows what targets state in answers about their availability.
+	Notices
 )
 
 var mechanismNames = []string{
 	"recall", "coordinators", "second-send", "headroom", "elsewhere", "large-bodies",
 	"carriage", "wait-at-target", "first-choice", "joined", "ejection", "spare-connections",
-	"quarantining", "rate-limits", "gateways", "quotas", "token-transfers",
+	"quarantining", "rate-limits", "gateways", "quotas", "token-transfers", "notices",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -89,6 +89,19 @@
 	Connect time.Duration // of it, the wait for a connection
 }
 
+// TargetNotices tells another entry VM what targets have stated about their
+// availability.
+type TargetNotices struct{ List []TargetNotice }
+
+// TargetNotice is what one entry VM knows of a target's notices.
+type TargetNotice struct {
+	Target    fleet.TargetID
+	StartedAt int64 // of the target's instance
+	Leaving   bool
+	Age       time.Duration // since the target first stated that it is leaving
+	Backoff   time.Duration // that is left; 0: none
+}
+
 // Result is the result of a send as far as it concerns the target.
 type Result uint8
 
@@ -105,6 +118,9 @@
 	ResultFailed
 	// ResultUnreachable means that no connection could be opened.
 	ResultUnreachable
+	// ResultNotSent means that the request was not sent, because the target is
+	// known not to be available.
+	ResultNotSent
 )
 
 // AccountTokens is a number of quota tokens of one client account.
--- a/decide/ingress/notice.go
+++ b/decide/ingress/notice.go
@@ -1,23 +1,52 @@
 package ingress
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/notice"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// A notice binds the entry VM that received it, so each VM that sends to a target
+// checks its own knowledge last: the request's own VM (handleGrant), the gateway
+// (forward), and the transport for requests that still wait for a connection
+// (Ready.Recalls). A request that is held back goes to another target; it has not
+// run, and costs neither an attempt nor a retry.
+//
+// The coordinators, which choose the targets, are told at once (tellCoordinator), and
+// spare the target for the requests of all VMs. A coordinator that does not know of
+// a notice, because it has just started, is told when it grants the target.
+
+const (
+	// noticeRetention is how long the notices of a target are kept after its
+	// registration was removed. A registration that lapses while the store is down
+	// returns although the target is still the same instance.
+	noticeRetention = time.Minute
+	// maxRemovedNotices limits the removed targets whose notices are kept.
+	maxRemovedNotices = 4096
+	// maxTargetNotices is the maximum number of notices in one message.
+	maxTargetNotices = 64
+	// maxReturnedGrants is how many granted targets a request may return to
+	// coordinators before it is placed with this VM's own knowledge.
+	maxReturnedGrants = 3
 )
 
 // Changes of a target's state that result from its notices.
 const (
-	changeLeaving = "states that it is leaving"
-	changeBackoff = "asks for a backoff"
+	changeLeaving  = "states that it is leaving"
+	changeBackoff  = "asks for a backoff"
+	changeReturned = "registered again after it left"
 )
 
 // noticeReceived applies the notice of an answer that this VM has received.
 func (r *Reducer) noticeReceived(now clock.Time, ev *NoticeReceived) {
 	if t := r.instanceOf(ev.Target, ev.StartedAt); t != nil {
-		r.applyNotice(now, t, ev.Notice)
+		if c := r.applyNotice(now, t, ev.Notice, 0); c.Left {
+			r.tellCoordinator(now, t)
+		}
 	}
 }
 
@@ -34,19 +63,204 @@
 // differs reports whether two start times are those of different instances.
 func differs(a, b int64) bool { return a != 0 && b != 0 && a != b }
 
-// applyNotice records a notice about t.
-func (r *Reducer) applyNotice(now clock.Time, t *targetState, n notice.Notice) {
+// applyNotice applies a notice about t that is this old, whoever has received it.
+func (r *Reducer) applyNotice(now clock.Time, t *targetState, n notice.Notice, age time.Duration) notice.Change {
+	if !r.on(Notices) {
+		return notice.Change{}
+	}
 	t.availability.EndBackoff(now)
 	c := t.availability.Apply(now, n)
-	if c.Left {
-		r.reportNotice(t, changeLeaving, 0, 0, 0)
-	}
 	if c.BackedOff {
 		r.reportNotice(t, changeBackoff, t.availability.BackoffUntil(), n.Backoff, 0)
 	}
+	if !c.Left {
+		return c
+	}
+	r.reportNotice(t, changeLeaving, 0, 0, age)
+	r.broadcastLeaving(now, t)
+	r.updateListing(now, t)
+	r.recallSends(t)
+	r.dispatchWaiting(now, t.svc)
+	return c
 }
 
 // reportNotice reports a change of t's state with what the target stated.
 func (r *Reducer) reportNotice(t *targetState, change string, until clock.Time, stated, age time.Duration) {
 	r.out.StateChanges = append(r.out.StateChanges, TargetStateChange{Target: t.ID, Change: change, Until: until, Stated: stated, Age: age})
 }
+
+// recallSends recalls the requests that may still wait for a connection to t.
+func (r *Reducer) recallSends(t *targetState) {
+	for _, a := range r.attemptsAt(t) {
+		if a.gateway == "" {
+			r.out.Recalls = append(r.out.Recalls, Recall{Request: a.req.id, Attempt: a.id})
+		}
+	}
+	for _, f := range r.forwardsAt(t) {
+		r.out.Recalls = append(r.out.Recalls, Recall{Request: f.request, Attempt: f.attempt})
+	}
+}
+
+// tellCoordinator tells the coordinator of this VM's region of a notice that this VM
+// has received itself.
+func (r *Reducer) tellCoordinator(now clock.Time, t *targetState) {
+	if to := r.activeCoordinator(now, t.Service); to != "" && to != r.opts.Self {
+		r.sendMessage(to, &TargetNotices{List: []TargetNotice{t.noticeFor(now)}})
+	}
+}
+
+// broadcastLeaving tells the other VMs of the region and the coordinators of other
+// regions that t is leaving. Only the coordinator of a region does so, once for each
+// target.
+func (r *Reducer) broadcastLeaving(now clock.Time, t *targetState) {
+	if r.activeCoordinator(now, t.Service) != r.opts.Self {
+		return
+	}
+	m := &TargetNotices{List: []TargetNotice{t.noticeFor(now)}}
+	for i := range r.members {
+		vm := &r.members[i]
+		if vm.ID != r.opts.Self && (vm.Region == r.region || vm.ID == r.coordinator(vm.Region, t.Service)) {
+			r.sendMessage(vm.ID, m)
+		}
+	}
+}
+
+// noticeFor returns t's notice for other entry VMs.
+func (t *targetState) noticeFor(now clock.Time) TargetNotice {
+	m := TargetNotice{Target: t.ID, StartedAt: t.StartedAt, Leaving: t.availability.Leaving()}
+	if m.Leaving {
+		m.Age = now.Sub(t.availability.LeavingSince())
+	}
+	return m
+}
+
+// mergeNotices applies what another entry VM knows of targets' notices.
+func (r *Reducer) mergeNotices(now clock.Time, m *TargetNotices) {
+	for _, n := range m.List[:min(len(m.List), maxTargetNotices)] {
+		if t := r.instanceOf(n.Target, n.StartedAt); t != nil {
+			r.applyNotice(now, t, notice.Notice{Leaving: n.Leaving}, max(n.Age, 0))
+		}
+	}
+}
+
+// briefCoordinator tells a coordinator that this VM has not asked before which
+// targets of a service are not available: it may have just started.
+func (r *Reducer) briefCoordinator(now clock.Time, to fleet.VMID, s *service) {
+	if s.briefed == to {
+		return
+	}
+	s.briefed = to
+	m := new(TargetNotices)
+	for _, t := range s.unavailable {
+		if len(m.List) < maxTargetNotices {
+			m.List = append(m.List, t.noticeFor(now))
+		}
+	}
+	if len(m.List) > 0 {
+		r.sendMessage(to, m)
+	}
+}
+
+// returnGrant returns a granted target to its coordinator because of t's notice,
+// and asks again.
+func (r *Reducer) returnGrant(now clock.Time, q *request, from fleet.VMID, t *targetState) {
+	p := q.pending.request
+	r.sendMessage(from, &TargetNotices{List: []TargetNotice{t.noticeFor(now)}})
+	r.sendMessage(from, &Report{ID: p.ID, Result: ResultNotSent})
+	delete(r.placements, p.ID)
+	q.pending = nil
+	q.tried = append(q.tried, t.ID)
+	q.returnedGrants++
+	if q.returnedGrants <= maxReturnedGrants {
+		r.findTarget(now, q)
+		return
+	}
+	p.MaxWait = 0
+	r.placeLocally(now, q, p)
+}
+
+// updateUnavailable keeps the list of a service's targets that are not available by
+// their notices.
+func (r *Reducer) updateUnavailable(t *targetState) {
+	now := !t.removed && t.availability.Leaving()
+	switch {
+	case now && !t.unavailable:
+		t.svc.unavailable = insertByID(t.svc.unavailable, t)
+	case !now && t.unavailable:
+		t.svc.unavailable = deleteByID(t.svc.unavailable, t)
+	}
+	t.unavailable = now
+}
+
+// allLeaving reports whether no target may take j because all that could are leaving.
+func (r *Reducer) allLeaving(j *job) bool {
+	if len(j.svc.unavailable) == 0 || r.anyListed(j) {
+		return false
+	}
+	return slices.ContainsFunc(j.svc.unavailable, func(t *targetState) bool { return r.mayServe(j, t) })
+}
+
+// anyListed reports whether a target that may get requests may take j.
+func (r *Reducer) anyListed(j *job) bool {
+	for _, group := range j.svc.groups {
+		if len(j.AllowedRegions) == 0 && len(group) > 0 {
+			return true
+		}
+		for _, t := range group {
+			if r.usable(j, t) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// denyUnavailable denies j at once if no target may take it because of their
+// notices.
+func (r *Reducer) denyUnavailable(now clock.Time, j *job) bool {
+	if !r.allLeaving(j) {
+		return false
+	}
+	r.refund(now, j)
+	r.denyFor(now, j, verdict.ReasonUnavailable, 0)
+	return true
+}
+
+// removedNotices are the notices of targets whose registrations were removed.
+type removedNotices map[fleet.TargetID]removedNotice
+
+type removedNotice struct {
+	startedAt    int64
+	availability notice.Availability
+	removedAt    clock.Time
+}
+
+// keep records the notices of a target that is removed.
+func (m removedNotices) keep(now clock.Time, t *targetState) {
+	if !t.availability.Leaving() {
+		return
+	}
+	for id, n := range m {
+		if now.Sub(n.removedAt) >= noticeRetention {
+			delete(m, id)
+		}
+	}
+	if len(m) < maxRemovedNotices {
+		m[t.ID] = removedNotice{startedAt: t.StartedAt, availability: t.availability, removedAt: now}
+	}
+}
+
+// restoreNotices gives a target that is registered again the notices of its
+// instance.
+func (r *Reducer) restoreNotices(now clock.Time, t *targetState) {
+	kept, ok := r.removedNotices[t.ID]
+	if !ok {
+		return
+	}
+	delete(r.removedNotices, t.ID)
+	if differs(kept.startedAt, t.StartedAt) || now.Sub(kept.removedAt) >= noticeRetention {
+		r.reportChange(t, changeReturned, 0)
+		return
+	}
+	t.availability = kept.availability
+}
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -104,9 +104,9 @@
 	// that it has not run.
 	minConnectTimeout  = 250 * time.Millisecond
 	connectTimeoutRTTs = 3
-	// maxConnectFailures is how many targets that cannot be connected to a request
-	// may meet besides its attempts.
-	maxConnectFailures = 8
+	// maxNotReached is how many sends of a request that do not reach their targets
+	// do not count as attempts.
+	maxNotReached = 8
 	// retryBudgetShare is the part of the allowed retry ratio and slack that is
 	// used. The rest covers differences between this count and that of the
 	// targets.
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -10,6 +10,11 @@
 
 // usable reports whether t may get j at all.
 func (r *Reducer) usable(j *job, t *targetState) bool {
+	return r.mayServe(j, t) && !t.availability.Leaving()
+}
+
+// mayServe reports whether t may get j, apart from t's notices.
+func (r *Reducer) mayServe(j *job, t *targetState) bool {
 	allowed := len(j.AllowedRegions) == 0 || slices.Contains(j.AllowedRegions, t.region)
 	return allowed && !t.Draining && !r.evacuated[t.Domain]
 }
--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -107,7 +107,7 @@
 	case !r.on(Quarantining):
 		return true
 	case q.verdict == verdict.NotRun:
-		return !q.trial || q.sends+q.connectFailures < maxTrialSends // no target was put at risk yet
+		return !q.trial || q.sends+q.notReached < maxTrialSends // no target was put at risk yet
 	}
 	ends := r.quarantine.Ends(now, q.fingerprint)
 	return ends < quarantine.SuspectThreshold && (ends == 0 || q.lostConnections < quarantine.SuspectThreshold)
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -66,6 +66,8 @@
 	tokensAt      clock.Time // when tokens are requested next
 	tokensAskedAt clock.Time
 
+	removedNotices removedNotices
+
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
 	expiryScheduled bool                     // a timer for expired quarantines is set
@@ -97,6 +99,7 @@
 		forwardsByAttempt: make(map[AttemptID]*forwarded),
 		accounts:          make(map[route.AccountName]*accountState),
 		tokenRequests:     make(map[PlacementID]tokenRequest),
+		removedNotices:    make(removedNotices),
 		tokensAt:          clock.Never,
 		nextLapse:         clock.Never,
 	}
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -28,14 +28,16 @@
 	arrived        clock.Time
 	deadline       clock.Time // when its final answer is due
 
-	sends int // except those whose targets could not be connected to
-	// connectFailures counts the targets that could not be connected to.
-	connectFailures int
-	running         []*attempt
-	tried           []fleet.TargetID
-	verdict         verdict.Verdict // joined over all attempts that have ended
-	reason          verdict.Reason  // of the last attempt
-	freeAfter       time.Duration   // until there may be a target for it; 0: unknown
+	sends int // except those that did not reach their targets
+	// notReached counts the sends that did not reach their targets.
+	notReached int
+	// returnedGrants counts the granted targets that were returned to coordinators.
+	returnedGrants int
+	running        []*attempt
+	tried          []fleet.TargetID
+	verdict        verdict.Verdict // joined over all attempts that have ended
+	reason         verdict.Reason  // of the last attempt
+	freeAfter      time.Duration   // until there may be a target for it; 0: unknown
 	// fingerprint identifies its content.
 	fingerprint quarantine.Fingerprint
 	// lostConnections is the number of sends that ended with their connection.
@@ -185,7 +187,7 @@
 	if len(q.running) > 0 {
 		return // a hedge; the first send is still running
 	}
-	if q.reason == verdict.ReasonNone {
+	if q.reason == verdict.ReasonNone || reason == verdict.ReasonUnavailable {
 		q.reason = reason
 	}
 	r.refuse(now, q)
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -17,6 +17,8 @@
 	groups        [][]*targetState // those that may get requests, by group, unordered
 	untried       []*targetState   // of the own region, by ID
 	limited       []*targetState   // with a rate limit, by ID
+	unavailable   []*targetState   // by their notices, by ID
+	briefed       fleet.VMID       // the coordinator that was told of them
 	withoutObject []*targetState   // in the order for requests without an object; nil: not computed
 	occupancy     occupancy
 	objects       objects
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -46,8 +46,10 @@
 	probing    bool
 	speed      target.Mean
 	limit      rateLimit
-	// availability is what the target's answers state.
+	// availability is what the target's answers state. unavailable means that it is
+	// among its service's unavailable targets.
 	availability notice.Availability
+	unavailable  bool
 	preferredBy  int    // waiting jobs that prefer the target
 	waiters      []*job // waiting jobs with the target among their candidates
 }
@@ -141,6 +143,7 @@
 	r.targets[d.ID] = t
 	t.svc.targets = insertByID(t.svc.targets, t)
 	t.svc.withoutObject = nil
+	r.restoreNotices(now, t)
 	if t.untried = now.Sub(r.startedAt) > startupPeriod; t.untried && r.isLocal(t) {
 		t.svc.untried = insertByID(t.svc.untried, t)
 	}
@@ -150,6 +153,7 @@
 // removeTarget removes a target. Requests under way there keep using its state.
 func (r *Reducer) removeTarget(now clock.Time, t *targetState) {
 	r.markTerminated(now, t)
+	r.removedNotices.keep(now, t)
 	delete(r.targets, t.ID)
 	t.removed = true
 	t.svc.targets = deleteByID(t.svc.targets, t)
@@ -170,7 +174,8 @@
 // updateListing adds t to its service's groups and the cached orders of objects,
 // or removes it, depending on whether it may get requests.
 func (r *Reducer) updateListing(now clock.Time, t *targetState) {
-	may := !t.removed && !t.Draining && !r.evacuated[t.Domain]
+	r.updateUnavailable(t)
+	may := !t.removed && !t.Draining && !r.evacuated[t.Domain] && !t.availability.Leaving()
 	group := &t.svc.groups[t.group]
 	switch {
 	case may && !t.listed:
--- a/decide/verdict/verdict.go
+++ b/decide/verdict/verdict.go
@@ -122,6 +122,7 @@
 	ReasonAccountDefect    Reason = "account-defect"
 	ReasonNoCommonRegion   Reason = "no-common-region"
 	ReasonOverQuota        Reason = "over-quota"
+	ReasonUnavailable      Reason = "target-unavailable"
 )
 
 // Error is a failure with its verdict.
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -281,15 +281,25 @@
 
 // cancelAttempt executes a Cancel.
 func (s *Server) cancelAttempt(k *call, id ingress.AttemptID) {
+	if c := k.outboundCall(id); c != nil {
+		c.Cancel(verdict.ReasonCallerGone)
+	}
+}
+
+// outboundCall returns the transport's call of an attempt, nil if there is none.
+func (k *call) outboundCall(id ingress.AttemptID) *outbound.Call {
 	k.mu.Lock()
-	a := k.attempts[id]
-	var c *outbound.Call
-	if a != nil {
-		c = a.call
+	defer k.mu.Unlock()
+	if a := k.attempts[id]; a != nil {
+		return a.call
 	}
-	k.mu.Unlock()
-	if c != nil {
-		c.Cancel(verdict.ReasonCallerGone)
+	return nil
+}
+
+// recallAttempt executes a Recall.
+func (s *Server) recallAttempt(k *call, id ingress.AttemptID) {
+	if c := k.outboundCall(id); c != nil {
+		c.CancelUnsent(verdict.ReasonUnavailable)
 	}
 }
 
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -25,6 +25,11 @@
 			s.cancelAttempt(k, c.Attempt)
 		}
 	}
+	for _, c := range out.Recalls {
+		if k := s.calls.get(c.Request); k != nil {
+			s.recallAttempt(k, c.Attempt)
+		}
+	}
 	for _, id := range out.Abandoned {
 		k := s.calls.remove(id)
 		if k == nil {
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -197,7 +197,12 @@
 // refuseForwarded returns the verdict of a request without an answer to the
 // entry VM that received it.
 func (s *Server) refuseForwarded(k *call, e *ingress.Refusal) {
-	h := make(http.Header, 2)
+	h := make(http.Header, 4)
 	heads.SetFailure(h, e.Verdict, e.Reason)
-	k.exchange.Respond(http.StatusBadGateway, h, nil)
+	status := http.StatusBadGateway
+	if !e.Notice.Empty() {
+		status = http.StatusServiceUnavailable
+		s.setNotice(h, e.Notice)
+	}
+	k.exchange.Respond(status, h, nil)
 }
--- a/serve/ingress/notice.go
+++ b/serve/ingress/notice.go
@@ -54,6 +54,16 @@
 	return n
 }
 
+// setNotice writes a notice that noticeOf can read.
+func (s *Server) setNotice(h http.Header, n notice.Notice) {
+	if n.Leaving {
+		h[s.settings.Fields.Leaving[0]] = []string{"1"}
+	}
+	if n.Backoff > 0 {
+		h[retryAfterHeader] = []string{formatRetryAfter(n.Backoff)}
+	}
+}
+
 // dateOf returns when an answer was made: by its own clock if it says so, as a date
 // in another field is by that clock too.
 func (s *Server) dateOf(h http.Header) time.Time {
--- a/serve/ingress/notice_test.go
+++ b/serve/ingress/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,3 +158,49 @@
 		})
 	}
 }
+
+// Guards against a notice that only one of the two entry VMs on the way to another
+// region follows.
+func TestNoticeReachesBothVMsOfAForwardedRequest(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(true))
+	var got atomic.Int64
+	w.startRemoteTarget("t1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		got.Add(1)
+		rw.Header().Set("X-Leaving", "1")
+		respondOK("hello")(rw, r)
+	}))
+	near, gate := w.startTwoRegions()
+	res, _ := doRequest(t, near, http.MethodGet, "/x", "id-1")
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(res.Header.Get("X-Leaving"), "1")
+	for _, s := range []*Server{near, gate} {
+		leaving, _ := s.noticeStatus()
+		is.Equal(leaving, 1)
+	}
+	res, _ = doRequest(t, near, http.MethodGet, "/x", "id-2")
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.True(res.Header.Get("Retry-After") != "")
+	is.Equal(got.Load(), int64(1))
+}
+
+// Guards against a VM that does not learn from its gateway why a request was held
+// back, and sends it there again and again.
+func TestGatewaySaysWhyARequestIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(true))
+	w.startRemoteTarget("t1", respondOK("hello"))
+	near, gate := w.startTwoRegions()
+	gate.core.Post(&ingress.NoticeReceived{Target: "t1", Notice: notice.Notice{Leaving: true}})
+	w.eventually("the gateway knows the notice", func() bool {
+		leaving, _ := gate.noticeStatus()
+		return leaving == 1
+	})
+	res, _ := doRequest(t, near, http.MethodGet, "/x", "id-1")
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	leaving, _ := near.noticeStatus()
+	is.Equal(leaving, 1)
+	is.Equal(gate.metrics.forwarded.Value(), int64(1))
+	doRequest(t, near, http.MethodGet, "/x", "id-2")
+	is.Equal(gate.metrics.forwarded.Value(), int64(1))
+}
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -23,6 +23,7 @@
 	kindQuarantine
 	kindTokenRequest
 	kindTokenGrant
+	kindTargetNotices
 )
 
 const (
@@ -96,6 +97,8 @@
 		m = new(ingress.TokenRequest)
 	case kindTokenGrant:
 		m = new(ingress.TokenGrant)
+	case kindTargetNotices:
+		m = new(ingress.TargetNotices)
 	case kindRelayRequest:
 		return s.receiveRelayRequest(from, b)
 	case kindRelay:
@@ -150,6 +153,8 @@
 		kind = kindTokenRequest
 	case *ingress.TokenGrant:
 		kind = kindTokenGrant
+	case *ingress.TargetNotices:
+		kind = kindTargetNotices
 	}
 	s.sendToID(t.To, kind, t.Message)
 }
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -172,6 +172,19 @@
 	k.done(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason})
 }
 
+// CancelUnsent abandons the call if the request was not given to a connection yet;
+// the outcome is not-run. Otherwise the call continues.
+func (k *Call) CancelUnsent(reason verdict.Reason) {
+	k.mu.Lock()
+	if k.finished || k.c != nil {
+		k.mu.Unlock()
+		return
+	}
+	k.finished = true
+	k.mu.Unlock()
+	k.done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason})
+}
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // maxPooledBuffer bounds the buffers that are reused, so that one large request
