ingress: a target that answers 503 with Retry-After gets nothing until it is over

Cause: a refusal took the target's slots as taken until its next report, and not even that if it stated its load; its Retry-After was not read. Class: as for leaving, a statement that is passed on without being followed.

Then one request, and twice as many after each answer; coordinators of other regions begin up to 0.5 s later. Where all targets that may run a request are leaving or in a backoff, it is refused at once, not run (target-unavailable), to come back at the earliest end that was stated.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -136,7 +136,7 @@
 func (r *Reducer) failed(now clock.Time, ev *Failed) {
 	a, ok := r.attempts[ev.Attempt]
 	if !ok {
-		r.forwardFailed(ev)
+		r.forwardFailed(now, ev)
 		return
 	}
 	if ev.Reason == verdict.ReasonGateway {
@@ -170,6 +170,7 @@
 	case ResultServed:
 		t.answeredAt = now
 		t.terminated = false // the instance is alive; it had only stopped listening for a moment
+		t.availability.Answered(2 * t.Slots)
 		t.recordLoad(now, rep.Load)
 		r.recordLoadReport(now, t)
 		r.recordOutcome(now, t, true)
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -216,7 +216,7 @@
 		r.placeLocally(now, q, p)
 		return
 	}
-	if t.availability.Leaving() {
+	if !t.availability.Available() {
 		r.returnGrant(now, q, from, t)
 		return
 	}
--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -59,7 +59,8 @@
 //
 // # Notices of targets
 //
-// A target may state in any answer that it is leaving (package notice). The VM that received the answer is bound, so the VM that
+// A target may state in any answer that it is leaving, or for how long it wants no
+// request (package notice). The VM that received the answer is bound, so the VM that
 // sends checks its own knowledge last, and returns what a coordinator without that
 // knowledge has granted. Coordinators are told at once, and spare the target for all.
 //
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -7,7 +7,6 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
-	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/rank"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -107,7 +106,7 @@
 // the same target directly.
 func (r *Reducer) gatewayFailed(now clock.Time, a *attempt, v verdict.Verdict) {
 	r.markSilent(now, a.gateway)
-	if v == verdict.NotRun && a.target.availability.Leaving() {
+	if v == verdict.NotRun && !a.target.availability.Available() {
 		r.endAttempt(now, a, &Report{Result: ResultNotSent})
 		r.targetNotReached(now, a.req, verdict.ReasonUnavailable)
 		return
@@ -148,9 +147,9 @@
 		})
 		return
 	}
-	if t.availability.Leaving() {
+	if !t.availability.Available() {
 		r.out.Refusals = append(r.out.Refusals, Refusal{
-			Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable, Notice: notice.Notice{Leaving: true},
+			Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable, Notice: t.availability.Notice(now),
 		})
 		return
 	}
@@ -175,7 +174,7 @@
 }
 
 // forwardFailed returns the failure of a forwarded request.
-func (r *Reducer) forwardFailed(ev *Failed) {
+func (r *Reducer) forwardFailed(now clock.Time, ev *Failed) {
 	f, ok := r.forwardsByAttempt[ev.Attempt]
 	if !ok {
 		return
@@ -183,7 +182,7 @@
 	r.removeForward(f)
 	refusal := Refusal{Request: f.request, Verdict: ev.Verdict, Reason: ev.Reason}
 	if ev.Reason == verdict.ReasonUnavailable {
-		refusal.Notice = notice.Notice{Leaving: f.target.availability.Leaving()}
+		refusal.Notice = f.target.availability.Notice(now)
 	}
 	r.out.Refusals = append(r.out.Refusals, refusal)
 }
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -250,8 +250,10 @@
 			return verdict.ReasonOverload
 		}
 	}
-	if r.allLeaving(j) {
-		return verdict.ReasonUnavailable
+	if len(j.svc.unavailable) > 0 {
+		if _, unavailable := r.unavailableUntil(j); unavailable {
+			return verdict.ReasonUnavailable
+		}
 	}
 	return verdict.ReasonNoTarget
 }
--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -55,12 +55,15 @@
 	TokenTransfers
 	// Notices follows what targets state in answers about their availability.
 	Notices
+	// SharedBackoffs lets coordinators spare a target that asks for a backoff for
+	// the requests of all VMs; without it, each VM follows what it was told itself.
+	SharedBackoffs
 )
 
 var mechanismNames = []string{
 	"recall", "coordinators", "second-send", "headroom", "elsewhere", "large-bodies",
 	"carriage", "wait-at-target", "first-choice", "joined", "ejection", "spare-connections",
-	"quarantining", "rate-limits", "gateways", "quotas", "token-transfers", "notices",
+	"quarantining", "rate-limits", "gateways", "quotas", "token-transfers", "notices", "shared-backoffs",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/decide/ingress/notice.go
+++ b/decide/ingress/notice.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -27,6 +26,12 @@
 	noticeRetention = time.Minute
 	// maxRemovedNotices limits the removed targets whose notices are kept.
 	maxRemovedNotices = 4096
+	// noticeTolerance is by how much the end of a backoff may differ between entry
+	// VMs before they tell each other.
+	noticeTolerance = 250 * time.Millisecond
+	// maxBackoffSpread limits the random delay after a backoff in the regions other
+	// than the target's, so that its own region's first request comes alone.
+	maxBackoffSpread = 500 * time.Millisecond
 	// maxTargetNotices is the maximum number of notices in one message.
 	maxTargetNotices = 64
 	// maxReturnedGrants is how many granted targets a request may return to
@@ -36,17 +41,17 @@
 
 // Changes of a target's state that result from its notices.
 const (
-	changeLeaving  = "states that it is leaving"
-	changeBackoff  = "asks for a backoff"
-	changeReturned = "registered again after it left"
+	changeLeaving      = "states that it is leaving"
+	changeBackoff      = "asks for a backoff"
+	changeBackoffEnded = "backoff has ended"
+	changeReturned     = "registered again after it left"
 )
 
 // noticeReceived applies the notice of an answer that this VM has received.
 func (r *Reducer) noticeReceived(now clock.Time, ev *NoticeReceived) {
 	if t := r.instanceOf(ev.Target, ev.StartedAt); t != nil {
-		if c := r.applyNotice(now, t, ev.Notice, 0); c.Left {
-			r.tellCoordinator(now, t)
-		}
+		c := r.applyNotice(now, t, ev.Notice, 0)
+		r.tellCoordinator(now, t, c)
 	}
 }
 
@@ -68,16 +73,20 @@
 	if !r.on(Notices) {
 		return notice.Change{}
 	}
-	t.availability.EndBackoff(now)
 	c := t.availability.Apply(now, n)
-	if c.BackedOff {
-		r.reportNotice(t, changeBackoff, t.availability.BackoffUntil(), n.Backoff, 0)
+	if c.BackedOff || c.Extended {
+		r.scheduleBackoffEnd(t)
 	}
-	if !c.Left {
+	if !c.Left && !c.BackedOff {
 		return c
 	}
-	r.reportNotice(t, changeLeaving, 0, 0, age)
-	r.broadcastLeaving(now, t)
+	if c.Left {
+		r.reportNotice(t, changeLeaving, 0, 0, age)
+		r.broadcastLeaving(now, t)
+	}
+	if c.BackedOff {
+		r.reportNotice(t, changeBackoff, t.availability.BackoffUntil(), n.Backoff, 0)
+	}
 	r.updateListing(now, t)
 	r.recallSends(t)
 	r.dispatchWaiting(now, t.svc)
@@ -101,9 +110,41 @@
 	}
 }
 
+// scheduleBackoffEnd sets the timer for the end of t's backoff.
+func (r *Reducer) scheduleBackoffEnd(t *targetState) {
+	at := t.availability.BackoffUntil()
+	if !r.isLocal(t) {
+		spread := min(maxBackoffSpread, at.Sub(t.availability.BackoffSince()))
+		at = at.Add(time.Duration(r.rng.Float64() * float64(spread)))
+	}
+	t.backoffEndsAt = at
+	r.timers.add(timer{at: at, purpose: dueBackoff, target: t})
+}
+
+// backoffDue ends t's backoff. A timer from before the backoff was extended has no
+// effect.
+func (r *Reducer) backoffDue(now clock.Time, t *targetState) {
+	if now.Before(t.backoffEndsAt) {
+		return
+	}
+	since := t.availability.BackoffSince()
+	if !t.availability.EndBackoff(now) || t.removed {
+		return
+	}
+	r.reportNotice(t, changeBackoffEnded, 0, 0, now.Sub(since))
+	r.updateListing(now, t)
+	r.dispatchWaiting(now, t.svc)
+}
+
 // tellCoordinator tells the coordinator of this VM's region of a notice that this VM
 // has received itself.
-func (r *Reducer) tellCoordinator(now clock.Time, t *targetState) {
+func (r *Reducer) tellCoordinator(now clock.Time, t *targetState, c notice.Change) {
+	until := t.availability.BackoffUntil()
+	later := (c.BackedOff || c.Extended) && until.Sub(t.toldUntil) > noticeTolerance
+	if !c.Left && !(later && r.on(SharedBackoffs)) {
+		return
+	}
+	t.toldUntil = until
 	if to := r.activeCoordinator(now, t.Service); to != "" && to != r.opts.Self {
 		r.sendMessage(to, &TargetNotices{List: []TargetNotice{t.noticeFor(now)}})
 	}
@@ -127,8 +168,9 @@
 
 // noticeFor returns t's notice for other entry VMs.
 func (t *targetState) noticeFor(now clock.Time) TargetNotice {
-	m := TargetNotice{Target: t.ID, StartedAt: t.StartedAt, Leaving: t.availability.Leaving()}
-	if m.Leaving {
+	n := t.availability.Notice(now)
+	m := TargetNotice{Target: t.ID, StartedAt: t.StartedAt, Leaving: n.Leaving, Backoff: n.Backoff}
+	if n.Leaving {
 		m.Age = now.Sub(t.availability.LeavingSince())
 	}
 	return m
@@ -138,7 +180,7 @@
 func (r *Reducer) mergeNotices(now clock.Time, m *TargetNotices) {
 	for _, n := range m.List[:min(len(m.List), maxTargetNotices)] {
 		if t := r.instanceOf(n.Target, n.StartedAt); t != nil {
-			r.applyNotice(now, t, notice.Notice{Leaving: n.Leaving}, max(n.Age, 0))
+			r.applyNotice(now, t, notice.Notice{Leaving: n.Leaving, Backoff: max(n.Backoff, 0)}, max(n.Age, 0))
 		}
 	}
 }
@@ -152,7 +194,7 @@
 	s.briefed = to
 	m := new(TargetNotices)
 	for _, t := range s.unavailable {
-		if len(m.List) < maxTargetNotices {
+		if (t.availability.Leaving() || r.on(SharedBackoffs)) && len(m.List) < maxTargetNotices {
 			m.List = append(m.List, t.noticeFor(now))
 		}
 	}
@@ -165,7 +207,9 @@
 // and asks again.
 func (r *Reducer) returnGrant(now clock.Time, q *request, from fleet.VMID, t *targetState) {
 	p := q.pending.request
-	r.sendMessage(from, &TargetNotices{List: []TargetNotice{t.noticeFor(now)}})
+	if t.availability.Leaving() || r.on(SharedBackoffs) {
+		r.sendMessage(from, &TargetNotices{List: []TargetNotice{t.noticeFor(now)}})
+	}
 	r.sendMessage(from, &Report{ID: p.ID, Result: ResultNotSent})
 	delete(r.placements, p.ID)
 	q.pending = nil
@@ -182,7 +226,7 @@
 // updateUnavailable keeps the list of a service's targets that are not available by
 // their notices.
 func (r *Reducer) updateUnavailable(t *targetState) {
-	now := !t.removed && t.availability.Leaving()
+	now := !t.removed && !t.availability.Available()
 	switch {
 	case now && !t.unavailable:
 		t.svc.unavailable = insertByID(t.svc.unavailable, t)
@@ -192,12 +236,25 @@
 	t.unavailable = now
 }
 
-// allLeaving reports whether no target may take j because all that could are leaving.
-func (r *Reducer) allLeaving(j *job) bool {
+// unavailableUntil reports whether no target may take j because of their notices,
+// and the earliest end of a backoff among them; 0 if there is none.
+func (r *Reducer) unavailableUntil(j *job) (until clock.Time, unavailable bool) {
 	if len(j.svc.unavailable) == 0 || r.anyListed(j) {
-		return false
+		return 0, false
 	}
-	return slices.ContainsFunc(j.svc.unavailable, func(t *targetState) bool { return r.mayServe(j, t) })
+	for _, t := range j.svc.unavailable {
+		if !r.mayServe(j, t) {
+			continue
+		}
+		unavailable = true
+		if t.availability.Leaving() {
+			continue
+		}
+		if end := t.availability.BackoffUntil(); until == 0 || end.Before(until) {
+			until = end
+		}
+	}
+	return until, unavailable
 }
 
 // anyListed reports whether a target that may get requests may take j.
@@ -216,13 +273,18 @@
 }
 
 // denyUnavailable denies j at once if no target may take it because of their
-// notices.
+// notices, and none will before j's wait ends.
 func (r *Reducer) denyUnavailable(now clock.Time, j *job) bool {
-	if !r.allLeaving(j) {
+	until, unavailable := r.unavailableUntil(j)
+	if !unavailable || (until != 0 && until.Before(j.waitUntil)) {
 		return false
 	}
+	freeAfter := time.Duration(0)
+	if until != 0 {
+		freeAfter = max(until.Sub(now), 0)
+	}
 	r.refund(now, j)
-	r.denyFor(now, j, verdict.ReasonUnavailable, 0)
+	r.denyFor(now, j, verdict.ReasonUnavailable, freeAfter)
 	return true
 }
 
@@ -237,7 +299,7 @@
 
 // keep records the notices of a target that is removed.
 func (m removedNotices) keep(now clock.Time, t *targetState) {
-	if !t.availability.Leaving() {
+	if t.availability.Available() {
 		return
 	}
 	for id, n := range m {
@@ -263,4 +325,7 @@
 		return
 	}
 	t.availability = kept.availability
+	if t.availability.BackingOff() {
+		r.scheduleBackoffEnd(t)
+	}
 }
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -10,7 +10,7 @@
 
 // usable reports whether t may get j at all.
 func (r *Reducer) usable(j *job, t *targetState) bool {
-	return r.mayServe(j, t) && !t.availability.Leaving()
+	return r.mayServe(j, t) && t.availability.Available()
 }
 
 // mayServe reports whether t may get j, apart from t's notices.
@@ -196,7 +196,7 @@
 	switch {
 	case !r.usable(j, t) || slices.Contains(j.Tried, t.ID):
 		return false
-	case !includeEjected && !r.admits(now, t):
+	case !includeEjected && !r.admits(now, t), !t.availability.Admits(t.inFlight):
 		return false
 	case t.cold(now) && (!r.owns(t) || !t.withinColdLimit(now, r.coldLimit(t))):
 		return false
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -197,6 +197,9 @@
 	case dueTokens:
 		r.tokensDue(now)
 		return
+	case dueBackoff:
+		r.backoffDue(now, t.target)
+		return
 	}
 	q, ok := r.requests[t.request]
 	if !ok {
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -267,6 +267,9 @@
 	case q.verdict != verdict.NotRun || isPermanent(q.reason):
 	case q.reason == verdict.ReasonOverQuota:
 		f.RetryAfter = q.freeAfter
+	case q.reason == verdict.ReasonUnavailable && q.freeAfter > 0:
+		// The targets' own statements, and then as they are used again step by step.
+		f.RetryAfter = q.freeAfter + time.Duration(maxRetryAfter*float64(q.aim())*r.rng.Float64())
 	default:
 		f.RetryAfter = r.retryAfter(q)
 	}
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -46,12 +46,15 @@
 	probing    bool
 	speed      target.Mean
 	limit      rateLimit
-	// availability is what the target's answers state. unavailable means that it is
-	// among its service's unavailable targets.
-	availability notice.Availability
-	unavailable  bool
-	preferredBy  int    // waiting jobs that prefer the target
-	waiters      []*job // waiting jobs with the target among their candidates
+	// availability is what the target's answers state. backoffEndsAt is when this
+	// VM uses it again after a backoff, and toldUntil the end that it has told other
+	// VMs. unavailable means that it is among its service's unavailable targets.
+	availability  notice.Availability
+	backoffEndsAt clock.Time
+	toldUntil     clock.Time
+	unavailable   bool
+	preferredBy   int    // waiting jobs that prefer the target
+	waiters       []*job // waiting jobs with the target among their candidates
 }
 
 func (t *targetState) cold(now clock.Time) bool { return now.Before(t.coldUntil) }
@@ -175,7 +178,7 @@
 // or removes it, depending on whether it may get requests.
 func (r *Reducer) updateListing(now clock.Time, t *targetState) {
 	r.updateUnavailable(t)
-	may := !t.removed && !t.Draining && !r.evacuated[t.Domain] && !t.availability.Leaving()
+	may := !t.removed && !t.Draining && !r.evacuated[t.Domain] && t.availability.Available()
 	group := &t.svc.groups[t.group]
 	switch {
 	case may && !t.listed:
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -18,6 +18,7 @@
 	dueGateway                   // the gateway must have acknowledged the request
 	dueForward                   // the time of a forwarded request is over
 	dueTokens                    // tokens of accounts are requested
+	dueBackoff                   // the target's backoff ends
 )
 
 // timer is an action scheduled for a time. Timers are not removed when they become
@@ -27,9 +28,10 @@
 	seq       uint64 // breaks ties, so that the order is deterministic
 	request   RequestID
 	purpose   purpose
-	placement PlacementID // of duePlacement
-	attempt   AttemptID   // of dueGateway
-	job       *job        // of dueJob
+	placement PlacementID  // of duePlacement
+	attempt   AttemptID    // of dueGateway
+	job       *job         // of dueJob
+	target    *targetState // of dueBackoff
 }
 
 type timers struct {
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -153,7 +153,7 @@
 func isRelevant(l, own Line, targets map[string]bool) bool {
 	switch l.Event {
 	case "target":
-		return namesAny(l, targets)
+		return namesAny(l, targets) || (stringOf(own.Fields["reason"]) == "target-unavailable" && notices[l.Text])
 	case "quota":
 		return stringOf(own.Fields["reason"]) == "over-quota" && l.Fields["account"] == own.Fields["account"]
 	case "store", "config", "evacuate", "members", "relay", "start", "stop", "reload":
@@ -162,6 +162,13 @@
 	return false
 }
 
+// notices are the texts of lines about what a target states about its availability.
+var notices = map[string]bool{
+	"states that it is leaving": true,
+	"asks for a backoff":        true,
+	"backoff has ended":         true,
+}
+
 // namesAny reports whether a line about one or more targets names one of
 // targets.
 func namesAny(l Line, targets map[string]bool) bool {
@@ -198,6 +205,8 @@
 		return "The account has a defect in the configuration; nothing was sent."
 	case why == "over-quota":
 		return fmt.Sprintf("Account %s had no token left at the entry VM that places its requests; it has not run there.", stringOf(l.Fields["account"]))
+	case why == "target-unavailable" && v == "not-run":
+		return "All targets that may run it are leaving or have asked for a backoff; it has not run."
 	case why == "unknown-service":
 		return "No route of the configuration in force matches; nothing was sent."
 	case n == 0:
@@ -226,7 +235,7 @@
 // detailFields lists the fields that details prints, in this order.
 var detailFields = []string{
 	"status", "verdict", "reason", "took_ms", "patience_ms", "retry_after_ms", "config", "store_age_ms",
-	"store_reached", "target", "registered", "draining", "gone", "cold_ms", "version", "revision", "domain", "begin",
+	"store_reached", "target", "registered", "draining", "gone", "cold_ms", "stated_ms", "age_ms", "field", "version", "revision", "domain", "begin",
 	"count", "changed", "settings", "error", "fingerprint", "route", "ends", "trials",
 	"account", "from", "rate", "burst", "own_rate", "own_depth", "tokens", "demand",
 }
--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -90,3 +90,20 @@
 	is.True(strings.Contains(r.Cause, "holds the key"))
 	is.Equal(len(r.Lines), 1)
 }
+
+// A request that was refused because of what its targets have stated must be explained
+// by these statements, although it was sent nowhere.
+func TestReadExplainsNotices(t *testing.T) {
+	is := is.New(t)
+	logs := `vm-c {"event":"target","msg":"asks for a backoff","target":"t1","stated_ms":3000,"time":"2026-01-01T00:00:01Z"}
+vm-c {"event":"target","msg":"ejected","target":"t2","time":"2026-01-01T00:00:01Z"}
+vm-b {"event":"request","request":"r1","vm":"vm-b","status":503,"verdict":"not-run","reason":"target-unavailable","retry_after_ms":2400,"sends":null,"time":"2026-01-01T00:00:02Z"}
+`
+	r, err := Read("r1", strings.NewReader(logs))
+	is.NoErr(err)
+	is.True(strings.Contains(r.Cause, "backoff"))
+	is.Equal(len(r.Lines), 2)
+	var b bytes.Buffer
+	Print(&b, r)
+	is.True(strings.Contains(b.String(), "stated_ms=3000"))
+}
