--- a/operate/command/command.go
+++ b/operate/command/command.go
@@ -59,6 +59,7 @@
 		s.operationCommand(),
 		s.checkCommand(),
 		s.explainCommand(),
+		s.timesCommand(),
 	)
 	root.AddCommand(extra...)
 	return root
