Notices: random deployments and a benchmark

What a process was told is now recorded by instance of the target, as a restarted one knows nothing.

--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -137,7 +137,7 @@
 	t.objects = objectCache{}
 	sim.failRunning(t)
 	sim.after(down, func() {
-		t.down = false
+		t.down, t.leaving = false, false
 		t.registered.StartedAt++
 		t.coldEnd = sim.now.Add(seconds(t.service.ColdTime))
 		sim.broadcast(func() ingress.Event {
--- a/decide/emulate/notice.go
+++ b/decide/emulate/notice.go
@@ -37,13 +37,14 @@
 	told   map[noticeKey]*toldNotices
 }
 
-// noticeKey identifies a target as seen by a process of an entry VM.
+// noticeKey identifies an instance of a target as seen by a process of an entry VM.
 type noticeKey struct {
-	process processID
-	target  fleet.TargetID
+	process   processID
+	target    fleet.TargetID
+	startedAt int64
 }
 
-// toldNotices are the notices of one target that one process has received.
+// toldNotices are the notices of one instance that one process has received.
 type toldNotices struct {
 	leavingSince clock.Time // 0: not leaving
 	backoffs     []backoffWindow
@@ -56,7 +57,8 @@
 }
 
 func (s *targetSend) noticeKey() noticeKey {
-	return noticeKey{processID{s.vm.self.ID, s.processNumber}, s.target.registered.ID}
+	t := &s.target.registered
+	return noticeKey{processID{s.vm.self.ID, s.processNumber}, t.ID, t.StartedAt}
 }
 
 func (rec *noticeRecorder) of(k noticeKey) *toldNotices {
--- a/decide/emulate/notice_test.go
+++ b/decide/emulate/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -103,3 +104,37 @@
 		}
 	})
 }
+
+// noticeSite is randomSite(seed) with targets that state notices in addition to the
+// site's own events.
+func noticeSite(seed uint64) *Pattern {
+	p := randomSite(seed)
+	d := draw{rand.New(rand.NewPCG(seed, 49))}
+	for range 1 + d.IntN(3) {
+		e := Event{Kind: LeaveTargets, Start: d.between(0.5, 4), Duration: d.between(0.5, 4), Share: d.between(0.1, 0.6)}
+		if d.IntN(2) == 0 {
+			e.Kind, e.Value = BackoffTargets, d.between(0.6, 3)
+		}
+		p.Events = append(p.Events, e)
+	}
+	return p
+}
+
+// Guards against notices that are followed on the known deployments only, or beside
+// some faults only. The deployments, loads and faults are random.
+func TestNoticesAreFollowedOnRandomSites(t *testing.T) {
+	const most = 2 // requests in a backoff, as operators allow
+	stated := 0
+	results := make([]*Result, 40)
+	parallel(len(results), func(i int) { results[i] = Run(noticeSite(uint64(i)), Variant{Seed: 1}) })
+	for i, r := range results {
+		n := r.Notices
+		stated += n.Leaving + n.Backoffs
+		if n.AfterLeaving > 0 || n.InBackoff > most {
+			t.Errorf("site %d: %+v", i, n)
+		}
+	}
+	if stated == 0 {
+		t.Error("no target has stated a notice")
+	}
+}
--- a/decide/ingress/bench_test.go
+++ b/decide/ingress/bench_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// BenchmarkNotice measures a target's backoff at the coordinator, from the notice of
+// another entry VM to the end of the time.
+func BenchmarkNotice(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
+			m := newFleetMember(size, "self")
+			var open []ingress.PlacementID
+			m.serve(objectNames(size.objects), &open, size.targets/10, 3*size.objects)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				target := fleet.TargetID(fmt.Sprint("t", i%size.targets))
+				m.step(&ingress.IncomingMessage{From: "vm0", Message: &ingress.TargetNotices{List: []ingress.TargetNotice{{Target: target, Backoff: time.Millisecond}}}})
+				m.now = m.now.Add(time.Second)
+				m.step(&ingress.Tick{})
+			}
+		})
+	}
+}
+
 func objectNames(n int) []string {
 	names := make([]string, n)
 	for i := range names {
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -250,10 +250,8 @@
 			return verdict.ReasonOverload
 		}
 	}
-	if len(j.svc.unavailable) > 0 {
-		if _, unavailable := r.unavailableUntil(j); unavailable {
-			return verdict.ReasonUnavailable
-		}
+	if _, unavailable := r.unavailableUntil(j); unavailable {
+		return verdict.ReasonUnavailable
 	}
 	return verdict.ReasonNoTarget
 }
@@ -308,7 +306,7 @@
 	t := r.choose(now, j)
 	if t == nil {
 		j.startWaiting()
-		r.denyUnavailable(now, j)
+		r.denyUnavailable(now, j) // which ends the wait
 		return
 	}
 	j.svc.waiting.Remove(&j.node)
