ingress: a request that may have run keeps the reason of its last send

A denial because all targets are leaving or in a backoff replaced it, and explain then named notices for a request that had run. Only requests that have not run are affected by the Retry-After of targets, so only these take that reason.

--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -187,7 +187,7 @@
 	if len(q.running) > 0 {
 		return // a hedge; the first send is still running
 	}
-	if q.reason == verdict.ReasonNone || reason == verdict.ReasonUnavailable {
+	if q.reason == verdict.ReasonNone || (reason == verdict.ReasonUnavailable && q.verdict == verdict.NotRun) {
 		q.reason = reason
 	}
 	r.refuse(now, q)
