--- a/decide/ingress/notice_test.go
+++ b/decide/ingress/notice_test.go
@@ -176,6 +176,20 @@
 	is.Equal(out.Refusals[0].Reason, verdict.ReasonUnavailable)
 }
 
+// Guards against a failure that is explained by notices although the request may have
+// run.
+func TestNoticesDoNotExplainRequestsThatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	s := noticeHarness(t, selfVM)
+	s.earnRetries()
+	e := s.step(&Arrive{Request: 100, Host: "h", Path: "/a/x"}).Sends[0]
+	s.notice("t1", 1, leaving)
+	s.notice("t2", 1, leaving)
+	f := s.step(&Failed{Attempt: e.Attempt, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}).Refusals[0]
+	is.Equal(f.Verdict, verdict.MayHaveRun)
+	is.Equal(f.Reason, verdict.ReasonConnectionLost)
+}
+
 // Guards against a target that a coordinator grants again and again although the
 // entry VMs know that it is not available.
 func TestGrantOfAnUnavailableTargetIsReturned(t *testing.T) {
