--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -184,7 +184,7 @@
 }
 
 // takeGatewayWait removes and returns the time in ms for which a request waited at its
-// gateway for a connection.
+// gateway for a connection; 0 if the gateway, of another version, states none.
 func takeGatewayWait(h http.Header) int64 {
 	wait, ok := heads.ParseMillis(h.Get(gatewayWaitHeader))
 	delete(h, gatewayWaitHeader)
