Connections: who closed them, why, and what was in flight is counted and logged

A request that this VM cuts off was logged as "caller closed its connection", the same as one whose caller has left; no line or metric named a close that this side decides.

inbound reports the end of each connection (reason, requests passed on, in flight, waiting, partly received); the entry VM counts connections_closed, requests_cut and requests_unread by reason, a request's line says closed_by, and a close of ours with requests that have no answer gets a line. outbound does the same for connections to targets and gateways (send_connections_closed, sends_cut). No decision changes.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -46,6 +47,11 @@
 	closing   bool        // close after the requests in flight are answered
 	readTimer *time.Timer // bounds the receipt of a message; nil: none
 	closed    bool
+	requests  int // passed to the handler
+	// closeReason is why this side closes the connection, "" if it has not decided
+	// to; deadlineReason is why it will when nbio's read deadline is exceeded.
+	closeReason    CloseReason
+	deadlineReason CloseReason
 
 	receiving atomic.Bool // a message is partly received
 	// partialBody counts the bytes reserved for a body that is not yet
@@ -216,6 +222,7 @@
 	}
 	c.stopReadTimer()
 	c.readTimer = time.AfterFunc(timeout, c.readTimedOut)
+	c.deadlineReason = ClosedReadTimeout
 	_ = c.nbc.SetReadDeadline(time.Now().Add(timeout + lingerTimeout))
 }
 
@@ -234,11 +241,12 @@
 	x.close = true
 	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
 	c.write(x, true, http.StatusRequestTimeout, h, body)
-	c.linger()
+	c.linger(ClosedReadTimeout)
 }
 
-// armIdle bounds the wait for the next request.
+// armIdle bounds the wait for the next request. It must be called with mu held.
 func (c *conn) armIdle() {
+	c.deadlineReason = ClosedIdleTimeout
 	_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
 }
 
@@ -284,7 +292,7 @@
 	}
 	h, body := c.s.opts.Refusal(status)
 	c.write(x, true, status, h, body)
-	c.linger()
+	c.linger(ClosedRefused)
 }
 
 // refusedExchange returns the exchange of a refused message. If the message may
@@ -313,8 +321,11 @@
 // Closing at once with unread data in the receive buffer would make the kernel
 // send a reset, which can destroy the refusal before the caller has read it:
 // the caller would see a broken connection instead of a verdict.
-func (c *conn) linger() {
+func (c *conn) linger(why CloseReason) {
 	c.discard.Store(true)
+	c.mu.Lock()
+	c.deadlineReason = why
+	c.mu.Unlock()
 	_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
@@ -358,6 +369,9 @@
 
 func (c *conn) serve(x *Exchange) {
 	c.s.exchangeStarted()
+	c.mu.Lock()
+	c.requests++
+	c.mu.Unlock()
 	x.counted = true
 	c.s.handler.Serve(x)
 }
@@ -397,7 +411,7 @@
 func (c *conn) onWritten(n int) {
 	c.written.Add(int64(n))
 	if c.draining.Load() && !c.pending() {
-		go c.linger()
+		go c.linger(ClosedAnswered)
 	}
 }
 
@@ -417,7 +431,7 @@
 	c.discard.Store(true)
 	c.draining.Store(true)
 	if !c.pending() {
-		c.linger()
+		c.linger(ClosedAnswered)
 	}
 }
 
@@ -429,14 +443,39 @@
 }
 
 // onClose is called once when the connection is closed.
-func (c *conn) onClose() {
+func (c *conn) onClose(err error) {
 	c.releasePartialBody()
 	c.mu.Lock()
 	c.closed = true
 	c.stopReadTimer()
+	end := c.end(err)
 	left := c.pipeline.abort()
 	c.mu.Unlock()
 	for _, x := range left {
-		x.setCallerGone()
+		x.setCallerGone(end.Reason)
+	}
+	if report := c.s.opts.Closed; report != nil {
+		report(end)
+	}
+}
+
+// end describes the closed connection. It must be called with mu held.
+func (c *conn) end(err error) ConnectionEnd {
+	why := c.closeReason
+	switch {
+	case errors.Is(err, nbio.ErrWriteTimeout):
+		why = ClosedWriteTimeout
+	case errors.Is(err, nbio.ErrReadTimeout):
+		why = c.deadlineReason
+	case errors.Is(err, io.EOF):
+		why = ClosedByCaller
+	case err != nil:
+		why = ClosedByFailure
+	case why == "":
+		why = ClosedStopEnd
+	}
+	return ConnectionEnd{
+		Reason: why, Remote: c.remote, Requests: c.requests,
+		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.inMessage(),
 	}
 }
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -33,6 +33,7 @@
 
 	mu         sync.Mutex
 	callerGone bool
+	closed     CloseReason // why the connection ended before the answer; "" if it did not
 	answered   bool
 	onGone     func()
 	bodyBytes  int64 // bytes of the body counted by Server.reserveBody
@@ -99,15 +100,24 @@
 	x.bodyBytes = 0
 }
 
-// setCallerGone records that the caller has disconnected and calls the
+// CloseReason returns why the connection was closed before the answer, "" if it
+// was not.
+func (x *Exchange) CloseReason() CloseReason {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.closed
+}
+
+// setCallerGone records that the connection was closed and calls the
 // OnCallerGone callback.
-func (x *Exchange) setCallerGone() {
+func (x *Exchange) setCallerGone(why CloseReason) {
 	x.mu.Lock()
 	if x.callerGone || x.answered {
 		x.mu.Unlock()
 		return
 	}
 	x.callerGone = true
+	x.closed = why
 	f := x.onGone
 	x.mu.Unlock()
 	x.releaseBody()
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -123,7 +123,7 @@
 	c.mu.Unlock()
 	switch {
 	case x.Refused != 0:
-		c.linger()
+		c.linger(ClosedRefused)
 	case last:
 		c.close()
 	}
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -35,7 +35,7 @@
 }
 
 // Options configures a Server. MaxBodyBytes, MaxBufferedBodies, Pollers,
-// MayBeRepeat and Overlaps are optional.
+// MayBeRepeat, Overlaps and Closed are optional.
 type Options struct {
 	Limits
 	// MaxBodyBytes is the largest body limit that SetLimits may set; 0:
@@ -57,6 +57,9 @@
 	// that its caller has pipelined on the same connection. Nil: each request
 	// waits for the answer to the one before.
 	Overlaps func(r *Request) bool
+	// Closed is called once for each closed connection. It must not block; may be
+	// nil.
+	Closed func(ConnectionEnd)
 }
 
 // Server accepts callers' connections and reads their requests.
@@ -197,14 +200,14 @@
 	return ap.Addr().Unmap()
 }
 
-func (s *Server) onClose(nc net.Conn, _ error) {
+func (s *Server) onClose(nc net.Conn, err error) {
 	nbc, ok := nc.(*nbio.Conn)
 	if !ok {
 		return
 	}
 	if c := connOf(nbc); c != nil {
 		s.removeConn(c)
-		c.onClose()
+		c.onClose(err)
 	}
 }
 
@@ -311,6 +314,9 @@
 	}
 	s.mu.Unlock()
 	for _, c := range free {
+		c.mu.Lock()
+		c.closeReason = ClosedStopIdle
+		c.mu.Unlock()
 		c.nbc.Close()
 	}
 }
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -12,6 +12,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/serve/inbound"
 )
 
 // Values of the field "event" in log lines. docs/OPERATIONS.md explains the fields
@@ -30,6 +31,7 @@
 	eventCondensed = "requests-condensed"
 	eventPlaced    = "placed"
 	eventGateway   = "gateway"
+	eventConn      = "connection"
 
 	eventQuarantine = "quarantine"
 	eventQuota      = "quota"
@@ -126,11 +128,38 @@
 	}
 }
 
-// logCallerGone records a request whose caller closed its connection.
+// logCallerGone records a request whose connection was closed before the answer.
 func (s *Server) logCallerGone(k *call) {
 	s.metrics.callersGone.Add(1)
+	line, _ := s.sampler.sampleFailure(s.now())
+	if !line {
+		return
+	}
+	why := k.exchange.CloseReason()
+	entry := s.requestLine(k, 0, verdict.MayHaveRun, verdict.ReasonCallerGone).WithField("closed_by", why)
+	if why.Own() {
+		entry.Warn("this entry VM closed the connection of a request")
+		return
+	}
+	entry.Info("caller closed its connection")
+}
+
+// connectionClosed records the end of a connection of a caller or of another entry
+// VM. Only a close that this VM decided and that left requests without an answer gets
+// a line.
+func (s *Server) connectionClosed(end inbound.ConnectionEnd) {
+	why := string(end.Reason)
+	s.metrics.connsClosed.Add(why, 1)
+	s.metrics.requestsCut.Add(why, int64(end.InFlight))
+	s.metrics.requestsUnread.Add(why, int64(end.Waiting))
+	if !end.Reason.Own() || end.InFlight+end.Waiting == 0 {
+		return
+	}
 	if line, _ := s.sampler.sampleFailure(s.now()); line {
-		s.requestLine(k, 0, verdict.MayHaveRun, verdict.ReasonCallerGone).Info("caller closed its connection")
+		s.event(eventConn).WithFields(logrus.Fields{
+			"closed_by": end.Reason, "remote": end.Remote, "requests": end.Requests,
+			"in_flight": end.InFlight, "waiting": end.Waiting, "partial": end.Partial, "leaving": s.leaving.Load(),
+		}).Warn("a connection was closed with requests that have no answer")
 	}
 }
 
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/outbound"
 )
 
 // metrics are the counters of the entry VM. docs/OPERATIONS.md lists their
@@ -37,9 +38,14 @@
 	gatewayConnWaits  *expvar.Int
 	gatewayConnWaitMS *expvar.Int
 	// silentGateways counts gateways that did not acknowledge a request.
-	silentGateways *expvar.Int
-	callersGone    *expvar.Int // callers that closed their connection
-	probes         *expvar.Int // of targets that may have crashed
+	silentGateways  *expvar.Int
+	callersGone     *expvar.Int // requests whose connection was closed before the answer
+	connsClosed     *expvar.Map // connections of callers and entry VMs, by reason
+	requestsCut     *expvar.Map // requests in flight on them, by reason
+	requestsUnread  *expvar.Map // requests received on them and not passed on, by reason
+	sendConnsClosed *expvar.Map // connections to targets and gateways, by reason
+	sendsCut        *expvar.Map // requests in flight on them, by reason
+	probes          *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
 	unreadLimits       *expvar.Int
 	unreadNotices      *expvar.Int // notices in answers that could not be parsed
@@ -91,7 +97,7 @@
 		vars: new(expvar.Map).Init(), answersByStatus: new(expvar.Map).Init(), refusalsByReason: new(expvar.Map).Init(),
 		refusalsByVerdict: new(expvar.Map).Init(), sends: new(expvar.Int), sendsByDomain: new(expvar.Map).Init(),
 		connWaits: new(expvar.Map).Init(), connWaitMS: new(expvar.Map).Init(), sendsByOutcome: new(expvar.Map).Init(), forwarded: new(expvar.Int), gatewayConnWaits: new(expvar.Int), gatewayConnWaitMS: new(expvar.Int), silentGateways: new(expvar.Int),
-		callersGone: new(expvar.Int), probes: new(expvar.Int), unreadLimits: new(expvar.Int), unreadNotices: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
+		callersGone: new(expvar.Int), connsClosed: new(expvar.Map).Init(), requestsCut: new(expvar.Map).Init(), requestsUnread: new(expvar.Map).Init(), sendConnsClosed: new(expvar.Map).Init(), sendsCut: new(expvar.Map).Init(), probes: new(expvar.Int), unreadLimits: new(expvar.Int), unreadNotices: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
 	}
 	m.vars.Set("answers_by_status", m.answersByStatus)
 	m.vars.Set("refusals_by_reason", m.refusalsByReason)
@@ -106,6 +112,11 @@
 	m.vars.Set("carried_connection_wait_ms", m.gatewayConnWaitMS)
 	m.vars.Set("gateways_silent", m.silentGateways)
 	m.vars.Set("callers_gone", m.callersGone)
+	m.vars.Set("connections_closed", m.connsClosed)
+	m.vars.Set("requests_cut", m.requestsCut)
+	m.vars.Set("requests_unread", m.requestsUnread)
+	m.vars.Set("send_connections_closed", m.sendConnsClosed)
+	m.vars.Set("sends_cut", m.sendsCut)
 	m.vars.Set("target_probes", m.probes)
 	m.vars.Set("target_limits_unread", m.unreadLimits)
 	m.vars.Set("target_notices_unread", m.unreadNotices)
@@ -122,6 +133,14 @@
 	m.connWaitMS.Add(string(at), took.Milliseconds())
 }
 
+// addSendConnClosed counts a closed connection to a target or a gateway.
+func (m *metrics) addSendConnClosed(why outbound.CloseReason, inUse bool) {
+	m.sendConnsClosed.Add(string(why), 1)
+	if inUse {
+		m.sendsCut.Add(string(why), 1)
+	}
+}
+
 func (m *metrics) addAnswer(status int, took time.Duration) {
 	m.answersByStatus.Add(strconv.Itoa(status), 1)
 	m.answerLatency.record(took)
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -192,6 +192,7 @@
 		Pollers:        1,
 		Now:            s.now,
 		Dial:           dialTarget,
+		Closed:         s.metrics.addSendConnClosed,
 	})
 }
 
@@ -210,6 +211,7 @@
 		Pollers:           1,
 		Refusal:           func(int) (http.Header, []byte) { return nil, nil },
 		Overlaps:          s.mayOverlap,
+		Closed:            s.connectionClosed,
 	})
 }
 
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -168,7 +168,7 @@
 		k.done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason})
 		return
 	}
-	c.nbc.Close()
+	c.close(ClosedCancelled)
 	k.done(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason})
 }
 
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -33,8 +33,9 @@
 	initialized atomic.Bool
 
 	// Guarded by p.mu.
-	call      *Call // the call that has claimed the connection
-	ended     bool  // no longer counted in peer.open
+	call      *Call       // the call that has claimed the connection
+	ended     bool        // no longer counted in peer.open
+	closedBy  CloseReason // why this side closes it, "" if it does not
 	idleSince clock.Time
 	maxIdle   time.Duration // how long it may be idle before it is closed
 
@@ -70,7 +71,7 @@
 	}
 	k.writeDone(err)
 	if err != nil {
-		c.nbc.Close()
+		c.close(ClosedByFailure)
 	}
 }
 
@@ -83,6 +84,7 @@
 	for len(data) > 0 {
 		n, err := c.consume(data)
 		if err != nil {
+			c.p.noteClose(c, ClosedInvalid)
 			c.nbc.CloseWithError(err)
 			return
 		}
@@ -216,6 +218,9 @@
 func (c *conn) onClose(err error) {
 	k := c.p.detach(c)
 	c.p.countClosed(c)
+	if report := c.p.pool.opts.Closed; report != nil {
+		report(c.p.closeReason(c, err), k != nil)
+	}
 	end := c.closeDelimited.Load()
 	whole := end != nil && end.endedCleanly()
 	if k == nil {
@@ -409,6 +414,12 @@
 	if k != nil {
 		k.finish(nil, &verdict.Error{Verdict: v, Reason: r, Err: err})
 	}
+	c.close(ClosedInvalid)
+}
+
+// close closes the connection. The first reason counts.
+func (c *conn) close(why CloseReason) {
+	c.p.noteClose(c, why)
 	c.nbc.Close()
 }
 
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -1,6 +1,8 @@
 package outbound
 
 import (
+	"errors"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -104,7 +106,7 @@
 // closeIdle closes the connections that have been idle for at least age.
 func (pe *peer) closeIdle(age time.Duration) {
 	for _, c := range pe.removeIdle(pe.pool.opts.Now(), age) {
-		c.nbc.Close()
+		c.close(ClosedIdle)
 	}
 }
 
@@ -144,7 +146,7 @@
 	}
 	pe.mu.Unlock()
 	if !keep {
-		c.nbc.Close()
+		c.close(ClosedNotReusable)
 	}
 	return k
 }
@@ -244,3 +246,28 @@
 		pe.open--
 	}
 }
+
+// noteClose records why this side closes c; the first reason counts.
+func (pe *peer) noteClose(c *conn, why CloseReason) {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if c.closedBy == "" {
+		c.closedBy = why
+	}
+}
+
+// closeReason returns why c was closed, with the error that nbio reports.
+func (pe *peer) closeReason(c *conn, err error) CloseReason {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	switch {
+	case c.closedBy != "":
+		return c.closedBy
+	case errors.Is(err, io.EOF):
+		return ClosedByReceiver
+	case err != nil:
+		return ClosedByFailure
+	default:
+		return ClosedWithPool
+	}
+}
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -14,7 +14,7 @@
 	"github.com/azurethread/azurethread/serve/pollers"
 )
 
-// Options configures a Pool. Only Pollers is optional.
+// Options configures a Pool. Pollers and Closed are optional.
 type Options struct {
 	DialTimeout    time.Duration
 	IdleTimeout    time.Duration // an idle connection is closed after it
@@ -23,6 +23,9 @@
 	Now            func() clock.Time
 	// Dial opens a TCP connection; net.DialTimeout except in tests.
 	Dial func(network, addr string, timeout time.Duration) (net.Conn, error)
+	// Closed is called once for each closed connection. inUse is set if a request
+	// had claimed it and had no answer or verdict yet. It must not block; may be nil.
+	Closed func(why CloseReason, inUse bool)
 }
 
 // Pool manages the connections of one entry VM to all receivers.
