--- a/serve/ingress/gateway_test.go
+++ b/serve/ingress/gateway_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -307,3 +308,50 @@
 		}
 	}
 }
+
+// Guards against a submission whose outcome its caller cannot know: it crosses the
+// close of an idle connection at a gateway that leaves, which has not passed it on.
+func TestGatewayThatLeavesLosesNoSubmission(t *testing.T) {
+	const callers, rounds = 100, 5
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	var mu sync.Mutex
+	runs := make(map[string]int)
+	w.startRemoteTarget("t1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		runs[r.Header.Get(testFields.RequestID)]++
+		mu.Unlock()
+		respondOK("done")(rw, r)
+	}))
+	for round := range rounds {
+		near, gate := w.startTwoRegions()
+		conns := make([]*caller, callers)
+		for i := range conns {
+			conns[i] = dial(t, near)
+			conns[i].sendRequest(http.MethodPost, "/", fmt.Sprint("first-", round, "-", i))
+			res, _ := conns[i].readResponse(http.MethodPost)
+			is.Equal(res.StatusCode, http.StatusOK)
+		}
+		var sent sync.WaitGroup
+		decided := time.Now().Add(5 * time.Millisecond)
+		for i, c := range conns {
+			sent.Go(func() {
+				time.Sleep(time.Until(decided.Add(rand.N(3*time.Millisecond) - 1500*time.Microsecond)))
+				id := fmt.Sprint(round, "-", i)
+				c.sendRequest(http.MethodPost, "/", id)
+				res, _ := c.readResponse(http.MethodPost)
+				mu.Lock()
+				defer mu.Unlock()
+				if ok := res.StatusCode == http.StatusOK && runs[id] == 1 || res.StatusCode == http.StatusServiceUnavailable && runs[id] == 0; !ok {
+					t.Errorf("request %s: status %d, %d runs", id, res.StatusCode, runs[id])
+				}
+			})
+		}
+		time.Sleep(time.Until(decided))
+		gate.gatewayServer.AnnounceClose()
+		gate.gatewayServer.StopAccepting()
+		sent.Wait()
+		near.shutdown()
+		gate.shutdown()
+	}
+}
