inbound: a connection closes in a stop only by the lock that passes requests on

Cause: StopAccepting collected idle connections under the server's lock and closed them afterwards, and Stop looked whether anything was in flight and then stopped the engine. A poller could read a request and pass it on between the look and the close.

Change: a connection has one phase (open, last, closed), guarded by the lock under which requests are passed on. Closing an idle connection sets it in the same critical section as the check; a connection on which data has begun to be processed isn't idle. Stop lets connections close the same way, so that nothing is passed on when the engine stops.

Why it works: passing on needs phase open, and the decision to close needs that nothing is passed on, received or unsent; both hold the same lock. What a poller has read but not begun to process is dropped: its caller sees an unread request.

--- a/serve/inbound/close_test.go
+++ b/serve/inbound/close_test.go
@@ -93,15 +93,14 @@
 const crossingSpread = 3 * time.Millisecond
 
 // sendAround calls decide, and has each caller send one request. The requests are sent
-// within crossingSpread, which begins at the time from after that decision; from may be
-// negative.
-func (c *crossing) sendAround(callers []*crossingCaller, from time.Duration, decide func()) {
+// within crossingSpread, around the time after from that decision.
+func (c *crossing) sendAround(callers []*crossingCaller, after time.Duration, decide func()) {
 	var sent sync.WaitGroup
 	decided := time.Now().Add(crossingSpread)
 	for i, k := range callers {
-		at := decided.Add(from + rand.N(crossingSpread))
+		begin := decided.Add(after + rand.N(crossingSpread) - crossingSpread/2)
 		sent.Go(func() {
-			time.Sleep(time.Until(at))
+			time.Sleep(time.Until(begin))
 			k.request("/" + strconv.Itoa(i))
 			_ = k.conn.Close()
 		})
@@ -135,7 +134,7 @@
 	passedOn, lost := 0, 0
 	for range crossingRounds {
 		c := newCrossing(t, time.Minute)
-		c.sendAround(c.connect(crossingCallers), -crossingSpread/2, func() {
+		c.sendAround(c.connect(crossingCallers), 0, func() {
 			c.s.AnnounceClose()
 			c.s.StopAccepting()
 		})
@@ -172,15 +171,16 @@
 	is.New(t).Equal(lost, 0)
 }
 
-// Guards against a request that is passed on at the very end of a planned stop, after
-// the server has found that nothing is in flight: the end of the process cuts it off.
+// Guards against a request that is passed on after the server has found in a planned
+// stop that nothing is in flight: the end of the process cuts it off.
 func TestEndOfStopClosesNoConnectionWithARequest(t *testing.T) {
 	passedOn, lost := 0, 0
-	for range crossingRounds {
+	for round := range crossingRounds {
 		c := newCrossing(t, time.Minute)
 		callers := c.connect(crossingCallers)
 		stopped := make(chan error, 1)
-		c.sendAround(callers, flushPollInterval, func() { go func() { stopped <- c.s.Stop(t.Context()) }() })
+		after := []time.Duration{0, flushPollInterval + crossingSpread/2}[round%2]
+		c.sendAround(callers, after, func() { go func() { stopped <- c.s.Stop(t.Context()) }() })
 		if err := <-stopped; err != nil {
 			t.Error(err)
 		}
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -44,16 +43,15 @@
 	mu        sync.Mutex
 	active    bool // like sawData, for armIdleTimeout
 	pipeline  pipeline
-	closing   bool        // close after the requests in flight are answered
+	phase     phase
+	receiving bool        // data is being processed, or a message is partly received
 	readTimer *time.Timer // bounds the receipt of a message; nil: none
-	closed    bool
-	requests  int // passed to the handler
+	requests  int         // passed to the handler
 	// closeReason is why this side closes the connection, "" if it has not decided
 	// to; deadlineReason is why it will when nbio's read deadline is exceeded.
 	closeReason    CloseReason
 	deadlineReason CloseReason
 
-	receiving atomic.Bool // a message is partly received
 	// partialBody counts the bytes reserved for a body that is not yet
 	// complete.
 	partialBody atomic.Int64
@@ -61,7 +59,6 @@
 	queued   atomic.Int64 // bytes handed to nbio
 	written  atomic.Int64 // bytes that nbio has written to the kernel
 	draining atomic.Bool  // close once written reaches queued
-	discard  atomic.Bool  // ignore further received data
 }
 
 // errRefused reports that a refusal was sent and the connection is to be
@@ -70,12 +67,12 @@
 
 // onData processes received bytes and answers a message that is refused.
 func (c *conn) onData(_ *nbio.Conn, data []byte) {
-	if !c.initialized.Load() {
+	if !c.initialized.Load() || !c.beginReceiving() {
 		return
 	}
 	c.markActive()
-	defer c.updateReceiving()
-	for len(data) > 0 && !c.discard.Load() {
+	defer c.endReceiving()
+	for len(data) > 0 && c.isOpen() {
 		n, status := c.takeData(data)
 		if status != 0 {
 			c.refuse(status)
@@ -173,15 +170,6 @@
 	}
 }
 
-// updateReceiving records whether a message is partly received.
-func (c *conn) updateReceiving() {
-	c.receiving.Store(len(c.head) > 0 || c.req != nil)
-}
-
-// inMessage reports whether a message is partly received that will be
-// processed.
-func (c *conn) inMessage() bool { return c.receiving.Load() && !c.discard.Load() }
-
 // markActive records that the connection has received data.
 func (c *conn) markActive() {
 	if c.sawData {
@@ -230,13 +218,12 @@
 // deadline would close the connection without an answer.
 func (c *conn) readTimedOut() {
 	c.mu.Lock()
-	if c.closed || c.closing || !c.pipeline.empty() {
+	if c.phase != phaseOpen || !c.pipeline.empty() {
 		c.mu.Unlock()
 		return
 	}
-	c.closing = true
+	c.phase = phaseLast
 	c.mu.Unlock()
-	c.discard.Store(true)
 	x := &Exchange{c: c}
 	x.close = true
 	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
@@ -250,14 +237,6 @@
 	_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
 }
 
-// isIdle reports whether the connection has no request in flight or partly
-// received, and no answer left to send.
-func (c *conn) isIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pipeline.empty() && !c.closing && !c.inMessage() && !c.pending()
-}
-
 // stopReadTimer must be called with mu held.
 func (c *conn) stopReadTimer() {
 	if c.readTimer != nil {
@@ -272,11 +251,11 @@
 func (c *conn) refuse(status int) {
 	x := c.refusedExchange(status)
 	c.mu.Lock()
-	if c.closed || c.closing {
+	if c.phase != phaseOpen {
 		c.mu.Unlock()
 		return
 	}
-	c.closing = true
+	c.phase = phaseLast
 	if !c.pipeline.empty() {
 		c.mu.Unlock()
 		return
@@ -285,7 +264,6 @@
 		c.startExchange(x)
 	}
 	c.mu.Unlock()
-	c.discard.Store(true)
 	if x.Refused != 0 {
 		c.serve(x)
 		return
@@ -322,7 +300,6 @@
 // send a reset, which can destroy the refusal before the caller has read it:
 // the caller would see a broken connection instead of a verdict.
 func (c *conn) linger(why CloseReason) {
-	c.discard.Store(true)
 	c.mu.Lock()
 	c.deadlineReason = why
 	c.mu.Unlock()
@@ -333,12 +310,12 @@
 // those in flight.
 func (c *conn) dispatch(x *Exchange) {
 	c.mu.Lock()
-	if c.closing || c.closed {
+	if c.phase != phaseOpen {
 		c.mu.Unlock()
 		return
 	}
 	if len(c.pipeline.waiting) >= maxPipelined {
-		c.closing = true // the caller sees requests without an answer as unread
+		c.phase = phaseLast // the caller sees requests without an answer as unread
 		c.mu.Unlock()
 		return
 	}
@@ -410,8 +387,12 @@
 // connection's lock during the call, so closing is left to another goroutine.
 func (c *conn) onWritten(n int) {
 	c.written.Add(int64(n))
-	if c.draining.Load() && !c.pending() {
+	switch {
+	case c.pending():
+	case c.draining.Load():
 		go c.linger(ClosedAnswered)
+	case c.s.refusing.Load():
+		go c.closeInStop()
 	}
 }
 
@@ -425,10 +406,6 @@
 // new connection by the time the poller handles an event of the old one, and
 // the new connection is reset. One of some thousand callers was affected.
 func (c *conn) close() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.discard.Store(true)
 	c.draining.Store(true)
 	if !c.pending() {
 		c.linger(ClosedAnswered)
@@ -441,41 +418,3 @@
 		c.s.bodyBytes.Add(-n)
 	}
 }
-
-// onClose is called once when the connection is closed.
-func (c *conn) onClose(err error) {
-	c.releasePartialBody()
-	c.mu.Lock()
-	c.closed = true
-	c.stopReadTimer()
-	end := c.end(err)
-	left := c.pipeline.abort()
-	c.mu.Unlock()
-	for _, x := range left {
-		x.setCallerGone(end.Reason)
-	}
-	if report := c.s.opts.Closed; report != nil {
-		report(end)
-	}
-}
-
-// end describes the closed connection. It must be called with mu held.
-func (c *conn) end(err error) ConnectionEnd {
-	why := c.closeReason
-	switch {
-	case errors.Is(err, nbio.ErrWriteTimeout):
-		why = ClosedWriteTimeout
-	case errors.Is(err, nbio.ErrReadTimeout):
-		why = c.deadlineReason
-	case errors.Is(err, io.EOF):
-		why = ClosedByCaller
-	case err != nil:
-		why = ClosedByFailure
-	case why == "":
-		why = ClosedStopEnd
-	}
-	return ConnectionEnd{
-		Reason: why, Remote: c.remote, Requests: c.requests,
-		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.inMessage(),
-	}
-}
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -289,7 +289,7 @@
 	for receiving := false; !receiving; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		for c := range s.conns {
-			receiving = c.inMessage()
+			receiving = c.isBusy()
 		}
 		s.mu.Unlock()
 	}
--- /dev/null
+++ b/serve/inbound/lifecycle.go
@@ -0,0 +1,117 @@
+package inbound
+
+import (
+	"errors"
+	"io"
+
+	"github.com/lesismal/nbio"
+)
+
+// phase is the state of a connection. It only advances, and it is guarded by
+// conn.mu, under which requests are also passed on. A request can therefore not be
+// passed on after the decision to close its connection, whichever goroutine decides.
+type phase uint8
+
+const (
+	phaseOpen   phase = iota // received requests are passed on
+	phaseLast                // none is received any more; those passed on are answered
+	phaseClosed              // closed, or about to be
+)
+
+// beginReceiving records that data has come. It reports false if the connection is
+// closing: what comes then is ignored, and its caller sees it as unread.
+func (c *conn) beginReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = c.phase == phaseOpen
+	return c.receiving
+}
+
+// endReceiving records whether a message is partly received, after data has been
+// processed.
+func (c *conn) endReceiving() {
+	partial := len(c.head) > 0 || c.req != nil
+	c.mu.Lock()
+	c.receiving = partial && c.phase == phaseOpen
+	c.mu.Unlock()
+	c.closeInStop()
+}
+
+// closeInStop closes the connection if it is idle and the server takes no further
+// request.
+func (c *conn) closeInStop() {
+	if !c.s.refusing.Load() {
+		return
+	}
+	c.mu.Lock()
+	idle := c.closeIfIdle(ClosedStopIdle)
+	c.mu.Unlock()
+	if idle {
+		c.nbc.Close()
+	}
+}
+
+// isOpen reports whether received requests are passed on.
+func (c *conn) isOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseOpen
+}
+
+// isBusy reports whether a message is partly received or in flight, or bytes wait to
+// be sent.
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.receiving || !c.pipeline.empty() || c.pending()
+}
+
+// closeIfIdle decides to close the connection if it has no request in flight or partly
+// received and no answer left to send. It reports whether the caller must now close
+// it. It must be called with mu held.
+func (c *conn) closeIfIdle(why CloseReason) bool {
+	if c.phase != phaseOpen || c.receiving || !c.pipeline.empty() || c.pending() {
+		return false
+	}
+	c.phase = phaseClosed
+	c.closeReason = why
+	return true
+}
+
+// onClose is called once when the connection is closed.
+func (c *conn) onClose(err error) {
+	c.releasePartialBody()
+	c.mu.Lock()
+	c.phase = phaseClosed
+	c.stopReadTimer()
+	end := c.end(err)
+	left := c.pipeline.abort()
+	c.mu.Unlock()
+	for _, x := range left {
+		x.setCallerGone(end.Reason)
+	}
+	if report := c.s.opts.Closed; report != nil {
+		report(end)
+	}
+}
+
+// end describes the closed connection. It must be called with mu held.
+func (c *conn) end(err error) ConnectionEnd {
+	why := c.closeReason
+	switch {
+	case errors.Is(err, nbio.ErrWriteTimeout):
+		why = ClosedWriteTimeout
+	case errors.Is(err, nbio.ErrReadTimeout):
+		why = c.deadlineReason
+	case errors.Is(err, io.EOF):
+		why = ClosedByCaller
+	case err != nil:
+		why = ClosedByFailure
+	case why == "":
+		why = ClosedStopEnd
+	}
+	return ConnectionEnd{
+		Reason: why, Remote: c.remote, Requests: c.requests,
+		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.receiving,
+	}
+}
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -94,8 +94,10 @@
 	x := p.inFlight[0]
 	// Only the last answer says that the connection closes: requests in flight
 	// behind it have already been passed on and must be answered.
-	last := len(p.inFlight) == 1 && (c.closing || x.close || c.s.stopping.Load())
-	c.closing = c.closing || last
+	last := len(p.inFlight) == 1 && (c.phase != phaseOpen || x.close || c.s.stopping.Load())
+	if last {
+		c.phase = max(c.phase, phaseLast)
+	}
 	c.mu.Unlock()
 	if a := x.answer; !x.isCallerGone() {
 		c.write(x, last, a.status, a.header, a.body)
@@ -114,7 +116,7 @@
 	p := &c.pipeline
 	p.inFlight = p.inFlight[1:]
 	var started []*Exchange
-	if !c.closing {
+	if c.phase == phaseOpen {
 		started = c.admit()
 		if p.empty() {
 			c.armIdle()
@@ -126,6 +128,8 @@
 		c.linger(ClosedRefused)
 	case last:
 		c.close()
+	default:
+		c.closeInStop()
 	}
 	c.serveAll(started)
 }
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,7 +72,8 @@
 	handler       Handler
 	engine        *nbhttp.Engine
 	listener      net.Listener
-	stopping      atomic.Bool
+	stopping      atomic.Bool // each answer that leaves its connection idle announces the close
+	refusing      atomic.Bool // idle connections are closed
 	acceptLoop    sync.WaitGroup
 
 	stopEngine sync.Once // nbio panics if it is stopped twice
@@ -282,7 +285,7 @@
 	var err error
 	select {
 	case <-s.idle:
-		s.closeListener() // otherwise new callers could delay the stop without end
+		s.StopAccepting() // otherwise callers could delay the stop without end
 		err = s.flush(ctx)
 	case <-ctx.Done():
 		err = fmt.Errorf("inbound: requests still in flight: %w", ctx.Err())
@@ -302,25 +305,23 @@
 
 // StopAccepting closes the listener and all idle connections. Otherwise callers
 // that keep opening or reusing connections would keep a leaving VM busy until it
-// ends, which interrupts their requests.
+// ends, which interrupts their requests. A connection in use closes as soon as it is
+// idle.
 func (s *Server) StopAccepting() {
 	s.closeListener()
-	s.mu.Lock()
-	var free []*conn
-	for c := range s.conns {
-		if c.isIdle() {
-			free = append(free, c)
-		}
-	}
-	s.mu.Unlock()
-	for _, c := range free {
-		c.mu.Lock()
-		c.closeReason = ClosedStopIdle
-		c.mu.Unlock()
-		c.nbc.Close()
+	s.refusing.Store(true)
+	for _, c := range s.openConns() {
+		c.closeInStop()
 	}
 }
 
+// openConns returns all open connections.
+func (s *Server) openConns() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 func (s *Server) closeListener() {
 	_ = s.listener.Close()
 	s.acceptLoop.Wait()
@@ -351,13 +352,4 @@
 
 // busy reports whether a request is partly received or in flight, or a
 // connection has bytes that the kernel has not taken.
-func (s *Server) busy() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if c.pending() || c.inMessage() {
-			return true
-		}
-	}
-	return s.inFlight > 0
-}
+func (s *Server) busy() bool { return slices.ContainsFunc(s.openConns(), (*conn).isBusy) }
