inbound: deadlines are decided by the lock that passes requests on

Cause: the same class as in a stop. The idle timeout was nbio's read deadline, which closes the connection from the goroutine of a timer, without a look at what is in flight.

Change: a connection has one deadline of its own, for the next request, for the rest of a message, or for the caller's close after its last answer. When it ends, the phase is changed under the lock that passes requests on, or nothing happens as data has come. It replaces nbio's read deadline and the timer for messages.

The linger of a second is as before, on the same timer.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -29,7 +29,6 @@
 	initialized atomic.Bool
 
 	// Parsing state, used only while the parser runs.
-	sawData  bool // bytes were received
 	req      *Exchange
 	head     []byte // received part of the next head
 	inBody   bool
@@ -40,17 +39,15 @@
 	inChunks      bool
 	uncheckedHead bool
 
-	mu        sync.Mutex
-	active    bool // like sawData, for armIdleTimeout
-	pipeline  pipeline
-	phase     phase
-	receiving bool        // data is being processed, or a message is partly received
-	readTimer *time.Timer // bounds the receipt of a message; nil: none
-	requests  int         // passed to the handler
-	// closeReason is why this side closes the connection, "" if it has not decided
-	// to; deadlineReason is why it will when nbio's read deadline is exceeded.
-	closeReason    CloseReason
-	deadlineReason CloseReason
+	mu          sync.Mutex
+	pipeline    pipeline
+	phase       phase
+	closeReason CloseReason // why this side closes the connection, "" if it has not decided to
+	receiving   bool        // data is being processed, or a message is partly received
+	requests    int         // passed to the handler
+	awaited     awaited
+	deadline    time.Time // of what is awaited
+	timer       *time.Timer
 
 	// partialBody counts the bytes reserved for a body that is not yet
 	// complete.
@@ -70,7 +67,6 @@
 	if !c.initialized.Load() || !c.beginReceiving() {
 		return
 	}
-	c.markActive()
 	defer c.endReceiving()
 	for len(data) > 0 && c.isOpen() {
 		n, status := c.takeData(data)
@@ -170,28 +166,6 @@
 	}
 }
 
-// markActive records that the connection has received data.
-func (c *conn) markActive() {
-	if c.sawData {
-		return
-	}
-	c.sawData = true
-	c.mu.Lock()
-	c.active = true
-	c.mu.Unlock()
-}
-
-// armIdleTimeout bounds the wait for the first bytes of a new connection. The
-// poller may have read some before the accepting goroutine gets here; the
-// timeout set for them is shorter and must stay.
-func (c *conn) armIdleTimeout() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.active {
-		c.armIdle()
-	}
-}
-
 // armHeadTimeout bounds the time from the first byte of a message to its end.
 // Without it, a caller that sends a byte now and then would hold a connection
 // and its buffers indefinitely, and the connections gauge would grow without
@@ -208,22 +182,11 @@
 	if !c.pipeline.empty() {
 		return
 	}
-	c.stopReadTimer()
-	c.readTimer = time.AfterFunc(timeout, c.readTimedOut)
-	c.deadlineReason = ClosedReadTimeout
-	_ = c.nbc.SetReadDeadline(time.Now().Add(timeout + lingerTimeout))
+	c.await(awaitMessage, timeout)
 }
 
-// readTimedOut answers a message that was not received in time. nbio's own
-// deadline would close the connection without an answer.
-func (c *conn) readTimedOut() {
-	c.mu.Lock()
-	if c.phase != phaseOpen || !c.pipeline.empty() {
-		c.mu.Unlock()
-		return
-	}
-	c.phase = phaseLast
-	c.mu.Unlock()
+// refuseSlow answers a message that was not received in time.
+func (c *conn) refuseSlow() {
 	x := &Exchange{c: c}
 	x.close = true
 	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
@@ -231,20 +194,6 @@
 	c.linger(ClosedReadTimeout)
 }
 
-// armIdle bounds the wait for the next request. It must be called with mu held.
-func (c *conn) armIdle() {
-	c.deadlineReason = ClosedIdleTimeout
-	_ = c.nbc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
-}
-
-// stopReadTimer must be called with mu held.
-func (c *conn) stopReadTimer() {
-	if c.readTimer != nil {
-		c.readTimer.Stop()
-		c.readTimer = nil
-	}
-}
-
 // refuse answers a message that cannot be processed and closes the connection.
 // While an earlier exchange is in flight its answer must come first, so refuse
 // only marks the connection as closing.
@@ -301,9 +250,9 @@
 // the caller would see a broken connection instead of a verdict.
 func (c *conn) linger(why CloseReason) {
 	c.mu.Lock()
-	c.deadlineReason = why
-	c.mu.Unlock()
-	_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	defer c.mu.Unlock()
+	c.closeReason = why
+	c.await(awaitClose, lingerTimeout)
 }
 
 // dispatch accepts a parsed request: it is served at once, or queued behind
@@ -328,14 +277,11 @@
 // maxPipelined bounds the requests queued behind those in flight.
 const maxPipelined = 16
 
-// startExchange adds x to the exchanges in flight and removes the read timeout.
-// It must be called with mu held: pipeline and timeout change together, or else
-// the idle timeout of the exchange before could be set last and close the
-// connection during x.
+// startExchange adds x to the exchanges in flight and removes the deadline for its
+// receipt. It must be called with mu held.
 func (c *conn) startExchange(x *Exchange) {
 	c.pipeline.inFlight = append(c.pipeline.inFlight, x)
-	c.stopReadTimer()
-	_ = c.nbc.SetReadDeadline(time.Time{})
+	c.awaitNothing()
 }
 
 func (c *conn) serveAll(list []*Exchange) {
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -18,6 +19,78 @@
 	phaseClosed              // closed, or about to be
 )
 
+// awaited is what a connection's deadline is for.
+type awaited uint8
+
+const (
+	awaitNone    awaited = iota
+	awaitRequest         // the first byte of the next request
+	awaitMessage         // the rest of a partly received message
+	awaitClose           // that the caller closes, after its last answer
+)
+
+// await sets the deadline. It must be called with mu held. The deadline is not left to
+// nbio, which closes the connection without a look at what is in flight.
+func (c *conn) await(what awaited, d time.Duration) {
+	c.awaited = what
+	c.deadline = time.Now().Add(d)
+	if c.timer == nil {
+		c.timer = time.AfterFunc(d, c.deadlineExceeded)
+		return
+	}
+	c.timer.Reset(d)
+}
+
+// awaitNothing removes the deadline. It must be called with mu held.
+func (c *conn) awaitNothing() {
+	c.awaited = awaitNone
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
+// deadlineExceeded is called by the timer.
+func (c *conn) deadlineExceeded() {
+	c.mu.Lock()
+	act := c.expire()
+	c.mu.Unlock()
+	if act != nil {
+		act()
+	}
+}
+
+// expire decides what follows from the end of the deadline, and returns what is to be
+// done about it without the lock; nil: nothing. It must be called with mu held.
+func (c *conn) expire() func() {
+	if left := time.Until(c.deadline); c.awaited != awaitNone && left > 0 {
+		c.timer.Reset(left) // the deadline was moved after the timer had fired
+		return nil
+	}
+	switch c.awaited {
+	case awaitRequest:
+		if c.closeIfIdle(ClosedIdleTimeout) {
+			return c.hangUp
+		}
+		c.awaitNextRequest() // data has come, or the caller has not taken its answer yet
+	case awaitMessage:
+		if c.phase == phaseOpen && c.pipeline.empty() {
+			c.phase = phaseLast
+			return c.refuseSlow
+		}
+	case awaitClose:
+		c.phase = phaseClosed
+		return c.hangUp
+	}
+	return nil
+}
+
+// hangUp closes the connection. The phase is closed before.
+func (c *conn) hangUp() { _ = c.nbc.Close() } // an error means that it is closed
+
+// awaitNextRequest bounds the time for which the connection may be idle. It must be
+// called with mu held.
+func (c *conn) awaitNextRequest() { c.await(awaitRequest, c.s.limits().IdleTimeout) }
+
 // beginReceiving records that data has come. It reports false if the connection is
 // closing: what comes then is ignored, and its caller sees it as unread.
 func (c *conn) beginReceiving() bool {
@@ -47,7 +120,7 @@
 	idle := c.closeIfIdle(ClosedStopIdle)
 	c.mu.Unlock()
 	if idle {
-		c.nbc.Close()
+		c.hangUp()
 	}
 }
 
@@ -83,7 +156,7 @@
 	c.releasePartialBody()
 	c.mu.Lock()
 	c.phase = phaseClosed
-	c.stopReadTimer()
+	c.awaitNothing()
 	end := c.end(err)
 	left := c.pipeline.abort()
 	c.mu.Unlock()
@@ -101,8 +174,6 @@
 	switch {
 	case errors.Is(err, nbio.ErrWriteTimeout):
 		why = ClosedWriteTimeout
-	case errors.Is(err, nbio.ErrReadTimeout):
-		why = c.deadlineReason
 	case errors.Is(err, io.EOF):
 		why = ClosedByCaller
 	case err != nil:
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -119,7 +119,7 @@
 	if c.phase == phaseOpen {
 		started = c.admit()
 		if p.empty() {
-			c.armIdle()
+			c.awaitNextRequest()
 		}
 	}
 	c.mu.Unlock()
