inbound: the bytes of a request's body are released once

Seen: the race detector in TestIdleTimeoutClosesNoOtherConnection, releaseBody called by Respond and by the end of the connection at once. Both may then give the bytes back, and the bound on bodies in memory loosens by them. Callers see nothing until a process runs out of memory.

Change: the count is swapped for zero.

--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/azurethread/azurethread/serve/heads"
 )
@@ -36,10 +37,10 @@
 	closed     CloseReason // why the connection ended before the answer; "" if it did not
 	answered   bool
 	onGone     func()
-	bodyBytes  int64 // bytes of the body counted by Server.reserveBody
-	counted    bool  // included in the server's count of exchanges in flight
+	counted    bool // included in the server's count of exchanges in flight
 
-	answer *answer // guarded by the connection's mu; nil: none yet
+	bodyBytes atomic.Int64 // bytes of the body counted by Server.reserveBody
+	answer    *answer      // guarded by the connection's mu; nil: none yet
 }
 
 // OnCallerGone registers f to be called once if the caller closes its connection
@@ -94,11 +95,9 @@
 	return x.callerGone
 }
 
-// releaseBody releases the bytes reserved for the body.
-func (x *Exchange) releaseBody() {
-	x.c.s.bodyBytes.Add(-x.bodyBytes)
-	x.bodyBytes = 0
-}
+// releaseBody releases the bytes reserved for the body. The answer and the end of the
+// connection may both call it, at the same time.
+func (x *Exchange) releaseBody() { x.c.s.bodyBytes.Add(-x.bodyBytes.Swap(0)) }
 
 // CloseReason returns why the connection was closed before the answer, "" if it
 // was not.
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -375,3 +376,20 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a bound on the memory of bodies that loosens: the answer of a request
+// and the end of its connection both released its bytes.
+func TestBodyIsReleasedOnce(t *testing.T) {
+	is := is.New(t)
+	c := &conn{s: new(Server)}
+	for range 10_000 {
+		x := &Exchange{c: c}
+		c.s.bodyBytes.Store(1)
+		x.bodyBytes.Store(1)
+		var both sync.WaitGroup
+		both.Go(x.releaseBody)
+		both.Go(x.releaseBody)
+		both.Wait()
+		is.Equal(c.s.bodyBytes.Load(), int64(0))
+	}
+}
--- a/serve/inbound/processor.go
+++ b/serve/inbound/processor.go
@@ -104,7 +104,7 @@
 		return
 	}
 	x.close = wantsClose(&x.Request)
-	x.bodyBytes = c.partialBody.Swap(0)
+	x.bodyBytes.Store(c.partialBody.Swap(0))
 	c.dispatch(x)
 }
 
