inbound: the write timeout of an answer ends when the caller has taken it

What callers saw: after a large answer that was taken slowly but in time, the connection is closed 20 s after it, in the middle of a later request that a target works on.

Cause: nbio clears its write deadline when a call of Write leaves nothing unsent, but not when its poller sends the rest; the deadline of the earlier answer stays.

Change: the deadline is the connection's own, and counts only while bytes are unsent.

TestCallerThatTakesNoAnswerIsClosed: the timeout still ends.

--- a/serve/inbound/close_test.go
+++ b/serve/inbound/close_test.go
@@ -263,6 +263,26 @@
 	is.Equal(b, "/slow ")
 }
 
+// Guards against a connection that is held without end by a caller that takes no answer.
+func TestCallerThatTakesNoAnswerIsClosed(t *testing.T) {
+	is := is.New(t)
+	ends := make(chan ConnectionEnd, 1)
+	s, err := Listen("127.0.0.1:0", Options{
+		Limits:       Limits{HeadBytes: testHead, BodyBytes: testBody, ReadTimeout: time.Minute, IdleTimeout: time.Minute},
+		WriteTimeout: 200 * time.Millisecond,
+		Refusal:      func(int) (http.Header, []byte) { return nil, nil },
+		Closed:       func(e ConnectionEnd) { ends <- e },
+	})
+	is.NoErr(err)
+	large := make([]byte, 16<<20)
+	s.Serve(handlerFunc(func(x *Exchange) { x.Respond(http.StatusOK, nil, large) }))
+	t.Cleanup(s.Close)
+	conn, _ := dial(t, s)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	is.Equal((<-ends).Reason, ClosedWriteTimeout)
+}
+
 // Guards against a truncated answer: its caller reads slowly and sends on, while the
 // server closes. Bytes that the server has not read when it closes reset the
 // connection, and the kernel drops what it still had to send.
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -46,8 +46,8 @@
 	receiving   bool        // data is being processed, or a message is partly received
 	requests    int         // passed to the handler
 	awaited     awaited
-	deadline    time.Time // of what is awaited
-	timer       *time.Timer
+	awaitedBy   deadline // of what is awaited
+	takenBy     deadline // for the caller to take what was written
 
 	// partialBody counts the bytes reserved for a body that is not yet
 	// complete.
@@ -313,7 +313,9 @@
 		err = c.send(body)
 	}
 	if err == nil && c.pending() {
-		_ = c.nbc.SetWriteDeadline(time.Now().Add(c.s.opts.WriteTimeout))
+		c.mu.Lock()
+		c.takenBy.set(c.s.opts.WriteTimeout, c.writeTimedOut)
+		c.mu.Unlock()
 	}
 	if b.Cap() <= 2*maxPooledBuffer {
 		buffers.Put(b)
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -4,8 +4,6 @@
 	"errors"
 	"io"
 	"time"
-
-	"github.com/lesismal/nbio"
 )
 
 // phase is the state of a connection. It only advances, and it is guarded by
@@ -33,20 +31,13 @@
 // nbio, which closes the connection without a look at what is in flight.
 func (c *conn) await(what awaited, d time.Duration) {
 	c.awaited = what
-	c.deadline = time.Now().Add(d)
-	if c.timer == nil {
-		c.timer = time.AfterFunc(d, c.deadlineExceeded)
-		return
-	}
-	c.timer.Reset(d)
+	c.awaitedBy.set(d, c.deadlineExceeded)
 }
 
 // awaitNothing removes the deadline. It must be called with mu held.
 func (c *conn) awaitNothing() {
 	c.awaited = awaitNone
-	if c.timer != nil {
-		c.timer.Stop()
-	}
+	c.awaitedBy.clear()
 }
 
 // deadlineExceeded is called by the timer.
@@ -62,8 +53,7 @@
 // expire decides what follows from the end of the deadline, and returns what is to be
 // done about it without the lock; nil: nothing. It must be called with mu held.
 func (c *conn) expire() func() {
-	if left := time.Until(c.deadline); c.awaited != awaitNone && left > 0 {
-		c.timer.Reset(left) // the deadline was moved after the timer had fired
+	if !c.awaitedBy.due() {
 		return nil
 	}
 	switch c.awaited {
@@ -84,6 +74,22 @@
 	return nil
 }
 
+// writeTimedOut closes a connection whose caller has not taken an answer in time. nbio's
+// own deadline is not used: it stays set when the rest of an answer is sent later, and
+// would close the connection during another request.
+func (c *conn) writeTimedOut() {
+	c.mu.Lock()
+	late := c.pending() && c.takenBy.due()
+	if late {
+		c.phase = phaseClosed
+		c.closeReason = ClosedWriteTimeout
+	}
+	c.mu.Unlock()
+	if late {
+		c.hangUp()
+	}
+}
+
 // hangUp closes the connection. The phase is closed before.
 func (c *conn) hangUp() { _ = c.nbc.Close() } // an error means that it is closed
 
@@ -157,6 +163,7 @@
 	c.mu.Lock()
 	c.phase = phaseClosed
 	c.awaitNothing()
+	c.takenBy.clear()
 	end := c.end(err)
 	left := c.pipeline.abort()
 	c.mu.Unlock()
@@ -172,8 +179,6 @@
 func (c *conn) end(err error) ConnectionEnd {
 	why := c.closeReason
 	switch {
-	case errors.Is(err, nbio.ErrWriteTimeout):
-		why = ClosedWriteTimeout
 	case errors.Is(err, io.EOF):
 		why = ClosedByCaller
 	case err != nil:
