inbound: a connection closes after the requests that it has received

What callers saw: of three pipelined requests that may not overlap, received whole before a stop, one is answered; the answer that says close drops the two behind it.

Cause: "closing" meant that nothing more is started, instead of nothing more received.

Change: in phase last what was received is still served; only the answer behind which nothing is received, or has begun to come, announces the close. Once idle connections are closed in a stop, data that comes behind requests in flight is the last that is taken, so that a caller that always has a further request under way doesn't delay the stop. A message that is partly received when the answer before it is sent has a deadline of its own. A phase that changes while an answer is written, as one that isn't the last, closes the connection after it: before, it stayed open without a deadline.

TestStopAnswersAllInFlight expected that two requests which wait behind the eight in flight are left unread; TestStopAnswersAllReceived, in its place, expects all ten answers in order, the close on the tenth, and nothing passed on twice.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -33,6 +33,7 @@
 	head     []byte // received part of the next head
 	inBody   bool
 	bodyLeft int64 // rest of a body with Content-Length
+	rest     int   // bytes that were received behind those being parsed
 	// inChunks is set while the parser is fed a chunked body. uncheckedHead is
 	// set when the parser found the end of such a body and began to parse a
 	// further head, which has not been checked.
@@ -88,8 +89,10 @@
 	case c.bodyLeft > 0 && int64(len(data)) >= c.bodyLeft:
 		n := int(c.bodyLeft)
 		c.bodyLeft = 0
+		c.rest = len(data) - n
 		return n, c.parse(data[:n])
 	default:
+		c.rest = 0
 		c.inChunks = c.bodyLeft == 0
 		c.bodyLeft = max(0, c.bodyLeft-int64(len(data)))
 		status := c.parse(data)
@@ -117,7 +120,9 @@
 	}
 	head := c.head[:end]
 	c.head = nil
-	return end - seen, c.parse(head)
+	n = end - seen
+	c.rest = len(data) - n
+	return n, c.parse(head)
 }
 
 // checkHead returns the status to refuse the collected head with, or 0. end is
@@ -264,10 +269,14 @@
 		return
 	}
 	if len(c.pipeline.waiting) >= maxPipelined {
-		c.phase = phaseLast // the caller sees requests without an answer as unread
+		c.phase = phaseLast // its caller sees the request as unread
 		c.mu.Unlock()
 		return
 	}
+	if x.close {
+		c.phase = phaseLast
+	}
+	c.receiving = c.rest > 0 // its answer may come before the data is processed to its end
 	c.pipeline.waiting = append(c.pipeline.waiting, x)
 	started := c.admit()
 	c.mu.Unlock()
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -13,7 +13,7 @@
 
 const (
 	phaseOpen   phase = iota // received requests are passed on
-	phaseLast                // none is received any more; those passed on are answered
+	phaseLast                // nothing is received any more; requests received before are answered
 	phaseClosed              // closed, or about to be
 )
 
@@ -112,6 +112,10 @@
 	partial := len(c.head) > 0 || c.req != nil
 	c.mu.Lock()
 	c.receiving = partial && c.phase == phaseOpen
+	if c.s.refusing.Load() && !c.receiving && !c.pipeline.empty() {
+		// A caller that always has a further request under way would delay the stop.
+		c.phase = max(c.phase, phaseLast)
+	}
 	c.mu.Unlock()
 	c.closeInStop()
 }
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -35,7 +35,7 @@
 // and returns them. It must be called with mu held.
 func (c *conn) admit() (started []*Exchange) {
 	p := &c.pipeline
-	for len(p.waiting) > 0 && c.canStart(p.waiting[0]) {
+	for c.phase != phaseClosed && len(p.waiting) > 0 && c.canStart(p.waiting[0]) {
 		x := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		c.startExchange(x)
@@ -49,15 +49,13 @@
 // their caller sends them again.
 func (c *conn) canStart(x *Exchange) bool {
 	p := &c.pipeline
-	if p.empty() {
-		return true
-	}
-	last := p.inFlight[len(p.inFlight)-1]
 	switch {
-	case len(p.inFlight) >= maxOverlap || last.close || c.s.stopping.Load():
+	case p.empty():
+		return true
+	case len(p.inFlight) >= maxOverlap:
 		return false
 	default:
-		return c.s.overlaps(x) && c.s.overlaps(last)
+		return c.s.overlaps(x) && c.s.overlaps(p.inFlight[len(p.inFlight)-1])
 	}
 }
 
@@ -92,9 +90,7 @@
 		return false
 	}
 	x := p.inFlight[0]
-	// Only the last answer says that the connection closes: requests in flight
-	// behind it have already been passed on and must be answered.
-	last := len(p.inFlight) == 1 && (c.phase != phaseOpen || x.close || c.s.stopping.Load())
+	last := c.isLastAnswer()
 	if last {
 		c.phase = max(c.phase, phaseLast)
 	}
@@ -106,6 +102,20 @@
 	return true
 }
 
+// isLastAnswer reports whether the answer to the oldest exchange is the connection's
+// last, and says so. Requests behind it that were received, or have begun to come, are
+// answered first. It must be called with mu held.
+func (c *conn) isLastAnswer() bool {
+	switch {
+	case len(c.pipeline.inFlight) > 1 || len(c.pipeline.waiting) > 0:
+		return false
+	case c.phase != phaseOpen:
+		return true
+	default:
+		return c.s.stopping.Load() && !c.receiving
+	}
+}
+
 // finishExchange removes the oldest exchange and starts the ones waiting behind
 // it.
 func (c *conn) finishExchange(x *Exchange, last bool) {
@@ -115,12 +125,16 @@
 	c.mu.Lock()
 	p := &c.pipeline
 	p.inFlight = p.inFlight[1:]
-	var started []*Exchange
-	if c.phase == phaseOpen {
-		started = c.admit()
-		if p.empty() {
-			c.awaitNextRequest()
-		}
+	started := c.admit()
+	// The phase may have changed since the answer was written as one that is not the
+	// last.
+	last = last || c.phase == phaseLast && p.empty()
+	switch {
+	case !p.empty() || last:
+	case c.receiving:
+		c.await(awaitMessage, c.s.limits().ReadTimeout)
+	default:
+		c.awaitNextRequest()
 	}
 	c.mu.Unlock()
 	switch {
--- a/serve/inbound/pipeline_test.go
+++ b/serve/inbound/pipeline_test.go
@@ -100,26 +100,35 @@
 }
 
 // Guards against a planned stop that closes a connection before all of its
-// requests in flight are answered: the first answer after the start of the stop
-// announced the close. Only the last one may; requests not in flight yet are
-// left unread.
-func TestStopAnswersAllInFlight(t *testing.T) {
+// requests are answered: the first answer after the start of the stop announced
+// the close. Only the last one may; requests that wait for others are served too.
+func TestStopAnswersAllReceived(t *testing.T) {
+	const received = maxOverlap + 2
 	is := is.New(t)
 	h := newHeldHandler()
 	s := listenOverlapping(t, isGet, h.Serve)
 	conn, r := dial(t, s)
-	sendGets(t, conn, maxOverlap+2)
+	sendGets(t, conn, received)
 	for range maxOverlap {
 		<-h.arrived
 	}
+	for receivedRequests(s) < received {
+		time.Sleep(time.Millisecond)
+	}
 	s.AnnounceClose()
 	for i := maxOverlap; i >= 1; i-- {
 		h.answer(fmt.Sprint("/", i))
 	}
-	for i := range maxOverlap {
+	for i := maxOverlap; i < received; i++ {
+		is.Equal(<-h.arrived, fmt.Sprint("/", i+1))
+	}
+	for i := received; i > maxOverlap; i-- {
+		h.answer(fmt.Sprint("/", i))
+	}
+	for i := range received {
 		res, b := read(t, r, http.MethodGet)
 		is.Equal(b, fmt.Sprintf("/%d ", i+1))
-		is.Equal(res.Close, i == maxOverlap-1)
+		is.Equal(res.Close, i == received-1)
 	}
 	_, err := r.ReadByte()
 	is.Equal(err, io.EOF)
