inbound: the last answer of a connection is taken before it closes

A refusal behind a large answer is lost, as its linger did not even wait for the bytes that nbio held.

Cause: the end of the linger was decided without a look at what is on its way to the caller, and refusals had a linger of their own beside the one of answers.

Change: one way to end a connection after its last answer. It waits until nbio has given everything to the kernel, then a second for the caller to close, and another one as long as the caller's side acknowledges more of it (SIOCOUTQ); the caller's close ends it at any time. A planned stop waits for it too, within its own bound.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -49,6 +49,7 @@
 	awaited     awaited
 	awaitedBy   deadline // of what is awaited
 	takenBy     deadline // for the caller to take what was written
+	untaken     int      // of the last answer, bytes that its caller had not taken when linger last looked
 
 	// partialBody counts the bytes reserved for a body that is not yet
 	// complete.
@@ -56,7 +57,7 @@
 
 	queued   atomic.Int64 // bytes handed to nbio
 	written  atomic.Int64 // bytes that nbio has written to the kernel
-	draining atomic.Bool  // close once written reaches queued
+	draining atomic.Bool  // linger once written reaches queued
 }
 
 // errRefused reports that a refusal was sent and the connection is to be
@@ -196,7 +197,7 @@
 	x.close = true
 	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
 	c.write(x, true, http.StatusRequestTimeout, h, body)
-	c.linger(ClosedReadTimeout)
+	c.close(ClosedReadTimeout)
 }
 
 // refuse answers a message that cannot be processed and closes the connection.
@@ -224,7 +225,7 @@
 	}
 	h, body := c.s.opts.Refusal(status)
 	c.write(x, true, status, h, body)
-	c.linger(ClosedRefused)
+	c.close(ClosedRefused)
 }
 
 // refusedExchange returns the exchange of a refused message. If the message may
@@ -245,21 +246,6 @@
 	return x
 }
 
-// lingerTimeout is how long a caller may take to read the last answer and
-// close.
-const lingerTimeout = time.Second
-
-// linger ignores further data from the caller and closes a little later.
-// Closing at once with unread data in the receive buffer would make the kernel
-// send a reset, which can destroy the refusal before the caller has read it:
-// the caller would see a broken connection instead of a verdict.
-func (c *conn) linger(why CloseReason) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closeReason = why
-	c.await(awaitClose, lingerTimeout)
-}
-
 // dispatch accepts a parsed request: it is served at once, or queued behind
 // those in flight.
 func (c *conn) dispatch(x *Exchange) {
@@ -347,28 +333,12 @@
 	switch {
 	case c.pending():
 	case c.draining.Load():
-		go c.linger(ClosedAnswered)
+		go c.linger()
 	case c.s.refusing.Load():
 		go c.closeInStop()
 	}
 }
 
-// close ends the connection once everything written has reached the kernel.
-// nbio's Close drops queued bytes: closing at once would truncate a large
-// answer for a caller that reads slowly.
-//
-// Normally the caller closes first, as the answer asks it to; this side closes
-// only if the caller does not. nbio finds connections by file descriptor: if a
-// goroutine other than the poller's closes one, the descriptor can belong to a
-// new connection by the time the poller handles an event of the old one, and
-// the new connection is reset. One of some thousand callers was affected.
-func (c *conn) close() {
-	c.draining.Store(true)
-	if !c.pending() {
-		c.linger(ClosedAnswered)
-	}
-}
-
 // releasePartialBody releases the bytes reserved for an incomplete body.
 func (c *conn) releasePartialBody() {
 	if n := c.partialBody.Swap(0); n > 0 {
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase is the state of a connection. It only advances, and it is guarded by
@@ -68,6 +70,11 @@
 			return c.refuseSlow
 		}
 	case awaitClose:
+		before := c.untaken
+		if c.untaken = c.kernelUntaken(); 0 < c.untaken && c.untaken < before {
+			c.await(awaitClose, lingerTimeout)
+			return nil
+		}
 		c.phase = phaseClosed
 		return c.hangUp
 	}
@@ -90,6 +97,51 @@
 	}
 }
 
+// close ends the connection after its last answer, once everything written has reached
+// the kernel. nbio's Close drops queued bytes: closing at once would truncate a large
+// answer for a caller that reads slowly.
+//
+// Normally the caller closes first, as the answer asks it to; this side closes only if
+// the caller does not.
+func (c *conn) close(why CloseReason) {
+	c.mu.Lock()
+	c.closeReason = why
+	c.mu.Unlock()
+	c.draining.Store(true)
+	if !c.pending() {
+		c.linger()
+	}
+}
+
+// lingerTimeout is how long a caller may take to close after the last answer, or to
+// take a further part of it.
+const lingerTimeout = time.Second
+
+// linger waits for the caller's close and ignores what it still sends. Closing at once
+// with unread data in the receive buffer would make the kernel send a reset, which can
+// destroy the answer before the caller has read it.
+func (c *conn) linger() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.untaken = c.kernelUntaken()
+	c.await(awaitClose, lingerTimeout)
+}
+
+// kernelUntaken returns how many written bytes the caller's side has not acknowledged, 0
+// if that is unknown.
+func (c *conn) kernelUntaken() int {
+	raw, err := c.nbc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // hangUp closes the connection. The phase is closed before.
 func (c *conn) hangUp() { _ = c.nbc.Close() } // an error means that it is closed
 
@@ -141,12 +193,12 @@
 	return c.phase == phaseOpen
 }
 
-// isBusy reports whether a message is partly received or in flight, or bytes wait to
-// be sent.
+// isBusy reports whether a message is partly received or in flight, bytes wait to be
+// sent, or the caller may still be reading its last answer.
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.receiving || !c.pipeline.empty() || c.pending()
+	return c.receiving || !c.pipeline.empty() || c.pending() || c.phase == phaseLast
 }
 
 // closeIfIdle decides to close the connection if it has no request in flight or partly
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -139,9 +139,9 @@
 	c.mu.Unlock()
 	switch {
 	case x.Refused != 0:
-		c.linger(ClosedRefused)
+		c.close(ClosedRefused)
 	case last:
-		c.close()
+		c.close(ClosedAnswered)
 	default:
 		c.closeInStop()
 	}
