pollers: a new connection doesn't get the end of the one before it

What callers saw: a request on a new connection is cut off, to a target or from a caller, although both ends are sound: 502, or no answer. No stop is needed.

Cause: nbio finds the connection of an event by its file descriptor. A connection that another goroutine closes (a cancelled send, an idle or write timeout, a failed write) may have its other side's end among the events that the poller has fetched; a connection that gets the descriptor meanwhile is closed in its place.

Change: pollers.Engine adds, writes to and closes connections. Before a connection is added, the poller of its descriptor passes a barrier if one was closed that way since the last: it processes a byte that is sent after the close, and so has processed what it had fetched. What nbio closes itself, in the event of that connection, needs none.

Why it works: the descriptor was free before Add, so its close is counted; the poller fetches the byte after all it had fetched before that close.

Left as it is: serve/peer, whose listener and connections nbio registers itself; a frame that is lost there is repaired by its receiver's timeout.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -319,8 +319,7 @@
 
 func (c *conn) send(b []byte) error {
 	c.queued.Add(int64(len(b)))
-	_, err := c.nbc.Write(b)
-	return err
+	return c.s.engine.Write(c.nbc, b)
 }
 
 // pending reports whether nbio still holds bytes that the kernel has not taken.
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -143,7 +143,7 @@
 }
 
 // hangUp closes the connection. The phase is closed before.
-func (c *conn) hangUp() { _ = c.nbc.Close() } // an error means that it is closed
+func (c *conn) hangUp() { c.s.engine.Close(c.nbc) }
 
 // awaitNextRequest bounds the time for which the connection may be idle. It must be
 // called with mu held.
--- a/serve/inbound/processor.go
+++ b/serve/inbound/processor.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if length > 0 && strings.EqualFold(c.req.Header.Get("Expect"), "100-continue") {
-		_, _ = c.nbc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		_ = c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // an error means that the connection failed
 	}
 }
 
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -70,7 +70,7 @@
 	currentLimits atomic.Pointer[Limits]
 	bodyBytes     atomic.Int64 // bytes of request bodies, as announced or received
 	handler       Handler
-	engine        *nbhttp.Engine
+	engine        *pollers.Engine
 	listener      net.Listener
 	stopping      atomic.Bool // each answer that leaves its connection idle announces the close
 	refusing      atomic.Bool // idle connections are closed
@@ -99,18 +99,14 @@
 		idle:     make(chan struct{}),
 	}
 	s.currentLimits.Store(&opts.Limits)
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
+	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name:      "inbound",
 		NPoller:   opts.Pollers,
 		ReadLimit: max(opts.MaxBodyBytes, opts.BodyBytes) + opts.HeadBytes + nbio.DefaultReadBufferSize,
 	})
-	s.engine.OnClose(s.onClose)
-	s.engine.OnWrittenSize(onWritten)
-	if err := s.engine.Start(); err != nil {
-		_ = ln.Close()
-		return nil, fmt.Errorf("inbound: start nbio engine: %w", err)
-	}
-	if err := pollers.Await(s.engine); err != nil {
+	engine.OnClose(s.onClose)
+	engine.OnWrittenSize(onWritten)
+	if s.engine, err = pollers.Start(engine); err != nil {
 		_ = ln.Close()
 		return nil, fmt.Errorf("inbound: %w", err)
 	}
@@ -173,7 +169,7 @@
 		return fmt.Errorf("inbound: register connection: %w", err)
 	}
 	c := &conn{s: s, nbc: nbc, remote: remote}
-	c.parser = nbhttp.NewParser(nbc, s.engine, c, false, runInline)
+	c.parser = nbhttp.NewParser(nbc, s.engine.Engine, c, false, runInline)
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
 	c.initialized.Store(true)
@@ -183,7 +179,7 @@
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
-	if _, err := s.engine.AddConn(nbc); err != nil {
+	if err := s.engine.Add(nbc); err != nil {
 		s.removeConn(c)
 		c.mu.Lock()
 		c.awaitNothing()
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -65,7 +65,7 @@
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
 	encode(b, c.p.addr, k.req)
-	_, err := c.nbc.Write(b.Bytes())
+	err := c.p.pool.engine.Write(c.nbc, b.Bytes())
 	if b.Cap() <= 2*maxPooledBuffer {
 		buffers.Put(b)
 	}
@@ -420,7 +420,7 @@
 // close closes the connection. The first reason counts.
 func (c *conn) close(why CloseReason) {
 	c.p.noteClose(c, why)
-	c.nbc.Close()
+	c.p.pool.engine.Close(c.nbc)
 }
 
 // Close implements nbhttp.Processor.
--- a/serve/outbound/dial.go
+++ b/serve/outbound/dial.go
@@ -98,14 +98,14 @@
 	}
 	claimed := pe.claimNew(k)
 	c := &conn{p: pe, nbc: nbc, call: claimed, connected: connected}
-	c.parser = nbhttp.NewParser(nbc, p.engine, c, true, runInline)
+	c.parser = nbhttp.NewParser(nbc, p.engine.Engine, c, true, runInline)
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
 	c.initialized.Store(true)
 	pe.mu.Lock()
 	pe.open++
 	pe.mu.Unlock()
-	if _, err := p.engine.AddConn(nbc); err != nil {
+	if err := p.engine.Add(nbc); err != nil {
 		pe.detach(c)
 		pe.countClosed(c) // nbio may report the close as well
 		_ = nbc.Close()
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -31,7 +31,7 @@
 // Pool manages the connections of one entry VM to all receivers.
 type Pool struct {
 	opts   Options
-	engine *nbhttp.Engine
+	engine *pollers.Engine
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -46,16 +46,14 @@
 // NewPool starts an empty pool.
 func NewPool(opts Options) (*Pool, error) {
 	p := &Pool{opts: opts, peers: make(map[string]*peer), stop: make(chan struct{})}
-	p.engine = nbhttp.NewEngine(nbhttp.Config{
+	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name:      "outbound",
 		NPoller:   opts.Pollers,
 		ReadLimit: opts.MaxAnswerBytes + nbio.DefaultReadBufferSize + 1<<20,
 	})
-	p.engine.OnClose(onClose)
-	if err := p.engine.Start(); err != nil {
-		return nil, fmt.Errorf("outbound: start nbio engine: %w", err)
-	}
-	if err := pollers.Await(p.engine); err != nil {
+	engine.OnClose(onClose)
+	var err error
+	if p.engine, err = pollers.Start(engine); err != nil {
 		return nil, fmt.Errorf("outbound: %w", err)
 	}
 	go p.sweep()
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -1,10 +1,16 @@
-// Package pollers makes sure that a started nbio engine can be stopped.
+// Package pollers runs nbio engines whose connections can be closed and replaced at
+// any time. It guards against two properties of nbio:
 //
-// Each nbio poller clears its stop flag when its goroutine starts. An engine
-// stopped before then loses the stop: Stop never returns, and the poller spins
-// on its wake-up event. An entry VM whose second address is in use would hang
-// in its clean-up instead of reporting the error. Await verifies that every
-// poller is past that point by having each of them read one byte.
+//   - Each poller clears its stop flag when its goroutine starts. An engine stopped
+//     before then loses the stop: Stop never returns, and the poller spins on its
+//     wake-up event. An entry VM whose second address is in use would hang in its
+//     clean-up instead of reporting the error. Start returns when every poller is
+//     past that point.
+//   - A poller finds the connection of an event by its file descriptor. If another
+//     goroutine closes a connection, events that the poller has already fetched for
+//     it are still to come; a new connection with the same descriptor gets them, and
+//     is closed if they say that the other side has hung up. Engine closes, writes to
+//     and adds connections so that this does not happen.
 package pollers
 
 import (
@@ -13,6 +19,8 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,51 +28,147 @@
 	"github.com/lesismal/nbio/nbhttp"
 )
 
-// startTimeout bounds the wait for all pollers.
-const startTimeout = 10 * time.Second
+// pollerTimeout bounds the wait for a poller to process a byte.
+const pollerTimeout = 10 * time.Second
 
 // maxPairs bounds the socket pairs opened to reach one poller. nbio selects the
 // poller by file descriptor, and the kernel assigns the lowest free one.
 const maxPairs = 64
 
 var (
-	errNotStarted  = errors.New("pollers: not all nbio pollers started in time")
+	errSilent      = errors.New("pollers: an nbio poller did not process a byte in time")
 	errUnreachable = errors.New("pollers: no file descriptor is served by the wanted nbio poller")
 )
 
-// Await waits until all pollers of a started engine are running.
-func Await(e *nbhttp.Engine) error {
-	w := waiter{engine: e, replied: make(chan struct{}, e.NPoller)}
+// Engine is a started nbhttp engine. Its connections must be added, written to and
+// closed with its own methods.
+type Engine struct {
+	*nbhttp.Engine
+	barriers []*barrier // by poller
+}
+
+// Start starts an engine and waits until all its pollers run.
+func Start(e *nbhttp.Engine) (*Engine, error) {
+	if err := e.Start(); err != nil {
+		return nil, fmt.Errorf("pollers: start nbio engine: %w", err)
+	}
+	w := waiter{engine: e}
 	defer w.close()
+	out := &Engine{Engine: e}
 	for i := range e.NPoller {
-		if err := w.pingPoller(i); err != nil {
-			return err
+		b, err := w.newBarrier(i)
+		if err != nil {
+			return nil, err
 		}
-	}
-	timeout := time.After(startTimeout)
-	for range e.NPoller {
-		select {
-		case <-w.replied:
-		case <-timeout:
-			return errNotStarted
+		out.barriers = append(out.barriers, b)
+		if err := b.pass(); err != nil {
+			return nil, err
 		}
 	}
+	return out, nil
+}
+
+// Stop stops the engine and closes all its connections.
+func (e *Engine) Stop() {
+	e.Engine.Stop()
+	for _, b := range e.barriers {
+		_ = b.near.Close() // the engine has closed the far end
+	}
+}
+
+// Add registers a connection, or closes it and returns an error. It must not be called
+// during Stop.
+func (e *Engine) Add(c *nbio.Conn) error {
+	if err := e.barrier(c).passAfterCloses(); err != nil {
+		_ = c.Close()
+		return err
+	}
+	if _, err := e.AddConn(c); err != nil {
+		return fmt.Errorf("pollers: register connection: %w", err)
+	}
+	return nil
+}
+
+// Close closes a connection from any goroutine.
+func (e *Engine) Close(c *nbio.Conn) {
+	b := e.barrier(c)
+	b.closing.RLock()
+	defer b.closing.RUnlock()
+	b.closes.Add(1)
+	_ = c.Close() // an error means that it is closed
+}
+
+// Write writes to a connection from any goroutine. nbio closes it if that fails.
+func (e *Engine) Write(c *nbio.Conn, p []byte) error {
+	b := e.barrier(c)
+	b.closing.RLock()
+	defer b.closing.RUnlock()
+	_, err := c.Write(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		b.closes.Add(1)
+	}
+	return err
+}
+
+func (e *Engine) barrier(c *nbio.Conn) *barrier { return e.barriers[c.Hash()%len(e.barriers)] }
+
+// barrier waits until a poller has processed the events that it has fetched.
+type barrier struct {
+	near   net.Conn // of a socket pair whose far end the poller serves
+	passed chan struct{}
+
+	// closing is read-locked while a connection may be closed and counted in closes.
+	closing sync.RWMutex
+	closes  atomic.Int64
+
+	mu      sync.Mutex // one pass at a time: a byte of another one could be read with it
+	covered int64      // closes before the last pass
+}
+
+// passAfterCloses waits for the poller if a connection has been closed since the last
+// pass. The descriptor of a connection that is to be added was free before this call,
+// so its last close is counted.
+func (b *barrier) passAfterCloses() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closing.Lock()
+	closes := b.closes.Load()
+	b.closing.Unlock()
+	if closes == b.covered {
+		return nil
+	}
+	if err := b.pass(); err != nil {
+		return err
+	}
+	b.covered = closes
 	return nil
 }
 
+// pass waits until the poller has processed a byte that is sent now: it fetches that
+// event after all events that it has fetched before.
+func (b *barrier) pass() error {
+	if _, err := b.near.Write([]byte{0}); err != nil {
+		return fmt.Errorf("pollers: write to poller: %w", err)
+	}
+	select {
+	case <-b.passed:
+		return nil
+	case <-time.After(pollerTimeout):
+		return errSilent
+	}
+}
+
+// waiter opens the socket pairs of barriers.
 type waiter struct {
 	engine       *nbhttp.Engine
-	replied      chan struct{}
-	conns        []net.Conn // near end of each pair first
+	unused       []net.Conn // near end of each pair first
 	placeholders []*os.File // kept open so that later descriptors differ
 }
 
-// close closes the far ends, which the pollers serve, before the near ones.
-// Otherwise a far end that sees the near one close could be reported to its
-// poller as hung up when its descriptor already belongs to a new connection,
-// and nbio would close that one.
+// close closes far ends before near ones. A far end that sees the near one close could
+// be reported to a poller as hung up when its descriptor belongs to a new connection.
 func (w *waiter) close() {
-	for _, c := range slices.Backward(w.conns) {
+	for _, c := range slices.Backward(w.unused) {
 		_ = c.Close()
 	}
 	for _, f := range w.placeholders {
@@ -90,37 +194,35 @@
 	return nil
 }
 
-// pingPoller gives the poller with this index a byte to read.
-func (w *waiter) pingPoller(index int) error {
+// newBarrier returns the barrier of the poller with this index.
+func (w *waiter) newBarrier(index int) (*barrier, error) {
 	for range maxPairs {
 		near, far, err := socketPair()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		w.conns = append(w.conns, near)
 		if err := w.reserveDescriptors(index); err != nil {
-			_ = far.Close()
-			return err
+			w.unused = append(w.unused, near, far)
+			return nil, err
 		}
 		nbc, err := nbio.NBConn(far)
 		if err != nil {
-			_ = far.Close()
-			return fmt.Errorf("pollers: wrap socket: %w", err)
+			w.unused = append(w.unused, near, far)
+			return nil, fmt.Errorf("pollers: wrap socket: %w", err)
 		}
-		w.conns = append(w.conns, nbc)
 		if nbc.Hash()%w.engine.NPoller != index {
-			continue // another goroutine has taken the descriptor
+			w.unused = append(w.unused, near, nbc) // another goroutine has taken the descriptor
+			continue
 		}
-		nbc.OnData(func(*nbio.Conn, []byte) { w.replied <- struct{}{} })
+		b := &barrier{near: near, passed: make(chan struct{}, 1)}
+		nbc.OnData(func(*nbio.Conn, []byte) { b.passed <- struct{}{} })
 		if _, err := w.engine.AddConn(nbc); err != nil {
-			return fmt.Errorf("pollers: register socket: %w", err)
+			w.unused = append(w.unused, near)
+			return nil, fmt.Errorf("pollers: register socket: %w", err)
 		}
-		if _, err := near.Write([]byte{0}); err != nil {
-			return fmt.Errorf("pollers: write to poller: %w", err)
-		}
-		return nil
+		return b, nil
 	}
-	return errUnreachable
+	return nil, errUnreachable
 }
 
 // socketPair returns two connected sockets of this process.
--- a/serve/pollers/pollers_test.go
+++ b/serve/pollers/pollers_test.go
@@ -1,9 +1,11 @@
 package pollers
 
 import (
+	"net"
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/matryer/is"
 )
@@ -15,11 +17,11 @@
 	is := is.New(t)
 	for range 200 {
 		e := nbhttp.NewEngine(nbhttp.Config{NPoller: 3})
-		is.NoErr(e.Start())
-		is.NoErr(Await(e))
+		started, err := Start(e)
+		is.NoErr(err)
 		stopped := make(chan struct{})
 		go func() {
-			e.Stop()
+			started.Stop()
 			close(stopped)
 		}()
 		select {
@@ -37,8 +39,75 @@
 	is := is.New(t)
 	for n := 1; n <= 16; n++ {
 		e := nbhttp.NewEngine(nbhttp.Config{NPoller: n})
-		is.NoErr(e.Start())
-		is.NoErr(Await(e))
-		e.Stop()
+		started, err := Start(e)
+		is.NoErr(err)
+		started.Stop()
+	}
+}
+
+// Guards against a new connection that is closed because another one has ended: it has
+// the descriptor of a connection that was closed while the poller was about to process
+// that the other side had hung up.
+func TestAddAfterClose(t *testing.T) {
+	is := is.New(t)
+	started, err := Start(nbhttp.NewEngine(nbhttp.Config{NPoller: 1}))
+	is.NoErr(err)
+	t.Cleanup(started.Stop)
+	gate, gateFar := testPair(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	gateFar.OnData(func(*nbio.Conn, []byte) {
+		entered <- struct{}{}
+		<-release
+	})
+	is.NoErr(started.Add(gateFar))
+	ended, old := testPair(t)
+	is.NoErr(started.Add(old))
+
+	// The poller fetches the next byte of the gate and the end of old together, and is
+	// held at the gate.
+	write(t, gate)
+	<-entered
+	write(t, gate)
+	is.NoErr(ended.Close())
+	release <- struct{}{}
+	<-entered
+	started.Close(old)
+	near, replacement := testPair(t)
+	for replacement.Hash() != old.Hash() {
+		near, replacement = testPair(t)
+	}
+	added := make(chan error, 1)
+	go func() { added <- started.Add(replacement) }()
+	time.Sleep(20 * time.Millisecond) // without a barrier it is registered by now
+	release <- struct{}{}
+	is.NoErr(<-added)
+
+	is.NoErr(started.Write(replacement, []byte{1}))
+	var b [1]byte
+	_, err = near.Read(b[:])
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	is.NoErr(started.Write(replacement, []byte{1})) // still open
+}
+
+// testPair returns a socket pair. What the far end receives is ignored.
+func testPair(t *testing.T) (near net.Conn, far *nbio.Conn) {
+	t.Helper()
+	near, std, err := socketPair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = near.Close() })
+	if far, err = nbio.NBConn(std); err != nil {
+		t.Fatal(err)
+	}
+	far.OnData(func(*nbio.Conn, []byte) {})
+	return near, far
+}
+
+func write(t *testing.T, c net.Conn) {
+	t.Helper()
+	if _, err := c.Write([]byte{0}); err != nil {
+		t.Fatal(err)
 	}
 }
