outbound: the socket that shows how an answer ended keeps no other connection's place

What callers saw: 502, or a repeat, for requests to sound targets, beside targets whose answers end with their connection.

Cause: such an answer's socket is duplicated, to see after nbio's close whether it was reset. As long as the duplicate is open, epoll goes on to report the old connection's end for its descriptor; a new connection with that descriptor is closed by it.

Change: pollers.Engine.Hold duplicates the socket, and Add waits for its release before it registers a connection with that descriptor. Reading the end on the poller instead was tried and not kept: nbio closes on an error event without a read, which the kernel may report a moment before the socket is readable (TestResetIsNotACleanClose).

--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -159,36 +159,29 @@
 // httpPrefix is the start of every answer.
 var httpPrefix = []byte("HTTP/1.")
 
-// awaitClose duplicates the socket of an answer that ends with its connection,
-// so that the way it ended can be checked after nbio has closed it. nbio
-// reports a connection that ended with an error event as closed cleanly,
-// without reading from it, and a truncated answer would be taken for complete.
+// awaitClose holds the socket of an answer that ends with its connection, so that
+// the way it ended can be checked after nbio has closed it. nbio reports a connection
+// that ended with an error event as closed cleanly, without reading from it, and a
+// truncated answer would be taken for complete.
 func (c *conn) awaitClose(a *Answer) {
-	socket := -1
-	raw, err := c.nbc.SyscallConn()
-	if err == nil {
-		err = raw.Control(func(fd uintptr) {
-			if d, err := syscall.Dup(int(fd)); err == nil {
-				socket = d
-			}
-		})
-	}
-	if err != nil || socket < 0 {
+	socket, release, err := c.p.pool.engine.Hold(c.nbc)
+	if err != nil {
 		return // the answer will count as truncated
 	}
-	c.closeDelimited.Store(&closeDelimitedAnswer{answer: a, socket: socket})
+	c.closeDelimited.Store(&closeDelimitedAnswer{answer: a, socket: socket, release: release})
 }
 
 // closeDelimitedAnswer is an answer that ends with its connection.
 type closeDelimitedAnswer struct {
-	answer *Answer
-	socket int // duplicate of the connection's socket
+	answer  *Answer
+	socket  int // duplicate of the connection's socket
+	release func()
 }
 
 // endedCleanly reports whether the receiver closed the connection without an
 // error, and closes the duplicate socket.
 func (e *closeDelimitedAnswer) endedCleanly() bool {
-	defer func() { _ = syscall.Close(e.socket) }() // nothing was written to it
+	defer e.release()
 	var more [1]byte
 	n, err := syscall.Read(e.socket, more[:])
 	return n == 0 && err == nil
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -79,7 +79,9 @@
 // Add registers a connection, or closes it and returns an error. It must not be called
 // during Stop.
 func (e *Engine) Add(c *nbio.Conn) error {
-	if err := e.barrier(c).passAfterCloses(); err != nil {
+	b := e.barrier(c)
+	b.awaitRelease(c.Hash())
+	if err := b.passAfterCloses(); err != nil {
 		_ = c.Close()
 		return err
 	}
@@ -110,6 +112,32 @@
 	return err
 }
 
+// Hold duplicates the socket of an open connection, so that the way it ended can be
+// read after nbio has closed it. release closes the duplicate. Until then epoll goes on
+// to report the socket's events for the connection's descriptor, and no other connection
+// with that descriptor is added.
+func (e *Engine) Hold(c *nbio.Conn) (socket int, release func(), err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, nil, fmt.Errorf("pollers: access socket: %w", err)
+	}
+	socket = -1
+	if ctrl := raw.Control(func(fd uintptr) { socket, err = syscall.Dup(int(fd)) }); ctrl != nil || err != nil {
+		return 0, nil, fmt.Errorf("pollers: duplicate socket: %w", errors.Join(ctrl, err))
+	}
+	b, fd := e.barrier(c), c.Hash()
+	released := make(chan struct{})
+	b.held.Store(fd, released)
+	return socket, func() {
+		b.closing.RLock()
+		defer b.closing.RUnlock()
+		b.closes.Add(1)
+		_ = syscall.Close(socket) // nothing was written to it
+		b.held.Delete(fd)
+		close(released)
+	}, nil
+}
+
 func (e *Engine) barrier(c *nbio.Conn) *barrier { return e.barriers[c.Hash()%len(e.barriers)] }
 
 // barrier waits until a poller has processed the events that it has fetched.
@@ -123,6 +151,15 @@
 
 	mu      sync.Mutex // one pass at a time: a byte of another one could be read with it
 	covered int64      // closes before the last pass
+
+	held sync.Map // by descriptor: the chan struct{} that Hold's release closes
+}
+
+// awaitRelease waits until the socket that had a descriptor before is not held.
+func (b *barrier) awaitRelease(fd int) {
+	if released, ok := b.held.Load(fd); ok {
+		<-released.(chan struct{})
+	}
 }
 
 // passAfterCloses waits for the poller if a connection has been closed since the last
