outbound: a connection that is to be closed is not given to a request

What callers saw: 502 with an unknown outcome for a submission that was never sent. Its connection was idle, and the other side had said on it that it closes.

Cause: the look whether what has come is an answer, and the close that follows, were not taken under the lock under which a request takes the connection: between them a request could claim it, be written, and be lost with the close.

Change: expectsAnswer decides under that lock, takes the connection out of the idle ones, and attach refuses one that is being closed; the request ends as not run. The end of a connection is read after its set-up (a report of the race detector in a test that closes connections at once).

TestUnsolicitedAnswerBeforeWrite: attached and written before, not run now.

--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -57,7 +57,8 @@
 
 // start writes the request of k.
 func (c *conn) start(k *Call) {
-	if !k.attach(c) {
+	if !c.p.attach(c, k) {
+		k.finish(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectionLost, Err: errClosing})
 		c.p.releaseIfClaimed(c, k)
 		return
 	}
@@ -121,7 +122,7 @@
 // takeHead collects the head of an answer and passes it to the parser when it
 // is complete and well-formed.
 func (c *conn) takeHead(data []byte) (int, error) {
-	if !c.p.hasRequest(c) {
+	if !c.p.expectsAnswer(c) {
 		return 0, errUnsolicited
 	}
 	seen := len(c.head)
@@ -242,7 +243,7 @@
 
 // OnProto implements nbhttp.Processor.
 func (c *conn) OnProto(_ *nbhttp.Parser, proto string) error {
-	if !c.p.hasRequest(c) {
+	if !c.p.expectsAnswer(c) {
 		return errUnsolicited
 	}
 	c.answer = &Answer{Header: make(http.Header, typicalHeaderFields), ConnectTime: c.connected}
@@ -321,6 +322,7 @@
 	errUnframed        = errors.New("outbound: answer states neither length nor chunked encoding")
 	errMultipleLengths = errors.New("outbound: answer with more than one Content-Length")
 	errMalformedHead   = errors.New("outbound: received data is not the head of an HTTP/1 answer")
+	errClosing         = errors.New("outbound: connection is being closed")
 	errUnsolicited     = errors.New("outbound: unsolicited data from the receiver")
 )
 
--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -82,6 +82,27 @@
 	is.Equal(pe.idleCount(), 0)
 }
 
+// Guards against a submission whose outcome is unknown although it was never sent: its
+// receiver says on an idle connection that it closes it, and the connection is claimed
+// before that is acted on.
+func TestUnsolicitedAnswerBeforeWrite(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, answerAlways(okAnswer))
+	p := newPool(t)
+	_, first := send(p, addr)
+	is.True((<-first).err == nil)
+	k, ch := newCall()
+	_, c := p.claim(addr, k, false)
+	is.True(c != nil)
+	_, err := c.consume([]byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+	is.Equal(err, errUnsolicited)
+	c.start(k)
+	o := <-ch
+	is.True(o.err != nil)
+	is.Equal(o.err.Verdict, verdict.NotRun)
+	is.Equal(len(ch), 0)
+}
+
 // Guards against a request that fails at once although its receiver works, with
 // the failure counted against the receiver. A call is cancelled while the
 // last bytes of its answer are read; the close of the connection is handled
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -218,11 +218,28 @@
 	return c.call != nil && c.call.req.MayEndByClose
 }
 
-// hasRequest reports whether c has been given a request.
-func (pe *peer) hasRequest(c *conn) bool {
+// attach records that k's request is about to be written to c. It returns false if k has
+// finished or c is being closed: nothing may be written then.
+func (pe *peer) attach(c *conn, k *Call) bool {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	return c.call != nil && c.call.attached()
+	return c.closedBy == "" && k.attach(c)
+}
+
+// expectsAnswer reports whether a request is being written to c or was. If not, what the
+// receiver sends belongs to no request, and c is not given to one any more: the decision
+// is taken under the lock of attach, or a request could still be written to c.
+func (pe *peer) expectsAnswer(c *conn) bool {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if c.call != nil && c.call.attached() {
+		return true
+	}
+	if c.closedBy == "" {
+		c.closedBy = ClosedInvalid
+	}
+	pe.idle = slices.DeleteFunc(pe.idle, func(o *conn) bool { return o == c })
+	return false
 }
 
 // detach removes c from the idle connections and returns the call that it
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -178,7 +178,7 @@
 	if !ok {
 		return
 	}
-	if c, ok := pr.Processor.(*conn); ok {
+	if c, ok := pr.Processor.(*conn); ok && c.initialized.Load() {
 		c.onClose(err)
 	}
 }
