gateway: an idle connection that a gateway closes says that nothing more runs on it

Cause: the end of a connection proves nothing about a request that was sent on it, though the gateway knows: what it has not passed on when it decides to close never runs.

Change: an idle connection of a gateway, closed in a stop or by its idle timeout, first gets the refusal that a crossing request would get; it takes it for its answer, not run, and is sent to its target directly. A sender without a request drops the connection. Not done towards callers: an answer that they have not asked for may confuse them.

It now sends with the pool of one VM to the gateway of another: by way of a caller, most requests opened a connection, and one that the kernel has taken and the process hasn't accepted when the listener closes is reset; that is left, with an unknown outcome for submissions.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -191,15 +191,6 @@
 	c.await(awaitMessage, timeout)
 }
 
-// refuseSlow answers a message that was not received in time.
-func (c *conn) refuseSlow() {
-	x := &Exchange{c: c}
-	x.close = true
-	h, body := c.s.opts.Refusal(http.StatusRequestTimeout)
-	c.write(x, true, http.StatusRequestTimeout, h, body)
-	c.close(ClosedReadTimeout)
-}
-
 // refuse answers a message that cannot be processed and closes the connection.
 // While an earlier exchange is in flight its answer must come first, so refuse
 // only marks the connection as closing.
@@ -223,9 +214,14 @@
 		c.serve(x)
 		return
 	}
+	c.refuseAndClose(status, ClosedRefused)
+}
+
+// refuseAndClose sends a refusal of this package as the connection's last answer.
+func (c *conn) refuseAndClose(status int, why CloseReason) {
 	h, body := c.s.opts.Refusal(status)
-	c.write(x, true, status, h, body)
-	c.close(ClosedRefused)
+	c.write(&Exchange{c: c}, true, status, h, body)
+	c.close(why)
 }
 
 // refusedExchange returns the exchange of a refused message. If the message may
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -61,13 +62,13 @@
 	switch c.awaited {
 	case awaitRequest:
 		if c.closeIfIdle(ClosedIdleTimeout) {
-			return c.hangUp
+			return func() { c.endIdle(ClosedIdleTimeout) }
 		}
 		c.awaitNextRequest() // data has come, or the caller has not taken its answer yet
 	case awaitMessage:
 		if c.phase == phaseOpen && c.pipeline.empty() {
 			c.phase = phaseLast
-			return c.refuseSlow
+			return func() { c.refuseAndClose(http.StatusRequestTimeout, ClosedReadTimeout) }
 		}
 	case awaitClose:
 		before := c.untaken
@@ -142,7 +143,7 @@
 	return n
 }
 
-// hangUp closes the connection. The phase is closed before.
+// hangUp closes the connection. The phase must not be open.
 func (c *conn) hangUp() { c.s.engine.Close(c.nbc) }
 
 // awaitNextRequest bounds the time for which the connection may be idle. It must be
@@ -182,7 +183,7 @@
 	idle := c.closeIfIdle(ClosedStopIdle)
 	c.mu.Unlock()
 	if idle {
-		c.hangUp()
+		c.endIdle(ClosedStopIdle)
 	}
 }
 
@@ -202,17 +203,26 @@
 }
 
 // closeIfIdle decides to close the connection if it has no request in flight or partly
-// received and no answer left to send. It reports whether the caller must now close
-// it. It must be called with mu held.
+// received and no answer left to send. It reports whether the caller must now call
+// endIdle. It must be called with mu held.
 func (c *conn) closeIfIdle(why CloseReason) bool {
 	if c.phase != phaseOpen || c.receiving || !c.pipeline.empty() || c.pending() {
 		return false
 	}
-	c.phase = phaseClosed
+	c.phase = phaseLast
 	c.closeReason = why
 	return true
 }
 
+// endIdle closes a connection that is idle by the decision of closeIfIdle.
+func (c *conn) endIdle(why CloseReason) {
+	if c.s.opts.RefuseAtClose {
+		c.refuseAndClose(http.StatusServiceUnavailable, why)
+		return
+	}
+	c.hangUp()
+}
+
 // onClose is called once when the connection is closed.
 func (c *conn) onClose(err error) {
 	c.releasePartialBody()
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -37,7 +37,7 @@
 }
 
 // Options configures a Server. MaxBodyBytes, MaxBufferedBodies, Pollers,
-// MayBeRepeat, Overlaps and Closed are optional.
+// MayBeRepeat, Overlaps, RefuseAtClose and Closed are optional.
 type Options struct {
 	Limits
 	// MaxBodyBytes is the largest body limit that SetLimits may set; 0:
@@ -59,6 +59,10 @@
 	// that its caller has pipelined on the same connection. Nil: each request
 	// waits for the answer to the one before.
 	Overlaps func(r *Request) bool
+	// RefuseAtClose makes the server send a refusal with 503 on an idle connection
+	// before it closes it. A request that crosses the close takes it for its answer,
+	// and has not run. Callers must ignore an answer that they have not asked for.
+	RefuseAtClose bool
 	// Closed is called once for each closed connection. It must not block; may be
 	// nil.
 	Closed func(ConnectionEnd)
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -66,6 +66,7 @@
 		WriteTimeout:      writeTimeout,
 		Pollers:           1,
 		Refusal:           func(int) (http.Header, []byte) { return gatewayNotRun(), nil },
+		RefuseAtClose:     true,
 		Closed:            s.connectionClosed,
 	})
 	if err != nil {
--- a/serve/ingress/gateway_test.go
+++ b/serve/ingress/gateway_test.go
@@ -16,8 +16,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/heads"
+	"github.com/azurethread/azurethread/serve/outbound"
 )
 
 // startRemoteTarget registers a target of the other region that answers with h.
@@ -312,45 +314,58 @@
 // Guards against a submission whose outcome its caller cannot know: it crosses the
 // close of an idle connection at a gateway that leaves, which has not passed it on.
 func TestGatewayThatLeavesLosesNoSubmission(t *testing.T) {
-	const callers, rounds = 100, 5
-	is := is.New(t)
+	const requests, rounds = 100, 5
 	w := newTestEnv(t, catchAllRoute(false))
 	var mu sync.Mutex
 	runs := make(map[string]int)
 	w.startRemoteTarget("t1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(testFields.RequestID)
 		mu.Lock()
-		runs[r.Header.Get(testFields.RequestID)]++
+		runs[id]++
 		mu.Unlock()
+		if strings.HasPrefix(id, "first") {
+			time.Sleep(50 * time.Millisecond) // so that each opens a connection to the gateway
+		}
 		respondOK("done")(rw, r)
 	}))
 	for round := range rounds {
 		near, gate := w.startTwoRegions()
-		conns := make([]*caller, callers)
-		for i := range conns {
-			conns[i] = dial(t, near)
-			conns[i].sendRequest(http.MethodPost, "/", fmt.Sprint("first-", round, "-", i))
-			res, _ := conns[i].readResponse(http.MethodPost)
-			is.Equal(res.StatusCode, http.StatusOK)
+		forward := func(id string, done outbound.Done) {
+			e := &ingress.Send{Target: "t1", TimeLeft: 5 * time.Second}
+			near.gatewayPool.Do(gate.settings.Self.GatewayAddr, &outbound.Request{
+				Method: http.MethodPost, URI: "/", Host: testHost,
+				Header: http.Header{testFields.RequestID: {id}, forwardHeader: {near.forwardHeaderValue(e)}},
+			}, done)
 		}
-		var sent sync.WaitGroup
+		var ended sync.WaitGroup
+		ended.Add(requests)
+		for i := range requests {
+			forward(fmt.Sprint("first-", round, "-", i), func(*outbound.Answer, *verdict.Error) { ended.Done() })
+		}
+		ended.Wait()
+		is.New(t).Equal(gate.gatewayServer.Connections(), requests) // no later request has to open one
+		ended.Add(requests)
 		decided := time.Now().Add(5 * time.Millisecond)
-		for i, c := range conns {
-			sent.Go(func() {
-				time.Sleep(time.Until(decided.Add(rand.N(3*time.Millisecond) - 1500*time.Microsecond)))
-				id := fmt.Sprint(round, "-", i)
-				c.sendRequest(http.MethodPost, "/", id)
-				res, _ := c.readResponse(http.MethodPost)
-				mu.Lock()
-				defer mu.Unlock()
-				if ok := res.StatusCode == http.StatusOK && runs[id] == 1 || res.StatusCode == http.StatusServiceUnavailable && runs[id] == 0; !ok {
-					t.Errorf("request %s: status %d, %d runs", id, res.StatusCode, runs[id])
-				}
+		for i := range requests {
+			id := fmt.Sprint(round, "-", i)
+			time.AfterFunc(time.Until(decided)+rand.N(3*time.Millisecond)-1500*time.Microsecond, func() {
+				forward(id, func(ans *outbound.Answer, err *verdict.Error) {
+					defer ended.Done()
+					if err == nil {
+						err = heads.ParseFailure(ans.Header)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if known := err == nil && runs[id] == 1 || err != nil && err.Verdict == verdict.NotRun && runs[id] == 0; !known {
+						t.Errorf("request %s: %v, %d runs", id, err, runs[id])
+					}
+				})
 			})
 		}
 		time.Sleep(time.Until(decided))
 		gate.gatewayServer.AnnounceClose()
 		gate.gatewayServer.StopAccepting()
-		sent.Wait()
+		ended.Wait()
 		near.shutdown()
 		gate.shutdown()
 	}
