ingress: look-ups and checks end with a stop as requests do

Seen while the places that close a connection were listed: the servers of look-ups, of the platform's checks and of metrics were closed at once at the end of a stop, also with a page in the making, and their answers during a stop did not announce the close.

Change: all servers of a leaving VM announce the close from the signal on, and pages stop as callers' requests do, with 300 ms at most for the callers to take the last one. A stop looks at once whether it has anything to wait for, instead of 50 ms later; a caller that has its last answer and doesn't close its connection is no error of the stop.

--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -194,12 +194,21 @@
 	return c.phase == phaseOpen
 }
 
-// isBusy reports whether a message is partly received or in flight, bytes wait to be
-// sent, or the caller may still be reading its last answer.
-func (c *conn) isBusy() bool {
+// isUnfinished reports whether a message is partly received or in flight, or bytes wait
+// to be sent.
+func (c *conn) isUnfinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.receiving || !c.pipeline.empty() || c.pending() || c.phase == phaseLast
+	return c.receiving || !c.pipeline.empty() || c.pending()
+}
+
+// isBusy reports whether the connection is unfinished, or its caller may still be
+// reading its last answer.
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	last := c.phase == phaseLast
+	c.mu.Unlock()
+	return last || c.isUnfinished()
 }
 
 // closeIfIdle decides to close the connection if it has no request in flight or partly
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -343,18 +343,21 @@
 func (s *Server) flush(ctx context.Context) error {
 	t := time.NewTicker(flushPollInterval)
 	defer t.Stop()
-	for {
+	for slices.ContainsFunc(s.openConns(), (*conn).isBusy) {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return fmt.Errorf("inbound: requests or answers still in progress: %w", ctx.Err())
-		}
-		if !s.busy() {
-			return nil
+			return s.unfinished(ctx)
 		}
 	}
+	return nil
 }
 
-// busy reports whether a request is partly received or in flight, or a
-// connection has bytes that the kernel has not taken.
-func (s *Server) busy() bool { return slices.ContainsFunc(s.openConns(), (*conn).isBusy) }
+// unfinished returns an error if requests or answers are still in progress when ctx has
+// ended. A connection that only its caller has not closed yet is none.
+func (s *Server) unfinished(ctx context.Context) error {
+	if slices.ContainsFunc(s.openConns(), (*conn).isUnfinished) {
+		return fmt.Errorf("inbound: requests or answers still in progress: %w", ctx.Err())
+	}
+	return nil
+}
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -291,9 +292,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.reloadable.Load().stopTimeout-stopMargin)
 	defer cancel()
 	s.leaving.Store(true)
-	s.callerServer.AnnounceClose()
-	if s.gatewayServer != nil {
-		s.gatewayServer.AnnounceClose()
+	for _, l := range s.listeners() {
+		l.AnnounceClose()
 	}
 	s.event(eventStop).WithField("in_flight", s.calls.len()).Info("entry VM is stopping")
 	s.cancel() // keepRegistered revokes the lease
@@ -308,6 +308,7 @@
 		s.gatewayServer.StopAccepting()
 		err = errors.Join(err, s.gatewayServer.Stop(ctx))
 	}
+	err = errors.Join(err, s.stopPages(ctx))
 	s.shutdown()
 	if err != nil {
 		return fmt.Errorf("ingress: %w", err)
@@ -316,6 +317,29 @@
 	return nil
 }
 
+// stopPages stops the servers of pages that are answered at once. Look-ups and the
+// platform's checks go on until requests have ended.
+func (s *Server) stopPages(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pageStopTimeout)
+	defer cancel()
+	var err error
+	for _, l := range []*inbound.Server{s.readyServer, s.lookupServer, s.metricsServer} {
+		if l != nil {
+			err = errors.Join(err, l.Stop(ctx))
+		}
+	}
+	return err
+}
+
+// listeners returns the servers of this VM.
+func (s *Server) listeners() []*inbound.Server {
+	all := []*inbound.Server{s.callerServer, s.gatewayServer, s.readyServer, s.lookupServer, s.metricsServer}
+	return slices.DeleteFunc(all, func(l *inbound.Server) bool { return l == nil })
+}
+
+// pageStopTimeout limits the wait for callers to take their last page.
+const pageStopTimeout = 300 * time.Millisecond
+
 // shutdown closes everything. Only the first call has an effect.
 func (s *Server) shutdown() { s.shutdownOnce.Do(s.releaseAll) }
 
@@ -330,10 +354,8 @@
 	if s.core != nil {
 		s.core.Close()
 	}
-	for _, l := range []*inbound.Server{s.callerServer, s.gatewayServer, s.readyServer, s.lookupServer, s.metricsServer} {
-		if l != nil {
-			l.Close() // requests in flight have had their time
-		}
+	for _, l := range s.listeners() {
+		l.Close() // requests in flight have had their time
 	}
 	for _, p := range []*outbound.Pool{s.targetPool, s.gatewayPool} {
 		if p != nil {
