outbound: a cancellation closes its own request's connection only

What callers saw: 502, with an unknown outcome, for a request whose target is sound, when another request to the same target was cancelled (its caller left, or a second send was answered first) just as its answer came.

Cause: the cancellation looked up the connection under the call's lock and closed it afterwards; the answer could free the connection in between, and the next request take it.

Change: whether to close is decided under the lock under which a connection changes hands, and only if it still carries the cancelled request; a connection that is to be closed is not kept for reuse.

--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -168,7 +168,9 @@
 		k.done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason})
 		return
 	}
-	c.close(ClosedCancelled)
+	if c.p.takeBack(c, k) {
+		c.close(ClosedCancelled)
+	}
 	k.done(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason})
 }
 
--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -280,3 +283,37 @@
 	is.Equal(n, len(head))
 	is.Equal(pe.idleCount(), 0)
 }
+
+// Guards against a request that is lost because another one was cancelled: that one's
+// answer came at the same time, and its connection was given to the next request before
+// the cancellation closed it.
+func TestCancelAsTheAnswerComesClosesNoOtherRequest(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, answerAlways(okAnswer))
+	p := newPool(t)
+	var lost, answered atomic.Int64
+	end := time.Now().Add(2 * time.Second)
+	var load sync.WaitGroup
+	for n := range 32 {
+		load.Go(func() {
+			for time.Now().Before(end) {
+				k, ch := send(p, addr)
+				if n%2 == 0 {
+					time.Sleep(rand.N(200 * time.Microsecond))
+					k.Cancel(verdict.ReasonCallerGone)
+					<-ch
+					continue
+				}
+				switch o := <-ch; {
+				case o.err == nil:
+					answered.Add(1)
+				case o.err.Verdict != verdict.NotRun:
+					lost.Add(1)
+				}
+			}
+		})
+	}
+	load.Wait()
+	t.Logf("%d answered", answered.Load())
+	is.Equal(lost.Load(), int64(0))
+}
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -139,7 +139,7 @@
 	k := c.call
 	c.call = nil
 	c.maxIdle = maxIdleTime(keepAlive, pe.pool.opts.IdleTimeout)
-	keep := k != nil && !c.noReuse
+	keep := k != nil && !c.noReuse && c.closedBy == ""
 	if keep {
 		c.idleSince = pe.pool.opts.Now()
 		pe.idle = append(pe.idle, c)
@@ -218,6 +218,18 @@
 	return c.call != nil && c.call.req.MayEndByClose
 }
 
+// takeBack decides to close c if it still carries k. If k's answer has come meanwhile, c
+// may carry another request.
+func (pe *peer) takeBack(c *conn, k *Call) bool {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if c.call != k || c.closedBy != "" {
+		return false
+	}
+	c.closedBy = ClosedCancelled
+	return true
+}
+
 // attach records that k's request is about to be written to c. It returns false if k has
 // finished or c is being closed: nothing may be written then.
 func (pe *peer) attach(c *conn, k *Call) bool {
