--- a/serve/inbound/close_test.go
+++ b/serve/inbound/close_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -171,6 +172,50 @@
 	is.New(t).Equal(lost, 0)
 }
 
+// Guards against a request that is passed on and refused with 408, a promise that it has
+// not run: its last byte comes as the time to receive it ends.
+func TestReadTimeoutRefusesNoRequestPassedOn(t *testing.T) {
+	const readTimeout = 60 * time.Millisecond
+	var mu sync.Mutex
+	passedOn, refused, wrong := 0, 0, 0
+	for range crossingRounds {
+		c := newCrossing(t, time.Minute)
+		limits := *c.s.limits()
+		limits.ReadTimeout = readTimeout
+		c.s.SetLimits(limits)
+		var sent sync.WaitGroup
+		for i, k := range c.connect(crossingCallers) {
+			sent.Go(func() {
+				path := "/" + strconv.Itoa(i)
+				_, err := fmt.Fprintf(k.conn, "GET %s HTTP/1.1\r\nHost: a\r\n", path)
+				time.Sleep(readTimeout - time.Millisecond + rand.N(2*time.Millisecond))
+				_, err2 := io.WriteString(k.conn, "\r\n")
+				res, err3 := http.ReadResponse(k.r, nil)
+				if err := errors.Join(err, err2, err3); err != nil {
+					t.Error(err)
+					return
+				}
+				c.mu.Lock()
+				ran := c.passedOn[path]
+				c.mu.Unlock()
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case ran && res.StatusCode == http.StatusOK:
+					passedOn++
+				case !ran && res.StatusCode == http.StatusRequestTimeout:
+					refused++
+				default:
+					wrong++
+				}
+			})
+		}
+		sent.Wait()
+	}
+	t.Logf("%d requests were passed on, %d refused", passedOn, refused)
+	is.New(t).Equal(wrong, 0)
+}
+
 // Guards against a request that is passed on after the server has found in a planned
 // stop that nothing is in flight: the end of the process cuts it off.
 func TestEndOfStopClosesNoConnectionWithARequest(t *testing.T) {
