inbound: the interim answer that asks for a body waits for its turn

Found by reading while the writes of a connection were listed; seen by nobody. A caller that sends a request with Expect: 100-continue behind another got 100 Continue at once, from the poller's goroutine. A large answer is written in two steps, head and body: the interim answer could come between them and count as the body's first bytes.

Change: it is sent when the answers to the requests before are. TestInterimAnswerWaitsForItsTurn: sent at once before.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -46,6 +46,7 @@
 	closeReason CloseReason // why this side closes the connection, "" if it has not decided to
 	receiving   bool        // data is being processed, or a message is partly received
 	requests    int         // passed to the handler
+	continueDue bool        // interimContinue is sent after the requests in flight
 	awaited     awaited
 	awaitedBy   deadline // of what is awaited
 	takenBy     deadline // for the caller to take what was written
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -129,6 +129,8 @@
 	// The phase may have changed since the answer was written as one that is not the
 	// last.
 	last = last || c.phase == phaseLast && p.empty()
+	askForBody := c.continueDue && p.empty() && !last
+	c.continueDue = c.continueDue && !askForBody
 	switch {
 	case !p.empty() || last:
 	case c.receiving:
@@ -137,6 +139,9 @@
 		c.awaitNextRequest()
 	}
 	c.mu.Unlock()
+	if askForBody {
+		_ = c.send(interimContinue) // an error means that the connection failed
+	}
 	switch {
 	case x.Refused != 0:
 		c.close(ClosedRefused)
--- a/serve/inbound/pipeline_test.go
+++ b/serve/inbound/pipeline_test.go
@@ -208,3 +208,32 @@
 		}
 	}
 }
+
+// Guards against an answer with foreign bytes in it: an interim answer to the request
+// behind it was sent at once, also between its head and its body.
+func TestInterimAnswerWaitsForItsTurn(t *testing.T) {
+	is := is.New(t)
+	h := newHeldHandler()
+	s := listen(t, h.Serve)
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(<-h.arrived, "/1")
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	_, err = r.ReadByte()
+	is.True(err != nil) // nothing is sent yet
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	h.answer("/1")
+	_, b := read(t, r, http.MethodGet)
+	is.Equal(b, "/1 ")
+	interim := make([]byte, len(interimContinue))
+	_, err = io.ReadFull(r, interim)
+	is.NoErr(err)
+	is.Equal(string(interim), string(interimContinue))
+	_, err = io.WriteString(conn, "ab")
+	is.NoErr(err)
+	is.Equal(<-h.arrived, "/2")
+	h.answer("/2")
+	_, b = read(t, r, http.MethodPost)
+	is.Equal(b, "/2 ab")
+}
--- a/serve/inbound/processor.go
+++ b/serve/inbound/processor.go
@@ -65,7 +65,22 @@
 		return
 	}
 	if length > 0 && strings.EqualFold(c.req.Header.Get("Expect"), "100-continue") {
-		_ = c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // an error means that the connection failed
+		c.askForBody()
+	}
+}
+
+// interimContinue is the interim answer that asks for the body of a request.
+var interimContinue = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+// askForBody sends the interim answer in its turn: within the answer to an earlier
+// request it would be taken for a part of that.
+func (c *conn) askForBody() {
+	c.mu.Lock()
+	c.continueDue = !c.pipeline.empty()
+	now := !c.continueDue
+	c.mu.Unlock()
+	if now {
+		_ = c.send(interimContinue) // an error means that the connection failed
 	}
 }
 
