--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -26,6 +26,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/serve/admin"
 	"github.com/azurethread/azurethread/serve/daemon"
+	"github.com/azurethread/azurethread/standin/loopback"
 	"github.com/azurethread/azurethread/standin/platform"
 	"github.com/azurethread/azurethread/standin/target"
 )
@@ -115,7 +116,7 @@
 	if err := s.start(); err != nil {
 		return err
 	}
-	addrs, err := freeAddrs(3)
+	addrs, err := loopback.Free(loopback.IP(0), 3)
 	if err != nil {
 		return err
 	}
@@ -160,21 +161,6 @@
 
 func fixtureOf(ts *testscript.TestScript) *fixture { return ts.Value(fixtureKey{}).(*fixture) }
 
-// freeAddrs returns addresses that are currently free. Another process may still
-// take a port before the daemon listens on it.
-func freeAddrs(n int) ([]string, error) {
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs, nil
-}
-
 // poll waits until ok returns true, and fails the script after about 30 s.
 func poll(ts *testscript.TestScript, what string, ok func() bool) {
 	for range 3000 {
--- a/cmd/settings_test.go
+++ b/cmd/settings_test.go
@@ -11,12 +11,13 @@
 	"github.com/spf13/pflag"
 
 	"github.com/azurethread/azurethread/serve/settings"
+	"github.com/azurethread/azurethread/standin/loopback"
 )
 
 // goodSettings returns settings with which azurethreadd starts.
 func goodSettings(t *testing.T) []string {
 	t.Helper()
-	addrs, err := freeAddrs(3)
+	addrs, err := loopback.Free(loopback.IP(0), 3)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/operate/e2e/entry_test.go
+++ b/operate/e2e/entry_test.go
@@ -6,10 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +20,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/serve/daemon"
 	"github.com/azurethread/azurethread/serve/settings"
+	"github.com/azurethread/azurethread/standin/loopback"
 	"github.com/azurethread/azurethread/standin/platform"
 	"github.com/azurethread/azurethread/standin/target"
 )
@@ -223,7 +222,10 @@
 // startEntryVMNoWait starts an entry VM without waiting for its configuration.
 func (sys *testSystem) startEntryVMNoWait(id fleet.VMID, domain fleet.Domain, flags ...string) *entryVM {
 	sys.tb.Helper()
-	a := freeAddrs(sys.tb, 3)
+	a, err := loopback.Free(loopback.IP(0), 3)
+	if err != nil {
+		sys.tb.Fatal(err)
+	}
 	vm := fleet.VM{
 		ID: id, Region: regionOf(domain), Domain: domain, Site: fleet.Site(domain), Incarnation: 1,
 		CallAddr: a[0], PeerAddr: a[1], AdminAddr: a[2],
@@ -256,29 +258,6 @@
 	sys.mu.Unlock()
 }
 
-// freeAddrs returns addresses that are currently free, on a loopback address of this
-// process: on 127.0.0.1 another process may take a port before the daemon listens.
-// All listeners stay open until all ports are chosen, so that they differ.
-func freeAddrs(tb testing.TB, n int) []string {
-	tb.Helper()
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(ownLoopback(), "0"))
-		if err != nil {
-			tb.Fatal(err)
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs
-}
-
-// ownLoopback returns a loopback address that other processes do not use.
-func ownLoopback() string {
-	pid := os.Getpid()
-	return net.IPv4(127, byte(1+pid>>16%254), byte(pid>>8), byte(pid)).String()
-}
-
 // entryOptions describes a single entry VM under test with its own platform.
 type entryOptions struct {
 	targets  []fleet.Target // region and domain are filled in
