Metrics are made and named in one place; doc of inbound; load of two tests

A counter is now made and published by one call; names and kinds were compared with those before (23, the same). The two tests of descriptors share their load. No behaviour changes.

--- a/serve/inbound/doc.go
+++ b/serve/inbound/doc.go
@@ -14,10 +14,19 @@
 //     cancelled.
 //   - nbhttp sends status 200 for a status code without a standard text. Here
 //     the status line is written by this package.
+//   - nbio's read and write deadlines close a connection without a look at what is
+//     in flight. Here a connection has deadlines of its own.
 //   - nbhttp.Engine.Shutdown closes connections with requests in flight. Here
 //     Stop waits until the last exchange has been answered and the caller has
 //     received the answer.
 //
+// A connection is open, then takes no further request, then is closed. It passes a
+// request on only while it is open, and changes its phase under the same lock as it
+// passes requests on: whoever decides to close it (a timeout, a stop, a refusal, the
+// last answer) finds the request in flight, or the request is not passed on. A planned
+// stop answers every request that was received before, and lets the caller take its
+// last answer.
+//
 // A connection carries one exchange at a time, unless Options.Overlaps allows
 // pipelined requests to be served concurrently. Other pipelined requests wait
 // in a short queue. Answers are always sent in the order of the requests.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -93,40 +93,49 @@
 // newMetrics returns metrics that are not published globally: tests run several
 // entry VMs in one process, and expvar's names are global.
 func newMetrics() *metrics {
-	m := &metrics{
-		vars: new(expvar.Map).Init(), answersByStatus: new(expvar.Map).Init(), refusalsByReason: new(expvar.Map).Init(),
-		refusalsByVerdict: new(expvar.Map).Init(), sends: new(expvar.Int), sendsByDomain: new(expvar.Map).Init(),
-		connWaits: new(expvar.Map).Init(), connWaitMS: new(expvar.Map).Init(), sendsByOutcome: new(expvar.Map).Init(), forwarded: new(expvar.Int), gatewayConnWaits: new(expvar.Int), gatewayConnWaitMS: new(expvar.Int), silentGateways: new(expvar.Int),
-		callersGone: new(expvar.Int), connsClosed: new(expvar.Map).Init(), requestsCut: new(expvar.Map).Init(), requestsUnread: new(expvar.Map).Init(), sendConnsClosed: new(expvar.Map).Init(), sendsCut: new(expvar.Map).Init(), probes: new(expvar.Int), unreadLimits: new(expvar.Int), unreadNotices: new(expvar.Int), defects: new(expvar.Int), targetStateChanges: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram(),
-	}
-	m.vars.Set("answers_by_status", m.answersByStatus)
-	m.vars.Set("refusals_by_reason", m.refusalsByReason)
-	m.vars.Set("refusals_by_verdict", m.refusalsByVerdict)
-	m.vars.Set("sends", m.sends)
-	m.vars.Set("sends_by_domain", m.sendsByDomain)
-	m.vars.Set("connection_waits_by_domain", m.connWaits)
-	m.vars.Set("connection_wait_ms_by_domain", m.connWaitMS)
-	m.vars.Set("sends_by_outcome", m.sendsByOutcome)
-	m.vars.Set("requests_carried", m.forwarded)
-	m.vars.Set("carried_connection_waits", m.gatewayConnWaits)
-	m.vars.Set("carried_connection_wait_ms", m.gatewayConnWaitMS)
-	m.vars.Set("gateways_silent", m.silentGateways)
-	m.vars.Set("callers_gone", m.callersGone)
-	m.vars.Set("connections_closed", m.connsClosed)
-	m.vars.Set("requests_cut", m.requestsCut)
-	m.vars.Set("requests_unread", m.requestsUnread)
-	m.vars.Set("send_connections_closed", m.sendConnsClosed)
-	m.vars.Set("sends_cut", m.sendsCut)
-	m.vars.Set("target_probes", m.probes)
-	m.vars.Set("target_limits_unread", m.unreadLimits)
-	m.vars.Set("target_notices_unread", m.unreadNotices)
-	m.vars.Set("store_defects", m.defects)
-	m.vars.Set("target_beliefs", m.targetStateChanges)
+	m := &metrics{vars: new(expvar.Map).Init(), answerLatency: newLatencyHistogram(), refusalLatency: newLatencyHistogram()}
+	m.answersByStatus = m.newCounters("answers_by_status")
+	m.refusalsByReason = m.newCounters("refusals_by_reason")
+	m.refusalsByVerdict = m.newCounters("refusals_by_verdict")
+	m.sends = m.newCounter("sends")
+	m.sendsByDomain = m.newCounters("sends_by_domain")
+	m.connWaits = m.newCounters("connection_waits_by_domain")
+	m.connWaitMS = m.newCounters("connection_wait_ms_by_domain")
+	m.sendsByOutcome = m.newCounters("sends_by_outcome")
+	m.forwarded = m.newCounter("requests_carried")
+	m.gatewayConnWaits = m.newCounter("carried_connection_waits")
+	m.gatewayConnWaitMS = m.newCounter("carried_connection_wait_ms")
+	m.silentGateways = m.newCounter("gateways_silent")
+	m.callersGone = m.newCounter("callers_gone")
+	m.connsClosed = m.newCounters("connections_closed")
+	m.requestsCut = m.newCounters("requests_cut")
+	m.requestsUnread = m.newCounters("requests_unread")
+	m.sendConnsClosed = m.newCounters("send_connections_closed")
+	m.sendsCut = m.newCounters("sends_cut")
+	m.probes = m.newCounter("target_probes")
+	m.unreadLimits = m.newCounter("target_limits_unread")
+	m.unreadNotices = m.newCounter("target_notices_unread")
+	m.defects = m.newCounter("store_defects")
+	m.targetStateChanges = m.newCounters("target_beliefs")
 	m.vars.Set("answer_latency", expvar.Func(m.answerLatency.summary))
 	m.vars.Set("refusal_latency", expvar.Func(m.refusalLatency.summary))
 	return m
 }
 
+// newCounter adds a counter under a name.
+func (m *metrics) newCounter(name string) *expvar.Int {
+	v := new(expvar.Int)
+	m.vars.Set(name, v)
+	return v
+}
+
+// newCounters adds counters by a label under a name.
+func (m *metrics) newCounters(name string) *expvar.Map {
+	v := new(expvar.Map).Init()
+	m.vars.Set(name, v)
+	return v
+}
+
 // addConnWait counts a send that waited for a connection.
 func (m *metrics) addConnWait(at fleet.Domain, took time.Duration) {
 	m.connWaits.Add(string(at), 1)
--- a/serve/outbound/descriptor_test.go
+++ b/serve/outbound/descriptor_test.go
@@ -16,6 +16,29 @@
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
+// soundLoad sends requests to a sound receiver, each on a new connection, until done is set.
+type soundLoad struct {
+	callers        sync.WaitGroup
+	done           atomic.Bool
+	answered, lost atomic.Int64
+}
+
+func startLoad(p *Pool, addr string) *soundLoad {
+	l := new(soundLoad)
+	for range 16 {
+		l.callers.Go(func() {
+			for !l.done.Load() {
+				if _, ch := send(p, addr); (<-ch).err != nil {
+					l.lost.Add(1)
+				} else {
+					l.answered.Add(1)
+				}
+			}
+		})
+	}
+	return l
+}
+
 // Guards against a request that is lost although its receiver works: a connection to
 // another receiver is closed on both sides at once, its file descriptor is given to a
 // new connection, and the poller takes the old one's end for the new one's.
@@ -34,20 +57,7 @@
 	})
 	is.NoErr(err)
 	t.Cleanup(p.Close)
-	var lost, answered atomic.Int64
-	var done atomic.Bool
-	var load sync.WaitGroup
-	for range 16 {
-		load.Go(func() {
-			for !done.Load() {
-				if _, ch := send(p, sound); (<-ch).err != nil {
-					lost.Add(1)
-				} else {
-					answered.Add(1)
-				}
-			}
-		})
-	}
+	load := startLoad(p, sound)
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
 		var calls []*Call
 		for range 16 {
@@ -67,13 +77,15 @@
 			k.Cancel(verdict.ReasonCallerGone)
 		}
 	}
-	done.Store(true)
-	load.Wait()
-	t.Logf("%d answered", answered.Load())
-	is.Equal(lost.Load(), int64(0))
+	load.done.Store(true)
+	load.callers.Wait()
+	t.Logf("%d answered", load.answered.Load())
+	is.Equal(load.lost.Load(), int64(0))
 }
 
-// Guards against the same fault at the end of an answer that ends with its connection.
+// Guards against a request that is lost although its receiver works: another answer has
+// ended with its connection, and the duplicate of that one's socket, which shows how it
+// ended, keeps the events of its descriptor alive.
 func TestAnswerThatEndsByCloseClosesNoOtherConnection(t *testing.T) {
 	is := is.New(t)
 	closing := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
@@ -83,23 +95,11 @@
 	})
 	sound := receiver(t, answerAlways("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"))
 	p := newPool(t)
-	var lost, answered, cut atomic.Int64
-	var done atomic.Bool
-	var load sync.WaitGroup
-	for range 16 {
-		load.Go(func() {
-			for !done.Load() {
-				if _, ch := send(p, sound); (<-ch).err != nil {
-					lost.Add(1)
-				} else {
-					answered.Add(1)
-				}
-			}
-		})
-	}
+	load := startLoad(p, sound)
+	var cut atomic.Int64
 	for range 16 {
-		load.Go(func() {
-			for !done.Load() {
+		load.callers.Go(func() {
+			for !load.done.Load() {
 				ch := make(chan outcome, 1)
 				p.Do(closing, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, MayEndByClose: true}, func(a *Answer, err *verdict.Error) {
 					ch <- outcome{a, err}
@@ -111,9 +111,9 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	done.Store(true)
-	load.Wait()
-	t.Logf("%d answered, %d answers that end by close are cut", answered.Load(), cut.Load())
-	is.Equal(lost.Load(), int64(0))
+	load.done.Store(true)
+	load.callers.Wait()
+	t.Logf("%d answered, %d answers that end by close are cut", load.answered.Load(), cut.Load())
+	is.Equal(load.lost.Load(), int64(0))
 	is.Equal(cut.Load(), int64(0))
 }
