pollers: a closed connection's socket is not held

Found by reading the change: an answer that ends with its connection may be cancelled on another goroutine just as its socket is duplicated; its descriptor can be another connection's by then, and the look at how it ended would take a byte from that one.

Change: Hold excludes closes while it duplicates, and refuses a connection that is closed; the answer then counts as truncated, which nobody waits for. TestHoldRefusesClosedConnection: without the check the other connection's socket is held.

Names: closingIdle for the server's flag under which idle connections close.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -330,7 +330,7 @@
 	case c.pending():
 	case c.draining.Load():
 		go c.linger()
-	case c.s.refusing.Load():
+	case c.s.closingIdle.Load():
 		go c.closeInStop()
 	}
 }
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -165,7 +165,7 @@
 	partial := len(c.head) > 0 || c.req != nil
 	c.mu.Lock()
 	c.receiving = partial && c.phase == phaseOpen
-	if c.s.refusing.Load() && !c.receiving && !c.pipeline.empty() {
+	if c.s.closingIdle.Load() && !c.receiving && !c.pipeline.empty() {
 		// A caller that always has a further request under way would delay the stop.
 		c.phase = max(c.phase, phaseLast)
 	}
@@ -176,7 +176,7 @@
 // closeInStop closes the connection if it is idle and the server takes no further
 // request.
 func (c *conn) closeInStop() {
-	if !c.s.refusing.Load() {
+	if !c.s.closingIdle.Load() {
 		return
 	}
 	c.mu.Lock()
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -77,7 +77,7 @@
 	engine        *pollers.Engine
 	listener      net.Listener
 	stopping      atomic.Bool // each answer that leaves its connection idle announces the close
-	refusing      atomic.Bool // idle connections are closed
+	closingIdle   atomic.Bool // a connection closes as soon as it is idle
 	acceptLoop    sync.WaitGroup
 
 	stopEngine sync.Once // nbio panics if it is stopped twice
@@ -275,8 +275,8 @@
 	}
 }
 
-// AnnounceClose makes every further answer tell its caller to close the connection.
-// Requests are still served.
+// AnnounceClose makes every further answer tell its caller to close the connection,
+// unless further requests on it have been received. Requests are still served.
 func (s *Server) AnnounceClose() { s.stopping.Store(true) }
 
 // Stop waits until no request is in flight or ctx ends, and then closes
@@ -314,7 +314,7 @@
 // idle.
 func (s *Server) StopAccepting() {
 	s.closeListener()
-	s.refusing.Store(true)
+	s.closingIdle.Store(true)
 	for _, c := range s.openConns() {
 		c.closeInStop()
 	}
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -115,17 +115,22 @@
 // Hold duplicates the socket of an open connection, so that the way it ended can be
 // read after nbio has closed it. release closes the duplicate. Until then epoll goes on
 // to report the socket's events for the connection's descriptor, and no other connection
-// with that descriptor is added.
+// with that descriptor is added. It must be called on the poller's goroutine.
 func (e *Engine) Hold(c *nbio.Conn) (socket int, release func(), err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, nil, fmt.Errorf("pollers: access socket: %w", err)
 	}
+	b, fd := e.barrier(c), c.Hash()
+	b.closing.Lock() // or another goroutine could close c, and its descriptor be another's
+	defer b.closing.Unlock()
+	if _, err := c.Write(nil); err != nil {
+		return 0, nil, fmt.Errorf("pollers: hold socket: %w", err)
+	}
 	socket = -1
 	if ctrl := raw.Control(func(fd uintptr) { socket, err = syscall.Dup(int(fd)) }); ctrl != nil || err != nil {
 		return 0, nil, fmt.Errorf("pollers: duplicate socket: %w", errors.Join(ctrl, err))
 	}
-	b, fd := e.barrier(c), c.Hash()
 	released := make(chan struct{})
 	b.held.Store(fd, released)
 	return socket, func() {
--- a/serve/pollers/pollers_test.go
+++ b/serve/pollers/pollers_test.go
@@ -1,6 +1,7 @@
 package pollers
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -90,6 +91,25 @@
 	is.NoErr(started.Write(replacement, []byte{1})) // still open
 }
 
+// Guards against bytes that are taken from another connection: the socket of one that
+// has been closed was duplicated, and its descriptor was another's by then.
+func TestHoldRefusesClosedConnection(t *testing.T) {
+	is := is.New(t)
+	started, err := Start(nbhttp.NewEngine(nbhttp.Config{NPoller: 1}))
+	is.NoErr(err)
+	t.Cleanup(started.Stop)
+	_, old := testPair(t)
+	is.NoErr(started.Add(old))
+	started.Close(old)
+	_, replacement := testPair(t)
+	for replacement.Hash() != old.Hash() {
+		_, replacement = testPair(t)
+	}
+	is.NoErr(started.Add(replacement))
+	_, _, err = started.Hold(old)
+	is.True(errors.Is(err, net.ErrClosed))
+}
+
 // testPair returns a socket pair. What the far end receives is ignored.
 func testPair(t *testing.T) (near net.Conn, far *nbio.Conn) {
 	t.Helper()
