inbound: a connection's idle timeout begins when it is registered

If its poller is busy for longer than the timeout, the connection is closed first; nbio then registers it with a descriptor that is another connection's by then, whose events are lost and which no stop finds.

Change: the deadline begins after the registration, unless one was set for data that has come. TestIdleTimeoutBeginsWithRegistration holds the poller that long: it hung before, passes now.

--- a/serve/inbound/close_test.go
+++ b/serve/inbound/close_test.go
@@ -423,3 +423,44 @@
 	t.Logf("%d requests", asked.Load())
 	is.New(t).Equal(unanswered.Load(), int64(0))
 }
+
+// Guards against a connection that is lost, another one's requests that get no answer, and
+// a stop that never ends: a connection was closed by its idle timeout before it was
+// registered, as its poller was busy, and was then registered with a descriptor that
+// belonged to another one.
+func TestIdleTimeoutBeginsWithRegistration(t *testing.T) {
+	is := is.New(t)
+	const idleTimeout = 60 * time.Millisecond
+	entered, release := make(chan struct{}), make(chan struct{})
+	s, err := Listen("127.0.0.1:0", Options{
+		Limits:       Limits{HeadBytes: testHead, BodyBytes: testBody, ReadTimeout: time.Minute, IdleTimeout: idleTimeout},
+		WriteTimeout: time.Minute, Pollers: 1,
+		Refusal: func(int) (http.Header, []byte) { return nil, nil },
+	})
+	is.NoErr(err)
+	s.Serve(handlerFunc(func(x *Exchange) {
+		if x.URI == "/hold" {
+			entered <- struct{}{}
+			<-release // holds the poller
+		}
+		echo(x)
+	}))
+	t.Cleanup(s.Close)
+	holding, _ := dial(t, s)
+	_, idle := dial(t, s)
+	for s.Connections() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.WriteString(holding, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	<-entered
+	_, err = idle.ReadByte() // closed by its timeout: the next connection waits for the poller
+	is.Equal(err, io.EOF)
+	conn, r := dial(t, s)
+	time.Sleep(3 * idleTimeout)
+	close(release)
+	_, err = io.WriteString(conn, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	_, b := read(t, r, http.MethodGet)
+	is.Equal(b, "/late ")
+}
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -150,6 +150,18 @@
 // called with mu held.
 func (c *conn) awaitNextRequest() { c.await(awaitRequest, c.s.limits().IdleTimeout) }
 
+// awaitFirstRequest bounds the time for which a new connection may be idle. It must be
+// called after the registration: a connection that is closed before it would be
+// registered with a descriptor that may be another one's by then. The poller may have
+// processed data already; the deadline that was set for it stays.
+func (c *conn) awaitFirstRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseOpen && c.awaited == awaitNone && c.pipeline.empty() && !c.receiving {
+		c.awaitNextRequest()
+	}
+}
+
 // beginReceiving records that data has come. It reports false if the connection is
 // closing: what comes then is ignored, and its caller sees it as unread.
 func (c *conn) beginReceiving() bool {
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -177,19 +177,14 @@
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
 	c.initialized.Store(true)
-	c.mu.Lock()
-	c.awaitNextRequest()
-	c.mu.Unlock()
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if err := s.engine.Add(nbc); err != nil {
 		s.removeConn(c)
-		c.mu.Lock()
-		c.awaitNothing()
-		c.mu.Unlock()
 		return fmt.Errorf("inbound: register connection: %w", err)
 	}
+	c.awaitFirstRequest()
 	return nil
 }
 
