ingress: limits of targets are logged with their value, and counted by who knew them

The hypotheses of the incident could not be told apart: the line "states a rate limit" had no value, and nothing said whether a request to a target with a limit was placed by a VM that knew it. Counted now by service: requests placed at, and sent to, targets of which this VM knew a limit. More sent than placed over all VMs is the second hypothesis; a second "states a rate limit" after "registered" the first. No decision changes.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -306,6 +306,8 @@
 	// Stated is the duration that the target stated, and Age how long ago the state
 	// that is changed began; 0: does not apply.
 	Stated, Age time.Duration
+	// Limit is the rate limit that the target states.
+	Limit RateLimit
 }
 
 // Ready holds the effects of one Step. The slices belong to the caller, who resets
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -68,6 +68,7 @@
 		Account:        q.account, KeepCredentials: !r.table.Config.RequiresKeys(),
 	})
 	if a.gateway == "" {
+		t.countLimitedSend()
 		return
 	}
 	r.startProbe(a.gateway, probeID(a.id))
@@ -157,6 +158,7 @@
 	f := &forwarded{request: ev.Request, attempt: r.nextAttempt, target: t, sent: now}
 	r.forwards[f.request] = f
 	r.forwardsByAttempt[f.attempt] = f
+	t.countLimitedSend()
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: f.attempt, Request: f.request, Target: t.ID, StartedAt: t.StartedAt, Domain: t.Domain, Addr: t.Addr,
 		TimeLeft: ev.TimeLeft, ConnectTimeout: r.connectTimeout(t),
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -149,6 +149,9 @@
 	if t.cold(now) || t.limit.active {
 		t.sends.add(now, sendRetention)
 	}
+	if t.limit.active {
+		j.svc.limitedPlaced++
+	}
 	if j.hadChoice {
 		// Only requests with a choice count for the share. The limit on its change
 		// would otherwise keep the share high after a time without local targets.
--- a/decide/ingress/ratelimit.go
+++ b/decide/ingress/ratelimit.go
@@ -65,7 +65,10 @@
 // setLimit records the limit that t states.
 func (r *Reducer) setLimit(now clock.Time, t *targetState, l rateLimit) {
 	if !t.limit.active {
-		r.reportChange(t, "states a rate limit", 0)
+		r.out.StateChanges = append(r.out.StateChanges, TargetStateChange{
+			Target: t.ID, Change: "states a rate limit", Age: now.Sub(l.statedAt),
+			Limit: RateLimit{Known: true, Limited: true, PerSecond: l.perSecond},
+		})
 		if !t.removed {
 			t.svc.limited = insertByID(t.svc.limited, t)
 		}
@@ -126,6 +129,13 @@
 	}
 }
 
+// countLimitedSend counts a request that this VM sends to t itself.
+func (t *targetState) countLimitedSend() {
+	if t.limit.active {
+		t.svc.limitedSent++
+	}
+}
+
 // allows returns how many requests may be placed within a span.
 func (l *rateLimit) allows() (span time.Duration, count int) {
 	rate := limitShare * l.perSecond
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -205,3 +205,19 @@
 	s.step(&Answered{Attempt: late.Attempt, Limit: noLimit})
 	is.True(s.sendAtRate(4*time.Second, 50, limitOf(4.8)) <= 20)
 }
+
+// Guards against logs that cannot tell why a target gets more than its limit: the
+// line states the limit, and the counts show whether who placed a request knew it.
+func TestLimitsAreLoggedAndCounted(t *testing.T) {
+	is := is.New(t)
+	s := limitHarness(t, false, selfVM)
+	s.last = 1
+	first := s.step(&Arrive{Request: s.last, Host: "h", Path: "/a/x"}).Sends[0]
+	changes := s.step(&Answered{Attempt: first.Attempt, Limit: limitOf(4.8)}).StateChanges
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Limit, limitOf(4.8))
+	sent := uint64(s.sendAtRate(4*time.Second, 50, limitOf(4.8)))
+	st := s.r.Status(s.now).Services["svc"]
+	is.True(sent > 0)
+	is.Equal([]uint64{st.LimitedPlaced, st.LimitedSent}, []uint64{sent, sent})
+}
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -28,10 +28,13 @@
 
 	lastTargets lastTargets // where this VM's own requests ran
 
-	share       regionShare
-	counts      *placementCounts // since TakePlacementStats; nil: none
-	retryBudget retryBudget
-	latency     target.Quantiles
+	share  regionShare
+	counts *placementCounts // since TakePlacementStats; nil: none
+	// limitedPlaced and limitedSent count requests placed at, and sent to, targets
+	// with a rate limit.
+	limitedPlaced, limitedSent uint64
+	retryBudget                retryBudget
+	latency                    target.Quantiles
 }
 
 func (r *Reducer) serviceOf(name fleet.ServiceName) *service {
--- a/decide/ingress/status.go
+++ b/decide/ingress/status.go
@@ -42,16 +42,21 @@
 
 // ServiceStatus summarises the state of one service.
 type ServiceStatus struct {
-	Targets  int     `json:"targets"`
-	Draining int     `json:"draining"`
-	Cold     int     `json:"cold"`
-	Ejected  int     `json:"ejected"`
-	Limited  int     `json:"limited"`   // with a rate limit
-	Leaving  int     `json:"leaving"`   // that say so in their answers
-	BackOff  int     `json:"back_off"`  // that have asked for a backoff
-	InFlight int     `json:"in_flight"` // placed by this entry VM
-	Waiting  int     `json:"waiting"`   // for a target
-	Retries  float64 `json:"repeats"`   // that the budget pays for
+	Targets  int `json:"targets"`
+	Draining int `json:"draining"`
+	Cold     int `json:"cold"`
+	Ejected  int `json:"ejected"`
+	Limited  int `json:"limited"` // with a rate limit
+	// LimitedPlaced and LimitedSent are the requests that this entry VM has placed
+	// at, and has sent to, targets of which it knew a rate limit. A request that is
+	// placed without that knowledge is in the second only, over all VMs.
+	LimitedPlaced uint64  `json:"limited_placed"`
+	LimitedSent   uint64  `json:"limited_sent"`
+	Leaving       int     `json:"leaving"`   // that say so in their answers
+	BackOff       int     `json:"back_off"`  // that have asked for a backoff
+	InFlight      int     `json:"in_flight"` // placed by this entry VM
+	Waiting       int     `json:"waiting"`   // for a target
+	Retries       float64 `json:"repeats"`   // that the budget pays for
 }
 
 // Status returns a summary of r's state.
@@ -62,7 +67,10 @@
 		Services: make(map[fleet.ServiceName]ServiceStatus, len(r.services)),
 	}
 	for name, s := range r.services {
-		v := ServiceStatus{Targets: len(s.targets), Waiting: s.waiting.Len(), Retries: s.retryBudget.tokens}
+		v := ServiceStatus{
+			Targets: len(s.targets), Waiting: s.waiting.Len(), Retries: s.retryBudget.tokens,
+			LimitedPlaced: s.limitedPlaced, LimitedSent: s.limitedSent,
+		}
 		for _, t := range s.targets {
 			v.InFlight += t.inFlight
 			v.Draining += count(t.Draining)
--- a/serve/ingress/notice.go
+++ b/serve/ingress/notice.go
@@ -127,5 +127,8 @@
 	if c.Age > 0 {
 		fields["age_ms"] = c.Age.Milliseconds()
 	}
+	if c.Limit.Limited {
+		fields["per_second"] = c.Limit.PerSecond
+	}
 	s.event(eventTarget).WithFields(fields).Info(c.Change)
 }
