--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -55,6 +55,9 @@
 	case CutVMs:
 		sim.setCut(e, true)
 		sim.after(last, func() { sim.setCut(e, false) })
+	case LapseRegistrations:
+		sim.eachTarget(e, sim.unregister)
+		sim.after(last, func() { sim.eachTarget(e, sim.register) })
 	}
 }
 
@@ -140,9 +143,9 @@
 		t.down, t.leaving = false, false
 		t.registered.StartedAt++
 		t.coldEnd = sim.now.Add(seconds(t.service.ColdTime))
-		sim.broadcast(func() ingress.Event {
-			return &ingress.TargetsChanged{Updated: []ingress.Target{t.registration(sim.now)}}
-		})
+		if !t.unregistered {
+			sim.broadcastRegistration(t)
+		}
 	})
 }
 
@@ -151,11 +154,31 @@
 	t.down = true
 	t.queue, t.running = nil, 0
 	sim.failRunning(t)
+	sim.unregister(t)
+}
+
+// unregister removes t's registration, whether or not t still serves.
+func (sim *simulation) unregister(t *target) {
+	t.unregistered = true
 	sim.broadcast(func() ingress.Event {
 		return &ingress.TargetsChanged{Removed: []fleet.TargetID{t.registered.ID}}
 	})
 }
 
+// register registers t again. A target that is down registers when it starts.
+func (sim *simulation) register(t *target) {
+	t.unregistered = false
+	if !t.down {
+		sim.broadcastRegistration(t)
+	}
+}
+
+func (sim *simulation) broadcastRegistration(t *target) {
+	sim.broadcast(func() ingress.Event {
+		return &ingress.TargetsChanged{Updated: []ingress.Target{t.registration(sim.now)}}
+	})
+}
+
 // failRunning fails the requests at t; they may have run.
 func (sim *simulation) failRunning(t *target) {
 	for _, v := range sim.vms {
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -226,7 +226,7 @@
 	sim.step(v, &ingress.Configured{Table: sim.table})
 	var all ingress.TargetsChanged
 	for _, t := range sim.targetList {
-		if !t.down {
+		if !t.down && !t.unregistered {
 			all.Updated = append(all.Updated, t.registration(sim.now))
 		}
 	}
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -131,6 +131,9 @@
 	LowerQuota EventKind = "lower-quota"
 	// CutVMs cuts a share of the entry VMs off from the others.
 	CutVMs EventKind = "cut-vms"
+	// LapseRegistrations removes the registrations of a share of a service's
+	// targets, which keep serving. They are registered again after Duration.
+	LapseRegistrations EventKind = "lapse-registrations"
 )
 
 // StrongCores and WeakCores are the processor shares of VMs in a domain with strong
@@ -140,7 +143,7 @@
 	WeakCores   = 0.16
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets}
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets, LapseRegistrations}
 
 // Event is a fault, a change of load or another event of a run.
 type Event struct {
--- a/decide/emulate/target.go
+++ b/decide/emulate/target.go
@@ -17,6 +17,7 @@
 	service    *Service
 
 	down         bool
+	unregistered bool          // its registration is gone
 	slowFactor   float64       // multiplies the work
 	errorShare   float64       // share of the requests that fail
 	refusedShare float64       // share of the requests that are refused
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -221,3 +221,25 @@
 	is.True(sent > 0)
 	is.Equal([]uint64{st.LimitedPlaced, st.LimitedSent}, []uint64{sent, sent})
 }
+
+// Guards against a limit that is forgotten with its target's registration: one that
+// lapses while the store is in trouble returns although the instance is the same, and
+// until the first answer the target got all requests.
+func TestLimitOutlivesItsRegistration(t *testing.T) {
+	const allowed = 1.5*4.8*4 + 5 // in 4 s, by the operators' rule
+	s := limitHarness(t, false, selfVM)
+	s.sendAtRate(2*time.Second, 50, limitOf(4.8))
+	got := 0
+	for range 4 {
+		s.step(&TargetsChanged{Removed: []fleet.TargetID{"t1"}})
+		s.target("t1", "d1", 200)
+		for range 50 { // no answer comes for a second
+			s.now = s.now.Add(20 * time.Millisecond)
+			s.last++
+			got += len(s.step(&Arrive{Request: s.last, Host: "h", Path: "/a/x"}).Sends)
+		}
+	}
+	if float64(got) > allowed {
+		t.Errorf("%d requests in 4 s, at most %.1f are allowed", got, allowed)
+	}
+}
