ingress: the state of a target's instance outlives its registration

What callers' operators saw: a target that had stated a limit got far more. Cause: a target's state died with its entry in the list. When the registration of the same instance lapsed (a store that is down, a target that is cut off from it) and returned, every entry VM had forgotten the limit and the counted sends at once, and sent without a limit until the first answer.

The class is that what is known of an instance lived and died with its registration. Notices alone were kept. Now the whole state is kept for a minute, for at most 4,096 targets, and a registration of the same instance continues it: limit and sends, notices, standing, cold time, learned speed, warm objects, the requests under way there, whose reports went to a dropped copy. Another start of the target begins with nothing, as before; one whose service or domain changed keeps what concerns the instance. Reports, notices and limits that arrive while the registration is gone are applied. An evacuation that ends meanwhile marks such targets cold too.

--- a/decide/ingress/notice.go
+++ b/decide/ingress/notice.go
@@ -20,12 +20,6 @@
 // a notice, because it has just started, is told when it grants the target.
 
 const (
-	// noticeRetention is how long the notices of a target are kept after its
-	// registration was removed. A registration that lapses while the store is down
-	// returns although the target is still the same instance.
-	noticeRetention = time.Minute
-	// maxRemovedNotices limits the removed targets whose notices are kept.
-	maxRemovedNotices = 4096
 	// noticeTolerance is by how much the end of a backoff may differ between entry
 	// VMs before they tell each other.
 	noticeTolerance = 250 * time.Millisecond
@@ -58,8 +52,8 @@
 // instanceOf returns the state of a target if its instance is the one that started
 // at startedAt, nil otherwise. Start times that are not stated match any other.
 func (r *Reducer) instanceOf(id fleet.TargetID, startedAt int64) *targetState {
-	t, ok := r.targets[id]
-	if !ok || differs(t.StartedAt, startedAt) {
+	t := r.stateOf(id)
+	if t == nil || differs(t.StartedAt, startedAt) {
 		return nil
 	}
 	return t
@@ -287,45 +281,3 @@
 	r.denyFor(now, j, verdict.ReasonUnavailable, freeAfter)
 	return true
 }
-
-// removedNotices are the notices of targets whose registrations were removed.
-type removedNotices map[fleet.TargetID]removedNotice
-
-type removedNotice struct {
-	startedAt    int64
-	availability notice.Availability
-	removedAt    clock.Time
-}
-
-// keep records the notices of a target that is removed.
-func (m removedNotices) keep(now clock.Time, t *targetState) {
-	if t.availability.Available() {
-		return
-	}
-	for id, n := range m {
-		if now.Sub(n.removedAt) >= noticeRetention {
-			delete(m, id)
-		}
-	}
-	if len(m) < maxRemovedNotices {
-		m[t.ID] = removedNotice{startedAt: t.StartedAt, availability: t.availability, removedAt: now}
-	}
-}
-
-// restoreNotices gives a target that is registered again the notices of its
-// instance.
-func (r *Reducer) restoreNotices(now clock.Time, t *targetState) {
-	kept, ok := r.removedNotices[t.ID]
-	if !ok {
-		return
-	}
-	delete(r.removedNotices, t.ID)
-	if differs(kept.startedAt, t.StartedAt) || now.Sub(kept.removedAt) >= noticeRetention {
-		r.reportChange(t, changeReturned, 0)
-		return
-	}
-	t.availability = kept.availability
-	if t.availability.BackingOff() {
-		r.scheduleBackoffEnd(t)
-	}
-}
--- a/decide/ingress/notice_test.go
+++ b/decide/ingress/notice_test.go
@@ -90,7 +90,7 @@
 		"the same instance":                {startedAt: 1, absent: 20 * time.Second},
 		"an instance without a start time": {startedAt: 0, absent: 20 * time.Second},
 		"another instance":                 {startedAt: 2, absent: 20 * time.Second, used: true},
-		"after a long time":                {startedAt: 1, absent: noticeRetention, used: true},
+		"after a long time":                {startedAt: 1, absent: removedRetention, used: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -326,20 +326,22 @@
 }
 
 // Guards against state that grows with the targets that have left.
-func TestRemovedNoticesAreLimited(t *testing.T) {
+func TestRemovedTargetsAreLimited(t *testing.T) {
 	is := is.New(t)
-	m := make(removedNotices)
+	var m removedTargets
 	add := func(now clock.Time, n int) {
 		v := &targetState{Target: Target{ID: fleet.TargetID(fmt.Sprint(n))}}
 		v.availability.Apply(now, leaving)
 		m.keep(now, v)
 	}
-	for n := range 2 * maxRemovedNotices {
+	for n := range 2 * maxRemoved {
 		add(clock.Time(time.Hour), n)
 	}
-	is.Equal(len(m), maxRemovedNotices)
-	add(clock.Time(time.Hour).Add(noticeRetention), 0)
-	is.Equal(len(m), 1)
+	is.Equal(len(m.states), maxRemoved)
+	is.Equal(len(m.queue), maxRemoved)
+	add(clock.Time(time.Hour).Add(removedRetention), 0)
+	is.Equal(len(m.states), 1)
+	is.Equal(len(m.queue), 1)
 }
 
 // simNotices makes the targets of a simulated fleet state notices, and records what
--- a/decide/ingress/ratelimit.go
+++ b/decide/ingress/ratelimit.go
@@ -105,9 +105,9 @@
 // before this VM detected its end is ignored.
 func (r *Reducer) mergeLimits(now clock.Time, list []TargetLimit) {
 	for _, l := range list[:min(len(list), maxTargetLimits)] {
-		t, ok := r.targets[l.Target]
+		t := r.stateOf(l.Target)
 		at := now.Add(-max(l.Age, 0))
-		if ok && at.After(t.limit.statedAt) && at.After(t.limit.endedAt) {
+		if t != nil && at.After(t.limit.statedAt) && at.After(t.limit.endedAt) {
 			r.setLimit(now, t, rateLimit{active: true, perSecond: l.PerSecond, statedAt: at})
 		}
 	}
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/target"
 )
 
 // limitHarness has one target t1, in the other region if far is set and in the own
@@ -243,3 +244,54 @@
 		t.Errorf("%d requests in 4 s, at most %.1f are allowed", got, allowed)
 	}
 }
+
+// Guards against state that is kept over a lapse although it is of another instance,
+// and against state that is lost because the registration names another service.
+func TestReturningTargetsKeepTheirOwnState(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Target)
+		kept   bool
+	}{
+		"the same":         {func(*Target) {}, true},
+		"another instance": {func(d *Target) { d.StartedAt = 2 }, false},
+		"another service":  {func(d *Target) { d.Service = "other" }, true},
+		"another domain":   {func(d *Target) { d.Domain = "d2" }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newHarness(t, Bounds{ColdFactor: 1, ColdSlack: 50}, selfVM)
+			s.configure(1, idempotentRoute("a"))
+			d := Target{ID: "t1", Service: "svc", Domain: "d1", Slots: 3, StartedAt: 1, Cold: time.Minute}
+			s.step(&TargetsChanged{Updated: []Target{d}})
+			first := s.arriveOnce(1, "/a/x", "")
+			s.step(&Answered{Attempt: first.Attempt, Limit: limitOf(1)})
+			s.r.targets["t1"].standing.Eject(s.now, s.r.rng)
+			second := s.r.targets["t1"]
+			s.step(&TargetsChanged{Removed: []fleet.TargetID{"t1"}})
+			d.Cold = 0
+			c.change(&d)
+			s.step(&TargetsChanged{Updated: []Target{d}})
+			st := s.r.targets["t1"]
+			is.Equal(st == second, name == "the same")
+			is.Equal(st.limit.active, c.kept)
+			is.Equal(len(st.sends) > 0, c.kept)
+			is.Equal(st.cold(s.now), c.kept)
+			is.Equal(st.standing.State() == target.Ejected, c.kept)
+			is.Equal(len(s.r.serviceOf(d.Service).limited), map[bool]int{true: 1}[c.kept])
+		})
+	}
+}
+
+// Guards against places that stay taken, and reports that are lost, because a request
+// was under way when its target's registration lapsed and returned.
+func TestRequestsUnderWayOverALapseAreCounted(t *testing.T) {
+	is := is.New(t)
+	s := limitHarness(t, false, selfVM)
+	sent := s.arriveOnce(1, "/a/x", "")
+	s.step(&TargetsChanged{Removed: []fleet.TargetID{"t1"}})
+	s.target("t1", "d1", 50)
+	is.Equal(s.r.targets["t1"].inFlight, 1)
+	s.step(&Answered{Attempt: sent.Attempt, Limit: limitOf(4.8)})
+	is.Equal(s.r.targets["t1"].inFlight, 0)
+	is.True(s.r.targets["t1"].limit.active)
+}
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -66,7 +66,7 @@
 	tokensAt      clock.Time // when tokens are requested next
 	tokensAskedAt clock.Time
 
-	removedNotices removedNotices
+	removed removedTargets
 
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
@@ -99,7 +99,6 @@
 		forwardsByAttempt: make(map[AttemptID]*forwarded),
 		accounts:          make(map[route.AccountName]*accountState),
 		tokenRequests:     make(map[PlacementID]tokenRequest),
-		removedNotices:    make(removedNotices),
 		tokensAt:          clock.Never,
 		nextLapse:         clock.Never,
 	}
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -18,7 +18,9 @@
 	svc     *service
 	group   group
 	listed  bool // among its service's groups
-	removed bool // its registration is gone; kept for the requests under way there
+	removed bool // its registration is gone; see removedTargets
+	// removedAt is when its registration was last removed.
+	removedAt clock.Time
 	// countedLoad and countedSlots are its part of its service's occupancy.
 	countedLoad, countedSlots int
 	inFlight                  int
@@ -140,29 +142,34 @@
 	return terminated
 }
 
-// addTarget adds a target that was not known.
+// addTarget adds a target that is not registered yet.
 func (r *Reducer) addTarget(now clock.Time, d Target) *targetState {
 	t := &targetState{Target: d, region: r.opts.Regions[d.Domain], group: r.groups[d.Domain], svc: r.serviceOf(d.Service)}
+	t.untried = now.Sub(r.startedAt) > startupPeriod
+	t = r.returned(now, t)
 	r.targets[d.ID] = t
 	t.svc.targets = insertByID(t.svc.targets, t)
 	t.svc.withoutObject = nil
-	r.restoreNotices(now, t)
-	if t.untried = now.Sub(r.startedAt) > startupPeriod; t.untried && r.isLocal(t) {
+	if t.limit.active {
+		t.svc.limited = insertByID(t.svc.limited, t)
+	}
+	if t.untried && r.isLocal(t) {
 		t.svc.untried = insertByID(t.svc.untried, t)
 	}
 	return t
 }
 
-// removeTarget removes a target. Requests under way there keep using its state.
+// removeTarget removes a target. Requests under way there keep using its state, and so
+// does a later registration of the same instance.
 func (r *Reducer) removeTarget(now clock.Time, t *targetState) {
 	r.markTerminated(now, t)
-	r.removedNotices.keep(now, t)
+	r.removed.keep(now, t)
 	delete(r.targets, t.ID)
 	t.removed = true
 	t.svc.targets = deleteByID(t.svc.targets, t)
 	t.svc.limited = deleteByID(t.svc.limited, t)
+	t.svc.untried = deleteByID(t.svc.untried, t)
 	t.svc.withoutObject = nil
-	t.markTried()
 	r.updateListing(now, t)
 }
 
@@ -276,14 +283,12 @@
 	} else {
 		delete(r.evacuated, ev.Domain)
 	}
-	for _, t := range r.targets {
-		if t.Domain != ev.Domain {
-			continue
+	for _, known := range []map[fleet.TargetID]*targetState{r.targets, r.removed.states} {
+		for _, t := range known {
+			if t.Domain == ev.Domain {
+				r.targetEvacuated(now, t, ev.Begin)
+			}
 		}
-		if !ev.Begin {
-			t.coldUntil = max(t.coldUntil, now.Add(r.coldTime(t.Service)))
-		}
-		r.updateListing(now, t)
 	}
 	if ev.Begin {
 		return
@@ -291,6 +296,14 @@
 	r.dispatchAll(now)
 }
 
+// targetEvacuated applies the beginning or end of an evacuation to t.
+func (r *Reducer) targetEvacuated(now clock.Time, t *targetState, begin bool) {
+	if !begin {
+		t.coldUntil = max(t.coldUntil, now.Add(r.coldTime(t.Service)))
+	}
+	r.updateListing(now, t)
+}
+
 // coldTime returns how long a target of the service stays cold after its start.
 func (r *Reducer) coldTime(s fleet.ServiceName) time.Duration {
 	if r.table == nil {
--- a/decide/ingress/termination.go
+++ b/decide/ingress/termination.go
@@ -62,11 +62,14 @@
 
 // probed handles the result of a probe.
 func (r *Reducer) probed(now clock.Time, ev *Probed) {
-	t, ok := r.targets[ev.Target]
-	if !ok || t.StartedAt != ev.StartedAt {
+	t := r.stateOf(ev.Target)
+	if t == nil || t.StartedAt != ev.StartedAt {
 		return // it has restarted or left, which proves the same
 	}
 	t.probing = false
+	if t.removed {
+		return
+	}
 	switch ev.Listening {
 	case ListeningNo:
 		r.reportChange(t, "ended", 0)
