emulate: an answer to a request of an ended process tells its successor no limit

The check of limits counts requests of VMs that have passed on an answer with the limit. It took a VM as told by an answer to a request that was cancelled, or whose process had ended: such an answer is passed on to nobody, and a restart excuses a VM. Trace of the one play that still failed (half of the VMs killed each 2 s, limit 1): 13 of the 15 requests were of VMs that had been told in this way only, within .5 to 2 s of their start.

--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -377,9 +377,9 @@
 	sim.after(sim.latency(t.registered.Domain, s.vm.self.Domain), func() {
 		if !s.ended && s.vm.processNumber == s.processNumber {
 			sim.releaseConnection(s)
-		}
-		if limit.Limited {
-			t.limit.markKnown(sim.now, s.vm)
+			if limit.Limited {
+				t.limit.markKnown(sim.now, s.vm)
+			}
 		}
 		sim.receiveNotice(s, stated)
 		sim.endSend(s, &ingress.Answered{Attempt: s.id, Outcome: o, Load: load, Limit: limit, ConnectTime: s.connectTime, ConnectionWait: s.connectionWait})
