--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -129,7 +129,27 @@
 		v.reducer = nil
 		v.processNumber++ // invalidates the pending events of the earlier process
 		sim.failOpenRequests(v)
-		sim.after(seconds(e.Duration), func() { sim.startVM(v) })
+		sim.after(seconds(e.Duration), func() { sim.restartVM(v) })
+		if m := sim.pattern.Members; m != nil {
+			sim.after(seconds(m.LeaseSeconds), func() { sim.endLease(v) })
+		}
+	}
+}
+
+// restartVM starts v, which registers itself.
+func (sim *simulation) restartVM(v *vm) {
+	v.listed = true
+	sim.startVM(v)
+	if sim.pattern.Members != nil {
+		sim.broadcastMembers()
+	}
+}
+
+// endLease removes v from the list of entry VMs if it is still down.
+func (sim *simulation) endLease(v *vm) {
+	if v.reducer == nil && v.listed {
+		v.listed = false
+		sim.broadcastMembers()
 	}
 }
 
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -60,6 +60,7 @@
 	attempts      map[ingress.AttemptID]*targetSend
 	connections   connectionPools
 	cut           bool // exchanges no messages with other VMs
+	listed        bool // on the list of entry VMs
 	// lastGatewayRequest counts the requests that it forwarded as a gateway. Their
 	// IDs count down from the highest one; those of callers count up.
 	lastGatewayRequest ingress.RequestID
@@ -196,6 +197,7 @@
 					v.self.Cores = StrongCores
 				}
 			}
+			v.listed = true
 			sim.vms = append(sim.vms, v)
 			sim.vmByID[v.self.ID] = v
 			sim.vmsInDomain[d.Name] = append(sim.vmsInDomain[d.Name], v)
@@ -232,16 +234,31 @@
 		}
 	}
 	sim.step(v, &all)
-	members := make([]fleet.VM, len(sim.vms))
-	for i, o := range sim.vms {
-		members[i] = o.self
-	}
-	sim.step(v, &ingress.MembersChanged{VMs: members})
+	sim.step(v, sim.members())
 	for _, fp := range sortedFingerprints(sim.quarantines) {
 		sim.step(v, &ingress.QuarantineRead{Fingerprint: fp, Record: sim.quarantines[fp]})
 	}
 }
 
+// members returns the list of entry VMs.
+func (sim *simulation) members() *ingress.MembersChanged {
+	ev := new(ingress.MembersChanged)
+	for _, v := range sim.vms {
+		if v.listed {
+			ev.VMs = append(ev.VMs, v.self)
+		}
+	}
+	return ev
+}
+
+// broadcastMembers lets each VM learn of the list of entry VMs at a time of its own.
+func (sim *simulation) broadcastMembers() {
+	for _, v := range sim.vms {
+		delay := seconds(sim.rng.Float64() * sim.pattern.Members.LearnSeconds)
+		sim.after(delay, func() { sim.step(v, sim.members()) })
+	}
+}
+
 // registration returns how t registers itself at the given time.
 func (t *target) registration(now clock.Time) ingress.Target {
 	reg := t.registered
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -17,6 +17,8 @@
 	Name    string  `json:"name"`
 	Seconds float64 `json:"seconds"` // duration of the load
 	Network Network `json:"network"`
+	// Members says how the list of entry VMs changes; nil: it never does.
+	Members *Members `json:"members"`
 	// RegionShift, RepeatRatio, RepeatSlack, ColdFactor and ColdSlack are bounds
 	// set by operators; see ingress.Bounds.
 	RegionShift float64 `json:"region_shift"`
@@ -45,6 +47,14 @@
 	IdleSeconds float64 `json:"idle_seconds"`
 }
 
+// Members describes how VMs that are killed leave the list of entry VMs and return.
+type Members struct {
+	// LeaseSeconds is how long a VM stays on the list after it was killed.
+	LeaseSeconds float64 `json:"lease_seconds"`
+	// LearnSeconds is within which time each VM learns of a change.
+	LearnSeconds float64 `json:"learn_seconds"`
+}
+
 // Domain describes a failure domain.
 type Domain struct {
 	Name      fleet.Domain `json:"name"`
--- a/decide/emulate/ratelimit.go
+++ b/decide/emulate/ratelimit.go
@@ -90,13 +90,16 @@
 	var worst Overrun
 	for _, l := range all {
 		allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+		if worst.Target == "" {
+			worst = Overrun{Target: l.target, Allowed: allowed, Named: l.total}
+		}
 		first := 0
 		for i, at := range l.sends {
 			for at.Sub(l.sends[first]) >= limitWindow {
 				first++
 			}
 			got := i + 1 - first
-			if worst.Target == "" || float64(got)-allowed > float64(worst.Received)-worst.Allowed {
+			if float64(got)-allowed > float64(worst.Received)-worst.Allowed {
 				worst = Overrun{
 					Target: l.target, Second: l.sends[first].Sub(l.since).Seconds(),
 					Received: got, Allowed: allowed, Named: l.total,
