ingress: without a coordinator, no VM sends to a target with a limit

An entry VM that places its own request, as its coordinator is silent, might send one to a target whose limit had been stated to it over 30 s before. In a large region that is one request of each VM at once.

The class is a bound that holds for one VM and not for the sum over all. The coordinators of the regions find out when a limit has ended; a VM that has none for a second need not. TestVMsWithoutACoordinatorSpareLimitedTargets failed before.

--- a/decide/ingress/ratelimit.go
+++ b/decide/ingress/ratelimit.go
@@ -34,9 +34,6 @@
 	// limitEndDelay is how long after the limit was last stated an answer without
 	// one ends it. Answers may overtake each other.
 	limitEndDelay = time.Second
-	// limitBackoff is how long a VM that does not enforce a target's limit, or
-	// probe for its end, sends nothing there after the limit was last stated.
-	limitBackoff = 30 * time.Second
 	// limitShare is the part of a limit used by the VM that enforces it: half of
 	// the operators' allowance, which exceeds the limit itself. The other half is
 	// for a second VM that may enforce the limit at the same time.
@@ -177,7 +174,7 @@
 	case r.coordinator(r.region, t.Service):
 		return t.sends.countWithin(now, limitProbeInterval) == 0
 	default:
-		return now.Sub(t.limit.statedAt) >= limitBackoff && t.sends.countWithin(now, limitProbeInterval) == 0
+		return false // as many as there are VMs would follow, each by its own knowledge
 	}
 }
 
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -336,6 +336,23 @@
 	}
 }
 
+// Guards against one request of each entry VM at a limited target when the coordinator
+// of all of them falls silent.
+func TestVMsWithoutACoordinatorSpareLimitedTargets(t *testing.T) {
+	is := is.New(t)
+	s := limitHarness(t, false, otherVM)
+	s.step(&IncomingMessage{From: otherVM, Message: &PlacementRequest{
+		ID: 1, Service: "svc", Limits: []TargetLimit{{Target: "t1", PerSecond: 4.8}},
+	}})
+	s.step(&IncomingMessage{From: otherVM, Message: &Withdraw{ID: 1}})
+	s.now = s.now.Add(time.Minute)
+	s.step(&Arrive{Request: 1, Host: "h", Path: "/a/x", Timeout: time.Minute})
+	s.now = s.now.Add(time.Second)
+	out := s.step(&Tick{}) // the coordinator has not answered
+	is.Equal(len(out.Sends), 0)
+	is.Equal(out.Refusals[0].Verdict, verdict.NotRun)
+}
+
 // Guards against a gateway that passes on what coordinators of other regions have
 // placed without knowing the limit of a target of its own region.
 func TestGatewaysReturnRequestsBeyondALimit(t *testing.T) {
