--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -39,6 +39,9 @@
 	q.svc.latency.Observe(now.Sub(a.sent))
 	if ev.ConnectTime > 0 {
 		r.observeRTT(t.region, ev.ConnectTime)
+		if a.gateway == "" {
+			r.linkOpened(now, a.sent.Add(ev.ConnectTime))
+		}
 	}
 	r.endAttempt(now, a, &Report{
 		Result: resultByOutcome[ev.Outcome], Load: ev.Load, Limit: ev.Limit, Bytes: ev.Bytes,
@@ -147,6 +150,9 @@
 	switch {
 	case ev.Reason == verdict.ReasonConnect:
 		rep.Result = ResultUnreachable
+		if a.gateway == "" {
+			r.linkFailed(now, a.sent)
+		}
 	case ev.Reason == verdict.ReasonUnavailable && ev.Verdict == verdict.NotRun:
 		rep.Result = ResultNotSent
 	}
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -189,6 +189,9 @@
 	Listening Listening
 }
 
+// LinkProbed is the result of a probe of this VM's links to targets.
+type LinkProbed struct{ Listening Listening }
+
 // Listening tells whether a process listens at a target's address.
 type Listening uint8
 
@@ -317,6 +320,15 @@
 	Limit RateLimit
 }
 
+// LinkChange reports that this VM's links to targets are down or up again, for the log.
+type LinkChange struct {
+	Down     bool
+	Failures int // connections that could not be opened in a row
+	// Age is how long ago a connection was last opened, or since when the links were
+	// down.
+	Age time.Duration
+}
+
 // Ready holds the effects of one Step. The slices belong to the caller, who resets
 // and reuses them.
 type Ready struct {
@@ -336,8 +348,11 @@
 	// SilentGateways are gateways that did not acknowledge a request in time:
 	// pooled connections to them may be dead.
 	SilentGateways []fleet.VMID
-	// Probes check targets that may have terminated.
+	// Probes check targets that may have terminated. LinkProbes check this VM's links to
+	// targets.
 	Probes        []Probe
+	LinkProbes    []Probe
+	LinkChanges   []LinkChange
 	Quarantines   []Quarantine
 	QuotaRefusals []QuotaRefusal
 	// WakeAt is the latest time at which Tick is due.
@@ -357,6 +372,8 @@
 	r.RestartedAddrs = r.RestartedAddrs[:0]
 	r.SilentGateways = r.SilentGateways[:0]
 	r.Probes = r.Probes[:0]
+	r.LinkProbes = r.LinkProbes[:0]
+	r.LinkChanges = r.LinkChanges[:0]
 	r.Quarantines = r.Quarantines[:0]
 	r.QuotaRefusals = r.QuotaRefusals[:0]
 	r.WakeAt = clock.Never
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -179,6 +179,9 @@
 func (r *Reducer) forwardAnswered(now clock.Time, ev *Answered) {
 	if f, ok := r.forwardsByAttempt[ev.Attempt]; ok {
 		r.removeForward(f)
+		if ev.ConnectTime > 0 {
+			r.linkOpened(now, f.sent.Add(ev.ConnectTime))
+		}
 		r.applyLimit(now, f.target, &Report{Result: resultByOutcome[ev.Outcome], Limit: ev.Limit, Took: now.Sub(f.sent)})
 		r.out.Delivers = append(r.out.Delivers, Deliver{Request: f.request, Attempt: f.attempt})
 	}
@@ -191,6 +194,9 @@
 		return
 	}
 	r.removeForward(f)
+	if ev.Reason == verdict.ReasonConnect {
+		r.linkFailed(now, f.sent)
+	}
 	refusal := Refusal{Request: f.request, Verdict: ev.Verdict, Reason: ev.Reason}
 	if ev.Reason == verdict.ReasonUnavailable {
 		refusal.Notice = f.target.availability.Notice(now)
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -67,6 +67,7 @@
 	tokensAskedAt clock.Time
 
 	removed removedTargets
+	links   links
 
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
@@ -141,6 +142,8 @@
 		r.handleMessage(now, ev)
 	case *Probed:
 		r.probed(now, ev)
+	case *LinkProbed:
+		r.linkProbed(now, ev)
 	case *QuarantineRead:
 		r.applyStoredQuarantine(now, ev)
 	case *BoundsChanged:
@@ -201,6 +204,9 @@
 	case dueBackoff:
 		r.backoffDue(now, t.target)
 		return
+	case dueLinkProbe:
+		r.linkProbeDue(now)
+		return
 	}
 	q, ok := r.requests[t.request]
 	if !ok {
--- a/decide/ingress/termination.go
+++ b/decide/ingress/termination.go
@@ -62,6 +62,9 @@
 
 // probed handles the result of a probe.
 func (r *Reducer) probed(now clock.Time, ev *Probed) {
+	if ev.Listening == ListeningYes {
+		r.linkOpened(now, now)
+	}
 	t := r.stateOf(ev.Target)
 	if t == nil || t.StartedAt != ev.StartedAt {
 		return // it has restarted or left, which proves the same
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -19,6 +19,7 @@
 	dueForward                   // the time of a forwarded request is over
 	dueTokens                    // tokens of accounts are requested
 	dueBackoff                   // the target's backoff ends
+	dueLinkProbe                 // the links to targets are probed again
 )
 
 // timer is an action scheduled for a time. Timers are not removed when they become
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -56,7 +56,15 @@
 		s.send(&out.Sends[i])
 	}
 	for _, p := range out.Probes {
-		s.probe(p)
+		s.probe(p, func(found ingress.Listening) ingress.Event {
+			return &ingress.Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: found}
+		})
+	}
+	for _, p := range out.LinkProbes {
+		s.probe(p, func(found ingress.Listening) ingress.Event { return &ingress.LinkProbed{Listening: found} })
+	}
+	for _, c := range out.LinkChanges {
+		s.logLinkChange(c)
 	}
 	for i := range out.Quarantines {
 		s.quarantineChanged(&out.Quarantines[i])
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -32,6 +32,7 @@
 	eventPlaced    = "placed"
 	eventGateway   = "gateway"
 	eventConn      = "connection"
+	eventLinks     = "links"
 
 	eventQuarantine = "quarantine"
 	eventQuota      = "quota"
@@ -163,6 +164,16 @@
 	}
 }
 
+// logLinkChange records that this VM's links to targets are down or up again.
+func (s *Server) logLinkChange(c ingress.LinkChange) {
+	line := s.event(eventLinks).WithField("failures", c.Failures).WithField("age_ms", c.Age.Milliseconds())
+	if c.Down {
+		line.Warn("no target can be reached from here")
+		return
+	}
+	line.Info("targets can be reached again")
+}
+
 // requestLine returns a log line with the data behind a request's result: its
 // sends, the version of the configuration, and the age of this VM's copy of the
 // store.
--- a/serve/ingress/quarantine.go
+++ b/serve/ingress/quarantine.go
@@ -154,12 +154,10 @@
 
 var errQuarantineKey = errors.New("fingerprint in the record differs from the key")
 
-// probe executes a Probe.
-func (s *Server) probe(p ingress.Probe) {
+// probe executes a Probe and posts its result.
+func (s *Server) probe(p ingress.Probe, result func(ingress.Listening) ingress.Event) {
 	s.metrics.probes.Add(1)
-	go func() {
-		s.core.Post(&ingress.Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: checkListening(p.Addr, p.Timeout)})
-	}()
+	go func() { s.core.Post(result(checkListening(p.Addr, p.Timeout))) }()
 }
 
 // checkListening reports whether a process listens at an address.
