--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -23,6 +23,7 @@
 	retries     int
 	window      int // index of the Result's window in which it started
 	done        bool
+	attempts    int      // that reached an entry VM
 	unreachable []*vm    // VMs to which it could not connect
 	account     *Account // nil: there are none
 	beyondQuota bool
@@ -39,6 +40,7 @@
 	// gatewaySend is the send that a gateway forwards with this attempt; nil if
 	// the attempt is a caller's own.
 	gatewaySend *targetSend
+	firstTry    *TryCounts        // counts it as a first attempt; nil: it does not count
 	answer      *ingress.Answered // the latest
 	notice      notice.Notice     // in the latest answer
 }
@@ -128,7 +130,7 @@
 			return
 		}
 		v.lastRequest++
-		q := &entryAttempt{caller: c, sentAt: sentAt}
+		q := &entryAttempt{caller: c, sentAt: sentAt, firstTry: sim.countFirstTry(c, v)}
 		v.openRequests[v.lastRequest] = q
 		sim.step(v, &ingress.Arrive{
 			Key:     c.key(),
@@ -204,6 +206,7 @@
 	if q == nil || q.done {
 		return
 	}
+	q.firstTry.countServed()
 	sim.after(millis(sim.pattern.Network.CallerMS), func() {
 		sim.finishCaller(q.caller)
 		sim.recorder.countAnswered(q, sim.now.Sub(q.startedAt))
--- a/decide/emulate/connection.go
+++ b/decide/emulate/connection.go
@@ -60,6 +60,10 @@
 func (sim *simulation) connect(s *targetSend, spare bool) {
 	idle := seconds(sim.pattern.Network.IdleSeconds)
 	if idle == 0 {
+		if s.isCut() {
+			sim.failOpening(s)
+			return
+		}
 		s.transmit() // connections are always open
 		return
 	}
@@ -89,8 +93,14 @@
 	v := s.vm
 	p, process := v.connections.pool(s.connectionEnd()), v.processNumber
 	took := 2 * sim.latency(v.self.Domain, s.domain())
-	p.opening++
 	sim.recorder.result.Opened++
+	if s.isCut() {
+		if waits {
+			sim.failOpening(s)
+		}
+		return
+	}
+	p.opening++
 	sim.after(took, func() {
 		if v.processNumber != process {
 			return
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -58,6 +58,8 @@
 	case LapseRegistrations:
 		sim.eachTarget(e, sim.unregister)
 		sim.after(last, func() { sim.eachTarget(e, sim.register) })
+	case CutTargets:
+		sim.cutFromTargets(e)
 	}
 }
 
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -46,6 +46,10 @@
 	quarantines map[quarantine.Fingerprint]*quarantine.Record // in the store
 	lastContent uint64                                        // number of the latest unique content
 	recorder    recorder
+	// targetCuts is the number of cuts from targets in force. Callers' first attempts
+	// count from countTriesFrom until it is 0.
+	targetCuts     int
+	countTriesFrom clock.Time
 }
 
 // vm is one entry VM.
@@ -59,8 +63,9 @@
 	openRequests  map[ingress.RequestID]*entryAttempt
 	attempts      map[ingress.AttemptID]*targetSend
 	connections   connectionPools
-	cut           bool // exchanges no messages with other VMs
-	listed        bool // on the list of entry VMs
+	cut           bool       // exchanges no messages with other VMs
+	listed        bool       // on the list of entry VMs
+	targetCut     *targetCut // nil: it reaches targets
 	// lastGatewayRequest counts the requests that it forwarded as a gateway. Their
 	// IDs count down from the highest one; those of callers count up.
 	lastGatewayRequest ingress.RequestID
@@ -77,6 +82,7 @@
 	gateway        *vm               // that forwards it; nil if it is sent directly
 	gatewayRequest ingress.RequestID // the request's ID there; 0 if it is not there
 	terms          ingress.LimitTerms
+	connectTimeout time.Duration
 	transmit       func()        // sends it to the gateway or target on its connection
 	firstUse       bool          // the VM had no recent send to the same end
 	placedAt       clock.Time    // when the target was chosen
@@ -303,7 +309,12 @@
 		sim.storeQuarantine(&out.Quarantines[i])
 	}
 	for _, p := range out.Probes {
-		sim.probe(v, p)
+		sim.probe(v, p, func(found ingress.Listening) ingress.Event {
+			return &ingress.Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: found}
+		})
+	}
+	for _, p := range out.LinkProbes {
+		sim.probe(v, p, func(found ingress.Listening) ingress.Event { return &ingress.LinkProbed{Listening: found} })
 	}
 	for _, m := range out.Messages {
 		sim.sendMessage(v, m)
@@ -351,7 +362,7 @@
 // startSend sends a request to a target, directly or through a gateway.
 func (sim *simulation) startSend(v *vm, e *ingress.Send) {
 	t, q := sim.targets[e.Target], v.openRequests[e.Request]
-	s := &targetSend{vm: v, processNumber: v.processNumber, id: e.Attempt, attempt: q, target: t, placedAt: sim.now, terms: e.Terms}
+	s := &targetSend{vm: v, processNumber: v.processNumber, id: e.Attempt, attempt: q, target: t, placedAt: sim.now, terms: e.Terms, connectTimeout: e.ConnectTimeout}
 	v.attempts[e.Attempt] = s
 	q.sends++
 	s.transmit = func() { sim.sendToTarget(s) }
@@ -365,6 +376,10 @@
 // sendToTarget sends a request directly to its target on its connection.
 func (sim *simulation) sendToTarget(s *targetSend) {
 	v, t, q := s.vm, s.target, s.attempt
+	if v.targetCut.hangs() {
+		sim.loseSend(s)
+		return
+	}
 	sim.recorder.recordConnected(s)
 	sim.after(sim.latency(v.self.Domain, t.registered.Domain), func() {
 		if s.ended {
@@ -392,6 +407,9 @@
 	stated := t.notice(o)
 	sim.recorder.notices.countAnswer(sim.now, s, stated)
 	sim.after(sim.latency(t.registered.Domain, s.vm.self.Domain), func() {
+		if s.vm.targetCut.hangs() {
+			return
+		}
 		if !s.ended && s.vm.processNumber == s.processNumber {
 			sim.releaseConnection(s)
 			if limit.Limited {
@@ -417,9 +435,13 @@
 }
 
 // probe reports to an entry VM whether a target is listening.
-func (sim *simulation) probe(v *vm, p ingress.Probe) {
+func (sim *simulation) probe(v *vm, p ingress.Probe, result func(ingress.Listening) ingress.Event) {
 	t, process := sim.targets[p.Target], v.processNumber
 	oneWay := sim.latency(v.self.Domain, t.registered.Domain)
+	if v.targetCut != nil {
+		sim.failProbe(v, p, result)
+		return
+	}
 	sim.after(oneWay, func() {
 		found := ingress.ListeningYes
 		if t.down {
@@ -427,7 +449,7 @@
 		}
 		sim.after(oneWay, func() {
 			if v.processNumber == process {
-				sim.step(v, &ingress.Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: found})
+				sim.step(v, result(found))
 			}
 		})
 	})
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -144,6 +144,19 @@
 	// LapseRegistrations removes the registrations of a share of a service's
 	// targets, which keep serving. They are registered again after Duration.
 	LapseRegistrations EventKind = "lapse-registrations"
+	// CutTargets cuts a share of the entry VMs off from all targets, in the way that
+	// How names. Callers and the other VMs still reach them.
+	CutTargets EventKind = "cut-targets"
+)
+
+// The ways in which a VM can be cut off from targets.
+const (
+	// CutHangs lets new connections and everything on open ones time out.
+	CutHangs = "hang"
+	// CutResets ends open connections; new ones are refused.
+	CutResets = "reset"
+	// CutRefuses refuses new connections; open ones live on.
+	CutRefuses = "refuse"
 )
 
 // StrongCores and WeakCores are the processor shares of VMs in a domain with strong
@@ -153,7 +166,7 @@
 	WeakCores   = 0.16
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets, LapseRegistrations}
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets, LapseRegistrations, CutTargets}
 
 // Event is a fault, a change of load or another event of a run.
 type Event struct {
@@ -166,6 +179,7 @@
 	Domain   fleet.Domain      `json:"domain"`  // empty for all
 	Service  fleet.ServiceName `json:"service"` // empty for all
 	Account  route.AccountName `json:"account"` // empty for all
+	How      string            `json:"how"`     // of CutTargets; empty for CutHangs
 }
 
 // ErrPattern is the error for an invalid pattern.
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -68,6 +68,9 @@
 	WorstLimit Overrun `json:"worst_limit"`
 	// Notices counts the requests that targets got in spite of their notices.
 	Notices NoticeCounts `json:"notices"`
+	// TargetCut counts the first attempts of callers while VMs were cut off from all
+	// targets.
+	TargetCut CutTries `json:"target_cut"`
 	// WorstQuota is the window in which an account exceeded its quota the most.
 	WorstQuota QuotaOverrun `json:"worst_quota"`
 	// DeathQueries holds the effects of the queries of death, in the order of their
