ingress: a late answer of an earlier instance ends no limit of the present one

A target that restarts under its ID has two states for a while; an answer without a limit to a request of the earlier instance ended that one's limit and took the present one's entry from the list of its service by the ID. Its limit was then left out of what the VM tells coordinators. TestLateAnswersOfAnEarlierInstanceEndNoLimit failed before.

--- a/decide/ingress/ratelimit.go
+++ b/decide/ingress/ratelimit.go
@@ -66,7 +66,9 @@
 func (r *Reducer) endLimit(now clock.Time, t *targetState, at clock.Time) {
 	r.reportChange(t, "rate limit has ended", 0)
 	t.limit = rateLimit{endedAt: at}
-	t.svc.limited = deleteByID(t.svc.limited, t)
+	if !t.removed { // otherwise a later instance may be listed under its ID
+		t.svc.limited = deleteByID(t.svc.limited, t)
+	}
 	r.updateOccupancy(now, t)
 }
 
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -368,3 +368,20 @@
 	s.step(&Answered{Attempt: out.Sends[0].Attempt, Limit: limitOf(2)})
 	is.Equal(s.r.targets["t1"].limit.perSecond, 2.0)
 }
+
+// Guards against losing the limit of a target's present instance to a late answer of the
+// one before it.
+func TestLateAnswersOfAnEarlierInstanceEndNoLimit(t *testing.T) {
+	is := is.New(t)
+	s := newHarness(t, Bounds{}, selfVM)
+	s.configure(1, idempotentRoute("a"))
+	s.registerInstance("t1", 1, 0)
+	late, first := s.arriveOnce(1, "/a/x", ""), s.arriveOnce(2, "/a/x", "")
+	s.step(&Answered{Attempt: first.Attempt, Limit: limitOf(4.8)})
+	s.registerInstance("t1", 2, 0)
+	again := s.arriveOnce(3, "/a/x", "")
+	s.step(&Answered{Attempt: again.Attempt, Limit: limitOf(4.8)})
+	s.now = s.now.Add(2 * limitEndDelay)
+	s.step(&Answered{Attempt: late.Attempt, Limit: noLimit})
+	is.Equal(len(s.r.services["svc"].limited), 1)
+}
