ingress: links are probed together with the termination of a target

Since a refused probe proves a crash only if the VM can connect to another target, the proof came a round trip later. TestQuarantineIsReadFromTheStore failed once in 5 runs beside other tests (load of 10 on 8 cores): all of its 8 targets had crashed before three crashes were proved, and then no target was left to connect to. Now both probes go out at once.

--- a/decide/ingress/links.go
+++ b/decide/ingress/links.go
@@ -128,7 +128,7 @@
 		return cmp.Or(cmp.Compare(b.answeredAt, a.answeredAt), cmp.Compare(a.ID, b.ID))
 	})
 	for _, t := range list {
-		if !r.links.hasFailed(t) {
+		if !r.links.hasFailed(t) && !t.probing {
 			return t
 		}
 	}
--- a/decide/ingress/quarantine_test.go
+++ b/decide/ingress/quarantine_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,15 +39,16 @@
 func (s *harness) loseConnection(e Send, found Listening) *Ready {
 	s.now = s.now.Add(10 * time.Millisecond)
 	out := s.step(&Failed{Attempt: e.Attempt, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
-	for _, p := range append([]Probe(nil), out.Probes...) {
-		sends := append([]Send(nil), out.Sends...)
+	probes, links, sends := slices.Clone(out.Probes), slices.Clone(out.LinkProbes), slices.Clone(out.Sends)
+	for _, p := range probes {
 		out = s.step(&Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: found})
-		if len(out.LinkProbes) > 0 {
-			sends = append(sends, out.Sends...)
-			out = s.step(&LinkProbed{Target: out.LinkProbes[0].Target, Listening: ListeningYes})
-		}
-		out.Sends = append(out.Sends, sends...)
+		sends = append(sends, out.Sends...)
+	}
+	for _, p := range links {
+		out = s.step(&LinkProbed{Target: p.Target, Listening: ListeningYes})
+		sends = append(sends, out.Sends...)
 	}
+	out.Sends = sends
 	return out
 }
 
--- a/decide/ingress/termination.go
+++ b/decide/ingress/termination.go
@@ -57,13 +57,17 @@
 	r.probeTermination(now, t)
 }
 
-// probeTermination probes whether t has terminated, unless a probe is under way.
+// probeTermination probes whether t has terminated, unless a probe is under way, and this
+// VM's links at the same time: each crash that is proved later costs targets.
 func (r *Reducer) probeTermination(now clock.Time, t *targetState) {
 	if t.probing || t.removed {
 		return
 	}
 	t.probing, t.probedAt = true, now
 	r.out.Probes = append(r.out.Probes, Probe{Target: t.ID, StartedAt: t.StartedAt, Addr: t.Addr, Timeout: r.connectTimeout(t)})
+	if !r.links.probing {
+		r.probeLinks(now)
+	}
 }
 
 // probed handles the result of a probe.
