ingress, command: one table of message kinds, one list command

Each kind of message between entry VMs stood in two switches, for receiving and sending; a kind that is added to one of them only would be dropped silently. Both read one table now. The commands that list shifts and services were the same 31 lines but for what they print. Tests of both packages as before.

--- a/operate/command/catalogue.go
+++ b/operate/command/catalogue.go
@@ -32,9 +32,17 @@
 }
 
 func (s *settings) listShifts() *cobra.Command {
+	return s.listCommand("List the traffic shifts", func(cat catalogue.Catalogue) (any, func(io.Writer)) {
+		return admin.Shifts{Revision: cat.Revision, Shifts: cat.Shifts}, func(w io.Writer) { render.Shifts(w, cat.Shifts) }
+	})
+}
+
+// listCommand returns a command that lists a part of the catalogue: as the page that view
+// returns, or as text by its function.
+func (s *settings) listCommand(short string, view func(catalogue.Catalogue) (page any, text func(io.Writer))) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
-		Short: "List the traffic shifts",
+		Short: short,
 		Args:  exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			c, err := s.client()
@@ -45,8 +53,8 @@
 			if err != nil {
 				return err
 			}
-			page := admin.Shifts{Revision: cat.Revision, Shifts: cat.Shifts}
-			return s.print(cmd.OutOrStdout(), page, func(w io.Writer) { render.Shifts(w, cat.Shifts) })
+			page, text := view(cat)
+			return s.print(cmd.OutOrStdout(), page, text)
 		},
 	}
 }
--- a/operate/command/service.go
+++ b/operate/command/service.go
@@ -21,23 +21,9 @@
 }
 
 func (s *settings) listServices() *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List the services",
-		Args:  exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := s.client()
-			if err != nil {
-				return err
-			}
-			cat, err := c.Catalogue(cmd.Context())
-			if err != nil {
-				return err
-			}
-			page := admin.Services{Revision: cat.Revision, Services: cat.Services}
-			return s.print(cmd.OutOrStdout(), page, func(w io.Writer) { render.Services(w, cat.Services) })
-		},
-	}
+	return s.listCommand("List the services", func(cat catalogue.Catalogue) (any, func(io.Writer)) {
+		return admin.Services{Revision: cat.Revision, Services: cat.Services}, func(w io.Writer) { render.Services(w, cat.Services) }
+	})
 }
 
 func (s *settings) putServices() *cobra.Command {
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -34,6 +35,29 @@
 	kindCopy
 )
 
+// messagesByKind returns an empty message of each kind that the reducer handles.
+var messagesByKind = map[peer.Kind]func() ingress.Message{
+	kindPlacementRequest: func() ingress.Message { return new(ingress.PlacementRequest) },
+	kindGrant:            func() ingress.Message { return new(ingress.Grant) },
+	kindDeny:             func() ingress.Message { return new(ingress.Deny) },
+	kindWithdraw:         func() ingress.Message { return new(ingress.Withdraw) },
+	kindReport:           func() ingress.Message { return new(ingress.Report) },
+	kindQuarantine:       func() ingress.Message { return new(quarantine.Record) },
+	kindTokenRequest:     func() ingress.Message { return new(ingress.TokenRequest) },
+	kindTokenGrant:       func() ingress.Message { return new(ingress.TokenGrant) },
+	kindTargetNotices:    func() ingress.Message { return new(ingress.TargetNotices) },
+	kindGrantTerms:       func() ingress.Message { return new(ingress.GrantTerms) },
+}
+
+// kindsByMessage is the kind of each type of messagesByKind.
+var kindsByMessage = func() map[reflect.Type]peer.Kind {
+	kinds := make(map[reflect.Type]peer.Kind, len(messagesByKind))
+	for kind, create := range messagesByKind {
+		kinds[reflect.TypeOf(create())] = kind
+	}
+	return kinds
+}()
+
 // accountPlacement is the message of a placement request with a client account.
 type accountPlacement struct {
 	Account route.AccountName
@@ -78,30 +102,9 @@
 }
 
 func (s *Server) receiveMessage(from fleet.VMID, b peer.Body) error {
-	var m ingress.Message
 	switch b.Kind {
-	case kindPlacementRequest:
-		m = new(ingress.PlacementRequest)
-	case kindGrant:
-		m = new(ingress.Grant)
-	case kindDeny:
-		m = new(ingress.Deny)
-	case kindWithdraw:
-		m = new(ingress.Withdraw)
-	case kindReport:
-		m = new(ingress.Report)
-	case kindQuarantine:
-		m = new(quarantine.Record)
 	case peer.KindAccountPlacement:
 		return s.receiveAccountPlacement(from, b)
-	case kindTokenRequest:
-		m = new(ingress.TokenRequest)
-	case kindTokenGrant:
-		m = new(ingress.TokenGrant)
-	case kindTargetNotices:
-		m = new(ingress.TargetNotices)
-	case kindGrantTerms:
-		m = new(ingress.GrantTerms)
 	case kindRelayRequest:
 		return s.receiveRelayRequest(from, b)
 	case kindRelay:
@@ -110,9 +113,12 @@
 		return s.receiveCopyRequest(from, b)
 	case kindCopy:
 		return s.receiveCopyPage(from, b)
-	default:
+	}
+	create, known := messagesByKind[b.Kind]
+	if !known {
 		return peer.ErrKind
 	}
+	m := create()
 	if err := peer.Decode(b, peer.MaxBody, m); err != nil {
 		return err
 	}
@@ -134,34 +140,11 @@
 // dropped, just as it may be lost in the network: the sender of a request has a
 // timeout.
 func (s *Server) sendMessage(t *ingress.OutgoingMessage) {
-	var kind peer.Kind
-	switch m := t.Message.(type) {
-	case *ingress.PlacementRequest:
-		if m.Account != "" {
-			s.sendToID(t.To, peer.KindAccountPlacement, &accountPlacement{Account: m.Account, Request: *m})
-			return
-		}
-		kind = kindPlacementRequest
-	case *ingress.Grant:
-		kind = kindGrant
-	case *ingress.Deny:
-		kind = kindDeny
-	case *ingress.Withdraw:
-		kind = kindWithdraw
-	case *ingress.Report:
-		kind = kindReport
-	case *quarantine.Record:
-		kind = kindQuarantine
-	case *ingress.TokenRequest:
-		kind = kindTokenRequest
-	case *ingress.TokenGrant:
-		kind = kindTokenGrant
-	case *ingress.TargetNotices:
-		kind = kindTargetNotices
-	case *ingress.GrantTerms:
-		kind = kindGrantTerms
+	if m, ok := t.Message.(*ingress.PlacementRequest); ok && m.Account != "" {
+		s.sendToID(t.To, peer.KindAccountPlacement, &accountPlacement{Account: m.Account, Request: *m})
+		return
 	}
-	s.sendToID(t.To, kind, t.Message)
+	s.sendToID(t.To, kindsByMessage[reflect.TypeOf(t.Message)], t.Message)
 }
 
 // sendToID sends a message to an entry VM. A VM that is not on the list of entry
