ingress: the store's era, and reads that are ignored as old, are logged and counted

Now the client of the store reads Store-Era of every answer, a rise is one line with the copy's revision, an ignored full read another, and store_era, store_reads_old and relays_old count them. Nothing that is decided changes.

--- a/decide/mirror/mirror.go
+++ b/decide/mirror/mirror.go
@@ -18,6 +18,9 @@
 // Revision counts the changes of the store. 0 is before the first one.
 type Revision uint64
 
+// Era counts how often the store has come back from a copy of an earlier state.
+type Era uint64
+
 // Item is one key of the store with its value.
 type Item struct {
 	Key      string
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -61,6 +61,21 @@
 	return func() time.Duration { return b.Next(rng) }, b.Reset
 }
 
+// noEra means that the store has not answered yet.
+const noEra = -1
+
+// noteEra records the store's era after a call. The store is in a later one if it has
+// come back from a copy of an earlier state.
+func (s *Server) noteEra() {
+	era := int64(s.store.Era())
+	before := s.storeEra.Load()
+	if era <= before || !s.storeEra.CompareAndSwap(before, era) || before == noEra {
+		return
+	}
+	s.event(eventStore).WithField("era", era).WithField("previous", before).WithField("copy_revision", s.copyAsOf()).
+		Warn("store has come back from a copy of an earlier state")
+}
+
 // allKeys is the prefix of all keys. One watch of all keys costs a third of
 // three separate watches, and almost every change concerns this VM.
 const allKeys = ""
@@ -79,6 +94,7 @@
 		timer := s.askNeighboursAfter(neighbourDelay)
 		result, err := s.readStore(timeout)
 		timer.Stop()
+		s.noteEra()
 		if err != nil {
 			s.storeFailed(err)
 			s.askNeighboursFor(nextPause())
@@ -185,7 +201,12 @@
 		return readNothing, err
 	}
 	result := s.updateCopy(func() []mirror.Change {
-		changes, _ := s.copy.Replace(snap.Items, snap.AsOf)
+		changes, ok := s.copy.Replace(snap.Items, snap.AsOf)
+		if !ok {
+			s.metrics.oldReads.Add(1)
+			s.event(eventStore).WithField("revision", snap.AsOf).WithField("copy_revision", s.copy.AsOf()).
+				Warn("all keys were read at an earlier revision than the copy: ignored")
+		}
 		return changes
 	})
 	if !valid {
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -47,9 +47,13 @@
 	sendsCut        *expvar.Map // requests in flight on them, by reason
 	probes          *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
-	unreadLimits       *expvar.Int
-	unreadNotices      *expvar.Int // notices in answers that could not be parsed
-	defects            *expvar.Int // parts of values in the store that were invalid
+	unreadLimits  *expvar.Int
+	unreadNotices *expvar.Int // notices in answers that could not be parsed
+	defects       *expvar.Int // parts of values in the store that were invalid
+	// oldReads and oldRelays count full reads of the store, and full copies of other
+	// VMs, that were ignored because this VM's copy is newer.
+	oldReads           *expvar.Int
+	oldRelays          *expvar.Int
 	targetStateChanges *expvar.Map // by kind of change
 	answerLatency      *latencyHistogram
 	refusalLatency     *latencyHistogram
@@ -116,6 +120,8 @@
 	m.unreadLimits = m.newCounter("target_limits_unread")
 	m.unreadNotices = m.newCounter("target_notices_unread")
 	m.defects = m.newCounter("store_defects")
+	m.oldReads = m.newCounter("store_reads_old")
+	m.oldRelays = m.newCounter("relays_old")
 	m.targetStateChanges = m.newCounters("target_beliefs")
 	m.vars.Set("answer_latency", expvar.Func(m.answerLatency.summary))
 	m.vars.Set("refusal_latency", expvar.Func(m.refusalLatency.summary))
@@ -171,6 +177,7 @@
 	gauge("store_age_ms", func() any {
 		return s.storeAge().Milliseconds()
 	})
+	gauge("store_era", func() any { return s.storeEra.Load() })
 	gauge("store_failures", func() any { return s.storeFailures.Load() })
 	gauge("entry_vms", func() any { return len(s.members.Load().vms) })
 	gauge("peer_traffic", func() any { return s.peers.Stats() })
--- a/serve/ingress/register.go
+++ b/serve/ingress/register.go
@@ -105,6 +105,7 @@
 // lease, 0 if it has ended.
 func (s *Server) renewLease(lease kv.Lease) (kv.Lease, bool) {
 	err := s.store.Renew(s.ctx, lease)
+	s.noteEra()
 	switch {
 	case errors.Is(err, kv.ErrLeaseLost):
 		s.event(eventMembers).WithField("lease", lease).Warn("lease has ended")
--- a/serve/ingress/relay.go
+++ b/serve/ingress/relay.go
@@ -231,6 +231,9 @@
 	defer s.copyMu.Unlock()
 	s.noteStoreRead(s.now().Add(-r.Age))
 	if r.AsOf <= s.copy.AsOf() {
+		if r.Full {
+			s.metrics.oldRelays.Add(1)
+		}
 		return
 	}
 	var changes []mirror.Change
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -67,6 +67,7 @@
 	packedCopies   packedCopies
 	awaiting       map[fleet.VMID]bool // VMs waiting for this VM's first copy; guarded by copyMu
 
+	storeEra         atomic.Int64 // the latest era that is known; noEra: none
 	storeUnreachable atomic.Bool  // the last call to the store failed
 	storeFailedAt    atomic.Int64 // when a call last failed, a clock.Time
 	storeReadAt      atomic.Int64 // when the copy last matched the store, a clock.Time
@@ -120,6 +121,7 @@
 func Start(set *Settings, store kv.Store, log logrus.FieldLogger) (*Server, error) {
 	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, 1), metrics: newMetrics()}
 	s.reloadable.Store(set.reloadable())
+	s.storeEra.Store(noEra)
 	s.quarantines = newQuarantineQueue()
 	s.quotaSampler.maxFailures = maxQuotaLinesPerSecond
 	s.membersByKey = make(map[string]fleet.VM)
--- a/serve/kv/kv.go
+++ b/serve/kv/kv.go
@@ -74,6 +74,8 @@
 // Store is the metadata store. Errors other than those of this package are
 // *verdict.Error, which states whether a failed write may have run.
 type Store interface {
+	// Era returns the latest era of the store in any of its answers, refusals included.
+	Era() mirror.Era
 	// Range reads all items below prefix.
 	Range(ctx context.Context, prefix string, from Replica) (Snapshot, error)
 	// Watch returns as soon as there is a change below prefix after the given
--- a/serve/kv/kvtest/store.go
+++ b/serve/kv/kvtest/store.go
@@ -126,6 +126,9 @@
 	return nil
 }
 
+// Era implements kv.Store.
+func (s *Store) Era() mirror.Era { return 0 }
+
 // Range implements kv.Store.
 func (s *Store) Range(_ context.Context, prefix string, from kv.Replica) (kv.Snapshot, error) {
 	s.mu.Lock()
