--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -44,7 +44,10 @@
 
 func (testTranslator) Change(c mirror.Change) (Change, error) {
 	id, isTarget := strings.CutPrefix(c.Key, "test/target/")
+	domain, isEvacuation := strings.CutPrefix(c.Key, "test/evacuate/")
 	switch {
+	case isEvacuation:
+		return Change{Evacuated: &ingress.Evacuated{Domain: fleet.Domain(domain), Begin: !c.Removed}}, nil
 	case isTarget && c.Removed:
 		return Change{TargetRemoved: fleet.TargetID(id)}, nil
 	case isTarget:
@@ -198,6 +201,9 @@
 // startIn starts an entry VM in a failure domain.
 func (w *testEnv) startIn(d fleet.Domain, id string, store kv.Store, seeds ...string) *Server {
 	w.t.Helper()
+	if shared, ok := store.(*kvtest.Store); ok {
+		store = shared.NewClient()
+	}
 	log := logrus.New()
 	log.SetOutput(w.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
--- a/serve/kv/kvtest/store.go
+++ b/serve/kv/kvtest/store.go
@@ -21,18 +21,31 @@
 
 // Store implements kv.Store. It has no clock: leases end only by Revoke.
 type Store struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	state
+	era     mirror.Era
+	copy    state // see SaveCopy
+	down    bool
+	changed chan struct{} // closed and replaced on each change
+
+	staleItems map[string]entry // of a replica that lags behind; nil: none does
+	staleRev   mirror.Revision
+}
+
+// state is what a copy of the store contains.
+type state struct {
 	rev         mirror.Revision
 	items       map[string]entry
 	history     []mirror.Change
 	compactedAt mirror.Revision // history is kept after this revision
 	leases      map[kv.Lease]bool
 	lastLease   kv.Lease
-	down        bool
-	changed     chan struct{} // closed and replaced on each change
+}
 
-	staleItems map[string]entry // of a replica that lags behind; nil: none does
-	staleRev   mirror.Revision
+func (s *state) clone() state {
+	c := *s
+	c.items, c.history, c.leases = maps.Clone(s.items), slices.Clone(s.history), maps.Clone(s.leases)
+	return c
 }
 
 type entry struct {
@@ -45,7 +58,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		rev: 1, items: make(map[string]entry), leases: make(map[kv.Lease]bool),
+		state:   state{rev: 1, items: make(map[string]entry), leases: make(map[kv.Lease]bool)},
 		changed: make(chan struct{}),
 	}
 }
@@ -98,6 +111,47 @@
 	s.notify()
 }
 
+// SaveCopy makes the copy from which the store comes back.
+func (s *Store) SaveCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copy = s.clone()
+}
+
+// ReturnFromCopy brings back the state of the copy: all later writes and leases are gone,
+// and their revisions and lease ids are given out again. It returns the last of the lost
+// changes of each key, in the order in which they were made.
+func (s *Store) ReturnFromCopy() (lost []mirror.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.history {
+		if c.Revision > s.copy.rev {
+			lost = slices.DeleteFunc(lost, func(l mirror.Change) bool { return l.Key == c.Key })
+			lost = append(lost, c)
+		}
+	}
+	s.state = s.copy.clone()
+	s.era++
+	s.notify()
+	return lost
+}
+
+// WriteAgain makes a change that was lost once more.
+func (s *Store) WriteAgain(c mirror.Change) {
+	if c.Removed {
+		s.Remove(c.Key)
+		return
+	}
+	s.Put(c.Key, string(c.Value))
+}
+
+// Grow raises the revision by n changes of other keys.
+func (s *Store) Grow(n int) {
+	for range n {
+		s.Put("other/key", "")
+	}
+}
+
 func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -121,13 +175,22 @@
 
 func (s *Store) checkUp() error {
 	if s.down {
-		return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: ErrDown}
+		return errDown()
 	}
 	return nil
 }
 
-// Era implements kv.Store.
-func (s *Store) Era() mirror.Era { return 0 }
+func errDown() error {
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: ErrDown}
+}
+
+// Era implements kv.Store. It is the present era, whether or not a call has told it; a
+// Client knows only that of its answers.
+func (s *Store) Era() mirror.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
 
 // Range implements kv.Store.
 func (s *Store) Range(_ context.Context, prefix string, from kv.Replica) (kv.Snapshot, error) {
@@ -174,7 +237,7 @@
 	if err := s.checkUp(); err != nil {
 		return kv.Changes{}, err
 	}
-	if after < s.compactedAt {
+	if after < s.compactedAt || after > s.rev {
 		return kv.Changes{}, kv.ErrCompacted
 	}
 	c := kv.Changes{AsOf: s.rev}
