ingress: an older version of the configuration changes no limits

Callers of a version that an operator (or a store that comes back from a copy) writes once more would have been held to the older limits. Now an older version is ignored as a whole, with a line that says so.

--- a/serve/ingress/apply.go
+++ b/serve/ingress/apply.go
@@ -112,8 +112,7 @@
 	case err != nil:
 		line(eventStore).WithError(err).Error("value in the store cannot be decoded")
 	case d.Configured != nil:
-		s.applyConfig(d.Configured)
-		line(eventConfig).WithField("version", s.configVersion()).Info("configuration is in force")
+		s.applyConfig(d.Configured, line(eventConfig))
 	case d.Evacuated != nil:
 		s.core.Post(d.Evacuated)
 		line(eventEvacuate).WithField("domain", d.Evacuated.Domain).WithField("begin", d.Evacuated.Begin).Info("evacuation changed")
@@ -127,8 +126,13 @@
 	}
 }
 
-// applyConfig puts a configuration in force.
-func (s *Server) applyConfig(ev *ingress.Configured) {
+// applyConfig puts a configuration in force unless it is older than the one that is.
+func (s *Server) applyConfig(ev *ingress.Configured, line *logrus.Entry) {
+	version := ev.Table.Config.Version
+	if version < s.configVersion() {
+		line.WithField("version", version).WithField("in_force", s.configVersion()).Warn("configuration is older than the one in force: ignored")
+		return
+	}
 	l := ev.Table.Config.Limits
 	limits := inbound.Limits{
 		HeadBytes:   orDefault(l.HeadBytes, defaultHeadBytes),
@@ -140,6 +144,7 @@
 	s.callerServer.SetLimits(limits)
 	s.core.Post(ev)
 	s.table.Store(ev.Table)
+	line.WithField("version", version).Info("configuration is in force")
 }
 
 // configVersion returns the version of the configuration in force, 0 if there is
