--- a/decide/mirror/mirror_test.go
+++ b/decide/mirror/mirror_test.go
@@ -4,23 +4,39 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/clock"
 )
 
 func item(key string, rev Revision) Item {
 	return Item{Key: key, Revision: rev, Value: []byte{byte(rev)}}
 }
 
+const testNow = clock.Time(time.Hour)
+
+// replace applies a full read of the first era.
+func replace(m *Mirror, items []Item, asOf Revision) ([]Change, bool) {
+	return m.Replace(testNow, State{Items: items, At: Position{Revision: asOf}})
+}
+
+// apply applies the events of a watch in the first era.
+func apply(m *Mirror, events []Change, asOf Revision) []Change {
+	changes, _ := m.Apply(testNow, events, Position{Revision: asOf})
+	return changes
+}
+
 // Guards against a configuration returning to an older version: a full read is
 // served by an old replica after a watch has brought a newer version, and the
 // last read is taken for the newest.
 func TestOldReadIsRefused(t *testing.T) {
 	is := is.New(t)
 	var m Mirror
-	m.Replace([]Item{item("a", 3)}, 5)
-	m.Apply([]Change{{Item: item("a", 7)}}, 7)
-	changes, ok := m.Replace([]Item{item("a", 3)}, 6)
+	replace(&m, []Item{item("a", 3)}, 5)
+	apply(&m, []Change{{Item: item("a", 7)}}, 7)
+	changes, ok := replace(&m, []Item{item("a", 3)}, 6)
 	is.True(!ok)
 	is.Equal(len(changes), 0)
 	got, _ := m.Get("a")
@@ -33,8 +49,8 @@
 func TestMissingKeysAreRemovals(t *testing.T) {
 	is := is.New(t)
 	var m Mirror
-	m.Replace([]Item{item("a", 3), item("b", 4)}, 5)
-	changes, ok := m.Replace([]Item{item("b", 4)}, 9)
+	replace(&m, []Item{item("a", 3), item("b", 4)}, 5)
+	changes, ok := replace(&m, []Item{item("b", 4)}, 9)
 	is.True(ok)
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].Key, "a")
@@ -47,12 +63,12 @@
 func TestLateEventsAreSkipped(t *testing.T) {
 	is := is.New(t)
 	var m Mirror
-	m.Replace(nil, 10)
-	changes := m.Apply([]Change{{Item: item("a", 8)}, {Item: Item{Key: "a", Revision: 9}, Removed: true}}, 9)
+	replace(&m, nil, 10)
+	changes := apply(&m, []Change{{Item: item("a", 8)}, {Item: Item{Key: "a", Revision: 9}, Removed: true}}, 9)
 	is.Equal(len(changes), 0)
 	_, ok := m.Get("a")
 	is.True(!ok)
-	is.Equal(m.AsOf(), Revision(10))
+	is.Equal(m.At().Revision, Revision(10))
 }
 
 // Guards against requests being sent to a target that has left: it registers
@@ -61,8 +77,8 @@
 func TestApplyReturnsOneChangePerKey(t *testing.T) {
 	is := is.New(t)
 	var m Mirror
-	m.Replace([]Item{item("b", 4)}, 10)
-	changes := m.Apply([]Change{
+	replace(&m, []Item{item("b", 4)}, 10)
+	changes := apply(&m, []Change{
 		{Item: item("a", 11)},
 		removal("b", 12),
 		removal("a", 13),
@@ -119,26 +135,26 @@
 			case 0:
 				items, asOf := values(store), rev
 				late = append(late, func() {
-					changes, _ := m.Replace(items, asOf)
+					changes, _ := replace(&m, items, asOf)
 					derived.apply(changes)
 				})
 			case 1:
 				if m.Valid() {
-					events, asOf := since(log, m.AsOf()), rev
-					late = append(late, func() { derived.apply(m.Apply(events, asOf)) })
+					events, asOf := since(log, m.At().Revision), rev
+					late = append(late, func() { derived.apply(apply(&m, events, asOf)) })
 				}
 			}
 			for len(late) > 0 && rng.IntN(3) > 0 {
 				i := rng.IntN(len(late))
-				before := m.AsOf()
+				before := m.At().Revision
 				late[i]()
-				if m.AsOf() < before {
-					t.Fatalf("seed %d: revision of the copy fell from %d to %d", seed, before, m.AsOf())
+				if m.At().Revision < before {
+					t.Fatalf("seed %d: revision of the copy fell from %d to %d", seed, before, m.At().Revision)
 				}
 				late = append(late[:i], late[i+1:]...)
 			}
 		}
-		last, _ := m.Replace(values(store), rev)
+		last, _ := replace(&m, values(store), rev)
 		derived.apply(last)
 		if len(derived) != len(store) {
 			t.Fatalf("seed %d: %d keys remain after the changes, the store has %d", seed, len(derived), len(store))
@@ -183,15 +199,15 @@
 		store := map[string]Item{}
 		var log []Change
 		rev := Revision(1)
-		reader.Replace(nil, rev)
-		follower.Replace(nil, rev)
+		replace(&reader, nil, rev)
+		replace(&follower, nil, rev)
 		follow := func() {
-			changes, ok := reader.ChangesSince(follower.AsOf())
+			changes, ok := reader.ChangesSince(follower.At())
 			if !ok {
-				follower.Replace(reader.Items(""), reader.AsOf())
+				replace(&follower, reader.Items(""), reader.At().Revision)
 				return
 			}
-			follower.Apply(changes, reader.AsOf())
+			apply(&follower, changes, reader.At().Revision)
 		}
 		for range 3000 {
 			rev++
@@ -205,14 +221,14 @@
 			}
 			switch rng.IntN(20) {
 			case 0:
-				reader.Replace(values(store), rev) // the history in between is lost
+				replace(&reader, values(store), rev) // the history in between is lost
 			case 1, 2, 3, 4, 5:
-				reader.Apply(since(log, reader.AsOf()), rev)
+				apply(&reader, since(log, reader.At().Revision), rev)
 			case 6, 7:
 				follow()
 			}
 		}
-		reader.Apply(since(log, reader.AsOf()), rev)
+		apply(&reader, since(log, reader.At().Revision), rev)
 		follow()
 		for _, it := range follower.Items("") {
 			if it.Revision != store[it.Key].Revision {
@@ -231,15 +247,15 @@
 func TestChangesSinceRefusesAfterDroppedRemovals(t *testing.T) {
 	is := is.New(t)
 	var m Mirror
-	m.Replace([]Item{item("stays", 1)}, 1)
+	replace(&m, []Item{item("stays", 1)}, 1)
 	rev := Revision(1)
 	for range maxRemovals + 1 {
-		m.Apply([]Change{{Item: item("a", rev+1)}, removal("a", rev+2)}, rev+2)
+		apply(&m, []Change{{Item: item("a", rev+1)}, removal("a", rev+2)}, rev+2)
 		rev += 2
 	}
-	_, ok := m.ChangesSince(1)
+	_, ok := m.ChangesSince(Position{Revision: 1})
 	is.True(!ok)
-	changes, ok := m.ChangesSince(3) // after the removal that was dropped
+	changes, ok := m.ChangesSince(Position{Revision: 3}) // after the removal that was dropped
 	is.True(ok)
 	is.Equal(len(changes), maxRemovals)
 }
--- a/serve/ingress/account_test.go
+++ b/serve/ingress/account_test.go
@@ -155,8 +155,8 @@
 	w.writeAccounts(2, "north")
 	target := &recordingTarget{headers: make(map[string]http.Header)}
 	w.startTargetIn("far", "t1", target.ServeHTTP)
-	s := w.waitListed(w.startIn("d1", "vm-1", w.store))
-	far := w.waitListed(w.startIn("far", "vm-2", w.store))
+	s := w.waitListed(w.startIn("d1", "vm-1", w.store.NewClient()))
+	far := w.waitListed(w.startIn("far", "vm-2", w.store.NewClient()))
 	w.eventually("the VMs know each other", func() bool { return len(s.members.Load().vms) == 2 && len(far.members.Load().vms) == 2 })
 	res := requestWith(t, s, "id-1", "Authorization: Bearer "+testKey("north"), testFields.Account+": south")
 	is.Equal(res.StatusCode, http.StatusOK)
--- a/serve/ingress/apply.go
+++ b/serve/ingress/apply.go
@@ -60,10 +60,10 @@
 	for i := range ev.Updated {
 		t := &ev.Updated[i]
 		s.event(eventTarget).WithField("target", t.ID).WithField("domain", t.Domain).WithField("draining", t.Draining).
-			WithField("cold_ms", t.Cold.Milliseconds()).WithField("revision", s.copy.AsOf()).Info("registered")
+			WithField("cold_ms", t.Cold.Milliseconds()).WithField("revision", s.copy.At().Revision).Info("registered")
 	}
 	for _, id := range ev.Removed {
-		s.event(eventTarget).WithField("target", id).WithField("revision", s.copy.AsOf()).Info("registration removed")
+		s.event(eventTarget).WithField("target", id).WithField("revision", s.copy.At().Revision).Info("registration removed")
 	}
 }
 
@@ -83,7 +83,7 @@
 	s.event(eventTarget).WithField("registered", len(ev.Updated)).WithField("draining", len(draining)).WithField("gone", len(ev.Removed)).
 		WithField("draining_targets", draining[:min(len(draining), maxLoggedTargets)]).
 		WithField("gone_targets", ev.Removed[:min(len(ev.Removed), maxLoggedTargets)]).
-		WithField("unsure", ev.StoreDegraded).WithField("revision", s.copy.AsOf()).Info("registrations changed")
+		WithField("unsure", ev.StoreDegraded).WithField("revision", s.copy.At().Revision).Info("registrations changed")
 }
 
 // translates reports whether the translator decodes a key.
--- a/serve/ingress/copy.go
+++ b/serve/ingress/copy.go
@@ -26,6 +26,8 @@
 // copyPage is one page of a full copy. Its fields are those of relay.
 type copyPage struct {
 	AsOf          mirror.Revision
+	Era           mirror.Era
+	Base          mirror.Revision
 	Age           time.Duration
 	StoreReliable bool
 	Page          int
@@ -35,7 +37,8 @@
 
 // copyItems is the content of a copyPage before compression.
 type copyItems struct {
-	Changes []mirror.Change
+	Changes  []mirror.Change
+	Retained []mirror.Retained
 }
 
 // receiveCopyRequest answers an entry VM that has no copy.
@@ -77,22 +80,26 @@
 // of them.
 func (s *Server) sendCopy(to ...fleet.VMID) {
 	s.copyMu.Lock()
-	head := s.relayHead()
+	head, version := s.relayHead(), s.copyVersion()
 	s.copyMu.Unlock()
-	pages, err := s.packedCopies.pagesOf(head.AsOf, func() relay {
+	packed, err := s.packedCopies.get(version, func() (relay, copyVersion) {
 		s.copyMu.Lock()
 		defer s.copyMu.Unlock()
-		return s.fullRelay()
+		return s.fullRelay(), s.copyVersion()
 	})
 	if err != nil {
-		s.relayFailed(head.AsOf, err)
+		s.relayFailed(head.at(), err)
 		return
 	}
-	for i, data := range pages {
-		page := copyPage{AsOf: head.AsOf, Age: head.Age, StoreReliable: head.StoreReliable, Page: i, More: i < len(pages)-1, Packed: data}
+	at := packed.of.at
+	for i, data := range packed.pages {
+		page := copyPage{
+			AsOf: at.Revision, Era: at.Era, Base: packed.base,
+			Age: head.Age, StoreReliable: head.StoreReliable, Page: i, More: i < len(packed.pages)-1, Packed: data,
+		}
 		b, err := peer.Encode(kindCopy, &page)
 		if err != nil {
-			s.relayFailed(head.AsOf, err)
+			s.relayFailed(head.at(), err)
 			return
 		}
 		for _, id := range to {
@@ -101,17 +108,23 @@
 	}
 }
 
+// copyVersion returns the version of the copy. copyMu must be held.
+func (s *Server) copyVersion() copyVersion {
+	return copyVersion{s.copy.At(), s.copy.RetainedChanges()}
+}
+
 // receiveCopyPage processes one page of another entry VM's full copy.
 func (s *Server) receiveCopyPage(from fleet.VMID, b peer.Body) error {
 	var page copyPage
 	if err := peer.Decode(b, peer.MaxBody, &page); err != nil {
 		return err
 	}
-	changes, err := unpackPage(page.Packed)
+	items, err := unpackPage(page.Packed)
 	if err != nil {
 		return err
 	}
 	return s.addRelayPage(from, &relay{
-		AsOf: page.AsOf, Full: true, Changes: changes, Age: page.Age, StoreReliable: page.StoreReliable, Page: page.Page, More: page.More,
+		AsOf: page.AsOf, Era: page.Era, Base: page.Base, Full: true, Changes: items.Changes, Retained: items.Retained,
+		Age: page.Age, StoreReliable: page.StoreReliable, Page: page.Page, More: page.More,
 	})
 }
--- /dev/null
+++ b/serve/ingress/era.go
@@ -0,0 +1,120 @@
+package ingress
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/mirror"
+)
+
+// The store may come back from a copy of an earlier state, which begins a new era. An entry
+// VM may learn of it by any answer of the store, or from another VM. It then reads all
+// keys; package mirror decides what holds until operators, targets and entry VMs have
+// written again what was lost.
+
+// noEra means that no era is known.
+const noEra = -1
+
+// knownEra returns the latest era that this VM knows of.
+func (s *Server) knownEra() mirror.Era { return mirror.Era(max(s.storeEra.Load(), 0)) }
+
+// noteEra records the store's era after a call, or as another VM knows it.
+func (s *Server) noteEra(era mirror.Era) {
+	for {
+		before := s.storeEra.Load()
+		if int64(era) <= before {
+			return
+		}
+		if !s.storeEra.CompareAndSwap(before, int64(era)) {
+			continue
+		}
+		if before != noEra {
+			s.event(eventStore).WithField("era", era).WithField("previous", before).WithField("copy_revision", s.copyAt().Revision).
+				Warn("store has come back from a copy of an earlier state")
+		}
+		s.endWatch()
+		select {
+		case s.eraNoted <- struct{}{}:
+		default:
+		}
+		return
+	}
+}
+
+// untilNextEra returns a context that ends when an era after the given one is known.
+func (s *Server) untilNextEra(era mirror.Era) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.watchMu.Lock()
+	s.cancelWatch = cancel
+	s.watchMu.Unlock()
+	if s.knownEra() > era {
+		cancel()
+	}
+	return ctx, cancel
+}
+
+// endWatch ends the watch in progress: it is of an earlier era.
+func (s *Server) endWatch() {
+	s.watchMu.Lock()
+	defer s.watchMu.Unlock()
+	if s.cancelWatch != nil {
+		s.cancelWatch()
+	}
+}
+
+// eraEntered is called when the copy has come into a new era. copyMu must be held.
+func (s *Server) eraEntered(before mirror.Position) {
+	retained := s.copy.Retained(s.now())
+	at := s.copy.At()
+	s.event(eventStore).WithField("era", at.Era).WithField("revision", at.Revision).WithField("previous", before.Era).
+		WithField("copy_revision", before.Revision).WithField("retained", len(retained)).Warn("copy is of a new era")
+}
+
+// scheduleExpiry sets the timer at which the store's state replaces what is retained.
+// copyMu must be held.
+func (s *Server) scheduleExpiry() {
+	next := s.copy.NextExpiry()
+	if next == clock.Never || s.ctx.Err() != nil {
+		return
+	}
+	if s.expiry == nil {
+		s.expiry = time.AfterFunc(next.Sub(s.now()), s.expireRetained)
+		return
+	}
+	s.expiry.Reset(next.Sub(s.now()))
+}
+
+func (s *Server) expireRetained() {
+	s.updateCopy(false, func(now clock.Time) []mirror.Change {
+		changes := s.copy.Expire(now)
+		if len(changes) > 0 {
+			s.event(eventStore).WithField("changes", len(changes)).Warn("what was known before the store's return is given up: it was not written again")
+		}
+		return changes
+	})
+}
+
+// copyRules interpret the keys of the store for its copy.
+type copyRules struct{ translate Translator }
+
+// Class implements mirror.Rules.
+func (c copyRules) Class(key string) mirror.Class {
+	switch {
+	case strings.HasPrefix(key, prefixMembers):
+		return mirror.Instance
+	case strings.HasPrefix(key, prefixQuarantine):
+		return mirror.Lasting // entry VMs themselves write it again
+	default:
+		return c.translate.Class(key)
+	}
+}
+
+// Compare implements mirror.Rules.
+func (c copyRules) Compare(key string, a, b []byte) (int, bool) {
+	if strings.HasPrefix(key, prefixMembers) || strings.HasPrefix(key, prefixQuarantine) {
+		return 0, false
+	}
+	return c.translate.Compare(key, a, b)
+}
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,21 +62,6 @@
 	return func() time.Duration { return b.Next(rng) }, b.Reset
 }
 
-// noEra means that the store has not answered yet.
-const noEra = -1
-
-// noteEra records the store's era after a call. The store is in a later one if it has
-// come back from a copy of an earlier state.
-func (s *Server) noteEra() {
-	era := int64(s.store.Era())
-	before := s.storeEra.Load()
-	if era <= before || !s.storeEra.CompareAndSwap(before, era) || before == noEra {
-		return
-	}
-	s.event(eventStore).WithField("era", era).WithField("previous", before).WithField("copy_revision", s.copyAsOf()).
-		Warn("store has come back from a copy of an earlier state")
-}
-
 // allKeys is the prefix of all keys. One watch of all keys costs a third of
 // three separate watches, and almost every change concerns this VM.
 const allKeys = ""
@@ -94,7 +80,6 @@
 		timer := s.askNeighboursAfter(neighbourDelay)
 		result, err := s.readStore(timeout)
 		timer.Stop()
-		s.noteEra()
 		if err != nil {
 			s.storeFailed(err)
 			s.askNeighboursFor(nextPause())
@@ -126,19 +111,28 @@
 	timer := s.askNeighboursAfter(neighbourDelay)
 	snap, err := s.store.Range(s.ctx, prefixMembers, kv.Any)
 	timer.Stop()
+	s.noteEra(s.store.Era())
 	if err != nil {
 		s.storeFailed(err)
 		return
 	}
-	vms := []fleet.VM{s.settings.Self}
-	for _, it := range snap.Items {
+	vms := append(s.membersIn(snap.Items), s.settings.Self)
+	if from, ok := s.readers.Source(s.now(), s.settings.Self, vms); ok {
+		s.requestReaderUpdate(from, readerCopyTimeout)
+	}
+}
+
+// membersIn returns the other entry VMs among items of the store.
+func (s *Server) membersIn(items []mirror.Item) (vms []fleet.VM) {
+	for _, it := range items {
+		if !strings.HasPrefix(it.Key, prefixMembers) {
+			continue
+		}
 		if vm, err := decodeMember(it); err == nil && vm.ID != s.settings.Self.ID {
 			vms = append(vms, vm) // decoding errors are logged when the copy is applied
 		}
 	}
-	if from, ok := s.readers.Source(s.now(), s.settings.Self, vms); ok {
-		s.requestReaderUpdate(from, readerCopyTimeout)
-	}
+	return vms
 }
 
 // askNeighboursAfter asks neighbours for a copy after d if there is none by
@@ -157,7 +151,12 @@
 func (s *Server) askNeighboursFor(d time.Duration) {
 	for d > 0 && s.ctx.Err() == nil {
 		s.askNeighbours()
-		s.sleep(min(d, relayInterval))
+		select {
+		case <-time.After(min(d, relayInterval)):
+		case <-s.eraNoted:
+			return // the store has answered another VM
+		case <-s.ctx.Done():
+		}
 		d -= relayInterval
 	}
 }
@@ -172,59 +171,108 @@
 	readFirstCopy
 )
 
-// readStore brings the copy up to date: by a full read at the start and when the
-// store has dropped the history, otherwise by a watch with the given timeout.
+// readStore brings the copy up to date: by a full read at the start, when the store has
+// dropped the history and when it has come back from a copy, otherwise by a watch with the
+// given timeout.
 func (s *Server) readStore(timeout time.Duration) (readResult, error) {
-	s.copyMu.Lock()
-	valid, asOf := s.copy.Valid(), s.copy.AsOf()
-	s.copyMu.Unlock()
-	if valid {
-		c, err := s.store.Watch(s.ctx, allKeys, asOf, timeout)
-		if err == nil {
-			return s.updateCopy(func() []mirror.Change { return s.copy.Apply(c.Events, c.AsOf) }), nil
+	at := s.copyAt()
+	first := !s.copyValid()
+	if !first && at.Era >= s.knownEra() {
+		result, err := s.watchStore(at, timeout)
+		if !errors.Is(err, kv.ErrCompacted) && !errors.Is(err, kv.ErrEra) {
+			return result, err
 		}
-		if !errors.Is(err, kv.ErrCompacted) {
-			return readNothing, err
+		if errors.Is(err, kv.ErrCompacted) {
+			s.event(eventStore).WithField("revision", at.Revision).Warn("store has compacted its history: reading all keys")
 		}
-		s.event(eventStore).WithField("revision", asOf).Warn("store has compacted its history: reading all keys")
 	}
-	// The first copy may come from an outdated replica: the watch that follows
-	// returns what is missing. A later full read may not, as the copy would reject
-	// it as too old. With about 1,900 keys, reading from any replica saves three to
-	// four calls at full price at each start of a VM.
-	from := kv.Any
-	if valid {
-		from = kv.Latest
-	}
-	snap, err := s.store.Range(s.ctx, allKeys, from)
+	state, err := s.readAll(first)
 	if err != nil {
 		return readNothing, err
 	}
-	result := s.updateCopy(func() []mirror.Change {
-		changes, ok := s.copy.Replace(snap.Items, snap.AsOf)
-		if !ok {
-			s.metrics.oldReads.Add(1)
-			s.event(eventStore).WithField("revision", snap.AsOf).WithField("copy_revision", s.copy.AsOf()).
-				Warn("all keys were read at an earlier revision than the copy: ignored")
+	return s.applyState(state, first)
+}
+
+// readAll reads all keys. The first copy may come from an outdated replica: the watch that
+// follows returns what is missing. A later full read may not, as the copy would reject it
+// as too old. With about 1,900 keys, reading from any replica saves three to four calls at
+// full price at each start of a VM.
+func (s *Server) readAll(first bool) (mirror.State, error) {
+	if first {
+		snap, err := s.rangeAll(kv.Any)
+		if err != nil || snap.At.Era >= s.knownEra() {
+			return mirror.State{Items: snap.Items, At: snap.At, Outdated: true}, err
 		}
+	}
+	snap, err := s.rangeAll(kv.Latest)
+	return mirror.State{Items: snap.Items, At: snap.At}, err
+}
+
+func (s *Server) rangeAll(from kv.Replica) (kv.Snapshot, error) {
+	snap, err := s.store.Range(s.ctx, allKeys, from)
+	s.noteEra(s.store.Era())
+	return snap, err
+}
+
+// applyState replaces the copy by a full read.
+func (s *Server) applyState(state mirror.State, first bool) (readResult, error) {
+	if state.At.Era < s.knownEra() {
+		return readNothing, errOldRead
+	}
+	replaced := false
+	result := s.updateCopy(s.storeDegraded(), func(now clock.Time) (changes []mirror.Change) {
+		changes, replaced = s.copy.Replace(now, state)
 		return changes
 	})
-	if !valid {
-		result = readFirstCopy
+	switch {
+	case !replaced:
+		s.metrics.oldReads.Add(1)
+		s.event(eventStore).WithField("revision", state.At.Revision).WithField("era", state.At.Era).
+			WithField("copy_revision", s.copyAt().Revision).Warn("all keys were read at an earlier revision than the copy: ignored")
+		return readNothing, errOldRead
+	case first:
+		return readFirstCopy, nil
+	default:
+		return result, nil
 	}
-	return result, nil
 }
 
-// updateCopy changes the copy and turns the changes into events, in the same
-// order for all sources.
-func (s *Server) updateCopy(change func() []mirror.Change) readResult {
+// errOldRead means that a read of the store was older than what is known.
+var errOldRead = errors.New("ingress: read of the store is older than the copy")
+
+// watchStore waits for changes after a position.
+func (s *Server) watchStore(at mirror.Position, timeout time.Duration) (readResult, error) {
+	ctx, cancel := s.untilNextEra(at.Era)
+	defer cancel()
+	c, err := s.store.Watch(ctx, allKeys, at, timeout)
+	s.noteEra(s.store.Era())
+	if s.knownEra() > at.Era {
+		return readNothing, kv.ErrEra
+	}
+	if err != nil {
+		return readNothing, err
+	}
+	return s.updateCopy(s.storeDegraded(), func(now clock.Time) []mirror.Change {
+		changes, _ := s.copy.Apply(now, c.Events, c.At) // refused if a relay has brought a later era
+		return changes
+	}), nil
+}
+
+// updateCopy changes the copy and turns the changes into events, in the same order for all
+// sources. storeDegraded means that removals may result from a failure of the store.
+func (s *Server) updateCopy(storeDegraded bool, change func(now clock.Time) []mirror.Change) readResult {
 	s.copyMu.Lock()
 	defer s.copyMu.Unlock()
-	changes := change()
+	before, valid := s.copy.At(), s.copy.Valid()
+	changes := change(s.now())
+	if valid && s.copy.At().Era > before.Era {
+		s.eraEntered(before)
+	}
+	s.scheduleExpiry()
 	if len(changes) == 0 {
 		return readNothing
 	}
-	s.applyChanges(changes, s.storeDegraded())
+	s.applyChanges(changes, storeDegraded)
 	return readChanges
 }
 
--- a/serve/ingress/gateway_test.go
+++ b/serve/ingress/gateway_test.go
@@ -38,7 +38,7 @@
 // gateway.
 func (w *testEnv) startTwoRegions() (near, gate *Server) {
 	w.t.Helper()
-	gate = w.waitListed(w.startIn("far", "gate", w.store))
+	gate = w.waitListed(w.startIn("far", "gate", w.store.NewClient()))
 	near = w.startListed("vm-1")
 	w.eventually("the gateway is known", func() bool {
 		_, known := near.member("gate")
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,6 +44,37 @@
 
 func (testTranslator) Prefixes() []string { return []string{"test/"} }
 
+// Class implements mirror.Rules.
+func (testTranslator) Class(key string) mirror.Class {
+	switch {
+	case key == testConfig:
+		return mirror.Lasting
+	case strings.HasPrefix(key, "test/target/"):
+		return mirror.Instance
+	}
+	return mirror.Transient
+}
+
+// Compare implements mirror.Rules.
+func (testTranslator) Compare(key string, a, b []byte) (int, bool) {
+	if key == testConfig {
+		var configA, configB route.Config
+		err := errors.Join(json.Unmarshal(a, &configA), json.Unmarshal(b, &configB))
+		return cmp.Compare(configA.Version, configB.Version), err == nil
+	}
+	var targetA, targetB ingress.Target
+	if !strings.HasPrefix(key, "test/target/") || json.Unmarshal(a, &targetA) != nil || json.Unmarshal(b, &targetB) != nil {
+		return 0, false
+	}
+	draining := func(t ingress.Target) int {
+		if t.Draining {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Compare(draining(targetA), draining(targetB)), true
+}
+
 func (testTranslator) Change(c mirror.Change) (Change, error) {
 	id, isTarget := strings.CutPrefix(c.Key, "test/target/")
 	domain, isEvacuation := strings.CutPrefix(c.Key, "test/evacuate/")
@@ -168,7 +201,7 @@
 
 func (w *testEnv) startListed(id string) *Server {
 	w.t.Helper()
-	return w.startListedWith(id, w.store)
+	return w.startListedWith(id, w.store.NewClient())
 }
 
 // startListedWith starts an entry VM with its own access to the store, and waits
@@ -201,9 +234,6 @@
 // startIn starts an entry VM in a failure domain.
 func (w *testEnv) startIn(d fleet.Domain, id string, store kv.Store, seeds ...string) *Server {
 	w.t.Helper()
-	if shared, ok := store.(*kvtest.Store); ok {
-		store = shared.NewClient()
-	}
 	log := logrus.New()
 	log.SetOutput(w.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -178,6 +178,11 @@
 		return s.storeAge().Milliseconds()
 	})
 	gauge("store_era", func() any { return s.storeEra.Load() })
+	gauge("store_retained", func() any {
+		s.copyMu.Lock()
+		defer s.copyMu.Unlock()
+		return s.copy.RetainedCount()
+	})
 	gauge("store_failures", func() any { return s.storeFailures.Load() })
 	gauge("entry_vms", func() any { return len(s.members.Load().vms) })
 	gauge("peer_traffic", func() any { return s.peers.Stats() })
--- a/serve/ingress/notice_test.go
+++ b/serve/ingress/notice_test.go
@@ -63,7 +63,7 @@
 		f.Add(v, v, "Sun, 01 Mar 2026 12:00:00 GMT", http.StatusServiceUnavailable)
 	}
 	w := newTestEnv(f, catchAllRoute(true))
-	s := w.startIn("d1", "vm-1", w.store)
+	s := w.startIn("d1", "vm-1", w.store.NewClient())
 	f.Fuzz(func(t *testing.T, leaving, retryAfter, date string, status int) {
 		h := http.Header{"X-Leaving": {leaving}, "Retry-After": {retryAfter}, "Date": {date}}
 		before := s.metrics.unreadNotices.Value()
--- a/serve/ingress/pack.go
+++ b/serve/ingress/pack.go
@@ -14,47 +14,57 @@
 // region, every follower requests the same one.
 type packedCopies struct {
 	mu     sync.Mutex
-	asOf   mirror.Revision
-	pages  [][]byte
+	latest packedCopy
 	expiry *time.Timer
 }
 
+// packedCopy is a compressed copy of the store.
+type packedCopy struct {
+	of    copyVersion
+	base  mirror.Revision // see mirror.State
+	pages [][]byte
+}
+
+// copyVersion identifies the content of a copy.
+type copyVersion struct {
+	at              mirror.Position
+	retainedChanges uint64
+}
+
 // packedCopyTTL is how long a compressed copy is kept after the last request for
 // it.
 const packedCopyTTL = 5 * time.Second
 
-// pagesOf returns the compressed pages of a copy that is complete up to asOf. If
-// they are not cached, full provides a copy at least as new. Pages newer than
-// asOf do no harm: the receiver's next request only returns the same changes
-// again.
-func (p *packedCopies) pagesOf(asOf mirror.Revision, full func() relay) ([][]byte, error) {
+// get returns a compressed copy of the given version, or of the later one that full
+// provides if it is not cached.
+func (p *packedCopies) get(v copyVersion, full func() (relay, copyVersion)) (packedCopy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.pages == nil || p.asOf != asOf {
-		r := full()
+	if p.latest.pages == nil || p.latest.of != v {
+		r, of := full()
 		pages, err := packPages(&r)
 		if err != nil {
-			return nil, err
+			return packedCopy{}, err
 		}
-		p.asOf, p.pages = r.AsOf, pages
+		p.latest = packedCopy{of: of, base: r.Base, pages: pages}
 	}
 	if p.expiry == nil {
 		p.expiry = time.AfterFunc(packedCopyTTL, p.evict)
 	}
 	p.expiry.Reset(packedCopyTTL)
-	return p.pages, nil
+	return p.latest, nil
 }
 
 func (p *packedCopies) evict() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pages = nil
+	p.latest = packedCopy{}
 }
 
 func packPages(r *relay) ([][]byte, error) {
 	var pages [][]byte
 	for _, page := range r.split() {
-		b, err := peer.Encode(kindCopy, &copyItems{Changes: page.Changes})
+		b, err := peer.Encode(kindCopy, &copyItems{Changes: page.Changes, Retained: page.Retained})
 		if err != nil {
 			return nil, err
 		}
@@ -64,7 +74,7 @@
 }
 
 // unpackPage decompresses a page. It rejects pages larger than any that is sent.
-func unpackPage(packed []byte) ([]mirror.Change, error) {
+func unpackPage(packed []byte) (*copyItems, error) {
 	data, err := pack.Decompress(packed, peer.MaxBody)
 	if err != nil {
 		return nil, fmt.Errorf("ingress: %w", err)
@@ -73,5 +83,5 @@
 	if err := peer.Decode(peer.Body{Kind: kindCopy, Data: data}, peer.MaxBody, &items); err != nil {
 		return nil, err
 	}
-	return items.Changes, nil
+	return &items, nil
 }
--- a/serve/ingress/pack_test.go
+++ b/serve/ingress/pack_test.go
@@ -54,9 +54,9 @@
 	is.NoErr(err)
 	var got []mirror.Change
 	for _, p := range pages {
-		changes, err := unpackPage(p)
+		items, err := unpackPage(p)
 		is.NoErr(err)
-		got = append(got, changes...)
+		got = append(got, items.Changes...)
 	}
 	is.Equal(got, r.Changes)
 }
@@ -94,11 +94,10 @@
 	var p packedCopies
 	packed := 0
 	of := func(asOf mirror.Revision) {
-		_, err := p.pagesOf(asOf, func() relay {
+		v := copyVersion{at: mirror.Position{Revision: asOf}}
+		_, err := p.get(v, func() (relay, copyVersion) {
 			packed++
-			r := fleetCopy(3)
-			r.AsOf = asOf
-			return r
+			return fleetCopy(3), v
 		})
 		is.NoErr(err)
 	}
--- a/serve/ingress/quarantine.go
+++ b/serve/ingress/quarantine.go
@@ -125,6 +125,7 @@
 	nextPause, _ := s.storeBackoff()
 	for s.ctx.Err() == nil {
 		_, err := s.store.Commit(s.ctx, t)
+		s.noteEra(s.store.Era())
 		if err == nil {
 			return
 		}
--- a/serve/ingress/reader_test.go
+++ b/serve/ingress/reader_test.go
@@ -23,7 +23,7 @@
 	watches atomic.Int64
 }
 
-func (w *watchCounter) Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (kv.Changes, error) {
+func (w *watchCounter) Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (kv.Changes, error) {
 	w.watches.Add(1)
 	return w.Store.Watch(ctx, prefix, after, wait)
 }
@@ -33,7 +33,7 @@
 	var servers []*Server
 	var stores []*watchCounter
 	for i := range n {
-		st := &watchCounter{Store: w.store}
+		st := &watchCounter{Store: w.store.NewClient()}
 		stores = append(stores, st)
 		servers = append(servers, w.startListedWith(fmt.Sprint("vm-", i), st))
 	}
@@ -150,7 +150,7 @@
 			break
 		}
 	}
-	full := &fullReadCounter{Store: w.store}
+	full := &fullReadCounter{Store: w.store.NewClient()}
 	w.startListedWith(string(late.ID), full)
 	is.Equal(full.reads.Load(), int64(0))
 }
@@ -161,7 +161,7 @@
 func TestCopyRequestBeforeFirstCopyIsAnswered(t *testing.T) {
 	is := is.New(t)
 	w := newTestEnv(t, catchAllRoute(true))
-	g := &refusingStore{Store: w.store}
+	g := &refusingStore{Store: w.store.NewClient()}
 	g.refusing.Store(true)
 	from := w.start("vm-1", g)
 	asker := w.start("vm-2", g)
@@ -188,17 +188,17 @@
 	w := newTestEnv(t, catchAllRoute(true))
 	w.startTarget("t1", respondOK("one"))
 	from := w.startListed("vm-1")
-	g := &refusingStore{Store: w.store}
+	g := &refusingStore{Store: w.store.NewClient()}
 	g.refusing.Store(true)
 	asker := w.start("vm-2", g)
 	asker.copyMu.Lock()
 	asker.copy = mirror.Mirror{}
-	_, replaced := asker.copy.Replace([]mirror.Item{{Key: "gone", Revision: 1}}, 1)
+	_, replaced := asker.copy.Replace(asker.now(), mirror.State{Items: []mirror.Item{{Key: "gone", Revision: 1}}, At: mirror.Position{Revision: 1}})
 	asker.copyMu.Unlock()
 	is.True(replaced)
 	_, answered := asker.requestReaderUpdate(from.settings.Self, time.Minute)
 	is.True(answered)
-	is.True(asker.copyAsOf() >= from.copyAsOf())
+	is.True(asker.copyAt().Compare(from.copyAt()) >= 0)
 	asker.copyMu.Lock()
 	defer asker.copyMu.Unlock()
 	_, found := asker.copy.Get("gone")
--- a/serve/ingress/register.go
+++ b/serve/ingress/register.go
@@ -42,7 +42,7 @@
 			s.sleep(firstCopyPollInterval)
 			continue
 		}
-		if lease == 0 {
+		if lease == (kv.Lease{}) {
 			l, err := s.registerMember()
 			if err != nil {
 				s.storeFailed(err)
@@ -64,7 +64,7 @@
 			if s.listedRecently() {
 				continue // the copy may be older than the key
 			}
-			lease = 0
+			lease = kv.Lease{}
 		case <-s.ctx.Done():
 		}
 	}
@@ -81,35 +81,39 @@
 // minRelistInterval is the minimum time between two writes of the key.
 const minRelistInterval = time.Second
 
+// memberKey returns the key of this VM.
+func (s *Server) memberKey() string { return prefixMembers + string(s.settings.Self.ID) }
+
 // registerMember writes the key of this VM under a new lease.
 func (s *Server) registerMember() (kv.Lease, error) {
 	lease, _, err := s.store.Grant(s.ctx, s.settings.LeaseTTL)
+	s.noteEra(s.store.Era())
 	if err != nil {
-		return 0, err
+		return kv.Lease{}, err
 	}
 	value, err := json.Marshal(s.settings.Self)
 	if err != nil {
-		return 0, err
+		return kv.Lease{}, err
 	}
-	key := prefixMembers + string(s.settings.Self.ID)
-	_, err = s.store.Commit(s.ctx, kv.Txn{Writes: []kv.Write{{Key: key, Value: value, Lease: lease}}})
+	_, err = s.store.Commit(s.ctx, kv.Txn{Writes: []kv.Write{{Key: s.memberKey(), Value: value, Lease: lease}}})
+	s.noteEra(s.store.Era())
 	if err != nil {
-		return 0, err
+		return kv.Lease{}, err
 	}
 	s.listedAt = s.now()
-	s.event(eventMembers).WithField("lease", lease).Info("this entry VM is registered")
+	s.event(eventMembers).WithField("lease", lease.ID).Info("this entry VM is registered")
 	return lease, nil
 }
 
 // renewLease renews the lease and reports whether that succeeded. It returns the
-// lease, 0 if it has ended.
+// lease, zero if it has ended.
 func (s *Server) renewLease(lease kv.Lease) (kv.Lease, bool) {
 	err := s.store.Renew(s.ctx, lease)
-	s.noteEra()
+	s.noteEra(s.store.Era())
 	switch {
-	case errors.Is(err, kv.ErrLeaseLost):
-		s.event(eventMembers).WithField("lease", lease).Warn("lease has ended")
-		return 0, false
+	case errors.Is(err, kv.ErrLeaseLost), errors.Is(err, kv.ErrEra):
+		s.event(eventMembers).WithField("lease", lease.ID).Warn("lease has ended")
+		return kv.Lease{}, false
 	case err != nil:
 		s.storeFailed(err)
 		return lease, false
@@ -120,7 +124,7 @@
 }
 
 func (s *Server) revokeLease(lease kv.Lease) {
-	if lease == 0 {
+	if lease == (kv.Lease{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
--- a/serve/ingress/relay.go
+++ b/serve/ingress/relay.go
@@ -16,9 +16,12 @@
 // configuration or the removal of a target. And in a large region only a few VMs
 // read the store, because each waiting watch is a call.
 
-// relayRequest requests what was read after a revision.
+// relayRequest requests what was read after a position.
 type relayRequest struct {
 	AsOf mirror.Revision
+	Era  mirror.Era
+	// Known is the latest era that the sender knows of; it may not have read it yet.
+	Known mirror.Era
 	// Follow requests an answer even if there is nothing newer: the sender does not
 	// read the store itself while it gets answers.
 	Follow bool
@@ -27,6 +30,11 @@
 // relay is what one VM has read from the store.
 type relay struct {
 	AsOf mirror.Revision
+	Era  mirror.Era
+	// Base is the sender's mirror.State.Base.
+	Base mirror.Revision
+	// Retained is what the sender retains from earlier eras, in full relays.
+	Retained []mirror.Retained
 	// Full means that Changes contains all items, and that keys missing there are
 	// removed; otherwise Changes contains the changes after the requested revision.
 	Full    bool
@@ -42,6 +50,10 @@
 	More bool
 }
 
+func (r *relayRequest) at() mirror.Position { return mirror.Position{Era: r.Era, Revision: r.AsOf} }
+
+func (r *relay) at() mirror.Position { return mirror.Position{Era: r.Era, Revision: r.AsOf} }
+
 // relayTurnRange is the range of the initial relayTurn, which spreads the first
 // requests of VMs that start together over the other VMs.
 const relayTurnRange = 1024
@@ -50,25 +62,39 @@
 func (s *Server) askNeighbours() {
 	near, far := s.neighbours()
 	if len(near)+len(far) == 0 {
-		// A restarted VM knows other VMs only by the addresses in its settings.
-		for _, addr := range s.reloadable.Load().seeds {
-			if addr != s.settings.Self.PeerAddr {
-				far = append(far, peer.AtAddress(addr))
-			}
+		far = s.seedVMs()
+	}
+	for _, vm := range s.inTurn(near, far) {
+		s.requestUpdate(vm, false)
+	}
+}
+
+// seedVMs returns the VMs that a restarted VM knows: by the addresses in its settings.
+func (s *Server) seedVMs() (vms []fleet.VM) {
+	for _, addr := range s.reloadable.Load().seeds {
+		if addr != s.settings.Self.PeerAddr {
+			vms = append(vms, peer.AtAddress(addr))
 		}
 	}
+	return vms
+}
+
+// inTurn returns one VM of each list, another one each time.
+func (s *Server) inTurn(lists ...[]fleet.VM) (vms []fleet.VM) {
 	turn := int(s.relayTurn.Add(1))
-	for _, list := range [][]fleet.VM{near, far} {
+	for _, list := range lists {
 		if len(list) > 0 {
-			s.requestUpdate(list[turn%len(list)], false)
+			vms = append(vms, list[turn%len(list)])
 		}
 	}
+	return vms
 }
 
 // requestUpdate requests from a VM what this one lacks.
 func (s *Server) requestUpdate(from fleet.VM, follow bool) {
-	if asOf := s.copyAsOf(); asOf > 0 {
-		s.sendTo(from, kindRelayRequest, &relayRequest{AsOf: asOf, Follow: follow})
+	if s.copyValid() {
+		at := s.copyAt()
+		s.sendTo(from, kindRelayRequest, &relayRequest{AsOf: at.Revision, Era: at.Era, Known: s.knownEra(), Follow: follow})
 		return
 	}
 	s.sendTo(from, kindCopyRequest, &copyRequest{Follow: follow})
@@ -77,8 +103,11 @@
 // neighbours returns the other entry VMs, those of this VM's failure domain
 // separately: their messages cross no other domain. One VM of each group is
 // asked at a time, because the whole failure domain may be cut off.
-func (s *Server) neighbours() (near, far []fleet.VM) {
-	for _, vm := range s.members.Load().vms {
+func (s *Server) neighbours() (near, far []fleet.VM) { return s.byDistance(s.members.Load().vms) }
+
+// byDistance returns the VMs of this VM's failure domain and the others, without itself.
+func (s *Server) byDistance(vms []fleet.VM) (near, far []fleet.VM) {
+	for _, vm := range vms {
 		switch {
 		case vm.ID == s.settings.Self.ID:
 		case vm.Domain == s.settings.Self.Domain:
@@ -111,10 +140,7 @@
 // requestReaderUpdate requests from a VM what this one lacks, and waits for a
 // relay.
 func (s *Server) requestReaderUpdate(from fleet.VM, timeout time.Duration) (relayReceipt, bool) {
-	select {
-	case <-s.relayReceipts: // from an earlier request
-	default:
-	}
+	s.drainReceipts()
 	s.requestUpdate(from, true)
 	select {
 	case receipt := <-s.relayReceipts:
@@ -125,16 +151,28 @@
 	return relayReceipt{}, false
 }
 
-// relayReceipt tells requestReaderUpdate that a relay was applied.
+// drainReceipts drops the receipts of earlier requests.
+func (s *Server) drainReceipts() {
+	for {
+		select {
+		case <-s.relayReceipts:
+		default:
+			return
+		}
+	}
+}
+
+// relayReceipt tells a function that waits for a relay that there was one.
 type relayReceipt struct {
 	from fleet.VMID
 	age  time.Duration
 }
 
-func (s *Server) copyAsOf() mirror.Revision {
+// copyAt returns the position of the copy.
+func (s *Server) copyAt() mirror.Position {
 	s.copyMu.Lock()
 	defer s.copyMu.Unlock()
-	return s.copy.AsOf()
+	return s.copy.At()
 }
 
 func (s *Server) copyValid() bool {
@@ -150,12 +188,13 @@
 	if err := peer.Decode(b, peer.MaxBody, &req); err != nil {
 		return err
 	}
+	s.noteEra(max(req.Era, req.Known))
 	s.copyMu.Lock()
 	valid := s.copy.Valid()
-	r, known := s.relaySince(req.AsOf)
+	r, known := s.relaySince(req.at())
 	s.copyMu.Unlock()
 	switch {
-	case !valid:
+	case !valid || r.Era < req.Era:
 	case !known:
 		s.sendCopy(from)
 	case req.Follow || r.AsOf > req.AsOf:
@@ -166,19 +205,21 @@
 
 // relayHead returns a relay without its changes. copyMu must be held.
 func (s *Server) relayHead() relay {
+	at := s.copy.At()
 	return relay{
-		AsOf:          s.copy.AsOf(),
+		AsOf:          at.Revision,
+		Era:           at.Era,
 		Age:           s.now().Sub(clock.Time(s.storeReadAt.Load())),
 		StoreReliable: !s.storeDegraded(),
 	}
 }
 
-// relaySince returns what a VM with a copy of this revision lacks. It reports
-// false if some of the removals since then are no longer known. copyMu must be
-// held.
-func (s *Server) relaySince(after mirror.Revision) (relay, bool) {
+// relaySince returns what a VM with a copy of this position lacks. It reports
+// false if it is of an earlier era or some of the removals since then are no longer known.
+// copyMu must be held.
+func (s *Server) relaySince(after mirror.Position) (relay, bool) {
 	r := s.relayHead()
-	if r.AsOf <= after {
+	if s.copy.At().Compare(after) <= 0 {
 		return r, true
 	}
 	var known bool
@@ -186,10 +227,11 @@
 	return r, known
 }
 
-// fullRelay returns all items. copyMu must be held.
+// fullRelay returns all items, and what is retained. copyMu must be held.
 func (s *Server) fullRelay() relay {
 	r := s.relayHead()
-	r.Full = true
+	r.Full, r.Base = true, s.copy.Base()
+	r.Retained = s.copy.Retained(s.now())
 	for _, it := range s.copy.Items(allKeys) {
 		r.Changes = append(r.Changes, mirror.Change{Item: it})
 	}
@@ -214,10 +256,9 @@
 		return errRelay
 	}
 	r, complete := s.relayAssembler.add(from, page)
-	if !complete {
+	if !complete || !s.applyRelay(r) {
 		return nil
 	}
-	s.applyRelay(r)
 	select {
 	case s.relayReceipts <- relayReceipt{from: from, age: r.Age}:
 	default: // no request is waiting
@@ -225,30 +266,42 @@
 	return nil
 }
 
-// applyRelay applies a relay if it is newer than the copy.
-func (s *Server) applyRelay(r *relay) {
-	s.copyMu.Lock()
-	defer s.copyMu.Unlock()
-	s.noteStoreRead(s.now().Add(-r.Age))
-	if r.AsOf <= s.copy.AsOf() {
-		if r.Full {
-			s.metrics.oldRelays.Add(1)
-		}
-		return
+// applyRelay applies a relay as far as it is newer than the copy. It reports false if the
+// relay is of an earlier era than the latest known one.
+func (s *Server) applyRelay(r *relay) bool {
+	s.noteEra(r.Era)
+	if r.Era < s.knownEra() {
+		s.metrics.oldRelays.Add(1)
+		return false
 	}
-	var changes []mirror.Change
-	switch {
-	case r.Full:
-		items := make([]mirror.Item, len(r.Changes))
-		for i := range r.Changes {
-			items[i] = r.Changes[i].Item
+	read := s.now().Add(-r.Age)
+	result := s.updateCopy(!r.StoreReliable, func(now clock.Time) []mirror.Change {
+		at := s.copy.At()
+		switch {
+		case r.Full && (!s.copy.Valid() || r.at().Compare(at) > 0):
+			changes, _ := s.copy.Replace(now, r.state())
+			return changes
+		case !s.copy.Valid() || r.Era != at.Era:
+			return nil
+		case r.Full:
+			s.metrics.oldRelays.Add(1)
+			return s.copy.Merge(now, r.Retained)
 		}
-		changes, _ = s.copy.Replace(items, r.AsOf)
-	case s.copy.Valid():
-		changes = s.copy.Apply(r.Changes, r.AsOf)
+		changes, _ := s.copy.Apply(now, r.Changes, r.at())
+		return changes
+	})
+	s.noteStoreRead(read)
+	if result == readChanges {
+		s.event(eventRelay).WithField("revision", r.AsOf).Info("applied changes of the store relayed by another entry VM")
 	}
-	if len(changes) > 0 {
-		s.event(eventRelay).WithField("revision", r.AsOf).WithField("changes", len(changes)).Info("applied changes of the store relayed by another entry VM")
-		s.applyChanges(changes, !r.StoreReliable)
+	return true
+}
+
+// state returns the content of a full relay.
+func (r *relay) state() mirror.State {
+	st := mirror.State{At: r.at(), Base: r.Base, Retained: r.Retained}
+	for i := range r.Changes {
+		st.Items = append(st.Items, r.Changes[i].Item)
 	}
+	return st
 }
--- a/serve/ingress/relaypage.go
+++ b/serve/ingress/relaypage.go
@@ -22,38 +22,62 @@
 	for _, page := range r.split() {
 		b, err := peer.Encode(kindRelay, page)
 		if err != nil {
-			s.relayFailed(r.AsOf, err)
+			s.relayFailed(r.at(), err)
 			return
 		}
 		s.sendBody(s.peerOf(to), b)
 	}
 }
 
-func (s *Server) relayFailed(asOf mirror.Revision, err error) {
-	s.event(eventRelay).WithError(err).WithField("revision", asOf).Error("copy of the store cannot be relayed")
+func (s *Server) relayFailed(at mirror.Position, err error) {
+	s.event(eventRelay).WithError(err).WithField("revision", at.Revision).Error("copy of the store cannot be relayed")
 }
 
 // split divides r into pages.
 func (r *relay) split() []*relay {
 	var pages []*relay
-	rest := r.Changes
+	changes, retained := r.Changes, r.Retained
 	for {
-		n, size := 0, 0
-		for n < len(rest) && (n == 0 || size+changeBytes(&rest[n]) <= relayPageBytes) {
-			size += changeBytes(&rest[n])
-			n++
-		}
+		n := fittingItems(len(changes), relayPageBytes, func(i int) int { return itemBytes(&changes[i].Item) })
 		page := *r
-		page.Changes, page.Page, page.More = rest[:n], len(pages), n < len(rest)
+		page.Changes, page.Retained = changes[:n], nil
+		changes = changes[n:]
+		if len(changes) == 0 {
+			n = fittingItems(len(retained), relayPageBytes-page.bytes(), func(i int) int { return itemBytes(&retained[i].Item) })
+			page.Retained, retained = retained[:n], retained[n:]
+		}
+		page.Page, page.More = len(pages), len(changes)+len(retained) > 0
 		pages = append(pages, &page)
-		rest = rest[n:]
-		if len(rest) == 0 {
+		if !page.More {
 			return pages
 		}
 	}
 }
 
-func changeBytes(c *mirror.Change) int { return len(c.Key) + len(c.Value) }
+// fittingItems returns how many of n items fit into so many bytes, at least one.
+func fittingItems(n, limit int, size func(i int) int) int {
+	for i, bytes := 0, 0; i < n; i++ {
+		bytes += size(i)
+		if i > 0 && bytes > limit {
+			return i
+		}
+	}
+	return n
+}
+
+// bytes returns the size of r's keys and values.
+func (r *relay) bytes() int {
+	n := 0
+	for i := range r.Changes {
+		n += itemBytes(&r.Changes[i].Item)
+	}
+	for i := range r.Retained {
+		n += itemBytes(&r.Retained[i].Item)
+	}
+	return n
+}
+
+func itemBytes(it *mirror.Item) int { return len(it.Key) + len(it.Value) }
 
 // relayAssembler assembles relays from pages. Pages of one sender arrive in
 // order, but the sender drops the oldest messages queued for a slow receiver. A
@@ -65,7 +89,7 @@
 
 type partialRelay struct {
 	relay
-	bytes int
+	size int // bytes of its keys and values
 }
 
 // add adds a page. With the last page it returns the complete relay and true.
@@ -82,18 +106,17 @@
 	switch {
 	case page.Page == 0:
 		part = &partialRelay{relay: *page}
-		part.Changes = nil
+		part.Changes, part.Retained = nil, nil
 		p.from[from] = part
-	case part == nil || page.Page != part.Page+1 || page.AsOf != part.AsOf:
+	case part == nil || page.Page != part.Page+1 || page.at() != part.at():
 		delete(p.from, from)
 		return nil, false
 	}
 	part.Page = page.Page
 	part.Changes = append(part.Changes, page.Changes...)
-	for i := range page.Changes {
-		part.bytes += changeBytes(&page.Changes[i])
-	}
-	if page.More && part.bytes <= maxRelayBytes {
+	part.Retained = append(part.Retained, page.Retained...)
+	part.size += page.bytes()
+	if page.More && part.size <= maxRelayBytes {
 		return nil, false
 	}
 	delete(p.from, from)
--- a/serve/ingress/return_test.go
+++ b/serve/ingress/return_test.go
@@ -37,6 +37,7 @@
 
 // newReturnEnv starts n entry VMs with some targets.
 func newReturnEnv(t *testing.T, n int) *returnEnv {
+	t.Parallel() // they mostly wait
 	w := &returnEnv{testEnv: newTestEnv(t, catchAllRoute(true)), version: 1}
 	w.startTarget("whole", respondOK("whole"))
 	for i := range n {
@@ -128,15 +129,19 @@
 	return requests
 }
 
-// load sends requests to all VMs for d.
-func (w *returnEnv) load(t *testing.T, d time.Duration) {
+// load sends requests to all VMs for d, and returns how many were not served.
+func (w *returnEnv) load(t *testing.T, d time.Duration) (failed int) {
 	t.Helper()
 	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
 		for i, s := range w.vms {
-			doRequest(t, s, http.MethodGet, fmt.Sprintf("/o%d", n%20), fmt.Sprintf("r-%d-%d", i, n))
+			res, _ := doRequest(t, s, http.MethodGet, fmt.Sprintf("/o%d", n%20), fmt.Sprintf("r-%d-%d", i, n))
+			if res.StatusCode != http.StatusOK {
+				failed++
+			}
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
+	return failed
 }
 
 // waitUsed waits until a target gets requests.
@@ -167,6 +172,22 @@
 	}
 }
 
+// Guards against entry VMs of a large region that follow readers and learn of the store's
+// return from a copy late or not at all.
+func TestFollowersLearnOfAReturn(t *testing.T) {
+	w := newReturnEnv(t, 8)
+	w.waitMembers(8)
+	w.store.SaveCopy()
+	w.configure()
+	w.store.Grow(20)
+	w.waitVersion(2)
+	lost := w.returnFromCopy()
+	time.Sleep(200 * time.Millisecond)
+	w.writeAgain(lost)
+	w.configure()
+	w.waitVersion(3)
+}
+
 // Guards against requests to targets that have said that they leave: they said so after
 // the store's return from a copy, at a revision that the entry VMs had passed before.
 func TestReturnOfTheStoreHidesNoLeavingTarget(t *testing.T) {
@@ -261,12 +282,15 @@
 // registration: they register again within seconds.
 func TestMissingRegistrationsAreHeldAfterAReturn(t *testing.T) {
 	w := newReturnEnv(t, 3)
+
 	w.store.SaveCopy()
+	w.startCounted("d1", "new")
+	for _, s := range w.vms {
+		w.eventually("the new target is known", func() bool { return s.hasTargets(2) })
+	}
 	w.store.Remove("test/target/whole")
-	requests := w.startCounted("d1", "new")
-	w.waitUsed(t, requests)
 	for _, s := range w.vms {
-		w.eventually("the other target is not used", func() bool { return s.hasTargets(1) })
+		w.eventually("the other target is gone", func() bool { return s.hasTargets(1) })
 	}
 	w.returnFromCopy()
 	w.load(t, 1200*time.Millisecond)
@@ -450,22 +474,19 @@
 func TestEvacuationsAreHeldAfterAReturn(t *testing.T) {
 	is := is.New(t)
 	w := newReturnEnv(t, 3)
-	begun, ended := w.startCounted("far", "begun"), w.startCounted("d1", "ended")
-	w.waitUsed(t, ended)
+	begun := w.startCounted("far", "begun")
 	const beganKey, endedKey = "test/evacuate/far", "test/evacuate/d1"
 	w.store.Put(endedKey, "")
-	w.waitUsed(t, begun) // no other domain has targets
+	w.waitUsed(t, begun) // no other domain has targets that may be used
 	w.store.SaveCopy()
 	w.store.Put(beganKey, "")
 	w.store.Remove(endedKey)
 	w.load(t, applyTime)
 	before := begun.Load()
 	lost := w.returnFromCopy()
-	served := ended.Load()
-	w.load(t, 1200*time.Millisecond)
-	is.True(ended.Load() > served)
+	is.Equal(w.load(t, 1200*time.Millisecond), 0)
 	w.writeAgain(lost)
-	w.load(t, 500*time.Millisecond)
+	is.Equal(w.load(t, 500*time.Millisecond), 0)
 	is.Equal(begun.Load(), before)
 	w.store.Remove(beganKey)
 	w.store.Put(endedKey, "")
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -68,9 +68,13 @@
 	awaiting       map[fleet.VMID]bool // VMs waiting for this VM's first copy; guarded by copyMu
 
 	storeEra         atomic.Int64 // the latest era that is known; noEra: none
-	storeUnreachable atomic.Bool  // the last call to the store failed
-	storeFailedAt    atomic.Int64 // when a call last failed, a clock.Time
-	storeReadAt      atomic.Int64 // when the copy last matched the store, a clock.Time
+	watchMu          sync.Mutex
+	cancelWatch      context.CancelFunc // of the watch in progress; guarded by watchMu
+	expiry           *time.Timer        // see scheduleExpiry; guarded by copyMu
+	eraNoted         chan struct{}      // a later era is known
+	storeUnreachable atomic.Bool        // the last call to the store failed
+	storeFailedAt    atomic.Int64       // when a call last failed, a clock.Time
+	storeReadAt      atomic.Int64       // when the copy last matched the store, a clock.Time
 	// storeFailures counts failed calls.
 	storeFailures atomic.Int64
 	metrics       *metrics
@@ -119,7 +123,8 @@
 
 // Start starts an entry VM.
 func Start(set *Settings, store kv.Store, log logrus.FieldLogger) (*Server, error) {
-	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, 1), metrics: newMetrics()}
+	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), eraNoted: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, 1), metrics: newMetrics()}
+	s.copy = mirror.New(copyRules{set.Translate})
 	s.reloadable.Store(set.reloadable())
 	s.storeEra.Store(noEra)
 	s.quarantines = newQuarantineQueue()
@@ -348,6 +353,11 @@
 func (s *Server) releaseAll() {
 	s.cancel()
 	s.loops.Wait()
+	s.copyMu.Lock()
+	if s.expiry != nil {
+		s.expiry.Stop()
+	}
+	s.copyMu.Unlock()
 	if s.peers != nil {
 		flush, cancel := context.WithTimeout(context.Background(), peerFlushTimeout)
 		defer cancel()
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -94,8 +94,10 @@
 	Defects []error
 }
 
-// Translator decodes what operators and targets write to the store.
+// Translator decodes what operators and targets write to the store. Its rules apply to
+// their keys only.
 type Translator interface {
+	mirror.Rules
 	// Prefixes returns the prefixes of the keys that it decodes.
 	Prefixes() []string
 	// Change decodes one change of a key with one of the prefixes.
--- a/serve/ingress/store_test.go
+++ b/serve/ingress/store_test.go
@@ -33,7 +33,7 @@
 	return g.Store.Range(ctx, prefix, from)
 }
 
-func (g *refusingStore) Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (kv.Changes, error) {
+func (g *refusingStore) Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (kv.Changes, error) {
 	c, err := g.Store.Watch(ctx, prefix, after, wait)
 	if g.refusing.Load() {
 		return kv.Changes{}, g.refusal()
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	w := newTestEnv(t, catchAllRoute(true))
 	w.startTarget("t1", respondOK("one"))
-	g := &refusingStore{Store: w.store}
+	g := &refusingStore{Store: w.store.NewClient()}
 	a := w.startListed("vm-1")
 	b := w.startListedWith("vm-2", g)
 	w.eventually("they know each other", func() bool { return len(b.members.Load().vms) == 2 && len(a.members.Load().vms) == 2 })
@@ -112,7 +112,7 @@
 	w := newTestEnv(t, catchAllRoute(true))
 	w.startTarget("t1", respondOK("one"))
 	a := w.startListed("vm-1")
-	g := &refusingStore{Store: w.store}
+	g := &refusingStore{Store: w.store.NewClient()}
 	g.refusing.Store(true)
 	b := w.start("vm-2", g, a.settings.Self.PeerAddr)
 	w.eventually("it has a configuration", func() bool { return b.configVersion() == 1 && b.hasTargets(1) })
@@ -170,7 +170,7 @@
 	w.store.FreezeReplica()
 	w.writeConfig(2, catchAllRoute(true))
 	w.store.Compact()
-	s := w.start("vm-1", w.store)
+	s := w.start("vm-1", w.store.NewClient())
 	w.eventually("it is up to date", func() bool { return s.configVersion() == 2 && s.hasTargets(1) })
 }
 
@@ -180,7 +180,7 @@
 func TestVMIsListedBeforeFirstConfiguration(t *testing.T) {
 	is := is.New(t)
 	w := &testEnv{t: t, store: kvtest.New(), log: io.Discard}
-	s := w.start("vm-1", w.store)
+	s := w.start("vm-1", w.store.NewClient())
 	w.eventually("it is listed", func() bool {
 		_, listed := w.store.Get(prefixMembers + "vm-1")
 		return listed
--- a/serve/kv/kv.go
+++ b/serve/kv/kv.go
@@ -13,7 +13,12 @@
 
 // Lease identifies a lease. Keys written under it are removed when it ends. The
 // zero value means no lease.
-type Lease uint64
+type Lease struct {
+	ID uint64
+	// Era is that of the store in which the lease is known to exist. The store may give
+	// out its id again in a later one.
+	Era mirror.Era
+}
 
 // Replica states which replica of the store may answer a read.
 type Replica uint8
@@ -30,15 +35,15 @@
 // Snapshot is a full read of a prefix.
 type Snapshot struct {
 	Items []mirror.Item
-	// AsOf is a revision of the store. Changes up to it are all included; later
+	// At is a position of the store. Changes up to it are all included; later
 	// ones may be.
-	AsOf mirror.Revision
+	At mirror.Position
 }
 
 // Changes is the result of a watch.
 type Changes struct {
 	Events []mirror.Change
-	AsOf   mirror.Revision // the revision to continue from
+	At     mirror.Position // the position to continue from
 }
 
 // Condition holds if the key has the given revision; 0: the key does not exist.
@@ -58,10 +63,24 @@
 // at all.
 type Txn struct {
 	Conditions []Condition
+	Era        mirror.Era // of the revisions of the conditions
 	Writes     []Write
 	Remove     []string
 }
 
+// CheckEra returns an error if t relies on an era before the given one.
+func (t *Txn) CheckEra(era mirror.Era) error {
+	if len(t.Conditions) > 0 && t.Era < era {
+		return ErrConflict
+	}
+	for _, w := range t.Writes {
+		if w.Lease != (Lease{}) && w.Lease.Era < era {
+			return ErrLeaseLost
+		}
+	}
+	return nil
+}
+
 var (
 	// ErrCompacted means that the store no longer has the requested history.
 	ErrCompacted = errors.New("kv: history is no longer available")
@@ -69,25 +88,37 @@
 	ErrConflict = errors.New("kv: condition does not hold")
 	// ErrLeaseLost means that the lease has ended.
 	ErrLeaseLost = errors.New("kv: lease has ended")
+	// ErrEra means that the store has come back from a copy of an earlier state since the
+	// era on which the call relied.
+	ErrEra = errors.New("kv: store has come back from a copy")
 )
 
 // Store is the metadata store. Errors other than those of this package are
 // *verdict.Error, which states whether a failed write may have run.
+//
+// The store may come back from a copy of an earlier state at any time, which begins a new
+// era. Revisions and leases of an earlier era mean nothing then: calls that rely on them
+// are not made once the new era is known, and fail if the answer tells of it.
 type Store interface {
 	// Era returns the latest era of the store in any of its answers, refusals included.
 	Era() mirror.Era
-	// Range reads all items below prefix.
+	// Range reads all items below prefix. It fails with ErrEra if its pages are of
+	// several eras.
 	Range(ctx context.Context, prefix string, from Replica) (Snapshot, error)
 	// Watch returns as soon as there is a change below prefix after the given
-	// revision, or without events once wait has passed.
-	Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (Changes, error)
-	// Commit runs t and returns the store's revision.
-	Commit(ctx context.Context, t Txn) (mirror.Revision, error)
+	// position, or without events once wait has passed. It fails with ErrEra if the store
+	// is in another era.
+	Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (Changes, error)
+	// Commit runs t and returns the store's position. If a condition or a lease is of an
+	// earlier era, it fails: with ErrConflict or ErrLeaseLost if nothing was written,
+	// with ErrEra if t has run.
+	Commit(ctx context.Context, t Txn) (mirror.Position, error)
 	// Grant creates a lease that ends ttl after its last renewal. It returns
 	// the time to live that the store has actually granted.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
-	// Renew restarts the lease's time to live.
+	// Renew restarts the lease's time to live. It fails with ErrEra if the store is in
+	// another era, where the lease may be another VM's.
 	Renew(ctx context.Context, l Lease) error
-	// Revoke ends the lease.
+	// Revoke ends the lease. One of an earlier era is left alone.
 	Revoke(ctx context.Context, l Lease) error
 }
--- a/serve/kv/kvtest/store.go
+++ b/serve/kv/kvtest/store.go
@@ -19,7 +19,8 @@
 // ErrDown is the cause of failed calls while the store is down.
 var ErrDown = errors.New("kvtest: the store is down")
 
-// Store implements kv.Store. It has no clock: leases end only by Revoke.
+// Store is the store itself; entry VMs have Clients of it. Like its real kin it compares
+// revisions and leases whatever their era. It has no clock: leases end only by Revoke.
 type Store struct {
 	mu sync.Mutex
 	state
@@ -29,7 +30,7 @@
 	changed chan struct{} // closed and replaced on each change
 
 	staleItems map[string]entry // of a replica that lags behind; nil: none does
-	staleRev   mirror.Revision
+	staleAt    mirror.Position
 }
 
 // state is what a copy of the store contains.
@@ -38,8 +39,8 @@
 	items       map[string]entry
 	history     []mirror.Change
 	compactedAt mirror.Revision // history is kept after this revision
-	leases      map[kv.Lease]bool
-	lastLease   kv.Lease
+	leases      map[uint64]bool
+	lastLease   uint64
 }
 
 func (s *state) clone() state {
@@ -50,15 +51,13 @@
 
 type entry struct {
 	mirror.Item
-	lease kv.Lease
+	lease uint64
 }
 
-var _ kv.Store = (*Store)(nil)
-
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		state:   state{rev: 1, items: make(map[string]entry), leases: make(map[kv.Lease]bool)},
+		state:   state{rev: 1, items: make(map[string]entry), leases: make(map[uint64]bool)},
 		changed: make(chan struct{}),
 	}
 }
@@ -99,7 +98,7 @@
 func (s *Store) FreezeReplica() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.staleItems, s.staleRev = maps.Clone(s.items), s.rev
+	s.staleItems, s.staleAt = maps.Clone(s.items), s.at()
 }
 
 // Compact drops the history.
@@ -160,7 +159,7 @@
 func (s *Store) put(w kv.Write) {
 	s.rev++
 	it := mirror.Item{Key: w.Key, Value: w.Value, Revision: s.rev}
-	s.items[w.Key] = entry{Item: it, lease: w.Lease}
+	s.items[w.Key] = entry{Item: it, lease: w.Lease.ID}
 	s.history = append(s.history, mirror.Change{Item: it})
 }
 
@@ -173,6 +172,9 @@
 	s.history = append(s.history, mirror.Change{Item: mirror.Item{Key: key, Revision: s.rev}, Removed: true})
 }
 
+// at returns the present position. mu must be held.
+func (s *Store) at() mirror.Position { return mirror.Position{Era: s.era, Revision: s.rev} }
+
 func (s *Store) checkUp() error {
 	if s.down {
 		return errDown()
@@ -184,24 +186,23 @@
 	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnect, Err: ErrDown}
 }
 
-// Era implements kv.Store. It is the present era, whether or not a call has told it; a
-// Client knows only that of its answers.
+// Era returns the present era; a Client knows only that of its answers.
 func (s *Store) Era() mirror.Era {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.era
 }
 
-// Range implements kv.Store.
+// Range reads all items below prefix.
 func (s *Store) Range(_ context.Context, prefix string, from kv.Replica) (kv.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkUp(); err != nil {
 		return kv.Snapshot{}, err
 	}
-	out, items := kv.Snapshot{AsOf: s.rev}, s.items
+	out, items := kv.Snapshot{At: s.at()}, s.items
 	if from == kv.Any && s.staleItems != nil {
-		out.AsOf, items = s.staleRev, s.staleItems
+		out.At, items = s.staleAt, s.staleItems
 	}
 	for key, e := range items {
 		if strings.HasPrefix(key, prefix) {
@@ -212,7 +213,7 @@
 	return out, nil
 }
 
-// Watch implements kv.Store.
+// Watch returns the changes below prefix after a revision, as kv.Store does.
 func (s *Store) Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (kv.Changes, error) {
 	timeout := time.After(wait)
 	for {
@@ -240,7 +241,7 @@
 	if after < s.compactedAt || after > s.rev {
 		return kv.Changes{}, kv.ErrCompacted
 	}
-	c := kv.Changes{AsOf: s.rev}
+	c := kv.Changes{At: s.at()}
 	for _, ev := range s.history {
 		if ev.Revision > after && strings.HasPrefix(ev.Key, prefix) {
 			c.Events = append(c.Events, ev)
@@ -249,21 +250,21 @@
 	return c, nil
 }
 
-// Commit implements kv.Store.
-func (s *Store) Commit(_ context.Context, t kv.Txn) (mirror.Revision, error) {
+// Commit runs t, whatever the era of its conditions and leases.
+func (s *Store) Commit(_ context.Context, t kv.Txn) (mirror.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkUp(); err != nil {
-		return 0, err
+		return mirror.Position{}, err
 	}
 	for _, c := range t.Conditions {
 		if s.items[c.Key].Revision != c.Revision {
-			return 0, kv.ErrConflict
+			return mirror.Position{}, kv.ErrConflict
 		}
 	}
 	for _, w := range t.Writes {
-		if w.Lease != 0 && !s.leases[w.Lease] {
-			return 0, kv.ErrLeaseLost
+		if w.Lease.ID != 0 && !s.leases[w.Lease.ID] {
+			return mirror.Position{}, kv.ErrLeaseLost
 		}
 	}
 	for _, w := range t.Writes {
@@ -273,44 +274,44 @@
 		s.remove(key)
 	}
 	s.notify()
-	return s.rev, nil
+	return s.at(), nil
 }
 
-// Grant implements kv.Store.
+// Grant creates a lease.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.Lease, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkUp(); err != nil {
-		return 0, 0, err
+		return kv.Lease{}, 0, err
 	}
 	s.lastLease++
 	s.leases[s.lastLease] = true
-	return s.lastLease, ttl, nil
+	return kv.Lease{ID: s.lastLease, Era: s.era}, ttl, nil
 }
 
-// Renew implements kv.Store.
-func (s *Store) Renew(_ context.Context, l kv.Lease) error {
+// Renew renews the lease with an id.
+func (s *Store) Renew(_ context.Context, id uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkUp(); err != nil {
 		return err
 	}
-	if !s.leases[l] {
+	if !s.leases[id] {
 		return kv.ErrLeaseLost
 	}
 	return nil
 }
 
-// Revoke implements kv.Store.
-func (s *Store) Revoke(_ context.Context, l kv.Lease) error {
+// Revoke ends the lease with an id.
+func (s *Store) Revoke(_ context.Context, id uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkUp(); err != nil {
 		return err
 	}
-	delete(s.leases, l)
+	delete(s.leases, id)
 	for key, e := range s.items {
-		if e.lease == l {
+		if e.lease == id {
 			s.remove(key)
 		}
 	}
