ingress: quarantines that the store has lost are written again

What callers would see: a request that crashes targets is let through by every entry VM that starts after the store's return from a copy, as only VMs write quarantines, and nobody writes them again; one that was lifted is back. Now the VMs that count the crashes of a fingerprint write its entry again, or remove it again, when their copy enters a new era and the store differs. Until then what was known holds at every VM (the keys are of the class that lasts). TestQuarantinesAreWrittenAgainAfterAReturn failed before (not in the store after 2.5 s) and passes; TestLostQuarantinesAreWrittenAgain covers the reducer.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -212,6 +212,10 @@
 	Record *quarantine.Record
 }
 
+// QuarantinesLost lists fingerprints whose entries in the store differ from what was known,
+// because the store has come back from a copy of an earlier state.
+type QuarantinesLost struct{ Fingerprints []quarantine.Fingerprint }
+
 // BoundsChanged updates the operators' limits and the time that a target still
 // serves after its registration was removed.
 type BoundsChanged struct {
--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -180,6 +180,20 @@
 	}
 }
 
+// restoreQuarantines writes entries again that the store has lost, if this VM is an
+// arbiter of theirs.
+func (r *Reducer) restoreQuarantines(now clock.Time, ev *QuarantinesLost) {
+	for _, f := range ev.Fingerprints {
+		rec := r.quarantine.Find(now, f)
+		if rec == nil {
+			rec = &quarantine.Record{Fingerprint: f}
+		}
+		if r.isArbiter(f) {
+			r.reportQuarantine(rec)
+		}
+	}
+}
+
 // isQuarantined reports whether a fingerprint is in quarantine.
 func (r *Reducer) isQuarantined(now clock.Time, f quarantine.Fingerprint) bool {
 	rec := r.quarantine.Find(now, f)
--- a/decide/ingress/quarantine_test.go
+++ b/decide/ingress/quarantine_test.go
@@ -170,3 +170,26 @@
 	is.True(removed)
 	is.Equal(s.r.quarantine.Len(), 0)
 }
+
+// Guards against quarantines that the store has lost and nobody writes again, and against
+// one that was lifted and is back in the store.
+func TestLostQuarantinesAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	s := quarantineHarness(t)
+	for s.r.quarantine.QuarantinedCount() == 0 {
+		for out := s.arriveContent(); len(out.Sends) > 0; {
+			out = s.loseConnection(out.Sends[0], ListeningNo)
+		}
+	}
+	lifted := numberedContent(2)
+	out := s.step(&QuarantinesLost{Fingerprints: []quarantine.Fingerprint{oneContent, lifted}})
+	is.Equal(len(out.Quarantines), 2)
+	is.True(out.Quarantines[0].Keep)
+	is.True(out.Quarantines[1].Remove)
+	others := make([]fleet.VM, arbiterCount)
+	for i := range others {
+		others[i] = fleet.VM{ID: fleet.VMID(rune('a' + i)), Domain: "d1", Region: "r1", Cores: 100}
+	}
+	s.step(&MembersChanged{VMs: append(others, fleet.VM{ID: selfVM, Domain: "d1", Region: "r1"})})
+	is.Equal(len(s.step(&QuarantinesLost{Fingerprints: []quarantine.Fingerprint{oneContent}}).Quarantines), 0) // others are its arbiters
+}
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -148,6 +148,8 @@
 		r.linkProbed(now, ev)
 	case *QuarantineRead:
 		r.applyStoredQuarantine(now, ev)
+	case *QuarantinesLost:
+		r.restoreQuarantines(now, ev)
 	case *BoundsChanged:
 		r.opts.Bounds, r.opts.DrainTime = ev.Bounds, ev.DrainTime
 	case *Tick:
--- a/serve/ingress/era.go
+++ b/serve/ingress/era.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
+	"github.com/azurethread/azurethread/decide/quarantine"
 )
 
 // The store may come back from a copy of an earlier state, which begins a new era. An entry
@@ -70,6 +72,25 @@
 	at := s.copy.At()
 	s.event(eventStore).WithField("era", at.Era).WithField("revision", at.Revision).WithField("previous", before.Era).
 		WithField("copy_revision", before.Revision).WithField("retained", len(retained)).Warn("copy is of a new era")
+	s.restoreQuarantines(retained)
+}
+
+// restoreQuarantines has the quarantines written again that differ in the store.
+func (s *Server) restoreQuarantines(retained []mirror.Retained) {
+	ev := new(ingress.QuarantinesLost)
+	for i := range retained {
+		text, ok := strings.CutPrefix(retained[i].Key, prefixQuarantine)
+		var f quarantine.Fingerprint
+		if !ok || f.UnmarshalText([]byte(text)) != nil {
+			continue // a key that cannot be read was logged when it was applied
+		}
+		_, stored := s.copy.Stored(retained[i].Key)
+		s.quarantines.setStored(f, stored)
+		ev.Fingerprints = append(ev.Fingerprints, f)
+	}
+	if len(ev.Fingerprints) > 0 {
+		s.core.Post(ev)
+	}
 }
 
 // scheduleExpiry sets the timer at which the store's state replaces what is retained.
