ingress: a VM that starts learns what others retain from earlier eras

What callers saw: an entry VM that starts after the store's return from a copy reads the copy only. It served the older configuration, and sent to targets of which the others knew that they leave or are gone, until everything was written again. Now it asks up to three other VMs before it applies its first copy, for at most 0.3 s, and only if the store has ever come back from a copy. One that has not read the new era itself answers when it has; the question tells it of the era and ends its pause between calls.

--- a/serve/ingress/era.go
+++ b/serve/ingress/era.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/serve/kv"
 )
 
 // The store may come back from a copy of an earlier state, which begins a new era. An entry
@@ -16,8 +19,14 @@
 // keys; package mirror decides what holds until operators, targets and entry VMs have
 // written again what was lost.
 
-// noEra means that no era is known.
-const noEra = -1
+const (
+	// noEra means that no era is known.
+	noEra = -1
+	// retainedTimeout is how long a VM that starts waits for what others retain.
+	retainedTimeout = 300 * time.Millisecond
+	// maxRetainedSources is how many VMs it asks.
+	maxRetainedSources = 3
+)
 
 // knownEra returns the latest era that this VM knows of.
 func (s *Server) knownEra() mirror.Era { return mirror.Era(max(s.storeEra.Load(), 0)) }
@@ -73,6 +82,16 @@
 	s.event(eventStore).WithField("era", at.Era).WithField("revision", at.Revision).WithField("previous", before.Era).
 		WithField("copy_revision", before.Revision).WithField("retained", len(retained)).Warn("copy is of a new era")
 	s.restoreQuarantines(retained)
+	if len(s.awaitingRetained) > 0 {
+		r := s.relayHead()
+		r.Retained = retained
+		for id := range s.awaitingRetained {
+			s.sendRelay(r, id)
+		}
+		clear(s.awaitingRetained)
+	}
+	// Other VMs may know more than this one. Most of them enter the era within this time.
+	time.AfterFunc(relayInterval, func() { s.askForRetained(at) })
 }
 
 // restoreQuarantines has the quarantines written again that differ in the store.
@@ -117,6 +136,64 @@
 	})
 }
 
+// fetchRetained asks other VMs what they retain from earlier eras, for a VM that starts and
+// has read snap.
+func (s *Server) fetchRetained(snap *kv.Snapshot) []mirror.Retained {
+	if snap.At.Era == 0 {
+		return nil // the store has never come back from a copy
+	}
+	s.drainReceipts()
+	asked := s.retainedSources(s.membersIn(snap.Items))
+	for _, vm := range asked {
+		s.sendTo(vm, kindRelayRequest, &relayRequest{AsOf: snap.At.Revision, Era: snap.At.Era, Retained: true})
+	}
+	var retained []mirror.Retained
+	timeout := time.After(retainedTimeout)
+	for range asked {
+		select {
+		case receipt := <-s.relayReceipts:
+			retained = append(retained, receipt.retained...)
+		case <-timeout:
+			return retained
+		case <-s.ctx.Done():
+			return retained
+		}
+	}
+	return retained
+}
+
+// retainedSources chooses among other VMs: one of this VM's failure domain and others.
+func (s *Server) retainedSources(vms []fleet.VM) []fleet.VM {
+	if len(vms) == 0 {
+		vms = s.seedVMs()
+	}
+	near, far := s.byDistance(vms)
+	turn := int(s.relayTurn.Add(1))
+	near, far = rotated(near, turn), rotated(far, turn)
+	first := min(1, len(near))
+	order := slices.Concat(near[:first], far, near[first:])
+	return order[:min(len(order), maxRetainedSources)]
+}
+
+// rotated returns list beginning at an element given by turn.
+func rotated[T any](list []T, turn int) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	at := turn % len(list)
+	return slices.Concat(list[at:], list[:at])
+}
+
+// askForRetained asks other VMs what they retain from before the era of a position.
+func (s *Server) askForRetained(at mirror.Position) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	for _, vm := range s.retainedSources(s.members.Load().vms) {
+		s.sendTo(vm, kindRelayRequest, &relayRequest{AsOf: at.Revision, Era: at.Era, Retained: true})
+	}
+}
+
 // copyRules interpret the keys of the store for its copy.
 type copyRules struct{ translate Translator }
 
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -201,7 +201,7 @@
 	if first {
 		snap, err := s.rangeAll(kv.Any)
 		if err != nil || snap.At.Era >= s.knownEra() {
-			return mirror.State{Items: snap.Items, At: snap.At, Outdated: true}, err
+			return mirror.State{Items: snap.Items, At: snap.At, Outdated: true, Retained: s.fetchRetained(&snap)}, err
 		}
 	}
 	snap, err := s.rangeAll(kv.Latest)
--- a/serve/ingress/relay.go
+++ b/serve/ingress/relay.go
@@ -22,6 +22,8 @@
 	Era  mirror.Era
 	// Known is the latest era that the sender knows of; it may not have read it yet.
 	Known mirror.Era
+	// Retained requests an answer with what is retained from earlier eras.
+	Retained bool
 	// Follow requests an answer even if there is nothing newer: the sender does not
 	// read the store itself while it gets answers.
 	Follow bool
@@ -33,7 +35,8 @@
 	Era  mirror.Era
 	// Base is the sender's mirror.State.Base.
 	Base mirror.Revision
-	// Retained is what the sender retains from earlier eras, in full relays.
+	// Retained is what the sender retains from earlier eras: in full relays, and if it
+	// was requested.
 	Retained []mirror.Retained
 	// Full means that Changes contains all items, and that keys missing there are
 	// removed; otherwise Changes contains the changes after the requested revision.
@@ -164,8 +167,9 @@
 
 // relayReceipt tells a function that waits for a relay that there was one.
 type relayReceipt struct {
-	from fleet.VMID
-	age  time.Duration
+	from     fleet.VMID
+	age      time.Duration
+	retained []mirror.Retained // of a VM that has no copy yet
 }
 
 // copyAt returns the position of the copy.
@@ -192,12 +196,18 @@
 	s.copyMu.Lock()
 	valid := s.copy.Valid()
 	r, known := s.relaySince(req.at())
+	if req.Retained {
+		r.Retained = s.copy.Retained(s.now())
+	}
+	if req.Retained && valid && r.Era < req.Era && len(s.awaitingRetained) < maxAwaitingVMs {
+		s.awaitingRetained[from] = true
+	}
 	s.copyMu.Unlock()
 	switch {
 	case !valid || r.Era < req.Era:
 	case !known:
 		s.sendCopy(from)
-	case req.Follow || r.AsOf > req.AsOf:
+	case req.Follow || req.Retained || r.AsOf > req.AsOf:
 		s.sendRelay(r, from)
 	}
 	return nil
@@ -260,7 +270,7 @@
 		return nil
 	}
 	select {
-	case s.relayReceipts <- relayReceipt{from: from, age: r.Age}:
+	case s.relayReceipts <- relayReceipt{from: from, age: r.Age, retained: r.Retained}:
 	default: // no request is waiting
 	}
 	return nil
@@ -288,7 +298,7 @@
 			return s.copy.Merge(now, r.Retained)
 		}
 		changes, _ := s.copy.Apply(now, r.Changes, r.at())
-		return changes
+		return append(changes, s.copy.Merge(now, r.Retained)...)
 	})
 	s.noteStoreRead(read)
 	if result == readChanges {
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -66,6 +66,9 @@
 	relayAssembler relayAssembler
 	packedCopies   packedCopies
 	awaiting       map[fleet.VMID]bool // VMs waiting for this VM's first copy; guarded by copyMu
+	// awaitingRetained are VMs waiting for what this VM retains in an era that it has not
+	// read yet; guarded by copyMu.
+	awaitingRetained map[fleet.VMID]bool
 
 	storeEra         atomic.Int64 // the latest era that is known; noEra: none
 	watchMu          sync.Mutex
@@ -123,14 +126,14 @@
 
 // Start starts an entry VM.
 func Start(set *Settings, store kv.Store, log logrus.FieldLogger) (*Server, error) {
-	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), eraNoted: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, 1), metrics: newMetrics()}
+	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), eraNoted: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, maxRetainedSources), metrics: newMetrics()}
 	s.copy = mirror.New(copyRules{set.Translate})
 	s.reloadable.Store(set.reloadable())
 	s.storeEra.Store(noEra)
 	s.quarantines = newQuarantineQueue()
 	s.quotaSampler.maxFailures = maxQuotaLinesPerSecond
 	s.membersByKey = make(map[string]fleet.VM)
-	s.awaiting = make(map[fleet.VMID]bool)
+	s.awaiting, s.awaitingRetained = make(map[fleet.VMID]bool), make(map[fleet.VMID]bool)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	wall, mono := time.Now().UnixNano(), time.Now()
 	s.now = func() clock.Time { return clock.Time(wall + int64(time.Since(mono))) }
