ingress: a VM keeps its lease in a new era if the store's copy has it

After a return every VM took its lease for lost and registered again at once, with two writes each: 590 writes in a moment for a fleet of 295, of which the store takes 400 a second, beside the targets' own. The key of a VM at the revision of its registration proves that the copy has the lease, so its id was given out to nobody else since: the lease is renewed as before, at a tenth of the price of a read. A lease that the copy has not told of within 2 s is given up. TestLeasesThatTheCopyHasAreKept failed before (new revisions of all keys) and passes.

--- a/serve/ingress/era.go
+++ b/serve/ingress/era.go
@@ -26,6 +26,9 @@
 	retainedTimeout = 300 * time.Millisecond
 	// maxRetainedSources is how many VMs it asks.
 	maxRetainedSources = 3
+	// registrationsPerSecond limits the rate at which the VMs of a fleet register again,
+	// with two writes each. The store takes several hundred writes a second.
+	registrationsPerSecond = 100
 )
 
 // knownEra returns the latest era that this VM knows of.
@@ -41,6 +44,7 @@
 		if !s.storeEra.CompareAndSwap(before, int64(era)) {
 			continue
 		}
+		s.eraNotedAt.Store(int64(s.now()))
 		if before != noEra {
 			s.event(eventStore).WithField("era", era).WithField("previous", before).WithField("copy_revision", s.copyAt().Revision).
 				Warn("store has come back from a copy of an earlier state")
@@ -90,6 +94,10 @@
 		}
 		clear(s.awaitingRetained)
 	}
+	select {
+	case s.eraChanged <- struct{}{}:
+	default:
+	}
 	// Other VMs may know more than this one. Most of them enter the era within this time.
 	time.AfterFunc(relayInterval, func() { s.askForRetained(at) })
 }
--- a/serve/ingress/register.go
+++ b/serve/ingress/register.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/serve/kv"
 )
 
@@ -60,6 +62,10 @@
 			} else {
 				next = retryPause
 			}
+		case <-s.eraChanged:
+			if lease = s.leaseInNewEra(lease); lease == (kv.Lease{}) {
+				s.sleep(s.registrationDelay())
+			}
 		case <-s.relist:
 			if s.listedRecently() {
 				continue // the copy may be older than the key
@@ -78,6 +84,10 @@
 // of an earlier read may still arrive.
 func (s *Server) listedRecently() bool { return s.now().Sub(s.listedAt) < minRelistInterval }
 
+// maxEraWait is how long the first read of a new era may take before this VM registers
+// again without knowing whether its lease still exists.
+const maxEraWait = 2 * time.Second
+
 // minRelistInterval is the minimum time between two writes of the key.
 const minRelistInterval = time.Second
 
@@ -95,12 +105,12 @@
 	if err != nil {
 		return kv.Lease{}, err
 	}
-	_, err = s.store.Commit(s.ctx, kv.Txn{Writes: []kv.Write{{Key: s.memberKey(), Value: value, Lease: lease}}})
+	at, err := s.store.Commit(s.ctx, kv.Txn{Writes: []kv.Write{{Key: s.memberKey(), Value: value, Lease: lease}}})
 	s.noteEra(s.store.Era())
 	if err != nil {
 		return kv.Lease{}, err
 	}
-	s.listedAt = s.now()
+	s.listedAt, s.listedRevision = s.now(), at.Revision
 	s.event(eventMembers).WithField("lease", lease.ID).Info("this entry VM is registered")
 	return lease, nil
 }
@@ -111,9 +121,13 @@
 	err := s.store.Renew(s.ctx, lease)
 	s.noteEra(s.store.Era())
 	switch {
-	case errors.Is(err, kv.ErrLeaseLost), errors.Is(err, kv.ErrEra):
+	case errors.Is(err, kv.ErrLeaseLost):
 		s.event(eventMembers).WithField("lease", lease.ID).Warn("lease has ended")
 		return kv.Lease{}, false
+	case errors.Is(err, kv.ErrEra) && s.now().Sub(clock.Time(s.eraNotedAt.Load())) < maxEraWait:
+		return lease, false // the copy will tell whether it still exists
+	case errors.Is(err, kv.ErrEra):
+		return kv.Lease{}, false
 	case err != nil:
 		s.storeFailed(err)
 		return lease, false
@@ -123,6 +137,38 @@
 	}
 }
 
+// leaseInNewEra returns the lease as one of the era of the copy, zero if it is lost. The
+// key that was written under it proves that it existed when the store's copy was made, so
+// its id was given out to nobody else.
+func (s *Server) leaseInNewEra(lease kv.Lease) kv.Lease {
+	s.copyMu.Lock()
+	it, stored := s.copy.Stored(s.memberKey())
+	era := s.copy.At().Era
+	s.copyMu.Unlock()
+	switch {
+	case lease == (kv.Lease{}) || lease.Era >= era:
+	case stored && it.Revision == s.listedRevision:
+		lease.Era = era
+	default:
+		lease = kv.Lease{}
+	}
+	return lease
+}
+
+// registrationDelay returns a random delay that spreads the registrations of the VMs which
+// the store has lost.
+func (s *Server) registrationDelay() time.Duration {
+	s.copyMu.Lock()
+	missing := 0
+	for key := range s.membersByKey {
+		if _, stored := s.copy.Stored(key); !stored {
+			missing++
+		}
+	}
+	s.copyMu.Unlock()
+	return time.Duration(rand.Int64N(int64(missing+1) * int64(time.Second) / registrationsPerSecond))
+}
+
 func (s *Server) revokeLease(lease kv.Lease) {
 	if lease == (kv.Lease{}) {
 		return
--- a/serve/ingress/return_test.go
+++ b/serve/ingress/return_test.go
@@ -16,6 +16,7 @@
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/quarantine"
+	"github.com/azurethread/azurethread/serve/kv"
 	"github.com/azurethread/azurethread/serve/kv/kvtest"
 )
 
@@ -380,6 +381,29 @@
 	}
 }
 
+// Guards against two writes of each entry VM of a large fleet, all at once after the store's
+// return from a copy, though the copy has their leases.
+func TestLeasesThatTheCopyHasAreKept(t *testing.T) {
+	is := is.New(t)
+	w := newReturnEnv(t, 3)
+	w.store.SaveCopy()
+	w.store.Grow(20)
+	time.Sleep(watchPause * 2)
+	before, err := w.store.Range(t.Context(), prefixMembers, kv.Latest)
+	is.NoErr(err)
+	w.returnFromCopy()
+	time.Sleep(2 * maxEraWait)
+	after, err := w.store.Range(t.Context(), prefixMembers, kv.Latest)
+	is.NoErr(err)
+	is.Equal(after.Items, before.Items)
+	for i, s := range w.vms {
+		is.NoErr(s.Stop()) // revokes its lease
+		left, err := w.store.Range(t.Context(), prefixMembers, kv.Latest)
+		is.NoErr(err)
+		is.Equal(len(left.Items), len(w.vms)-i-1)
+	}
+}
+
 // Guards against look-ups that omit entry VMs which serve: the store has come back from a
 // copy from before their registration.
 func TestLookupsNameVMsThatAReturnHasLost(t *testing.T) {
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -71,10 +71,12 @@
 	awaitingRetained map[fleet.VMID]bool
 
 	storeEra         atomic.Int64 // the latest era that is known; noEra: none
+	eraNotedAt       atomic.Int64 // when it became known, a clock.Time
 	watchMu          sync.Mutex
 	cancelWatch      context.CancelFunc // of the watch in progress; guarded by watchMu
 	expiry           *time.Timer        // see scheduleExpiry; guarded by copyMu
 	eraNoted         chan struct{}      // a later era is known
+	eraChanged       chan struct{}      // the copy has come into a new era
 	storeUnreachable atomic.Bool        // the last call to the store failed
 	storeFailedAt    atomic.Int64       // when a call last failed, a clock.Time
 	storeReadAt      atomic.Int64       // when the copy last matched the store, a clock.Time
@@ -86,6 +88,8 @@
 	quotaSampler  sampler // of refusals over quota
 	relist        chan struct{}
 	listedAt      clock.Time // when keepRegistered last wrote this VM's key
+	// listedRevision is the revision of that write.
+	listedRevision mirror.Revision
 
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -126,7 +130,7 @@
 
 // Start starts an entry VM.
 func Start(set *Settings, store kv.Store, log logrus.FieldLogger) (*Server, error) {
-	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), eraNoted: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, maxRetainedSources), metrics: newMetrics()}
+	s := &Server{settings: set, startSettings: *set, store: store, log: log, relist: make(chan struct{}, 1), eraNoted: make(chan struct{}, 1), eraChanged: make(chan struct{}, 1), relayReceipts: make(chan relayReceipt, maxRetainedSources), metrics: newMetrics()}
 	s.copy = mirror.New(copyRules{set.Translate})
 	s.reloadable.Store(set.reloadable())
 	s.storeEra.Store(noEra)
