ingress: no detour to a target that has left the choice

A VM that has lost its links sends a request whose connection failed to the same target once more, through another VM, although the target had said meanwhile that it leaves, or was removed or evacuated. TestNoDetourToATargetThatLeaves fails on the code before (sent to the same target).

--- a/decide/ingress/detour.go
+++ b/decide/ingress/detour.go
@@ -63,7 +63,7 @@
 // connected to from here, "" if it is not sent there again. While the links are not known
 // to be down, the failure may be the target's own: then another target is tried.
 func (r *Reducer) detourAfterFailure(now clock.Time, a *attempt, v verdict.Verdict) fleet.VMID {
-	if !r.linksDown() || v != verdict.NotRun || !now.Before(a.req.deadline) {
+	if !r.linksDown() || v != verdict.NotRun || !now.Before(a.req.deadline) || !a.target.listed {
 		return ""
 	}
 	return r.gatewayTo(now, a.req, a.target)
--- a/decide/ingress/links_test.go
+++ b/decide/ingress/links_test.go
@@ -292,3 +292,20 @@
 		})
 	}
 }
+
+// Guards against requests that are sent through another VM to a target that has left the
+// choice while the connection to it was being opened.
+func TestNoDetourToATargetThatLeaves(t *testing.T) {
+	is := is.New(t)
+	rt := idempotentRoute("a")
+	rt.Timeout = time.Minute
+	s := detourHarness(t, rt)
+	pending := s.arriveOnce(1, "/a/x", "")
+	s.loseLinks(2)
+	d := s.r.targets[pending.Target].Target
+	d.Draining = true
+	s.step(&TargetsChanged{Updated: []Target{d}})
+	out := s.failConnect(pending)
+	is.Equal(len(out.Sends), 1)
+	is.True(out.Sends[0].Target != pending.Target)
+}
