ingress: round-trip times within a region are not taken from detours

While a VM reaches no target itself, its answers come through gateways, and the time in which a far gateway opened a connection was recorded as the round trip within the region: 110 ms in place of 2. Connect timeouts and estimates stayed too long after the links were back. TestDetoursMeasureNoRoundTrips fails on the code before (1.1e+08 ns).

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -37,11 +37,11 @@
 	q, t := a.req, a.target
 	t.answeredAt = now
 	q.svc.latency.Observe(now.Sub(a.sent))
-	if ev.ConnectTime > 0 {
+	if ev.ConnectTime > 0 && a.gateway == "" {
+		r.linkOpened(now, a.sent.Add(ev.ConnectTime))
+	}
+	if ev.ConnectTime > 0 && (a.gateway == "" || !r.isLocal(t)) {
 		r.observeRTT(t.region, ev.ConnectTime)
-		if a.gateway == "" {
-			r.linkOpened(now, a.sent.Add(ev.ConnectTime))
-		}
 	}
 	r.endAttempt(now, a, &Report{
 		Result: resultByOutcome[ev.Outcome], Load: ev.Load, Limit: ev.Limit, Bytes: ev.Bytes,
--- a/decide/ingress/links_test.go
+++ b/decide/ingress/links_test.go
@@ -309,3 +309,15 @@
 	is.Equal(len(out.Sends), 1)
 	is.True(out.Sends[0].Target != pending.Target)
 }
+
+// Guards against round-trip times within a region that are taken from a detour through
+// another region.
+func TestDetoursMeasureNoRoundTrips(t *testing.T) {
+	is := is.New(t)
+	s := detourHarness(t, idempotentRoute("a"))
+	s.loseLinks(1)
+	e := s.arriveOnce(2, "/a/x", "")
+	is.True(e.Gateway != "")
+	s.step(&Answered{Attempt: e.Attempt, ConnectTime: 110 * time.Millisecond})
+	is.Equal(s.r.rtt("r1"), float64(initialLocalRTT))
+}
