ingress: a limit that was stated long ago returns no grants

A VM that had been told a target's limit returned every grant of a coordinator that knew neither the limit nor its end, as one that has started since: it spared the target for ever. It now holds a limit against placements without regard to it for five minutes, and tells of a limit's end for as long. The coordinator learns the limit by the next answer. TestOldLimitsReturnNoGrants fails on the code before.

--- a/decide/ingress/ratelimit.go
+++ b/decide/ingress/ratelimit.go
@@ -45,6 +45,9 @@
 	// if its limit allows fewer: without requests, the target could not report the
 	// end of its limit.
 	limitMaxInterval = 5 * time.Second
+	// limitMemory is how long VMs tell each other of a limit's end, and how long a VM
+	// holds a limit that was stated to it against placements without regard to it.
+	limitMemory = 5 * time.Minute
 	// limitProbeInterval is the time between two requests of another region's
 	// coordinator.
 	limitProbeInterval = 10 * time.Second
@@ -120,17 +123,18 @@
 // limitTerms returns how this VM takes account of t's limit when it places a request
 // there.
 func (t *targetState) limitTerms(now clock.Time) LimitTerms {
-	if t.limit.endedAt == 0 {
+	age := now.Sub(t.limit.endedAt)
+	if t.limit.endedAt == 0 || age >= limitMemory {
 		return LimitTerms{Counted: t.limit.active}
 	}
-	return LimitTerms{Ended: true, EndedAge: now.Sub(t.limit.endedAt)}
+	return LimitTerms{Ended: true, EndedAge: age}
 }
 
 // respectsLimit reports whether a request that was placed at t under the given terms
 // may be sent as far as this VM knows t's limit. Terms that state the end of the limit
 // end it here too.
 func (r *Reducer) respectsLimit(now clock.Time, t *targetState, terms LimitTerms) bool {
-	if !t.limit.active || terms.Counted || !r.on(RateLimits) {
+	if !t.limit.active || terms.Counted || !r.on(RateLimits) || now.Sub(t.limit.statedAt) >= limitMemory {
 		return true
 	}
 	at := now.Add(-max(terms.EndedAge, 0))
--- a/decide/ingress/ratelimit_test.go
+++ b/decide/ingress/ratelimit_test.go
@@ -385,3 +385,19 @@
 	s.step(&Answered{Attempt: late.Attempt, Limit: noLimit})
 	is.Equal(len(s.r.services["svc"].limited), 1)
 }
+
+// Guards against a target that an entry VM spares for ever: the VM was told a limit long
+// ago, and its coordinator has started since and knows neither the limit nor its end.
+func TestOldLimitsReturnNoGrants(t *testing.T) {
+	is := is.New(t)
+	s := limitHarness(t, false, otherVM)
+	grant := func(id RequestID) []Send {
+		ask := s.step(&Arrive{Request: id, Host: "h", Path: "/a/x"}).Messages[0].Message.(*PlacementRequest)
+		return s.step(&IncomingMessage{From: otherVM, Message: &Grant{ID: ask.ID, Target: "t1"}}).Sends
+	}
+	s.step(&Answered{Attempt: grant(1)[0].Attempt, Limit: limitOf(4.8)})
+	s.now = s.now.Add(limitMemory - time.Second)
+	is.Equal(len(grant(2)), 0)
+	s.now = s.now.Add(time.Second)
+	is.Equal(len(grant(3)), 1)
+}
