ingress: restoreInstance, and one connect timeout for all ends

`returned` is now restoreInstance, as it restores what is known of an instance; connectTimeout takes the round-trip time, as sends to gateways and to targets need it; doc.go tells of links, of instances that outlive their registration and of limits. No behaviour changes.

--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -33,7 +33,11 @@
 //
 // The entry VM that received the request sends it, to a target of another region
 // through an entry VM near that target (gatewayTo). Such a gateway only sends the
-// request once and returns the result (ForwardRequest).
+// request once and returns the result (ForwardRequest). An entry VM that reaches no
+// target itself (links) sends all its requests through gateways.
+//
+// What is known of an instance of a target outlives its registration for some time
+// (removedTargets): a registration may lapse and return while the instance serves.
 //
 // The cost of a choice does not depend on the number of targets and entry VMs: the
 // required data is cached for each object (object), service (occupancy) and list
@@ -51,7 +55,8 @@
 //     service in its region. Entry VMs that disagree about the members choose at
 //     most two coordinators in practice, so each uses half of the limit.
 //   - A target with a rate limit gets requests through the same VM, which uses
-//     half of the operators' allowance, which exceeds the limit (rateLimit).
+//     half of the operators' allowance, which exceeds the limit (rateLimit). A VM that
+//     knows the limit sends no request that was placed without regard to it.
 //   - Retries are paid from a token bucket that starts empty, earns a fixed
 //     fraction of a token for each accepted request, and holds at most this VM's
 //     part of the fixed allowance. The parts add up to less than the limit for any
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -73,7 +73,7 @@
 		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, StartedAt: t.StartedAt, Addr: t.Addr, Gateway: a.gateway,
 		TimeLeft:       q.deadline.Sub(now),
 		Terms:          a.terms,
-		ConnectTimeout: minConnectTimeout + time.Duration(connectTimeoutRTTs*r.rttOfSend(a)),
+		ConnectTimeout: connectTimeout(r.rttOfSend(a)),
 		KeepSpare:      !r.isLocal(t) && r.on(SpareConnections),
 		Account:        q.account, KeepCredentials: !r.table.Config.RequiresKeys(),
 	})
@@ -192,7 +192,7 @@
 	t.countLimitedSend()
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: f.attempt, Request: f.request, Target: t.ID, StartedAt: t.StartedAt, Domain: t.Domain, Addr: t.Addr,
-		TimeLeft: ev.TimeLeft, ConnectTimeout: r.connectTimeout(t),
+		TimeLeft: ev.TimeLeft, ConnectTimeout: connectTimeout(r.rtt(t.region)),
 	})
 	r.timers.add(timer{at: now.Add(ev.TimeLeft + answerMargin), purpose: dueForward, request: f.request})
 }
--- a/decide/ingress/links.go
+++ b/decide/ingress/links.go
@@ -104,7 +104,7 @@
 		return
 	}
 	l.probe = linkProbe{target: t, began: now, count: l.probe.count + 1}
-	r.out.LinkProbes = append(r.out.LinkProbes, Probe{Target: t.ID, StartedAt: t.StartedAt, Addr: t.Addr, Timeout: r.connectTimeout(t)})
+	r.out.LinkProbes = append(r.out.LinkProbes, Probe{Target: t.ID, StartedAt: t.StartedAt, Addr: t.Addr, Timeout: connectTimeout(r.rtt(t.region))})
 }
 
 func (r *Reducer) scheduleLinkProbe(now clock.Time) {
--- a/decide/ingress/removed.go
+++ b/decide/ingress/removed.go
@@ -67,9 +67,10 @@
 	return t
 }
 
-// returned applies to a target that is registered again what is known of its instance,
-// and returns its state: the earlier one if the target is the same, t otherwise.
-func (r *Reducer) returned(now clock.Time, t *targetState) *targetState {
+// restoreInstance applies to a target that is registered what is known of its instance
+// from an earlier registration, and returns its state: the earlier one if the target is
+// the same, t otherwise.
+func (r *Reducer) restoreInstance(now clock.Time, t *targetState) *targetState {
 	old := r.removed.take(now, t.ID)
 	switch {
 	case old == nil:
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -176,9 +176,10 @@
 	}
 }
 
-// connectTimeout is the timeout for opening a connection to t.
-func (r *Reducer) connectTimeout(t *targetState) time.Duration {
-	return minConnectTimeout + time.Duration(connectTimeoutRTTs*r.rtt(t.region))
+// connectTimeout is the timeout for opening a connection to an end with the given
+// round-trip time in ns.
+func connectTimeout(rtt float64) time.Duration {
+	return minConnectTimeout + time.Duration(connectTimeoutRTTs*rtt)
 }
 
 // placementDenied handles a search that found no target. freeAfter is the expected
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -147,7 +147,7 @@
 func (r *Reducer) addTarget(now clock.Time, d Target) *targetState {
 	t := &targetState{Target: d, region: r.opts.Regions[d.Domain], group: r.groups[d.Domain], svc: r.serviceOf(d.Service)}
 	t.untried = now.Sub(r.startedAt) > startupPeriod
-	t = r.returned(now, t)
+	t = r.restoreInstance(now, t)
 	r.targets[d.ID] = t
 	t.svc.targets = insertByID(t.svc.targets, t)
 	t.svc.withoutObject = nil
--- a/decide/ingress/termination.go
+++ b/decide/ingress/termination.go
@@ -64,7 +64,7 @@
 		return
 	}
 	t.probing, t.probedAt = true, now
-	r.out.Probes = append(r.out.Probes, Probe{Target: t.ID, StartedAt: t.StartedAt, Addr: t.Addr, Timeout: r.connectTimeout(t)})
+	r.out.Probes = append(r.out.Probes, Probe{Target: t.ID, StartedAt: t.StartedAt, Addr: t.Addr, Timeout: connectTimeout(r.rtt(t.region))})
 	if !r.links.probing {
 		r.probeLinks(now)
 	}
