--- a/decide/mirror/era_test.go
+++ b/decide/mirror/era_test.go
@@ -330,8 +330,6 @@
 type follower struct {
 	m       Mirror
 	derived map[string]string
-	// first is the revision from which the log of the era is complete for it.
-	since Position
 }
 
 func (f *follower) apply(changes []Change) {
