emulate: a store that comes back from copies

The emulator had no store: every VM learned of changes after a fixed time. A pattern with return-store events has one now, with revisions, copies and eras; each VM reads it into a real mirror, asks another VM when it starts or enters an era, and writers write again what was lost, 0.2 to 1.2 s later. drain-targets lets registrations say that targets drain. Requests that reach a target over 2.5 s after that, or after its removal, are counted (returns.late). Patterns without such events play as before.

--- a/decide/emulate/doc.go
+++ b/decide/emulate/doc.go
@@ -4,8 +4,9 @@
 // The decisions are the real ones: each entry VM is an ingress.Reducer. Its
 // environment is modelled: targets (slots, a queue, cached objects, cold start,
 // slowness, failures), the latency between failure domains, callers that retry
-// when they are asked to, and the list of entry VMs. There is no store: every VM
-// learns of changes of targets and of evacuations after a fixed time.
+// when they are asked to, and the list of entry VMs. Every VM learns of changes of targets
+// and of evacuations after a fixed time; the store from which it learns them is modelled
+// if it comes back from copies of earlier states.
 // Connections to targets are modelled if the pattern states how long idle ones
 // are kept. Processor time and bytes are not modelled.
 //
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -19,10 +19,8 @@
 		sim.setLoad(e, e.Value)
 		sim.after(last, func() { sim.setLoad(e, 1) })
 	case Evacuate:
-		sim.broadcast(func() ingress.Event { return &ingress.Evacuated{Domain: e.Domain, Begin: true} })
-		sim.after(last, func() {
-			sim.broadcast(func() ingress.Event { return &ingress.Evacuated{Domain: e.Domain} })
-		})
+		sim.evacuate(e.Domain, true)
+		sim.after(last, func() { sim.evacuate(e.Domain, false) })
 	case KillVMs:
 		sim.killVMs(e)
 	case RestartTargets:
@@ -60,7 +58,25 @@
 		sim.after(last, func() { sim.eachTarget(e, sim.register) })
 	case CutTargets:
 		sim.cutFromTargets(e)
+	case DrainTargets:
+		sim.eachTarget(e, sim.drain)
+		sim.after(last, func() { sim.eachTarget(e, sim.removeTarget) })
+	case ReturnStore:
+		sim.returnStore(e)
+	}
+}
+
+// evacuate starts or ends the evacuation of a failure domain.
+func (sim *simulation) evacuate(d fleet.Domain, begin bool) {
+	if sim.store == nil {
+		sim.broadcast(func() ingress.Event { return &ingress.Evacuated{Domain: d, Begin: begin} })
+		return
+	}
+	value := ""
+	if begin {
+		value = "begun"
 	}
+	sim.writeStore(prefixEvacuate+string(d), value)
 }
 
 func (sim *simulation) setLoad(e *Event, x float64) {
@@ -162,7 +178,7 @@
 	t.objects = objectCache{}
 	sim.failRunning(t)
 	sim.after(down, func() {
-		t.down, t.leaving = false, false
+		t.down, t.leaving, t.registered.Draining = false, false, false
 		t.registered.StartedAt++
 		t.coldEnd = sim.now.Add(seconds(t.service.ColdTime))
 		if !t.unregistered {
@@ -182,6 +198,10 @@
 // unregister removes t's registration, whether or not t still serves.
 func (sim *simulation) unregister(t *target) {
 	t.unregistered = true
+	if sim.store != nil {
+		sim.writeStore(targetKey(t), "")
+		return
+	}
 	sim.broadcast(func() ingress.Event {
 		return &ingress.TargetsChanged{Removed: []fleet.TargetID{t.registered.ID}}
 	})
@@ -195,7 +215,17 @@
 	}
 }
 
+// drain makes t's registration say that it drains.
+func (sim *simulation) drain(t *target) {
+	t.registered.Draining = true
+	sim.broadcastRegistration(t)
+}
+
 func (sim *simulation) broadcastRegistration(t *target) {
+	if sim.store != nil {
+		sim.writeStore(targetKey(t), encodeTarget(t.registration(sim.now)))
+		return
+	}
 	sim.broadcast(func() ingress.Event {
 		return &ingress.TargetsChanged{Updated: []ingress.Target{t.registration(sim.now)}}
 	})
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 )
@@ -49,6 +50,7 @@
 	// count from countTriesFrom until it is 0.
 	targetCuts     int
 	countTriesFrom clock.Time
+	store          *store // nil: it is not modelled
 }
 
 // vm is one entry VM.
@@ -64,6 +66,8 @@
 	connections   connectionPools
 	cut           bool       // exchanges no messages with other VMs
 	listed        bool       // on the list of entry VMs
+	startedAt     clock.Time // when its process started; set if the store is modelled
+	mirror        mirror.Mirror
 	targetCut     *targetCut // nil: it reaches targets
 	// lastGatewayRequest counts the requests that it forwarded as a gateway. Their
 	// IDs count down from the highest one; those of callers count up.
@@ -105,6 +109,9 @@
 	}
 	sim.configure()
 	sim.placeTargets()
+	if p.hasStore() {
+		sim.startStore()
+	}
 	sim.startVMs()
 	sim.after(warmUp, sim.beginLoad)
 	return sim
@@ -213,19 +220,28 @@
 		},
 	})
 	sim.step(v, &ingress.Configured{Table: sim.table})
-	var all ingress.TargetsChanged
-	for _, t := range sim.targetList {
-		if !t.down && !t.unregistered {
-			all.Updated = append(all.Updated, t.registration(sim.now))
-		}
+	if sim.store != nil {
+		sim.startMirror(v)
+	} else {
+		sim.step(v, sim.registrations())
 	}
-	sim.step(v, &all)
 	sim.step(v, sim.members())
 	for _, fp := range sortedFingerprints(sim.quarantines) {
 		sim.step(v, &ingress.QuarantineRead{Fingerprint: fp, Record: sim.quarantines[fp]})
 	}
 }
 
+// registrations returns the registrations of all targets.
+func (sim *simulation) registrations() *ingress.TargetsChanged {
+	all := new(ingress.TargetsChanged)
+	for _, t := range sim.targetList {
+		if !t.down && !t.unregistered {
+			all.Updated = append(all.Updated, t.registration(sim.now))
+		}
+	}
+	return all
+}
+
 // members returns the list of entry VMs.
 func (sim *simulation) members() *ingress.MembersChanged {
 	ev := new(ingress.MembersChanged)
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -147,6 +147,13 @@
 	// CutTargets cuts a share of the entry VMs off from all targets, in the way that
 	// How names. Callers and the other VMs still reach them.
 	CutTargets EventKind = "cut-targets"
+	// DrainTargets makes the registrations of a share of a service's targets say that they
+	// drain. They stop after Duration, and their registrations are removed.
+	DrainTargets EventKind = "drain-targets"
+	// ReturnStore takes the metadata store away for Duration. It comes back from a copy
+	// that was made Value seconds before, and what targets and operators have written
+	// since is written again.
+	ReturnStore EventKind = "return-store"
 )
 
 // The ways in which a VM can be cut off from targets.
@@ -166,7 +173,7 @@
 	WeakCores   = 0.16
 )
 
-var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets, LapseRegistrations, CutTargets}
+var eventKinds = []EventKind{Burst, Evacuate, KillVMs, RestartTargets, SlowTargets, GreyTargets, ShedTargets, LimitTargets, QueryOfDeath, HotAccount, LowerQuota, CutVMs, LeaveTargets, BackoffTargets, LapseRegistrations, CutTargets, DrainTargets, ReturnStore}
 
 // Event is a fault, a change of load or another event of a run.
 type Event struct {
--- a/decide/emulate/result.go
+++ b/decide/emulate/result.go
@@ -71,6 +71,8 @@
 	// TargetCut counts the first attempts of callers while VMs were cut off from all
 	// targets.
 	TargetCut CutTries `json:"target_cut"`
+	// Returns counts what the store's returns from copies led to.
+	Returns ReturnCounts `json:"returns"`
 	// WorstQuota is the window in which an account exceeded its quota the most.
 	WorstQuota QuotaOverrun `json:"worst_quota"`
 	// DeathQueries holds the effects of the queries of death, in the order of their
--- a/decide/emulate/send.go
+++ b/decide/emulate/send.go
@@ -55,6 +55,7 @@
 		if s.ended {
 			return // cancelled in transit
 		}
+		sim.countLate(s)
 		if t.down {
 			sim.after(sim.latency(v.self.Domain, t.registered.Domain), func() {
 				sim.endSend(s, &ingress.Failed{Attempt: s.id, Verdict: verdict.NotRun, Reason: verdict.ReasonConnect})
--- a/decide/emulate/target.go
+++ b/decide/emulate/target.go
@@ -23,6 +23,7 @@
 	refusedShare float64       // share of the requests that are refused
 	limit        *rateLimit    // latest limit that it stated; nil if none
 	leaving      bool          // it states that it is leaving
+	leftAt       clock.Time    // when its word to leave was written to the store; 0: not
 	backoff      time.Duration // it refuses all requests and asks for this; 0 if not
 	coldEnd      clock.Time
 
