--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -291,98 +289,6 @@
 // Serve implements inbound.Handler.
 func (f handlerFunc) Serve(x *inbound.Exchange) { f(x) }
 
-// leaveDelay is how long a leaving VM still accepts requests. Callers use the
-// answer to a look-up for about that long, and a request to a VM that has ended
-// costs them another connection.
-const leaveDelay = 1500 * time.Millisecond
-
-// stopMargin is the part of the stop timeout that is reserved for the exit of
-// the process.
-const stopMargin = 500 * time.Millisecond
-
-// Stop shuts the entry VM down. It first removes the VM from look-ups and tells
-// callers to use other connections, then waits for the requests in flight.
-func (s *Server) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.reloadable.Load().stopTimeout-stopMargin)
-	defer cancel()
-	s.leaving.Store(true)
-	for _, l := range s.listeners() {
-		l.AnnounceClose()
-	}
-	s.event(eventStop).WithField("in_flight", s.calls.len()).Info("entry VM is stopping")
-	s.cancel() // keepRegistered revokes the lease
-	select {
-	case <-time.After(leaveDelay):
-	case <-ctx.Done():
-	}
-	s.callerServer.StopAccepting()
-	err := s.callerServer.Stop(ctx)
-	if s.gatewayServer != nil {
-		// Other entry VMs learn later than callers that this VM is leaving.
-		s.gatewayServer.StopAccepting()
-		err = errors.Join(err, s.gatewayServer.Stop(ctx))
-	}
-	err = errors.Join(err, s.stopPages(ctx))
-	s.shutdown()
-	if err != nil {
-		return fmt.Errorf("ingress: %w", err)
-	}
-	s.event(eventStop).Info("entry VM stopped")
-	return nil
-}
-
-// stopPages stops the servers of pages that are answered at once. Look-ups and the
-// platform's checks go on until requests have ended.
-func (s *Server) stopPages(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, pageStopTimeout)
-	defer cancel()
-	var err error
-	for _, l := range []*inbound.Server{s.readyServer, s.lookupServer, s.metricsServer} {
-		if l != nil {
-			err = errors.Join(err, l.Stop(ctx))
-		}
-	}
-	return err
-}
-
-// listeners returns the servers of this VM.
-func (s *Server) listeners() []*inbound.Server {
-	all := []*inbound.Server{s.callerServer, s.gatewayServer, s.readyServer, s.lookupServer, s.metricsServer}
-	return slices.DeleteFunc(all, func(l *inbound.Server) bool { return l == nil })
-}
-
-// pageStopTimeout limits the wait for callers to take their last page.
-const pageStopTimeout = 300 * time.Millisecond
-
-// shutdown closes everything. Only the first call has an effect.
-func (s *Server) shutdown() { s.shutdownOnce.Do(s.releaseAll) }
-
-func (s *Server) releaseAll() {
-	s.cancel()
-	s.loops.Wait()
-	s.copyMu.Lock()
-	if s.expiry != nil {
-		s.expiry.Stop()
-	}
-	s.copyMu.Unlock()
-	if s.peers != nil {
-		flush, cancel := context.WithTimeout(context.Background(), peerFlushTimeout)
-		defer cancel()
-		_ = s.peers.Close(flush) // the receivers of lost messages have timeouts
-	}
-	if s.core != nil {
-		s.core.Close()
-	}
-	for _, l := range s.listeners() {
-		l.Close() // requests in flight have had their time
-	}
-	for _, p := range []*outbound.Pool{s.targetPool, s.gatewayPool} {
-		if p != nil {
-			p.Close()
-		}
-	}
-}
-
 // placement returns the reducer's status for the metrics.
 func (s *Server) placement() ingress.Status {
 	var st ingress.Status
@@ -390,10 +296,6 @@
 	return st
 }
 
-// peerFlushTimeout limits sending the queued messages to other entry VMs at the
-// end.
-const peerFlushTimeout = 200 * time.Millisecond
-
 // formatRetryAfter formats a duration for Retry-After: seconds with three
 // decimals.
 func formatRetryAfter(d time.Duration) string {
