ingress: a VM that starts reads no replica of an earlier era

A VM that starts takes its first copy from any replica. If the store has come back and the replica has not, the read was refused as of an earlier era, again and again with pauses, or followed by a read of the store without asking what others retain: the VM served the older configuration. Now the read is made at once from the store, and others are asked in either case. The line of a registration names the era.

--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -198,14 +198,20 @@
 // as too old. With about 1,900 keys, reading from any replica saves three to four calls at
 // full price at each start of a VM.
 func (s *Server) readAll(first bool) (mirror.State, error) {
-	if first {
-		snap, err := s.rangeAll(kv.Any)
-		if err != nil || snap.At.Era >= s.knownEra() {
-			return mirror.State{Items: snap.Items, At: snap.At, Outdated: true, Retained: s.fetchRetained(&snap)}, err
-		}
+	if !first {
+		snap, err := s.rangeAll(kv.Latest)
+		return mirror.State{Items: snap.Items, At: snap.At}, err
+	}
+	snap, err := s.rangeAll(kv.Any)
+	outdated := true
+	if err == nil && snap.At.Era < s.knownEra() {
+		snap, err = s.rangeAll(kv.Latest)
+		outdated = false
+	}
+	if err != nil {
+		return mirror.State{}, err
 	}
-	snap, err := s.rangeAll(kv.Latest)
-	return mirror.State{Items: snap.Items, At: snap.At}, err
+	return mirror.State{Items: snap.Items, At: snap.At, Outdated: outdated, Retained: s.fetchRetained(&snap)}, nil
 }
 
 func (s *Server) rangeAll(from kv.Replica) (kv.Snapshot, error) {
--- a/serve/ingress/register.go
+++ b/serve/ingress/register.go
@@ -111,7 +111,7 @@
 		return kv.Lease{}, err
 	}
 	s.listedAt, s.listedRevision = s.now(), at.Revision
-	s.event(eventMembers).WithField("lease", lease.ID).Info("this entry VM is registered")
+	s.event(eventMembers).WithField("lease", lease.ID).WithField("era", lease.Era).Info("this entry VM is registered")
 	return lease, nil
 }
 
--- a/serve/ingress/return_test.go
+++ b/serve/ingress/return_test.go
@@ -313,6 +313,25 @@
 	w.waitVersion(w.version)
 	w.returnFromCopy()
 	time.Sleep(200 * time.Millisecond)
+	w.checkLate(t, path)
+}
+
+// Guards against an entry VM that starts with what a replica from before the store's return
+// from a copy has.
+func TestReplicasOfAnEarlierEraAreNotRead(t *testing.T) {
+	w := newReturnEnv(t, 2)
+	w.store.SaveCopy()
+	w.store.FreezeReplica()
+	path := w.configure()
+	w.waitVersion(w.version)
+	w.returnFromCopy()
+	time.Sleep(200 * time.Millisecond)
+	w.checkLate(t, path)
+}
+
+// checkLate starts an entry VM, and checks that it serves the latest configuration.
+func (w *returnEnv) checkLate(t *testing.T, path string) {
+	t.Helper()
 	s := w.start("late", w.store.NewClient())
 	limit := time.Now().Add(applyTime)
 	for s.configVersion() != w.version {
