--- a/decide/mirror/era.go
+++ b/decide/mirror/era.go
@@ -65,29 +65,38 @@
 // Retained is the last that was known of a key before the store came back from a copy,
 // which differs from it.
 type Retained struct {
-	Item         // the last write
-	Era     Era  // in which the key was last known
-	Removed bool // the last write was followed by a removal
-	// Closed is a revision of Era: all writes of the key up to it are known to be
-	// earlier than the last change.
-	Closed Revision
+	Item               // the last write
+	Era       Era      // in which the key was last known
+	RemovedAt Revision // revision of Era at which the key was known to be removed; 0: it was not
+	// Missed means that further writes before the removal may have been missed.
+	Missed bool
 	Left   time.Duration // how long it still holds; Never: until the key is written again
 
 	until clock.Time
 }
 
-// position returns up to when the key was known.
-func (r *Retained) position() Position { return Position{r.Era, max(r.Revision, r.Closed)} }
+func (r *Retained) removed() bool { return r.RemovedAt != 0 }
+
+// position returns when the key was last changed, as far as is known.
+func (r *Retained) position() Position { return Position{r.Era, max(r.Revision, r.RemovedAt)} }
+
+// lastWrite returns a revision of Era up to which no other write of the key was the last.
+func (r *Retained) lastWrite() Revision {
+	if r.Missed {
+		return r.RemovedAt
+	}
+	return r.Revision
+}
 
 // beliefs returns what is in force for each key, and the removals that are kept.
 func (m *Mirror) beliefs() map[string]Retained {
 	known := make(map[string]Retained, len(m.items))
 	for key, it := range m.items {
-		known[key] = Retained{Item: it, Era: m.at.Era, Closed: it.Revision}
+		known[key] = Retained{Item: it, Era: m.at.Era}
 	}
 	for _, r := range m.removals {
 		if _, present := m.items[r.Key]; !present {
-			known[r.Key] = Retained{Item: r.Item, Era: m.at.Era, Removed: true, Closed: r.closed}
+			known[r.Key] = Retained{Item: r.Item, Era: m.at.Era, RemovedAt: r.at, Missed: r.missed}
 		}
 	}
 	maps.Copy(known, m.retained)
@@ -113,12 +122,12 @@
 		switch until := m.holdUntil(now, k); {
 		case !present && had && old.Revision <= copied:
 			// The store's copy had the key: it was removed since the return.
-			m.removals = append(m.removals, removedItem{Item: k.Item, at: s.At.Revision, closed: s.At.Revision})
+			m.removals = append(m.removals, removedItem{Item: k.Item, at: s.At.Revision, missed: true})
 		case until > now && !outdated:
 			m.retain(k, until)
 			continue
 		}
-		changes = append(changes, m.difference(key, k.Item, !k.Removed)...)
+		changes = append(changes, m.difference(key, k.Item, !k.removed())...)
 	}
 	for key, it := range m.items {
 		if _, ok := known[key]; !ok {
@@ -145,7 +154,7 @@
 func (m *Mirror) holdUntil(now clock.Time, k Retained) clock.Time {
 	stored, present := m.items[k.Key]
 	switch {
-	case k.Removed:
+	case k.removed():
 		return m.holdRemovalUntil(now, k, stored, present)
 	case !present && m.class(k.Key) == Lasting:
 		return clock.Never
@@ -166,20 +175,20 @@
 
 // holdRemovalUntil is holdUntil for a removed key.
 func (m *Mirror) holdRemovalUntil(now clock.Time, k Retained, stored Item, present bool) clock.Time {
-	instance := m.class(k.Key) == Instance
+	long := holdTime
+	if m.class(k.Key) == Instance {
+		long = instanceRetention
+	}
 	if !present {
-		if instance {
-			return now.Add(instanceRetention) // the old entry may be written again
-		}
-		return now
+		return now.Add(long) // an older word may be written again, or be told by another VM
 	}
 	order := m.compare(k, stored)
-	written := stored.Revision > k.Closed || stored.Revision > m.base
+	written := stored.Revision > k.lastWrite() || stored.Revision > m.base
 	switch {
 	case order < 0 || (order == 0 && written):
 		return now
-	case instance && (order > 0 || stored.Revision == k.Revision):
-		return now.Add(instanceRetention)
+	case order > 0 || stored.Revision == k.Revision:
+		return now.Add(long)
 	default:
 		return now.Add(holdTime)
 	}
@@ -247,7 +256,7 @@
 		}
 	}
 	m.release(c.Key)
-	return m.difference(c.Key, k.Item, !k.Removed)
+	return m.difference(c.Key, k.Item, !k.removed())
 }
 
 // Merge adds what another VM's mirror has retained, and returns the changes in order of
@@ -304,9 +313,9 @@
 			continue
 		}
 		m.release(key)
-		changes = append(changes, m.difference(key, k.Item, !k.Removed)...)
-		if _, present := m.items[key]; !present && !k.Removed && m.class(key) == Instance {
-			k.Era, k.Removed, k.Closed = m.at.Era, true, m.at.Revision
+		changes = append(changes, m.difference(key, k.Item, !k.removed())...)
+		if _, present := m.items[key]; !present && !k.removed() && m.class(key) == Instance {
+			k.Era, k.RemovedAt, k.Missed = m.at.Era, m.at.Revision, true
 			m.retain(k, now.Add(instanceRetention))
 		}
 	}
--- a/decide/mirror/era_test.go
+++ b/decide/mirror/era_test.go
@@ -242,6 +242,23 @@
 	is.Equal(len(late.Merge(testNow, m.Retained(testNow))), 0)
 }
 
+// Guards against a mirror that missed a removal and tells others of the key, or keeps it
+// though others know better.
+func TestTheLaterKnowledgeIsMerged(t *testing.T) {
+	for _, key := range []string{"run/a", "evacuate/a"} {
+		is := is.New(t)
+		known := write(key, "ready 1", 40)
+		knows, missed := newKnown(41, known), newKnown(41, known)
+		knows.Apply(testNow, []Change{removal(key, 45)}, Position{Revision: 45})
+		enter(knows, 30)
+		enter(missed, 30)
+		is.Equal(value(missed, key), "ready 1")
+		is.Equal(len(knows.Merge(testNow, missed.Retained(testNow))), 0)
+		is.Equal(missed.Merge(testNow, knows.Retained(testNow)), []Change{removal(key, 30)})
+		is.Equal(value(missed, key), "")
+	}
+}
+
 // testStore is a store that comes back from copies, with the words of its writers.
 type testStore struct {
 	at      Position
--- a/decide/mirror/mirror.go
+++ b/decide/mirror/mirror.go
@@ -73,9 +73,9 @@
 // removedItem is a removed key with its last item.
 type removedItem struct {
 	Item
-	at Revision // of the removal, or a later one
-	// closed is a revision up to which all writes of the key were before the removal.
-	closed Revision
+	at Revision // of the removal, or of the read that lacks the key
+	// missed means that further writes before the removal may have been missed.
+	missed bool
 }
 
 // maxRemovals bounds the removals that are kept for ChangesSince: those of a
@@ -131,7 +131,7 @@
 		// A key newer than the read was written during a read of several
 		// pages, after its page had been read.
 		if !seen[key] && it.Revision <= s.At.Revision {
-			m.remove(it, s.At.Revision, s.At.Revision)
+			m.remove(it, s.At.Revision, true)
 			changes = append(changes, m.resolve(now, removalOf(key, s.At.Revision))...)
 		}
 	}
@@ -179,14 +179,14 @@
 	if !ok || old.Revision >= ev.Revision {
 		return false
 	}
-	m.remove(old, ev.Revision, old.Revision)
+	m.remove(old, ev.Revision, false)
 	return true
 }
 
 // remove removes an item and keeps the removal.
-func (m *Mirror) remove(it Item, at, closed Revision) {
+func (m *Mirror) remove(it Item, at Revision, missed bool) {
 	delete(m.items, it.Key)
-	m.removals = append(m.removals, removedItem{Item: it, at: at, closed: closed})
+	m.removals = append(m.removals, removedItem{Item: it, at: at, missed: missed})
 }
 
 func removalOf(key string, at Revision) Change {
@@ -255,7 +255,7 @@
 // Get returns the item of a key that is in force: the store's, or the retained one.
 func (m *Mirror) Get(key string) (Item, bool) {
 	if r, ok := m.retained[key]; ok {
-		return r.Item, !r.Removed
+		return r.Item, !r.removed()
 	}
 	return m.Stored(key)
 }
