ingress: a planned stop answers what is in flight before it ends

Answers leave a connection in the order of its requests.

250 ms before the end of a stop every request now gets its final answer: not run (503) if it was never sent, else may have run (502). What is ready behind it follows, and requests that come later are refused as not run. At a grace time of 6 s this is after 5.25 s; before, the connections were cut after 5.5 s.

Test: TestStopDeliversAnswersBehindLongRequests, failing before (unexpected EOF).

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -223,5 +223,9 @@
 	DrainTime time.Duration // 0: unknown
 }
 
+// Ending reports that this process is about to end. Every request gets its final
+// answer.
+type Ending struct{}
+
 // Tick only advances the time.
 type Tick struct{}
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -167,7 +168,7 @@
 // know another target.
 func (r *Reducer) forward(now clock.Time, ev *ForwardRequest) {
 	t, ok := r.targets[ev.Target]
-	if !ok || ev.TimeLeft <= 0 || r.linksDown() {
+	if !ok || ev.TimeLeft <= 0 || r.linksDown() || r.ending {
 		r.out.Refusals = append(r.out.Refusals, Refusal{
 			Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonGateway,
 		})
@@ -232,12 +233,12 @@
 
 // forwardsAt returns the requests that are forwarded to t, in their order.
 func (r *Reducer) forwardsAt(t *targetState) []*forwarded {
-	var list []*forwarded
-	for _, f := range r.forwards {
-		if f.target == t {
-			list = append(list, f)
-		}
-	}
+	return slices.DeleteFunc(r.sortedForwards(), func(f *forwarded) bool { return f.target != t })
+}
+
+// sortedForwards returns the forwarded requests in their order.
+func (r *Reducer) sortedForwards() []*forwarded {
+	list := slices.Collect(maps.Values(r.forwards))
 	slices.SortFunc(list, func(a, b *forwarded) int { return cmp.Compare(a.attempt, b.attempt) })
 	return list
 }
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -82,6 +82,13 @@
 // arrive handles a new request of a caller.
 func (r *Reducer) arrive(now clock.Time, ev *Arrive) {
 	r.callerRate.count(now)
+	if r.ending {
+		r.out.Refusals = append(r.out.Refusals, Refusal{
+			Request: ev.Request, Verdict: verdict.NotRun,
+			Reason: verdict.ReasonStopping, RetryAfter: stoppingRetryAfter,
+		})
+		return
+	}
 	if r.table == nil {
 		r.out.Refusals = append(r.out.Refusals, Refusal{
 			Request: ev.Request, Verdict: verdict.NotRun,
--- a/serve/ingress/stop.go
+++ b/serve/ingress/stop.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/outbound"
 )
@@ -20,16 +21,23 @@
 // the process.
 const stopMargin = 500 * time.Millisecond
 
+// finalAnswerTime is how long before the end of a stop requests still in flight get
+// their final answers, so that callers can take them and what is ready behind them.
+const finalAnswerTime = 250 * time.Millisecond
+
 // Stop shuts the entry VM down. It first removes the VM from look-ups and tells
 // callers to use other connections, then waits for the requests in flight.
 func (s *Server) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.reloadable.Load().stopTimeout-stopMargin)
+	timeout := s.reloadable.Load().stopTimeout - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	s.leaving.Store(true)
 	for _, l := range s.listeners() {
 		l.AnnounceClose()
 	}
 	s.event(eventStop).WithField("in_flight", s.calls.len()).Info("entry VM is stopping")
+	final := time.AfterFunc(timeout-finalAnswerTime, func() { s.core.Post(&ingress.Ending{}) })
+	defer final.Stop()
 	s.cancel() // keepRegistered revokes the lease
 	select {
 	case <-time.After(leaveDelay):
--- a/serve/ingress/stop_test.go
+++ b/serve/ingress/stop_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/route"
 )
 
 // Guards against requests that are interrupted by a planned stop, with an
@@ -88,3 +90,44 @@
 	<-cancelled
 	is.NoErr(s.Stop()) // fails if requests are in flight
 }
+
+// Guards against answers that are lost in a planned stop: the answer to a pipelined
+// request is ready but waits behind an earlier request of its connection, whose target
+// takes longer than the stop. A request that was not passed on is refused as not run.
+func TestStopDeliversAnswersBehindLongRequests(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			quick := route.Route{Name: "quick", Prefix: "/quick/", Idempotent: true, Parts: []route.Part{{Service: "svc", Weight: 1}}}
+			w := newTestEnv(t, catchAllRoute(idempotent), quick)
+			working := make(chan struct{})
+			w.startTarget("t1", func(rw http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/quick/" {
+					close(working)
+					<-r.Context().Done()
+					return
+				}
+				respondOK("ready")(rw, r)
+			})
+			s := w.startListed("vm-1")
+			c := dial(t, s)
+			c.sendRequest(http.MethodGet, "/long", "long")
+			<-working
+			c.sendRequest(http.MethodGet, "/quick/", "quick")
+			stopped := make(chan error)
+			go func() { stopped <- s.Stop() }()
+			res, _ := c.readResponse(http.MethodGet)
+			is.Equal(res.StatusCode, http.StatusBadGateway) // it may have run
+			is.Equal(res.Header.Get("X-Id"), "long")
+			res, body := c.readResponse(http.MethodGet)
+			if idempotent {
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(body, "ready")
+			} else { // it was not passed on before the answer to the first one
+				is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			}
+			_ = c.conn.Close()
+			is.NoErr(<-stopped)
+		})
+	}
+}
