ingress: the final answers of a stop come first for requests that wait for a target

The place of a request that ends goes to the next one that waits, so ending them in the order of their numbers sent waiting requests to targets and told their callers that they may have run. Test: TestEndingGivesTrueVerdicts. Docs: planned stops, reason stopping.

--- a/decide/ingress/ending.go
+++ b/decide/ingress/ending.go
@@ -16,13 +16,20 @@
 // under way would take along the answers that are ready behind it.
 func (r *Reducer) endAll(now clock.Time) {
 	r.stopping = true
+	var running []*request
 	for _, q := range r.sortedRequests() {
 		q.reason = verdict.ReasonStopping
 		if len(q.running) > 0 {
 			q.verdict = verdict.MayHaveRun
+			running = append(running, q)
+			continue
 		}
 		r.refuse(now, q)
 	}
+	// Last, because the place of a request that ends goes to one that still waits here.
+	for _, q := range running {
+		r.refuse(now, q)
+	}
 	for _, f := range r.sortedForwards() {
 		r.cancelForward(f)
 		r.out.Refusals = append(r.out.Refusals, Refusal{
