quota: tokens are divided by the demands of the VMs that are short of them

An issuer gave its tokens to whoever asked first, so a coordinator with nine times the demand of another got as many. While the demands exceed what is issued, each VM gets its part of the tokens issued since.

A request to a VM that does not answer no longer counts as tokens on their way, and that VM is passed over for a second. While tokens are scarce, what is expected of a request follows what was granted recently.

--- a/decide/emulate/account.go
+++ b/decide/emulate/account.go
@@ -103,7 +103,7 @@
 }
 
 // startHotCallers starts the additional callers of a hot account: Value requests per
-// second, spread over all failure domains.
+// second, spread over the failure domains of the event and of the account.
 func (sim *simulation) startHotCallers(e *Event) {
 	i := slices.IndexFunc(sim.pattern.Accounts, func(a Account) bool { return a.Name == e.Account })
 	until := sim.now.Add(seconds(e.Duration))
@@ -112,12 +112,24 @@
 		if sim.now.After(until) {
 			return
 		}
-		sim.startCallerOf(&sim.pattern.Domains[sim.rng.IntN(len(sim.pattern.Domains))], &sim.pattern.Accounts[i])
+		sim.startCallerOf(sim.hotDomain(e, &sim.pattern.Accounts[i]), &sim.pattern.Accounts[i])
 		sim.after(seconds(sim.rng.ExpFloat64()/e.Value), next)
 	}
 	next()
 }
 
+// hotDomain draws the failure domain of an additional caller of an account.
+func (sim *simulation) hotDomain(e *Event, a *Account) *Domain {
+	var list []*Domain
+	for i := range sim.pattern.Domains {
+		d := &sim.pattern.Domains[i]
+		if (e.Domain == "" || e.Domain == d.Name) && (a.Region == "" || a.Region == d.Region) {
+			list = append(list, d)
+		}
+	}
+	return list[sim.rng.IntN(len(list))]
+}
+
 // lowerQuota multiplies the quota of an account, or of all, by Value, and puts the
 // changed configuration in force.
 func (sim *simulation) lowerQuota(e *Event, factor float64) {
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -207,6 +207,8 @@
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok && j.state == jobPlaced {
 			r.release(now, j, m)
 		}
+	case *TokenDemand:
+		r.demandStated(now, ev.From, m)
 	}
 }
 
--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -25,7 +25,7 @@
 				preferred[j.preferred]++
 			}
 		case jobUncharged:
-			if s := r.accounts[j.Account]; s == nil || !slices.Contains(s.waiting, j) {
+			if s := r.accounts[j.Account]; s == nil || !slices.Contains(s.waiting.All(), j) {
 				return fmt.Errorf("job %v: waits for a token, but not in its account's queue", key)
 			}
 		default:
--- a/decide/ingress/issuer.go
+++ b/decide/ingress/issuer.go
@@ -74,6 +74,7 @@
 			delete(r.issuers.seen, id)
 		}
 	}
+	maps.DeleteFunc(r.tokenSilent, func(id fleet.VMID, _ clock.Time) bool { _, seen := r.issuers.seen[id]; return !seen })
 	strong := fleet.Strong(vms)
 	r.issuers.strong, r.issuers.weak = len(strong), len(vms)-len(strong)
 	r.issuers.selfStrong = slices.ContainsFunc(strong, func(v fleet.VM) bool { return v.ID == r.opts.Self })
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -159,6 +159,19 @@
 	Accounts []AccountTokens
 }
 
+// AccountDemand is a rate at which requests of an account and a priority are to be
+// placed by one VM.
+type AccountDemand struct {
+	Account   route.AccountName
+	Priority  int
+	PerSecond float64
+}
+
+// TokenDemand states the demand of a VM that is short of tokens, one entry for each
+// account and priority, those of an account one after the other. It precedes a
+// TokenRequest, whose receiver divides its tokens by it.
+type TokenDemand struct{ Accounts []AccountDemand }
+
 // OutgoingMessage requests that a message be sent to another entry VM.
 type OutgoingMessage struct {
 	To      fleet.VMID
--- a/decide/ingress/quota.go
+++ b/decide/ingress/quota.go
@@ -30,6 +30,12 @@
 	minQuotaRetryAfter = 250 * time.Millisecond
 	// maxQuotaRetryAfter limits the retry delay of a request beyond a quota.
 	maxQuotaRetryAfter = 2 * time.Second
+	// shortageTTL is how long an account counts as short of tokens after a request last
+	// waited for one or was refused.
+	shortageTTL = time.Second
+	// maxDemandPriorities is the number of priorities whose demands are measured apart.
+	// Those beyond it count for the least urgent of them.
+	maxDemandPriorities = 8
 )
 
 // accountState is the state of one limited account at this VM.
@@ -37,25 +43,39 @@
 	name   route.AccountName
 	bucket quota.Bucket
 	// demand measures the requests that were to be placed here, admitted those that
-	// were charged.
+	// were charged. demands holds the former by priority, the most urgent first.
 	demand, admitted quota.Meter
+	demands          []priorityDemand
 	usedAt           clock.Time
+	// shortAt is when a request last waited for a token or was refused; 0: never.
+	shortAt clock.Time
+	// claims are the parts of the tokens issued here that other VMs get.
+	claims quota.Claims
 	// queueEnd is when the latest refused request is expected to be admitted.
 	queueEnd clock.Time
-	// waiting are jobs that wait for a token, in the order of their arrival. Those
-	// that have ended meanwhile are skipped.
-	waiting []*job
+	// waiting are jobs that wait for a token. Those that have ended meanwhile are
+	// skipped.
+	waiting quota.Waiting[*job]
 	// isolated are the tokens of a weak VM, which fill only while it places requests
 	// itself. They start at a random fraction of one, so that of many such VMs some
 	// admit their first request. isolatedFor is the isolation.total to which they
 	// were filled.
 	isolated    float64
 	isolatedFor time.Duration
-	requested   float64 // tokens in unanswered requests
+	// expected are the tokens that unanswered requests are expected to bring, and
+	// grantShare is the recent part of requested tokens that was granted.
+	expected   float64
+	grantShare float64
 	// charged and refused count requests.
 	charged, refused uint64
 }
 
+// priorityDemand measures the requests of one priority.
+type priorityDemand struct {
+	priority int
+	meter    quota.Meter
+}
+
 // limitedAccount returns the account of a name if it has a quota, else nil. known
 // is false if the configuration in force has no such account.
 func (r *Reducer) limitedAccount(name route.AccountName) (a *route.Account, known bool) {
@@ -73,7 +93,7 @@
 func (r *Reducer) accountStateOf(now clock.Time, a *route.Account) *accountState {
 	s, ok := r.accounts[a.Name]
 	if !ok {
-		s = &accountState{name: a.Name, bucket: quota.NewBucket(now, r.startedAt, r.ownBudget(a)), usedAt: now, isolated: r.rng.Float64()}
+		s = &accountState{name: a.Name, bucket: quota.NewBucket(now, r.startedAt, r.ownBudget(a)), usedAt: now, isolated: r.rng.Float64(), grantShare: maxGrantShare}
 		r.accounts[a.Name] = s
 		at, _ := slices.BinarySearchFunc(r.accountList, s, compareNames)
 		r.accountList = slices.Insert(r.accountList, at, s)
@@ -111,16 +131,17 @@
 	}
 	s := r.accountStateOf(now, a)
 	s.usedAt = now
-	s.demand.Add(now)
+	s.countDemand(now, j.Priority)
 	r.admitWaiting(now, s)
 	isolated := j.req != nil && !r.issuers.selfStrong && r.issuers.weak > 0
-	if (!s.anyWaiting() && s.bucket.Take(now, 1)) || (isolated && r.takeIsolated(now, a, s)) {
+	if (!s.anyWaiting() && r.takeToken(now, s)) || (isolated && r.takeIsolated(now, a, s)) {
 		s.charge(now, j)
 		return true
 	}
-	if !isolated && j.waitUntil.After(now) && s.mayWait(now) {
+	s.shortAt = now
+	if !isolated && j.waitUntil.After(now) && r.makeRoom(now, s, j.Priority) {
 		j.state = jobUncharged
-		s.waiting = append(s.waiting, j)
+		s.waiting.Push(j.Priority, j)
 		r.timers.add(timer{at: j.waitUntil, purpose: dueJob, job: j})
 		r.scheduleTokens(now, max(r.tokensAskedAt.Add(urgentTokenInterval).Sub(now), 0))
 		return false
@@ -136,27 +157,84 @@
 	j.charged, j.chargedAt = true, now
 }
 
-// mayWait reports whether another request may wait for a token. As many may wait as
-// were recently admitted in the time that they may wait, so that only requests of an
-// account beyond its quota are refused at once.
-func (s *accountState) mayWait(now clock.Time) bool {
-	return float64(len(s.waiting)) < max(minTokenQueue, tokenQueueTime.Seconds()*s.admitted.PerSecond(now))
+// countDemand counts a request of a priority.
+func (s *accountState) countDemand(now clock.Time, priority int) {
+	s.demand.Add(now)
+	at, found := slices.BinarySearchFunc(s.demands, priority, func(d priorityDemand, p int) int { return cmp.Compare(d.priority, p) })
+	if !found && len(s.demands) >= maxDemandPriorities {
+		s.demands = slices.DeleteFunc(s.demands, func(d priorityDemand) bool { return d.meter.PerSecond(now) < minDemand })
+		at, found = slices.BinarySearchFunc(s.demands, priority, func(d priorityDemand, p int) int { return cmp.Compare(d.priority, p) })
+	}
+	if !found && len(s.demands) >= maxDemandPriorities {
+		at, found = len(s.demands)-1, true
+	}
+	if !found {
+		s.demands = slices.Insert(s.demands, at, priorityDemand{priority: priority})
+	}
+	s.demands[at].meter.Add(now)
+}
+
+// demandByPriority returns the recent demand of each priority.
+func (s *accountState) demandByPriority(now clock.Time) []quota.Demand {
+	var list []quota.Demand
+	for i := range s.demands {
+		if d := (quota.Demand{Priority: s.demands[i].priority, PerSecond: s.demands[i].meter.PerSecond(now)}); d.PerSecond >= minDemand {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// isShort reports whether requests recently waited for tokens or were refused.
+func (s *accountState) isShort(now clock.Time) bool {
+	return s.shortAt != 0 && now.Sub(s.shortAt) <= shortageTTL
+}
+
+// takeToken takes a token that is not kept for another VM.
+func (r *Reducer) takeToken(now clock.Time, s *accountState) bool {
+	r.divideTokens(now, s)
+	return s.bucket.TakeAbove(now, 1, s.claims.Kept())
+}
+
+// divideTokens divides the tokens that were issued here since it was last called.
+func (r *Reducer) divideTokens(now clock.Time, s *accountState) {
+	s.claims.Advance(now, &s.bucket, s.demandByPriority(now), r.issuers.strong)
+}
+
+// makeRoom reports whether another request of a priority may wait for a token. As many
+// may wait as were recently admitted in the time that they may wait, so that only
+// requests of an account beyond its quota are refused at once. If there are as many, a
+// less urgent one is refused in its place.
+func (r *Reducer) makeRoom(now clock.Time, s *accountState, priority int) bool {
+	most := max(minTokenQueue, tokenQueueTime.Seconds()*s.admitted.PerSecond(now))
+	if float64(s.waiting.Len()) < most {
+		return true
+	}
+	s.waiting.DeleteFunc((*job).endedUncharged)
+	if float64(s.waiting.Len()) < most {
+		return true
+	}
+	j, displaced := s.waiting.Displace(priority)
+	if displaced {
+		r.denyOverQuota(now, j)
+	}
+	return displaced
 }
 
 // anyWaiting reports whether a request waits for a token. It drops those that have
 // ended.
 func (s *accountState) anyWaiting() bool {
-	for len(s.waiting) > 0 && s.waiting[0].state != jobUncharged {
-		s.waiting = s.waiting[1:]
-	}
-	return len(s.waiting) > 0
+	s.waiting.DropFirst((*job).endedUncharged)
+	return s.waiting.Len() > 0
 }
 
+// endedUncharged reports whether j, which waited for a token, has ended.
+func (j *job) endedUncharged() bool { return j.state != jobUncharged }
+
 // admitWaiting places the requests for which there are tokens now.
 func (r *Reducer) admitWaiting(now clock.Time, s *accountState) {
-	for s.anyWaiting() && s.bucket.Take(now, 1) {
-		j := s.waiting[0]
-		s.waiting = s.waiting[1:]
+	for s.anyWaiting() && r.takeToken(now, s) {
+		j, _ := s.waiting.Pop()
 		j.state = jobNew
 		s.charge(now, j)
 		r.placeCharged(now, j)
@@ -227,8 +305,7 @@
 // has no limit any more or is gone.
 func (r *Reducer) releaseWaiting(now clock.Time, s *accountState) {
 	for s.anyWaiting() {
-		j := s.waiting[0]
-		s.waiting = s.waiting[1:]
+		j, _ := s.waiting.Pop()
 		j.state = jobNew
 		if r.admit(now, j) {
 			r.placeCharged(now, j)
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -69,6 +69,7 @@
 	tokenTurn     int        // selects the next VMs to ask for tokens
 	tokensAt      clock.Time // when tokens are requested next
 	tokensAskedAt clock.Time
+	tokenSilent   map[fleet.VMID]clock.Time // VMs that did not answer, and when they are asked again
 
 	removed removedTargets
 	links   links
@@ -107,6 +108,7 @@
 		tokenRequests:     make(map[PlacementID]tokenRequest),
 		tokensAt:          clock.Never,
 		nextLapse:         clock.Never,
+		tokenSilent:       make(map[fleet.VMID]clock.Time),
 	}
 }
 
--- a/decide/ingress/tokens.go
+++ b/decide/ingress/tokens.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/quota"
+	"github.com/azurethread/azurethread/decide/route"
 )
 
 // A VM with more requests of an account than tokens gets those that other strong VMs
@@ -25,12 +26,19 @@
 	// minDemand is the rate of requests per second below which a VM asks for no
 	// tokens.
 	minDemand = 0.05
-	// expectedGrant is the part of the requested tokens that is expected to be
+	// maxGrantShare is the greatest part of the requested tokens that is expected to be
 	// granted. If all of it were requested again meanwhile, more would arrive than a
-	// bucket holds, and the rest would be lost.
-	expectedGrant = 0.5
+	// bucket holds, and the rest would be lost. While all VMs together are short, it is
+	// the part that was granted recently; grantWeight is the weight of the latest answer.
+	maxGrantShare = 0.5
+	grantWeight   = 0.2
+	// unansweredPause is how long a VM is not asked after it did not answer in time.
+	// Nothing is expected of it until it answers.
+	unansweredPause = time.Second
 	// maxTokenAccounts limits the accounts in one request for tokens.
 	maxTokenAccounts = 128
+	// maxDemandEntries limits the entries of one TokenDemand.
+	maxDemandEntries = maxTokenAccounts * maxDemandPriorities
 )
 
 // scheduleTokens requests tokens after the given time at the latest.
@@ -57,6 +65,7 @@
 	for _, id := range slices.Sorted(maps.Keys(r.tokenRequests)) {
 		if m := r.tokenRequests[id]; now.Sub(m.sentAt) > quota.TransferTimeout {
 			r.endTokenRequest(id, m)
+			r.tokenSilent[m.to] = now.Add(unansweredPause)
 		}
 	}
 	r.requestTokens(now)
@@ -83,26 +92,75 @@
 	}
 	r.tokenTurn++
 	r.tokensAskedAt = now
+	demand := r.shortDemand(now, want)
 	asked := fleet.VMID("")
 	for _, scope := range []fleet.Region{r.region, anyRegion} {
-		peers := r.strongOrder(scope, string(r.opts.Self))
-		if len(peers) == 0 {
-			continue
-		}
-		to := peers[r.tokenTurn%len(peers)]
-		if to == r.opts.Self || to == asked {
+		to := r.nextIssuer(now, scope)
+		if to == "" || to == asked {
 			continue
 		}
 		asked = to
 		r.nextPlacement++
-		r.tokenRequests[r.nextPlacement] = tokenRequest{sentAt: now, accounts: want}
-		for _, x := range want {
-			r.accounts[x.Account].requested += x.Tokens
+		_, silent := r.tokenSilent[to]
+		m := tokenRequest{sentAt: now, to: to, accounts: want, expected: make([]float64, len(want))}
+		for i, x := range want {
+			if s := r.accounts[x.Account]; !silent {
+				m.expected[i] = x.Tokens * s.expectedShare()
+				s.expected += m.expected[i]
+			}
+		}
+		if silent {
+			r.tokenSilent[to] = now.Add(unansweredPause)
+		}
+		r.tokenRequests[r.nextPlacement] = m
+		if len(demand) > 0 {
+			r.sendMessage(to, &TokenDemand{Accounts: demand})
 		}
 		r.sendMessage(to, &TokenRequest{ID: r.nextPlacement, Accounts: want})
 	}
 }
 
+// expectedShare returns the part of requested tokens that is expected to be granted.
+func (s *accountState) expectedShare() float64 {
+	if s.claims.Scarce() {
+		return s.grantShare
+	}
+	return maxGrantShare
+}
+
+// nextIssuer returns the strong VM of a region, or of any, whose turn it is to be asked
+// for tokens; "" if it is this VM's own turn. Those that did not answer recently are
+// passed over.
+func (r *Reducer) nextIssuer(now clock.Time, scope fleet.Region) fleet.VMID {
+	peers := r.strongOrder(scope, string(r.opts.Self))
+	for i := range peers {
+		to := peers[(r.tokenTurn+i)%len(peers)]
+		if to == r.opts.Self && i == 0 {
+			return ""
+		}
+		if to != r.opts.Self && !r.tokenSilent[to].After(now) {
+			return to
+		}
+	}
+	return ""
+}
+
+// shortDemand returns the demand for those of the wanted tokens of which this VM is
+// short, by account and priority.
+func (r *Reducer) shortDemand(now clock.Time, want []AccountTokens) []AccountDemand {
+	var list []AccountDemand
+	for _, x := range want {
+		s := r.accounts[x.Account]
+		if !s.isShort(now) {
+			continue
+		}
+		for _, d := range s.demandByPriority(now) {
+			list = append(list, AccountDemand{Account: x.Account, Priority: d.Priority, PerSecond: d.PerSecond})
+		}
+	}
+	return list
+}
+
 // missingTokens returns the tokens that will be needed here soon. Of more accounts
 // than fit into one request, each request contains others.
 func (r *Reducer) missingTokens(now clock.Time) []AccountTokens {
@@ -117,7 +175,7 @@
 		if need < minDemand {
 			continue
 		}
-		missing := float64(len(s.waiting)) + min(need+1-s.bucket.Tokens(now), s.bucket.Room(now)) - expectedGrant*s.requested
+		missing := float64(s.waiting.Len()) + min(need+1-s.bucket.Tokens(now), s.bucket.Room(now)) - s.expected
 		if missing > 0 && len(want) < maxTokenAccounts {
 			want = append(want, AccountTokens{Account: s.name, Tokens: missing})
 		}
@@ -128,15 +186,17 @@
 // tokenRequest is a TokenRequest that was not answered.
 type tokenRequest struct {
 	sentAt   clock.Time
+	to       fleet.VMID
 	accounts []AccountTokens
+	expected []float64 // tokens, by account
 }
 
 // endTokenRequest removes a request that was answered or is too old.
 func (r *Reducer) endTokenRequest(id PlacementID, m tokenRequest) {
 	delete(r.tokenRequests, id)
-	for _, x := range m.accounts {
+	for i, x := range m.accounts {
 		if s, used := r.accounts[x.Account]; used {
-			s.requested = max(s.requested-x.Tokens, 0)
+			s.expected = max(s.expected-m.expected[i], 0)
 		}
 	}
 }
@@ -150,8 +210,7 @@
 			continue
 		}
 		s := r.accountStateOf(now, a)
-		keep := s.demand.PerSecond(now) * tokensKept.Seconds()
-		if n := s.bucket.TakeUpTo(now, want.Tokens, keep); n > 0 {
+		if n := r.giveTokens(now, s, from, want.Tokens); n > 0 {
 			s.usedAt = now
 			given = append(given, AccountTokens{Account: a.Name, Tokens: n})
 		}
@@ -159,6 +218,39 @@
 	r.sendMessage(from, &TokenGrant{ID: m.ID, Accounts: given})
 }
 
+// giveTokens takes tokens of an account for another VM. While VMs that are short of them
+// have stated their demand, each gets its part, and this VM keeps no more than its own.
+func (r *Reducer) giveTokens(now clock.Time, s *accountState, from fleet.VMID, n float64) float64 {
+	keep := s.demand.PerSecond(now) * tokensKept.Seconds()
+	r.divideTokens(now, s)
+	if !s.claims.Scarce() {
+		return s.bucket.TakeUpTo(now, n, keep)
+	}
+	return s.claims.Take(now, &s.bucket, from, n, keep)
+}
+
+// demandStated records of which accounts another VM is short of tokens. What is stated
+// of an account replaces what was stated before.
+func (r *Reducer) demandStated(now clock.Time, from fleet.VMID, m *TokenDemand) {
+	if !r.issuers.selfStrong || !r.on(TokenTransfers) || len(m.Accounts) > maxDemandEntries {
+		return
+	}
+	for list := m.Accounts; len(list) > 0; {
+		name, n := list[0].Account, 1
+		for n < len(list) && list[n].Account == name {
+			n++
+		}
+		demands := make([]quota.Demand, n)
+		for i, x := range list[:n] {
+			demands[i] = quota.Demand{Priority: x.Priority, PerSecond: x.PerSecond}
+		}
+		list = list[n:]
+		if a, _ := r.limitedAccount(name); a != nil {
+			r.accountStateOf(now, a).claims.State(now, from, demands)
+		}
+	}
+}
+
 // acceptTokens adds tokens of another VM, unless their request is too old or they
 // were already received.
 func (r *Reducer) acceptTokens(now clock.Time, m *TokenGrant) {
@@ -168,8 +260,11 @@
 	}
 	r.endTokenRequest(m.ID, request)
 	if now.Sub(request.sentAt) > quota.TransferTimeout {
+		r.tokenSilent[request.to] = now.Add(unansweredPause)
 		return
 	}
+	delete(r.tokenSilent, request.to)
+	r.observeGrant(request, m)
 	for _, x := range m.Accounts {
 		if s, used := r.accounts[x.Account]; used {
 			r.putTokens(now, s, x.Tokens)
@@ -177,15 +272,29 @@
 	}
 }
 
+// observeGrant records which part of the requested tokens was granted.
+func (r *Reducer) observeGrant(request tokenRequest, m *TokenGrant) {
+	granted := make(map[route.AccountName]float64, len(m.Accounts))
+	for _, x := range m.Accounts {
+		granted[x.Account] = x.Tokens
+	}
+	for _, x := range request.accounts {
+		if s, used := r.accounts[x.Account]; used {
+			share := min(granted[x.Account]/x.Tokens, maxGrantShare)
+			s.grantShare += grantWeight * (share - s.grantShare)
+		}
+	}
+}
+
 // putTokens adds tokens of another VM and places the requests that wait for them.
 func (r *Reducer) putTokens(now clock.Time, s *accountState, n float64) {
 	for n > 0 {
 		before := s.bucket.Tokens(now)
 		s.bucket.Put(now, n)
 		n -= s.bucket.Tokens(now) - before
-		waiting := len(s.waiting)
+		waiting := s.waiting.Len()
 		r.admitWaiting(now, s)
-		if len(s.waiting) == waiting {
+		if s.waiting.Len() == waiting {
 			return // what is left does not fit
 		}
 	}
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -116,6 +116,15 @@
 	return true
 }
 
+// TakeAbove takes n tokens if keep are left.
+func (k *Bucket) TakeAbove(now clock.Time, n, keep float64) bool {
+	if k.Tokens(now) < n+keep {
+		return false
+	}
+	k.tokens -= n
+	return true
+}
+
 // TakeUpTo takes at most n tokens but leaves keep, and returns how many.
 func (k *Bucket) TakeUpTo(now clock.Time, n, keep float64) float64 {
 	given := max(min(n, k.Tokens(now)-keep), 0)
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -26,6 +26,7 @@
 	kindTokenGrant
 	kindTargetNotices
 	kindGrantTerms
+	kindTokenDemand
 )
 
 const (
@@ -47,6 +48,7 @@
 	kindTokenGrant:       func() ingress.Message { return new(ingress.TokenGrant) },
 	kindTargetNotices:    func() ingress.Message { return new(ingress.TargetNotices) },
 	kindGrantTerms:       func() ingress.Message { return new(ingress.GrantTerms) },
+	kindTokenDemand:      func() ingress.Message { return new(ingress.TokenDemand) },
 }
 
 // kindsByMessage is the kind of each type of messagesByKind.
