--- /dev/null
+++ b/decide/ingress/tokens_test.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/quota"
+	"github.com/azurethread/azurethread/decide/route"
+)
+
+// newTokenHarness returns an entry VM with others and an account of 100 requests a
+// second, and buckets that have filled.
+func newTokenHarness(t *testing.T, others int) *harness {
+	members := []fleet.VMID{selfVM}
+	for i := range others {
+		members = append(members, fleet.VMID(fmt.Sprint("vm-", i)))
+	}
+	s := newHarness(t, Bounds{Quota: quota.Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20}}, members...)
+	s.configureAccount(route.Account{Name: "x", Keys: []route.KeyDigest{keyOf("x")}, Quota: route.Quota{PerSecond: 100, Burst: 100}})
+	s.target("t1", "d1", 100000)
+	s.now = s.now.Add(time.Minute)
+	return s
+}
+
+// granted returns the tokens that the VM gives away when asked for n.
+func (s *harness) granted(from fleet.VMID, n float64) float64 {
+	out := s.step(&IncomingMessage{From: from, Message: &TokenRequest{ID: 1, Accounts: []AccountTokens{{Account: "x", Tokens: n}}}})
+	for _, m := range out.Messages {
+		if g, ok := m.Message.(*TokenGrant); ok && len(g.Accounts) > 0 {
+			return g.Accounts[0].Tokens
+		}
+	}
+	return 0
+}
+
+func (s *harness) stateDemand(from fleet.VMID, list ...AccountDemand) {
+	s.step(&IncomingMessage{From: from, Message: &TokenDemand{Accounts: list}})
+}
+
+// Guards against a VM that asks too seldom because most of those that it asks are cut
+// off: only one of eleven answers.
+func TestUnansweredTokenRequestsDoNotDelayOthers(t *testing.T) {
+	s := newTokenHarness(t, 11)
+	const answers = fleet.VMID("vm-3")
+	asked := 0
+	for id := PlacementID(1); id <= 4000; id++ { // 1,000 requests a second
+		var list []OutgoingMessage
+		for _, ev := range []Event{&Tick{}, &IncomingMessage{From: "vm-1", Message: &PlacementRequest{
+			ID: id, Service: "svc", Route: "a", Account: "x", Domain: "d1", MaxWait: 300 * time.Millisecond, TimeLeft: time.Second,
+		}}} {
+			list = append(list, s.step(ev).Messages...)
+		}
+		for _, m := range list {
+			if q, ok := m.Message.(*TokenRequest); ok && m.To == answers {
+				s.step(&IncomingMessage{From: answers, Message: &TokenGrant{ID: q.ID, Accounts: []AccountTokens{{Account: "x", Tokens: 0.1}}}})
+				if id > 1000 {
+					asked++
+				}
+			}
+		}
+		s.now = s.now.Add(time.Millisecond)
+	}
+	if asked < 60 { // in 3 s, with an interval of 40 ms
+		t.Fatalf("the VM that answers was asked %d times", asked)
+	}
+}
+
+// Guards against tokens that go to whoever asks first, and to less urgent requests.
+func TestScarceTokensFollowTheDemand(t *testing.T) {
+	is := is.New(t)
+	s := newTokenHarness(t, 3)
+	got := make(map[fleet.VMID]float64)
+	for range 100 {
+		s.stateDemand("vm-0", AccountDemand{"x", 1, 900})
+		got["vm-0"] += s.granted("vm-0", 50)
+		s.stateDemand("vm-1", AccountDemand{"x", 1, 100})
+		got["vm-1"] += s.granted("vm-1", 50)
+		s.stateDemand("vm-2", AccountDemand{"x", 0, 40})
+		got["vm-2"] += s.granted("vm-2", 50)
+		s.now = s.now.Add(100 * time.Millisecond)
+	}
+	rate := s.r.accounts["x"].bucket.Rate()
+	is.True(math.Abs(got["vm-2"]-100) < 15) // a quarter of what it needs, from each of four VMs
+	is.True(got["vm-0"]/got["vm-1"] > 6 && got["vm-0"]/got["vm-1"] < 12)
+	is.True(got["vm-0"]+got["vm-1"]+got["vm-2"] >= 0.9*rate*10)
+}
+
+// Guards against state for what other VMs make up, and against other grants to a VM that
+// states no demand, such as one of an older version.
+func TestInvalidTokenDemandIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s, plain := newTokenHarness(t, 3), newTokenHarness(t, 3)
+	s.stateDemand("vm-0", AccountDemand{"unknown", 0, 5}, AccountDemand{"x", 0, -5}, AccountDemand{"x", 0, math.NaN()}, AccountDemand{"x", 0, 1e300})
+	s.stateDemand("vm-0", make([]AccountDemand, 100000)...)
+	var many []AccountDemand
+	for range maxDemandEntries + 1 {
+		many = append(many, AccountDemand{"x", 0, 1000})
+	}
+	s.stateDemand("vm-0", many...)
+	s.now, plain.now = s.now.Add(time.Second), plain.now.Add(time.Second)
+	is.Equal(len(s.r.accounts), 1)
+	is.Equal(s.granted("vm-1", 50), plain.granted("vm-1", 50))
+	is.Equal(s.r.accounts["x"].claims.Kept(), 0.0)
+	is.Equal(s.granted("vm-1", math.NaN()), 0.0)
+	is.True(s.r.accounts["x"].bucket.Tokens(s.now) >= 0) // false for NaN
+}
--- a/decide/quota/claims.go
+++ b/decide/quota/claims.go
@@ -150,9 +150,6 @@
 // Take takes up to n tokens for a VM: those that are kept for it, and those that are
 // kept for nobody but for spare ones, which this VM wants to keep itself.
 func (c *Claims) Take(now clock.Time, b *Bucket, vm fleet.VMID, n, spare float64) float64 {
-	if math.IsNaN(n) || n <= 0 {
-		return 0
-	}
 	own := 0.0
 	at, found := c.find(vm)
 	if found {
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -125,8 +125,12 @@
 	return true
 }
 
-// TakeUpTo takes at most n tokens but leaves keep, and returns how many.
+// TakeUpTo takes at most n tokens but leaves keep, and returns how many. It takes none if
+// n is not a number.
 func (k *Bucket) TakeUpTo(now clock.Time, n, keep float64) float64 {
+	if math.IsNaN(n) {
+		return 0
+	}
 	given := max(min(n, k.Tokens(now)-keep), 0)
 	k.tokens -= given
 	return given
