--- a/decide/ingress/effect.go
+++ b/decide/ingress/effect.go
@@ -96,6 +96,9 @@
 	Tokens     float64      // left here
 	Demand     float64      // requests per second that were to be placed here
 	RetryAfter time.Duration
+	Priority   int     // of the request
+	Kept       float64 // of Tokens, those that are kept for other VMs
+	Scarce     bool    // the known demands exceed what all VMs issue
 }
 
 // TargetStateChange is a change of a target's state as seen by the reducer, for
--- a/decide/ingress/quota.go
+++ b/decide/ingress/quota.go
@@ -198,7 +198,9 @@
 
 // divideTokens divides the tokens that were issued here since it was last called.
 func (r *Reducer) divideTokens(now clock.Time, s *accountState) {
-	s.claims.Advance(now, &s.bucket, s.demandByPriority(now), r.issuers.strong)
+	if s.claims.Due(now) {
+		s.claims.Advance(now, &s.bucket, s.demandByPriority(now), r.issuers.strong)
+	}
 }
 
 // makeRoom reports whether another request of a priority may wait for a token. As many
@@ -254,6 +256,7 @@
 	r.out.QuotaRefusals = append(r.out.QuotaRefusals, QuotaRefusal{
 		Account: a.Name, From: j.key.vm, Quota: a.Quota, Own: r.ownBudget(a),
 		Tokens: s.bucket.Tokens(now), Demand: s.demand.PerSecond(now), RetryAfter: wait,
+		Priority: j.Priority, Kept: s.claims.Kept(), Scarce: s.claims.Scarce(),
 	})
 	r.denyFor(now, j, verdict.ReasonOverQuota, wait)
 }
--- a/decide/ingress/tokens.go
+++ b/decide/ingress/tokens.go
@@ -58,6 +58,7 @@
 	r.tokensAt = clock.Never
 	waiting := false
 	for _, s := range r.accountList {
+		s.waiting.DeleteFunc((*job).endedUncharged)
 		r.admitWaiting(now, s)
 		waiting = waiting || s.anyWaiting()
 	}
--- a/decide/quota/claims.go
+++ b/decide/quota/claims.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -52,15 +53,7 @@
 }
 
 func (c *Claims) find(vm fleet.VMID) (int, bool) {
-	return slices.BinarySearchFunc(c.list, vm, func(x claim, vm fleet.VMID) int {
-		if x.vm < vm {
-			return -1
-		}
-		if x.vm > vm {
-			return 1
-		}
-		return 0
-	})
+	return slices.BinarySearchFunc(c.list, vm, func(x claim, vm fleet.VMID) int { return cmp.Compare(x.vm, vm) })
 }
 
 // State records the demand of a VM for each priority, in place of an earlier one.
@@ -90,14 +83,17 @@
 	c.list = slices.DeleteFunc(c.list, func(x claim) bool { return now.Sub(x.statedAt) > ClaimTTL })
 }
 
+// Due reports whether Advance would do anything.
+func (c *Claims) Due(now clock.Time) bool { return now.Sub(c.at) >= claimInterval }
+
 // Advance keeps the parts of the tokens that were issued since the last call. own is the
 // demand of this VM, and issuers the number of VMs that issue tokens at the same rate.
 func (c *Claims) Advance(now clock.Time, b *Bucket, own []Demand, issuers int) {
-	c.expire(now)
-	passed := now.Sub(c.at)
-	if passed < claimInterval {
+	if !c.Due(now) {
 		return
 	}
+	c.expire(now)
+	passed := now.Sub(c.at)
 	c.at = now
 	demands := slices.Clone(own)
 	for i := range c.list {
--- a/serve/ingress/account.go
+++ b/serve/ingress/account.go
@@ -66,5 +66,6 @@
 		"rate": e.Quota.PerSecond, "burst": e.Quota.Burst, "own_rate": e.Own.Rate, "own_depth": e.Own.Depth,
 		"tokens": e.Tokens, "demand": e.Demand, "retry_after_ms": e.RetryAfter.Milliseconds(),
 		"store_age_ms": s.storeAge().Milliseconds(), "condensed": condensed,
+		"priority": e.Priority, "kept": e.Kept, "scarce": e.Scarce,
 	}).Info("account has no token left here")
 }
