--- a/decide/quota/doc.go
+++ b/decide/quota/doc.go
@@ -11,6 +11,13 @@
 // one for each issuing VM, and a Bucket holds one part. A VM that needs more tokens
 // than its part gets them from another VM, which gives away its own.
 //
+// # Scarce tokens
+//
+// While VMs ask for more tokens than are issued, Claims divides what a VM issues between
+// those that are short, by their demand and priority (Divide). Waiting is the order in
+// which requests at one VM get tokens. Neither creates tokens: a Take of Claims takes them
+// from a Bucket, whatever other VMs have stated.
+//
 // # Why this is safe
 //
 // Tokens are created only by time, in parts that add up to the budget. A VM that is
