quota: a VM that has stalled does not pass over those whose answers it missed

After a stall of its own, a VM would count every other one as silent and ask none for a second. If all are silent, the one whose turn it is is asked as before.

--- a/decide/ingress/tokens.go
+++ b/decide/ingress/tokens.go
@@ -55,6 +55,7 @@
 	if r.tokensAt.After(now) {
 		return // an earlier one has replaced this timer
 	}
+	stalled := r.stalled(now)
 	r.tokensAt = clock.Never
 	waiting := false
 	for _, s := range r.accountList {
@@ -66,7 +67,9 @@
 	for _, id := range slices.Sorted(maps.Keys(r.tokenRequests)) {
 		if m := r.tokenRequests[id]; now.Sub(m.sentAt) > quota.TransferTimeout {
 			r.endTokenRequest(id, m)
-			r.tokenSilent[m.to] = now.Add(unansweredPause)
+			if !stalled {
+				r.tokenSilent[m.to] = now.Add(unansweredPause)
+			}
 		}
 	}
 	r.requestTokens(now)
@@ -81,6 +84,10 @@
 	}
 }
 
+// stalled reports whether this VM itself has not run for some time. Then late answers say
+// nothing about the VMs that sent them.
+func (r *Reducer) stalled(now clock.Time) bool { return now.Sub(r.tokensAt) > tokenInterval }
+
 // requestTokens asks another strong VM of the region, and one of any region, for the
 // tokens that are missing here. All are asked in turn.
 func (r *Reducer) requestTokens(now clock.Time) {
@@ -131,7 +138,7 @@
 
 // nextIssuer returns the strong VM of a region, or of any, whose turn it is to be asked
 // for tokens; "" if it is this VM's own turn. Those that did not answer recently are
-// passed over.
+// passed over, unless none did.
 func (r *Reducer) nextIssuer(now clock.Time, scope fleet.Region) fleet.VMID {
 	peers := r.strongOrder(scope, string(r.opts.Self))
 	for i := range peers {
@@ -143,7 +150,10 @@
 			return to
 		}
 	}
-	return ""
+	if len(peers) == 0 {
+		return ""
+	}
+	return peers[r.tokenTurn%len(peers)]
 }
 
 // shortDemand returns the demand for those of the wanted tokens of which this VM is
@@ -261,7 +271,9 @@
 	}
 	r.endTokenRequest(m.ID, request)
 	if now.Sub(request.sentAt) > quota.TransferTimeout {
-		r.tokenSilent[request.to] = now.Add(unansweredPause)
+		if !r.stalled(now) {
+			r.tokenSilent[request.to] = now.Add(unansweredPause)
+		}
 		return
 	}
 	delete(r.tokenSilent, request.to)
