quota: within an account the priority of the route decides

The priority of an account takes precedence over that of its routes, so all requests of an account had the same one, and its most urgent kind took tokens in proportion to its demand like the others.

--- a/decide/ingress/effect.go
+++ b/decide/ingress/effect.go
@@ -96,7 +96,7 @@
 	Tokens     float64      // left here
 	Demand     float64      // requests per second that were to be placed here
 	RetryAfter time.Duration
-	Priority   int     // of the request
+	Priority   int     // of the request's route
 	Kept       float64 // of Tokens, those that are kept for other VMs
 	Scarce     bool    // the known demands exceed what all VMs issue
 }
--- a/decide/ingress/quota.go
+++ b/decide/ingress/quota.go
@@ -131,7 +131,8 @@
 	}
 	s := r.accountStateOf(now, a)
 	s.usedAt = now
-	s.countDemand(now, j.Priority)
+	urgency := r.urgencyOf(j)
+	s.countDemand(now, urgency)
 	r.admitWaiting(now, s)
 	isolated := j.req != nil && !r.issuers.selfStrong && r.issuers.weak > 0
 	if (!s.anyWaiting() && r.takeToken(now, s)) || (isolated && r.takeIsolated(now, a, s)) {
@@ -139,9 +140,9 @@
 		return true
 	}
 	s.shortAt = now
-	if !isolated && j.waitUntil.After(now) && r.makeRoom(now, s, j.Priority) {
+	if !isolated && j.waitUntil.After(now) && r.makeRoom(now, s, urgency) {
 		j.state = jobUncharged
-		s.waiting.Push(j.Priority, j)
+		s.waiting.Push(urgency, j)
 		r.timers.add(timer{at: j.waitUntil, purpose: dueJob, job: j})
 		r.scheduleTokens(now, max(r.tokensAskedAt.Add(urgentTokenInterval).Sub(now), 0))
 		return false
@@ -157,6 +158,16 @@
 	j.charged, j.chargedAt = true, now
 }
 
+// urgencyOf returns the priority of j among the requests of its account: that of its route.
+// The account's own priority, which takes precedence between accounts, is the same for all of
+// them.
+func (r *Reducer) urgencyOf(j *job) int {
+	if rt := r.table.Route(j.Route); rt != nil {
+		return rt.Priority
+	}
+	return j.Priority // of a route that this VM's configuration does not have
+}
+
 // countDemand counts a request of a priority.
 func (s *accountState) countDemand(now clock.Time, priority int) {
 	s.demand.Add(now)
@@ -256,7 +267,7 @@
 	r.out.QuotaRefusals = append(r.out.QuotaRefusals, QuotaRefusal{
 		Account: a.Name, From: j.key.vm, Quota: a.Quota, Own: r.ownBudget(a),
 		Tokens: s.bucket.Tokens(now), Demand: s.demand.PerSecond(now), RetryAfter: wait,
-		Priority: j.Priority, Kept: s.claims.Kept(), Scarce: s.claims.Scarce(),
+		Priority: r.urgencyOf(j), Kept: s.claims.Kept(), Scarce: s.claims.Scarce(),
 	})
 	r.denyFor(now, j, verdict.ReasonOverQuota, wait)
 }
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -149,15 +149,17 @@
 type Table struct {
 	Config *Config
 	hosts  map[string][]*Route // by descending length of the prefix
+	routes map[string]*Route   // by name
 	byKey  map[KeyDigest]*Account
 	byName map[AccountName]*Account
 }
 
 // NewTable indexes c, which must not be modified afterwards.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, hosts: make(map[string][]*Route)}
+	t := &Table{Config: c, hosts: make(map[string][]*Route), routes: make(map[string]*Route, len(c.Routes))}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		t.routes[r.Name] = r
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
 	for _, rs := range t.hosts {
@@ -167,6 +169,9 @@
 	return t
 }
 
+// Route returns the route of a name, or nil.
+func (t *Table) Route(name string) *Route { return t.routes[name] }
+
 // Match returns the route of a request, or nil. The host may include a port;
 // uri is the path with or without a query.
 func (t *Table) Match(host, uri string) *Route {
