ingress: the stated pace of a target counts in the expected work

The fourth figure of the load header was dropped, so a target whose machine was busy for half a second got as many requests as the others. Measured work is divided by the pace that its own answer stated.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -19,6 +19,9 @@
 		r.release(now, a.job, rep)
 	case a.coordinator != "":
 		rep.ID = a.placement
+		if rep.Load.Pace > 0 {
+			r.sendMessage(a.coordinator, &TargetPace{Target: a.target.ID, StartedAt: a.target.StartedAt, Percent: rep.Load.Pace})
+		}
 		r.sendMessage(a.coordinator, rep)
 		r.applyResult(now, a.target, rep)
 	}
@@ -196,11 +199,13 @@
 		t.terminated = false // the instance is alive; it had only stopped listening for a moment
 		t.availability.Answered(2 * t.Slots)
 		t.recordLoad(now, rep.Load)
+		t.pace.Observe(now, rep.Load.Pace)
 		r.recordLoadReport(now, t)
 		r.recordOutcome(now, t, true)
 	case ResultRefused:
 		t.answeredAt = now
 		t.recordRefusal(now, rep.Load)
+		t.pace.Observe(now, rep.Load.Pace)
 		r.recordLoadReport(now, t)
 	case ResultMisdirected:
 		r.markTerminated(now, t) // its address belongs to another target
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -204,9 +204,13 @@
 	case *quarantine.Record:
 		r.mergeQuarantine(now, m)
 	case *Report:
+		announced := r.takeAnnouncedPace(ev.From)
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok && j.state == jobPlaced {
+			m.Load.Pace = announced.percentOf(j.target)
 			r.release(now, j, m)
 		}
+	case *TargetPace:
+		r.paceAnnounced(now, ev.From, m)
 	}
 }
 
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -160,6 +160,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at the target now, in percent of usual; 0: not
+	// stated. It is not part of a Report, whose encoding is older; see TargetPace.
+	Pace int `json:"-"`
 }
 
 // RateLimit is what an answer states about the rate of requests that its target
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -159,6 +159,14 @@
 	Accounts []AccountTokens
 }
 
+// TargetPace states the pace of a target. It precedes the Report of the send whose answer
+// stated it.
+type TargetPace struct {
+	Target    fleet.TargetID
+	StartedAt int64 // of the target's instance that stated it
+	Percent   int   // see Load.Pace
+}
+
 // OutgoingMessage requests that a message be sent to another entry VM.
 type OutgoingMessage struct {
 	To      fleet.VMID
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -76,6 +76,9 @@
 	quarantine      quarantine.List
 	toEnforce       []quarantine.Fingerprint // quarantined in this step
 	expiryScheduled bool                     // a timer for expired quarantines is set
+
+	// announcedPaces holds the latest TargetPace of each VM until its next Report.
+	announcedPaces map[fleet.VMID]TargetPace
 }
 
 // New returns a Reducer without a configuration.
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/notice"
+	"github.com/azurethread/azurethread/decide/pace"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -48,7 +49,10 @@
 	probing    bool
 	probedAt   clock.Time // when the latest probe began
 	speed      target.Mean
-	limit      rateLimit
+	// pace is what the target states of its present speed. Unlike speed, it is not
+	// measured.
+	pace  pace.Estimate
+	limit rateLimit
 	// availability is what the target's answers state. backoffEndsAt is when this
 	// VM uses it again after a backoff, and toldUntil the end that it has told other
 	// VMs. unavailable means that it is among its service's unavailable targets.
@@ -82,6 +86,41 @@
 	t.reportedAt = now
 }
 
+// paceAnnounced applies the pace in an answer that another entry VM has received, and
+// keeps it for the Report of that answer.
+func (r *Reducer) paceAnnounced(now clock.Time, from fleet.VMID, m *TargetPace) {
+	t, known := r.targets[m.Target]
+	if !known || differs(t.StartedAt, m.StartedAt) {
+		return // of an earlier instance, or of one that is not known yet
+	}
+	t.pace.Observe(now, m.Percent)
+	if r.announcedPaces == nil {
+		r.announcedPaces = make(map[fleet.VMID]TargetPace)
+	}
+	if len(r.announcedPaces) > len(r.members) {
+		clear(r.announcedPaces) // VMs that have ended send no Report
+	}
+	r.announcedPaces[from] = *m
+}
+
+// takeAnnouncedPace returns and forgets what a VM has announced since its last Report. Its
+// messages arrive in order, so the announcement belongs to the Report that it sends now.
+func (r *Reducer) takeAnnouncedPace(from fleet.VMID) TargetPace {
+	m, ok := r.announcedPaces[from]
+	if ok {
+		delete(r.announcedPaces, from)
+	}
+	return m
+}
+
+// percentOf returns the announced pace if it is that of t's instance, 0 otherwise.
+func (m TargetPace) percentOf(t *targetState) int {
+	if m.Target != t.ID || differs(m.StartedAt, t.StartedAt) {
+		return 0
+	}
+	return m.Percent
+}
+
 // withinColdLimit reports whether another request may be sent to the target within
 // the current second while it is cold.
 func (t *targetState) withinColdLimit(now clock.Time, perSecond int) bool {
--- a/decide/ingress/work.go
+++ b/decide/ingress/work.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/pace"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/target"
 )
@@ -115,7 +116,7 @@
 		// placed most objects at their first target.
 		work = (work + s.expected(objectWarm)) / 2
 	}
-	return work * t.speed.At(now, float64(referenceSpeed)) / float64(referenceSpeed)
+	return work * t.speed.At(now, float64(referenceSpeed)) / float64(referenceSpeed) * t.pace.Factor(now)
 }
 
 // observeWork records the latency of an answer.
@@ -124,10 +125,11 @@
 	j.obj.markWarm(now, t)
 	s := r.routeOf(j.Route)
 	s.size.observe(float64(rep.Bytes))
-	work := rep.Took - rep.Connect - time.Duration(r.rtt(t.region))
-	work /= time.Duration(1 + j.queuedAhead/max(t.Slots, 1))
+	stay := rep.Took - rep.Connect - time.Duration(r.rtt(t.region))
+	work := stay / time.Duration(1+j.queuedAhead/max(t.Slots, 1))
 	work = max(work, time.Millisecond)
-	j.svc.share.rest.demand.add(now, work)
+	j.svc.share.rest.demand.add(now, work) // slots are taken for as long as it took
+	work = atUsualPace(work, stay, rep.Load.Pace)
 	if j.class == objectCold && s.looksWarm(work) {
 		return
 	}
@@ -137,6 +139,17 @@
 	s.work[j.class].Observe(now, work)
 }
 
+// atUsualPace returns how long work would have taken at the usual pace, if its request
+// stayed at its target for stay and the answer stated percent (0: nothing). Otherwise the
+// pace would count twice: in the measurements, and again in the expected work.
+func atUsualPace(work, stay time.Duration, percent int) time.Duration {
+	factor := pace.MeanFactor(percent, stay)
+	if factor == 1 {
+		return work
+	}
+	return max(time.Duration(float64(work)/factor), time.Millisecond)
+}
+
 // observeSpeed records the ratio of an answer's latency to the usual one.
 func (t *targetState) observeSpeed(now clock.Time, class workClass, ratio float64) {
 	least := 1.0 / maxSpeedRatio
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
+	"github.com/azurethread/azurethread/decide/pace"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -220,10 +221,12 @@
 		return
 	}
 	outcome := s.outcomeOf(ans)
+	load := parseLoad(ans.Header.Get(s.settings.Fields.Load))
 	k.keep(a, ans)
 	k.mu.Lock()
 	rec := &k.sends[a.sendIndex]
 	rec.WaitedMS = ans.ConnectionWait.Milliseconds()
+	rec.Pace = load.Pace
 	if rec.Gateway != "" {
 		rec.GatewayWaitedMS = takeGatewayWait(ans.Header)
 	}
@@ -236,7 +239,7 @@
 	s.core.Post(&ingress.Answered{
 		Attempt:        id,
 		Outcome:        outcome,
-		Load:           parseLoad(ans.Header.Get(s.settings.Fields.Load)),
+		Load:           load,
 		Limit:          s.rateLimitOf(k, a, ans),
 		Bytes:          len(ans.Body),
 		ConnectTime:    ans.ConnectTime,
@@ -287,8 +290,9 @@
 	return false
 }
 
-// parseLoad parses a target's load: requests running, requests waiting, slots.
-// The load is unknown if any of them is missing or invalid.
+// parseLoad parses a target's load: requests running, requests waiting, slots, and
+// optionally its pace in percent. The load is unknown if any of the first three is missing
+// or invalid. An invalid pace counts as not stated, and further numbers are ignored.
 func parseLoad(v string) ingress.Load {
 	var n [3]int
 	for i := range n {
@@ -300,7 +304,18 @@
 		}
 		n[i] = x
 	}
-	return ingress.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2]}
+	return ingress.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2], Pace: parsePace(v)}
+}
+
+// parsePace parses the first of the comma-separated numbers in v as a pace, 0 if there is
+// none or it is invalid.
+func parsePace(v string) int {
+	field, _, _ := strings.Cut(v, ",")
+	percent, err := strconv.Atoi(field)
+	if err != nil || !pace.IsValid(percent) {
+		return 0
+	}
+	return percent
 }
 
 // cancelAttempt executes a Cancel.
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -57,7 +57,8 @@
 	WaitedMS int64          `json:"waited_ms,omitempty"` // for a connection; 0: one was idle
 	// GatewayWaitedMS is how long it waited at its gateway for a connection.
 	GatewayWaitedMS int64           `json:"gateway_waited_ms,omitempty"`
-	TookMS          int64           `json:"took_ms"` // 0: not finished
+	TookMS          int64           `json:"took_ms"`        // 0: not finished
+	Pace            int             `json:"pace,omitempty"` // of the target, in percent; 0: not stated
 	Outcome         string          `json:"outcome"`
 	Reason          verdict.Reason  `json:"reason,omitempty"`
 	Verdict         verdict.Verdict `json:"verdict"`
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -26,6 +26,8 @@
 	kindTokenGrant
 	kindTargetNotices
 	kindGrantTerms
+
+	kindTargetPace = peer.KindIngress + 11
 )
 
 const (
@@ -47,6 +49,7 @@
 	kindTokenGrant:       func() ingress.Message { return new(ingress.TokenGrant) },
 	kindTargetNotices:    func() ingress.Message { return new(ingress.TargetNotices) },
 	kindGrantTerms:       func() ingress.Message { return new(ingress.GrantTerms) },
+	kindTargetPace:       func() ingress.Message { return new(ingress.TargetPace) },
 }
 
 // kindsByMessage is the kind of each type of messagesByKind.
