--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -176,7 +176,13 @@
 
 // isFull reports whether t has no room for another request of j's class.
 func (r *Reducer) isFull(now clock.Time, j *job, t *targetState) bool {
-	return t.load(now) >= t.Slots+r.queueLimit(classOf(now, j, t), t.Slots)
+	limit := r.queueLimit(classOf(now, j, t), t.Slots)
+	if f := t.pace.Factor(now); f > 1 {
+		// The queue of a busy target moves more slowly, and its pace may be as usual
+		// soon. With the full limit, more requests were late.
+		limit = int(float64(limit) / f)
+	}
+	return t.load(now) >= t.Slots+limit
 }
 
 // queueLimit returns how many requests beyond its slots may be at a target before
