emulate: changing pace of targets, long-tailed work, bursts of one kind

Load on targets that share machines could not be modelled: slow-targets lasts for seconds and is the same for all work. A pattern now describes machines that are busy from moment to moment (share, factor, mean time between changes, stated or not), requests with much more work than others, and a burst of one kind (request_kind; "kind" is the kind of the event). They draw from generators of their own, so patterns without them keep their results, and runs with and without the stated figure meet the same paces and requests.

--- a/decide/emulate/caller.go
+++ b/decide/emulate/caller.go
@@ -29,6 +29,8 @@
 	beyondQuota bool
 	content     quarantine.Fingerprint
 	deathQuery  *deathQuery // nil for ordinary callers
+	// workFactor multiplies the work of the request; 0: 1.
+	workFactor float64
 }
 
 // entryAttempt is one attempt of a caller at an entry VM.
@@ -60,6 +62,9 @@
 // the one after it.
 func (sim *simulation) scheduleArrival(d *Domain) {
 	rate := d.PerSecond * sim.loadFactor[d.Name] * d.Wave.factor(sim.loadSeconds())
+	if f := sim.kindFactor[d.Name]; f != nil {
+		rate *= sim.pattern.totalShare(f) / sim.pattern.totalShare(nil)
+	}
 	if rate <= 0 {
 		return
 	}
@@ -79,26 +84,44 @@
 
 // startCallerOf starts a request of an account.
 func (sim *simulation) startCallerOf(d *Domain, a *Account) {
-	k := sim.drawKind()
+	k := sim.drawKind(d)
 	c := &caller{account: a, kind: k, domain: d, startedAt: sim.now, deadline: sim.now.Add(millis(k.PatienceMS)), retries: k.Retries}
 	if k.Objects > 0 {
 		c.object = fmt.Sprintf("%s/%s/%d", d.Region, k.Name, sim.rng.IntN(k.Objects))
 	}
 	c.content = sim.drawContent(k)
+	c.workFactor = sim.drawWorkFactor()
 	c.beyondQuota = !sim.recorder.isOwed(sim.now, a)
 	sim.recorder.countAsked(c, sim.loadSeconds())
 	sim.attempt(c)
 }
 
-// drawKind draws the kind of the next request.
-func (sim *simulation) drawKind() *Kind {
+// kindFactors are the factors by which a burst multiplies the load of kinds of request.
+type kindFactors map[string]float64
+
+// shareOf returns the share of a kind relative to the other kinds' shares.
+func (f kindFactors) shareOf(k *Kind) float64 {
+	if x, ok := f[k.Name]; ok {
+		return k.Share * x
+	}
+	return k.Share
+}
+
+// totalShare returns the sum of the shares of all kinds.
+func (p *Pattern) totalShare(f kindFactors) float64 {
 	total := 0.0
-	for i := range sim.pattern.Kinds {
-		total += sim.pattern.Kinds[i].Share
+	for i := range p.Kinds {
+		total += f.shareOf(&p.Kinds[i])
 	}
-	x := sim.rng.Float64() * total
+	return total
+}
+
+// drawKind draws the kind of the next request of a failure domain.
+func (sim *simulation) drawKind(d *Domain) *Kind {
+	f := sim.kindFactor[d.Name]
+	x := sim.rng.Float64() * sim.pattern.totalShare(f)
 	for i := range sim.pattern.Kinds {
-		if x -= sim.pattern.Kinds[i].Share; x < 0 {
+		if x -= f.shareOf(&sim.pattern.Kinds[i]); x < 0 {
 			return &sim.pattern.Kinds[i]
 		}
 	}
--- a/decide/emulate/doc.go
+++ b/decide/emulate/doc.go
@@ -7,6 +7,8 @@
 // when they are asked to, and the list of entry VMs. Every VM learns of changes of targets
 // and of evacuations after a fixed time; the store from which it learns them is modelled
 // if it comes back from copies of earlier states.
+// If the pattern says so, the pace of targets changes from moment to moment, and some
+// requests have much more work than others.
 // Connections to targets are modelled if the pattern states how long idle ones
 // are kept. Processor time and bytes are not modelled.
 //
--- a/decide/emulate/event.go
+++ b/decide/emulate/event.go
@@ -81,8 +81,17 @@
 
 func (sim *simulation) setLoad(e *Event, x float64) {
 	for d := range sim.loadFactor {
-		if e.Domain == "" || e.Domain == d {
+		switch {
+		case e.Domain != "" && e.Domain != d:
+		case e.RequestKind == "":
 			sim.loadFactor[d] = x
+		case x == 1:
+			delete(sim.kindFactor[d], e.RequestKind)
+		default:
+			if sim.kindFactor[d] == nil {
+				sim.kindFactor[d] = make(kindFactors)
+			}
+			sim.kindFactor[d][e.RequestKind] = x
 		}
 	}
 }
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -43,6 +43,8 @@
 	targets     map[fleet.TargetID]*target
 	targetList  []*target // in the order of creation
 	loadFactor  map[fleet.Domain]float64
+	kindFactor  map[fleet.Domain]kindFactors                  // of bursts of one kind of request
+	tailRNG     *rand.Rand                                    // for the work of requests
 	quarantines map[quarantine.Fingerprint]*quarantine.Record // in the store
 	lastContent uint64                                        // number of the latest unique content
 	recorder    recorder
@@ -99,6 +101,8 @@
 		loadFactor: make(map[fleet.Domain]float64), vmByID: make(map[fleet.VMID]*vm),
 		vmsInDomain: make(map[fleet.Domain][]*vm), vmsInRegion: make(map[fleet.Region][]*vm),
 	}
+	sim.kindFactor = make(map[fleet.Domain]kindFactors)
+	sim.tailRNG = rand.New(rand.NewPCG(v.Seed, tailStream))
 	sim.quarantines = make(map[quarantine.Fingerprint]*quarantine.Record)
 	sim.loadStart = sim.now.Add(warmUp)
 	sim.configVersion, sim.quotaFactor = 1, make(map[route.AccountName]float64)
@@ -171,6 +175,9 @@
 				t := &target{region: d.Region, service: s, slowFactor: 1, registered: ingress.Target{
 					ID: id, Service: s.Name, Addr: string(id), Domain: d.Name, Slots: s.Slots, StartedAt: 1,
 				}}
+				if sim.pattern.Pace != nil {
+					t.machine = newMachine(sim.pattern.Pace, sim.variant.Seed, uint64(len(sim.targetList)), sim.now)
+				}
 				sim.targets[id] = t
 				sim.targetList = append(sim.targetList, t)
 			}
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -34,6 +34,10 @@
 	Accounts []Account `json:"accounts"`
 	Quota    QuotaRule `json:"quota"`
 	Events   []Event   `json:"events"`
+	// Pace describes how the speed of targets changes; nil: it does not.
+	Pace *Pace `json:"pace"`
+	// LongTail describes requests with much more work than others; nil: there are none.
+	LongTail *LongTail `json:"long_tail"`
 }
 
 // Network holds the one-way latencies in ms.
@@ -104,7 +108,8 @@
 
 // The kinds of events.
 const (
-	// Burst multiplies the load of Domain, or of all domains, by Value.
+	// Burst multiplies the load of Domain, or of all domains, by Value: that of
+	// RequestKind, or of all kinds.
 	Burst EventKind = "burst"
 	// Evacuate evacuates Domain.
 	Evacuate EventKind = "evacuate"
@@ -187,6 +192,8 @@
 	Service  fleet.ServiceName `json:"service"` // empty for all
 	Account  route.AccountName `json:"account"` // empty for all
 	How      string            `json:"how"`     // of CutTargets; empty for CutHangs
+	// RequestKind is the name of a kind of request, of Burst; empty for all.
+	RequestKind string `json:"request_kind"`
 }
 
 // ErrPattern is the error for an invalid pattern.
@@ -247,6 +254,15 @@
 		if (e.Kind == HotAccount || e.Account != "") && !known {
 			return bad("event %d: unknown account %q", i, e.Account)
 		}
+		if e.RequestKind != "" && !slices.ContainsFunc(p.Kinds, func(k Kind) bool { return k.Name == e.RequestKind }) {
+			return bad("event %d: unknown request_kind %q", i, e.RequestKind)
+		}
+	}
+	if v := p.Pace; v != nil && (v.Share < 0 || v.Share > 1 || v.Factor <= 0 || v.ChangeMS <= 0) {
+		return bad("pace: share %v is out of range, or factor %v or change_ms %v is not positive", v.Share, v.Factor, v.ChangeMS)
+	}
+	if v := p.LongTail; v != nil && (v.Share < 0 || v.Share > 1 || v.Factor <= 0) {
+		return bad("long_tail: share %v is out of range, or factor %v is not positive", v.Share, v.Factor)
 	}
 	return nil
 }
--- a/decide/emulate/send.go
+++ b/decide/emulate/send.go
@@ -74,7 +74,7 @@
 
 // sendAnswer returns an answer of t to the sending VM.
 func (sim *simulation) sendAnswer(t *target, r *execution, o ingress.Outcome) {
-	s, load, limit := r.send, t.load(), t.advertisedLimit(sim.now)
+	s, load, limit := r.send, t.load(sim.now), t.advertisedLimit(sim.now)
 	stated := t.notice(o)
 	sim.recorder.notices.countAnswer(sim.now, s, stated)
 	sim.after(sim.latency(t.registered.Domain, s.vm.self.Domain), func() {
--- a/decide/emulate/target.go
+++ b/decide/emulate/target.go
@@ -30,6 +30,7 @@
 	running int
 	queue   []*execution
 	objects objectCache
+	machine *machine // nil: its pace does not change
 }
 
 // execution is one request that a target executes or queues.
@@ -43,8 +44,9 @@
 // coldWorkFactor multiplies the work at a cold target.
 const coldWorkFactor = 2
 
-// workTime draws how long the execution of a request takes.
-func (t *target) workTime(sim *simulation, k *Kind, object string) time.Duration {
+// workTime draws how long the execution of a request takes at the usual pace.
+func (t *target) workTime(sim *simulation, c *caller, object string) time.Duration {
+	k := c.kind
 	ms := k.WorkMS * (1 + k.WorkSpread*(2*sim.rng.Float64()-1)) * t.slowFactor
 	if t.objects.touch(object, t.service.CachedObjects) {
 		ms *= 1 - k.WarmSaving
@@ -52,11 +54,14 @@
 	if sim.now.Before(t.coldEnd) {
 		ms *= coldWorkFactor
 	}
+	if c.workFactor > 0 {
+		ms *= c.workFactor
+	}
 	return millis(ms)
 }
 
-func (t *target) load() ingress.Load {
-	return ingress.Load{Known: true, Running: t.running, Waiting: len(t.queue), Slots: t.service.Slots}
+func (t *target) load(now clock.Time) ingress.Load {
+	return ingress.Load{Known: true, Running: t.running, Waiting: len(t.queue), Slots: t.service.Slots, Pace: t.machine.statedPace(now)}
 }
 
 // handleRequest executes, queues or refuses a request.
@@ -80,7 +85,7 @@
 
 func (t *target) startExecution(sim *simulation, r *execution) {
 	t.running++
-	took := t.workTime(sim, r.send.attempt.kind, r.object)
+	took := t.machine.duration(sim.now, t.workTime(sim, r.send.attempt.caller, r.object))
 	start := t.registered.StartedAt
 	if r.send.attempt.deathQuery != nil {
 		sim.after(deathQueryWork, func() { sim.crashTarget(t, r, start) })
