ingress: the share of other regions ignores the pace

The cost of the own region's best target includes its present pace, while the paces of other regions' targets are seldom known, so requests voted for a larger share because single targets were busy for a moment. They now vote by the cost at the usual pace.

--- a/decide/ingress/pace_test.go
+++ b/decide/ingress/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -300,3 +301,21 @@
 		is.True(s.grantTo("vm-a", 2) != busy)
 	}
 }
+
+// Guards against a share of other regions that follows the paces of single targets of the
+// own region, which last for less than a second.
+func TestShareIgnoresPace(t *testing.T) {
+	is := is.New(t)
+	s := newPlacementHarness(t)
+	for id := RequestID(100); id < 103; id++ {
+		s.arriveOnce(id, "/a/x", "o0") // more than t1 has slots
+	}
+	svc := s.r.targets["t1"].svc
+	j := &job{PlacementRequest: PlacementRequest{Service: "svc", Route: "a", Object: "o0", Domain: "d1"}, svc: svc, obj: svc.objects.get("o0")}
+	local, _ := s.r.bestOptions(s.now, j, false)
+	is.Equal(s.r.usualCost(s.now, j, local), local.cost)
+	s.r.targets["t1"].pace.Observe(s.now, 250)
+	busy, _ := s.r.bestOptions(s.now, j, false)
+	is.True(busy.cost > 2*local.cost)
+	is.True(math.Abs(s.r.usualCost(s.now, j, busy)/local.cost-1) < 1e-9)
+}
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -137,7 +137,7 @@
 		s.start(now, r.slotsOf(j.svc).share())
 	}
 	if j.state == jobNew {
-		s.adjust(now, remote.cost < local.cost || (r.on(Headroom) && r.lacksHeadroom(now, j.svc)))
+		s.adjust(now, r.usualCost(now, j, remote) < r.usualCost(now, j, local) || (r.on(Headroom) && r.lacksHeadroom(now, j.svc)))
 	}
 	first, second, toRemote := local, remote, true
 	belongsTo, reason := s.sideFor(now, r.objectHash(j.Object), warmSide(now, j, local.t, remote.t))
@@ -243,6 +243,19 @@
 	return r.rtt(t.region) + r.expectedWork(now, j, t) + r.expectedWait(now, j, t) + r.transferCost(j, t)
 }
 
+// usualCost returns the cost of o at the usual pace of its target. The share of requests in
+// other regions takes seconds to change; a pace lasts for less, and the paces of other
+// regions' targets are seldom known here. With the present cost, the share followed the
+// paces of single targets of the own region.
+func (r *Reducer) usualCost(now clock.Time, j *job, o option) float64 {
+	f := o.t.pace.Factor(now)
+	if f == 1 {
+		return o.cost
+	}
+	unpaced := r.rtt(o.t.region) + r.transferCost(j, o.t)
+	return unpaced + (o.cost-unpaced)/f
+}
+
 // expectedWait returns how long j would wait at t for a slot, in ns.
 func (r *Reducer) expectedWait(now clock.Time, j *job, t *targetState) float64 {
 	ahead := t.load(now) + t.preferredBy
