--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -27,6 +27,7 @@
 	kindTargetNotices
 	kindGrantTerms
 	kindTokenDemand
+	kindTargetPace
 )
 
 const (
@@ -49,6 +50,7 @@
 	kindTargetNotices:    func() ingress.Message { return new(ingress.TargetNotices) },
 	kindGrantTerms:       func() ingress.Message { return new(ingress.GrantTerms) },
 	kindTokenDemand:      func() ingress.Message { return new(ingress.TokenDemand) },
+	kindTargetPace:       func() ingress.Message { return new(ingress.TargetPace) },
 }
 
 // kindsByMessage is the kind of each type of messagesByKind.
