admission: order waiting requests by class and account, refuse those that would wait in vain

Cause: waiting requests are served by priority and arrival alone, so one account's backlog delays all others of its class, and a request learns only at the end of its wait that there was no slot. Change: package decide/admission, used by decide/ingress when Options.Admission is set. Without it, the list and its order are the code of before, moved to admission.go.

--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -18,7 +18,7 @@
 		case jobPlaced:
 			inFlight[j.target]++
 		case jobWaiting:
-			if !j.node.Queued() {
+			if !j.queued() {
 				return fmt.Errorf("job %v: waiting, but not in the queue", key)
 			}
 			if j.preferred != nil {
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -1,10 +1,10 @@
 package ingress
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/azurethread/azurethread/decide/admission"
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/queue"
@@ -38,6 +38,8 @@
 	// preferred is the target that a waiting job would go to.
 	preferred *targetState
 	seq       uint64 // its place among the waiting jobs of its priority
+	// entry is its place among the waiting jobs with admission, instead of node and seq.
+	entry *admission.Entry[*job]
 	// regionReason is what determined the region of the latest choice; localFaster
 	// means that the own region's best target was expected to answer sooner.
 	regionReason RegionReason
@@ -95,6 +97,7 @@
 // placeCharged finds a target for j, which is within its account's quota.
 func (r *Reducer) placeCharged(now clock.Time, j *job) {
 	if t := r.choose(now, j); t != nil {
+		r.chargePlaced(now, j, t)
 		r.grant(now, j, t)
 		return
 	}
@@ -105,14 +108,11 @@
 		r.deny(now, j)
 		return
 	}
-	j.state = jobWaiting
-	at := j.svc.waiting.Back()
-	for at != nil && at.Item.Priority > j.Priority {
-		at = at.Prev()
+	if r.denyOnArrival(now, j) {
+		return
 	}
-	j.svc.waiting.InsertAfter(at, &j.node)
-	j.svc.lastSeq++
-	j.seq = j.svc.lastSeq
+	j.state = jobWaiting
+	r.enqueue(now, j)
 	j.startWaiting()
 	r.timers.add(timer{at: j.waitUntil, purpose: dueJob, job: j})
 }
@@ -176,6 +176,9 @@
 // deny reports to j's entry VM that there is no target for it.
 func (r *Reducer) deny(now clock.Time, j *job) {
 	reason, freeAfter := r.denyReason(now, j), r.freeAfter(now, j)
+	if j.svc.waiting.fair != nil && reason == verdict.ReasonOverload {
+		freeAfter = r.returnAfter(now, j)
+	}
 	r.refund(now, j)
 	r.denyFor(now, j, reason, freeAfter)
 }
@@ -183,6 +186,9 @@
 // denyFor reports a reason for which j is not placed. It may be placed after
 // freeAfter.
 func (r *Reducer) denyFor(now clock.Time, j *job, reason verdict.Reason, freeAfter time.Duration) {
+	if j.entry.Queued() {
+		j.svc.waiting.counts.RefusedAfterWait[reason]++
+	}
 	r.removeJob(j)
 	if j.req != nil {
 		r.placementDenied(now, j.req, reason, freeAfter)
@@ -202,9 +208,9 @@
 
 // removeJob removes j from the queue and the jobs.
 func (r *Reducer) removeJob(j *job) {
-	if j.node.Queued() {
+	if j.queued() {
 		j.stopWaiting()
-		j.svc.waiting.Remove(&j.node)
+		j.svc.waiting.dequeue(j)
 	}
 	j.state = jobDone
 	delete(r.jobs, j.key)
@@ -291,11 +297,7 @@
 		r.dispatchWaiting(now, s)
 		return
 	}
-	waiters := slices.Clone(t.waiters)
-	slices.SortFunc(waiters, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.seq, b.seq))
-	})
-	for _, j := range waiters {
+	for j := range s.waiting.inOrder(now, t.waiters) {
 		if t.load(now) >= load {
 			return
 		}
@@ -306,10 +308,8 @@
 // dispatchWaiting places the waiting jobs of s for which there is room.
 func (r *Reducer) dispatchWaiting(now clock.Time, s *service) {
 	s.dispatchedAt = now
-	for n := s.waiting.Front(); n != nil; {
-		next := n.Next()
-		r.retryPlacement(now, n.Item)
-		n = next
+	for j := range s.waiting.all(now) {
+		r.retryPlacement(now, j)
 	}
 }
 
@@ -322,7 +322,7 @@
 		r.denyUnavailable(now, j) // which ends the wait
 		return
 	}
-	j.svc.waiting.Remove(&j.node)
+	r.dequeueFor(now, j, t)
 	r.grant(now, j, t)
 }
 
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -23,6 +23,10 @@
 	Start clock.Time
 	// Disabled is the set of mechanisms that are switched off in experiments.
 	Disabled Mechanisms
+	// Admission has requests that wait for a slot served by class and by fair shares of
+	// their accounts, and refuses those that would wait in vain on arrival (package
+	// admission). Otherwise they are served by priority, then in the order of arrival.
+	Admission bool
 }
 
 // Bounds are the operators' limits for all entry VMs together.
--- a/decide/ingress/placement_stats.go
+++ b/decide/ingress/placement_stats.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -24,6 +25,10 @@
 	NoChoice int
 	// Waiting is the number of requests that wait for a target now.
 	Waiting int
+	// RefusedOnArrival counts the requests that would have waited in vain, and
+	// WaitedAccounts the client accounts of those that began to wait; requests without an
+	// account count as one. Both are 0 without admission.
+	RefusedOnArrival, WaitedAccounts int
 	// LocalRTT and RemoteRTT are the present round-trip times within the own region
 	// and to the farthest one.
 	LocalRTT, RemoteRTT time.Duration
@@ -104,6 +109,9 @@
 	remoteByReason map[RegionReason]int
 	remoteSlower   int
 	noChoice       int
+
+	refusedOnArrival int
+	waitedAccounts   map[route.AccountName]bool
 }
 
 // TakePlacementStats returns the counts since its last call, one record for each
@@ -124,25 +132,38 @@
 			NoChoice: s.counts.noChoice, Waiting: s.waiting.Len(),
 			LocalRTT: time.Duration(r.rtt(r.region)), RemoteRTT: time.Duration(r.farthestRTT()),
 			Share: s.share.setpoint, WantedShare: s.share.wanted,
+			RefusedOnArrival: s.counts.refusedOnArrival, WaitedAccounts: len(s.counts.waitedAccounts),
 		})
 		s.counts = nil
 	}
 	return out
 }
 
+// countsNow returns the counts since TakePlacementStats.
+func (s *service) countsNow() *placementCounts {
+	if s.counts == nil {
+		s.counts = &placementCounts{
+			byRegion: make(map[fleet.Region]int), remoteByReason: make(map[RegionReason]int),
+			waitedAccounts: make(map[route.AccountName]bool),
+		}
+	}
+	return s.counts
+}
+
+// countWaitingAccount counts the account of j, which begins to wait.
+func (s *service) countWaitingAccount(j *job) { s.countsNow().waitedAccounts[j.Account] = true }
+
 // countPlacement counts a request that was placed.
 func (r *Reducer) countPlacement(j *job) {
 	s := j.svc
-	if s.counts == nil {
-		s.counts = &placementCounts{byRegion: make(map[fleet.Region]int), remoteByReason: make(map[RegionReason]int)}
-	}
-	s.counts.byRegion[j.target.region]++
-	s.counts.noChoice += count(!j.hadChoice)
+	c := s.countsNow()
+	c.byRegion[j.target.region]++
+	c.noChoice += count(!j.hadChoice)
 	if r.isLocal(j.target) {
 		return
 	}
-	s.counts.remoteByReason[j.regionReason]++
+	c.remoteByReason[j.regionReason]++
 	if j.localFaster {
-		s.counts.remoteSlower++
+		c.remoteSlower++
 	}
 }
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -296,6 +296,9 @@
 // room becomes free.
 func (r *Reducer) retryAfter(q *request) time.Duration {
 	aim := float64(q.aim())
+	if free := float64(q.freeAfter); r.opts.Admission && q.reason == verdict.ReasonOverload && free > 0 && free < maxRetryAfter*aim {
+		return time.Duration(max(free, minRetryAfter*aim)) // the coordinator has spread the returns
+	}
 	delay := min(max(float64(q.freeAfter), minRetryAfter*aim), maxRetryAfter*aim)
 	return time.Duration(delay * (1 + r.rng.Float64()))
 }
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -6,7 +6,6 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
-	"github.com/azurethread/azurethread/decide/queue"
 	"github.com/azurethread/azurethread/decide/target"
 )
 
@@ -22,8 +21,7 @@
 	withoutObject []*targetState   // in the order for requests without an object; nil: not computed
 	occupancy     occupancy
 	objects       objects
-	waiting       queue.FIFO[*job]
-	lastSeq       uint64     // given to waiting jobs
+	waiting       waitingJobs
 	dispatchedAt  clock.Time // when all waiting jobs were last tried
 
 	lastTargets lastTargets // where this VM's own requests ran
@@ -40,7 +38,7 @@
 func (r *Reducer) serviceOf(name fleet.ServiceName) *service {
 	s, ok := r.services[name]
 	if !ok {
-		s = &service{name: name, groups: make([][]*targetState, 1+len(r.groups))}
+		s = &service{name: name, groups: make([][]*targetState, 1+len(r.groups)), waiting: r.newWaitingJobs()}
 		r.services[name] = s
 	}
 	return s
