admission: settings, counters, benchmarks and tests of the queue

Cause: nothing enabled the queue, and nothing guarded its order, shares and predictions. The order of two accounts without granted work was not transitive; now they are ordered by when they appeared (found by TestOrder).

--- a/decide/admission/account.go
+++ b/decide/admission/account.go
@@ -27,6 +27,7 @@
 type class struct {
 	priority int
 	accounts map[string]*account
+	lastSeq  uint64     // given to accounts
 	waiting  []*account // those with waiting requests, in no order
 	n        int        // waiting requests
 	// passedOver counts the grants to other classes while requests of this one
@@ -43,9 +44,10 @@
 	// form the decay does not change the order of accounts, and nothing has to be
 	// recomputed as time passes.
 	level  float64
-	n      int // waiting requests
-	late   int // of them, those that could not meet their objective on arrival
-	at     int // index in class.waiting
+	seq    uint64 // orders accounts of the same level
+	n      int    // waiting requests
+	late   int    // of them, those that could not meet their objective on arrival
+	at     int    // index in class.waiting
 	usedAt clock.Time
 }
 
@@ -62,7 +64,8 @@
 func (c *class) accountOf(now clock.Time, r *Request) *account {
 	a, ok := c.accounts[r.Account]
 	if !ok {
-		a = &account{level: math.Inf(-1)}
+		c.lastSeq++
+		a = &account{level: math.Inf(-1), seq: c.lastSeq}
 		c.accounts[r.Account] = a
 	}
 	if w := r.weight(); w != a.weight {
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -152,16 +152,12 @@
 		return cmp.Compare(a.class.priority, b.class.priority)
 	}
 	if a.account != b.account {
-		if by := cmp.Compare(a.account.level, b.account.level); by != 0 {
-			return by
-		}
-	} else if late := count(a.isLate(now)) - count(b.isLate(now)); late != 0 {
-		return late
+		return cmp.Or(cmp.Compare(a.account.level, b.account.level), cmp.Compare(a.account.seq, b.account.seq))
 	}
-	if by := cmp.Compare(a.request.Arrived, b.request.Arrived); by != 0 {
-		return by
+	if late := count(a.isLate(now)) - count(b.isLate(now)); late != 0 {
+		return late
 	}
-	return cmp.Compare(a.seq, b.seq)
+	return cmp.Or(cmp.Compare(a.request.Arrived, b.request.Arrived), cmp.Compare(a.seq, b.seq))
 }
 
 // All returns the waiting requests in the order of service. During the walk, requests
--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -218,6 +218,7 @@
 			RetrySlack: sim.pattern.RepeatSlack, RetryWindow: 10 * time.Second, RegionShift: sim.pattern.RegionShift,
 			Quota: sim.pattern.Quota.rule(),
 		},
+		Admission: sim.pattern.Admission,
 	})
 	sim.step(v, &ingress.Configured{Table: sim.table})
 	if sim.store != nil {
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -34,6 +34,8 @@
 	Accounts []Account `json:"accounts"`
 	Quota    QuotaRule `json:"quota"`
 	Events   []Event   `json:"events"`
+	// Admission is ingress.Options.Admission of all entry VMs.
+	Admission bool `json:"admission"`
 }
 
 // Network holds the one-way latencies in ms.
--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/admission"
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/queue"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -240,13 +241,13 @@
 
 // AdmissionCounts returns the counts of each service whose requests are admitted by an
 // admission.Queue.
-func (r *Reducer) AdmissionCounts() map[string]AdmissionCounts {
-	out := make(map[string]AdmissionCounts, len(r.services))
+func (r *Reducer) AdmissionCounts() map[fleet.ServiceName]AdmissionCounts {
+	out := make(map[fleet.ServiceName]AdmissionCounts, len(r.services))
 	for name, s := range r.services {
 		if s.waiting.fair != nil {
 			c := s.waiting.counts
 			c.RefusedOnArrival, c.RefusedAfterWait = maps.Clone(c.RefusedOnArrival), maps.Clone(c.RefusedAfterWait)
-			out[string(name)] = c
+			out[name] = c
 		}
 	}
 	return out
--- a/decide/ingress/bench_test.go
+++ b/decide/ingress/bench_test.go
@@ -24,9 +24,16 @@
 	out  ingress.Ready
 	now  clock.Time
 	next ingress.RequestID
+	// accounts is the number of client accounts of requestPlacement; 0: none.
+	accounts int
 }
 
 func newFleetMember(size fleetSize, self string) *fleetMember {
+	return newFleetMemberWith(size, self, ingress.Options{})
+}
+
+// newFleetMemberWith is newFleetMember with some options.
+func newFleetMemberWith(size fleetSize, self string, o ingress.Options) *fleetMember {
 	regions := make(map[fleet.Domain]fleet.Region)
 	var domains []fleet.Domain
 	for i := range 9 {
@@ -35,8 +42,9 @@
 		domains = append(domains, d)
 	}
 	m := &fleetMember{size: size, now: clock.Time(time.Hour)}
-	m.r = ingress.New(ingress.Options{Self: fleet.VMID(self), Domain: "d0", Regions: regions, Seed: 1,
-		Bounds: ingress.Bounds{RegionShift: 0.15, ColdFactor: 1.5, ColdSlack: 10}})
+	o.Self, o.Domain, o.Regions, o.Seed = fleet.VMID(self), "d0", regions, 1
+	o.Bounds = ingress.Bounds{RegionShift: 0.15, ColdFactor: 1.5, ColdSlack: 10}
+	m.r = ingress.New(o)
 	cfg := &route.Config{Version: 1, Services: map[fleet.ServiceName]route.Service{"svc": {Name: "svc", ColdRate: 2.6, ColdTime: 3 * time.Second}},
 		Routes: []route.Route{{Name: "a", Host: "h", Prefix: "/a/", Idempotent: true, Attempts: 3, Aim: 600 * time.Millisecond,
 			Parts: []route.Part{{Service: "svc", Weight: 1}}}}}
@@ -71,7 +79,11 @@
 func (m *fleetMember) requestPlacement(object string, wait time.Duration) ingress.PlacementID {
 	m.next++
 	id := ingress.PlacementID(m.next)
-	m.step(&ingress.IncomingMessage{From: "vm0", Message: &ingress.PlacementRequest{ID: id, Service: "svc", Route: "a", Object: object, Domain: "d3", MaxWait: wait, TimeLeft: 4 * time.Second}})
+	p := &ingress.PlacementRequest{ID: id, Service: "svc", Route: "a", Object: object, Domain: "d3", MaxWait: wait, TimeLeft: 4 * time.Second}
+	if m.accounts > 0 {
+		p.Account = route.AccountName(fmt.Sprint("account-", int(m.next)%m.accounts))
+	}
+	m.step(&ingress.IncomingMessage{From: "vm0", Message: p})
 	if len(m.out.Messages) == 0 {
 		return 0
 	}
@@ -156,39 +168,67 @@
 func BenchmarkCrowdedCoordinator(b *testing.B) {
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
-			m := newFleetMember(size, "self")
-			names := objectNames(size.objects)
-			var open []ingress.PlacementID
-			waiting := 0
-			for n := 0; waiting < 1000; n++ {
-				if id := m.requestPlacement(names[n%len(names)], time.Hour); id != 0 {
-					open = append(open, id)
-				} else {
-					waiting++
-				}
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				m.now = m.now.Add(100 * time.Microsecond)
-				m.report(open[0])
-				open = open[1:]
-				for _, t := range m.out.Messages {
-					if g, ok := t.Message.(*ingress.Grant); ok {
-						open = append(open, g.ID)
-					}
-				}
-				if id := m.requestPlacement(names[i%len(names)], time.Hour); id != 0 {
-					open = append(open, id)
-				}
-				if len(open) == 0 {
-					b.Fatal("no request is under way")
-				}
-			}
+			benchmarkCrowded(b, newFleetMember(size, "self"), 1000, time.Hour)
 		})
 	}
 }
 
+// BenchmarkCrowdedAdmission is BenchmarkCrowdedCoordinator with admission and client
+// accounts. In the last case a new request is refused on arrival.
+func BenchmarkCrowdedAdmission(b *testing.B) {
+	for _, size := range fleetSizes {
+		for _, c := range []struct {
+			accounts, waiting int
+			wait              time.Duration
+		}{{1, 1000, time.Hour}, {100, 1000, time.Hour}, {1000, 1000, time.Hour}, {100, 4000, time.Hour}, {100, 1000, time.Millisecond}} {
+			b.Run(fmt.Sprintf("targets=%d/accounts=%d/waiting=%d/wait=%v", size.targets, c.accounts, c.waiting, c.wait), func(b *testing.B) {
+				m := newFleetMemberWith(size, "self", ingress.Options{Admission: true})
+				m.limitless(c.accounts)
+				benchmarkCrowded(b, m, c.waiting, c.wait)
+			})
+		}
+	}
+}
+
+// limitless puts a configuration with n accounts without quotas in force.
+func (m *fleetMember) limitless(n int) {
+	m.accounts = n
+	m.configureAccounts(n, route.Quota{})
+}
+
+// benchmarkCrowded measures m with some waiting requests, and new ones with the given
+// wait.
+func benchmarkCrowded(b *testing.B, m *fleetMember, wantWaiting int, wait time.Duration) {
+	names := objectNames(m.size.objects)
+	var open []ingress.PlacementID
+	waiting := 0
+	for n := 0; waiting < wantWaiting; n++ {
+		if id := m.requestPlacement(names[n%len(names)], time.Hour); id != 0 {
+			open = append(open, id)
+		} else {
+			waiting++
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		m.now = m.now.Add(100 * time.Microsecond)
+		m.report(open[0])
+		open = open[1:]
+		for _, t := range m.out.Messages {
+			if g, ok := t.Message.(*ingress.Grant); ok {
+				open = append(open, g.ID)
+			}
+		}
+		if id := m.requestPlacement(names[i%len(names)], wait); id != 0 {
+			open = append(open, id)
+		}
+		if len(open) == 0 {
+			b.Fatal("no request is under way")
+		}
+	}
+}
+
 // BenchmarkReceivingVM measures one request at an entry VM that asks a coordinator
 // for its target, without and with client accounts.
 func BenchmarkReceivingVM(b *testing.B) {
@@ -205,7 +245,7 @@
 func benchmarkReceivingVM(b *testing.B, size fleetSize, accounts int) {
 	m := newFleetMember(size, "vm3")
 	names := objectNames(size.objects)
-	keys := m.configureAccounts(accounts)
+	keys := m.configureAccounts(accounts, route.Quota{PerSecond: 1e9, Burst: 1e9})
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
@@ -226,9 +266,9 @@
 	}
 }
 
-// configureAccounts puts a configuration with n limited accounts in force, and
+// configureAccounts puts a configuration with n accounts of a quota in force, and
 // returns a key of each.
-func (m *fleetMember) configureAccounts(n int) []string {
+func (m *fleetMember) configureAccounts(n int, q route.Quota) []string {
 	if n == 0 {
 		return nil
 	}
@@ -240,7 +280,7 @@
 		keys = append(keys, fmt.Sprintf("key-of-account-%06d", i))
 		cfg.Accounts = append(cfg.Accounts, route.Account{
 			Name: route.AccountName(fmt.Sprint("account-", i)), Keys: []route.KeyDigest{route.DigestKey(keys[i])},
-			Quota: route.Quota{PerSecond: 1e9, Burst: 1e9},
+			Quota: q,
 		})
 	}
 	m.step(&ingress.Configured{Table: route.NewTable(cfg)})
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/outbound"
@@ -194,6 +195,15 @@
 		return m.HeapAlloc
 	})
 	gauge("placement", func() any { return s.placement() })
+	gauge("admission", func() any { return s.admissionCounts() })
+}
+
+// admissionCounts returns what became of the requests that found no slot on arrival, by
+// service.
+func (s *Server) admissionCounts() map[fleet.ServiceName]ingress.AdmissionCounts {
+	var counts map[fleet.ServiceName]ingress.AdmissionCounts
+	s.core.Query(func(_ clock.Time, r *ingress.Reducer) { counts = r.AdmissionCounts() })
+	return counts
 }
 
 // storeAge returns how long ago this VM's copy last matched the store.
--- a/serve/ingress/placementlog.go
+++ b/serve/ingress/placementlog.go
@@ -36,6 +36,7 @@
 			WithField("crossed", p.RemoteByReason).WithField("slower", p.RemoteSlower).
 			WithField("no_choice", p.NoChoice).WithField("waiting", p.Waiting).
 			WithField("rtt_ms", p.LocalRTT.Seconds()*1000).WithField("far_rtt_ms", p.RemoteRTT.Seconds()*1000).
+			WithField("refused_on_arrival", p.RefusedOnArrival).WithField("waited_accounts", p.WaitedAccounts).
 			WithField("kept", p.Share).WithField("wanted", p.WantedShare).Info("requests were placed")
 	}
 }
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -172,6 +172,7 @@
 		Bounds:    s.settings.Bounds,
 		DrainTime: s.settings.DrainTime,
 		Start:     s.now(),
+		Admission: s.settings.Admission,
 		Seed:      xxhash.Sum64String(string(s.settings.Self.ID)) ^ uint64(s.now()),
 	})
 	s.core = core.New(s.now, r, s.step(r), &ingress.Tick{})
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -38,6 +38,8 @@
 	// as draining or removed.
 	DrainTime time.Duration
 	Bounds    ingress.Bounds
+	// Admission enables fair shares and early refusals of requests that wait for a slot.
+	Admission bool
 	Fields    Fields
 	Pages     Pages
 	Translate Translator
