admission: places at targets go to the first request in the order of service

Change: at a target for which several classes or accounts wait, the first request in the order gets the place, warm or not. The rate of grants also counts requests that are placed at once while others wait; otherwise early refusals lower the rate on which they are based.

--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -130,6 +130,9 @@
 func (q *Queue[T]) Charge(now clock.Time, r Request, work time.Duration) {
 	q.sweep(now)
 	q.newClassOf(r.Priority).accountOf(now, &r).charge(now, work)
+	if len(q.entries) > 0 {
+		q.granted.add(now, 1)
+	}
 }
 
 // advance records that requests waited since the latest event.
--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -137,6 +137,61 @@
 	}
 }
 
+// chooseOrAdmit is choose, with another rule for full targets if there is admission. choose
+// has j wait for its preferred target, whose expected wait counts all waiting jobs, also
+// those that go after j. So j may also take a candidate of the same side that has room
+// and where its work is of the same class or a better one.
+//
+// contended is a target at which a place has become free for which requests of several
+// classes or accounts wait; nil: none. There, a cold request may wait at the target like a
+// warm one. Otherwise the warm requests of a crowd, which fill the targets' queues, would
+// keep it from its slot although it goes before them.
+func (r *Reducer) chooseOrAdmit(now clock.Time, j *job, contended *targetState) *targetState {
+	t := r.choose(now, j)
+	if t != nil || j.svc.waiting.fair == nil || j.preferred == nil {
+		return t
+	}
+	class, local := classOf(now, j, j.preferred), r.isLocal(j.preferred)
+	var best option
+	for _, x := range j.candidates {
+		room := !r.isFull(now, j, x.t) || (x.t == contended && x.t.load(now) < x.t.Slots+r.queueLimit(objectWarm, x.t.Slots))
+		if room && r.isLocal(x.t) == local && classOf(now, j, x.t) <= class {
+			best.keepCheaper(x, r.cost(now, j, x.t))
+		}
+	}
+	return best.t
+}
+
+// dispatchFairly is dispatchAfter with admission. The first job in the order of service
+// for which t is a candidate gets the place. Those that are placed at once on arrival
+// find it only if no waiting job can use it.
+func (r *Reducer) dispatchFairly(now clock.Time, t *targetState, load int) {
+	s := t.svc
+	contended := t
+	if !isContended(t.waiters) {
+		contended = nil
+	}
+	for j := range s.waiting.inOrder(now, t.waiters) {
+		if t.load(now) >= load {
+			break
+		}
+		r.retryPlacement(now, j, contended)
+	}
+	if s.waiting.Len() <= dispatchAllLimit || now.Sub(s.dispatchedAt) >= dispatchInterval {
+		r.dispatchWaiting(now, s)
+	}
+}
+
+// isContended reports whether jobs of several classes or accounts are in a list.
+func isContended(jobs []*job) bool {
+	for _, j := range jobs {
+		if j.Priority != jobs[0].Priority || j.Account != jobs[0].Account {
+			return true
+		}
+	}
+	return false
+}
+
 // chargePlaced charges the account of j, which is placed at t without waiting.
 func (r *Reducer) chargePlaced(now clock.Time, j *job, t *targetState) {
 	w := &j.svc.waiting
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -96,7 +96,7 @@
 
 // placeCharged finds a target for j, which is within its account's quota.
 func (r *Reducer) placeCharged(now clock.Time, j *job) {
-	if t := r.choose(now, j); t != nil {
+	if t := r.chooseOrAdmit(now, j, nil); t != nil {
 		r.chargePlaced(now, j, t)
 		r.grant(now, j, t)
 		return
@@ -222,7 +222,7 @@
 	case j.state == jobUncharged && !j.waitUntil.After(now):
 		r.denyOverQuota(now, j)
 	case j.state == jobWaiting && !j.waitUntil.After(now):
-		r.retryPlacement(now, j)
+		r.retryPlacement(now, j, nil)
 		if j.state == jobWaiting {
 			r.deny(now, j)
 		}
@@ -293,6 +293,10 @@
 // ended.
 func (r *Reducer) dispatchAfter(now clock.Time, t *targetState, load int) {
 	s := t.svc
+	if s.waiting.fair != nil {
+		r.dispatchFairly(now, t, load)
+		return
+	}
 	if s.waiting.Len() <= dispatchAllLimit || now.Sub(s.dispatchedAt) >= dispatchInterval {
 		r.dispatchWaiting(now, s)
 		return
@@ -301,7 +305,7 @@
 		if t.load(now) >= load {
 			return
 		}
-		r.retryPlacement(now, j)
+		r.retryPlacement(now, j, nil)
 	}
 }
 
@@ -309,14 +313,15 @@
 func (r *Reducer) dispatchWaiting(now clock.Time, s *service) {
 	s.dispatchedAt = now
 	for j := range s.waiting.all(now) {
-		r.retryPlacement(now, j)
+		r.retryPlacement(now, j, nil)
 	}
 }
 
-// retryPlacement places a waiting job if there is room for it.
-func (r *Reducer) retryPlacement(now clock.Time, j *job) {
+// retryPlacement places a waiting job if there is room for it. See chooseOrAdmit for
+// contended.
+func (r *Reducer) retryPlacement(now clock.Time, j *job, contended *targetState) {
 	j.stopWaiting()
-	t := r.choose(now, j)
+	t := r.chooseOrAdmit(now, j, contended)
 	if t == nil {
 		j.startWaiting()
 		r.denyUnavailable(now, j) // which ends the wait
