--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -148,7 +148,7 @@
 // keep it from its slot although it goes before them.
 func (r *Reducer) chooseOrAdmit(now clock.Time, j *job, contended *targetState) *targetState {
 	t := r.choose(now, j)
-	if t != nil || j.svc.waiting.fair == nil || j.preferred == nil {
+	if t != nil || j.svc.waiting.fair == nil || j.preferred == nil || j.MayCrashTarget {
 		return t
 	}
 	class, local := classOf(now, j, j.preferred), r.isLocal(j.preferred)
--- a/decide/ingress/admission_test.go
+++ b/decide/ingress/admission_test.go
@@ -5,9 +5,12 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
@@ -133,8 +136,8 @@
 
 // apply passes an event to the entry VM and executes the effects.
 func (x *loadRun) apply(ev Event) {
-	out := *x.step(ev)
-	x.out = Ready{}
+	var out Ready
+	x.r.Step(x.now, ev, &out)
 	for _, f := range out.Refusals {
 		x.ended[f.Request](&f)
 	}
@@ -187,33 +190,73 @@
 	return list
 }
 
-func (x *loadRun) log(name string) {
-	for _, g := range slices.Sorted(maps.Keys(x.groups)) {
-		x.t.Logf("%s: %s: %+v", name, g, *x.groups[g])
+// group adds up the outcomes of all groups with the prefix.
+func (x *loadRun) group(prefix string) (sum outcomes) {
+	for name, o := range x.groups {
+		if strings.HasPrefix(name, prefix) {
+			sum.asked, sum.inAim, sum.late = sum.asked+o.asked, sum.inAim+o.inAim, sum.late+o.late
+			sum.refused, sum.refusedIn = sum.refused+o.refused, sum.refusedIn+o.refusedIn
+		}
 	}
-	x.t.Logf("%s: %+v", name, x.r.AdmissionCounts()["svc"])
+	return sum
 }
 
-func TestLoads(t *testing.T) {
+// Guards against an order of service that lets a crowd of requests displace others of more
+// urgent classes or of other accounts, and against early refusals that cost answers. The
+// same load without admission shows that there is something to guard against.
+func TestAdmissionUnderLoad(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		add   []source
 		extra func(*loadRun)
+		// spared are the groups of which at most mayRefuse is refused.
+		spared    []string
+		mayRefuse float64
+		// floor is the least share of the answers that the groups least get.
+		least []string
+		floor float64
 	}{
-		{"one account sends eight times its usual", []source{{"hot", "a1", 1, 140}}, nil},
-		{"a crowd of the least urgent kind", []source{{"crowd", "c", 2, 1000}}, nil},
-		{"a crowd of the most urgent", []source{{"crowd", "c", 0, 1000}}, nil},
-		{"half of the targets replaced cold", nil, func(x *loadRun) {
-			x.after(loadTime/2, func() {
-				for i := range 5 {
-					x.step(&TargetsChanged{Updated: []Target{{ID: fleet.TargetID(fmt.Sprint("t", i)), Service: "svc", Domain: "d1", Slots: 5, StartedAt: 2, Cold: 2 * time.Second}}})
-				}
-			})
-		}},
+		{name: "one account sends eight times its usual", add: []source{{"hot", "hot", 2, 20}, {"hot", "hot", 2, 140}},
+			spared: []string{"usual-0", "usual-1"}, mayRefuse: 0.01},
+		{name: "a crowd of the least urgent kind", add: []source{{"crowd", "c", 2, 1000}},
+			spared: []string{"usual-0", "usual-1", "usual-2"}, mayRefuse: 0.04, least: []string{"crowd"}, floor: 0.25},
+		{name: "a crowd of the most urgent", add: []source{{"crowd", "c", 0, 1000}},
+			spared: []string{"usual-0"}, mayRefuse: 0.01, least: []string{"usual-1", "usual-2"}, floor: 0.045},
+		{name: "half of the targets replaced cold", extra: (*loadRun).replaceHalf,
+			spared: []string{"usual-0", "usual-1", "usual-2"}, mayRefuse: 0.015},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			runLoad(t, false, append(usual(), c.add...), c.extra).log("without")
-			runLoad(t, true, append(usual(), c.add...), c.extra).log("with")
+			is := is.New(t)
+			without := runLoad(t, false, append(usual(), c.add...), c.extra)
+			x := runLoad(t, true, append(usual(), c.add...), c.extra)
+			for _, name := range slices.Sorted(maps.Keys(x.groups)) {
+				t.Logf("%s: %+v, without admission %+v", name, *x.groups[name], *without.groups[name])
+			}
+			t.Logf("%+v", x.r.AdmissionCounts()["svc"])
+			all, before := x.group(""), without.group("")
+			answered := all.inAim + all.late
+			is.Equal(all.asked, answered+all.refused)
+			is.True(float64(answered) >= 0.97*float64(before.inAim+before.late))
+			for _, name := range c.spared {
+				is.True(x.groups[name].refusedShare() <= c.mayRefuse)
+			}
+			for _, name := range c.least {
+				is.True(float64(x.groups[name].inAim+x.groups[name].late) >= c.floor*float64(answered))
+			}
+			if c.add != nil { // refused callers know sooner
+				is.True(all.refusedIn/time.Duration(all.refused) < before.refusedIn/time.Duration(before.refused))
+			}
+			is.NoErr(x.r.Check())
+			is.Equal(x.r.services["svc"].waiting.Len(), 0)
 		})
 	}
 }
+
+// replaceHalf replaces half of the targets in the middle of the load.
+func (x *loadRun) replaceHalf() {
+	x.after(loadTime/2, func() {
+		for i := range 5 {
+			x.apply(&TargetsChanged{Updated: []Target{{ID: fleet.TargetID(fmt.Sprint("t", i)), Service: "svc", Domain: "d1", Slots: 5, StartedAt: 2, Cold: 2 * time.Second}}})
+		}
+	})
+}
