--- a/decide/admission/queue_test.go
+++ b/decide/admission/queue_test.go
@@ -18,15 +18,18 @@
 	step  = 10 * time.Millisecond
 )
 
-func first(q *Queue[int], now clock.Time) *Entry[int] {
-	for e := range q.All(now) {
+// serve grants the first request after one step.
+func serve(q *Queue[int], now *clock.Time, work time.Duration) *Entry[int] {
+	*now = now.Add(step)
+	for e := range q.All(*now) {
+		q.Granted(*now, e, work)
 		return e
 	}
 	return nil
 }
 
-func request(now clock.Time, priority int, account string, weight float64) Request {
-	return Request{Priority: priority, Account: account, Weight: weight, Arrived: now, ObjectiveAt: now.Add(time.Second),
+func request(now clock.Time, priority, account int, weight float64) Request {
+	return Request{Priority: priority, Account: fmt.Sprint(account), Weight: weight, Arrived: now, ObjectiveAt: now.Add(time.Hour),
 		WaitUntil: now.Add(time.Hour), MinReturn: step, MaxReturn: time.Second}
 }
 
@@ -44,30 +47,31 @@
 		var grants []grant
 		work := func(e *Entry[int]) (sum float64) {
 			for _, g := range grants {
-				if g.e.request.Account == e.request.Account && g.e.class == e.class {
+				if g.e.account == e.account {
 					sum += g.work * math.Exp(-now.Sub(g.at).Seconds()/forgetTime.Seconds()) / e.request.Weight
 				}
 			}
 			return sum
 		}
-		for i := range rapid.IntRange(1, 60).Draw(rt, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond)
+		draw := func(name string, from, to int) int { return rapid.IntRange(from, to).Draw(rt, name) }
+		for i := range draw("steps", 1, 60) {
+			now = now.Add(time.Duration(draw("ms", 0, 300)) * time.Millisecond)
 			before := slices.Collect(q.All(now))
-			switch k := rapid.IntRange(0, 4).Draw(rt, "kind"); {
-			case k <= 2 || len(before) == 0:
-				n := rapid.IntRange(0, 2).Draw(rt, "account")
-				r := request(now, rapid.IntRange(0, 1).Draw(rt, "priority"), fmt.Sprint(n), float64(1+n))
-				r.ObjectiveAt = now.Add(time.Duration(rapid.IntRange(-100, 500).Draw(rt, "objective")) * time.Millisecond)
+			switch kind := draw("kind", 0, 4); {
+			case kind <= 2 || len(before) == 0:
+				account := draw("account", 0, 2)
+				r := request(now, draw("priority", 0, 1), account, float64(1+account))
+				r.ObjectiveAt = now.Add(time.Duration(draw("objective", -100, 500)) * time.Millisecond)
 				q.Push(now, r, i)
-			case k == 3:
-				at := rapid.IntRange(0, len(before)-1).Draw(rt, "at")
+			case kind == 3:
+				at := draw("at", 0, len(before)-1)
 				q.Remove(before[at])
 				q.Remove(before[at]) // has no effect
 				if !slices.Equal(slices.Collect(q.All(now)), slices.Delete(before, at, at+1)) {
 					rt.Fatal("a removal has changed the order of other requests")
 				}
 			default:
-				ms := rapid.IntRange(1, 500).Draw(rt, "work")
+				ms := draw("work", 1, 500)
 				q.Granted(now, before[0], time.Duration(ms)*time.Millisecond)
 				grants = append(grants, grant{before[0], now, float64(ms) / 1000})
 			}
@@ -76,10 +80,9 @@
 				a, b := list[i-1], list[i]
 				late := now.After(a.request.ObjectiveAt) && !now.After(b.request.ObjectiveAt)
 				later := now.After(a.request.ObjectiveAt) == now.After(b.request.ObjectiveAt) && a.request.Arrived > b.request.Arrived
-				switch same := a.request.Account == b.request.Account; {
-				case a.class != b.class && a.class.priority > b.class.priority && !a.class.owed(),
-					a.class == b.class && !same && work(a) > work(b)*1.0001+1e-9,
-					a.class == b.class && same && (late || later):
+				if (a.class != b.class && a.class.priority > b.class.priority && !a.class.owed()) ||
+					(a.class == b.class && a.account != b.account && work(a) > work(b)*1.0001+1e-9) ||
+					(a.account == b.account && (late || later)) {
 					rt.Fatalf("%+v goes before %+v", a.request, b.request)
 				}
 			}
@@ -91,15 +94,12 @@
 // get other shares of their class than their weights, while all of them keep waiting.
 func TestClassesAndAccountsGetTheirShares(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		const grants, work = 4000, 200 * time.Millisecond
+		const grants = 4000
 		var q Queue[int]
-		now := start
+		now, total := start, 0.0
 		classes := rapid.IntRange(1, 4).Draw(rt, "classes")
 		weights := rapid.SliceOfN(rapid.Float64Range(1, 5), 2, 5).Draw(rt, "weights")
-		push := func(class, account int) {
-			q.Push(now, request(now, class, fmt.Sprint(account), weights[account]), 100*class+account)
-		}
-		total := 0.0
+		push := func(class, account int) { q.Push(now, request(now, class, account, weights[account]), account) }
 		for a, w := range weights {
 			total += w
 			for c := range classes {
@@ -107,15 +107,12 @@
 				push(c, a)
 			}
 		}
-		got := make(map[int]int)
-		byClass := make([]int, classes)
+		got, byClass := make([]int, len(weights)), make([]int, classes) // got: of the first class
 		for range grants {
-			now = now.Add(step)
-			e := first(&q, now)
-			q.Granted(now, e, work)
-			got[e.Item]++
-			byClass[e.Item/100]++
-			push(e.Item/100, e.Item%100)
+			e := serve(&q, &now, 200*time.Millisecond)
+			got[e.Item] += count(e.request.Priority == 0)
+			byClass[e.request.Priority]++
+			push(e.request.Priority, e.Item)
 		}
 		for c, n := range byClass {
 			if n < grants/grantsPerFloor-1 {
@@ -137,36 +134,25 @@
 		var q Queue[int]
 		now := start
 		accounts := rapid.IntRange(1, 100).Draw(rt, "accounts")
-		backlog := rapid.SliceOfN(rapid.IntRange(1, 40), accounts, accounts).Draw(rt, "backlog")
 		weights := rapid.SliceOfN(rapid.Float64Range(1, 5), accounts, accounts).Draw(rt, "weights")
-		for a, n := range backlog {
+		for a, n := range rapid.SliceOfN(rapid.IntRange(1, 40), accounts, accounts).Draw(rt, "backlog") {
 			for range n {
-				r := request(now, 1, fmt.Sprint(a), weights[a])
-				r.ObjectiveAt = now.Add(time.Hour)
-				q.Push(now, r, a)
+				q.Push(now, request(now, 1, a, weights[a]), a)
 			}
 		}
-		serve := func() *Entry[int] {
-			now = now.Add(step)
-			e := first(&q, now)
-			q.Granted(now, e, 100*time.Millisecond)
-			return e
-		}
 		for range min(q.Len()/2, 100) {
-			serve()
+			serve(&q, &now, 100*time.Millisecond)
 		}
 		a := rapid.IntRange(0, accounts-1).Draw(rt, "account")
-		r := request(now, 1, fmt.Sprint(a), weights[a])
-		want, known := q.ExpectedWait(now, r)
+		want, known := q.ExpectedWait(now, request(now, 1, a, weights[a]))
 		if !known {
 			return // too few grants
 		}
 		began := now
-		for e := q.Push(now, r, -1); e.Queued(); {
-			serve()
+		for e := q.Push(now, request(now, 1, a, weights[a]), -1); e.Queued(); {
+			serve(&q, &now, 100*time.Millisecond)
 		}
-		actual := now.Sub(began)
-		if diff := (want - actual).Abs(); diff > actual/4+150*time.Millisecond {
+		if actual := now.Sub(began); (want - actual).Abs() > actual/4+150*time.Millisecond {
 			rt.Fatalf("expected %v, waited %v", want, actual)
 		}
 	})
@@ -177,16 +163,14 @@
 func TestRefusedCallersReturnOneByOne(t *testing.T) {
 	is := is.New(t)
 	var q Queue[int]
-	now := start
-	r := request(now, 0, "a", 1)
+	now, r := start, request(start, 0, 1, 1)
 	is.True(!q.WaitsInVain(now, r))
 	is.Equal(q.ReturnAfter(now, r), time.Duration(0))
 	for range 130 {
 		q.Push(now, r, 0)
 	}
 	for range 100 {
-		now = now.Add(step)
-		q.Granted(now, first(&q, now), time.Second)
+		serve(&q, &now, time.Second)
 	}
 	r.WaitUntil = now.Add(200 * time.Millisecond)
 	is.True(q.WaitsInVain(now, r)) // 30 requests wait, one is granted every 10 ms
@@ -196,13 +180,11 @@
 	is.True(last >= 290*time.Millisecond && last <= 320*time.Millisecond)
 	for range 100 {
 		next := q.ReturnAfter(now, r)
-		gap := next - last
-		is.True(next == r.MaxReturn || (gap > 8*time.Millisecond && gap < 12*time.Millisecond))
+		is.True(next == r.MaxReturn || (next-last-step).Abs() < 2*time.Millisecond)
 		last = next
 	}
 	is.Equal(last, r.MaxReturn)
-	now = now.Add(100 * time.Millisecond)
-	is.True(q.ReturnAfter(now, r) < r.MaxReturn-80*time.Millisecond) // time has passed
+	is.True(q.ReturnAfter(now.Add(100*time.Millisecond), r) < r.MaxReturn-80*time.Millisecond) // time has passed
 }
 
 // Guards against memory that grows with every account that was ever seen.
@@ -210,10 +192,42 @@
 	is := is.New(t)
 	var q Queue[int]
 	for i := range 1000 {
-		q.Charge(start, request(start, i%3, fmt.Sprint(i), 1), step)
+		q.Charge(start, request(start, i%3, i, 1), step)
 	}
 	is.Equal(len(q.classes), 3)
-	q.Push(start.Add(accountTTL), request(start, 7, "b", 1), 0)
+	q.Push(start.Add(accountTTL), request(start, 7, 0, 1), 0)
 	is.Equal(len(q.classes), 1)
 	is.Equal(len(q.classes[0].accounts), 1)
 }
+
+// BenchmarkQueue measures one request that is predicted, waits and is granted, while others
+// wait, 20 of them for the target with the free slot.
+func BenchmarkQueue(b *testing.B) {
+	for _, accounts := range []int{1, 100, 10_000} {
+		for _, waiting := range []int{100, 1000, 10_000} {
+			b.Run(fmt.Sprintf("accounts=%d/waiting=%d", accounts, waiting), func(b *testing.B) {
+				var q Queue[int]
+				now := start
+				var candidates [20]*Entry[int]
+				for i := range waiting {
+					candidates[i%20] = q.Push(now, request(now, i%3, i%accounts, 1), 0)
+				}
+				list := make([]*Entry[int], 20)
+				b.ReportAllocs()
+				for i := range b.N {
+					now = now.Add(100 * time.Microsecond)
+					r := request(now, i%3, 0, 1)
+					r.Account = candidates[i%20].request.Account
+					q.ExpectedWait(now, r)
+					copy(list, candidates[:])
+					for e := range q.InOrder(now, list) {
+						at := slices.Index(candidates[:], e)
+						q.Granted(now, e, step)
+						candidates[at] = q.Push(now, r, 0)
+						break
+					}
+				}
+			})
+		}
+	}
+}
--- a/decide/ingress/index_test.go
+++ b/decide/ingress/index_test.go
@@ -117,10 +117,12 @@
 
 var indexRegions = map[fleet.Domain]fleet.Region{"d1": "r1", "d2": "r1", "d3": "r1", "e1": "r2", "e2": "r3"}
 
-func newIndexRun(t *testing.T, seed uint64) *indexRun {
+func newIndexRun(t *testing.T, seed uint64) *indexRun { return newIndexRunWith(t, seed, false) }
+
+func newIndexRunWith(t *testing.T, seed uint64, admission bool) *indexRun {
 	x := &indexRun{rng: rand.New(rand.NewPCG(seed, 11)), targets: make(map[fleet.TargetID]Target)}
 	x.harness = &harness{t: t, now: clock.Time(time.Hour)}
-	x.r = New(Options{Self: selfVM, Domain: "d1", Regions: indexRegions, Bounds: Bounds{ColdFactor: 1.5, ColdSlack: 4, RegionShift: 0.15, RetrySlack: 1000}, Seed: seed})
+	x.r = New(Options{Self: selfVM, Domain: "d1", Regions: indexRegions, Bounds: Bounds{ColdFactor: 1.5, ColdSlack: 4, RegionShift: 0.15, RetrySlack: 1000}, Seed: seed, Admission: admission})
 	x.step(&MembersChanged{VMs: []fleet.VM{{ID: selfVM, Domain: "d1", Region: "r1"}}})
 	rt := idempotentRoute("a")
 	rt.Aim, rt.Timeout = 400*time.Millisecond, 3*time.Second
