--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -24,9 +24,10 @@
 // # Prediction
 //
 // The wait of a new request is the number of requests that would go before it, divided by
-// the rate at which waiting requests were granted in the last second. That rate counts
-// only the time in which requests waited; otherwise a service whose requests rarely wait
-// would seem slow. Requests of more urgent classes that keep arriving reduce the rate
+// the rate of grants in the last second. That rate counts only the time in which requests
+// waited; otherwise a service whose requests rarely wait would seem slow. It includes the
+// requests that were placed at once in that time: if requests are refused early, fewer
+// wait, and the grants to those alone would suggest that even more must be refused. Requests of more urgent classes that keep arriving reduce the rate
 // that is left to a class, down to what it is guaranteed. Without minGrants recent grants
 // there is no prediction.
 //
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -59,7 +59,7 @@
 	lastSeq uint64
 	classes []*class // by priority
 
-	granted  window // requests
+	granted  window // requests, also those placed at once while others waited
 	busy     window // seconds in which requests waited
 	seenAt   clock.Time
 	meanWork float64 // of a grant, in s; a moving average
@@ -126,7 +126,8 @@
 }
 
 // Charge charges the account of a request that was placed without waiting. Without it,
-// an account would appear to have been granted nothing until its requests wait.
+// an account would appear to have been granted nothing until its requests wait. While
+// others wait, it counts as a grant: a longer queue could have used the slot.
 func (q *Queue[T]) Charge(now clock.Time, r Request, work time.Duration) {
 	q.sweep(now)
 	q.newClassOf(r.Priority).accountOf(now, &r).charge(now, work)
--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -167,6 +167,9 @@
 // find it only if no waiting job can use it.
 func (r *Reducer) dispatchFairly(now clock.Time, t *targetState, load int) {
 	s := t.svc
+	if s.waiting.Len() == 0 {
+		return
+	}
 	contended := t
 	if !isContended(t.waiters) {
 		contended = nil
--- a/decide/ingress/bench_test.go
+++ b/decide/ingress/bench_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// BenchmarkCoordinatorAdmission is BenchmarkCoordinator with admission and 100 accounts.
+func BenchmarkCoordinatorAdmission(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
+			m := newFleetMemberWith(size, "self", ingress.Options{Admission: true})
+			m.limitless(100)
+			names := objectNames(size.objects)
+			var open []ingress.PlacementID
+			m.serve(names, &open, size.targets/10, 3*size.objects)
+			b.ReportAllocs()
+			b.ResetTimer()
+			m.serve(names, &open, size.targets/10, b.N)
+		})
+	}
+}
+
 // BenchmarkNotice measures a target's backoff at the coordinator, from the notice of
 // another entry VM to the end of the time.
 func BenchmarkNotice(b *testing.B) {
