admission: no refusal on arrival because of requests that wait for other targets

The prediction divides all requests that wait for the service by its rate of grants. A request was therefore refused on arrival while many requests bound to another region, or for other objects, waited, although none waited for its own target.

Such a request now waits if its preferred target has no waiting requests. The new test fails without the change.

--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -270,10 +270,14 @@
 }
 
 // denyOnArrival denies j if it is expected to wait in vain, and reports whether it did.
-// Only a lack of slots can be predicted.
+// Only a lack of slots can be predicted. The prediction counts all requests that wait for the
+// service. If none of them waits for j's preferred target, they do not delay j.
 func (r *Reducer) denyOnArrival(now clock.Time, j *job) bool {
 	w := &j.svc.waiting
-	if w.fair == nil || w.fair.Len() == 0 || !w.fair.WaitsInVain(now, r.admissionRequest(now, j)) {
+	if w.fair == nil || w.fair.Len() == 0 || (j.preferred != nil && len(j.preferred.waiters) == 0) {
+		return false
+	}
+	if !w.fair.WaitsInVain(now, r.admissionRequest(now, j)) {
 		return false
 	}
 	if r.denyReason(now, j) != verdict.ReasonOverload {
--- a/decide/ingress/admission_test.go
+++ b/decide/ingress/admission_test.go
@@ -213,3 +213,54 @@
 		is.New(t).True(x.r.AdmissionCounts()["svc"].Granted > 0)
 	}
 }
+
+// Guards against a refusal on arrival because of requests that wait for other targets:
+// 60 requests bound to region r2 wait there, none in r1.
+func TestAdmissionDoesNotRefuseForOtherTargets(t *testing.T) {
+	is := is.New(t)
+	s := &harness{t: t, now: clock.Time(time.Hour)}
+	s.r = New(Options{Self: selfVM, Domain: "d1", Regions: map[fleet.Domain]fleet.Region{"d1": "r1", "e1": "r2"}, Seed: 1, Admission: true})
+	s.step(&MembersChanged{VMs: []fleet.VM{{ID: selfVM, Domain: "d1", Region: "r1"}}})
+	s.configure(1, idempotentRoute("a"))
+	s.target("t1", "d1", 2)
+	s.target("t2", "e1", 2)
+	var granted []PlacementID
+	var denied []verdict.Reason
+	read := func(out *Ready) {
+		for _, m := range out.Messages {
+			switch m := m.Message.(type) {
+			case *Grant:
+				granted = append(granted, m.ID)
+			case *Deny:
+				denied = append(denied, m.Reason)
+			}
+		}
+	}
+	ask := func(region fleet.Region, wait time.Duration) {
+		s.last++
+		read(s.step(&IncomingMessage{From: otherVM, Message: &PlacementRequest{ID: PlacementID(s.last), Service: "svc", Route: "a",
+			Domain: "d1", AllowedRegions: []fleet.Region{region}, MaxWait: wait, TimeLeft: time.Minute}}))
+	}
+	for range 60 {
+		ask("r2", 30*time.Second)
+	}
+	for range 10 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		id := granted[0]
+		granted = granted[1:]
+		read(s.step(&IncomingMessage{From: otherVM, Message: &Report{ID: id, Result: ResultServed, Took: 100 * time.Millisecond}}))
+	}
+	for range 3 { // the slots of t1, and its queue for requests without an object
+		ask("r1", time.Second)
+	}
+	svc := s.r.services["svc"]
+	is.True(svc.waiting.Len() > 30)
+	waiting := svc.waiting.Len()
+	is.Equal(len(s.r.targets["t1"].waiters), 0)
+	ask("r2", time.Second) // waits behind all others
+	is.Equal(denied, []verdict.Reason{verdict.ReasonOverload})
+	ask("r1", time.Second) // the next place at t1 is for this request
+	is.Equal(len(denied), 1)
+	is.Equal(svc.waiting.Len(), waiting+1)
+	is.NoErr(s.r.Check())
+}
