admission: comments that tell priorities from work classes

"class" meant both the priority of a request and its work class (warm, cold) in ingress/admission.go; the comment of rate() left out requests that were placed at once.

--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -27,9 +27,10 @@
 // the rate of grants in the last second. That rate counts only the time in which requests
 // waited; otherwise a service whose requests rarely wait would seem slow. It includes the
 // requests that were placed at once in that time: if requests are refused early, fewer
-// wait, and the grants to those alone would suggest that even more must be refused. Requests of more urgent classes that keep arriving reduce the rate
-// that is left to a class, down to what it is guaranteed. Without minGrants recent grants
-// there is no prediction.
+// wait, and the grants to those alone would suggest that even more must be refused.
+// Requests of more urgent classes that keep arriving reduce the rate that is left to a
+// class, down to what it is guaranteed. Without minGrants recent grants there is no
+// prediction.
 //
 // # Why this is safe
 //
--- a/decide/admission/predict.go
+++ b/decide/admission/predict.go
@@ -16,8 +16,8 @@
 	accountSample = 32
 )
 
-// rate returns how many waiting requests a second were granted recently, and false if
-// that is not known.
+// rate returns how many requests a second were granted recently while requests waited,
+// including those that did not wait themselves, and false if that is not known.
 func (q *Queue[T]) rate(now clock.Time) (float64, bool) {
 	q.advance(now)
 	n := q.granted.sum(now)
@@ -82,8 +82,8 @@
 	left = max(rate-arriving, least)
 	ahead := q.aheadInClass(now, r)
 	// The grants that less urgent classes are guaranteed come on top.
-	floors := 1 - min(float64(others)/grantsPerFloor, 0.5)
-	inOrder := (float64(urgent) + ahead) / (left * floors)
+	aboveFloors := 1 - min(float64(others)/grantsPerFloor, 0.5)
+	inOrder := (float64(urgent) + ahead) / (left * aboveFloors)
 	guaranteed := ahead/least + float64(max(grantsPerFloor-1-owed, 0))/rate
 	return min(inOrder, guaranteed), left
 }
--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -140,10 +140,10 @@
 // chooseOrAdmit is choose, with another rule for full targets if there is admission. choose
 // has j wait for its preferred target, whose expected wait counts all waiting jobs, also
 // those that go after j. So j may also take a candidate of the same side that has room
-// and where its work is of the same class or a better one.
+// and where its work class (warm, cold) is the same or better.
 //
 // contended is a target at which a place has become free for which requests of several
-// classes or accounts wait; nil: none. There, a cold request may wait at the target like a
+// priorities or accounts wait; nil: none. There, a cold request may wait at the target like a
 // warm one. Otherwise the warm requests of a crowd, which fill the targets' queues, would
 // keep it from its slot although it goes before them.
 func (r *Reducer) chooseOrAdmit(now clock.Time, j *job, contended *targetState) *targetState {
@@ -185,7 +185,7 @@
 	}
 }
 
-// isContended reports whether jobs of several classes or accounts are in a list.
+// isContended reports whether jobs of several priorities or accounts are in a list.
 func isContended(jobs []*job) bool {
 	for _, j := range jobs {
 		if j.Priority != jobs[0].Priority || j.Account != jobs[0].Account {
