admission: pauses of the process do not lower the rate of grants

The time of a pause counted as time in which requests waited without grants.

The new test fails without the change.

--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -25,7 +25,8 @@
 //
 // The wait of a new request is the number of requests that would go before it, divided by
 // the rate of grants in the last second. That rate counts only the time in which requests
-// waited; otherwise a service whose requests rarely wait would seem slow. It includes the
+// waited; otherwise a service whose requests rarely wait would seem slow. Gaps longer than
+// maxEventGap do not count, because the process may have been paused. It includes the
 // requests that were placed at once in that time: if requests are refused early, fewer
 // wait, and the grants to those alone would suggest that even more must be refused.
 // Requests of more urgent classes that keep arriving reduce the rate that is left to a
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -129,6 +129,7 @@
 // an account would appear to have been granted nothing until its requests wait. While
 // others wait, it counts as a grant: a longer queue could have used the slot.
 func (q *Queue[T]) Charge(now clock.Time, r Request, work time.Duration) {
+	q.advance(now)
 	q.sweep(now)
 	q.newClassOf(r.Priority).accountOf(now, &r).charge(now, work)
 	if len(q.entries) > 0 {
@@ -136,9 +137,14 @@
 	}
 }
 
+// maxEventGap is the longest time between two events that counts as time in which requests
+// waited. A rate is known only from minGrants grants in observedTime, so in a longer gap the
+// process was paused, or the load is too low for refusals.
+const maxEventGap = observedTime / minGrants
+
 // advance records that requests waited since the latest event.
 func (q *Queue[T]) advance(now clock.Time) {
-	if len(q.entries) > 0 {
+	if len(q.entries) > 0 && now.Sub(q.seenAt) <= maxEventGap {
 		q.busy.addTime(q.seenAt, now)
 	}
 	q.seenAt = now
--- a/decide/admission/queue_test.go
+++ b/decide/admission/queue_test.go
@@ -187,6 +187,33 @@
 	is.True(q.ReturnAfter(now.Add(100*time.Millisecond), r) < r.MaxReturn-80*time.Millisecond) // time has passed
 }
 
+// Guards against refusals after a pause of the process: if it counts as time without grants,
+// the rate appears several times too low for most of a second.
+func TestPausesDoNotLowerTheRate(t *testing.T) {
+	is := is.New(t)
+	var q Queue[int]
+	now := start
+	serveAndPush := func() {
+		serve(&q, &now, 100*time.Millisecond)
+		q.Push(now, request(now, 1, 1, 1), 0)
+	}
+	for range 60 {
+		q.Push(now, request(now, 1, 1, 1), 0)
+	}
+	for range 100 {
+		serveAndPush()
+	}
+	now = now.Add(900 * time.Millisecond)
+	for range 2 * minGrants {
+		serveAndPush()
+		if wait, known := q.ExpectedWait(now, request(now, 1, 1, 1)); known {
+			is.True(wait <= 70*step) // 60 requests wait, one is granted every 10 ms
+		}
+	}
+	_, known := q.ExpectedWait(now, request(now, 1, 1, 1))
+	is.True(known)
+}
+
 // Guards against memory that grows with every account that was ever seen.
 func TestIdleAccountsAreDropped(t *testing.T) {
 	is := is.New(t)
