--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -38,6 +38,8 @@
 	Pace *Pace `json:"pace"`
 	// LongTail describes requests with much more work than others; nil: there are none.
 	LongTail *LongTail `json:"long_tail"`
+	// Admission is ingress.Options.Admission of all entry VMs.
+	Admission bool `json:"admission"`
 }
 
 // Network holds the one-way latencies in ms.
