decide/hedge: second sends that save time

An idempotent request is sent a second time today only if its target is silent, so a few slow answers are waited for. Package hedge measures answers by route and class, and says after which delay a send is slow, how soon a second answer must be expected, and whether the limit (a token bucket of each VM) and the results allow a second send. The reducer asks the VM that placed the first send for a second target with a new message, HedgeRequest; that VM grants a warm target with a free slot of its own region. Off unless Options.Hedge sets a limit.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/target"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -22,6 +23,9 @@
 		r.sendMessage(a.coordinator, rep)
 		r.applyResult(now, a.target, rep)
 	}
+	if len(a.req.running) == 0 && a.req.searchesHedge() {
+		r.dropHedgeSearch(now, a.req, hedge.Ended) // a retry is placed by other rules
+	}
 }
 
 // answered handles a complete answer of a target.
@@ -57,6 +61,9 @@
 	case Served:
 		r.clearQuarantine(now, q.fingerprint)
 		q.svc.recordLastTarget(now, q.object, t)
+		if q.svc.hedges != nil {
+			q.svc.hedges.Observe(q.route.Name, a.class, now.Sub(a.sent))
+		}
 		r.deliver(now, a)
 	}
 }
@@ -88,6 +95,7 @@
 }
 
 func (r *Reducer) deliver(now clock.Time, a *attempt) {
+	a.req.hedgeWon = a.hedge
 	r.out.Delivers = append(r.out.Delivers, Deliver{Request: a.req.id, Attempt: a.id})
 	r.finish(now, a.req)
 }
--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/rank"
 )
@@ -100,14 +101,7 @@
 
 // findTarget starts the search for a target for the next send of q.
 func (r *Reducer) findTarget(now clock.Time, q *request) {
-	r.nextPlacement++
-	p := PlacementRequest{
-		ID: r.nextPlacement, Service: q.svc.name, Route: q.route.Name, Object: q.object, Account: q.account,
-		Domain: r.opts.Domain, Priority: q.priority, Large: r.isLarge(q), AllowedRegions: q.allowedRegions,
-		MayCrashTarget: r.mayCrashTarget(now, q), Tried: q.tried, LastTarget: r.lastTargetFor(now, q.svc, q.object),
-		Limits:  r.limitsFor(now, q.svc, q.tried),
-		MaxWait: max(r.waitDeadline(q).Sub(now), 0), TimeLeft: q.deadline.Sub(now),
-	}
+	p := r.placementRequest(now, q)
 	to := r.activeCoordinator(now, q.svc.name)
 	if to == "" || to == r.opts.Self || !r.on(Coordinators) {
 		r.placeLocally(now, q, p)
@@ -121,6 +115,18 @@
 	r.timers.add(timer{at: now.Add(p.MaxWait + placementTimeout), purpose: duePlacement, request: q.id, placement: p.ID})
 }
 
+// placementRequest returns the request for a target for the next send of q.
+func (r *Reducer) placementRequest(now clock.Time, q *request) PlacementRequest {
+	r.nextPlacement++
+	return PlacementRequest{
+		ID: r.nextPlacement, Service: q.svc.name, Route: q.route.Name, Object: q.object, Account: q.account,
+		Domain: r.opts.Domain, Priority: q.priority, Large: r.isLarge(q), AllowedRegions: q.allowedRegions,
+		MayCrashTarget: r.mayCrashTarget(now, q), Tried: q.tried, LastTarget: r.lastTargetFor(now, q.svc, q.object),
+		Limits:  r.limitsFor(now, q.svc, q.tried),
+		MaxWait: max(r.waitDeadline(q).Sub(now), 0), TimeLeft: q.deadline.Sub(now),
+	}
+}
+
 // placeLocally searches for a target with the knowledge of this entry VM.
 func (r *Reducer) placeLocally(now clock.Time, q *request, p PlacementRequest) {
 	j := r.newJob(now, jobKey{vm: r.opts.Self, id: p.ID}, p)
@@ -134,6 +140,10 @@
 	if q.pending == nil || q.pending.request.ID != id {
 		return
 	}
+	if q.searchesHedge() {
+		r.dropHedgeSearch(now, q, hedge.Placement)
+		return
+	}
 	p, to := q.pending.request, q.pending.coordinator
 	r.cancelPlacement(q)
 	r.markSilent(now, to)
@@ -161,6 +171,9 @@
 	request     PlacementRequest
 	coordinator fleet.VMID
 	terms       LimitTerms // of the grant that follows
+	cold        bool       // the object is cold at the target of the grant that follows
+	// within is set for a second send that saves time; see HedgeRequest.
+	within time.Duration
 }
 
 func (r *Reducer) sendMessage(to fleet.VMID, m Message) {
@@ -186,9 +199,14 @@
 	case *Deny:
 		r.markResponsive(ev.From)
 		if q, ok := r.placements[m.ID]; ok {
+			hedged := q.searchesHedge()
 			delete(r.placements, m.ID)
 			q.pending = nil
 			q.svc.share.adopt(now, m.Share)
+			if hedged {
+				r.hedgeDenied(now, q, m.Reason)
+				return
+			}
 			r.placementDenied(now, q, m.Reason, m.FreeAfter)
 		}
 	case *Withdraw:
@@ -207,6 +225,12 @@
 		if j, ok := r.jobs[jobKey{vm: ev.From, id: m.ID}]; ok && j.state == jobPlaced {
 			r.release(now, j, m)
 		}
+	case *HedgeRequest:
+		r.hedgeRequested(now, ev.From, m)
+	case *GrantWork:
+		if q, ok := r.placements[m.ID]; ok && q.pending.coordinator == ev.From {
+			q.pending.cold = m.Cold
+		}
 	}
 }
 
@@ -220,6 +244,10 @@
 		return
 	}
 	q.svc.share.adopt(now, m.Share)
+	if q.searchesHedge() {
+		r.handleHedgeGrant(now, q, from, m)
+		return
+	}
 	p := q.pending.request
 	t, known := r.targets[m.Target]
 	if !known || t.Draining || r.evacuated[t.Domain] {
@@ -233,9 +261,15 @@
 		r.returnGrant(now, q, from, t)
 		return
 	}
-	delete(r.placements, m.ID)
+	r.sendGranted(now, q, from, m.ID, t, terms)
+}
+
+// sendGranted sends q to the target that a coordinator granted.
+func (r *Reducer) sendGranted(now clock.Time, q *request, from fleet.VMID, id PlacementID, t *targetState, terms LimitTerms) {
+	pending := q.pending
+	delete(r.placements, id)
 	q.pending = nil
-	r.sendTo(now, q, nil, t, terms)
+	r.sendTo(now, q, nil, t, terms, classOfGrant(q, pending.cold), pending.within > 0)
 	last := q.running[len(q.running)-1]
-	last.coordinator, last.placement = from, m.ID
+	last.coordinator, last.placement = from, id
 }
--- a/decide/ingress/effect.go
+++ b/decide/ingress/effect.go
@@ -36,6 +36,8 @@
 	// KeepCredentials lets the caller's credentials pass: there are no accounts, so
 	// they are not a key of one.
 	KeepCredentials bool
+	// Hedge means that it is a second send that saves time.
+	Hedge bool
 }
 
 // Probe requests a check whether a target listens, by opening and closing a
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -76,7 +76,7 @@
 		Terms:          a.terms,
 		ConnectTimeout: connectTimeout(r.rttOfSend(a)),
 		KeepSpare:      !r.isLocal(t) && r.on(SpareConnections),
-		Account:        q.account, KeepCredentials: !r.table.Config.RequiresKeys(),
+		Account:        q.account, KeepCredentials: !r.table.Config.RequiresKeys(), Hedge: a.hedge,
 	})
 	if a.gateway == "" {
 		t.countLimitedSend()
--- a/decide/ingress/job.go
+++ b/decide/ingress/job.go
@@ -52,6 +52,8 @@
 	// charged means that it holds a token of its account, taken at chargedAt.
 	charged   bool
 	chargedAt clock.Time
+	// within is set for a second send that saves time; see placeHedge.
+	within time.Duration
 }
 
 type jobState uint8
@@ -163,13 +165,14 @@
 	}
 	r.countPlacement(j)
 	if j.req != nil {
-		r.sendTo(now, j.req, j, t, t.limitTerms(now))
+		r.sendTo(now, j.req, j, t, t.limitTerms(now), hedgeClass(j.class), j.within > 0)
 		return
 	}
 	r.timers.add(timer{at: j.expiresAt, purpose: dueJob, job: j})
 	if terms := t.limitTerms(now); terms != (LimitTerms{}) {
 		r.sendMessage(j.key.vm, &GrantTerms{ID: j.key.id, Terms: terms})
 	}
+	r.reportWork(j)
 	r.sendMessage(j.key.vm, &Grant{ID: j.key.id, Target: t.ID, Share: j.svc.share.advertised()})
 }
 
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -159,6 +159,24 @@
 	Accounts []AccountTokens
 }
 
+// HedgeRequest asks the VM that placed a request for a second target, to save time. A
+// Grant or a Deny answers it, for the ID of Request.
+type HedgeRequest struct {
+	First   PlacementID       // of the send that is under way
+	Account route.AccountName // whose quota is charged; "": none
+	// Within is the time within which an answer of the second target must be expected.
+	Within  time.Duration
+	Request PlacementRequest
+}
+
+// GrantWork precedes the Grant of the same PlacementRequest if the object is cold at its
+// target and the coordinator allows second sends. The answer then takes longer than that
+// of a warm one.
+type GrantWork struct {
+	ID   PlacementID
+	Cold bool
+}
+
 // OutgoingMessage requests that a message be sent to another entry VM.
 type OutgoingMessage struct {
 	To      fleet.VMID
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/quota"
 )
 
@@ -23,6 +24,8 @@
 	Start clock.Time
 	// Disabled is the set of mechanisms that are switched off in experiments.
 	Disabled Mechanisms
+	// Hedge limits second sends that save time; the zero value allows none.
+	Hedge hedge.Policy
 }
 
 // Bounds are the operators' limits for all entry VMs together.
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -182,6 +182,7 @@
 		delete(r.splits, name) // weights may have changed
 	}
 	r.dropRemovedRoutes(ev.Table.Config)
+	r.dropHedgesOfRemovedRoutes(ev.Table.Config)
 	r.applyQuotas(now)
 	r.refuseRevoked(now)
 	r.dispatchAll(now)
@@ -228,10 +229,13 @@
 		r.deadlinePassed(now, q)
 	case dueHedge:
 		r.hedge(now, q)
+		r.scheduleSecondSend(now, q)
 	case duePlacement:
 		r.placementTimedOut(now, q, t.placement)
 	case dueGateway:
 		r.gatewayTimedOut(now, q, t.attempt)
+	case dueSecondSend:
+		r.secondSendDue(now, q)
 	}
 }
 
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -48,6 +49,9 @@
 	trialCounted    bool              // the trial was recorded
 	job             *job              // its search for a target on this VM
 	pending         *pendingPlacement // its search for a target at a coordinator
+	// hedged means that it was sent a second time to save time, and hedgeWon that this
+	// send was answered first.
+	hedged, hedgeWon bool
 }
 
 // attempt is one send of a request.
@@ -64,6 +68,11 @@
 	gateway  fleet.VMID
 	accepted bool
 	terms    LimitTerms // under which it was placed
+	// hedge means that it is a second send that saves time. Otherwise it is slow for its
+	// class from slowAt on; 0: that is not known, or was handled.
+	hedge  bool
+	class  hedge.Class
+	slowAt clock.Time
 }
 
 // aim is the latency within which the answer has its full value.
@@ -132,6 +141,9 @@
 	r.requests[q.id] = q
 	r.timers.add(timer{at: q.deadline, request: q.id, purpose: dueAnswer})
 	q.svc.retryBudget.earn(r.opts.Bounds.RetryRatio*retryBudgetShare, r.retryLimit())
+	if q.svc.hedges != nil {
+		q.svc.hedges.Accepted()
+	}
 	r.findTarget(now, q)
 }
 
@@ -169,18 +181,28 @@
 }
 
 // sendTo sends q to t, where it was placed under the given terms. j is its place there;
-// nil if a coordinator granted it.
-func (r *Reducer) sendTo(now clock.Time, q *request, j *job, t *targetState, terms LimitTerms) {
+// nil if a coordinator granted it. second means that it is a second send that saves time.
+func (r *Reducer) sendTo(now clock.Time, q *request, j *job, t *targetState, terms LimitTerms, class hedge.Class, second bool) {
 	r.nextAttempt++
-	a := &attempt{id: r.nextAttempt, req: q, target: t, sent: now, job: j, gateway: r.gatewayTo(now, q, t), terms: terms}
+	a := &attempt{id: r.nextAttempt, req: q, target: t, sent: now, job: j, gateway: r.gatewayTo(now, q, t), terms: terms, class: class, hedge: second}
 	q.job = nil
 	q.sends++
 	q.running = append(q.running, a)
 	q.tried = append(q.tried, t.ID)
 	r.attempts[a.id] = a
 	r.emitSend(now, a)
+	if second {
+		q.hedged = true
+		q.svc.hedges.Sent()
+	}
 	if q.route.Idempotent && q.mayRetry(now) {
-		r.timers.add(timer{at: now.Add(r.hedgeDelay(q.svc)), request: q.id, purpose: dueHedge})
+		silent := now.Add(r.hedgeDelay(q.svc))
+		r.noteSlowAt(now, q, a)
+		if a.slowAt != 0 && a.slowAt.Before(silent) {
+			r.scheduleSecondSend(now, q)
+			return
+		}
+		r.timers.add(timer{at: silent, request: q.id, purpose: dueHedge})
 	}
 }
 
@@ -193,6 +215,10 @@
 // placementDenied handles a search that found no target. freeAfter is the expected
 // time until there is one.
 func (r *Reducer) placementDenied(now clock.Time, q *request, reason verdict.Reason, freeAfter time.Duration) {
+	if q.searchesHedge() {
+		r.hedgeDenied(now, q, reason)
+		return
+	}
 	q.job = nil
 	q.freeAfter = freeAfter
 	if len(q.running) > 0 {
@@ -304,6 +330,7 @@
 func (r *Reducer) finish(now clock.Time, q *request) {
 	delete(r.requests, q.id)
 	r.cancelSearch(now, q)
+	r.recordHedge(now, q)
 	if len(q.running) > 0 {
 		r.countTrial(now, q)
 	}
@@ -315,6 +342,10 @@
 
 // cancelSearch ends the search for a target for q.
 func (r *Reducer) cancelSearch(now clock.Time, q *request) {
+	if q.searchesHedge() {
+		r.dropHedgeSearch(now, q, hedge.Ended)
+		return
+	}
 	r.cancelPlacement(q)
 	if q.job != nil {
 		j := q.job
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/queue"
 	"github.com/azurethread/azurethread/decide/target"
 )
@@ -35,12 +36,16 @@
 	limitedPlaced, limitedSent uint64
 	retryBudget                retryBudget
 	latency                    target.Quantiles
+	hedges                     *hedge.Controller // nil: second sends that save time are not enabled
 }
 
 func (r *Reducer) serviceOf(name fleet.ServiceName) *service {
 	s, ok := r.services[name]
 	if !ok {
 		s = &service{name: name, groups: make([][]*targetState, 1+len(r.groups))}
+		if r.opts.Hedge.Enabled() {
+			s.hedges = hedge.New(r.opts.Hedge)
+		}
 		r.services[name] = s
 	}
 	return s
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -20,6 +20,7 @@
 	dueTokens                    // tokens of accounts are requested
 	dueBackoff                   // the target's backoff ends
 	dueLinkProbe                 // the links to targets are probed again
+	dueSecondSend                // the answer is slow for its class
 )
 
 // timer is an action scheduled for a time. Timers are not removed when they become
