--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/quota"
 	"github.com/azurethread/azurethread/decide/route"
@@ -41,6 +42,7 @@
 	linkRNG  *rand.Rand          // of probes of links, which do not change other draws
 	accounts *simAccounts        // nil: there are none
 	notices  *simNotices         // nil: no target states any
+	hedges   int                 // second sends that save time
 }
 
 type simVM struct {
@@ -265,6 +267,7 @@
 		s.t.Fatalf("%s: request %d is sent with %v left, beyond its deadline", vm.id, e.Request, e.TimeLeft)
 	}
 	s.checkNotice(vm, e)
+	s.checkHedge(vm, q, t, e)
 	q.running[e.Attempt] = true
 	vm.owner[e.Attempt] = q
 	if e.Gateway != "" {
@@ -275,6 +278,38 @@
 	s.answer(vm, q, t, e.Attempt)
 }
 
+// enableHedges allows second sends that save time, before any service is known. The VMs
+// believe at first that answers take a millisecond or, seldom, a second, so that most sends
+// are slow.
+func (s *fleetSim) enableHedges(limit float64) {
+	for _, vm := range s.vms {
+		vm.r.opts.Hedge = hedge.Policy{Limit: limit}
+		c := vm.r.serviceOf("s1").hedges
+		for i := range 200 {
+			for _, class := range []hedge.Class{hedge.Warm, hedge.Cold, hedge.NoObject} {
+				c.Observe("read", class, []time.Duration{time.Millisecond, time.Second}[i%9/8])
+			}
+		}
+	}
+}
+
+// checkHedge checks a second send that saves time, and the limit on them.
+func (s *fleetSim) checkHedge(vm *simVM, q *simRequest, t *simTarget, e Send) {
+	if !e.Hedge {
+		return
+	}
+	s.hedges++
+	allowed := vm.r.opts.Hedge.Limit*float64(len(s.requests)) + float64(2*5*len(s.vms)) // two services
+	switch {
+	case !q.idempotent || len(q.running) != 1:
+		s.t.Fatalf("%s: request %d is sent a second time beside %d sends, idempotent: %v", vm.id, e.Request, len(q.running), q.idempotent)
+	case t.region != vm.r.region || s.now.Before(t.coldUntil):
+		s.t.Fatalf("%s: second send of request %d to a cold target or another region: %s", vm.id, e.Request, t.ID)
+	case float64(s.hedges) > allowed:
+		s.t.Fatalf("%d second sends of %d requests", s.hedges, len(s.requests))
+	}
+}
+
 // countArrival counts a request that arrives at a target, which the operators' limits are
 // about. A connection that could not be opened is no arrival.
 func (s *fleetSim) countArrival(q *simRequest, t *simTarget) {
@@ -429,7 +464,7 @@
 	s.requests = append(s.requests, s.now)
 	s.step(vm, &Arrive{
 		Request: q.id, Host: "h", Path: rt.Prefix + "x", Key: s.accounts.identify(s.rng, q),
-		Object: fmt.Sprintf("o%d", s.rng.IntN(20)), Timeout: wait, Fingerprint: q.content,
+		Object: s.drawObject(), Timeout: wait, Fingerprint: q.content,
 	})
 	if s.rng.IntN(20) == 0 {
 		s.after(time.Duration(s.rng.IntN(200))*time.Millisecond, func() {
@@ -440,6 +475,16 @@
 	}
 }
 
+// drawObject draws the object of a request. With second sends, every second request names
+// none: few objects are warm at two targets.
+func (s *fleetSim) drawObject() string {
+	object := fmt.Sprintf("o%d", s.rng.IntN(20))
+	if s.vms[0].r.opts.Hedge.Enabled() && s.rng.IntN(2) == 0 {
+		return ""
+	}
+	return object
+}
+
 // randomChange starts, drains, removes or crashes a target, or evacuates a failure
 // domain.
 func (s *fleetSim) randomChange(n int) {
@@ -523,9 +568,13 @@
 // message losses, changes of targets and evacuations. The seed reproduces a
 // failure.
 func TestRandomFleet(t *testing.T) {
+	hedges := 0
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newFleetSim(t, seed)
+			if seed%3 == 0 {
+				s.enableHedges(hedge.MaxLimit)
+			}
 			s.loss = float64(seed%4) / 20
 			for n := range 6 {
 				s.randomChange(n)
@@ -549,6 +598,10 @@
 			}
 			s.checkRetries()
 			s.checkQuarantine()
+			hedges += s.hedges
 		})
 	}
+	if hedges == 0 {
+		t.Fatal("no request was sent a second time to save time")
+	}
 }
