--- a/decide/emulate/fleet.go
+++ b/decide/emulate/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/clock/clocktest"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/quarantine"
@@ -213,6 +214,7 @@
 	v.reducer = ingress.New(ingress.Options{
 		Self: v.self.ID, Domain: v.self.Domain, Regions: sim.regions, Start: sim.now,
 		Seed: sim.variant.Seed + uint64(v.processNumber), Disabled: sim.variant.Disabled,
+		Hedge: hedge.Policy{Limit: sim.pattern.HedgeLimit},
 		Bounds: ingress.Bounds{
 			ColdFactor: sim.pattern.ColdFactor, ColdSlack: sim.pattern.ColdSlack, RetryRatio: sim.pattern.RepeatRatio,
 			RetrySlack: sim.pattern.RepeatSlack, RetryWindow: 10 * time.Second, RegionShift: sim.pattern.RegionShift,
--- a/decide/emulate/pattern.go
+++ b/decide/emulate/pattern.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/route"
 )
 
@@ -27,6 +28,9 @@
 	ColdFactor  float64 `json:"cold_factor"`
 	ColdSlack   float64 `json:"cold_slack"`
 
+	// HedgeLimit is the limit on second sends that save time; see hedge.Policy.
+	HedgeLimit float64 `json:"hedge_limit"`
+
 	Domains  []Domain  `json:"domains"`
 	Services []Service `json:"services"`
 	Kinds    []Kind    `json:"kinds"`
@@ -211,6 +215,9 @@
 	if p.Seconds <= 0 || len(p.Domains) == 0 || len(p.Services) == 0 || len(p.Kinds) == 0 {
 		return bad("seconds must be positive, and domains, services and kinds must not be empty")
 	}
+	if err := (hedge.Policy{Limit: p.HedgeLimit}).Check(); err != nil {
+		return bad("hedge_limit: %v", err)
+	}
 	named := func(s fleet.ServiceName) bool {
 		return slices.ContainsFunc(p.Services, func(v Service) bool { return v.Name == s })
 	}
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -226,8 +226,12 @@
 	for _, l := range r.Lines {
 		fmt.Fprintf(w, "%s  %-24s %-9s %s%s\n", l.Time.Format("15:04:05.000"), l.VM, l.Event, l.Text, details(l))
 		for _, s := range sends(l) {
+			to := stringOf(s["target"])
+			if s["hedge"] == true {
+				to += " as a hedge"
+			}
 			fmt.Fprintf(w, "%12s  after %v ms to %v: %v in %v ms %v (%v)\n", "",
-				s["after_ms"], s["target"], s["outcome"], s["took_ms"], stringOf(s["reason"]), s["verdict"])
+				s["after_ms"], to, s["outcome"], s["took_ms"], stringOf(s["reason"]), s["verdict"])
 		}
 	}
 }
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -150,7 +150,7 @@
 	k.attempts[e.Attempt] = a
 	a.sendIndex = len(k.sends)
 	k.account = e.Account
-	k.sends = append(k.sends, sendRecord{Target: e.Target, Domain: e.Domain, Gateway: e.Gateway, AfterMS: now.Sub(k.receivedAt).Milliseconds(), Outcome: "under way"})
+	k.sends = append(k.sends, sendRecord{Target: e.Target, Domain: e.Domain, Gateway: e.Gateway, AfterMS: now.Sub(k.receivedAt).Milliseconds(), Outcome: "under way", Hedge: e.Hedge})
 	k.mu.Unlock()
 	if !k.forwarded {
 		s.metrics.sends.Add(1)
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -61,6 +61,7 @@
 	Outcome         string          `json:"outcome"`
 	Reason          verdict.Reason  `json:"reason,omitempty"`
 	Verdict         verdict.Verdict `json:"verdict"`
+	Hedge           bool            `json:"hedge,omitempty"` // a second send that saves time
 }
 
 // sampler selects the requests that get a log line.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -194,6 +194,7 @@
 		return m.HeapAlloc
 	})
 	gauge("placement", func() any { return s.placement() })
+	gauge("hedges", func() any { return s.hedges() })
 }
 
 // storeAge returns how long ago this VM's copy last matched the store.
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -28,6 +28,12 @@
 	kindGrantTerms
 )
 
+// Kinds of second sends that save time.
+const (
+	kindHedgeRequest = peer.KindIngress + 12 + iota
+	kindGrantWork
+)
+
 const (
 	kindRelayRequest = peer.KindRelay + iota
 	kindRelay
@@ -47,6 +53,8 @@
 	kindTokenGrant:       func() ingress.Message { return new(ingress.TokenGrant) },
 	kindTargetNotices:    func() ingress.Message { return new(ingress.TargetNotices) },
 	kindGrantTerms:       func() ingress.Message { return new(ingress.GrantTerms) },
+	kindHedgeRequest:     func() ingress.Message { return new(ingress.HedgeRequest) },
+	kindGrantWork:        func() ingress.Message { return new(ingress.GrantWork) },
 }
 
 // kindsByMessage is the kind of each type of messagesByKind.
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/reader"
@@ -170,6 +171,7 @@
 		Domain:    s.settings.Self.Domain,
 		Regions:   s.settings.Regions,
 		Bounds:    s.settings.Bounds,
+		Hedge:     s.settings.Hedge,
 		DrainTime: s.settings.DrainTime,
 		Start:     s.now(),
 		Seed:      xxhash.Sum64String(string(s.settings.Self.ID)) ^ uint64(s.now()),
@@ -303,6 +305,13 @@
 	return st
 }
 
+// hedges returns the reducer's counts of second sends that save time, by service.
+func (s *Server) hedges() map[fleet.ServiceName]hedge.Counts {
+	var counts map[fleet.ServiceName]hedge.Counts
+	s.core.Query(func(_ clock.Time, r *ingress.Reducer) { counts = r.Hedges() })
+	return counts
+}
+
 // formatRetryAfter formats a duration for Retry-After: seconds with three
 // decimals.
 func formatRetryAfter(d time.Duration) string {
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 )
@@ -38,6 +39,8 @@
 	// as draining or removed.
 	DrainTime time.Duration
 	Bounds    ingress.Bounds
+	// Hedge limits second sends that save time; the zero value allows none.
+	Hedge     hedge.Policy
 	Fields    Fields
 	Pages     Pages
 	Translate Translator
