--- a/decide/ingress/bench_test.go
+++ b/decide/ingress/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/route"
 )
@@ -27,6 +28,10 @@
 }
 
 func newFleetMember(size fleetSize, self string) *fleetMember {
+	return newFleetMemberWith(size, self, hedge.Policy{})
+}
+
+func newFleetMemberWith(size fleetSize, self string, p hedge.Policy) *fleetMember {
 	regions := make(map[fleet.Domain]fleet.Region)
 	var domains []fleet.Domain
 	for i := range 9 {
@@ -35,7 +40,7 @@
 		domains = append(domains, d)
 	}
 	m := &fleetMember{size: size, now: clock.Time(time.Hour)}
-	m.r = ingress.New(ingress.Options{Self: fleet.VMID(self), Domain: "d0", Regions: regions, Seed: 1,
+	m.r = ingress.New(ingress.Options{Self: fleet.VMID(self), Domain: "d0", Regions: regions, Seed: 1, Hedge: p,
 		Bounds: ingress.Bounds{RegionShift: 0.15, ColdFactor: 1.5, ColdSlack: 10}})
 	cfg := &route.Config{Version: 1, Services: map[fleet.ServiceName]route.Service{"svc": {Name: "svc", ColdRate: 2.6, ColdTime: 3 * time.Second}},
 		Routes: []route.Route{{Name: "a", Host: "h", Prefix: "/a/", Idempotent: true, Attempts: 3, Aim: 600 * time.Millisecond,
@@ -194,16 +199,19 @@
 func BenchmarkReceivingVM(b *testing.B) {
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
-			benchmarkReceivingVM(b, size, 0)
+			benchmarkReceivingVM(b, size, 0, hedge.Policy{})
+		})
+		b.Run(fmt.Sprintf("vms=%d/targets=%d/hedges", size.vms, size.targets), func(b *testing.B) {
+			benchmarkReceivingVM(b, size, 0, hedge.Policy{Limit: 0.1})
 		})
 		b.Run(fmt.Sprintf("vms=%d/targets=%d/accounts=86", size.vms, size.targets), func(b *testing.B) {
-			benchmarkReceivingVM(b, size, 86)
+			benchmarkReceivingVM(b, size, 86, hedge.Policy{})
 		})
 	}
 }
 
-func benchmarkReceivingVM(b *testing.B, size fleetSize, accounts int) {
-	m := newFleetMember(size, "vm3")
+func benchmarkReceivingVM(b *testing.B, size fleetSize, accounts int, p hedge.Policy) {
+	m := newFleetMemberWith(size, "vm3", p)
 	names := objectNames(size.objects)
 	keys := m.configureAccounts(accounts)
 	b.ReportAllocs()
