hedge: a second send gets a margin before the objective

Asked for at the last moment, most second sends found no target that was expected to answer in time. Requests on trial after a quarantine are not sent a second time.

--- a/decide/hedge/hedge.go
+++ b/decide/hedge/hedge.go
@@ -76,6 +76,9 @@
 	// of free slots. Without it, every slow request of a crowded region would cost its
 	// coordinator a message.
 	crowdedPause = 250 * time.Millisecond
+	// secondMargin is the multiple of its usual time that a second send gets before the
+	// objective: with the usual time alone, half of them would miss it.
+	secondMargin = 1.25
 	// maxPace limits the effect of a target's pace.
 	maxPace = 8
 	// clearGain is the part of the first send's expected remaining time within which a
@@ -130,7 +133,7 @@
 
 // New returns the controller of a service.
 func New(p Policy) *Controller {
-	return &Controller{policy: p, routes: make(map[string]*routeState)}
+	return &Controller{policy: p, routes: make(map[string]*routeState), counts: Counts{Withheld: make(map[Withheld]uint64)}}
 }
 
 func (c *Controller) routeOf(name string) *routeState {
@@ -173,7 +176,7 @@
 	}
 	d := &st.answers[s.Class]
 	delay := max(time.Duration(float64(d.tail)/s.pace()), d.median)
-	latest := s.Objective - st.second(s.Class)
+	latest := s.Objective - time.Duration(secondMargin*float64(st.second(s.Class)))
 	if latest >= d.median && latest < delay && d.missed(latest, s.Objective, s.pace()) {
 		delay = latest
 	}
@@ -252,9 +255,6 @@
 // Withhold counts a second send that is withheld. taken means that Take had allowed it:
 // the token returns, because nothing was sent.
 func (c *Controller) Withhold(now clock.Time, route string, why Withheld, taken bool) {
-	if c.counts.Withheld == nil {
-		c.counts.Withheld = make(map[Withheld]uint64)
-	}
 	c.counts.Withheld[why]++
 	if !taken {
 		return
--- a/decide/ingress/hedging.go
+++ b/decide/ingress/hedging.go
@@ -102,7 +102,7 @@
 	switch {
 	case !q.mayRetry(now):
 		why = hedge.Attempts
-	case !r.mayRiskTarget(now, q) || r.mayCrashTarget(now, q) || r.keyRevoked(q) || r.needsDetour():
+	case q.trial || !r.mayRiskTarget(now, q) || r.mayCrashTarget(now, q) || r.keyRevoked(q) || r.needsDetour():
 		why = hedge.Unsafe
 	case !useful:
 		why = hedge.NoGain
