--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -34,7 +34,17 @@
 	is.Equal(got, []string{"vm-a target", "vm-b store", "vm-b request"})
 	var b bytes.Buffer
 	Print(&b, r)
-	is.True(strings.Contains(b.String(), "after 3 ms to t1"))
+	is.True(strings.Contains(b.String(), "after 3 ms to t1:"))
+}
+
+// Guards against a second send that reads like a retry after a failure.
+func TestPrintNamesSecondSends(t *testing.T) {
+	is := is.New(t)
+	r, err := Read("r1", strings.NewReader(strings.Replace(testLogs, `"after_ms":3,`, `"after_ms":3,"hedge":true,`, 1)))
+	is.NoErr(err)
+	var b bytes.Buffer
+	Print(&b, r)
+	is.True(strings.Contains(b.String(), "after 3 ms to t1 as a hedge:"))
 }
 
 func TestReadRefusedRequest(t *testing.T) {
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/route"
@@ -106,6 +107,7 @@
 	store     *kvtest.Store
 	log       io.Writer // receives the log lines
 	translate Translator
+	hedge     hedge.Policy
 }
 
 func newTestEnv(t testing.TB, routes ...route.Route) *testEnv {
@@ -252,6 +254,7 @@
 		LeaseTTL:    10 * time.Second,
 		DrainTime:   2 * time.Second,
 		Bounds:      ingress.Bounds{ColdFactor: 1, ColdSlack: 10, RetryRatio: 0.5, RetrySlack: 20},
+		Hedge:       w.hedge,
 		Fields:      testFields,
 		Pages:       Pages{Ready: "/ready", Lookup: "/lookup"},
 		Translate:   w.translate,
