--- a/decide/ingress/hedging_test.go
+++ b/decide/ingress/hedging_test.go
@@ -297,14 +297,14 @@
 // not placed the first: it does not know which slots are taken.
 func TestTwoCoordinators(t *testing.T) {
 	is := is.New(t)
-	s, ask := slowGrant(t, otherVM)
+	_, ask := slowGrant(t, otherVM)
 	other := newHedgeHarness(t, 0.1, 3, selfVM, "entry")
 	out := other.step(&IncomingMessage{From: "entry", Message: ask})
 	is.Equal(out.Messages[0].Message.(*Deny).ID, ask.Request.ID)
 	is.Equal(len(other.r.jobs), 0)
 
 	// The first coordinator is silent, and another VM has taken over.
-	s = newHedgeHarness(t, 0.1, 3, otherVM, "third")
+	s := newHedgeHarness(t, 0.1, 3, otherVM, "third")
 	s.learnAnswers(100*ms, time.Second)
 	out = s.step(&Arrive{Request: 1000, Host: "h", Path: "/a/x"})
 	from := out.Messages[0].To
