ingress: a failure of one of two sends waits for the other

A server error of a second send was delivered although the first was under way, so a second send could turn a success into a failure. Tests of the ends of both sends are one table.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -82,6 +82,12 @@
 func (r *Reducer) serverError(now clock.Time, a *attempt) {
 	q := a.req
 	r.countTrial(now, q)
+	if q.hedged && len(q.running) > 0 {
+		// The other send may be answered without a failure. A second send must not
+		// turn a success into a failure.
+		q.verdict, q.reason = verdict.Join(q.verdict, verdict.MayHaveRun), verdict.ReasonInternal
+		return
+	}
 	retry := q.route.Idempotent && q.mayRetry(now) && len(q.running) == 0 && !r.keyRevoked(q)
 	if !retry || (!q.searching() && !q.svc.retryBudget.spend()) {
 		r.deliver(now, a)
