ingress: second sends that save time keep the checks of silent targets

The check keeps the time at which it would be without second sends. A search for a second target ends when the wider search for a silent target or gateway begins.

--- a/decide/hedge/hedge.go
+++ b/decide/hedge/hedge.go
@@ -59,7 +59,7 @@
 	Attempts    Withheld = "attempts"     // the route allows no further attempt
 	OverQuota   Withheld = "over-quota"   // the account's tokens are kept for first sends
 	Placement   Withheld = "placement"    // the VM that placed the first send did not answer, or places no longer
-	Ended       Withheld = "ended"        // the first send ended before the second was placed
+	Ended       Withheld = "ended"        // the first send ended, or was found silent, before the second was placed
 	Unsafe      Withheld = "unsafe"       // the request may crash targets, its key was revoked, or this VM reaches no target
 )
 
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -111,7 +111,11 @@
 		r.out.SilentGateways = append(r.out.SilentGateways, a.gateway) // once for all requests that wait for it
 	}
 	r.markSilent(now, a.gateway)
-	if r.mayHedge(now, q) && q.svc.retryBudget.spendForHedge(r.retryLimit()) {
+	if !r.mayHedge(now, q) {
+		return
+	}
+	r.replaceHedgeSearch(now, q)
+	if q.svc.retryBudget.spendForHedge(r.retryLimit()) {
 		r.findTarget(now, q)
 	}
 }
--- a/decide/ingress/hedging.go
+++ b/decide/ingress/hedging.go
@@ -74,8 +74,14 @@
 }
 
 // secondSendDue sends q a second time if its send is slow for its class, and sets the
-// timer for a silent target.
+// timer for a silent target, which is due at once if this VM was stalled.
 func (r *Reducer) secondSendDue(now clock.Time, q *request) {
+	for _, a := range q.running {
+		if a.silentAt != 0 && !a.slowAt.After(now) {
+			r.timers.add(timer{at: a.silentAt, request: q.id, purpose: dueHedge})
+			a.silentAt = 0
+		}
+	}
 	if len(q.running) != 1 {
 		return
 	}
@@ -84,9 +90,6 @@
 		return // the timer belongs to an earlier send
 	}
 	a.slowAt = 0
-	if silent := a.sent.Add(r.hedgeDelay(q.svc)); silent.After(now) {
-		r.timers.add(timer{at: silent, request: q.id, purpose: dueHedge})
-	}
 	if !q.hedged && !q.searching() {
 		r.hedgeForTime(now, q, a)
 	}
@@ -197,6 +200,14 @@
 	r.returnHedge(now, q, why)
 }
 
+// replaceHedgeSearch ends a search for a second target for q before one by the wider rules
+// for a silent target or gateway begins.
+func (r *Reducer) replaceHedgeSearch(now clock.Time, q *request) {
+	if q.searchesHedge() {
+		r.dropHedgeSearch(now, q, hedge.Ended)
+	}
+}
+
 // recordHedge records the result of q's second send, and of the first one that is
 // cancelled after it.
 func (r *Reducer) recordHedge(now clock.Time, q *request) {
--- a/decide/ingress/hedging_test.go
+++ b/decide/ingress/hedging_test.go
@@ -414,3 +414,76 @@
 		}
 	}
 }
+
+// spendHedges takes the second sends that are saved up.
+func (s *harness) spendHedges() {
+	for s.r.services["svc"].hedges.Take(s.now, "a") == hedge.None {
+	}
+}
+
+// Guards against a silent target that is no longer noticed because second sends are
+// allowed. The timer for it was lost if the VM was stalled until after it was due.
+func TestASilentTargetIsNoticedAfterAStall(t *testing.T) {
+	is := is.New(t)
+	s := newHedgeHarness(t, 0.1, 3, selfVM)
+	s.learnAnswers(100*ms, time.Second)
+	s.spendHedges()
+	s.step(&Arrive{Request: 1000, Host: "h", Path: "/a/x"})
+	s.later(2 * time.Second)
+	s.advance(10 * ms)
+	is.Equal(len(s.r.requests[1000].running), 2)
+}
+
+// Guards against a silent target that is no longer noticed after a second send to another
+// one: no timer was set for that send.
+func TestASilentTargetIsNoticedAfterASecondSend(t *testing.T) {
+	is := is.New(t)
+	s := newHedgeHarness(t, 0.1, 3, selfVM)
+	s.learnAnswers(100*ms, time.Second)
+	s.spendHedges()
+	s.step(&Arrive{Request: 1000, Host: "h", Path: "/a/x"})
+	s.advance(minHedgeDelay)
+	q := s.r.requests[1000]
+	is.Equal(len(q.running), 2)
+	s.step(&Failed{Attempt: q.running[0].id, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+	s.advance(minHedgeDelay)
+	is.Equal(q.sends, 3)
+}
+
+// Guards against a silent target that is no longer noticed because a search for a second
+// target was under way when the check was due.
+func TestASilentTargetIsNoticedDuringASearch(t *testing.T) {
+	is := is.New(t)
+	s := newHedgeHarness(t, 0.1, 3, otherVM)
+	s.learnAnswers(460*ms, 7*time.Second)
+	p := s.step(&Arrive{Request: 1000, Host: "h", Path: "/a/x"}).Messages[0].Message.(*PlacementRequest)
+	s.step(&IncomingMessage{From: otherVM, Message: &Grant{ID: p.ID, Target: "t1"}})
+	budget := s.r.services["svc"].retryBudget.tokens
+	ask := s.later(480 * ms).Messages[0].Message.(*HedgeRequest)
+	out := s.later(25 * ms)
+	is.Equal(len(out.Messages), 2)
+	is.Equal(out.Messages[0].Message, &Withdraw{ID: ask.Request.ID})
+	_, asked := out.Messages[1].Message.(*PlacementRequest)
+	is.True(asked)
+	is.Equal(s.r.services["svc"].retryBudget.tokens, budget-1) // one send is paid for
+}
+
+// Guards against a silent target that is no longer noticed because a silent gateway had
+// caused another send, which has ended.
+func TestASilenceCheckOutlivesAnotherSend(t *testing.T) {
+	is := is.New(t)
+	s := newHedgeHarness(t, 0.1, 3, selfVM)
+	s.learnAnswers(100*ms, time.Second)
+	s.spendHedges()
+	s.step(&Arrive{Request: 1000, Host: "h", Path: "/a/x"})
+	q := s.r.requests[1000]
+	s.later(10 * ms)
+	s.r.out = &s.out
+	s.r.findTarget(s.now, q) // as gatewayTimedOut does
+	s.r.out = nil
+	s.advance(200 * ms)
+	is.Equal(len(q.running), 2)
+	s.step(&Failed{Attempt: q.running[1].id, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+	s.advance(minHedgeDelay - 210*ms) // until the first send is checked
+	is.Equal(len(q.running), 2)
+}
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -73,6 +73,9 @@
 	hedge  bool
 	class  hedge.Class
 	slowAt clock.Time
+	// silentAt is when its target is checked for silence, if the timer for that is to be
+	// set when a is slow; 0 otherwise.
+	silentAt clock.Time
 }
 
 // aim is the latency within which the answer has its full value.
@@ -198,7 +201,8 @@
 	if q.route.Idempotent && q.mayRetry(now) {
 		silent := now.Add(r.hedgeDelay(q.svc))
 		r.noteSlowAt(now, q, a)
-		if a.slowAt != 0 && a.slowAt.Before(silent) {
+		if len(q.running) == 1 && a.slowAt != 0 && a.slowAt.Before(silent) {
+			a.silentAt = silent
 			r.scheduleSecondSend(now, q)
 			return
 		}
@@ -245,7 +249,11 @@
 	a := q.running[0]
 	direct := a.gateway == ""
 	cut := direct && r.linksDown() // then answers to other VMs say nothing of this request
-	if (a.target.answeredAt.After(a.sent) && !cut) || !q.svc.retryBudget.spendForHedge(r.retryLimit()) {
+	if a.target.answeredAt.After(a.sent) && !cut {
+		return
+	}
+	r.replaceHedgeSearch(now, q)
+	if !q.svc.retryBudget.spendForHedge(r.retryLimit()) {
 		return
 	}
 	if (direct && !cut) || a.accepted {
@@ -255,9 +263,10 @@
 }
 
 // mayHedge reports whether q may be sent a second time while its first send is
-// running.
+// running. A search for a second send that only saves time does not count: it may end
+// without a send, and the check is not repeated.
 func (r *Reducer) mayHedge(now clock.Time, q *request) bool {
-	return r.on(Hedging) && q.route.Idempotent && len(q.running) == 1 && !q.searching() &&
+	return r.on(Hedging) && q.route.Idempotent && len(q.running) == 1 && (!q.searching() || q.searchesHedge()) &&
 		q.mayRetry(now) && r.mayRiskTarget(now, q) && !r.keyRevoked(q)
 }
 
