ingress: a delivered failure of a second send is not counted as won

A server error of a second send is delivered if no other send or retry is left. It was counted as answered first, which raised the route's fraction of useful second sends.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -64,6 +64,7 @@
 		if q.svc.hedges != nil {
 			q.svc.hedges.Observe(q.route.Name, a.class, now.Sub(a.sent))
 		}
+		q.hedgeWon = a.hedge
 		r.deliver(now, a)
 	}
 }
@@ -101,7 +102,6 @@
 }
 
 func (r *Reducer) deliver(now clock.Time, a *attempt) {
-	a.req.hedgeWon = a.hedge
 	r.out.Delivers = append(r.out.Delivers, Deliver{Request: a.req.id, Attempt: a.id})
 	r.finish(now, a.req)
 }
--- a/decide/ingress/hedging_test.go
+++ b/decide/ingress/hedging_test.go
@@ -468,6 +468,21 @@
 	is.Equal(s.r.services["svc"].retryBudget.tokens, budget-1) // one send is paid for
 }
 
+// Guards against a second send that is counted as answered first although its failure was
+// delivered, as no other send was left: the route's fraction would be too high.
+func TestADeliveredFailureIsNotWon(t *testing.T) {
+	is := is.New(t)
+	s := newHedgeHarness(t, 0.1, 3, selfVM)
+	rt := idempotentRoute("a")
+	rt.Aim, rt.Timeout, rt.Attempts = 600*ms, 8*time.Second, 2
+	s.configure(2, rt)
+	s.learnAnswers(100*ms, time.Second)
+	first, second := s.secondOf(is)
+	s.step(&Failed{Attempt: first.Attempt, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+	is.Equal(len(s.step(&Answered{Attempt: second.Attempt, Outcome: ServerError}).Delivers), 1)
+	is.Equal(s.hedgeCounts().Lost, uint64(1))
+}
+
 // Guards against a silent target that is no longer noticed because a silent gateway had
 // caused another send, which has ended.
 func TestASilenceCheckOutlivesAnotherSend(t *testing.T) {
