--- a/decide/ingress/mechanism.go
+++ b/decide/ingress/mechanism.go
@@ -19,7 +19,7 @@
 	// Coordinators lets one VM of a region place all requests for a service;
 	// without it, each VM places its own requests with its own knowledge.
 	Coordinators
-	// Hedging sends an idempotent request again if its target is silent.
+	// Hedging sends an idempotent request again if its target is silent, or to save time.
 	Hedging
 	// Headroom raises the share of other regions before the own region is full.
 	Headroom
