--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/target"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -25,6 +26,9 @@
 		r.sendMessage(a.coordinator, rep)
 		r.applyResult(now, a.target, rep)
 	}
+	if len(a.req.running) == 0 && a.req.searchesHedge() {
+		r.dropHedgeSearch(now, a.req, hedge.Ended) // a retry is placed by other rules
+	}
 }
 
 // answered handles a complete answer of a target.
@@ -60,6 +64,10 @@
 	case Served:
 		r.clearQuarantine(now, q.fingerprint)
 		q.svc.recordLastTarget(now, q.object, t)
+		if q.svc.hedges != nil {
+			q.svc.hedges.Observe(q.route.Name, a.class, now.Sub(a.sent))
+		}
+		q.hedgeWon = a.hedge
 		r.deliver(now, a)
 	}
 }
@@ -78,6 +86,12 @@
 func (r *Reducer) serverError(now clock.Time, a *attempt) {
 	q := a.req
 	r.countTrial(now, q)
+	if q.hedged && len(q.running) > 0 {
+		// The other send may be answered without a failure. A second send must not
+		// turn a success into a failure.
+		q.verdict, q.reason = verdict.Join(q.verdict, verdict.MayHaveRun), verdict.ReasonInternal
+		return
+	}
 	retry := q.route.Idempotent && q.mayRetry(now) && len(q.running) == 0 && !r.keyRevoked(q)
 	if !retry || (!q.searching() && !q.svc.retryBudget.spend()) {
 		r.deliver(now, a)
--- a/decide/ingress/bench_test.go
+++ b/decide/ingress/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/route"
 )
@@ -250,16 +251,19 @@
 func BenchmarkReceivingVM(b *testing.B) {
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
-			benchmarkReceivingVM(b, size, 0)
+			benchmarkReceivingVM(b, size, 0, hedge.Policy{})
+		})
+		b.Run(fmt.Sprintf("vms=%d/targets=%d/hedges", size.vms, size.targets), func(b *testing.B) {
+			benchmarkReceivingVM(b, size, 0, hedge.Policy{Limit: 0.1})
 		})
 		b.Run(fmt.Sprintf("vms=%d/targets=%d/accounts=86", size.vms, size.targets), func(b *testing.B) {
-			benchmarkReceivingVM(b, size, 86)
+			benchmarkReceivingVM(b, size, 86, hedge.Policy{})
 		})
 	}
 }
 
-func benchmarkReceivingVM(b *testing.B, size fleetSize, accounts int) {
-	m := newFleetMember(size, "vm3")
+func benchmarkReceivingVM(b *testing.B, size fleetSize, accounts int, p hedge.Policy) {
+	m := newFleetMemberWith(size, "vm3", ingress.Options{Hedge: p})
 	names := objectNames(size.objects)
 	keys := m.configureAccounts(accounts, route.Quota{PerSecond: 1e9, Burst: 1e9})
 	b.ReportAllocs()
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/quota"
 )
 
@@ -27,6 +28,8 @@
 	// their accounts, and refuses those that would wait in vain on arrival (package
 	// admission). Otherwise they are served by priority, then in the order of arrival.
 	Admission bool
+	// Hedge limits second sends that save time; the zero value allows none.
+	Hedge hedge.Policy
 }
 
 // Bounds are the operators' limits for all entry VMs together.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -195,6 +195,7 @@
 		return m.HeapAlloc
 	})
 	gauge("placement", func() any { return s.placement() })
+	gauge("hedges", func() any { return s.hedges() })
 	gauge("admission", func() any { return s.admissionCounts() })
 }
 
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -28,6 +28,8 @@
 	kindGrantTerms
 	kindTokenDemand
 	kindTargetPace
+	kindHedgeRequest
+	kindGrantWork
 )
 
 const (
@@ -51,6 +53,8 @@
 	kindGrantTerms:       func() ingress.Message { return new(ingress.GrantTerms) },
 	kindTokenDemand:      func() ingress.Message { return new(ingress.TokenDemand) },
 	kindTargetPace:       func() ingress.Message { return new(ingress.TargetPace) },
+	kindHedgeRequest:     func() ingress.Message { return new(ingress.HedgeRequest) },
+	kindGrantWork:        func() ingress.Message { return new(ingress.GrantWork) },
 }
 
 // kindsByMessage is the kind of each type of messagesByKind.
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/hedge"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 )
@@ -40,6 +41,8 @@
 	Bounds    ingress.Bounds
 	// Admission enables fair shares and early refusals of requests that wait for a slot.
 	Admission bool
+	// Hedge limits second sends that save time; the zero value allows none.
+	Hedge     hedge.Policy
 	Fields    Fields
 	Pages     Pages
 	Translate Translator
