quota: a full bucket gives a token although tokens are kept for others

A bucket of a thin account holds one token at most. With any token kept for another VM, it never had one to give, so an issuer admitted nothing of a scarce account itself. TakeAbove now gives a token if the bucket can't hold more.

--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -116,9 +116,10 @@
 	return true
 }
 
-// TakeAbove takes n tokens if keep are left.
+// TakeAbove takes n tokens if keep are left, or if the bucket can't hold more: a small
+// bucket can't hold keep beside a whole token, and would never give one.
 func (k *Bucket) TakeAbove(now clock.Time, n, keep float64) bool {
-	if k.Tokens(now) < n+keep {
+	if k.Tokens(now) < min(n+keep, max(n, k.budget.hold())) {
 		return false
 	}
 	k.tokens -= n
--- a/decide/quota/split_test.go
+++ b/decide/quota/split_test.go
@@ -109,3 +109,18 @@
 	}
 	is.Equal(w.Len(), 0)
 }
+
+// Guards against a VM that admits nothing because its bucket can't hold a token beside
+// those that are kept for other VMs.
+func TestClaimsLeaveATokenOfAFullBucket(t *testing.T) {
+	is := is.New(t)
+	now := clock.Time(time.Hour)
+	b := NewBucket(now, now.Add(-time.Minute), Budget{Rate: 2, Depth: 0.5})
+	var c Claims
+	c.State(now, "a", []Demand{{0, 1000}})
+	c.Advance(now, &b, nil, 1)
+	b.Put(now, 1)
+	is.True(c.Kept() > 0)
+	is.True(b.TakeAbove(now, 1, c.Kept()))
+	is.True(!b.TakeAbove(now, 1, 0))
+}
