quota: invalid token grants are ignored

A grant of a NaN made the expected share of requests NaN for good, so no tokens of the account were requested any more. A grant was accepted from any VM, and of any number of tokens. Now only the VM that was asked can answer, with as many tokens as were requested at most, and entries that are not positive are ignored.

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -200,7 +200,7 @@
 	case *TokenRequest:
 		r.grantTokens(now, ev.From, m)
 	case *TokenGrant:
-		r.acceptTokens(now, m)
+		r.acceptTokens(now, ev.From, m)
 	case *quarantine.Record:
 		r.mergeQuarantine(now, m)
 	case *Report:
--- a/decide/ingress/tokens.go
+++ b/decide/ingress/tokens.go
@@ -262,11 +262,11 @@
 	}
 }
 
-// acceptTokens adds tokens of another VM, unless their request is too old or they
-// were already received.
-func (r *Reducer) acceptTokens(now clock.Time, m *TokenGrant) {
+// acceptTokens adds tokens of another VM, unless it was not asked for them, their request
+// is too old or they were already received.
+func (r *Reducer) acceptTokens(now clock.Time, from fleet.VMID, m *TokenGrant) {
 	request, ok := r.tokenRequests[m.ID]
-	if !ok {
+	if !ok || request.to != from {
 		return
 	}
 	r.endTokenRequest(m.ID, request)
@@ -277,26 +277,30 @@
 		return
 	}
 	delete(r.tokenSilent, request.to)
-	r.observeGrant(request, m)
-	for _, x := range m.Accounts {
+	granted := m.byAccount()
+	for _, x := range request.accounts {
 		if s, used := r.accounts[x.Account]; used {
-			r.putTokens(now, s, x.Tokens)
+			n := min(granted[x.Account], x.Tokens)
+			s.observeGrant(n / x.Tokens)
+			r.putTokens(now, s, n)
 		}
 	}
 }
 
-// observeGrant records which part of the requested tokens was granted.
-func (r *Reducer) observeGrant(request tokenRequest, m *TokenGrant) {
-	granted := make(map[route.AccountName]float64, len(m.Accounts))
+// byAccount returns the granted tokens. Entries that are not positive numbers are ignored.
+func (m *TokenGrant) byAccount() map[route.AccountName]float64 {
+	granted := make(map[route.AccountName]float64, min(len(m.Accounts), maxTokenAccounts))
 	for _, x := range m.Accounts {
-		granted[x.Account] = x.Tokens
-	}
-	for _, x := range request.accounts {
-		if s, used := r.accounts[x.Account]; used {
-			share := min(granted[x.Account]/x.Tokens, maxGrantShare)
-			s.grantShare += grantWeight * (share - s.grantShare)
+		if x.Tokens > 0 { // false for NaN
+			granted[x.Account] += x.Tokens
 		}
 	}
+	return granted
+}
+
+// observeGrant records which part of the requested tokens was granted.
+func (s *accountState) observeGrant(share float64) {
+	s.grantShare += grantWeight * (min(share, maxGrantShare) - s.grantShare)
 }
 
 // putTokens adds tokens of another VM and places the requests that wait for them.
--- a/decide/ingress/tokens_test.go
+++ b/decide/ingress/tokens_test.go
@@ -86,3 +86,70 @@
 	is.Equal(s.granted("vm-1", math.NaN()), 0.0)
 	is.True(s.r.accounts["x"].bucket.Tokens(s.now) >= 0) // false for NaN
 }
+
+// place requests a placement of account x and returns the effects.
+func (s *harness) place(id PlacementID, priority int) []OutgoingMessage {
+	return s.step(&IncomingMessage{From: "vm-1", Message: &PlacementRequest{
+		ID: id, Service: "svc", Route: "a", Account: "x", Priority: priority, Domain: "d1", MaxWait: 300 * time.Millisecond, TimeLeft: time.Second,
+	}}).Messages
+}
+
+// Guards against tokens that come from nowhere, and against an account that no tokens are
+// requested for any more: grants of other VMs than the one that was asked, of more than
+// was requested, repeated, late, or not a number.
+func TestInvalidTokenGrants(t *testing.T) {
+	is := is.New(t)
+	s := newTokenHarness(t, 3)
+	var requests []OutgoingMessage
+	id := PlacementID(0)
+	step := func() {
+		s.now = s.now.Add(10 * time.Millisecond)
+		list := s.step(&Tick{}).Messages
+		for range 10 { // 1,000 requests a second
+			id++
+			list = append(list, s.place(id, 0)...)
+		}
+		for _, m := range list {
+			if _, ok := m.Message.(*TokenRequest); ok {
+				requests = append(requests, m)
+			}
+		}
+	}
+	next := func() (fleet.VMID, *TokenRequest) {
+		for range 100 {
+			step()
+			if len(requests) > 0 {
+				m := requests[len(requests)-1]
+				requests = nil
+				return m.To, m.Message.(*TokenRequest)
+			}
+		}
+		t.Fatal("no tokens are requested")
+		return "", nil
+	}
+	grant := func(from fleet.VMID, id PlacementID, n ...float64) float64 {
+		x := s.r.accounts["x"]
+		before := x.bucket.Tokens(s.now) + float64(x.charged)
+		var list []AccountTokens
+		for _, n := range n {
+			list = append(list, AccountTokens{Account: "x", Tokens: n})
+		}
+		s.step(&IncomingMessage{From: from, Message: &TokenGrant{ID: id, Accounts: list}})
+		return x.bucket.Tokens(s.now) + float64(x.charged) - before
+	}
+	for _, n := range []float64{math.NaN(), math.Inf(-1), -1e300, math.Inf(1)} {
+		to, q := next()
+		got := grant(to, q.ID, n)
+		is.True(got >= 0 && got <= q.Accounts[0].Tokens+1e-6)
+		x := s.r.accounts["x"]
+		is.True(x.grantShare >= 0 && x.grantShare <= maxGrantShare) // false for NaN
+		is.True(x.expected >= 0)
+	}
+	to, q := next()
+	is.Equal(grant("other", q.ID, 1), 0.0)
+	is.True(grant(to, q.ID, 0.5, 1e6) <= q.Accounts[0].Tokens+1e-6)
+	is.Equal(grant(to, q.ID, 1), 0.0) // repeated
+	to, q = next()
+	s.now = s.now.Add(quota.TransferTimeout + time.Millisecond)
+	is.Equal(grant(to, q.ID, 1), 0.0) // late
+}
