--- a/decide/ingress/tokens_test.go
+++ b/decide/ingress/tokens_test.go
@@ -153,3 +153,40 @@
 	s.now = s.now.Add(quota.TransferTimeout + time.Millisecond)
 	is.Equal(grant(to, q.ID, 1), 0.0) // late
 }
+
+// Guards against a waiting request that is never refused, or refused twice, after a more
+// urgent one took its place.
+func TestDisplacedRequestIsRefusedOnce(t *testing.T) {
+	is := is.New(t)
+	s := newTokenHarness(t, 3)
+	denied := make(map[PlacementID]int)
+	granted := 0
+	count := func(list []OutgoingMessage) {
+		for _, m := range list {
+			switch d := m.Message.(type) {
+			case *Deny:
+				denied[d.ID]++
+			case *Grant:
+				granted++
+			}
+		}
+	}
+	const each = 200
+	for id := range PlacementID(2 * each) {
+		count(s.place(id+1, 1-int(id)/each)) // the less urgent ones first
+		is.NoErr(s.r.Check())
+	}
+	early := len(denied)
+	for range 100 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		count(s.step(&Tick{}).Messages)
+	}
+	displaced := false
+	for id, n := range denied {
+		is.Equal(n, 1)
+		displaced = displaced || id <= each
+	}
+	is.True(early > 0 && displaced)
+	is.Equal(len(denied)+granted, 2*each)
+	is.Equal(s.r.accounts["x"].waiting.Len(), 0)
+}
