--- a/decide/ingress/tokens_test.go
+++ b/decide/ingress/tokens_test.go
@@ -190,3 +190,44 @@
 	is.Equal(len(denied)+granted, 2*each)
 	is.Equal(s.r.accounts["x"].waiting.Len(), 0)
 }
+
+// Guards against a VM that, after it has itself not run for some time, passes over all
+// others, and against one that goes on to rely on VMs whose answers come too late.
+func TestSilentVMsAreToldFromAStall(t *testing.T) {
+	is := is.New(t)
+	for _, stall := range []time.Duration{10 * time.Millisecond, 2 * quota.TransferTimeout} {
+		for _, answer := range []bool{false, true} {
+			s := newTokenHarness(t, 3)
+			sent := make(map[PlacementID]fleet.VMID)
+			id := PlacementID(0)
+			note := func(list []OutgoingMessage) {
+				for _, m := range list {
+					if q, ok := m.Message.(*TokenRequest); ok {
+						sent[q.ID] = m.To
+					}
+				}
+			}
+			for range 20 { // shorter than TransferTimeout
+				s.now = s.now.Add(10 * time.Millisecond)
+				for range 20 { // more than the bucket has
+					id++
+					note(s.place(id, 0))
+				}
+				note(s.step(&Tick{}).Messages)
+			}
+			is.True(len(sent) > 0 && len(s.r.tokenSilent) == 0)
+			for end := s.now.Add(2 * quota.TransferTimeout); s.now.Before(end); {
+				s.now = s.now.Add(stall)
+				if answer { // late ones, before the timer
+					for id, to := range sent {
+						if q, ok := s.r.tokenRequests[id]; ok && s.now.Sub(q.sentAt) > quota.TransferTimeout {
+							s.step(&IncomingMessage{From: to, Message: &TokenGrant{ID: id}})
+						}
+					}
+				}
+				note(s.step(&Tick{}).Messages)
+			}
+			is.Equal(len(s.r.tokenSilent) > 0, stall < quota.TransferTimeout)
+		}
+	}
+}
