--- a/decide/ingress/hedging.go
+++ b/decide/ingress/hedging.go
@@ -61,7 +61,7 @@
 func (r *Reducer) sendOf(now clock.Time, a *attempt) hedge.Send {
 	return hedge.Send{
 		Route: a.req.route.Name, Class: a.class, Objective: a.req.arrived.Add(a.req.aim()).Sub(a.sent),
-		Pace: a.target.speed.At(now, float64(referenceSpeed)) / float64(referenceSpeed),
+		Pace: a.target.speed.At(now, float64(referenceSpeed)) / float64(referenceSpeed) * a.target.pace.Factor(now),
 	}
 }
 
