e2e: each entry VM has a loopback address of its own

The tests choose three free ports for an entry VM, release them and start its daemon. All did so on one address, so that a parallel test of the same process could be given a port before the daemon listened there: in 44 runs of TestBrokenAnswers, TestSlowServiceIsNotSilent and TestPlatformDownAtStart (-race, three times each, beside two busy loops, load 10 to 35) one case (TestBrokenAnswers/lengths_that_differ) failed with "--admin-addr: inbound: listen tcp 127.1.116.144:36457: bind: address already in use".

--- a/operate/e2e/entry_test.go
+++ b/operate/e2e/entry_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,10 +220,18 @@
 	})
 }
 
+// loopbackIPs is the number of loopback addresses of this process.
+const loopbackIPs = 200
+
+// entryVMs counts the entry VMs started by this process. Each has a loopback address
+// of its own: on a shared one, a test that runs in parallel may be given a port that
+// was chosen for this entry VM before it listens there.
+var entryVMs atomic.Uint64
+
 // startEntryVMNoWait starts an entry VM without waiting for its configuration.
 func (sys *testSystem) startEntryVMNoWait(id fleet.VMID, domain fleet.Domain, flags ...string) *entryVM {
 	sys.tb.Helper()
-	a, err := loopback.Free(loopback.IP(0), 3)
+	a, err := loopback.Free(loopback.IP(int(entryVMs.Add(1)%loopbackIPs)), 3)
 	if err != nil {
 		sys.tb.Fatal(err)
 	}
