quarantine: an answer also clears ends that become known after it

The content had been answered meanwhile, but an answer cleared only the ends that its VM knew at that time, and only the arbiters and the VM that saw it know of a first end. Late proofs then counted as ends in a row, and harmless contents came into quarantine.

Each VM now remembers its latest answers in 4,096 slots. An end that a remembered answer follows is cleared when it is recorded or merged, and the arbiters are told. A query of death is never answered, so nothing changes for it.

--- a/decide/ingress/quarantine.go
+++ b/decide/ingress/quarantine.go
@@ -121,7 +121,11 @@
 	}
 	c := r.quarantine.RecordEnd(now, l.fingerprint, l.route, quarantine.End{Start: t.instance(), Sent: l.sent, At: l.at})
 	if c.Changed {
-		r.announce(&c.Record)
+		if c.Record.Ends() > 0 {
+			r.announce(&c.Record)
+		} else {
+			r.notifyArbiters(&c.Record) // answered since
+		}
 		r.quarantineChanged(now, &c)
 	}
 }
@@ -132,6 +136,11 @@
 		r.broadcast(rec)
 		return
 	}
+	r.notifyArbiters(rec)
+}
+
+// notifyArbiters sends a record to the arbiters of its fingerprint.
+func (r *Reducer) notifyArbiters(rec *quarantine.Record) {
 	for _, id := range r.arbitersOf(rec.Fingerprint) {
 		if id != r.opts.Self {
 			r.sendMessage(id, rec)
@@ -148,14 +157,19 @@
 }
 
 // mergeQuarantine merges a record of another entry VM. An arbiter forwards the
-// record if the merge has added crashes.
+// record if the merge has added crashes or cleared some. Another VM that has answered
+// the content since notifies only the arbiters: a content that is requested often is
+// answered by all VMs.
 func (r *Reducer) mergeQuarantine(now clock.Time, m *quarantine.Record) {
 	c := r.quarantine.Merge(now, m)
 	if !c.Changed {
 		return
 	}
-	if len(c.Record.Ended) > len(m.Ended) && r.isArbiter(c.Record.Fingerprint) {
+	switch arbiter := r.isArbiter(c.Record.Fingerprint); {
+	case arbiter && (len(c.Record.Ended) > len(m.Ended) || c.Cleared):
 		r.announce(&c.Record)
+	case c.Answered:
+		r.notifyArbiters(&c.Record)
 	}
 	r.quarantineChanged(now, &c)
 }
@@ -170,6 +184,9 @@
 	} else {
 		c = r.quarantine.Merge(now, ev.Record)
 	}
+	if c.Answered {
+		r.notifyArbiters(&c.Record)
+	}
 	if c.Changed {
 		r.scheduleEnforcement(now, &c.Record)
 	}
@@ -202,7 +219,7 @@
 
 // clearQuarantine records that a request with the fingerprint was answered.
 func (r *Reducer) clearQuarantine(now clock.Time, f quarantine.Fingerprint) {
-	if r.quarantine.Len() == 0 {
+	if f == (quarantine.Fingerprint{}) || !r.on(Quarantining) {
 		return
 	}
 	c := r.quarantine.RecordAnswer(now, f)
--- a/decide/ingress/quarantine_test.go
+++ b/decide/ingress/quarantine_test.go
@@ -193,3 +193,48 @@
 	s.step(&MembersChanged{VMs: append(others, fleet.VM{ID: selfVM, Domain: "d1", Region: "r1"})})
 	is.Equal(len(s.step(&QuarantinesLost{Fingerprints: []quarantine.Fingerprint{oneContent}}).Quarantines), 0) // others are its arbiters
 }
+
+// Guards against counting a crash that is proved only after the content was answered
+// elsewhere.
+func TestAnswerBeforeTheProofClearsACrash(t *testing.T) {
+	is := is.New(t)
+	s := quarantineHarness(t)
+	first := s.arriveContent().Sends[0]
+	out := s.loseConnection(first, ListeningUnknown)
+	is.Equal(len(out.Sends), 1)
+	s.now = s.now.Add(time.Second)
+	s.step(&Answered{Attempt: out.Sends[0].Attempt, Outcome: Served})
+	s.now = s.now.Add(time.Second)
+	s.step(&TargetsChanged{Removed: []fleet.TargetID{first.Target}})
+	is.Equal(s.r.quarantine.Ends(s.now, oneContent), 0)
+}
+
+// Guards against a harmless content that is quarantined because the VMs that have
+// answered it did not know of the crashes.
+func TestAnswersClearCrashesReportedByOtherVMs(t *testing.T) {
+	is := is.New(t)
+	s := quarantineHarness(t)
+	rec := quarantine.Record{Fingerprint: oneContent, Since: s.now}
+	for n := range quarantine.SuspectThreshold {
+		at := s.now.Add(time.Duration(n) * time.Millisecond)
+		rec.Ended = append(rec.Ended, quarantine.End{Start: quarantine.Start{Target: "x", Born: int64(n)}, Sent: at, At: at})
+	}
+	s.now = s.now.Add(time.Second)
+	s.step(&Answered{Attempt: s.arriveContent().Sends[0].Attempt, Outcome: Served})
+	arbiters := make([]fleet.VM, arbiterCount)
+	for i := range arbiters {
+		arbiters[i] = fleet.VM{ID: fleet.VMID(rune('a' + i)), Domain: "d1", Region: "r1", Cores: 100}
+	}
+	weak := []fleet.VM{{ID: selfVM, Domain: "d1", Region: "r1"}, {ID: "weak", Domain: "d1", Region: "r1"}}
+	s.step(&MembersChanged{VMs: append(slices.Clone(arbiters), weak...)})
+	is.True(!s.r.isArbiter(oneContent))
+	told := make(map[fleet.VMID]bool)
+	for _, msg := range s.step(&IncomingMessage{From: "weak", Message: &rec}).Messages {
+		if m, ok := msg.Message.(*quarantine.Record); ok {
+			is.Equal(m.Ends(), 0)
+			told[msg.To] = true
+		}
+	}
+	is.Equal(told, map[fleet.VMID]bool{arbiters[0].ID: true, arbiters[1].ID: true})
+	is.Equal(s.r.quarantine.Ends(s.now, oneContent), 0)
+}
--- a/decide/quarantine/list.go
+++ b/decide/quarantine/list.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -12,9 +13,47 @@
 // and the end of a target creates one for each request in flight there.
 const maxRecords = 4096
 
+// answerSlots is the number of recent answers that a list remembers. Contents that
+// are requested often, and are therefore in flight at many ends by chance, stay in
+// their slots.
+const answerSlots = 4096
+
 // List holds the records that one entry VM knows. The zero List is empty.
 type List struct {
 	records map[Fingerprint]*Record
+	// answers holds recent answers, each in the slot of its fingerprint. An end may
+	// become known, or be reported by another VM, after an answer that clears it.
+	answers []recentAnswer
+}
+
+// recentAnswer is the latest answer of a fingerprint at this entry VM.
+type recentAnswer struct {
+	fingerprint Fingerprint
+	at          clock.Time
+}
+
+// answerSlot returns the slot of a fingerprint.
+func answerSlot(f Fingerprint) int {
+	return int(binary.BigEndian.Uint64(f[:8])^binary.BigEndian.Uint64(f[8:])) & (answerSlots - 1)
+}
+
+// rememberAnswer remembers an answer of f.
+func (l *List) rememberAnswer(now clock.Time, f Fingerprint) {
+	if l.answers == nil {
+		l.answers = make([]recentAnswer, answerSlots)
+	}
+	l.answers[answerSlot(f)] = recentAnswer{fingerprint: f, at: now}
+}
+
+// answeredAt returns the time of the latest remembered answer of f, or 0.
+func (l *List) answeredAt(f Fingerprint) clock.Time {
+	if l.answers == nil {
+		return 0
+	}
+	if a := &l.answers[answerSlot(f)]; a.fingerprint == f {
+		return a.at
+	}
+	return 0
 }
 
 // Len returns the number of records.
@@ -50,6 +89,9 @@
 	// WasQuarantined reports whether the fingerprint was in quarantine before the
 	// update.
 	WasQuarantined bool
+	// Cleared reports whether the update cleared ends. Answered reports whether it
+	// cleared ends that were already followed by an answer at this VM.
+	Cleared, Answered bool
 }
 
 // Lifted reports whether the update ended the quarantine of the fingerprint.
@@ -77,13 +119,18 @@
 		r = &Record{Fingerprint: add.Fingerprint}
 		l.add(now, r)
 	}
-	before := r.Quarantined()
+	before, ends := r.Quarantined(), r.Ends()
 	changed := r.merge(&add)
-	return Change{Record: r.clone(), Changed: changed, WasQuarantined: before}
+	answered := changed && r.clearBefore(l.answeredAt(add.Fingerprint))
+	return Change{
+		Record: r.clone(), Changed: changed, WasQuarantined: before,
+		Cleared: answered || r.Ends() < ends, Answered: answered,
+	}
 }
 
 // RecordAnswer records that a request with the fingerprint was answered.
 func (l *List) RecordAnswer(now clock.Time, f Fingerprint) Change {
+	l.rememberAnswer(now, f)
 	r := l.Find(now, f)
 	if r == nil || r.Ends() == 0 {
 		return Change{}
@@ -91,7 +138,7 @@
 	before := r.Quarantined()
 	r.clear()
 	r.Since = now
-	return Change{Record: r.clone(), Changed: true, WasQuarantined: before}
+	return Change{Record: r.clone(), Changed: true, WasQuarantined: before, Cleared: true}
 }
 
 // RecordTrial records that a request with the fingerprint is let through as a trial.
--- a/decide/quarantine/list_test.go
+++ b/decide/quarantine/list_test.go
@@ -211,3 +211,49 @@
 	is.Equal(l.Expire(testNow.Add(quarantineRetention+time.Second)), []Fingerprint{testFingerprint(1)})
 	is.Equal(l.Len(), 0)
 }
+
+// Guards against a harmless request in quarantine because the ends of its targets
+// were proved, or reported by another entry VM, only after it was answered.
+func TestAnswerClearsEndsReportedLater(t *testing.T) {
+	is := is.New(t)
+	f := testFingerprint(1)
+	var remote List
+	recordEnds(&remote, f, 1, QuarantineThreshold)
+	reported := remote.Find(testNow, f)
+
+	var l List
+	answered := testEnd(QuarantineThreshold).At.Add(time.Second)
+	is.True(!l.RecordAnswer(answered, f).Changed)
+	now := answered.Add(time.Second)
+	c := l.RecordEnd(now, f, "r", testEnd(0))
+	is.True(c.Changed)
+	is.True(c.Answered)
+	is.Equal(l.Ends(now, f), 0)
+	c = l.Merge(now, reported)
+	is.True(c.Answered)
+	is.True(c.Cleared)
+	is.Equal(l.Ends(now, f), 0)
+
+	c = remote.Merge(now, &c.Record) // the other VM learns of the answer
+	is.True(c.Lifted())
+	is.True(c.Cleared)
+	is.True(!c.Answered)
+	is.Equal(remote.Ends(now, f), 0)
+}
+
+// Guards against a query of death that goes undetected because an answer is taken
+// to clear ends that came after it, or ends of another fingerprint.
+func TestAnswerClearsNoLaterEnds(t *testing.T) {
+	is := is.New(t)
+	var l List
+	f := testFingerprint(1)
+	l.RecordAnswer(testNow, f)
+	recordEnds(&l, f, 1, QuarantineThreshold)
+	is.True(l.Find(testNow, f).Quarantined())
+
+	deadly, harmless := testFingerprint(2), testFingerprint(2+answerSlots)
+	is.Equal(answerSlot(deadly), answerSlot(harmless))
+	l.RecordAnswer(testNow.Add(time.Second), harmless)
+	recordEnds(&l, deadly, 1, QuarantineThreshold)
+	is.True(l.Find(testNow, deadly).Quarantined())
+}
--- a/decide/quarantine/record.go
+++ b/decide/quarantine/record.go
@@ -209,3 +209,16 @@
 		r.Cleared = append(r.Cleared, e.Start)
 	}
 }
+
+// clearBefore marks the ends before an answer as cleared, and reports whether there
+// were any.
+func (r *Record) clearBefore(answered clock.Time) bool {
+	cleared := false
+	for _, e := range r.unclearedEnds() {
+		if e.At.Before(answered) && len(r.Cleared) < maxListLen {
+			r.Cleared = append(r.Cleared, e.Start)
+			cleared = true
+		}
+	}
+	return cleared
+}
