ingress: tests that second sends keep homes, quotas, rate limits and attempts

The tests of second sends had no case of a home, of an account's tokens, of a rate limit, of an ejected target or of a route's attempts. The comment of TestWhereASecondSendIsPlaced named a limit that it did not have.

--- a/decide/ingress/hedging_test.go
+++ b/decide/ingress/hedging_test.go
@@ -11,6 +11,7 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/hedge"
+	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -356,12 +357,20 @@
 		prepare func(*harness)
 		want    verdict.Reason // none: t2
 	}{
-		"granted":         {within: within},
-		"warm":            {within: within, object: "o", prepare: func(s *harness) { s.warm("o", "t2") }},
-		"not warm":        {within: within, object: "o", want: verdict.ReasonNoTarget},
-		"too late":        {within: ms, want: verdict.ReasonNoTarget},
-		"cold target":     {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) { s.r.targets["t2"].coldUntil = s.now.Add(time.Second) }},
-		"draining":        {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) { s.r.targets["t2"].Draining = true; s.r.updateListing(s.now, s.r.targets["t2"]) }},
+		"granted":     {within: within},
+		"warm":        {within: within, object: "o", prepare: func(s *harness) { s.warm("o", "t2") }},
+		"not warm":    {within: within, object: "o", want: verdict.ReasonNoTarget},
+		"too late":    {within: ms, want: verdict.ReasonNoTarget},
+		"cold target": {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) { s.r.targets["t2"].coldUntil = s.now.Add(time.Second) }},
+		"draining":    {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) { s.r.targets["t2"].Draining = true; s.r.updateListing(s.now, s.r.targets["t2"]) }},
+		"rate limit": {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) {
+			t := s.r.targets["t2"]
+			s.step(&LimitReceived{Limit: TargetLimit{Target: "t2", PerSecond: 1}})
+			for range 10 {
+				t.sends.add(s.now, sendRetention)
+			}
+		}},
+		"ejected":         {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) { s.r.targets["t2"].standing.Eject(s.now, s.r.rng) }},
 		"few slots free":  {within: within, want: verdict.ReasonOverload, prepare: func(s *harness) { s.take("t1", 3); s.take("t2", 3) }},
 		"no free slot":    {within: within, want: verdict.ReasonNoTarget, prepare: func(s *harness) { s.take("t2", 4) }},
 		"without a bound": {within: 0, want: verdict.ReasonNoTarget},
@@ -502,3 +511,79 @@
 	s.advance(minHedgeDelay - 210*ms) // until the first send is checked
 	is.Equal(len(q.running), 2)
 }
+
+// Guards against a second send outside the regions to which its request is bound, and
+// against one that takes the tokens which an account keeps for first sends.
+func TestASecondSendKeepsHomesAndQuotas(t *testing.T) {
+	for name, tc := range map[string]struct {
+		regions []fleet.Region
+		account route.AccountName
+		spent   bool // all tokens but those kept for first sends
+		waits   bool // a request of the account waits for a token
+		want    verdict.Reason
+	}{
+		"home":           {regions: []fleet.Region{"r2"}, want: verdict.ReasonNoTarget},
+		"own region":     {regions: []fleet.Region{"r1"}},
+		"tokens":         {account: "x"},
+		"half is taken":  {account: "x", spent: true, want: verdict.ReasonOverQuota},
+		"unknown name":   {account: "y", want: verdict.ReasonOverQuota},
+		"request waits":  {account: "x", waits: true, want: verdict.ReasonOverQuota},
+		"without a name": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newHedgeHarness(t, 0.1, 2, selfVM, otherVM)
+			account := route.Account{Name: "x", Keys: []route.KeyDigest{keyOf("x")}, Quota: route.Quota{PerSecond: 10, Burst: 20}}
+			s.configureAccount(account)
+			s.now = s.now.Add(time.Minute)
+			first := PlacementRequest{ID: 1, Service: "svc", Route: "a", TimeLeft: 4 * time.Second, Tried: []fleet.TargetID{"t2"}}
+			s.step(&IncomingMessage{From: otherVM, Message: &first}) // to t1
+			x := s.r.accountStateOf(s.now, s.r.table.Account("x"))
+			s.now = s.now.Add(10 * time.Second)
+			if tc.waits {
+				x.waiting = append(x.waiting, &job{state: jobUncharged})
+			}
+			for kept := 1 + s.r.ownBudget(&account).Depth/2; tc.spent && x.bucket.Tokens(s.now) >= kept; {
+				x.bucket.Take(s.now, 1)
+			}
+			before := x.bucket.Tokens(s.now)
+			second := first
+			second.ID, second.Tried, second.AllowedRegions = 2, []fleet.TargetID{"t1"}, tc.regions
+			m := &HedgeRequest{First: 1, Account: tc.account, Within: 10 * time.Second, Request: second}
+			s.out.Reset()
+			s.r.out = &s.out
+			s.r.handleMessage(s.now, &IncomingMessage{From: otherVM, Message: m})
+			s.r.out = nil
+			is.Equal(len(s.out.Messages), 1)
+			is.True(before >= 1)
+			if tc.want != verdict.ReasonNone {
+				is.Equal(s.out.Messages[0].Message.(*Deny).Reason, tc.want)
+				is.Equal(x.bucket.Tokens(s.now), before)
+				return
+			}
+			is.Equal(s.out.Messages[0].Message.(*Grant).Target, fleet.TargetID("t2"))
+			is.Equal(x.bucket.Tokens(s.now), before-float64(count(tc.account != "")))
+		})
+	}
+}
+
+// Guards against a second send beyond the attempts of a route: after a retry, a route with
+// two has none left.
+func TestASecondSendKeepsToTheAttempts(t *testing.T) {
+	is := is.New(t)
+	for _, attempts := range []int{1, 2} {
+		s := newHedgeHarness(t, 0.1, 3, selfVM)
+		rt := idempotentRoute("a")
+		rt.Aim, rt.Timeout, rt.Attempts = 600*ms, 8*time.Second, attempts
+		s.configure(2, rt)
+		s.learnAnswers(100*ms, time.Second)
+		s.step(&Arrive{Request: 1000, Host: "h", Path: "/a/x"})
+		q := s.r.requests[1000]
+		if attempts == 2 {
+			s.step(&Failed{Attempt: q.running[0].id, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+		}
+		s.advance(2 * time.Second)
+		is.Equal(q.sends, attempts)
+		is.Equal(s.hedgeCounts().Sent, uint64(0))
+	}
+}
