--- a/decide/ingress/hedging_test.go
+++ b/decide/ingress/hedging_test.go
@@ -541,7 +541,7 @@
 			x := s.r.accountStateOf(s.now, s.r.table.Account("x"))
 			s.now = s.now.Add(10 * time.Second)
 			if tc.waits {
-				x.waiting = append(x.waiting, &job{state: jobUncharged})
+				x.waiting.Push(0, &job{state: jobUncharged})
 			}
 			for kept := 1 + s.r.ownBudget(&account).Depth/2; tc.spent && x.bucket.Tokens(s.now) >= kept; {
 				x.bucket.Take(s.now, 1)
