--- a/decide/ingress/doc.go
+++ b/decide/ingress/doc.go
@@ -80,6 +80,14 @@
 // that may crash its target is sent to the target that runs the fewest others
 // (leastBusy).
 //
+// # Short of slots
+//
+// With Options.Admission, requests that wait for a slot are served by class and by fair
+// shares of their client accounts, and one that would wait in vain is refused on arrival
+// (package admission). A target that states its pace is expected to take longer while its
+// machine is busy (package pace). With Options.Hedge, an idempotent request whose answer is
+// slow for its class is sent to a second target, within a limit (package hedge).
+//
 // # Refusals
 //
 // Every refusal carries the joined verdict of all sends. The verdict is not-run
