--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_/]*\) .*/^\1$$/p' KNOWN-RED.txt 2>/dev/null | sed 's|/|$$/^|g' | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-# The emulator's tests take twelve minutes with the race detector on eight cores.
+# The emulator's tests take up to 27 minutes with the race detector beside other load.
 TEST_TIMEOUT := 40m
 
 # Every test of every module, with the race detector.
