inbound: a stop whose time is over reports requests in flight only if there are any

If the idle signal and the end of the time are both there, select takes either.

Test: TestStopOfAnIdleServerAfterItsTime, failing before.

--- a/serve/inbound/close_test.go
+++ b/serve/inbound/close_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -497,3 +498,19 @@
 	_, b := read(t, r, http.MethodGet)
 	is.Equal(b, "/late ")
 }
+
+// Guards against a stop that reports requests in flight although there are none, because
+// its time was used up by another server.
+func TestStopOfAnIdleServerAfterItsTime(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		s, err := Listen("127.0.0.1:0", Options{Limits: Limits{HeadBytes: 1 << 10}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Stop(ended); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -282,12 +282,16 @@
 	s.stopping.Store(true)
 	s.signalIdle()
 	s.mu.Unlock()
-	var err error
 	select {
+	case <-s.idle:
+	case <-ctx.Done():
+	}
+	var err error
+	select { // both may be ready
 	case <-s.idle:
 		s.StopAccepting() // otherwise callers could delay the stop without end
 		err = s.flush(ctx)
-	case <-ctx.Done():
+	default:
 		err = fmt.Errorf("inbound: requests still in flight: %w", ctx.Err())
 	}
 	s.closeListener()
