ingress: routes are looked up by name in the table

The aim of a route for admission was found by a search through all routes with a cache of its own, and second sends listed all names at each configuration. Both now ask route.Table.Route, which keeps the first of two routes with one name, as the search did. No change of behaviour; the tests of decide/ingress and decide/route pass.

--- a/decide/ingress/admission.go
+++ b/decide/ingress/admission.go
@@ -11,7 +11,6 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/queue"
-	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
 
@@ -23,8 +22,6 @@
 	lastSeq uint64                 // given to jobs in fifo
 	fair    *admission.Queue[*job] // used instead of fifo; nil: no admission
 	counts  AdmissionCounts
-	aims    map[string]time.Duration // of routes in aimsOf, by name
-	aimsOf  *route.Table
 }
 
 // AdmissionCounts counts the requests of one service for which there was no target on
@@ -240,20 +237,8 @@
 	if j.req != nil {
 		return j.req.aim()
 	}
-	w := &j.svc.waiting
-	if w.aimsOf != r.table {
-		w.aimsOf, w.aims = r.table, make(map[string]time.Duration)
-	}
-	aim, known := w.aims[j.Route]
-	if known {
-		return aim
-	}
-	for i := range r.table.Config.Routes {
-		if rt := &r.table.Config.Routes[i]; rt.Name == j.Route {
-			aim = (&request{route: rt}).aim()
-			w.aims[j.Route] = aim
-			return aim
-		}
+	if rt := r.table.Route(j.Route); rt != nil {
+		return (&request{route: rt}).aim()
 	}
 	return time.Duration(float64(j.MaxWait) / maxWaitShare)
 }
--- a/decide/ingress/hedging.go
+++ b/decide/ingress/hedging.go
@@ -6,7 +6,6 @@
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/hedge"
-	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/decide/target"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -313,16 +312,12 @@
 
 // dropHedgesOfRemovedRoutes drops what is known of routes that a new configuration no
 // longer has.
-func (r *Reducer) dropHedgesOfRemovedRoutes(c *route.Config) {
+func (r *Reducer) dropHedgesOfRemovedRoutes() {
 	if !r.opts.Hedge.Enabled() {
 		return
 	}
-	named := make(map[string]bool, len(c.Routes))
-	for i := range c.Routes {
-		named[c.Routes[i].Name] = true
-	}
 	for _, s := range r.services {
-		s.hedges.Retain(func(name string) bool { return named[name] })
+		s.hedges.Retain(func(name string) bool { return r.table.Route(name) != nil })
 	}
 }
 
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -187,7 +187,7 @@
 		delete(r.splits, name) // weights may have changed
 	}
 	r.dropRemovedRoutes(ev.Table.Config)
-	r.dropHedgesOfRemovedRoutes(ev.Table.Config)
+	r.dropHedgesOfRemovedRoutes()
 	r.applyQuotas(now)
 	r.refuseRevoked(now)
 	r.dispatchAll(now)
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -159,7 +159,9 @@
 	t := &Table{Config: c, hosts: make(map[string][]*Route), routes: make(map[string]*Route, len(c.Routes))}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		t.routes[r.Name] = r
+		if _, repeated := t.routes[r.Name]; !repeated {
+			t.routes[r.Name] = r
+		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
 	for _, rs := range t.hosts {
