--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -81,7 +81,9 @@
 func (w *world) upstream(id, service, zone string, slots int, behave behaviour) (*upstream, error) {
 	u, err := startUpstream(id, service, zone, w.ip(100)+":0", slots, w.books, w.store, behave)
 	if err == nil {
+		w.mu.Lock()
 		w.ups = append(w.ups, u)
+		w.mu.Unlock()
 		w.log("starts upstream %s of %s in %s at %s", id, service, zone, u.addr)
 	}
 	return u, err
--- a/review/standin/repeated.go
+++ b/review/standin/repeated.go
@@ -15,7 +15,7 @@
 // Figures of the disruption: garble with how = "extra late".
 const (
 	garbledUpstreams = 3               // of 5: share 0.6
-	garbleFor        = 5 * time.Second // for_s
+	garbleFor        = 5 * time.Second // for_s; it comes twice
 	rejectedEach     = 40              // one answer in 40 is a rejection: x below 0.03
 )
 
@@ -67,7 +67,7 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	end := time.Now().Add(8 * time.Second)
+	end := time.Now().Add(14 * time.Second)
 	for i := range 12 {
 		wg.Add(1)
 		go func() {
@@ -79,10 +79,12 @@
 			}
 		}()
 	}
-	time.Sleep(time.Second)
-	garbled.Store(w.trouble)
-	time.Sleep(garbleFor)
-	garbled.Store(false)
+	for range 2 {
+		time.Sleep(time.Second)
+		garbled.Store(w.trouble)
+		time.Sleep(garbleFor)
+		garbled.Store(false)
+	}
 	wg.Wait()
 	all := int64(0)
 	for _, u := range w.ups {
--- a/review/standin/slowread.go
+++ b/review/standin/slowread.go
@@ -16,10 +16,11 @@
 
 // Figures of the case.
 const (
-	uploadBytes = 300_000                 // of at most 360,000 (req_bytes, max)
-	readPause   = 2500 * time.Millisecond // the upstream reads nothing for so long
-	uploadLimit = 8 * time.Second         // deadline of the uploads
-	lateWork    = 5 * time.Second         // the last sixth of grace_s begins so long after SIGTERM
+	uploadBytes   = 300_000                 // of at most 360,000 (req_bytes, max)
+	readPause     = 2500 * time.Millisecond // the upstream reads nothing for so long
+	receiveBuffer = 64 << 10                // of an upstream's connection
+	uploadLimit   = 8 * time.Second         // deadline of the uploads
+	lateWork      = 5 * time.Second         // the last sixth of grace_s begins so long after SIGTERM
 )
 
 // slowReader: upstreams begin to work on uploads at their heads. With trouble, they pause for
@@ -82,6 +83,9 @@
 
 // serveUploads serves one connection to an upstream that takes uploads.
 func (w *world) serveUploads(u *upstream, c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(receiveBuffer)
+	}
 	br := bufio.NewReaderSize(c, 4096)
 	for {
 		r, err := http.ReadRequest(br)
