ingress: log what a rejection rests on

Cause: a refused request's line does not tell whether the target rejected this request or whether something else on its connection was taken for its answer.

Change: each send of a request's line has answer (named, earlier, head_ms) or error; a gateway passes on the same for answers that say not run. target_rejections counts such answers by what ties them to the request. azurethread explain prints both. No decision is changed. outbound looks up the call of a connection in one place instead of four.

Figures: tests of serve/outbound, serve/ingress and operate/explain pass; the new ones fail to compile before.

--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -230,12 +230,29 @@
 			if s["hedge"] == true {
 				to += " as a hedge"
 			}
-			fmt.Fprintf(w, "%12s  after %v ms to %v: %v in %v ms %v (%v)\n", "",
-				s["after_ms"], to, s["outcome"], s["took_ms"], stringOf(s["reason"]), s["verdict"])
+			fmt.Fprintf(w, "%12s  after %v ms to %v: %v in %v ms %v (%v)%s\n", "",
+				s["after_ms"], to, s["outcome"], s["took_ms"], stringOf(s["reason"]), s["verdict"], evidence(s))
 		}
 	}
 }
 
+// evidence returns what the verdict of a send rests on: the error that ended it, or, if the
+// request has not run, what ties the target's answer to it.
+func evidence(send map[string]any) string {
+	if e := stringOf(send["error"]); e != "" {
+		return ": " + e
+	}
+	a, ok := send["answer"].(map[string]any)
+	if !ok || stringOf(send["verdict"]) != "not-run" {
+		return ""
+	}
+	names := "names no request"
+	if a["named"] == true {
+		names = "names the request"
+	}
+	return fmt.Sprintf(": the answer %s, came %v ms after the write, and %v answers had come on its connection before", names, a["head_ms"], a["earlier"])
+}
+
 // detailFields lists the fields that details prints, in this order.
 var detailFields = []string{
 	"status", "verdict", "reason", "took_ms", "patience_ms", "retry_after_ms", "config", "store_age_ms",
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -216,7 +216,7 @@
 // attemptEnded processes the result of an attempt.
 func (s *Server) attemptEnded(k *call, id ingress.AttemptID, a *attempt, ans *outbound.Answer, err *verdict.Error) {
 	if err != nil {
-		s.recordOutcome(k, a, "failed", err.Verdict, err.Reason)
+		s.recordFailure(k, a, err)
 		s.core.Post(&ingress.Failed{Attempt: id, Verdict: err.Verdict, Reason: err.Reason})
 		return
 	}
@@ -229,6 +229,10 @@
 	rec.Pace = load.Pace
 	if rec.Gateway != "" {
 		rec.GatewayWaitedMS = takeGatewayWait(ans.Header)
+		rec.Answer = takeGatewayAnswer(ans.Header)
+	} else {
+		rec.Answer = s.describeAnswer(ans)
+		s.countAnswer(outcome, rec.Answer)
 	}
 	domain := rec.Domain
 	k.mu.Unlock()
@@ -247,6 +251,41 @@
 	})
 }
 
+// describeAnswer describes an answer of a target for the request's log line.
+func (s *Server) describeAnswer(ans *outbound.Answer) *answerRecord {
+	return &answerRecord{
+		Named:   ans.Header.Get(s.settings.Fields.RequestID) != "",
+		Earlier: ans.Earlier,
+		HeadMS:  float64(ans.HeadAfter.Microseconds()) / 1000,
+	}
+}
+
+// countAnswer counts an answer which states that the request has not run, by what ties it
+// to the request.
+func (s *Server) countAnswer(outcome ingress.Outcome, a *answerRecord) {
+	if outcome.Verdict() != verdict.NotRun {
+		return
+	}
+	switch {
+	case a.Named:
+		s.metrics.rejections.Add("named", 1)
+	case a.Earlier == 0:
+		s.metrics.rejections.Add("unnamed-first", 1)
+	default:
+		s.metrics.rejections.Add("unnamed-later", 1)
+	}
+}
+
+// recordFailure records an attempt that ended without an answer.
+func (s *Server) recordFailure(k *call, a *attempt, err *verdict.Error) {
+	if err.Err != nil {
+		k.mu.Lock()
+		k.sends[a.sendIndex].Error = err.Err.Error()
+		k.mu.Unlock()
+	}
+	s.recordOutcome(k, a, "failed", err.Verdict, err.Reason)
+}
+
 // recordOutcome records the result of an attempt for the metrics and the
 // request's log line.
 func (s *Server) recordOutcome(k *call, a *attempt, outcome string, v verdict.Verdict, why verdict.Reason) {
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +40,9 @@
 	// request waited there for a connection to the target. It is absent if one was
 	// idle.
 	gatewayWaitHeader = "Azurethread-Gateway-Waited-Ms"
+	// gatewayAnswerHeader is in a gateway's answer if the target's one states that the
+	// request has not run: the fields of answerRecord, separated by spaces.
+	gatewayAnswerHeader = "Azurethread-Gateway-Answer"
 	// deploymentTagBytes is how much of the deployment's key is in the tag. Like
 	// the key, the tag separates deployments and authenticates nothing.
 	deploymentTagBytes = 8
@@ -195,6 +199,10 @@
 	heads.RemoveHopByHop(ans.Header)
 	heads.RemoveFailure(ans.Header)
 	delete(ans.Header, gatewayWaitHeader)
+	delete(ans.Header, gatewayAnswerHeader)
+	if outcome := s.outcomeOf(ans); outcome.Verdict() == verdict.NotRun {
+		ans.Header[gatewayAnswerHeader] = []string{s.describeAnswer(ans).encode()}
+	}
 	if wait := ans.ConnectionWait; wait > 0 {
 		s.metrics.gatewayConnWaits.Add(1)
 		s.metrics.gatewayConnWaitMS.Add(wait.Milliseconds())
@@ -203,6 +211,23 @@
 	k.exchange.Respond(ans.Status, ans.Header, ans.Body)
 }
 
+// encode returns the value of gatewayAnswerHeader.
+func (a *answerRecord) encode() string {
+	return fmt.Sprintf("%t %d %.3f", a.Named, a.Earlier, a.HeadMS)
+}
+
+// takeGatewayAnswer removes and returns what a gateway states about a target's answer; nil
+// if it states nothing that can be parsed.
+func takeGatewayAnswer(h http.Header) *answerRecord {
+	v := h.Get(gatewayAnswerHeader)
+	delete(h, gatewayAnswerHeader)
+	a := new(answerRecord)
+	if _, err := fmt.Sscanf(v, "%t %d %f", &a.Named, &a.Earlier, &a.HeadMS); err != nil {
+		return nil
+	}
+	return a
+}
+
 // takeGatewayWait removes and returns the time in ms for which a request waited at its
 // gateway for a connection; 0 if the gateway, of another version, states none.
 func takeGatewayWait(h http.Header) int64 {
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -62,7 +62,16 @@
 	Outcome         string          `json:"outcome"`
 	Reason          verdict.Reason  `json:"reason,omitempty"`
 	Verdict         verdict.Verdict `json:"verdict"`
-	Hedge           bool            `json:"hedge,omitempty"` // a second send that saves time
+	Hedge           bool            `json:"hedge,omitempty"`  // a second send that saves time
+	Error           string          `json:"error,omitempty"`  // why there is no answer
+	Answer          *answerRecord   `json:"answer,omitempty"` // nil: none, or it came from a gateway that does not describe it
+}
+
+// answerRecord describes an answer and the connection to the target on which it came.
+type answerRecord struct {
+	Named   bool    `json:"named"`   // it states the id of a request
+	Earlier int     `json:"earlier"` // answers that the connection had carried before
+	HeadMS  float64 `json:"head_ms"` // from the write of the request to the head
 }
 
 // sampler selects the requests that get a log line.
--- a/serve/ingress/log_test.go
+++ b/serve/ingress/log_test.go
@@ -121,6 +121,71 @@
 	}
 }
 
+// Guards against a refusal whose proof the log does not show: a rejection of the request
+// and one that was made for an earlier request of its connection look alike.
+func TestRequestLineDescribesRejection(t *testing.T) {
+	for name, viaGateway := range map[string]bool{"direct": false, "through a gateway": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestEnv(t, catchAllRoute(false))
+			log := new(logBuffer)
+			w.log = log
+			const serves = 3 // then it rejects without naming the request
+			answers := 0
+			target := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				if answers++; answers <= serves {
+					respondOK("body")(rw, r)
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+				rw.Header().Set(testFields.NotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			})
+			var s, sender *Server // sender is connected to the target
+			if viaGateway {
+				w.startRemoteTarget("t1", target)
+				s, sender = w.startTwoRegions()
+			} else {
+				w.startTarget("t1", target.ServeHTTP)
+				s = w.startListed("vm-1")
+				sender = s
+			}
+			for range serves {
+				res, _ := doRequest(t, s, http.MethodPost, "/x", "served")
+				is.Equal(res.StatusCode, http.StatusOK)
+			}
+			res, _ := doRequest(t, s, http.MethodPost, "/x", "rejected")
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(res.Header.Get(gatewayAnswerHeader), "")
+			sends := log.requestLine(w, "rejected").Sends
+			is.Equal(len(sends), 1)
+			is.True(sends[0].Answer != nil)
+			is.Equal(sends[0].Answer.Named, false)
+			is.Equal(sends[0].Answer.Earlier, serves)
+			is.True(sends[0].Answer.HeadMS >= 5)
+			is.Equal(sender.metrics.rejections.String(), `{"unnamed-later": 1}`)
+		})
+	}
+}
+
+// Guards against a failed send whose log line does not show what failed.
+func TestRequestLineNamesError(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	log := new(logBuffer)
+	w.log = log
+	w.startRawTarget("t1", func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = c.Write([]byte("not an answer\r\n\r\n"))
+		_, _ = r.ReadByte() // until the entry VM closes the connection
+	})
+	doRequest(t, w.startListed("vm-1"), http.MethodPost, "/x", "id-1")
+	sends := log.requestLine(w, "id-1").Sends
+	is.Equal(len(sends), 1)
+	is.Equal(sends[0].Answer, nil)
+	is.Equal(sends[0].Error, "outbound: received data is not the head of an HTTP/1 answer")
+}
+
 // Guards against a shift of traffic between regions that cannot be attributed to
 // the entry VMs: only a sample of the requests is logged, so the placement of
 // all requests has to be logged in total.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -46,7 +46,11 @@
 	requestsUnread  *expvar.Map // requests received on them and not passed on, by reason
 	sendConnsClosed *expvar.Map // connections to targets and gateways, by reason
 	sendsCut        *expvar.Map // requests in flight on them, by reason
-	probes          *expvar.Int // of targets that may have crashed
+	// rejections counts targets' answers which state that the request has not run, by
+	// whether they name the request, and if not, whether they are the first answer on
+	// their connection.
+	rejections *expvar.Map
+	probes     *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
 	unreadLimits  *expvar.Int
 	unreadNotices *expvar.Int // notices in answers that could not be parsed
@@ -117,6 +121,7 @@
 	m.requestsUnread = m.newCounters("requests_unread")
 	m.sendConnsClosed = m.newCounters("send_connections_closed")
 	m.sendsCut = m.newCounters("sends_cut")
+	m.rejections = m.newCounters("target_rejections")
 	m.probes = m.newCounter("target_probes")
 	m.unreadLimits = m.newCounter("target_limits_unread")
 	m.unreadNotices = m.newCounter("target_notices_unread")
--- a/serve/outbound/answerbody.go
+++ b/serve/outbound/answerbody.go
@@ -77,9 +77,9 @@
 	return n, nil
 }
 
-// beginBody prepares for the body of the answer whose head was received, and ends the
-// answer if it has none.
-func (c *conn) beginBody() {
+// beginBody prepares for the body of the answer to k whose head was received, and ends the
+// answer if it has none. k is nil if its request has ended.
+func (c *conn) beginBody(k *Call) {
 	a, f := c.answer, c.framing
 	switch {
 	case c.endsWithHead(a.Status):
@@ -91,7 +91,7 @@
 		c.body, c.chunks = bodyChunked, body.Chunks{}
 	case f.Length > 0:
 		c.beginLength()
-	case c.foreignAnswer || !c.p.mayEndByClose(c):
+	case c.foreignAnswer || k == nil || !k.req.MayEndByClose:
 		// Such an answer ends with the connection, which looks the same when
 		// the receiver crashes: whether the answer is complete cannot be
 		// determined.
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -52,6 +52,10 @@
 	// ConnectionWait is how long the request waited for a connection; 0 if one was
 	// idle.
 	ConnectionWait time.Duration
+	// Earlier is the number of answers that the connection had carried before.
+	Earlier int
+	// HeadAfter is the time from the write of the request to the head of the answer.
+	HeadAfter time.Duration
 
 	hold *holding // nil: no budget
 }
@@ -70,12 +74,13 @@
 	done     Done
 	queuedAt clock.Time // start of its wait for a connection; 0: it did not wait
 
-	mu       sync.Mutex
-	c        *conn          // connection the request is written to
-	waited   time.Duration  // for that connection
-	writing  bool           // the request is being written
-	lost     *verdict.Error // set if the connection closes during the write
-	finished bool
+	mu        sync.Mutex
+	c         *conn          // connection the request is written to
+	waited    time.Duration  // for that connection
+	writtenAt clock.Time     // start of the write
+	writing   bool           // the request is being written
+	lost      *verdict.Error // set if the connection closes during the write
+	finished  bool
 }
 
 // finish reports the outcome; only the first call has an effect and returns true.
@@ -104,12 +109,20 @@
 	}
 	k.c = c
 	k.writing = true
+	k.writtenAt = c.p.pool.opts.Now()
 	if k.queuedAt > 0 {
-		k.waited = c.p.pool.opts.Now().Sub(k.queuedAt)
+		k.waited = k.writtenAt.Sub(k.queuedAt)
 	}
 	return true
 }
 
+// sinceWrite returns how long ago the write of the request began.
+func (k *Call) sinceWrite(now clock.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.writtenAt)
+}
+
 // attached reports whether the request has been given to a connection.
 func (k *Call) attached() bool {
 	k.mu.Lock()
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -55,6 +55,7 @@
 	bodyLeft      int64       // rest of a body with Content-Length
 	chunks        body.Chunks // of a chunked body
 	foreignAnswer bool        // the answer belongs to another request or to none
+	answers       int         // complete heads of answers, those to other requests included
 	answer        *Answer
 	noReuse       bool
 	noBody        bool // the request was a HEAD
@@ -319,22 +320,31 @@
 	if f.Length >= 0 {
 		a.Header["Content-Length"] = []string{strconv.FormatInt(f.Length, 10)}
 	}
+	k := c.p.callOf(c)
 	if a.Status < http.StatusOK {
-		if a.Status == http.StatusProcessing {
-			c.p.reportAcknowledged(c)
+		if a.Status == http.StatusProcessing && k != nil && k.req.Acknowledged != nil {
+			k.req.Acknowledged()
 		}
 		c.resetAnswer() // the final answer follows
 		return
 	}
-	if own := c.p.isOwnAnswer(c); !own {
+	a.Earlier = c.answers
+	c.answers++
+	switch {
+	case k == nil:
+		// The request has ended, and the connection is being closed.
+	case k.req.IsOwnAnswer != nil && !k.req.IsOwnAnswer(a.Status, a.Header):
 		// A second answer to an earlier request, or an unsolicited one, may
 		// arrive where this request's answer is due.
 		c.foreignAnswer = true
 		c.noReuse = true
-	} else {
-		c.p.reportHead(c)
+	default:
+		a.HeadAfter = k.sinceWrite(c.p.pool.opts.Now())
+		if k.req.HeadReceived != nil {
+			k.req.HeadReceived(a.Status, a.Header)
+		}
 	}
-	c.beginBody()
+	c.beginBody(k)
 }
 
 // complete delivers a complete answer and frees the connection.
--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -234,7 +234,7 @@
 			c := &conn{p: pe, nbc: nbc, call: k, answer: &Answer{Status: http.StatusOK}, framing: heads.Framing{Length: -1}}
 			is.True(k.attach(c))
 			k.writeDone(nil)
-			c.beginBody()
+			c.beginBody(k)
 			far := <-peers
 			if reset {
 				is.NoErr(far.(*net.TCPConn).SetLinger(0))
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -182,40 +182,11 @@
 	return min(use, limit)
 }
 
-// isOwnAnswer reports whether the answer being received on c belongs to its
-// request.
-func (pe *peer) isOwnAnswer(c *conn) bool {
-	pe.mu.Lock()
-	k := c.call
-	pe.mu.Unlock()
-	return k == nil || k.req.IsOwnAnswer == nil || k.req.IsOwnAnswer(c.answer.Status, c.answer.Header)
-}
-
-// reportAcknowledged calls Acknowledged of c's request.
-func (pe *peer) reportAcknowledged(c *conn) {
-	pe.mu.Lock()
-	k := c.call
-	pe.mu.Unlock()
-	if k != nil && k.req.Acknowledged != nil {
-		k.req.Acknowledged()
-	}
-}
-
-// reportHead calls HeadReceived of c's request.
-func (pe *peer) reportHead(c *conn) {
-	pe.mu.Lock()
-	k := c.call
-	pe.mu.Unlock()
-	if k != nil && k.req.HeadReceived != nil {
-		k.req.HeadReceived(c.answer.Status, c.answer.Header)
-	}
-}
-
-// mayEndByClose reports whether c's request accepts an answer without a length.
-func (pe *peer) mayEndByClose(c *conn) bool {
+// callOf returns the call that c carries, nil if there is none.
+func (pe *peer) callOf(c *conn) *Call {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	return c.call != nil && c.call.req.MayEndByClose
+	return c.call
 }
 
 // takeBack decides to close c if it still carries k. If k's answer has come meanwhile, c
