ingress: tests that answers which come twice refuse no other request, failing

Two send a rejection once more where the next answer is due (REFUSED with one attempt, TWICE with two), one does so with the 421 of a target that has got another one's address, one draws rejections and copies at random.

--- /dev/null
+++ b/serve/ingress/ownership_test.go
@@ -0,0 +1,216 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/route"
+)
+
+// executions counts the requests that targets run, by id.
+type executions struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (e *executions) add(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.counts == nil {
+		e.counts = make(map[string]int)
+	}
+	e.counts[id]++
+}
+
+func (e *executions) of(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts[id]
+}
+
+// Rejections as targets send them, without the id of the request.
+const (
+	testRejection    = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	testMisdirection = "HTTP/1.1 421 Misdirected Request\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n"
+)
+
+// reply decides how a raw target answers a request. previous is the answer that was sent
+// before on the connection, "" if there is none. first is sent first, as a copy of an earlier
+// answer; rejection is the answer to the request, "" if it runs.
+type reply func(req *http.Request, previous string) (first, rejection string)
+
+// serveReplies serves a connection of a raw target, and counts the requests that run.
+func serveReplies(c net.Conn, r *bufio.Reader, ran *executions, decide reply) {
+	previous := ""
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		first, answer := decide(req, previous)
+		_, _ = io.WriteString(c, first)
+		if answer == "" {
+			id := req.Header.Get(testFields.RequestID)
+			ran.add(id)
+			time.Sleep(5 * time.Millisecond)
+			answer = fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+		}
+		_, _ = io.WriteString(c, answer)
+		previous = answer
+	}
+}
+
+// rejectSecond returns a reply that rejects the second request of each connection, and sends
+// the rejection once more before the answer to the third one.
+func rejectSecond() reply {
+	requests := 0
+	return func(*http.Request, string) (first, rejection string) {
+		requests++
+		switch requests {
+		case 2:
+			return "", testRejection
+		case 3:
+			return testRejection, ""
+		}
+		return "", ""
+	}
+}
+
+// Guards against a request that is answered as not run and has run: a target's rejection
+// comes a second time, where the answer to the connection's next request is due.
+func TestRepeatedRejectionRefusesNoOtherRequest(t *testing.T) {
+	is := is.New(t)
+	rt := catchAllRoute(false)
+	rt.Attempts = 1
+	w := newTestEnv(t, rt)
+	ran := new(executions)
+	w.startRawTarget("t1", func(c net.Conn, r *bufio.Reader) {
+		serveReplies(c, r, ran, rejectSecond())
+	})
+	s := w.startListed("vm-1")
+	for i := range 9 {
+		id := fmt.Sprint("id-", i)
+		res, _ := doRequest(t, s, http.MethodPost, "/x", id)
+		is.Equal(ran.of(id) == 1, res.StatusCode == http.StatusOK)
+	}
+}
+
+// Guards against a request that runs at two targets: a target's rejection comes a second
+// time, where the answer to the connection's next request is due.
+func TestRepeatedRejectionSendsNoOtherRequestAgain(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	ran := new(executions)
+	for _, id := range []string{"t1", "t2"} {
+		w.startRawTarget(id, func(c net.Conn, r *bufio.Reader) {
+			serveReplies(c, r, ran, rejectSecond())
+		})
+	}
+	s := w.startListed("vm-1")
+	for i := range 20 {
+		id := fmt.Sprint("id-", i)
+		res, _ := doRequest(t, s, http.MethodPost, "/x", id)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(ran.of(id), 1)
+	}
+}
+
+// Guards against a request that is answered as not run and has run: the target that got
+// another one's address answers 421 twice, and the second one is taken for the answer to
+// a request that was meant for it.
+func TestRepeatedMisdirectionRefusesNoOtherRequest(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	ran := new(executions)
+	w.startRawTarget("t1", func(c net.Conn, r *bufio.Reader) {
+		serveReplies(c, r, ran, func(req *http.Request, previous string) (first, rejection string) {
+			misdirection := fmt.Sprintf(testMisdirection, "t2")
+			if req.Header.Get(testFields.Target) != "t2" {
+				return "", misdirection
+			}
+			if previous == misdirection {
+				return previous, ""
+			}
+			return "", ""
+		})
+	})
+	b, _ := w.store.Get("test/target/t1")
+	s := w.startListed("vm-1")
+	w.store.Put("test/target/t2", strings.Replace(b, `"t1"`, `"t2"`, 1)) // at the same address
+	w.eventually("both targets are known", func() bool { return s.hasTargets(2) })
+	for i := range 20 {
+		id := fmt.Sprint("id-", i)
+		res, _ := doRequest(t, s, http.MethodPost, "/x", id)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(ran.of(id), 1)
+	}
+}
+
+// Guards against requests that are answered as not run and have run, or run twice, while
+// targets reject at random and send rejections and other answers a second time.
+func TestAnswersThatComeTwice(t *testing.T) {
+	const (
+		targets      = 3
+		callers      = 12
+		requestsEach = 150
+	)
+	quick := route.Route{Name: "read", Prefix: "/read/", Idempotent: true, Attempts: 2, Parts: []route.Part{{Service: "svc", Weight: 1}}}
+	w := newTestEnv(t, catchAllRoute(false), quick)
+	ran := new(executions)
+	var copies atomic.Int64
+	for n := range targets {
+		w.startRawTarget(fmt.Sprint("t", n), func(c net.Conn, r *bufio.Reader) {
+			rng := rand.New(rand.NewPCG(uint64(n), uint64(c.RemoteAddr().(*net.TCPAddr).Port)))
+			serveReplies(c, r, ran, func(_ *http.Request, previous string) (first, rejection string) {
+				if previous != "" && rng.IntN(2) == 0 {
+					first = previous
+					copies.Add(1)
+				}
+				if rng.IntN(8) == 0 {
+					rejection = testRejection
+				}
+				return first, rejection
+			})
+		})
+	}
+	s := w.startListed("vm-1")
+	var wg sync.WaitGroup
+	for n := range callers {
+		wg.Go(func() {
+			c := dial(t, s)
+			for i := range requestsEach {
+				id := fmt.Sprint(n, "-", i)
+				path := "/x"
+				if i%3 == 0 {
+					path = "/read/x"
+				}
+				c.sendRequest(http.MethodPost, path, id)
+				res, body := c.readResponse(http.MethodPost)
+				runs := ran.of(id)
+				switch {
+				case res.StatusCode == http.StatusOK && body != id:
+					t.Errorf("request %s got the answer %q", id, body)
+				case res.StatusCode == http.StatusServiceUnavailable && runs > 0 && path == "/x":
+					t.Errorf("request %s was answered as not run and has run", id)
+				case runs > 1 && path == "/x":
+					t.Errorf("request %s ran %d times", id, runs)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if copies.Load() == 0 {
+		t.Error("no answer came a second time")
+	}
+}
