outbound: an answer that names no request is the last on its connection

Callers saw POSTs answered 503 as not run that a target had run, and POSTs that ran at two targets.

Cause: any answer without a request id and with a status of 300 or more counted as the answer to the request that its connection carried. A target that sends a rejection a second time, where the next answer is due, so ended that next request as not run while it ran: without budget or another target it was refused (REFUSED), else sent on (TWICE). A 421 that came twice did the same to the target that had got the address, and marked it as gone. The class: a proof is taken from a message that does not say of what it is the proof.

Change: who an answer belongs to has three values, own, unnamed and foreign. An unnamed answer ends its request and its connection. A success without a name, and a 421 that names the target it was sent to, are foreign. A gateway names the request in what it passes on and in its own refusals, and its answers are checked too. A foreign answer without a length no longer proves that the request ran.

Why it works: what comes a second time is a copy of an answer on the same connection. After an unnamed answer no request is on it, and a copy of a named one has the name.

--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/pace"
 	"github.com/azurethread/azurethread/decide/quarantine"
@@ -181,7 +182,7 @@
 	id := x.Header.Get(f.RequestID)
 	return &outbound.Request{
 		Method: x.Method, URI: x.URI, Host: x.Header.Get("Host"), Header: h, Body: x.Body,
-		IsOwnAnswer:    func(status int, h http.Header) bool { return s.answersRequest(id, status, h) },
+		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(id, e.Target, status, h) },
 		HeadReceived:   s.noticeReader(e),
 		MayEndByClose:  true,
 		ConnectTimeout: e.ConnectTimeout,
@@ -201,16 +202,23 @@
 	return h
 }
 
-// answersRequest reports whether an answer belongs to the request with this id.
-// A target may answer a request twice, the second time when the answer to the
-// next request on the connection is due; the echoed id distinguishes them.
-// Refusals may lack the id.
-func (s *Server) answersRequest(id string, status int, h http.Header) bool {
-	echo := h.Get(s.settings.Fields.RequestID)
-	if echo == "" {
-		return status >= http.StatusMultipleChoices || id == ""
+// ownerOf says whether an answer belongs to the request with this id to this target. A
+// target may answer a request twice, the second time when the answer to the next request
+// on the connection is due; the echoed id distinguishes them. Refusals may lack the id,
+// successes do not.
+func (s *Server) ownerOf(id string, target fleet.TargetID, status int, h http.Header) outbound.Ownership {
+	f := &s.settings.Fields
+	echo := h.Get(f.RequestID)
+	switch {
+	case echo != "" && echo == id:
+		return outbound.Own
+	case echo != "", status < http.StatusMultipleChoices && id != "":
+		return outbound.Foreign
+	case status == http.StatusMisdirectedRequest && h.Get(f.Instance) == string(target):
+		return outbound.Foreign // the target runs requests that are meant for it
+	default:
+		return outbound.Unnamed
 	}
-	return echo == id
 }
 
 // attemptEnded processes the result of an attempt.
@@ -425,12 +433,10 @@
 	s.logRefused(k, status, e)
 }
 
-// refusalHeader returns a header that echoes the caller's request id.
+// refusalHeader returns a header that names the caller's request.
 func (s *Server) refusalHeader(x *inbound.Exchange) http.Header {
 	h := make(http.Header, 2)
-	if id := x.Header.Get(s.settings.Fields.RequestID); id != "" {
-		h[s.settings.Fields.RequestID] = []string{id}
-	}
+	s.nameRequest(h, x)
 	return h
 }
 
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -114,9 +114,10 @@
 	if terms := formatTerms(e.Terms); terms != "" {
 		h[forwardTermsHeader] = []string{terms}
 	}
-	id := e.Attempt
+	id, requestID := e.Attempt, k.exchange.Header.Get(s.settings.Fields.RequestID)
 	return s.gatewayPool.Do(vm.GatewayAddr, &outbound.Request{
 		Method: k.exchange.Method, URI: k.exchange.URI, Host: k.exchange.Header.Get("Host"), Header: h, Body: k.exchange.Body,
+		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(requestID, e.Target, status, h) },
 		HeadReceived:   s.gatewayHeadReader(e),
 		Acknowledged:   func() { s.core.Post(&ingress.GatewayAccepted{Attempt: id}) },
 		ConnectTimeout: e.ConnectTimeout,
@@ -164,7 +165,9 @@
 func (s *Server) serveForwarded(x *inbound.Exchange) {
 	ev, ok := s.parseForwardHeader(x.Header)
 	if !ok {
-		x.Respond(http.StatusBadRequest, gatewayNotRun(), nil)
+		h := gatewayNotRun()
+		s.nameRequest(h, x)
+		x.Respond(http.StatusBadRequest, h, nil)
 		return
 	}
 	delete(x.Header, forwardHeader)
@@ -208,9 +211,19 @@
 		s.metrics.gatewayConnWaitMS.Add(wait.Milliseconds())
 		ans.Header[gatewayWaitHeader] = []string{strconv.FormatInt(wait.Milliseconds(), 10)}
 	}
+	s.nameRequest(ans.Header, k.exchange)
 	k.exchange.Respond(ans.Status, ans.Header, ans.Body)
 }
 
+// nameRequest makes an answer name the request of x, if that has an id. The connection of an
+// answer without a name is not used again.
+func (s *Server) nameRequest(h http.Header, x *inbound.Exchange) {
+	field := s.settings.Fields.RequestID
+	if id := x.Header.Get(field); id != "" {
+		h[field] = []string{id}
+	}
+}
+
 // encode returns the value of gatewayAnswerHeader.
 func (a *answerRecord) encode() string {
 	return fmt.Sprintf("%t %d %.3f", a.Named, a.Earlier, a.HeadMS)
@@ -242,8 +255,9 @@
 // refuseForwarded returns the verdict of a request without an answer to the
 // entry VM that received it.
 func (s *Server) refuseForwarded(k *call, e *ingress.Refusal) {
-	h := make(http.Header, 4)
+	h := make(http.Header, 5)
 	heads.SetFailure(h, e.Verdict, e.Reason)
+	s.nameRequest(h, k.exchange)
 	status := http.StatusBadGateway
 	if !e.Notice.Empty() {
 		status = http.StatusServiceUnavailable
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -30,7 +30,7 @@
 // testFields are the header fields used by the tests.
 var testFields = Fields{
 	RequestID: "X-Id", Timeout: "X-Patience", Object: "X-Object", Stamp: "X-Stamp",
-	Target: "X-Target", Load: "X-Load", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
+	Target: "X-Target", Instance: "X-Instance", Load: "X-Load", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
 	Account: "X-Account", Leaving: []string{"X-Leaving"},
 }
 
--- a/serve/ingress/ownership_test.go
+++ b/serve/ingress/ownership_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/serve/outbound"
 )
 
 // executions counts the requests that targets run, by id.
@@ -41,7 +42,7 @@
 
 // Rejections as targets send them, without the id of the request.
 const (
-	testRejection    = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	testRejection    = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"
 	testMisdirection = "HTTP/1.1 421 Misdirected Request\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -71,16 +72,16 @@
 	}
 }
 
-// rejectSecond returns a reply that rejects the second request of each connection, and sends
-// the rejection once more before the answer to the third one.
-func rejectSecond() reply {
+// rejectOne returns a reply that rejects one request of each connection, the one with this
+// number, and sends the rejection once more before the answer to the next one.
+func rejectOne(number int) reply {
 	requests := 0
 	return func(*http.Request, string) (first, rejection string) {
 		requests++
 		switch requests {
-		case 2:
+		case number:
 			return "", testRejection
-		case 3:
+		case number + 1:
 			return testRejection, ""
 		}
 		return "", ""
@@ -96,7 +97,7 @@
 	w := newTestEnv(t, rt)
 	ran := new(executions)
 	w.startRawTarget("t1", func(c net.Conn, r *bufio.Reader) {
-		serveReplies(c, r, ran, rejectSecond())
+		serveReplies(c, r, ran, rejectOne(2))
 	})
 	s := w.startListed("vm-1")
 	for i := range 9 {
@@ -114,13 +115,16 @@
 	ran := new(executions)
 	for _, id := range []string{"t1", "t2"} {
 		w.startRawTarget(id, func(c net.Conn, r *bufio.Reader) {
-			serveReplies(c, r, ran, rejectSecond())
+			serveReplies(c, r, ran, rejectOne(20))
 		})
 	}
 	s := w.startListed("vm-1")
-	for i := range 20 {
+	for i := range 50 { // the first ones earn a retry
 		id := fmt.Sprint("id-", i)
-		res, _ := doRequest(t, s, http.MethodPost, "/x", id)
+		c := dial(t, s)
+		_, err := fmt.Fprintf(c.conn, "POST /x HTTP/1.1\r\nHost: %s\r\nX-Id: %s\r\nX-Object: o\r\nContent-Length: 0\r\n\r\n", testHost, id)
+		is.NoErr(err)
+		res, _ := c.readResponse(http.MethodPost)
 		is.Equal(res.StatusCode, http.StatusOK)
 		is.Equal(ran.of(id), 1)
 	}
@@ -145,10 +149,12 @@
 			return "", ""
 		})
 	})
-	b, _ := w.store.Get("test/target/t1")
+	registration, _ := w.store.Get("test/target/t1")
 	s := w.startListed("vm-1")
-	w.store.Put("test/target/t2", strings.Replace(b, `"t1"`, `"t2"`, 1)) // at the same address
-	w.eventually("both targets are known", func() bool { return s.hasTargets(2) })
+	res, _ := doRequest(t, s, http.MethodPost, "/x", "misdirected")
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	w.store.Put("test/target/t2", strings.Replace(registration, `"t1"`, `"t2"`, 1)) // at the same address
+	w.eventually("the new target is known", func() bool { return s.hasTargets(2) })
 	for i := range 20 {
 		id := fmt.Sprint("id-", i)
 		res, _ := doRequest(t, s, http.MethodPost, "/x", id)
@@ -214,3 +220,49 @@
 		t.Error("no answer came a second time")
 	}
 }
+
+// Guards against an answer that is credited to a request whose target did not give it, and
+// against a request that waits in vain for an answer that it has got.
+func TestOwnerOf(t *testing.T) {
+	is := is.New(t)
+	s := &Server{settings: &Settings{Fields: testFields}}
+	for _, tc := range []struct {
+		id     string
+		status int
+		header http.Header
+		want   outbound.Ownership
+	}{
+		{"a", 200, http.Header{"X-Id": {"a"}}, outbound.Own},
+		{"a", 503, http.Header{"X-Id": {"a"}}, outbound.Own},
+		{"a", 200, http.Header{"X-Id": {"b"}}, outbound.Foreign},
+		{"a", 503, http.Header{"X-Id": {"b"}}, outbound.Foreign},
+		{"a", 200, http.Header{}, outbound.Foreign},
+		{"a", 302, http.Header{}, outbound.Unnamed},
+		{"a", 503, http.Header{}, outbound.Unnamed},
+		{"a", 421, http.Header{"X-Instance": {"t2"}}, outbound.Unnamed},
+		{"a", 421, http.Header{}, outbound.Unnamed},
+		{"a", 421, http.Header{"X-Instance": {"t1"}}, outbound.Foreign},
+		{"", 200, http.Header{}, outbound.Unnamed}, // the caller's request has no id
+		{"", 200, http.Header{"X-Id": {"b"}}, outbound.Foreign},
+	} {
+		is.Equal(s.ownerOf(tc.id, "t1", tc.status, tc.header), tc.want) // tc
+	}
+}
+
+// Guards against a connection to another region that is opened anew after each rejection:
+// targets do not name the request, but its gateway does.
+func TestGatewayNamesRejectedRequest(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	w.startRemoteTarget("t1", http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(testFields.NotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	near, gate := w.startTwoRegions()
+	for i := range 5 {
+		res, _ := doRequest(t, near, http.MethodPost, "/x", fmt.Sprint("id-", i))
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	}
+	is.Equal(gate.metrics.forwarded.Value(), int64(5))
+	is.Equal(near.metrics.sendConnsClosed.Get(string(outbound.ClosedNotReusable)), nil)
+}
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -60,6 +60,7 @@
 	Object    string // identifies the object of the request
 	Stamp     string // present in answers that come from a target itself
 	Target    string // the target intended to run the request
+	Instance  string // the target that answers a request intended for another one
 	Load      string // a target's load: requests running, requests waiting, slots
 	NotRun    string // present if the target has not run the request
 	Account   string // tells a target the client account of a request
--- a/serve/outbound/answerbody.go
+++ b/serve/outbound/answerbody.go
@@ -91,7 +91,10 @@
 		c.body, c.chunks = bodyChunked, body.Chunks{}
 	case f.Length > 0:
 		c.beginLength()
-	case c.foreignAnswer || k == nil || !k.req.MayEndByClose:
+	case c.foreignAnswer:
+		// The end of the foreign answer cannot be told from the close.
+		c.fail(verdict.MayHaveRun, verdict.ReasonAnswerCut, errUnframed)
+	case k == nil || !k.req.MayEndByClose:
 		// Such an answer ends with the connection, which looks the same when
 		// the receiver crashes: whether the answer is complete cannot be
 		// determined.
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -19,9 +19,9 @@
 	Body   []byte
 	// Host is the value of the Host field; empty: the receiver's address.
 	Host string
-	// IsOwnAnswer reports whether an answer with this status and these fields belongs
-	// to this request; nil: every answer does.
-	IsOwnAnswer func(status int, h http.Header) bool
+	// OwnerOf says whether an answer with this status and these fields belongs to this
+	// request; nil: every answer does.
+	OwnerOf func(status int, h http.Header) Ownership
 	// MayEndByClose accepts an answer without a length as complete when the
 	// receiver has closed the connection cleanly.
 	MayEndByClose bool
@@ -116,6 +116,14 @@
 	return true
 }
 
+// ownerOf says whether an answer belongs to the request.
+func (k *Call) ownerOf(a *Answer) Ownership {
+	if k.req.OwnerOf == nil {
+		return Own
+	}
+	return k.req.OwnerOf(a.Status, a.Header)
+}
+
 // sinceWrite returns how long ago the write of the request began.
 func (k *Call) sinceWrite(now clock.Time) time.Duration {
 	k.mu.Lock()
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -330,23 +330,27 @@
 	}
 	a.Earlier = c.answers
 	c.answers++
-	switch {
-	case k == nil:
-		// The request has ended, and the connection is being closed.
-	case k.req.IsOwnAnswer != nil && !k.req.IsOwnAnswer(a.Status, a.Header):
-		// A second answer to an earlier request, or an unsolicited one, may
-		// arrive where this request's answer is due.
-		c.foreignAnswer = true
-		c.noReuse = true
-	default:
-		a.HeadAfter = k.sinceWrite(c.p.pool.opts.Now())
-		if k.req.HeadReceived != nil {
-			k.req.HeadReceived(a.Status, a.Header)
-		}
+	if k != nil {
+		c.assign(a, k)
 	}
 	c.beginBody(k)
 }
 
+// assign decides whether the answer whose head was received belongs to k, the call that c
+// carries.
+func (c *conn) assign(a *Answer, k *Call) {
+	owner := k.ownerOf(a)
+	c.noReuse = c.noReuse || owner != Own
+	if owner == Foreign {
+		c.foreignAnswer = true
+		return
+	}
+	a.HeadAfter = k.sinceWrite(c.p.pool.opts.Now())
+	if k.req.HeadReceived != nil {
+		k.req.HeadReceived(a.Status, a.Header)
+	}
+}
+
 // complete delivers a complete answer and frees the connection.
 func (c *conn) complete() {
 	a := c.answer
--- a/serve/outbound/endless_test.go
+++ b/serve/outbound/endless_test.go
@@ -72,7 +72,12 @@
 			ch := make(chan outcome, 1)
 			p.Do(addr, &Request{
 				Method: http.MethodGet, URI: "/", Header: http.Header{}, MayEndByClose: true,
-				IsOwnAnswer: func(_ int, h http.Header) bool { return h.Get("Of") == "" },
+				OwnerOf: func(_ int, h http.Header) Ownership {
+					if h.Get("Of") != "" {
+						return Foreign
+					}
+					return Own
+				},
 			}, func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
 			select {
 			case o := <-ch:
--- /dev/null
+++ b/serve/outbound/ownership_test.go
@@ -0,0 +1,104 @@
+package outbound
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+// ownerByName takes an answer for the request with this id if it names it.
+func ownerByName(id string) func(int, http.Header) Ownership {
+	return func(_ int, h http.Header) Ownership {
+		switch h.Get("Of") {
+		case id:
+			return Own
+		case "":
+			return Unnamed
+		default:
+			return Foreign
+		}
+	}
+}
+
+func sendNamed(p *Pool, addr, id string, headReceived func(int, http.Header)) outcome {
+	ch := make(chan outcome, 1)
+	p.Do(addr, &Request{
+		Method: http.MethodGet, URI: "/", Header: http.Header{"Id": {id}}, OwnerOf: ownerByName(id), HeadReceived: headReceived,
+	}, func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
+	return <-ch
+}
+
+const (
+	namedAnswer   = "HTTP/1.1 503 S\r\nOf: 1\r\nContent-Length: 0\r\n\r\n"
+	unnamedAnswer = "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Guards against an answer that is taken for another request's: it comes a second time, at
+// once in a segment of its own, or where the answer to the next request is due. Only an
+// answer that names its request leaves its connection for others.
+func TestSecondAnswerEndsNoOtherRequest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer      string
+		after       time.Duration // of the first copy, after the answer; 0: where the next one is due
+		connections int
+	}{
+		"named, late":      {namedAnswer, 0, 1},
+		"unnamed, late":    {unnamedAnswer, 0, 2},
+		"named, at once":   {namedAnswer, time.Millisecond, 2}, // the copy belongs to no request
+		"unnamed, at once": {unnamedAnswer, time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			connections := make(chan int, 8)
+			addr := receiver(t, func(n int, c net.Conn, r *bufio.Reader) {
+				connections <- n
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					switch id := req.Header.Get("Id"); {
+					case id == "1":
+						_, _ = io.WriteString(c, tc.answer)
+						time.Sleep(tc.after)
+						if tc.after > 0 {
+							_, _ = io.WriteString(c, tc.answer)
+						}
+					default:
+						if tc.after == 0 && n == 0 {
+							_, _ = io.WriteString(c, tc.answer)
+							time.Sleep(5 * time.Millisecond)
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nOf: "+id+"\r\nContent-Length: 0\r\n\r\n")
+					}
+				}
+			})
+			p := newPool(t)
+			is.Equal(sendNamed(p, addr, "1", nil).a.Status, http.StatusServiceUnavailable)
+			time.Sleep(3 * tc.after)
+			heads := 0
+			o := sendNamed(p, addr, "2", func(int, http.Header) { heads++ })
+			is.Equal(o.err, nil)
+			is.Equal(o.a.Status, http.StatusOK)
+			is.Equal(heads, 1) // that of the copy is not read
+			is.Equal(len(connections), tc.connections)
+		})
+	}
+}
+
+// Guards against a request that is reported as run because an answer to another one has no
+// length.
+func TestForeignAnswerWithoutLengthProvesNothing(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, answerAlways("HTTP/1.1 200 OK\r\nOf: another\r\n\r\ncut"))
+	o := sendNamed(newPool(t), addr, "1", nil)
+	is.Equal(o.err.Verdict, verdict.MayHaveRun)
+	is.Equal(o.err.Reason, verdict.ReasonAnswerCut)
+}
