outbound: tests that hold two other causes of untrue refusals

Change: two tests with real sockets. A receiver resets the connection at random points of bodies of up to 4 MB, also behind answers that came before the body's end; requests are withdrawn and cancelled while they get connections.

--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -318,3 +319,66 @@
 	t.Logf("%d answered", answered.Load())
 	is.Equal(lost.Load(), int64(0))
 }
+
+// Guards against a request that is reported as not run although its receiver got a part of it:
+// the receiver resets the connection while the request is being written.
+func TestResetDuringWriteProvesNothing(t *testing.T) {
+	is := is.New(t)
+	const requests = 120
+	var mu sync.Mutex
+	got := make(map[int]bool) // requests of which a receiver has read a byte, by number
+	addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			var number, length int
+			if _, err := fmt.Sscanf(line, "PUT /%d/%d ", &number, &length); err != nil {
+				continue // of a head
+			}
+			mu.Lock()
+			got[number] = true
+			mu.Unlock()
+			skipHead(r)
+			if number%3 > 0 { // the next request is sent on this connection
+				body := int64(length)
+				if number%2 > 0 { // the answer comes before the end of the body
+					n, _ := io.CopyN(io.Discard, r, rand.Int64N(body+1))
+					body -= n
+				} else {
+					_, _ = io.CopyN(io.Discard, r, body)
+					body = 0
+				}
+				_, _ = io.WriteString(c, okAnswer)
+				_, _ = io.CopyN(io.Discard, r, body)
+				continue
+			}
+			_, _ = io.CopyN(io.Discard, r, rand.Int64N(int64(length)+1))
+			_ = c.(*net.TCPConn).SetLinger(0) // reset
+			return
+		}
+	})
+	p := newPool(t)
+	for number := range requests {
+		body := make([]byte, rand.IntN(4<<20))
+		ch := make(chan outcome, 1)
+		p.Do(addr, &Request{Method: http.MethodPut, URI: fmt.Sprintf("/%d/%d", number, len(body)), Header: http.Header{}, Body: body},
+			func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
+		o := <-ch
+		mu.Lock()
+		received := got[number]
+		mu.Unlock()
+		is.True(o.err == nil || !received || o.err.Verdict != verdict.NotRun) // number
+	}
+}
+
+// skipHead reads the rest of a message's head.
+func skipHead(r *bufio.Reader) {
+	for line := ""; line != "\r\n"; {
+		var err error
+		if line, err = r.ReadString('\n'); err != nil {
+			return
+		}
+	}
+}
--- a/serve/outbound/waiting_test.go
+++ b/serve/outbound/waiting_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -215,3 +218,61 @@
 		is.Equal(o.a.ConnectionWait, time.Duration(0))
 	}
 }
+
+// Guards against a request that is reported as not run and is written later: it is withdrawn
+// or cancelled while it gets a connection.
+func TestWithdrawnRequestsAreNotWritten(t *testing.T) {
+	const requests = 2000
+	var mu sync.Mutex
+	received := make(map[string]bool)
+	addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			received[req.URL.Path] = true
+			mu.Unlock()
+			if _, err := io.WriteString(c, okAnswer); err != nil {
+				return
+			}
+		}
+	})
+	p := newPool(t)
+	var ended sync.WaitGroup
+	outcomes := make([]outcome, requests)
+	for i := range requests {
+		ended.Add(1)
+		k := p.Do(addr, &Request{Method: http.MethodGet, URI: fmt.Sprint("/", i), Header: http.Header{}}, func(a *Answer, err *verdict.Error) {
+			outcomes[i] = outcome{a, err}
+			ended.Done()
+		})
+		withdraw := func() { k.CancelUnsent(verdict.ReasonUnavailable) }
+		if i%2 == 0 {
+			withdraw = func() { k.Cancel(verdict.ReasonCallerGone) }
+		}
+		time.AfterFunc(rand.N(400*time.Microsecond), withdraw)
+		if i%40 == 0 {
+			time.Sleep(rand.N(time.Millisecond))
+		}
+	}
+	ended.Wait()
+	time.Sleep(50 * time.Millisecond) // for what was written
+	mu.Lock()
+	defer mu.Unlock()
+	notRun := 0
+	for i, o := range outcomes {
+		if o.err == nil || o.err.Verdict != verdict.NotRun {
+			continue
+		}
+		notRun++
+		if received[fmt.Sprint("/", i)] {
+			t.Errorf("request %d was reported as not run (%v) and was received", i, o.err)
+		}
+	}
+	if notRun == 0 {
+		t.Error("no request was withdrawn in time")
+	}
+	t.Logf("%d of %d requests were withdrawn in time", notRun, requests)
+}
