ingress: the check of an answer's owner keeps its own copy of the target

An answer could be compared with another request's target; only a 421 without an id depends on it.

Change: the target is copied.

--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -179,10 +179,10 @@
 	h := s.passedHeader(k, e)
 	h[f.Target] = []string{string(e.Target)}
 	h[f.Timeout] = []string{strconv.FormatInt(max(e.TimeLeft.Milliseconds(), 1), 10)}
-	id := x.Header.Get(f.RequestID)
+	id, target := x.Header.Get(f.RequestID), e.Target // e is reused
 	return &outbound.Request{
 		Method: x.Method, URI: x.URI, Host: x.Header.Get("Host"), Header: h, Body: x.Body,
-		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(id, e.Target, status, h) },
+		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(id, target, status, h) },
 		HeadReceived:   s.noticeReader(e),
 		MayEndByClose:  true,
 		ConnectTimeout: e.ConnectTimeout,
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -114,10 +114,11 @@
 	if terms := formatTerms(e.Terms); terms != "" {
 		h[forwardTermsHeader] = []string{terms}
 	}
-	id, requestID := e.Attempt, k.exchange.Header.Get(s.settings.Fields.RequestID)
+	// e is reused.
+	id, target, requestID := e.Attempt, e.Target, k.exchange.Header.Get(s.settings.Fields.RequestID)
 	return s.gatewayPool.Do(vm.GatewayAddr, &outbound.Request{
 		Method: k.exchange.Method, URI: k.exchange.URI, Host: k.exchange.Header.Get("Host"), Header: h, Body: k.exchange.Body,
-		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(requestID, e.Target, status, h) },
+		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(requestID, target, status, h) },
 		HeadReceived:   s.gatewayHeadReader(e),
 		Acknowledged:   func() { s.core.Post(&ingress.GatewayAccepted{Attempt: id}) },
 		ConnectTimeout: e.ConnectTimeout,
