daemon: answers of targets name the send that they belong to

Cause: a target's answer names no request there, so any answer ends the request that its connection carries.

Change: each send has Azurethread-Attempt, which a target returns; an answer with another value is foreign, and a refusal without it is the last answer on its connection.

--- a/operate/e2e/answer_test.go
+++ b/operate/e2e/answer_test.go
@@ -113,6 +113,68 @@
 	is.Equal(len(other.Executions()), 12)
 }
 
+// Guards against requests that are answered as not run and have run, run twice, or get
+// another's answer: a full target sends refusals and answers a second time, where the answer
+// to the next request on the connection is due.
+func TestAnswersThatComeTwice(t *testing.T) {
+	is := is.New(t)
+	sys := newTestSystem(t, testServices())
+	var targets []*target.Server
+	for _, id := range []fleet.TargetID{"t1", "t2"} {
+		s := sys.startTarget("attiki-1", target.Options{Service: fee, ID: id, Slots: 1, Work: target.Work{Base: 3 * time.Millisecond}})
+		s.RepeatAnswers(true)
+		targets = append(targets, s)
+	}
+	vms := []*entryVM{sys.startEntryVM("a", "attiki-1"), sys.startEntryVM("b", "attiki-1")} // they do not know each other's load at once
+	done := make(chan struct{})
+	var others sync.WaitGroup // requests that the entry VMs do not know of: the targets are full at times
+	for _, s := range targets {
+		others.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_, _ = send("POST", "http://"+s.Addr()+"/post", http.Header{payload.IDHeader: {"other"}}, nil)
+				}
+			}
+		})
+	}
+	executions := func(id string) (n int) {
+		for _, s := range targets {
+			n += s.Executions()[id]
+		}
+		return n
+	}
+	var wg sync.WaitGroup
+	for c := range 16 {
+		wg.Go(func() {
+			for i := range 25 {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				a := callFee(t, vms[c%2], id)
+				switch n := executions(id); {
+				case n > 1:
+					t.Errorf("request %s ran %d times", id, n)
+				case a.verdict() == "not-run" && n > 0:
+					t.Errorf("request %s was answered as not run and has run", id)
+				case a.status == http.StatusOK && (n != 1 || a.header.Get(payload.IDHeader) != id):
+					t.Errorf("request %s ran %d times and got the answer to %s", id, n, a.header.Get(payload.IDHeader))
+				}
+				if a.status == http.StatusOK && a.header.Get(payload.AttemptHeader) != "" {
+					t.Errorf("request %s: the caller got the id of the send", id)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(done)
+	others.Wait()
+	for _, s := range targets {
+		is.True(s.Stats().RepeatedAnswers > 0) // the fault occurred
+		is.True(s.Stats().Shed > 0)
+	}
+}
+
 // When a service has no capacity, because all its targets are leaving or it has
 // none, a request with a short deadline must be refused with the verdict
 // "not-run" and a time after which to retry.
--- a/serve/daemon/attempt.go
+++ b/serve/daemon/attempt.go
@@ -40,6 +40,9 @@
 	delete(r.Header, headerWait)
 	delete(r.Header, headerClient)
 	r.NewConnection = s.NewConnection
+	id := strconv.FormatUint(uint64(s.Attempt), 10)
+	r.Header[headerAttempt] = []string{id}
+	r.OwnerOf = func(_ int, h http.Header) outbound.Ownership { return ownerOf(id, h) }
 	a.span.inject(r.Header)
 	d.startAttempt(c, a, &r)
 }
@@ -85,6 +88,22 @@
 	c.mu.Unlock()
 }
 
+// ownerOf says whether an answer belongs to the send with this id. A target that does not
+// return the id must answer each request once, except that it may repeat a refusal: one
+// without an id is the last answer on its connection.
+func ownerOf(id string, h http.Header) outbound.Ownership {
+	switch echo := h.Get(headerAttempt); {
+	case echo == id:
+		return outbound.Own
+	case echo != "":
+		return outbound.Foreign
+	case h.Get(headerRefused) != "":
+		return outbound.Unnamed
+	default:
+		return outbound.Own
+	}
+}
+
 // reportNotSent reports an attempt of which nothing was written to a connection.
 func (d *Daemon) reportNotSent(r dispatch.RequestID, a dispatch.AttemptID) {
 	d.core.Post(&dispatch.Failed{Req: r, Attempt: a, Verdict: verdict.NotRun, Reason: verdict.ReasonNoTarget})
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -264,6 +264,7 @@
 	}
 	ans := a.answer
 	heads.RemoveHopByHop(ans.Header)
+	delete(ans.Header, headerAttempt)
 	ans.Header[verdict.Header] = []string{verdict.Ran.String()}
 	d.metrics.countAnswer(verdict.Ran, verdict.ReasonNone)
 	c.span.end(verdict.Ran, verdict.ReasonNone)
--- a/serve/daemon/calls_test.go
+++ b/serve/daemon/calls_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/http"
 	"sync"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/serve/outbound"
 )
 
 // Guards against attempts that can never be cancelled: a caller disconnects just
@@ -47,3 +49,22 @@
 	is.Equal(len(d.targets), 1)
 	is.Equal(d.targets["t-2"].Addr, "127.0.0.1:2")
 }
+
+// Guards against an answer that is taken for another request's: a target sends it a second
+// time, and does not name the request in a refusal.
+func TestOwnerOf(t *testing.T) {
+	is := is.New(t)
+	for _, tc := range []struct {
+		header http.Header
+		want   outbound.Ownership
+	}{
+		{http.Header{headerAttempt: {"7"}}, outbound.Own},
+		{http.Header{headerAttempt: {"7"}, headerRefused: {"not-run"}}, outbound.Own},
+		{http.Header{headerAttempt: {"6"}}, outbound.Foreign},
+		{http.Header{headerAttempt: {"6"}, headerRefused: {"not-run"}}, outbound.Foreign},
+		{http.Header{headerRefused: {"not-run"}}, outbound.Unnamed},
+		{http.Header{}, outbound.Own},
+	} {
+		is.Equal(ownerOf("7", tc.header), tc.want) // tc
+	}
+}
--- a/standin/payload/payload.go
+++ b/standin/payload/payload.go
@@ -37,6 +37,8 @@
 	// LoadHeader is a target's load, sent in the answer as the number of
 	// requests in flight, a slash and the number of slots.
 	LoadHeader = "Azurethread-Load"
+	// AttemptHeader identifies the send of an entry VM; the answer echoes it.
+	AttemptHeader = "Azurethread-Attempt"
 	// RefusedHeader marks an answer by which a target refuses a request before
 	// running it.
 	RefusedHeader = "Azurethread-Refused"
--- a/standin/target/doc.go
+++ b/standin/target/doc.go
@@ -16,6 +16,7 @@
 //   - SilenceConnections: existing connections drop everything sent on them in
 //     either direction, while new connections work.
 //   - CutAnswers: answers end half-way.
+//   - RepeatAnswers: answers come a second time.
 //   - SetLoadReport, SetHealthReport, SetReportLag: /loadz and /healthz report
 //     false or outdated values.
 //
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/azurethread/azurethread/standin/duplicate"
 	"github.com/azurethread/azurethread/standin/payload"
 )
 
@@ -59,6 +60,10 @@
 
 // handleRequest executes and answers one request.
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
+	s.repeatAnswer(r)
+	if id := r.Header.Get(payload.AttemptHeader); id != "" {
+		w.Header().Set(payload.AttemptHeader, id)
+	}
 	if !s.admit() {
 		s.refuse(w)
 		return
@@ -84,6 +89,19 @@
 	s.answer(w, r, hash.String())
 }
 
+// repeatAnswer sends the answer before that to r a second time if RepeatAnswers is on.
+func (s *Server) repeatAnswer(r *http.Request) {
+	c := duplicate.Received(r)
+	s.mu.Lock()
+	repeats := s.repeats
+	s.mu.Unlock()
+	if repeats && c.RepeatAsNext() {
+		s.mu.Lock()
+		s.stats.RepeatedAnswers++
+		s.mu.Unlock()
+	}
+}
+
 // withDeadline applies the request's deadline header, if there is one.
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
 	ms, err := strconv.ParseInt(r.Header.Get(payload.DeadlineHeader), 10, 64)
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -51,11 +51,12 @@
 	RefusedLeaving        uint64        // refused because the target was leaving
 	LastArrivalAfterLeave time.Duration // time from Leave to the last request refused for it
 
-	Cancelled     uint64 // ended because the client disconnected
-	Expired       uint64 // ended because the deadline passed
-	BrokenBodies  uint64 // not run because the request body ended early
-	CutByShutdown uint64 // accepted or being answered at Crash or Close
-	CutAnswers    uint64 // answers cut by CutAnswers
+	Cancelled       uint64 // ended because the client disconnected
+	Expired         uint64 // ended because the deadline passed
+	BrokenBodies    uint64 // not run because the request body ended early
+	CutByShutdown   uint64 // accepted or being answered at Crash or Close
+	CutAnswers      uint64 // answers cut by CutAnswers
+	RepeatedAnswers uint64 // answers sent a second time because of RepeatAnswers
 
 	Connections        int    // open now
 	PeakConnections    int    // most open at once
@@ -78,6 +79,7 @@
 	leaveStarted time.Time
 	drained      chan struct{} // nil before Leave; closed when no request is left
 	answersToCut int
+	repeats      bool // see RepeatAnswers
 	addr         string
 	http         *http.Server
 	listener     *listener
@@ -115,7 +117,7 @@
 	defer s.mu.Unlock()
 	s.addr = l.Addr().String()
 	s.listener = newListener(l, s.options.Connections)
-	s.http = &http.Server{Handler: s.handler()}
+	s.http = &http.Server{Handler: s.handler(), ConnContext: withConn}
 	go s.http.Serve(s.listener) // returns after Crash or Close
 }
 
@@ -257,6 +259,14 @@
 	s.answersToCut = n
 }
 
+// RepeatAnswers sets whether answers come a second time, where the answer to the next request
+// on their connection is due.
+func (s *Server) RepeatAnswers(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeats = on
+}
+
 // SetReportLag delays the health and load reports by d.
 func (s *Server) SetReportLag(d time.Duration) {
 	s.mu.Lock()
