inbound: idle connections are closed by their poller

Callers saw a connection end with a plain close, as if their request had been taken, although it was read and dropped.

Cause: an idle connection was closed by another goroutine than its poller's. The poller could read a request between the decision and the close, and drop it as the connection was closing.

Change: pollers.Engine.Run runs a function on a connection's poller, where what has been read is processed and nothing more is read; the decision to close an idle connection and the close are one step there. What comes later is unread, and the kernel answers it with a reset, which callers may take for a request that was not taken. A stop waits for these closes (Sync).

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -321,7 +321,7 @@
 	case c.draining.Load():
 		go c.linger()
 	case c.s.closingIdle.Load():
-		go c.closeInStop()
+		c.closeInStop()
 	}
 }
 
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -61,10 +61,7 @@
 	}
 	switch c.awaited {
 	case awaitRequest:
-		if c.closeIfIdle(ClosedIdleTimeout) {
-			return func() { c.endIdle(ClosedIdleTimeout) }
-		}
-		c.awaitNextRequest() // data has come, or the caller has not taken its answer yet
+		return func() { c.s.engine.Run(c.nbc, c.idleTimedOut) }
 	case awaitMessage:
 		if c.phase == phaseOpen && c.pipeline.empty() {
 			c.phase = phaseLast
@@ -188,14 +185,24 @@
 // closeInStop closes the connection if it is idle and the server takes no further
 // request.
 func (c *conn) closeInStop() {
-	if !c.s.closingIdle.Load() {
-		return
+	if c.s.closingIdle.Load() {
+		c.s.engine.Run(c.nbc, func() { c.closeIfIdle(ClosedStopIdle) })
 	}
+}
+
+// idleTimedOut closes the connection if it has been idle for too long. It must be called on
+// the poller's goroutine.
+func (c *conn) idleTimedOut() {
 	c.mu.Lock()
-	idle := c.closeIfIdle(ClosedStopIdle)
+	over := c.awaited == awaitRequest && c.awaitedBy.due() // or another request has come
 	c.mu.Unlock()
-	if idle {
-		c.endIdle(ClosedStopIdle)
+	if !over || c.closeIfIdle(ClosedIdleTimeout) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaited == awaitRequest {
+		c.awaitNextRequest() // data has come, or the caller has not taken its answer yet
 	}
 }
 
@@ -223,16 +230,22 @@
 	return last || c.isUnfinished()
 }
 
-// closeIfIdle decides to close the connection if it has no request in flight or partly
-// received and no answer left to send. It reports whether the caller must now call
-// endIdle. It must be called with mu held.
+// closeIfIdle closes the connection if it has no request in flight or partly received and
+// no answer left to send. It reports whether it has. It must be called on the poller's
+// goroutine: otherwise the poller could read a request between the decision and the close,
+// and its caller could not tell that from a request that was taken.
 func (c *conn) closeIfIdle(why CloseReason) bool {
-	if c.phase != phaseOpen || c.receiving || !c.pipeline.empty() || c.pending() {
-		return false
+	c.mu.Lock()
+	idle := c.phase == phaseOpen && !c.receiving && c.pipeline.empty() && !c.pending()
+	if idle {
+		c.phase = phaseLast
+		c.closeReason = why
 	}
-	c.phase = phaseLast
-	c.closeReason = why
-	return true
+	c.mu.Unlock()
+	if idle {
+		c.endIdle(why)
+	}
+	return idle
 }
 
 // endIdle closes a connection that is idle by the decision of closeIfIdle.
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -342,14 +342,19 @@
 func (s *Server) flush(ctx context.Context) error {
 	t := time.NewTicker(flushPollInterval)
 	defer t.Stop()
-	for slices.ContainsFunc(s.openConns(), (*conn).isBusy) {
+	for {
+		if err := s.engine.Sync(); err != nil { // for connections that are about to close
+			return fmt.Errorf("inbound: %w", err)
+		}
+		if !slices.ContainsFunc(s.openConns(), (*conn).isBusy) {
+			return nil
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return s.unfinished(ctx)
 		}
 	}
-	return nil
 }
 
 // unfinished returns an error if requests or answers are still in progress when ctx has
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -14,6 +14,7 @@
 package pollers
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -44,7 +45,8 @@
 // closed with its own methods.
 type Engine struct {
 	*nbhttp.Engine
-	barriers []*barrier // by poller
+	barriers []*barrier    // by poller
+	stopped  chan struct{} // closed by Stop
 }
 
 // Start starts an engine and waits until all its pollers run.
@@ -54,7 +56,7 @@
 	}
 	w := waiter{engine: e}
 	defer w.close()
-	out := &Engine{Engine: e}
+	out := &Engine{Engine: e, stopped: make(chan struct{})}
 	for i := range e.NPoller {
 		b, err := w.newBarrier(i)
 		if err != nil {
@@ -71,6 +73,7 @@
 // Stop stops the engine and closes all its connections.
 func (e *Engine) Stop() {
 	e.Engine.Stop()
+	close(e.stopped)
 	for _, b := range e.barriers {
 		_ = b.near.Close() // the engine has closed the far end
 	}
@@ -112,6 +115,31 @@
 	return err
 }
 
+// Run runs f on the goroutine of c's poller. What the poller has read from c by then has been
+// processed, and nothing is read from c until f returns: of data that comes meanwhile the
+// kernel knows that nobody has read it. f must not block. After Stop f does not run.
+func (e *Engine) Run(c *nbio.Conn, f func()) { e.barrier(c).run(f) }
+
+// Sync waits until what was given to Run before has run, or the engine has stopped. It must
+// not be called on a poller's goroutine.
+func (e *Engine) Sync() error {
+	ran := make(chan struct{}, len(e.barriers))
+	for _, b := range e.barriers {
+		b.run(func() { ran <- struct{}{} })
+	}
+	timeout := time.After(pollerTimeout)
+	for range e.barriers {
+		select {
+		case <-ran:
+		case <-e.stopped:
+			return nil
+		case <-timeout:
+			return errSilent
+		}
+	}
+	return nil
+}
+
 // Hold duplicates the socket of an open connection, so that the way it ended can be
 // read after nbio has closed it. release closes the duplicate. Until then epoll goes on
 // to report the socket's events for the connection's descriptor, and no other connection
@@ -157,6 +185,9 @@
 	mu      sync.Mutex // one pass at a time: a byte of another one could be read with it
 	covered int64      // closes before the last pass
 
+	tasksMu sync.Mutex
+	tasks   []func() // to be run by the poller
+
 	held sync.Map // by descriptor: the chan struct{} that Hold's release closes
 }
 
@@ -186,10 +217,41 @@
 	return nil
 }
 
+// Bytes sent to the poller.
+const (
+	passByte byte = iota // a pass waits for it
+	taskByte             // there are tasks
+)
+
+// onData is called by the poller.
+func (b *barrier) onData(_ *nbio.Conn, data []byte) {
+	b.tasksMu.Lock()
+	tasks := b.tasks
+	b.tasks = nil
+	b.tasksMu.Unlock()
+	for _, f := range tasks {
+		f()
+	}
+	if bytes.IndexByte(data, passByte) >= 0 {
+		b.passed <- struct{}{}
+	}
+}
+
+// run has the poller run f. A byte is sent for the first of the tasks that wait only, so the
+// write does not block.
+func (b *barrier) run(f func()) {
+	b.tasksMu.Lock()
+	defer b.tasksMu.Unlock()
+	b.tasks = append(b.tasks, f)
+	if len(b.tasks) == 1 {
+		_, _ = b.near.Write([]byte{taskByte}) // fails after Stop only
+	}
+}
+
 // pass waits until the poller has processed a byte that is sent now: it fetches that
 // event after all events that it has fetched before.
 func (b *barrier) pass() error {
-	if _, err := b.near.Write([]byte{0}); err != nil {
+	if _, err := b.near.Write([]byte{passByte}); err != nil {
 		return fmt.Errorf("pollers: write to poller: %w", err)
 	}
 	select {
@@ -257,7 +319,7 @@
 			continue
 		}
 		b := &barrier{near: near, passed: make(chan struct{}, 1)}
-		nbc.OnData(func(*nbio.Conn, []byte) { b.passed <- struct{}{} })
+		nbc.OnData(b.onData)
 		if _, err := w.engine.AddConn(nbc); err != nil {
 			w.unused = append(w.unused, near)
 			return nil, fmt.Errorf("pollers: register socket: %w", err)
--- a/serve/pollers/pollers_test.go
+++ b/serve/pollers/pollers_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,3 +132,29 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against data that is read and dropped as its connection is closed: what the poller
+// has read is processed before a function given to Run, and nothing is read during it.
+func TestRunFollowsWhatWasRead(t *testing.T) {
+	is := is.New(t)
+	started, err := Start(nbhttp.NewEngine(nbhttp.Config{NPoller: 1}))
+	is.NoErr(err)
+	var processed atomic.Int64
+	near, far := testPair(t)
+	far.OnData(func(_ *nbio.Conn, data []byte) { processed.Add(int64(len(data))) })
+	is.NoErr(started.Add(far))
+	for range 100 {
+		write(t, near)
+		started.Run(far, func() {
+			before := processed.Load()
+			_, _ = near.Write([]byte{0})
+			time.Sleep(time.Millisecond)
+			if processed.Load() != before {
+				t.Error("data was read during Run")
+			}
+		})
+	}
+	is.NoErr(started.Sync())
+	started.Stop()
+	is.NoErr(started.Sync()) // returns
+}
