outbound: a receiver that reads slowly is not a dead path

Callers' uploads were answered 502 after 1.7 s, with seconds left, also in a planned stop, if their target read nothing for 1.5 s (LOST).

Cause: TCP_USER_TIMEOUT, set to find paths that swallow packets, also counts against a closed window, although the receiver's kernel answers each probe.

Change: the pool sets the timeout itself. While the window of the receiver of a large request is closed and probes are answered, the timeout is moved ahead of the time for which it has been closed. pollers.Engine.Control gives access to a socket that cannot be closed meanwhile.

Why it works: the kernel's own check stays; only the proof that the path works moves its end. A probe is sent at the latest when the current timeout ends, so a dead path is found.

--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -8,12 +8,11 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
+
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
@@ -210,6 +209,7 @@
 	return outbound.NewPool(outbound.Options{
 		DialTimeout:    targetConnectTimeout,
 		IdleTimeout:    idle,
+		AckTimeout:     targetAckTimeout,
 		MaxAnswerBytes: maxAnswerBytes,
 		Budget:         s.answers,
 		Pollers:        1,
@@ -238,24 +238,10 @@
 	})
 }
 
-// dialTarget opens a connection that fails soon after its peer has become
-// unreachable without closing it.
+// dialTarget opens a connection without keep-alive probes: idle connections are closed
+// before probes would detect a failure.
 func dialTarget(network, addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout:   timeout,
-		KeepAlive: -1, // idle connections are closed before probes would detect a failure
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var opt error
-			err := raw.Control(func(fd uintptr) {
-				opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(targetAckTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return opt
-		},
-	}
-	return d.Dial(network, addr)
+	return (&net.Dialer{Timeout: timeout, KeepAlive: -1}).Dial(network, addr)
 }
 
 // mayOverlap reports whether a request may be served concurrently with others
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -76,6 +76,9 @@
 	b.Reset()
 	encode(b, c.p.addr, k.req)
 	err := c.p.pool.engine.Write(c.nbc, b.Bytes())
+	if err == nil && b.Len() >= checkedRequestBytes {
+		c.checkPath()
+	}
 	if b.Cap() <= 2*maxPooledBuffer {
 		buffers.Put(b)
 	}
--- a/serve/outbound/dial.go
+++ b/serve/outbound/dial.go
@@ -91,6 +91,10 @@
 		_ = nc.Close()
 		return nil, nil, errClosed
 	}
+	if err := limitUnacknowledged(nc, p.opts.AckTimeout); err != nil {
+		_ = nc.Close()
+		return nil, nil, err
+	}
 	nbc, err := nbio.NBConn(nc)
 	if err != nil {
 		_ = nc.Close()
--- /dev/null
+++ b/serve/outbound/path_test.go
@@ -0,0 +1,169 @@
+package outbound
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+
+	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/verdict"
+)
+
+const testAckTimeout = 1500 * time.Millisecond
+
+func newPathPool(t *testing.T) *Pool {
+	t.Helper()
+	p, err := NewPool(Options{
+		DialTimeout:    time.Second,
+		IdleTimeout:    time.Minute,
+		AckTimeout:     testAckTimeout,
+		MaxAnswerBytes: 1 << 20,
+		Now:            func() clock.Time { return clock.FromWall(time.Now()) },
+		Dial:           net.DialTimeout,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// swallow makes the kernel drop every segment that arrives for c, as a path does that has
+// lost its state: nothing is acknowledged and nothing is reset.
+func swallow(t *testing.T, c net.Conn) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	acceptNothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
+	filter := unix.SockFprog{Len: 1, Filter: &acceptNothing}
+	_ = raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &filter)
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against uploads that are broken off because their receiver reads nothing for longer
+// than its kernel may leave bytes unacknowledged, and against ones that wait for their
+// deadline on a path that swallows everything.
+func TestSlowReaderIsNoDeadPath(t *testing.T) {
+	const (
+		bodySize = 1 << 20
+		paused   = 4 * testAckTimeout
+	)
+	readAll := func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err == nil {
+			_, err = io.Copy(io.Discard, req.Body)
+		}
+		if err == nil {
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	}
+	forever := make(chan struct{})
+	t.Cleanup(func() { close(forever) })
+	for name, tc := range map[string]struct {
+		serve func(c net.Conn, r *bufio.Reader)
+		most  time.Duration // until the failure; 0: the request is answered
+	}{
+		"reads late": {func(c net.Conn, r *bufio.Reader) {
+			time.Sleep(paused)
+			readAll(c, r)
+		}, 0},
+		"reads a part now and then": {func(c net.Conn, r *bufio.Reader) {
+			slow := bufio.NewReader(&pausingReader{r: r, every: bodySize / 4, pause: 2 * testAckTimeout})
+			readAll(c, slow)
+		}, 0},
+		"path is dead": {func(c net.Conn, _ *bufio.Reader) {
+			swallow(t, c)
+			<-forever
+		}, 2 * testAckTimeout},
+		"path dies while the window is closed": {func(c net.Conn, _ *bufio.Reader) {
+			time.Sleep(2 * testAckTimeout)
+			swallow(t, c)
+			<-forever
+		}, 5 * testAckTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				_ = c.(*net.TCPConn).SetReadBuffer(32 << 10)
+				tc.serve(c, r)
+			})
+			p := newPathPool(t)
+			ch := make(chan outcome, 1)
+			began := time.Now()
+			p.Do(addr, &Request{Method: http.MethodPut, URI: "/", Header: http.Header{}, Body: make([]byte, bodySize)},
+				func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
+			o := <-ch
+			if tc.most == 0 {
+				is.Equal(o.err, nil)
+				is.Equal(o.a.Status, http.StatusOK)
+				return
+			}
+			is.True(o.err != nil)
+			is.Equal(o.err.Verdict, verdict.MayHaveRun)
+			is.True(time.Since(began) < tc.most)
+		})
+	}
+}
+
+// pausingReader pauses each time that so many bytes have been read.
+type pausingReader struct {
+	r     io.Reader
+	every int
+	pause time.Duration
+	read  int
+}
+
+// Read implements io.Reader.
+func (p *pausingReader) Read(b []byte) (int, error) {
+	if p.read >= p.every {
+		time.Sleep(p.pause)
+		p.read = 0
+	}
+	n, err := p.r.Read(b)
+	p.read += n
+	return n, err
+}
+
+// Guards against connections that are checked, or keep a longer timeout, after their receiver
+// has taken everything.
+func TestAckTimeoutIsRestored(t *testing.T) {
+	is := is.New(t)
+	addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(32 << 10)
+		for {
+			time.Sleep(2 * testAckTimeout)
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	p := newPathPool(t)
+	ch := make(chan outcome, 1)
+	k := p.Do(addr, &Request{Method: http.MethodPut, URI: "/", Header: http.Header{}, Body: make([]byte, 1<<20)},
+		func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
+	is.Equal((<-ch).err, nil)
+	time.Sleep(2 * pathCheckInterval)
+	timeout := -1
+	raw, err := k.c.nbc.SyscallConn()
+	is.NoErr(err)
+	_ = raw.Control(func(fd uintptr) { timeout, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+	is.NoErr(err)
+	is.Equal(time.Duration(timeout)*time.Millisecond, testAckTimeout)
+}
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -16,11 +16,14 @@
 
 // Options configures a Pool. Budget, Pollers and Closed are optional.
 type Options struct {
-	DialTimeout    time.Duration
-	IdleTimeout    time.Duration // an idle connection is closed after it
-	MaxAnswerBytes int           // limit on the body of one answer
-	Budget         *Budget       // for the bytes held for all answers; nil: unlimited
-	Pollers        int           // 0: nbio's default
+	DialTimeout time.Duration
+	IdleTimeout time.Duration // an idle connection is closed after it
+	// AckTimeout is how long sent bytes may stay unacknowledged by the receiver's kernel
+	// before the connection is closed; 0: the kernel's own limit.
+	AckTimeout     time.Duration
+	MaxAnswerBytes int     // limit on the body of one answer
+	Budget         *Budget // for the bytes held for all answers; nil: unlimited
+	Pollers        int     // 0: nbio's default
 	Now            func() clock.Time
 	// Dial opens a TCP connection; net.DialTimeout except in tests.
 	Dial func(network, addr string, timeout time.Duration) (net.Conn, error)
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -140,24 +140,45 @@
 	return nil
 }
 
+// Control calls f with the descriptor of an open connection; it returns an error if c is
+// closed. It must be called on the poller's goroutine.
+func (e *Engine) Control(c *nbio.Conn, f func(fd uintptr)) error {
+	b := e.barrier(c)
+	b.closing.Lock()
+	defer b.closing.Unlock()
+	return control(c, f)
+}
+
+// control is Control with the barrier's closing lock held: otherwise another goroutine could
+// close c, and its descriptor be another's.
+func control(c *nbio.Conn, f func(fd uintptr)) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("pollers: access socket: %w", err)
+	}
+	if _, err := c.Write(nil); err != nil {
+		return fmt.Errorf("pollers: access socket: %w", err)
+	}
+	if err := raw.Control(f); err != nil {
+		return fmt.Errorf("pollers: access socket: %w", err)
+	}
+	return nil
+}
+
 // Hold duplicates the socket of an open connection, so that the way it ended can be
 // read after nbio has closed it. release closes the duplicate. Until then epoll goes on
 // to report the socket's events for the connection's descriptor, and no other connection
 // with that descriptor is added. It must be called on the poller's goroutine.
 func (e *Engine) Hold(c *nbio.Conn) (socket int, release func(), err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, nil, fmt.Errorf("pollers: access socket: %w", err)
-	}
 	b, fd := e.barrier(c), c.Hash()
-	b.closing.Lock() // or another goroutine could close c, and its descriptor be another's
+	b.closing.Lock()
 	defer b.closing.Unlock()
-	if _, err := c.Write(nil); err != nil {
-		return 0, nil, fmt.Errorf("pollers: hold socket: %w", err)
+	var dup error
+	if err := control(c, func(fd uintptr) { socket, dup = syscall.Dup(int(fd)) }); err != nil {
+		return 0, nil, err
 	}
-	socket = -1
-	if ctrl := raw.Control(func(fd uintptr) { socket, err = syscall.Dup(int(fd)) }); ctrl != nil || err != nil {
-		return 0, nil, fmt.Errorf("pollers: duplicate socket: %w", errors.Join(ctrl, err))
+	if dup != nil {
+		return 0, nil, fmt.Errorf("pollers: duplicate socket: %w", dup)
 	}
 	released := make(chan struct{})
 	b.held.Store(fd, released)
