platform: changes that come faster than they are read do not stop a VM

Callers' requests ran by an old configuration for 20 s after several large ones, and keys that had been taken away were accepted (CONFIG).

Cause: the answer to a watch was cut at 4 MB and could not be decoded, so the position stayed and the next watch asked for the same and more. The time limit of a call did the same on a slow link.

A VM that knows of changes it cannot read says so, and refuses keys after the operators' time for revoking one.

--- a/decide/ingress/account.go
+++ b/decide/ingress/account.go
@@ -36,13 +36,16 @@
 
 // applyAccount sets what q's account determines. It reports false with the reason
 // if q must be refused.
-func (r *Reducer) applyAccount(q *request, key *route.KeyDigest) (verdict.Reason, bool) {
+func (r *Reducer) applyAccount(now clock.Time, q *request, key *route.KeyDigest) (verdict.Reason, bool) {
 	a, reason := r.identify(q.route, key)
 	q.key, q.priority, q.allowedRegions = key, q.route.Priority, q.route.Homes
 	if a == nil {
 		return reason, reason == verdict.ReasonNone
 	}
 	q.account = a.Name
+	if reason == verdict.ReasonNone && r.keysUnverified(now) {
+		reason = verdict.ReasonNotReady
+	}
 	if a.HasPriority {
 		q.priority = a.Priority
 	}
@@ -54,6 +57,13 @@
 	return reason, reason == verdict.ReasonNone
 }
 
+// keysUnverified reports whether a key may have been taken away so long ago that it must not
+// be accepted, by a change that this VM knows of and has not read.
+func (r *Reducer) keysUnverified(now clock.Time) bool {
+	limit := r.opts.Bounds.RevokeTime
+	return limit > 0 && r.behindSince > 0 && now.Sub(r.behindSince) > limit
+}
+
 // keyRevoked reports whether q's key is no longer valid, so that q must not be sent
 // again.
 func (r *Reducer) keyRevoked(q *request) bool {
--- a/decide/ingress/account_test.go
+++ b/decide/ingress/account_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -146,3 +147,34 @@
 	out := s.step(&Arrive{Request: 1, Host: "h", Path: "/a/x", Key: &key})
 	is.True(out.Sends[0].KeepCredentials)
 }
+
+// Guards against a key that is accepted long after it was taken away, by a VM that knows that
+// it has not read the latest changes.
+func TestKeysAreNotAcceptedWhileChangesAreUnread(t *testing.T) {
+	is := is.New(t)
+	const revoke = 5 * time.Second
+	s := newHarness(t, Bounds{RevokeTime: revoke}, selfVM)
+	s.configureAccount(accountWithKey("a"))
+	s.target("t1", "d1", 10)
+	key, id := keyOf("a"), RequestID(0)
+	refused := func() bool {
+		id++
+		out := s.step(&Arrive{Request: id, Host: "h", Path: "/a/x", Key: &key})
+		i := slices.IndexFunc(out.Refusals, func(f Refusal) bool { return f.Request == id })
+		if i < 0 {
+			return false
+		}
+		is.Equal(out.Refusals[i].Reason, verdict.ReasonNotReady)
+		is.Equal(out.Refusals[i].Verdict, verdict.NotRun)
+		is.True(out.Refusals[i].RetryAfter > 0)
+		return true
+	}
+	is.True(!refused())
+	s.step(&Behind{Since: s.now})
+	s.now = s.now.Add(revoke)
+	is.True(!refused())
+	s.now = s.now.Add(time.Millisecond)
+	is.True(refused())
+	s.step(&Behind{})
+	is.True(!refused())
+}
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/notice"
 	"github.com/azurethread/azurethread/decide/quarantine"
@@ -22,6 +23,12 @@
 // Configured reports that a configuration has come into force.
 type Configured struct{ Table *route.Table }
 
+// Behind reports that this VM knows of changes in the store that it has not read yet: the
+// configuration may have changed since then.
+type Behind struct {
+	Since clock.Time // 0: there are none any more
+}
+
 // Target is a target as described by its latest registration.
 type Target struct {
 	ID       fleet.TargetID
--- a/decide/ingress/options.go
+++ b/decide/ingress/options.go
@@ -48,6 +48,9 @@
 	RegionShift float64
 	// Quota is the rule for the quotas of client accounts.
 	Quota quota.Rule
+	// RevokeTime is within which time a key that is taken away must not be accepted any
+	// more; 0: not stated.
+	RevokeTime time.Duration
 }
 
 // Timing and weights of the decisions.
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -32,6 +32,7 @@
 	stopping  bool       // the process will end soon; see StopAccepting
 	// configuredAt is when the configuration came into force.
 	configuredAt clock.Time
+	behindSince  clock.Time // see Behind
 	members      []fleet.VM
 	regionVMs    int // live members of the own region
 	callerRate   callerRate
@@ -160,6 +161,8 @@
 		r.restoreQuarantines(now, ev)
 	case *BoundsChanged:
 		r.opts.Bounds, r.opts.DrainTime = ev.Bounds, ev.DrainTime
+	case *Behind:
+		r.behindSince = ev.Since
 	case *StopAccepting:
 		r.stopping = true
 	case *Ending:
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -127,7 +127,7 @@
 		id: ev.Request, route: rt, object: ev.Object, bytes: ev.Bytes, arrived: now,
 		verdict: verdict.NotRun, fingerprint: ev.Fingerprint,
 	}
-	if reason, ok := r.applyAccount(q, ev.Key); !ok {
+	if reason, ok := r.applyAccount(now, q, ev.Key); !ok {
 		r.out.Refusals = append(r.out.Refusals, Refusal{
 			Request: q.id, Verdict: verdict.NotRun, Reason: reason, Account: q.account, RetryAfter: accountRetryAfter(reason),
 		})
--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/mirror"
 	"github.com/azurethread/azurethread/decide/reader"
 	"github.com/azurethread/azurethread/decide/retry"
@@ -179,12 +180,20 @@
 	first := !s.copyValid()
 	if !first && at.Era >= s.knownEra() {
 		result, err := s.watchStore(at, timeout)
-		if !errors.Is(err, kv.ErrCompacted) && !errors.Is(err, kv.ErrEra) {
+		line := s.event(eventStore).WithField("revision", at.Revision)
+		switch {
+		case errors.Is(err, kv.ErrEra):
+			s.metrics.fullReads.Add("era", 1)
+		case errors.Is(err, kv.ErrCompacted):
+			s.metrics.fullReads.Add("compacted", 1)
+			line.Warn("store has compacted its history: reading all keys")
+		case errors.Is(err, kv.ErrTooManyChanges):
+			s.metrics.fullReads.Add("too-many-changes", 1)
+			line.WithError(err).Warn("changes come faster than they are read: reading all keys")
+			s.noteBehind()
+		default:
 			return result, err
 		}
-		if errors.Is(err, kv.ErrCompacted) {
-			s.event(eventStore).WithField("revision", at.Revision).Warn("store has compacted its history: reading all keys")
-		}
 	}
 	state, err := s.readAll(first)
 	if err != nil {
@@ -303,9 +312,31 @@
 
 // noteStoreRead records that the copy matched the store at the given time.
 func (s *Server) noteStoreRead(at clock.Time) {
-	if at > clock.Time(s.storeReadAt.Load()) {
-		s.storeReadAt.Store(int64(at))
+	if at <= clock.Time(s.storeReadAt.Load()) {
+		return
+	}
+	s.storeReadAt.Store(int64(at))
+	if since := s.behindSince.Load(); since != 0 && int64(at) >= since && s.behindSince.CompareAndSwap(since, 0) {
+		s.core.Post(&ingress.Behind{})
+	}
+}
+
+// noteBehind records that the store has changes which this VM cannot read yet.
+func (s *Server) noteBehind() {
+	now := s.now()
+	if s.behindSince.CompareAndSwap(0, int64(now)) {
+		s.core.Post(&ingress.Behind{Since: now})
+	}
+}
+
+// behindFor returns for how long this VM has known of changes that it has not read, 0 if it
+// knows of none.
+func (s *Server) behindFor() time.Duration {
+	since := s.behindSince.Load()
+	if since == 0 {
+		return 0
 	}
+	return s.now().Sub(clock.Time(since))
 }
 
 // storeAnswered records an answer to a read of the store.
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -58,6 +58,7 @@
 	// oldReads and oldRelays count full reads of the store, and full copies of other
 	// VMs, that were ignored because this VM's copy is newer.
 	oldReads           *expvar.Int
+	fullReads          *expvar.Map // reads of all keys after the first one, by cause
 	oldRelays          *expvar.Int
 	targetStateChanges *expvar.Map // by kind of change
 	answerLatency      *latencyHistogram
@@ -127,6 +128,7 @@
 	m.unreadNotices = m.newCounter("target_notices_unread")
 	m.defects = m.newCounter("store_defects")
 	m.oldReads = m.newCounter("store_reads_old")
+	m.fullReads = m.newCounters("store_full_reads")
 	m.oldRelays = m.newCounter("relays_old")
 	m.targetStateChanges = m.newCounters("target_beliefs")
 	m.vars.Set("answer_latency", expvar.Func(m.answerLatency.summary))
@@ -185,6 +187,7 @@
 	gauge("store_age_ms", func() any {
 		return s.storeAge().Milliseconds()
 	})
+	gauge("store_behind_ms", func() any { return s.behindFor().Milliseconds() })
 	gauge("store_era", func() any { return s.storeEra.Load() })
 	gauge("store_retained", func() any {
 		s.copyMu.Lock()
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -79,6 +79,9 @@
 	storeUnreachable atomic.Bool        // the last call to the store failed
 	storeFailedAt    atomic.Int64       // when a call last failed, a clock.Time
 	storeReadAt      atomic.Int64       // when the copy last matched the store, a clock.Time
+	// behindSince is since when this VM has known of changes in the store that it has not
+	// read, 0 if it knows of none.
+	behindSince atomic.Int64
 	// storeFailures counts failed calls.
 	storeFailures atomic.Int64
 	metrics       *metrics
--- a/serve/ingress/store_test.go
+++ b/serve/ingress/store_test.go
@@ -78,6 +78,43 @@
 	w.eventually("the change is in force", func() bool { return s.configVersion() == 2 })
 }
 
+// laggingStore is a store of which an entry VM cannot read the changes, or nothing.
+type laggingStore struct {
+	refusingStore
+	lagging atomic.Bool
+}
+
+func (g *laggingStore) Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (kv.Changes, error) {
+	c, err := g.refusingStore.Store.Watch(ctx, prefix, after, wait)
+	if g.lagging.Load() && len(c.Events) > 0 {
+		return kv.Changes{}, kv.ErrTooManyChanges
+	}
+	return c, err
+}
+
+// Guards against a VM that stays at an old configuration: there are more changes than it can
+// read, and it only asks for them again. While it cannot read the keys either, it says so.
+func TestTooManyChangesAreReadAsKeys(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(true))
+	w.startTarget("t1", respondOK("one"))
+	g := &laggingStore{refusingStore: refusingStore{Store: w.store.NewClient()}}
+	s := w.startListedWith("vm-1", g)
+	g.lagging.Store(true)
+	w.writeConfig(2, catchAllRoute(true))
+	w.eventually("the change is in force", func() bool { return s.configVersion() == 2 })
+	is.True(s.metrics.fullReads.Get("too-many-changes") != nil)
+	w.eventually("nothing is behind", func() bool { return s.behindFor() == 0 })
+	is.True(!s.storeUnreachable.Load())
+
+	g.refusing.Store(true)
+	w.writeConfig(3, catchAllRoute(true))
+	w.eventually("it is behind", func() bool { return s.behindFor() > 0 })
+	g.refusing.Store(false)
+	w.eventually("the next change is in force", func() bool { return s.configVersion() == 3 })
+	w.eventually("nothing is behind any more", func() bool { return s.behindFor() == 0 })
+}
+
 // Guards against a serving VM that look-ups omit: the store deletes the VM's
 // key, no call of the VM fails, and the VM renews its lease without checking the
 // key.
--- a/serve/kv/kv.go
+++ b/serve/kv/kv.go
@@ -88,6 +88,9 @@
 	ErrConflict = errors.New("kv: condition does not hold")
 	// ErrLeaseLost means that the lease has ended.
 	ErrLeaseLost = errors.New("kv: lease has ended")
+	// ErrTooManyChanges means that the changes after a position take longer to read than
+	// all keys do.
+	ErrTooManyChanges = errors.New("kv: too many changes")
 	// ErrEra means that the store has come back from a copy of an earlier state since the
 	// era on which the call relied.
 	ErrEra = errors.New("kv: store has come back from a copy")
@@ -106,8 +109,9 @@
 	// several eras.
 	Range(ctx context.Context, prefix string, from Replica) (Snapshot, error)
 	// Watch returns as soon as there is a change below prefix after the given
-	// position, or without events once wait has passed. It fails with ErrEra if the store
-	// is in another era.
+	// position, or without events once wait has passed. Of several values of a key it may
+	// return the latest only. It fails with ErrEra if the store is in another era, and
+	// with ErrTooManyChanges if the caller must read all keys instead.
 	Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (Changes, error)
 	// Commit runs t and returns the store's position. If a condition or a lease is of an
 	// earlier era, it fails: with ErrConflict or ErrLeaseLost if nothing was written,
