outbound: what a cancelled request has left to deliver is dropped

Cause: a cancelled request's connection was closed, not reset. The kernel goes on delivering what the receiver has not acknowledged, so a request that a broken path holds up arrives when the path works again.

Change: unless the receiver's kernel has acknowledged everything, the close is a reset, which drops the rest. It happens on the connection's poller, where the socket cannot be another one's.

--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -182,7 +182,7 @@
 
 // Cancel abandons the call. Before the request was given to a connection the
 // outcome is not-run; afterwards the connection is closed, which also notifies
-// the receiver, and the outcome is may-have-run.
+// the receiver and drops what it has not received, and the outcome is may-have-run.
 func (k *Call) Cancel(reason verdict.Reason) {
 	k.mu.Lock()
 	if k.finished {
@@ -197,7 +197,7 @@
 		return
 	}
 	if c.p.takeBack(c, k) {
-		c.close(ClosedCancelled)
+		c.abort()
 	}
 	k.done(nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason})
 }
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -15,6 +15,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/verdict"
@@ -421,6 +422,26 @@
 	c.p.pool.engine.Close(c.nbc)
 }
 
+// abort closes the connection of a cancelled request. What the receiver's side has not
+// acknowledged is dropped with a reset: the kernel would go on delivering it, and a request
+// that a broken path holds up would run long after it was given up.
+func (c *conn) abort() {
+	engine := c.p.pool.engine
+	engine.Run(c.nbc, func() {
+		_ = engine.Control(c.nbc, resetIfUntaken) // an error means that it is closed
+		c.close(ClosedCancelled)
+	})
+}
+
+// resetIfUntaken makes the close of a socket a reset unless everything that was written is
+// acknowledged. If that is not known, it is a reset.
+func resetIfUntaken(fd uintptr) {
+	if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil && n == 0 {
+		return
+	}
+	_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) // otherwise it is an orderly close
+}
+
 // Close implements nbhttp.Processor.
 func (c *conn) Close(*nbhttp.Parser, error) {}
 
--- a/serve/outbound/path_test.go
+++ b/serve/outbound/path_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// restore ends the effect of swallow.
+func restore(t *testing.T, c net.Conn) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against uploads that are broken off because their receiver reads nothing for longer
 // than its kernel may leave bytes unacknowledged, and against ones that wait for their
 // deadline on a path that swallows everything.
@@ -167,3 +179,37 @@
 	is.NoErr(err)
 	is.Equal(time.Duration(timeout)*time.Millisecond, testAckTimeout)
 }
+
+// Guards against a request that runs long after it was cancelled: a broken path held it up,
+// and the kernel delivered it when the path worked again.
+func TestCancelledRequestIsNotDelivered(t *testing.T) {
+	is := is.New(t)
+	broken, works := make(chan struct{}), make(chan struct{})
+	received := make(chan bool, 1)
+	addr := receiver(t, func(n int, c net.Conn, r *bufio.Reader) {
+		swallow(t, c)
+		close(broken)
+		<-works
+		restore(t, c)
+		_, err := http.ReadRequest(r)
+		received <- err == nil
+	})
+	p := newPathPool(t)
+	ch := make(chan outcome, 1)
+	done := func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} }
+	nc, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	<-broken
+	p.opts.Dial = func(string, string, time.Duration) (net.Conn, error) { return nc, nil } // opened before
+	k := p.Do(addr, &Request{Method: http.MethodPost, URI: "/", Header: http.Header{}}, done)
+	time.Sleep(100 * time.Millisecond)
+	k.Cancel(verdict.ReasonCallerGone)
+	is.Equal((<-ch).err.Verdict, verdict.MayHaveRun)
+	time.Sleep(50 * time.Millisecond)
+	close(works)
+	select {
+	case whole := <-received:
+		is.True(!whole)
+	case <-time.After(3 * time.Second): // longer than the kernel waits before it tries again
+	}
+}
