ingress: a forwarded request carries its own end

Cause: a gateway sent whatever came: the time left was stated from the sending, so a request that a cut had held up counted as fresh, and the gateway did not look at what it knew of the target.

Change: a gateway returns as not run a request for a target that drains or is evacuated. A forwarded request states when it was sent by its sender's clock; package transit measures from the fastest way seen how long it was held up, which is taken off its time left. The randomised fleet holds up one forwarded request in twenty.

Why it works: the difference of two clocks that need not agree is constant but for drift, so what exceeds the least difference is time on the way. A clock that has lost time is found by its sender, as a fresh request comes back as held up.

--- a/decide/ingress/effect.go
+++ b/decide/ingress/effect.go
@@ -86,6 +86,9 @@
 	// Notice and Limit are why a gateway did not send the request to its target.
 	Notice notice.Notice
 	Limit  TargetLimit
+	// HeldUp is for how long a forwarded request was held up on its way, if it is refused
+	// because its time is over.
+	HeldUp time.Duration
 }
 
 // QuotaRefusal is the decision that an account has no token left at this VM, for the
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -90,8 +90,12 @@
 type ForwardRequest struct {
 	Request  RequestID
 	Target   fleet.TargetID
-	TimeLeft time.Duration // time left for the target
+	TimeLeft time.Duration // time left for the target when the request was sent
 	Terms    LimitTerms
+	// Clock identifies the clock of the sender, and Distance is this VM's clock minus that
+	// clock when the request was sent; see package transit. "": not stated.
+	Clock    string
+	Distance time.Duration
 }
 
 // GatewayAccepted reports that the gateway of an attempt has accepted the request.
--- a/decide/ingress/fleet_test.go
+++ b/decide/ingress/fleet_test.go
@@ -40,6 +40,7 @@
 	cut      map[fleet.VMID]bool // VMs that exchange no messages with others
 	linkless map[fleet.VMID]bool // VMs that open no connection to targets
 	linkRNG  *rand.Rand          // of probes of links, which do not change other draws
+	heldRNG  *rand.Rand          // of requests that are held up on their way, likewise
 	accounts *simAccounts        // nil: there are none
 	notices  *simNotices         // nil: no target states any
 	hedges   int                 // second sends that save time
@@ -56,6 +57,10 @@
 	last  RequestID
 	// answer is the latest answer of a target.
 	answer *Answered
+	// clockAhead is how far ahead its clock for forwarded requests is, and knowsClock are
+	// the VMs of which a request has come without being held up.
+	clockAhead time.Duration
+	knowsClock map[fleet.VMID]bool
 }
 
 type simRequest struct {
@@ -119,7 +124,7 @@
 
 func newFleetSim(t *testing.T, seed uint64) *fleetSim {
 	s := &fleetSim{
-		t: t, rng: rand.New(rand.NewPCG(seed, 7)), linkRNG: rand.New(rand.NewPCG(seed, 55)), now: clock.Time(time.Hour),
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), linkRNG: rand.New(rand.NewPCG(seed, 55)), heldRNG: rand.New(rand.NewPCG(seed, 71)), now: clock.Time(time.Hour),
 		targets: make(map[fleet.TargetID]*simTarget), bounds: simBounds,
 	}
 	if seed%2 == 1 {
@@ -133,7 +138,7 @@
 	for i, d := range []fleet.Domain{"a1", "a2", "a2", "b1", "b1"} {
 		id := fleet.VMID(fmt.Sprintf("vm-%d", i))
 		members = append(members, fleet.VM{ID: id, Domain: d, Region: simRegions[d], GatewayAddr: "gateway"})
-		vm := &simVM{id: id, wake: clock.Never, open: make(map[RequestID]*simRequest), owner: make(map[AttemptID]*simRequest)}
+		vm := &simVM{id: id, clockAhead: time.Duration(s.heldRNG.Int64N(int64(1000 * time.Hour))), wake: clock.Never, open: make(map[RequestID]*simRequest), owner: make(map[AttemptID]*simRequest)}
 		vm.r = New(Options{Self: id, Domain: d, Regions: simRegions, Bounds: s.bounds, Seed: seed, Start: s.now})
 		s.vms = append(s.vms, vm)
 	}
@@ -263,6 +268,8 @@
 		s.t.Fatalf("%s: request %d is sent outside of its allowed regions", vm.id, e.Request)
 	case e.Account != q.account:
 		s.t.Fatalf("%s: request %d of account %q is sent for account %q", vm.id, e.Request, q.account, e.Account)
+	case q.forwarded != nil && (vm.r.evacuated[t.Domain] || vm.r.targets[e.Target].Draining):
+		s.t.Fatalf("%s: forwarded request %d is sent to %s, which must get none", vm.id, e.Request, e.Target)
 	case e.TimeLeft <= 0 || s.now.Add(e.TimeLeft) > q.deadline:
 		s.t.Fatalf("%s: request %d is sent with %v left, beyond its deadline", vm.id, e.Request, e.TimeLeft)
 	}
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -169,12 +169,27 @@
 
 // forward sends a request of another entry VM to the target at which it was
 // placed. If the target is unknown here, the request is returned: its own VM may
-// know another target.
+// know another target. A request that was held up on its way until its VM must have given it
+// up is returned too, and one for a target that must not get any: this VM may know that
+// sooner.
 func (r *Reducer) forward(now clock.Time, ev *ForwardRequest) {
+	left, heldUp := ev.TimeLeft, time.Duration(0)
+	if ev.Clock != "" {
+		heldUp = r.transits.HeldUp(now, ev.Clock, ev.Distance)
+		left -= heldUp
+	}
 	t, ok := r.targets[ev.Target]
-	if !ok || ev.TimeLeft <= 0 || r.linksDown() || r.stopping {
+	if !ok || left <= 0 || r.linksDown() || r.stopping {
+		refusal := Refusal{Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonGateway}
+		if left <= 0 {
+			refusal.HeldUp = heldUp
+		}
+		r.out.Refusals = append(r.out.Refusals, refusal)
+		return
+	}
+	if t.Draining || r.evacuated[t.Domain] {
 		r.out.Refusals = append(r.out.Refusals, Refusal{
-			Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonGateway,
+			Request: ev.Request, Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable,
 		})
 		return
 	}
@@ -197,9 +212,9 @@
 	t.countLimitedSend()
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: f.attempt, Request: f.request, Target: t.ID, StartedAt: t.StartedAt, Domain: t.Domain, Addr: t.Addr,
-		TimeLeft: ev.TimeLeft, ConnectTimeout: connectTimeout(r.rtt(t.region)),
+		TimeLeft: left, ConnectTimeout: connectTimeout(r.rtt(t.region)),
 	})
-	r.timers.add(timer{at: now.Add(ev.TimeLeft + answerMargin), purpose: dueForward, request: f.request})
+	r.timers.add(timer{at: now.Add(left + answerMargin), purpose: dueForward, request: f.request})
 }
 
 // forwardAnswered returns the answer to a forwarded request. Its own entry VM
--- a/decide/ingress/gateway_test.go
+++ b/decide/ingress/gateway_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/verdict"
 )
@@ -200,6 +201,41 @@
 	})
 }
 
+// Guards against a request that a gateway sends although its entry VM must have given it up: a
+// broken path has held it up. Clocks have nothing to do with each other.
+func TestAHeldUpRequestIsNotSent(t *testing.T) {
+	is, s := is.New(t), gatewayHarness(t, true)
+	const apart = -1234 * time.Hour
+	forward := func(id RequestID, heldUp time.Duration) *Ready {
+		return s.step(&ForwardRequest{Request: id, Target: "t1", TimeLeft: time.Second, Clock: "vm/1", Distance: apart + heldUp})
+	}
+	is.Equal(forward(1, 60*time.Millisecond).Sends[0].TimeLeft, time.Second)
+	is.Equal(forward(2, 55*time.Millisecond).Sends[0].TimeLeft, time.Second)
+	is.Equal(forward(3, 455*time.Millisecond).Sends[0].TimeLeft, 600*time.Millisecond)
+	out := forward(4, 1055*time.Millisecond)
+	is.Equal(len(out.Sends), 0)
+	is.Equal(out.Refusals, []Refusal{{Request: 4, Verdict: verdict.NotRun, Reason: verdict.ReasonGateway, HeldUp: time.Second}})
+	out = s.step(&ForwardRequest{Request: 5, Target: "t1", TimeLeft: time.Second}) // of an earlier version
+	is.Equal(out.Sends[0].TimeLeft, time.Second)
+}
+
+// Guards against a request that a gateway sends to a target of which it knows that it must get
+// none: the entry VM that has placed it does not know that yet.
+func TestAGatewaySendsNothingAgainstItsOwnKnowledge(t *testing.T) {
+	for name, change := range map[string]Event{
+		"evacuated": &Evacuated{Domain: "far", Begin: true},
+		"draining":  &TargetsChanged{Updated: []Target{{ID: "t1", Service: "svc", Addr: "a", Domain: "far", Slots: 9, Draining: true}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, s := is.New(t), gatewayHarness(t, true)
+			s.step(change)
+			out := s.step(&ForwardRequest{Request: 1, Target: "t1", TimeLeft: time.Second})
+			is.Equal(len(out.Sends), 0)
+			is.Equal(out.Refusals, []Refusal{{Request: 1, Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable}})
+		})
+	}
+}
+
 // simForwarded is a request that an entry VM of a simulated fleet forwards.
 type simForwarded struct {
 	sender  *simVM
@@ -221,15 +257,24 @@
 	case n < 10: // no answer within the lifetime of any request
 		lost(time.Minute, verdict.MayHaveRun)
 	default:
-		s.after(time.Duration(1+s.rng.IntN(3))*time.Millisecond, func() { s.atGateway(vm, q, e) })
+		onTheWay, heldUp, sent := time.Duration(1+s.rng.IntN(maxSimWay))*time.Millisecond, time.Duration(0), s.now
+		if s.heldRNG.IntN(20) == 0 {
+			heldUp = time.Duration(s.heldRNG.Int64N(int64(3 * time.Second)))
+		}
+		delivered := s.heldRNG.IntN(2) == 0 // even if it is cancelled meanwhile
+		s.after(onTheWay+heldUp, func() {
+			if q.running[e.Attempt] || (heldUp > 0 && delivered) {
+				s.atGateway(vm, q, e, sent)
+			}
+		})
 	}
 }
 
-// atGateway passes the request to the gateway.
-func (s *fleetSim) atGateway(vm *simVM, q *simRequest, e Send) {
-	if !q.running[e.Attempt] {
-		return // cancelled on the way
-	}
+// maxSimWay is the longest time on the way to a gateway in ms, apart from being held up.
+const maxSimWay = 3
+
+// atGateway passes a request to its gateway that was sent at a time.
+func (s *fleetSim) atGateway(vm *simVM, q *simRequest, e Send, sent clock.Time) {
 	var gate *simVM
 	for _, o := range s.vms {
 		if o.id == e.Gateway {
@@ -239,16 +284,33 @@
 	gate.last++
 	id := gate.last
 	gate.open[id] = &simRequest{
-		id: id, deadline: s.now.Add(e.TimeLeft), running: make(map[AttemptID]bool), content: q.content,
+		id: id, deadline: s.deadlineAtGateway(vm, gate, e, sent), running: make(map[AttemptID]bool), content: q.content,
 		forwarded: &simForwarded{sender: vm, attempt: e.Attempt, q: q},
 	}
 	q.gateways = append(q.gateways, simGatewayRequest{gate, id, e.Attempt})
-	s.step(gate, &ForwardRequest{Request: id, Target: e.Target, TimeLeft: e.TimeLeft})
+	s.step(gate, &ForwardRequest{
+		Request: id, Target: e.Target, TimeLeft: e.TimeLeft,
+		Clock: string(vm.id), Distance: s.now.Sub(sent) + gate.clockAhead - vm.clockAhead,
+	})
 	if s.rng.IntN(20) > 0 && q.running[e.Attempt] {
 		s.step(vm, &GatewayAccepted{Attempt: e.Attempt})
 	}
 }
 
+// deadlineAtGateway returns when a forwarded request must have ended. Of the first request of
+// a VM, a gateway cannot know how long it was held up.
+func (s *fleetSim) deadlineAtGateway(vm, gate *simVM, e Send, sent clock.Time) clock.Time {
+	if !gate.knowsClock[vm.id] {
+		if gate.knowsClock == nil {
+			gate.knowsClock = make(map[fleet.VMID]bool)
+		}
+		gate.knowsClock[vm.id] = s.now.Sub(sent) <= maxSimWay*time.Millisecond
+		return s.now.Add(e.TimeLeft)
+	}
+	const driftAllowance = 100 * time.Millisecond
+	return max(s.now, sent.Add(e.TimeLeft+maxSimWay*time.Millisecond+driftAllowance)) // it may be refused now
+}
+
 // simGatewayRequest identifies a request at its gateway.
 type simGatewayRequest struct {
 	vm      *simVM
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -10,6 +10,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/quarantine"
 	"github.com/azurethread/azurethread/decide/route"
+	"github.com/azurethread/azurethread/decide/transit"
 )
 
 // Reducer holds the state of the decisions. It is not safe for concurrent use.
@@ -58,6 +59,7 @@
 	detourDomains     []fleet.Domain // see detourTo
 	forwards          map[RequestID]*forwarded
 	forwardsByAttempt map[AttemptID]*forwarded
+	transits          transit.Meter // of the requests that other VMs forward through this one
 	timers            timers
 
 	// accounts are the limited client accounts in use at this VM. tokenRequests are
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -36,6 +36,12 @@
 	// because of the target's rate limit: the requests per second, and the milliseconds
 	// since an answer stated the limit.
 	returnedLimitHeader = "Azurethread-Returned-Limit"
+	// forwardSentHeader tells a gateway when a request was sent: the name of the sender's
+	// clock and its milliseconds, separated by a space.
+	forwardSentHeader = "Azurethread-Carry-Sent"
+	// returnedHeldUpHeader is in the answer of a gateway that has not sent the request
+	// because its time was over: for how many milliseconds it was held up on its way.
+	returnedHeldUpHeader = "Azurethread-Returned-Held-Up-Ms"
 	// gatewayWaitHeader is in the answer of a gateway: the milliseconds for which the
 	// request waited there for a connection to the target. It is absent if one was
 	// idle.
@@ -114,6 +120,8 @@
 	if terms := formatTerms(e.Terms); terms != "" {
 		h[forwardTermsHeader] = []string{terms}
 	}
+	sentAt := s.now()
+	h[forwardSentHeader] = []string{s.transitClock.stamp()}
 	// e is reused.
 	id, target, requestID := e.Attempt, e.Target, k.exchange.Header.Get(s.settings.Fields.RequestID)
 	return s.gatewayPool.Do(vm.GatewayAddr, &outbound.Request{
@@ -132,6 +140,7 @@
 		case err != nil:
 			err = &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonGateway, Err: err}
 		case heads.ParseFailure(ans.Header) != nil:
+			s.checkHeldUp(ans.Header, s.now().Sub(sentAt))
 			ans.Release()
 			ans, err = nil, heads.ParseFailure(ans.Header)
 		}
@@ -174,6 +183,8 @@
 	delete(x.Header, forwardHeader)
 	ev.Terms = parseTerms(x.Header.Get(forwardTermsHeader))
 	delete(x.Header, forwardTermsHeader)
+	ev.Clock, ev.Distance = parseStamp(x.Header.Get(forwardSentHeader))
+	delete(x.Header, forwardSentHeader)
 	x.Acknowledge()
 	k := s.calls.add(x, s.now())
 	k.forwarded = true
@@ -264,6 +275,11 @@
 		status = http.StatusServiceUnavailable
 		s.setNotice(h, e.Notice)
 	}
+	if e.HeldUp > 0 {
+		s.metrics.forwardedLate.Add(1)
+		h[returnedHeldUpHeader] = []string{strconv.FormatInt(min(e.HeldUp, heads.MaxDuration).Milliseconds(), 10)}
+		s.logHeldUp(k, e.HeldUp)
+	}
 	if e.Limit.Target != "" {
 		h[returnedLimitHeader] = []string{formatReturnedLimit(e.Limit)}
 	}
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -34,6 +34,9 @@
 	connWaitMS     *expvar.Map
 	sendsByOutcome *expvar.Map // finished sends
 	forwarded      *expvar.Int // requests forwarded as a gateway
+	// forwardedLate counts the requests that were to be forwarded and whose time was over
+	// when they came.
+	forwardedLate *expvar.Int
 	// gatewayConnWaits and gatewayConnWaitMS count the forwarded requests that waited
 	// for a connection to their target, and the milliseconds they waited.
 	gatewayConnWaits  *expvar.Int
@@ -113,6 +116,7 @@
 	m.connWaitMS = m.newCounters("connection_wait_ms_by_domain")
 	m.sendsByOutcome = m.newCounters("sends_by_outcome")
 	m.forwarded = m.newCounter("requests_carried")
+	m.forwardedLate = m.newCounter("carried_too_late")
 	m.gatewayConnWaits = m.newCounter("carried_connection_waits")
 	m.gatewayConnWaitMS = m.newCounter("carried_connection_wait_ms")
 	m.silentGateways = m.newCounter("gateways_silent")
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -85,6 +85,7 @@
 	// storeFailures counts failed calls.
 	storeFailures atomic.Int64
 	metrics       *metrics
+	transitClock  transitClock
 	quarantines   quarantineQueue
 	sampler       sampler
 	quotaSampler  sampler // of refusals over quota
@@ -148,6 +149,7 @@
 	wall, mono := time.Now().UnixNano(), time.Now()
 	s.now = func() clock.Time { return clock.Time(wall + int64(time.Since(mono))) }
 	set.Self.Incarnation = fleet.Incarnation(s.now())
+	s.transitClock.vm, s.transitClock.incarnation = set.Self.ID, set.Self.Incarnation
 	s.relayTurn.Store(int64(xxhash.Sum64String(string(set.Self.ID)) % relayTurnRange))
 	s.calls.byID = make(map[ingress.RequestID]*call)
 	s.members.Store(newMemberList(nil))
