outbound: an answer that ends with its connection is read to its end

Cause: nbio reads a connection at most three times 64 kB for each event. If the event also says that the receiver has closed its end, nbio closes the connection with what is left unread.

Change: the pool's engine reads until nothing is left. The limits on an answer stay.

--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -320,6 +321,29 @@
 	is.Equal(lost.Load(), int64(0))
 }
 
+// Guards against a whole answer that is taken for a cut one: its receiver closes the
+// connection right behind it, and the poller learns of the end before it has read everything.
+func TestWholeAnswerBeforeClose(t *testing.T) {
+	is := is.New(t)
+	const size = 900 << 10
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", size)
+	answer := []byte(head + strings.Repeat("x", size))
+	addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = c.Write(answer)
+		}
+	})
+	p := newPool(t)
+	failed := 0
+	for range 300 {
+		_, ch := send(p, addr)
+		if o := <-ch; o.err != nil {
+			failed++
+		}
+	}
+	is.Equal(failed, 0)
+}
+
 // Guards against a request that is reported as not run although its receiver got a part of it:
 // the receiver resets the connection while the request is being written.
 func TestResetDuringWriteProvesNothing(t *testing.T) {
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -54,6 +55,9 @@
 		Name:      "outbound",
 		NPoller:   opts.Pollers,
 		ReadLimit: maxAnswerHeads + nbio.DefaultReadBufferSize, // the parser gets heads only
+		// nbio closes a connection when it learns that the receiver has closed it, although
+		// data is left if it had to stop reading after so many times.
+		MaxConnReadTimesPerEventLoop: math.MaxInt,
 	})
 	engine.OnClose(onClose)
 	var err error
