outbound: a request that was answered early is sent to its end

Cause: a target may answer before it has read a whole body, and read on. If its answer does not allow a further request on the connection, the connection was closed at once, and nbio's Close drops what it has queued. Idle connections were closed without a look at it too.

Change: after an answer that is not a failure, the connection is closed when the kernel has taken everything, 20 s later at most. An idle connection that still sends is kept for as long.

--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -34,6 +34,10 @@
 	// that.
 	initialized atomic.Bool
 
+	queued   atomic.Int64 // bytes handed to nbio
+	written  atomic.Int64 // bytes that nbio has written to the kernel
+	lastSent atomic.Bool  // close once everything is written
+
 	// Guarded by p.mu.
 	call      *Call       // the call that has claimed the connection
 	ended     bool        // no longer counted in peer.open
@@ -76,6 +80,7 @@
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
 	encode(b, c.p.addr, k.req)
+	c.queued.Add(int64(b.Len()))
 	err := c.p.pool.engine.Write(c.nbc, b.Bytes())
 	if err == nil && b.Len() >= checkedRequestBytes {
 		c.checkPath()
@@ -373,7 +378,14 @@
 	c.resetAnswer()
 	c.headBytes, c.overhead = 0, 0
 	c.connected = 0 // the next request did not wait for it to open
-	k := c.p.release(c, keepAliveTimeout(a.Header))
+	k, kept := c.p.release(c, keepAliveTimeout(a.Header))
+	switch {
+	case kept:
+	case a.Status < http.StatusBadRequest:
+		c.closeWhenSent()
+	default:
+		c.close(ClosedNotReusable) // a receiver that has refused a request wants no more of it
+	}
 	if k == nil || !k.finish(a, nil) {
 		a.Release()
 	}
@@ -422,6 +434,33 @@
 	c.p.pool.engine.Close(c.nbc)
 }
 
+// maxSendAfterAnswer is how long the rest of a request is sent on after its answer.
+const maxSendAfterAnswer = 20 * time.Second
+
+// closeWhenSent closes the connection after its last answer. A receiver may answer before it
+// has read the whole request, and read on: nbio's Close would drop what it has queued.
+func (c *conn) closeWhenSent() {
+	c.p.noteClose(c, ClosedNotReusable)
+	c.lastSent.Store(true)
+	if !c.sending() {
+		c.p.pool.engine.Close(c.nbc)
+		return
+	}
+	time.AfterFunc(maxSendAfterAnswer, func() { c.close(ClosedNotReusable) })
+}
+
+// sending reports whether nbio holds bytes that the kernel has not taken.
+func (c *conn) sending() bool { return c.written.Load() < c.queued.Load() }
+
+// onWritten is called when the kernel has taken n bytes. nbio holds the connection's lock
+// during the call, so closing is left to the poller.
+func (c *conn) onWritten(n int) {
+	c.written.Add(int64(n))
+	if c.lastSent.Load() && !c.sending() {
+		c.p.pool.engine.Run(c.nbc, func() { c.close(ClosedNotReusable) })
+	}
+}
+
 // abort closes the connection of a cancelled request. What the receiver's side has not
 // acknowledged is dropped with a reset: the kernel would go on delivering it, and a request
 // that a broken path holds up would run long after it was given up.
--- a/serve/outbound/lifecycle_test.go
+++ b/serve/outbound/lifecycle_test.go
@@ -123,7 +123,8 @@
 	c, _, err := pe.connect(k)
 	is.NoErr(err)
 	is.Equal(pe.detach(c), k)
-	is.True(pe.release(c, 0) == nil)
+	k, kept := pe.release(c, 0)
+	is.True(k == nil && !kept)
 	is.Equal(pe.idleCount(), 0)
 }
 
@@ -344,6 +345,45 @@
 	is.Equal(failed, 0)
 }
 
+// Guards against an upload that its receiver has answered and that loses the rest of its body:
+// the receiver answers early and reads on later.
+func TestEarlyAnswerLosesNoBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"kept":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"closed": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const size = 32 << 20 // more than the kernel takes at once
+			read := make(chan int64, 2)
+			addr := receiver(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				_ = c.(*net.TCPConn).SetReadBuffer(32 << 10)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, head)
+					time.Sleep(100 * time.Millisecond)
+					n, _ := io.Copy(io.Discard, req.Body)
+					read <- n
+				}
+			})
+			p := newPool(t)
+			for range 2 {
+				ch := make(chan outcome, 1)
+				p.Do(addr, &Request{Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: make([]byte, size)},
+					func(a *Answer, err *verdict.Error) { ch <- outcome{a, err} })
+				o := <-ch
+				is.Equal(o.err, nil)
+				is.Equal(o.a.Status, http.StatusOK)
+				is.Equal(<-read, int64(size))
+			}
+		})
+	}
+}
+
 // Guards against a request that is reported as not run although its receiver got a part of it:
 // the receiver resets the connection while the request is being written.
 func TestResetDuringWriteProvesNothing(t *testing.T) {
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -117,7 +117,7 @@
 	defer pe.mu.Unlock()
 	var out []*conn
 	pe.idle = slices.DeleteFunc(pe.idle, func(c *conn) bool {
-		if c.idleFor(now) < min(age, c.maxIdle) {
+		if c.idleFor(now) < min(age, c.maxIdle) || (c.sending() && c.idleFor(now) < maxSendAfterAnswer) {
 			return false
 		}
 		out = append(out, c)
@@ -127,28 +127,25 @@
 }
 
 // release makes c available for the next request and returns the call that it
-// carried. A connection that must not be reused is closed. One without a call
-// has been detached meanwhile; released again, it would be reused although it
-// is closed.
+// carried, and whether c is kept. One that is not kept must be closed. A connection
+// without a call has been detached meanwhile; released again, it would be reused
+// although it is closed.
 //
 // keepAlive is how long the receiver keeps an idle connection open; 0: not
 // stated. A connection that the receiver may be about to close is not reused: a
 // request on it could be lost with an unknown outcome.
-func (pe *peer) release(c *conn, keepAlive time.Duration) *Call {
+func (pe *peer) release(c *conn, keepAlive time.Duration) (k *Call, kept bool) {
 	pe.mu.Lock()
-	k := c.call
+	defer pe.mu.Unlock()
+	k = c.call
 	c.call = nil
 	c.maxIdle = maxIdleTime(keepAlive, pe.pool.opts.IdleTimeout)
-	keep := k != nil && !c.noReuse && c.closedBy == ""
-	if keep {
+	kept = k != nil && !c.noReuse && c.closedBy == ""
+	if kept {
 		c.idleSince = pe.pool.opts.Now()
 		pe.idle = append(pe.idle, c)
 	}
-	pe.mu.Unlock()
-	if !keep {
-		c.close(ClosedNotReusable)
-	}
-	return k
+	return k, kept
 }
 
 // releaseIfClaimed releases c if k still holds it. Releasing a connection that
@@ -158,8 +155,11 @@
 	pe.mu.Lock()
 	owned := c.call == k
 	pe.mu.Unlock()
-	if owned {
-		pe.release(c, 0)
+	if !owned {
+		return
+	}
+	if _, kept := pe.release(c, 0); !kept {
+		c.close(ClosedNotReusable)
 	}
 }
 
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -60,6 +60,7 @@
 		MaxConnReadTimesPerEventLoop: math.MaxInt,
 	})
 	engine.OnClose(onClose)
+	engine.OnWrittenSize(onWritten)
 	var err error
 	if p.engine, err = pollers.Start(engine); err != nil {
 		return nil, fmt.Errorf("outbound: %w", err)
@@ -182,11 +183,26 @@
 	if !ok {
 		return
 	}
-	pr, ok := nbc.Session().(*nbhttp.Parser)
+	if c := connOf(nbc); c != nil {
+		c.onClose(err)
+	}
+}
+
+func onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	if c := connOf(nbc); c != nil {
+		c.onWritten(n)
+	}
+}
+
+// connOf returns the conn of an nbio connection, nil if it is not completely set up.
+func connOf(nbc *nbio.Conn) *conn {
+	p, ok := nbc.Session().(*nbhttp.Parser)
 	if !ok {
-		return
+		return nil
 	}
-	if c, ok := pr.Processor.(*conn); ok && c.initialized.Load() {
-		c.onClose(err)
+	c, ok := p.Processor.(*conn)
+	if !ok || !c.initialized.Load() {
+		return nil
 	}
+	return c
 }
