outbound: a paused receiver's connection is followed by what its kernel answers

The check of slow receivers knew a closed window only, and took the longer timeout back with each progress. A trace showed that Linux goes on counting from the first time that the window was closed, although data has got through since; and a receiver with a full buffer drops data in an open window and says so.

Change: as long as the receiver's kernel answers, the timeout is moved ahead of the age of the request; without an answer for twice the timeout the connection is closed. A connection whose timeout was moved is not used again, as the kernel's count goes on.

--- a/serve/outbound/path.go
+++ b/serve/outbound/path.go
@@ -11,13 +11,14 @@
 	"github.com/azurethread/azurethread/decide/clock"
 )
 
-// A receiver that does not read closes its window. Linux counts TCP_USER_TIMEOUT against a
-// closed window too, although the receiver's kernel answers each probe: an upload to a
-// receiver that pauses for longer would be broken off like one on a dead path. While the
-// window is closed and probes are answered, the timeout is therefore moved ahead of the time
-// for which it has been closed. When none was answered for the timeout, the kernel ends the
-// connection within as much time again. A single unanswered probe proves nothing: kernels
-// limit the rate of such answers.
+// A receiver that does not read closes its window, or drops what does not fit and acknowledges
+// that it has not got it. Linux counts TCP_USER_TIMEOUT against both: an upload to a receiver
+// that pauses for longer would be broken off like one on a dead path. While the receiver's
+// kernel answers, the timeout is therefore moved ahead of the age of the request. That also
+// keeps the kernel asking: it sends its next probe of a closed window before the timeout ends.
+// When no answer has come for twice the timeout, the connection is closed. On a path that dies
+// in the middle of the data no answer comes after the last progress, and the kernel's own
+// timeout ends it.
 
 const (
 	// pathCheckInterval is the interval between two looks at a connection whose receiver
@@ -26,6 +27,9 @@
 	// checkedRequestBytes is the size from which a request is checked. The window of a
 	// receiver that has read everything takes a smaller one.
 	checkedRequestBytes = 16 << 10
+	// minAckGap is how much later than the last progress an acknowledgement must come to be
+	// another one: the kernel states such times in milliseconds.
+	minAckGap = 10 * time.Millisecond
 )
 
 // limitUnacknowledged sets Options.AckTimeout for a new connection.
@@ -55,9 +59,11 @@
 
 // pathCheck follows a connection until its receiver has taken a request.
 type pathCheck struct {
-	c        *conn
-	openAt   clock.Time // when the window was last seen open
-	extended bool       // the connection has a longer timeout than Options.AckTimeout
+	c          *conn
+	began      clock.Time // the write of the request
+	acked      uint64     // bytes that were acknowledged
+	progressAt clock.Time // when that last grew
+	extended   bool       // the connection has a longer timeout than Options.AckTimeout
 }
 
 // checkPath begins to follow c, to which a large request was written.
@@ -66,7 +72,8 @@
 	if p.opts.AckTimeout == 0 {
 		return
 	}
-	check := &pathCheck{c: c, openAt: p.opts.Now()}
+	now := p.opts.Now()
+	check := &pathCheck{c: c, began: now, progressAt: now}
 	check.schedule()
 }
 
@@ -78,34 +85,51 @@
 }
 
 func (k *pathCheck) run() {
-	again := false
-	err := k.c.p.pool.engine.Control(k.c.nbc, func(fd uintptr) { again = k.look(fd) })
-	if err == nil && again {
+	result := pathDone
+	err := k.c.p.pool.engine.Control(k.c.nbc, func(fd uintptr) { result = k.look(fd) })
+	switch {
+	case err != nil || result == pathDone:
+	case result == pathDead:
+		_ = k.c.nbc.CloseWithError(syscall.ETIMEDOUT) // an error means that it is closed
+	default:
 		k.schedule()
 	}
 }
 
-// look adapts the timeout to what the kernel knows of the connection, and reports whether to
-// look again. If the kernel does not tell, the timeout stays as it is.
-func (k *pathCheck) look(fd uintptr) (again bool) {
+// pathState is what a look at a connection shows.
+type pathState uint8
+
+const (
+	pathDone  pathState = iota // nothing is left to look for
+	pathInUse                  // the receiver has not taken everything
+	pathDead                   // the receiver's kernel does not answer
+)
+
+// look adapts the timeout to what the kernel knows of the connection. If the kernel does not
+// tell, the timeout stays as it is.
+func (k *pathCheck) look(fd uintptr) pathState {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return false
+	if err != nil || (info.Unacked == 0 && info.Notsent_bytes == 0) {
+		return pathDone
 	}
 	now, timeout := k.c.p.pool.opts.Now(), k.c.p.pool.opts.AckTimeout
-	if waiting := info.Notsent_bytes > 0 && info.Unacked == 0; waiting { // for the window to open
-		if answered := time.Duration(info.Last_ack_recv) * time.Millisecond; answered < timeout {
-			k.extended = true
-			return setAckTimeout(fd, now.Sub(k.openAt)+timeout) == nil
-		}
-		return true
+	sinceAck := time.Duration(info.Last_ack_recv) * time.Millisecond
+	if info.Bytes_acked > k.acked {
+		k.acked, k.progressAt = info.Bytes_acked, now.Add(-sinceAck)
+	}
+	closed := info.Unacked == 0 // what was sent is acknowledged, and no more may be sent
+	refused := sinceAck+minAckGap < now.Sub(k.progressAt)
+	switch {
+	case sinceAck >= 2*timeout:
+		return pathDead
+	case !closed && !refused && !k.extended:
+		return pathInUse
 	}
-	k.openAt = now
-	if k.extended {
-		k.extended = false
-		if setAckTimeout(fd, timeout) != nil {
-			return false
-		}
+	// The kernel goes on counting from the first time that the window was closed, also when
+	// the connection carries another request.
+	k.extended, k.c.noReuse = true, true
+	if setAckTimeout(fd, now.Sub(k.began)+timeout) != nil {
+		return pathDone
 	}
-	return info.Unacked > 0
+	return pathInUse
 }
