ingress: a watch that is not answered in time is followed by a read of all keys

Cause: a watch whose answer does not begin within 1.5 s was repeated, and its answer has grown meanwhile. The soak's store took longer than that to prepare 20 MB beside other tests.

If that fails too, the next one is a watch. store_full_reads counts it as no-answer, and a line says so.

A store that is down costs no more calls than before, as the two kinds of reads take turns.

--- a/serve/ingress/follow.go
+++ b/serve/ingress/follow.go
@@ -173,28 +173,23 @@
 )
 
 // readStore brings the copy up to date: by a full read at the start, when the store has
-// dropped the history and when it has come back from a copy, otherwise by a watch with the
-// given timeout.
+// dropped the history, when it has come back from a copy and when it has not answered the
+// watch before, otherwise by a watch with the given timeout.
 func (s *Server) readStore(timeout time.Duration) (readResult, error) {
 	at := s.copyAt()
-	first := !s.copyValid()
-	if !first && at.Era >= s.knownEra() {
+	first, unanswered := !s.copyValid(), s.watchUnanswered
+	s.watchUnanswered = false
+	if !first && !unanswered && at.Era >= s.knownEra() {
 		result, err := s.watchStore(at, timeout)
-		line := s.event(eventStore).WithField("revision", at.Revision)
-		switch {
-		case errors.Is(err, kv.ErrEra):
-			s.metrics.fullReads.Add("era", 1)
-		case errors.Is(err, kv.ErrCompacted):
-			s.metrics.fullReads.Add("compacted", 1)
-			line.Warn("store has compacted its history: reading all keys")
-		case errors.Is(err, kv.ErrTooManyChanges):
-			s.metrics.fullReads.Add("too-many-changes", 1)
-			line.WithError(err).Warn("changes come faster than they are read: reading all keys")
-			s.noteBehind()
-		default:
+		if !s.mustReadAll(at, err) {
+			s.watchUnanswered = errors.Is(err, kv.ErrNoAnswer)
 			return result, err
 		}
 	}
+	if unanswered {
+		s.metrics.fullReads.Add("no-answer", 1)
+		s.event(eventStore).WithField("revision", at.Revision).Warn("changes were not read in time: reading all keys")
+	}
 	state, err := s.readAll(first)
 	if err != nil {
 		return readNothing, err
@@ -202,6 +197,26 @@
 	return s.applyState(state, first)
 }
 
+// mustReadAll reports whether a watch after a position has failed in a way that makes a
+// further one useless.
+func (s *Server) mustReadAll(at mirror.Position, err error) bool {
+	line := s.event(eventStore).WithField("revision", at.Revision)
+	switch {
+	case errors.Is(err, kv.ErrEra):
+		s.metrics.fullReads.Add("era", 1)
+	case errors.Is(err, kv.ErrCompacted):
+		s.metrics.fullReads.Add("compacted", 1)
+		line.Warn("store has compacted its history: reading all keys")
+	case errors.Is(err, kv.ErrTooManyChanges):
+		s.metrics.fullReads.Add("too-many-changes", 1)
+		line.WithError(err).Warn("changes come faster than they are read: reading all keys")
+		s.noteBehind()
+	default:
+		return false
+	}
+	return true
+}
+
 // readAll reads all keys. The first copy may come from an outdated replica: the watch that
 // follows returns what is missing. A later full read may not, as the copy would reject it
 // as too old. With about 1,900 keys, reading from any replica saves three to four calls at
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -82,6 +82,9 @@
 	// behindSince is since when this VM has known of changes in the store that it has not
 	// read, 0 if it knows of none.
 	behindSince atomic.Int64
+	// watchUnanswered means that the store has not answered the latest watch in time: its
+	// answer may be too large. Used only by followStore.
+	watchUnanswered bool
 	// storeFailures counts failed calls.
 	storeFailures atomic.Int64
 	metrics       *metrics
--- a/serve/ingress/store_test.go
+++ b/serve/ingress/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -82,12 +83,13 @@
 type laggingStore struct {
 	refusingStore
 	lagging atomic.Bool
+	err     error // of a watch that cannot be read
 }
 
 func (g *laggingStore) Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (kv.Changes, error) {
 	c, err := g.refusingStore.Store.Watch(ctx, prefix, after, wait)
 	if g.lagging.Load() && len(c.Events) > 0 {
-		return kv.Changes{}, kv.ErrTooManyChanges
+		return kv.Changes{}, g.err
 	}
 	return c, err
 }
@@ -98,7 +100,7 @@
 	is := is.New(t)
 	w := newTestEnv(t, catchAllRoute(true))
 	w.startTarget("t1", respondOK("one"))
-	g := &laggingStore{refusingStore: refusingStore{Store: w.store.NewClient()}}
+	g := &laggingStore{refusingStore: refusingStore{Store: w.store.NewClient()}, err: kv.ErrTooManyChanges}
 	s := w.startListedWith("vm-1", g)
 	g.lagging.Store(true)
 	w.writeConfig(2, catchAllRoute(true))
@@ -115,6 +117,22 @@
 	w.eventually("nothing is behind any more", func() bool { return s.behindFor() == 0 })
 }
 
+// Guards against a VM that stays at an old configuration: the store does not bring the changes
+// in time, and the VM only asks for them again.
+func TestUnansweredWatchIsReadAsKeys(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(true))
+	w.startTarget("t1", respondOK("one"))
+	g := &laggingStore{refusingStore: refusingStore{Store: w.store.NewClient()}, err: fmt.Errorf("watch: %w", kv.ErrNoAnswer)}
+	s := w.startListedWith("vm-1", g)
+	g.lagging.Store(true)
+	for version := uint64(2); version <= 3; version++ {
+		w.writeConfig(version, catchAllRoute(true))
+		w.eventually("the change is in force", func() bool { return s.configVersion() == version })
+	}
+	is.True(s.metrics.fullReads.Get("no-answer") != nil)
+}
+
 // Guards against a serving VM that look-ups omit: the store deletes the VM's
 // key, no call of the VM fails, and the VM renews its lease without checking the
 // key.
--- a/serve/kv/kv.go
+++ b/serve/kv/kv.go
@@ -91,6 +91,8 @@
 	// ErrTooManyChanges means that the changes after a position take longer to read than
 	// all keys do.
 	ErrTooManyChanges = errors.New("kv: too many changes")
+	// ErrNoAnswer means that the answer to a call did not come in time, or not to its end.
+	ErrNoAnswer = errors.New("kv: no whole answer in time")
 	// ErrEra means that the store has come back from a copy of an earlier state since the
 	// era on which the call relied.
 	ErrEra = errors.New("kv: store has come back from a copy")
@@ -111,7 +113,9 @@
 	// Watch returns as soon as there is a change below prefix after the given
 	// position, or without events once wait has passed. Of several values of a key it may
 	// return the latest only. It fails with ErrEra if the store is in another era, and
-	// with ErrTooManyChanges if the caller must read all keys instead.
+	// with ErrTooManyChanges if the caller must read all keys instead. A *verdict.Error wraps
+	// ErrNoAnswer if the answer may be too large for the store or the path to it: the same
+	// call may fail again.
 	Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (Changes, error)
 	// Commit runs t and returns the store's position. If a condition or a lease is of an
 	// earlier era, it fails: with ErrConflict or ErrLeaseLost if nothing was written,
