--- a/serve/kv/kvtest/store.go
+++ b/serve/kv/kvtest/store.go
@@ -37,6 +37,7 @@
 type state struct {
 	rev         mirror.Revision
 	items       map[string]entry
+	keys        []string // of items in order; nil: they have changed
 	history     []mirror.Change
 	compactedAt mirror.Revision // history is kept after this revision
 	leases      map[uint64]bool
@@ -159,6 +160,9 @@
 func (s *Store) put(w kv.Write) {
 	s.rev++
 	it := mirror.Item{Key: w.Key, Value: w.Value, Revision: s.rev}
+	if _, ok := s.items[w.Key]; !ok {
+		s.keys = nil
+	}
 	s.items[w.Key] = entry{Item: it, lease: w.Lease.ID}
 	s.history = append(s.history, mirror.Change{Item: it})
 }
@@ -168,6 +172,7 @@
 		return
 	}
 	s.rev++
+	s.keys = nil
 	delete(s.items, key)
 	s.history = append(s.history, mirror.Change{Item: mirror.Item{Key: key, Revision: s.rev}, Removed: true})
 }
@@ -213,6 +218,33 @@
 	return out, nil
 }
 
+// Page reads the first items below prefix whose keys are greater than after, at most limit.
+// more means that there are further ones.
+func (s *Store) Page(prefix, after string, limit int) (page kv.Snapshot, more bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.checkUp(); err != nil {
+		return kv.Snapshot{}, false, err
+	}
+	if s.keys == nil {
+		s.keys = slices.Sorted(maps.Keys(s.items))
+	}
+	page.At = s.at()
+	i, _ := slices.BinarySearch(s.keys, max(prefix, after))
+	for _, key := range s.keys[i:] {
+		switch {
+		case key == after:
+			continue
+		case !strings.HasPrefix(key, prefix):
+			return page, false, nil
+		case len(page.Items) == limit:
+			return page, true, nil
+		}
+		page.Items = append(page.Items, s.items[key].Item)
+	}
+	return page, false, nil
+}
+
 // Watch returns the changes below prefix after a revision, as kv.Store does.
 func (s *Store) Watch(ctx context.Context, prefix string, after mirror.Revision, wait time.Duration) (kv.Changes, error) {
 	timeout := time.After(wait)
