ingress: callers of a lost request are answered once it is known whether it ended its target

A request that ends its targets reached more of them than it should: up to all eight in the test, beside load.

Cause: the 502 of a request whose connection was lost left about .1 ms after the loss; the refused probe that proves the end of its target comes 1 to 2 ms later. Callers that repeat at once, at another VM, met VMs that knew of no end yet. From the third end on proof takes longer, as connections to ended targets have failed and a link must be seen to work first.

Change: a request that is lost and not sent again is answered once the probe of its target, or that of the links, has its result; 50 ms after the loss at most, and never beyond its deadline. Its verdict is the same.

Why it works: an end is recorded before the caller that could repeat the request knows of the loss.

Evidence: TestCallersOfLostRequestsAwaitTheProof fails in each of its four cases before.

--- a/decide/ingress/invariant.go
+++ b/decide/ingress/invariant.go
@@ -86,10 +86,15 @@
 }
 
 func (r *Reducer) checkRequests() error {
+	for q := range r.awaitingProof {
+		if r.requests[q.id] != q || len(q.running) > 0 || q.searching() {
+			return fmt.Errorf("request %d waits for proof and is not at its end", q.id)
+		}
+	}
 	attempts := 0
 	for id, q := range r.requests {
 		attempts += len(q.running)
-		if len(q.running) == 0 && q.job == nil && q.pending == nil {
+		if len(q.running) == 0 && q.job == nil && q.pending == nil && !r.awaitingProof[q] {
 			return fmt.Errorf("request %d: neither an attempt nor a search is under way", id)
 		}
 		if q.sends > q.route.Attempts {
--- a/decide/ingress/links_test.go
+++ b/decide/ingress/links_test.go
@@ -230,6 +230,53 @@
 	}
 }
 
+// Guards against a request that ends a target after the other: its caller repeats it before it
+// is known that the target has terminated.
+func TestCallersOfLostRequestsAwaitTheProof(t *testing.T) {
+	lose := func(t *testing.T) (*harness, Probe) {
+		s := quarantineHarness(t)
+		s.step(&Arrive{Request: 1, Host: "h", Path: "/a/x", Timeout: time.Minute, Fingerprint: oneContent})
+		for { // until no attempt is left
+			attempts := slices.Sorted(maps.Keys(s.r.attempts))
+			out := s.step(&Failed{Attempt: attempts[0], Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+			if len(s.r.attempts) == 0 {
+				is.New(t).Equal(len(out.Refusals), 0)
+				return s, out.Probes[0]
+			}
+			p := out.Probes[0]
+			s.step(&Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: ListeningUnknown})
+		}
+	}
+	for name, found := range map[string]Listening{"it listens": ListeningYes, "unknown": ListeningUnknown} {
+		t.Run(name, func(t *testing.T) {
+			s, p := lose(t)
+			out := s.step(&Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: found})
+			is.New(t).Equal(len(out.Refusals), 1)
+		})
+	}
+	t.Run("refused, then a link works", func(t *testing.T) {
+		is := is.New(t)
+		s, p := lose(t)
+		out := s.step(&Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: ListeningNo})
+		is.Equal(len(out.Refusals), 0)
+		for len(out.Refusals) == 0 {
+			out = s.linkProbed(ListeningYes)
+			for _, p := range out.Probes {
+				out = s.step(&Probed{Target: p.Target, StartedAt: p.StartedAt, Listening: ListeningNo})
+			}
+		}
+		is.Equal(s.r.quarantine.Ends(s.now, oneContent), 1)
+	})
+	t.Run("no proof comes", func(t *testing.T) {
+		is := is.New(t)
+		s, _ := lose(t)
+		s.now = s.now.Add(maxProofWait - time.Millisecond)
+		is.Equal(len(s.step(&Tick{}).Refusals), 0)
+		s.now = s.now.Add(time.Millisecond)
+		is.Equal(len(s.step(&Tick{}).Refusals), 1)
+	})
+}
+
 // Guards against requests that are taken for the cause of crashes, because a device on
 // the way resets the connections of one VM to all targets and refuses new ones.
 func TestRefusedProbesWithoutLinksProveNoCrash(t *testing.T) {
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -49,9 +49,12 @@
 	silent        map[fleet.VMID]*silentVM // coordinators and gateways that did not answer
 	nextPlacement PlacementID
 
-	requests    map[RequestID]*request
-	attempts    map[AttemptID]*attempt
-	nextAttempt AttemptID
+	requests map[RequestID]*request
+	// awaitingProof are the requests whose callers wait until it is known whether their
+	// targets have terminated.
+	awaitingProof map[*request]bool
+	attempts      map[AttemptID]*attempt
+	nextAttempt   AttemptID
 	// gateways caches the VMs of a failure domain that forward requests there.
 	// forwards are the requests that this VM forwards for others, and
 	// forwardsByAttempt the same by attempt.
@@ -105,6 +108,7 @@
 		silent:            make(map[fleet.VMID]*silentVM),
 		nextPlacement:     PlacementID(o.Start),
 		requests:          make(map[RequestID]*request),
+		awaitingProof:     make(map[*request]bool),
 		attempts:          make(map[AttemptID]*attempt),
 		gateways:          make(map[fleet.Domain][]fleet.VMID),
 		detourDomains:     detourDomains(o),
@@ -172,6 +176,9 @@
 	case *Tick:
 	}
 	r.removeLapsed(now)
+	if len(r.awaitingProof) > 0 {
+		r.refuseProved(now)
+	}
 	r.fireTimers(now)
 	r.enforce(now)
 	out.WakeAt = clock.Min(r.timers.next(), r.nextLapse)
@@ -246,6 +253,10 @@
 		r.gatewayTimedOut(now, q, t.attempt)
 	case dueSecondSend:
 		r.secondSendDue(now, q)
+	case dueProof:
+		if r.awaitingProof[q] {
+			r.refuse(now, q)
+		}
 	}
 }
 
@@ -286,10 +297,12 @@
 	for _, q := range r.requests {
 		list = append(list, q)
 	}
-	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	slices.SortFunc(list, byID)
 	return list
 }
 
+func byID(a, b *request) int { return cmp.Compare(a.id, b.id) }
+
 // movingAverage is an exponentially weighted moving average.
 type movingAverage struct {
 	value float64
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -45,6 +45,8 @@
 	// trial means that the request is let through although its fingerprint is in
 	// quarantine.
 	lostConnections int
+	lostAt          clock.Time   // when the last of them ended
+	lostTarget      *targetState // its target
 	trial           bool
 	trialCounted    bool              // the trial was recorded
 	job             *job              // its search for a target on this VM
@@ -287,7 +289,7 @@
 	}
 	allowed := q.verdict.MayRepeat(q.route.Idempotent) && q.mayRetry(now) && r.mayRiskTarget(now, q) && !r.keyRevoked(q)
 	if !allowed || !q.svc.retryBudget.spend() {
-		r.refuse(now, q)
+		r.refuseOnceProved(now, q)
 		return
 	}
 	r.findTarget(now, q)
@@ -341,6 +343,7 @@
 // finish removes q and cancels its remaining search and attempts.
 func (r *Reducer) finish(now clock.Time, q *request) {
 	delete(r.requests, q.id)
+	delete(r.awaitingProof, q)
 	r.cancelSearch(now, q)
 	r.recordHedge(now, q)
 	if len(q.running) > 0 {
--- a/decide/ingress/termination.go
+++ b/decide/ingress/termination.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -45,6 +46,7 @@
 		return
 	}
 	q.lostConnections++
+	q.lostAt, q.lostTarget = now, t
 	lost := lostRequest{fingerprint: q.fingerprint, route: q.route.Name, sent: a.sent, at: now}
 	switch {
 	case t.terminated:
@@ -70,6 +72,43 @@
 	}
 }
 
+// maxProofWait is how long the caller of a request whose connection was lost waits at most
+// until it is known whether the request has ended its target.
+const maxProofWait = 50 * time.Millisecond
+
+// refuseOnceProved refuses q once it is known whether its last target has terminated: a
+// caller that is answered sooner could repeat a request that ends targets before this VM
+// keeps it away from them.
+func (r *Reducer) refuseOnceProved(now clock.Time, q *request) {
+	until := clock.Min(q.lostAt.Add(maxProofWait), q.deadline)
+	if q.lostTarget == nil || !r.isProving(q.lostTarget) || !now.Before(until) {
+		r.refuse(now, q)
+		return
+	}
+	r.awaitingProof[q] = true
+	r.timers.add(timer{at: until, purpose: dueProof, request: q.id})
+}
+
+// isProving reports whether it is still open whether t has terminated.
+func (r *Reducer) isProving(t *targetState) bool {
+	return t.probing || slices.Contains(r.links.refused, t)
+}
+
+// refuseProved refuses the requests of which it is known whether their targets have
+// terminated.
+func (r *Reducer) refuseProved(now clock.Time) {
+	var proved []*request
+	for q := range r.awaitingProof {
+		if !r.isProving(q.lostTarget) {
+			proved = append(proved, q)
+		}
+	}
+	slices.SortFunc(proved, byID)
+	for _, q := range proved {
+		r.refuse(now, q)
+	}
+}
+
 // probed handles the result of a probe.
 func (r *Reducer) probed(now clock.Time, ev *Probed) {
 	t := r.stateOf(ev.Target)
--- a/decide/ingress/timers.go
+++ b/decide/ingress/timers.go
@@ -21,6 +21,7 @@
 	dueBackoff                   // the target's backoff ends
 	dueLinkProbe                 // the links to targets are probed again
 	dueSecondSend                // the answer is slow for its class
+	dueProof                     // the caller has waited long enough for proof of its target's end
 )
 
 // timer is an action scheduled for a time. Timers are not removed when they become
