--- a/decide/ingress/links.go
+++ b/decide/ingress/links.go
@@ -78,8 +78,8 @@
 // opened.
 func (r *Reducer) linkFailed(now, began clock.Time, t *targetState) {
 	l := &r.links
-	if t.terminated || l.openedAt.After(began) {
-		return // t fails by itself, or another one was opened meanwhile
+	if l.openedAt.After(began) {
+		return // another one was opened meanwhile
 	}
 	l.failedAt = max(l.failedAt, began)
 	if !l.hasFailed(t) && len(l.failed) < maxLinkProbeTargets {
