earlysignal: the programs build without a C compiler and for the other kind of machine

The programs could not be built without cgo: go build for amd64 on an arm64 machine, or with CGO_ENABLED=0, failed with "build constraints exclude all Go files in serve/earlysignal".

Cause: the package that ignores SIGHUP from the load of the program on had its only file import "C".

Without cgo, SIGHUP is received from the package's initialization on. make portable, a part of lint, builds the programs for both kinds of machine without cgo.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MODULES := decide serve platform standin operate cmd
 BIN := bin
 
-.PHONY: all build demo test fast lint format vet staticcheck tidy bench fuzz clean
+.PHONY: all build demo test fast lint format vet portable staticcheck tidy bench fuzz clean
 
 all: build
 
@@ -31,7 +31,7 @@
 fast:
 	@set -e; for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP) ./...); done
 
-lint: format vet staticcheck
+lint: format vet portable staticcheck
 
 format:
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
@@ -39,6 +39,10 @@
 vet:
 	@set -e; for m in $(MODULES); do (cd $$m && $(GO) vet ./...); done
 
+# The programs build for both kinds of machine, and without a C compiler.
+portable:
+	@set -e; for a in amd64 arm64; do CGO_ENABLED=0 GOARCH=$$a $(GO) build ./cmd/...; done
+
 $(BIN)/staticcheck: tools/go.mod
 	cd tools && $(GO) build -o ../$(BIN)/staticcheck honnef.co/go/tools/cmd/staticcheck
 
--- a/serve/earlysignal/earlysignal.go
+++ b/serve/earlysignal/earlysignal.go
@@ -1,15 +1,9 @@
 // Package earlysignal keeps a process alive that is asked to reload its settings while it
-// starts. SIGHUP is ignored once the program is loaded, as its settings are yet to be read,
-// and received once the package is initialized.
+// starts: SIGHUP is received once the package is initialized. In a build with cgo it is
+// ignored before that, from the moment at which the program is loaded, as its settings are
+// yet to be read.
 package earlysignal
 
-/*
-#include <signal.h>
-
-__attribute__((constructor)) static void ignore_hangup(void) { signal(SIGHUP, SIG_IGN); }
-*/
-import "C"
-
 import (
 	"os"
 	"os/signal"
