outbound: bytes that belong to no request leave a trace

Cause: a target may send bytes that no request caused.

Change: bytes that belong to no request are counted by how they showed (bytes_unsolicited) and have a log line with the request of their connection. Answers without a name state the connection's shortest round trip beside the time to their head. azurethread explain prints both. No decision is changed.

--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -36,6 +36,10 @@
 // included.
 const lookback = 10 * time.Second
 
+// eventUnsolicited is the event of lines about bytes that belong to no request. Such a line
+// names the request that its connection carried, and may come after that request's own line.
+const eventUnsolicited = "unsolicited"
+
 // maxLineSize is the largest size of a log line in bytes.
 const maxLineSize = 1 << 20
 
@@ -55,7 +59,7 @@
 	var own []Line
 	targets := make(map[string]bool)
 	for _, l := range all {
-		if l.Fields["request"] == request {
+		if l.Fields["request"] == request && l.Event != eventUnsolicited {
 			own = append(own, l)
 			addTargets(targets, l)
 		}
@@ -152,6 +156,8 @@
 // the state of the entry VM that answered it.
 func isRelevant(l, own Line, targets map[string]bool) bool {
 	switch l.Event {
+	case eventUnsolicited:
+		return namesAny(l, targets)
 	case "target":
 		return namesAny(l, targets) || (stringOf(own.Fields["reason"]) == "target-unavailable" && notices[l.Text])
 	case "quota":
@@ -250,7 +256,11 @@
 	if a["named"] == true {
 		names = "names the request"
 	}
-	return fmt.Sprintf(": the answer %s, came %v ms after the write, and %v answers had come on its connection before", names, a["head_ms"], a["earlier"])
+	text := fmt.Sprintf(": the answer %s, came %v ms after the write, and %v answers had come on its connection before", names, a["head_ms"], a["earlier"])
+	if rtt, ok := a["rtt_ms"]; ok {
+		text += fmt.Sprintf("; a round trip takes %v ms or more", rtt)
+	}
+	return text
 }
 
 // detailFields lists the fields that details prints, in this order.
@@ -258,7 +268,7 @@
 	"status", "verdict", "reason", "took_ms", "patience_ms", "retry_after_ms", "config", "store_age_ms",
 	"store_reached", "target", "registered", "draining", "gone", "cold_ms", "stated_ms", "age_ms", "field", "version", "revision", "domain", "begin",
 	"count", "changed", "settings", "error", "fingerprint", "route", "ends", "trials",
-	"account", "from", "rate", "burst", "own_rate", "own_depth", "tokens", "demand",
+	"account", "from", "rate", "burst", "own_rate", "own_depth", "tokens", "demand", "addr", "kind",
 }
 
 func details(l Line) string {
--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -47,14 +47,28 @@
 	is.True(strings.Contains(b.String(), "after 3 ms to t1 as a hedge:"))
 }
 
+// Guards against a request that is explained by its line alone: a later line proves that the
+// answer which ended it was not its own.
+func TestReadIncludesUnsolicitedBytes(t *testing.T) {
+	is := is.New(t)
+	const later = ` 2.30 vm-b {"event":"unsolicited","msg":"received bytes that belong to no request","request":"r1","target":"t1","kind":"taken","time":"2026-01-01T00:00:02.3Z"}`
+	r, err := Read("r1", strings.NewReader(testLogs+later))
+	is.NoErr(err)
+	is.True(strings.Contains(r.Cause, "may have run"))
+	var b bytes.Buffer
+	Print(&b, r)
+	is.True(strings.Contains(b.String(), "received bytes that belong to no request target=t1 kind=taken"))
+}
+
 // Guards against a refusal whose proof cannot be seen: whether the target's answer names the
 // request, what its connection had carried before, or the error that ended the send.
 func TestPrintStatesEvidence(t *testing.T) {
 	is := is.New(t)
 	for fields, text := range map[string]string{
-		`"verdict":"not-run","answer":{"named":false,"earlier":7,"head_ms":0.04}`: "names no request, came 0.04 ms after the write, and 7 answers had come on its connection before\n",
-		`"verdict":"not-run","answer":{"named":true,"earlier":0,"head_ms":2}`:     "names the request, came 2 ms after the write, and 0 answers had come on its connection before\n",
-		`"verdict":"not-run","error":"write: broken pipe"`:                        "(not-run): write: broken pipe\n",
+		`"verdict":"not-run","answer":{"named":false,"earlier":7,"head_ms":0.04}`:              "names no request, came 0.04 ms after the write, and 7 answers had come on its connection before\n",
+		`"verdict":"not-run","answer":{"named":false,"earlier":7,"head_ms":0.04,"rtt_ms":0.9}`: "7 answers had come on its connection before; a round trip takes 0.9 ms or more\n",
+		`"verdict":"not-run","answer":{"named":true,"earlier":0,"head_ms":2}`:                  "names the request, came 2 ms after the write, and 0 answers had come on its connection before\n",
+		`"verdict":"not-run","error":"write: broken pipe"`:                                     "(not-run): write: broken pipe\n",
 	} {
 		r, err := Read("r1", strings.NewReader(strings.Replace(testLogs, `"outcome":"under way","verdict":"may-have-run"`, fields, 1)))
 		is.NoErr(err)
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -264,10 +264,13 @@
 	return &answerRecord{
 		Named:   ans.Header.Get(s.settings.Fields.RequestID) != "",
 		Earlier: ans.Earlier,
-		HeadMS:  float64(ans.HeadAfter.Microseconds()) / 1000,
+		HeadMS:  milliseconds(ans.HeadAfter),
+		RTTMS:   milliseconds(ans.RTT),
 	}
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // countAnswer counts an answer which states that the request has not run, by what ties it
 // to the request.
 func (s *Server) countAnswer(outcome ingress.Outcome, a *answerRecord) {
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -238,7 +238,7 @@
 
 // encode returns the value of gatewayAnswerHeader.
 func (a *answerRecord) encode() string {
-	return fmt.Sprintf("%t %d %.3f", a.Named, a.Earlier, a.HeadMS)
+	return fmt.Sprintf("%t %d %.3f %.3f", a.Named, a.Earlier, a.HeadMS, a.RTTMS)
 }
 
 // takeGatewayAnswer removes and returns what a gateway states about a target's answer; nil
@@ -247,7 +247,8 @@
 	v := h.Get(gatewayAnswerHeader)
 	delete(h, gatewayAnswerHeader)
 	a := new(answerRecord)
-	if _, err := fmt.Sscanf(v, "%t %d %f", &a.Named, &a.Earlier, &a.HeadMS); err != nil {
+	n, _ := fmt.Sscanf(v, "%t %d %f %f", &a.Named, &a.Earlier, &a.HeadMS, &a.RTTMS)
+	if n < 3 { // earlier versions state no RTT
 		return nil
 	}
 	return a
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -13,6 +13,7 @@
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/verdict"
 	"github.com/azurethread/azurethread/serve/inbound"
+	"github.com/azurethread/azurethread/serve/outbound"
 )
 
 // Values of the field "event" in log lines. docs/OPERATIONS.md explains the fields
@@ -34,6 +35,8 @@
 	eventConn      = "connection"
 	eventLinks     = "links"
 
+	eventUnsolicited = "unsolicited"
+
 	eventQuarantine = "quarantine"
 	eventQuota      = "quota"
 )
@@ -72,6 +75,9 @@
 	Named   bool    `json:"named"`   // it states the id of a request
 	Earlier int     `json:"earlier"` // answers that the connection had carried before
 	HeadMS  float64 `json:"head_ms"` // from the write of the request to the head
+	// RTTMS is the shortest round trip on the connection, for an answer that is not named; 0:
+	// not known. An answer that comes sooner was on its way before the request.
+	RTTMS float64 `json:"rtt_ms,omitempty"`
 }
 
 // sampler selects the requests that get a log line.
@@ -175,6 +181,21 @@
 	}
 }
 
+// unsolicited records bytes of a target that belong to no request. The lines share the limit
+// of those for failed requests.
+func (s *Server) unsolicited(u outbound.Unsolicited) {
+	s.metrics.unsolicited.Add(string(u.Kind), 1)
+	if line, _ := s.sampler.sampleFailure(s.now()); !line {
+		return
+	}
+	fields := logrus.Fields{"addr": u.Addr, "kind": u.Kind}
+	if u.Request != nil {
+		fields["request"] = u.Request.Header.Get(s.settings.Fields.RequestID)
+		fields["target"] = u.Request.Header.Get(s.settings.Fields.Target)
+	}
+	s.event(eventUnsolicited).WithFields(fields).Warn("received bytes that belong to no request")
+}
+
 // logLinkChange records that this VM's links to targets are down or up again.
 func (s *Server) logLinkChange(c ingress.LinkChange) {
 	line := s.event(eventLinks).WithField("failed", c.Failed).WithField("age_ms", c.Age.Milliseconds())
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -53,7 +53,10 @@
 	// whether they name the request, and if not, whether they are the first answer on
 	// their connection.
 	rejections *expvar.Map
-	probes     *expvar.Int // of targets that may have crashed
+	// unsolicited counts the times that bytes were received from targets and gateways which
+	// belong to no request, by outbound.UnsolicitedKind.
+	unsolicited *expvar.Map
+	probes      *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
 	unreadLimits  *expvar.Int
 	unreadNotices *expvar.Int // notices in answers that could not be parsed
@@ -127,6 +130,7 @@
 	m.sendConnsClosed = m.newCounters("send_connections_closed")
 	m.sendsCut = m.newCounters("sends_cut")
 	m.rejections = m.newCounters("target_rejections")
+	m.unsolicited = m.newCounters("bytes_unsolicited")
 	m.probes = m.newCounter("target_probes")
 	m.unreadLimits = m.newCounter("target_limits_unread")
 	m.unreadNotices = m.newCounter("target_notices_unread")
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -224,6 +224,7 @@
 		Now:            s.now,
 		Dial:           dialTarget,
 		Closed:         s.metrics.addSendConnClosed,
+		Unsolicited:    s.unsolicited,
 	})
 }
 
--- a/serve/outbound/answerbody.go
+++ b/serve/outbound/answerbody.go
@@ -52,8 +52,7 @@
 	if c.bodyLeft > 0 {
 		return n, nil
 	}
-	// What follows belongs to no request: this connection must not be reused.
-	c.noReuse = c.noReuse || len(data) > n
+	c.endsWithin(data, n)
 	c.complete()
 	return n, nil
 }
@@ -71,12 +70,21 @@
 		return 0, err
 	}
 	if c.chunks.Done() {
-		c.noReuse = c.noReuse || len(data) > n
+		c.endsWithin(data, n)
 		c.complete()
 	}
 	return n, nil
 }
 
+// endsWithin records that an answer ends with the first n bytes of data. What follows belongs
+// to no request, and the connection must not be reused.
+func (c *conn) endsWithin(data []byte, n int) {
+	if len(data) == n || c.foreignAnswer {
+		return
+	}
+	c.noReuse, c.behind = true, true
+}
+
 // beginBody prepares for the body of the answer to k whose head was received, and ends the
 // answer if it has none. k is nil if its request has ended.
 func (c *conn) beginBody(k *Call) {
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -56,8 +56,12 @@
 	Earlier int
 	// HeadAfter is the time from the write of the request to the head of the answer.
 	HeadAfter time.Duration
+	// RTT is the shortest round-trip time that the kernel has seen on the connection, for an
+	// answer that names no request; 0: not known.
+	RTT time.Duration
 
-	hold *holding // nil: no budget
+	hold     *holding // nil: no budget
+	doubtful bool     // it names no request, and is not the first one on its connection
 }
 
 // Release ends the holding of a's bytes in the pool's budget. Whoever gets an answer
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -65,8 +65,10 @@
 	noReuse       bool
 	noBody        bool // the request was a HEAD
 	content       body.Pieces
-	headBytes     int // of the heads received for the request
-	overhead      int // see maxOverhead
+	behind        bool     // more was received together with the end of an answer
+	watched       *Request // whose own answer may still come; see watch
+	headBytes     int      // of the heads received for the request
+	overhead      int      // see maxOverhead
 }
 
 // start writes the request of k.
@@ -132,7 +134,12 @@
 // takeHead collects the head of an answer and passes it to the parser when it
 // is complete and well-formed.
 func (c *conn) takeHead(data []byte) (int, error) {
+	if c.watched != nil {
+		c.takeWatched(data)
+		return len(data), nil
+	}
 	if !c.p.expectsAnswer(c) {
+		c.reportUnsolicited(c.unexpectedKind(), nil)
 		return 0, errUnsolicited
 	}
 	seen := len(c.head)
@@ -166,8 +173,8 @@
 	}
 	c.framing = f
 	n := end - seen
-	if len(data) > n && status >= http.StatusOK && c.endsWithHead(status) {
-		c.noReuse = true
+	if status >= http.StatusOK && c.endsWithHead(status) {
+		c.endsWithin(data, n)
 	}
 	return n, c.parser.Parse(heads.WithoutFraming(withReason(head)))
 }
@@ -352,8 +359,13 @@
 	c.noReuse = c.noReuse || owner != Own
 	if owner == Foreign {
 		c.foreignAnswer = true
+		c.reportUnsolicited(UnsolicitedForeign, k.req)
 		return
 	}
+	if owner == Unnamed {
+		a.RTT = c.minRTT()
+		a.doubtful = a.Earlier > 0
+	}
 	a.HeadAfter = k.sinceWrite(c.p.pool.opts.Now())
 	if k.req.HeadReceived != nil {
 		k.req.HeadReceived(a.Status, a.Header)
@@ -383,6 +395,7 @@
 	case kept:
 	case a.Status < http.StatusBadRequest:
 		c.closeWhenSent()
+	case k != nil && a.doubtful && c.watch(k.req):
 	default:
 		c.close(ClosedNotReusable) // a receiver that has refused a request wants no more of it
 	}
--- a/serve/outbound/path.go
+++ b/serve/outbound/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -96,6 +97,18 @@
 	}
 }
 
+// minRTT returns the shortest round-trip time that the kernel has seen on the connection; 0:
+// not known.
+func (c *conn) minRTT() time.Duration {
+	var rtt time.Duration
+	_ = c.p.pool.engine.Control(c.nbc, func(fd uintptr) { // an error means that it is closed
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.Min_rtt != math.MaxUint32 {
+			rtt = time.Duration(info.Min_rtt) * time.Microsecond
+		}
+	})
+	return rtt
+}
+
 // pathState is what a look at a connection shows.
 type pathState uint8
 
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -20,6 +20,7 @@
 	waiting []*Call // for a connection, oldest first; one is being opened for each
 	open    int
 	dialing int
+	watched *conn // see conn.watch; nil: none
 }
 
 // unused reports whether there is no connection, open or being opened.
@@ -245,6 +246,9 @@
 		c.ended = true
 		pe.open--
 	}
+	if pe.watched == c {
+		pe.watched = nil
+	}
 	return c.hold
 }
 
@@ -280,6 +284,21 @@
 	}
 }
 
+// beginWatch makes c the receiver's watched connection. It reports false if there is another
+// one, or c is closed.
+func (pe *peer) beginWatch(c *conn) bool {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if pe.watched != nil || c.ended {
+		return false
+	}
+	pe.watched = c
+	if c.closedBy == "" {
+		c.closedBy = ClosedNotReusable
+	}
+	return true
+}
+
 // closeReason returns why c was closed, with the error that nbio reports.
 func (pe *peer) closeReason(c *conn, err error) CloseReason {
 	pe.mu.Lock()
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -31,6 +31,9 @@
 	// Closed is called once for each closed connection. inUse is set if a request
 	// had claimed it and had no answer or verdict yet. It must not block; may be nil.
 	Closed func(why CloseReason, inUse bool)
+	// Unsolicited is called when a receiver sends bytes that belong to no request. It must
+	// not block; may be nil.
+	Unsolicited func(Unsolicited)
 }
 
 // Pool manages the connections of one entry VM to all receivers.
