--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"github.com/azurethread/azurethread/standin/duplicate"
 	"github.com/azurethread/azurethread/standin/payload"
+	"github.com/azurethread/azurethread/standin/unsolicited"
 )
 
 // maxAnswerSize is the largest answer that a request may ask for, in bytes.
@@ -91,7 +91,7 @@
 
 // repeatAnswer sends the answer before that to r a second time if RepeatAnswers is on.
 func (s *Server) repeatAnswer(r *http.Request) {
-	c := duplicate.Received(r)
+	c := unsolicited.Received(r)
 	s.mu.Lock()
 	repeats := s.repeats
 	s.mu.Unlock()
--- a/standin/target/listener.go
+++ b/standin/target/listener.go
@@ -6,7 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/azurethread/azurethread/standin/duplicate"
+	"github.com/azurethread/azurethread/standin/unsolicited"
 )
 
 // listener tracks the connections of one target and limits their number.
@@ -21,12 +21,12 @@
 }
 
 func newListener(l net.Listener, limit int) *listener {
-	return &listener{Listener: duplicate.Listener{Listener: l}, limit: limit, conns: map[*conn]struct{}{}}
+	return &listener{Listener: unsolicited.Listener{Listener: l}, limit: limit, conns: map[*conn]struct{}{}}
 }
 
 // withConn is an http.Server's ConnContext.
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	return duplicate.WithConn(ctx, c.(*conn).Conn.(*duplicate.Conn))
+	return unsolicited.WithConn(ctx, c.(*conn).Conn.(*unsolicited.Conn))
 }
 
 // Accept implements net.Listener. It closes connections beyond the limit
@@ -89,7 +89,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range conns {
-		if t, ok := c.Conn.(*duplicate.Conn).Conn.(*net.TCPConn); ok {
+		if t, ok := c.Conn.(*unsolicited.Conn).Conn.(*net.TCPConn); ok {
 			t.SetLinger(0) // best effort: without it the peer sees an orderly close
 		}
 		c.Close()
--- a/standin/duplicate/duplicate_test.go
+++ b/standin/unsolicited/unsolicited_test.go
@@ -1,4 +1,4 @@
-package duplicate
+package unsolicited
 
 import (
 	"bufio"
