outbound: a head that completes a foreign one proves nothing

Callers saw submissions answered 503 as not run that a target had run, submissions that ran at two targets, and failures delivered as successes.

Cause: a target sends the beginning of a head that no request caused, where the next answer is due, and the own head completes it: "503 .. Not-Run: 1, Note: " and "HTTP/1.1 200 OK .. Id: own" are read as one rejection that names the request. Besides, a malformed head behind an answer counted as proof that the request ran.

Change: a head that contains another status line is no answer on a connection that has carried answers; there, a malformed head proves nothing.

Why it works: an answer of the request itself always begins with its status line. What comes before that in the same head was not sent for the request.

Evidence: TestSplicedHeadProvesNothing fails in all six cases before, in one of them the request waits for ever, and passes now.

--- a/serve/heads/heads.go
+++ b/serve/heads/heads.go
@@ -84,6 +84,27 @@
 	return f, status, err
 }
 
+// ContainsStatusLine reports whether a head contains a status line behind its own. The end of
+// an incomplete head and the beginning of another one look like one head, if the former ends
+// within a line.
+func ContainsStatusLine(head []byte) bool {
+	rest := head[min(1, len(head)):]
+	for {
+		i := bytes.Index(rest, []byte("HTTP/1."))
+		if i < 0 {
+			return false
+		}
+		rest = rest[i:]
+		line, _, _ := bytes.Cut(rest, crlf)
+		if n := len("HTTP/1.1 200"); len(line) >= n {
+			if _, ok := statusLine(line); ok {
+				return true
+			}
+		}
+		rest = rest[1:]
+	}
+}
+
 // BodyAllowed reports whether an answer with this status can have a body.
 func BodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
--- a/serve/heads/heads_test.go
+++ b/serve/heads/heads_test.go
@@ -119,3 +119,20 @@
 		}
 	})
 }
+
+// Guards against a head that is completed by another one and read as one answer.
+func TestContainsStatusLine(t *testing.T) {
+	is := is.New(t)
+	for head, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 gateway\r\n\r\n":                         false,
+		"HTTP/1.1 200 OK\r\nNote: HTTP/1.1\r\n\r\n":                                false,
+		"HTTP/1.1 200 OK\r\nNote: HTTP/1.1 2000\r\n\r\n":                           false,
+		"HTTP/1.1 200 OK\r\n\r\n":                                                  false,
+		"HTTP/1.1 503 S\r\nNote: HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":     true,
+		"HTTP/1.1 503 SHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":               true,
+		"HTTP/1.1 503 S\r\nNote: HTTP/1.HTTP/1.0 200\r\nContent-Length: 0\r\n\r\n": true,
+		"": false,
+	} {
+		is.Equal(ContainsStatusLine([]byte(head)), want) // head
+	}
+}
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -163,8 +163,11 @@
 	head := c.head[:end]
 	c.head = nil
 	f, status, err := heads.Response(head)
+	if err == nil && c.answers > 0 && heads.ContainsStatusLine(head) {
+		err = errSpliced
+	}
 	if err != nil {
-		if status > 0 {
+		if status > 0 && c.answers == 0 {
 			// The target has answered, but the end of the answer cannot be
 			// determined.
 			c.fail(verdict.Ran, verdict.ReasonAnswerCut, err)
@@ -314,6 +317,7 @@
 	errAnswerTooLong = errors.New("outbound: body of the answer exceeds the limit")
 	errUnframed      = errors.New("outbound: answer states neither length nor chunked encoding")
 	errMalformedHead = errors.New("outbound: received data is not the head of an HTTP/1 answer")
+	errSpliced       = errors.New("outbound: the head of an answer contains another status line")
 	errClosing       = errors.New("outbound: connection is being closed")
 	errUnsolicited   = errors.New("outbound: unsolicited data from the receiver")
 	errHeadsTooLong  = fmt.Errorf("outbound: heads of more than %d bytes for one request", maxAnswerHeads)
--- a/serve/outbound/ownership_test.go
+++ b/serve/outbound/ownership_test.go
@@ -102,3 +102,43 @@
 	is.Equal(o.err.Verdict, verdict.MayHaveRun)
 	is.Equal(o.err.Reason, verdict.ReasonAnswerCut)
 }
+
+// serveInTurn returns a receiver that answers the requests of each connection in this order,
+// and sends on numbers the numbers of the connections on which they come.
+func serveInTurn(t *testing.T, numbers chan<- int, answers ...string) string {
+	return receiver(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for _, answer := range answers {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			numbers <- n
+			_, _ = io.WriteString(c, answer)
+		}
+		_, _ = r.ReadByte() // until the sender closes the connection
+	})
+}
+
+// Guards against two heads that are read as one: the end of a head that belongs to no request
+// is missing, and the request's own head completes it.
+func TestSplicedHeadProvesNothing(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nOf: 1\r\nContent-Length: 2\r\n\r\nok"
+	for name, cut := range map[string]string{
+		"in a field":                  "HTTP/1.1 503 S\r\nNot-Run: 1\r\nNote: ",
+		"in a name of a field":        "HTTP/1.1 503 S\r\nNot-Run: 1\r\nNo",
+		"at the end of a line":        "HTTP/1.1 503 S\r\nNot-Run: 1\r\n",
+		"in its status line":          "HTTP/1.1 503 Serv",
+		"in the name of the request":  "HTTP/1.1 503 S\r\nOf: ",
+		"at the end of a status line": "HTTP/1.1 503 ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(t)
+			addr := serveInTurn(t, make(chan int, 2), own, cut+own)
+			is.Equal(sendNamed(p, addr, "1", nil).err, nil)
+			o := sendNamed(p, addr, "1", nil)
+			is.Equal(o.a, nil)
+			is.Equal(o.err.Verdict, verdict.MayHaveRun)
+			is.Equal(o.err.Reason, verdict.ReasonAnswerCut)
+		})
+	}
+}
