outbound: behind an answer, what names no request proves nothing

Callers saw submissions answered 503 as not run that a target had run (REFUSED), submissions that ran at two targets (TWICE), and failures that their target had not given (MIXED).

Cause: a promise was made from a message that does not prove it. An answer without a name ended the request that its connection carried. That rested on the argument that all earlier answers on the connection had names, so that it can be a copy of none of them. But a target may send additional bytes after an answer, which need be no copies: a 503 or 421 that nobody asked for has the form of a rejection, byte for byte.

Change: an answer without a name is believed only as the first one on its connection. Behind another answer it ends its call with the verdict may-have-run and the reason answer-unproved, in serve/outbound itself, so that no user of it can take it for more. An idempotent request goes to another target; one that may not be repeated is answered 502. The target counts as full, as it may have refused, but not as failed, nothing is given back to quotas, and a trial of a quarantined content counts. What keeps requests away from the target (that it leaves, or asks for a backoff) is still read.

So that real rejections stay proofs where targets do not name what they reject, the service remembers such rejections for ten minutes. Meanwhile a request that may not be repeated is sent on a connection that has carried nothing, and so is an idempotent one whose target has rejected another within a second. Requests without an id, to whose answers no name can be given, always are. A gateway is asked to do the same (Azurethread-Carry-Unused). It returns an unproved answer as a failure with what it rests on, and its sender checks what an answer rests on too, as gateways of earlier versions name what they pass on.

Why it works: on a connection that has carried no answer there is nothing behind which additional bytes could be. A name is the id of this very attempt, which nobody else knows.

Tests that asserted what is not proved: TestRequestLineDescribesRejection expected 503 for the first rejection behind other answers; it now expects 502 for that one and 503 for the next. TestRepeatedRejectionSendsNoOtherRequestAgain expected 200 for all requests, and still does where rejections have names; without names the first rejected request is told 502 and must not have run, all others as before. TestAnswersThatComeTwice plays both. The quota of TestRequestsWithinTheQuotaAreNotRefused meets no unproved answers: a request that may have run has cost its token, and TestUnprovedAnswerCostsItsQuota holds that.

--- a/decide/ingress/attempt.go
+++ b/decide/ingress/attempt.go
@@ -55,7 +55,10 @@
 		Took: now.Sub(a.sent), Connect: ev.ConnectionWait,
 	})
 	switch ev.Outcome {
-	case Misdirected, Refused:
+	case Refused:
+		t.rejectionReceived(now, ev.Named)
+		r.attemptNotRun(now, q, verdict.ReasonTargetRefused)
+	case Misdirected:
 		r.attemptNotRun(now, q, verdict.ReasonTargetRefused)
 	case InvalidAnswer:
 		r.attemptMayHaveRun(now, q, verdict.ReasonAnswerCut)
@@ -184,6 +187,9 @@
 		r.attemptNotRun(now, a.req, ev.Reason)
 		return
 	}
+	if ev.Reason == verdict.ReasonUnproved {
+		a.target.rejectionReceived(now, false)
+	}
 	r.recordLostRequest(now, a, ev.Reason)
 	r.attemptMayHaveRun(now, a.req, ev.Reason)
 }
@@ -199,6 +205,8 @@
 		return ResultUnknown
 	case ev.Reason == verdict.ReasonConnect:
 		return ResultUnreachable
+	case ev.Reason == verdict.ReasonUnproved:
+		return ResultUnproved
 	default:
 		return ResultFailed
 	}
@@ -221,6 +229,9 @@
 		t.recordRefusal(now, rep.Load)
 		t.pace.Observe(now, rep.Load.Pace)
 		r.recordLoadReport(now, t)
+	case ResultUnproved:
+		t.recordRefusal(now, Load{})
+		r.recordLoadReport(now, t)
 	case ResultMisdirected:
 		r.markTerminated(now, t) // its address belongs to another target
 		t.Draining = true
--- a/decide/ingress/effect.go
+++ b/decide/ingress/effect.go
@@ -27,6 +27,8 @@
 	TimeLeft       time.Duration // time left for the target
 	Terms          LimitTerms    // for the gateway
 	ConnectTimeout time.Duration // for opening a connection
+	// Unused requests a connection that has carried nothing, on which a rejection is proof.
+	Unused bool
 	// KeepSpare requests that one more connection to the gateway or target be kept
 	// free beside those in use.
 	KeepSpare bool
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -92,6 +92,7 @@
 	Target   fleet.TargetID
 	TimeLeft time.Duration // time left for the target when the request was sent
 	Terms    LimitTerms
+	Unused   bool // see Send.Unused
 	// Clock identifies the clock of the sender, and Distance is this VM's clock minus that
 	// clock when the request was sent; see package transit. "": not stated.
 	Clock    string
@@ -109,6 +110,8 @@
 	Load    Load
 	Limit   RateLimit
 	Bytes   int // of the body
+	// Named means that the target's answer names the request.
+	Named bool
 	// ConnectTime is the time that opening the connection took if this is its first
 	// answer, 0 otherwise.
 	ConnectTime time.Duration
--- a/decide/ingress/gateway.go
+++ b/decide/ingress/gateway.go
@@ -74,6 +74,7 @@
 		Attempt: a.id, Request: q.id, Target: t.ID, Domain: t.Domain, StartedAt: t.StartedAt, Addr: t.Addr, Gateway: a.gateway,
 		TimeLeft:       q.deadline.Sub(now),
 		Terms:          a.terms,
+		Unused:         q.needsUnused(now, t),
 		ConnectTimeout: connectTimeout(r.rttOfSend(a)),
 		KeepSpare:      !r.isLocal(t) && r.on(SpareConnections),
 		Account:        q.account, KeepCredentials: !r.table.Config.RequiresKeys(), Hedge: a.hedge,
@@ -212,7 +213,7 @@
 	t.countLimitedSend()
 	r.out.Sends = append(r.out.Sends, Send{
 		Attempt: f.attempt, Request: f.request, Target: t.ID, StartedAt: t.StartedAt, Domain: t.Domain, Addr: t.Addr,
-		TimeLeft: left, ConnectTimeout: connectTimeout(r.rtt(t.region)),
+		TimeLeft: left, ConnectTimeout: connectTimeout(r.rtt(t.region)), Unused: ev.Unused,
 	})
 	r.timers.add(timer{at: now.Add(left + answerMargin), purpose: dueForward, request: f.request})
 }
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -139,6 +139,9 @@
 	// ResultNotSent means that the request was not sent, because the target is
 	// known not to be available.
 	ResultNotSent
+	// ResultUnproved is an answer that may not be the request's: the target may have
+	// refused the request, or run it.
+	ResultUnproved
 )
 
 // AccountTokens is a number of quota tokens of one client account.
--- a/decide/ingress/quota_test.go
+++ b/decide/ingress/quota_test.go
@@ -226,6 +226,7 @@
 	}
 	list[7].Homes = []fleet.Region{"a"}
 	s := newAccountSim(t, 1, list, weights...)
+	s.proved = true                    // a request that may have run has cost its token
 	s.run(s.now.Add(15 * time.Second)) // the buckets fill
 	const requests, perSecond = 6000, 210
 	for range requests {
--- a/decide/ingress/request.go
+++ b/decide/ingress/request.go
@@ -314,6 +314,8 @@
 func (r *Reducer) refuse(now clock.Time, q *request) {
 	f := Refusal{Request: q.id, Verdict: q.verdict, Reason: q.reason, Account: q.account}
 	switch {
+	case q.reason == verdict.ReasonUnproved && q.route.Idempotent:
+		f.RetryAfter = r.retryAfter(q)
 	case q.verdict != verdict.NotRun || isPermanent(q.reason):
 	case q.reason == verdict.ReasonOverQuota:
 		f.RetryAfter = q.freeAfter
--- a/decide/ingress/service.go
+++ b/decide/ingress/service.go
@@ -33,8 +33,11 @@
 	// with a rate limit.
 	limitedPlaced, limitedSent uint64
 	retryBudget                retryBudget
-	latency                    target.Quantiles
-	hedges                     *hedge.Controller // nil: second sends that save time are not enabled
+	// unnamedRejectionAt is when a target last rejected a request, or may have, without
+	// naming it; 0: none has.
+	unnamedRejectionAt clock.Time
+	latency            target.Quantiles
+	hedges             *hedge.Controller // nil: second sends that save time are not enabled
 }
 
 func (r *Reducer) serviceOf(name fleet.ServiceName) *service {
--- a/decide/ingress/target.go
+++ b/decide/ingress/target.go
@@ -37,6 +37,7 @@
 	// reported at reportedAt.
 	otherLoad  int
 	reportedAt clock.Time
+	rejectedAt clock.Time // when it last rejected a request of this VM, or may have
 	answeredAt clock.Time // when the last answer came
 	// untried means that the target joined a running system and has got no request
 	// yet.
--- a/decide/verdict/verdict.go
+++ b/decide/verdict/verdict.go
@@ -103,6 +103,7 @@
 	ReasonConnectionLost   Reason = "connection-lost"
 	ReasonSilent           Reason = "connection-silent"
 	ReasonAnswerCut        Reason = "answer-cut"
+	ReasonUnproved         Reason = "answer-unproved"
 	ReasonTargetRefused    Reason = "target-refused"
 	ReasonBodyTooLarge     Reason = "body-too-large"
 	ReasonBadRequest       Reason = "bad-request"
--- a/serve/daemon/answer.go
+++ b/serve/daemon/answer.go
@@ -54,6 +54,7 @@
 	verdict.ReasonConnectionLost:   {http.StatusBadGateway, "The connection to the target was lost."},
 	verdict.ReasonSilent:           {http.StatusBadGateway, "The target did not answer in time."},
 	verdict.ReasonAnswerCut:        {http.StatusBadGateway, "The target's answer was not whole."},
+	verdict.ReasonUnproved:         {http.StatusBadGateway, "The answer that came may be another request's."},
 	verdict.ReasonGateway:          {http.StatusBadGateway, "The entry VM that carried the request to its target was lost."},
 	verdict.ReasonTargetRefused:    {http.StatusServiceUnavailable, "The targets refused the request."},
 	verdict.ReasonBodyTooLarge:     {http.StatusRequestEntityTooLarge, "The request body is larger than the limit."},
--- a/serve/daemon/attempt.go
+++ b/serve/daemon/attempt.go
@@ -42,7 +42,7 @@
 	r.NewConnection = s.NewConnection
 	id := strconv.FormatUint(uint64(s.Attempt), 10)
 	r.Header[headerAttempt] = []string{id}
-	r.OwnerOf = func(_ int, h http.Header) outbound.Ownership { return ownerOf(id, h) }
+	r.OwnerOf = func(h outbound.Head) outbound.Ownership { return ownerOf(id, h.Header) }
 	a.span.inject(r.Header)
 	d.startAttempt(c, a, &r)
 }
--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -182,7 +182,8 @@
 	id, target := x.Header.Get(f.RequestID), e.Target // e is reused
 	return &outbound.Request{
 		Method: x.Method, URI: x.URI, Host: x.Header.Get("Host"), Header: h, Body: x.Body,
-		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(id, target, status, h) },
+		OwnerOf:        func(h outbound.Head) outbound.Ownership { return s.ownerOf(id, target, h) },
+		Unused:         e.Unused || id == "",
 		HeadReceived:   s.noticeReader(e),
 		MayEndByClose:  true,
 		ConnectTimeout: e.ConnectTimeout,
@@ -203,18 +204,18 @@
 }
 
 // ownerOf says whether an answer belongs to the request with this id to this target. A
-// target may answer a request twice, the second time when the answer to the next request
-// on the connection is due; the echoed id distinguishes them. Refusals may lack the id,
-// successes do not.
-func (s *Server) ownerOf(id string, target fleet.TargetID, status int, h http.Header) outbound.Ownership {
+// target may answer a request twice, and send other bytes that no request caused, also where
+// the answer to the next request on the connection is due; the echoed id distinguishes them.
+// Refusals may lack the id, successes do not.
+func (s *Server) ownerOf(id string, target fleet.TargetID, h outbound.Head) outbound.Ownership {
 	f := &s.settings.Fields
-	echo := h.Get(f.RequestID)
+	echo := h.Header.Get(f.RequestID)
 	switch {
 	case echo != "" && echo == id:
 		return outbound.Own
-	case echo != "", status < http.StatusMultipleChoices && id != "":
+	case echo != "", h.Status < http.StatusMultipleChoices && id != "":
 		return outbound.Foreign
-	case status == http.StatusMisdirectedRequest && h.Get(f.Instance) == string(target):
+	case h.Status == http.StatusMisdirectedRequest && h.Header.Get(f.Instance) == string(target):
 		return outbound.Foreign // the target runs requests that are meant for it
 	default:
 		return outbound.Unnamed
@@ -240,8 +241,11 @@
 		rec.Answer = takeGatewayAnswer(ans.Header)
 	} else {
 		rec.Answer = s.describeAnswer(ans)
-		s.countAnswer(outcome, rec.Answer)
+		if outcome.Verdict() == verdict.NotRun {
+			s.countRejection(rec.Answer)
+		}
 	}
+	named := rec.Answer == nil || rec.Answer.Named || k.exchange.Header.Get(s.settings.Fields.RequestID) == ""
 	domain := rec.Domain
 	k.mu.Unlock()
 	if ans.ConnectionWait > 0 && !k.forwarded {
@@ -254,44 +258,22 @@
 		Load:           load,
 		Limit:          s.rateLimitOf(k, a, ans),
 		Bytes:          len(ans.Body),
+		Named:          named,
 		ConnectTime:    ans.ConnectTime,
 		ConnectionWait: ans.ConnectionWait,
 	})
 }
 
-// describeAnswer describes an answer of a target for the request's log line.
-func (s *Server) describeAnswer(ans *outbound.Answer) *answerRecord {
-	return &answerRecord{
-		Named:   ans.Header.Get(s.settings.Fields.RequestID) != "",
-		Earlier: ans.Earlier,
-		HeadMS:  milliseconds(ans.HeadAfter),
-		RTTMS:   milliseconds(ans.RTT),
-	}
-}
-
-func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
-// countAnswer counts an answer which states that the request has not run, by what ties it
-// to the request.
-func (s *Server) countAnswer(outcome ingress.Outcome, a *answerRecord) {
-	if outcome.Verdict() != verdict.NotRun {
-		return
-	}
-	switch {
-	case a.Named:
-		s.metrics.rejections.Add("named", 1)
-	case a.Earlier == 0:
-		s.metrics.rejections.Add("unnamed-first", 1)
-	default:
-		s.metrics.rejections.Add("unnamed-later", 1)
-	}
-}
-
 // recordFailure records an attempt that ended without an answer.
 func (s *Server) recordFailure(k *call, a *attempt, err *verdict.Error) {
 	if err.Err != nil {
 		k.mu.Lock()
-		k.sends[a.sendIndex].Error = err.Err.Error()
+		rec := &k.sends[a.sendIndex]
+		rec.Error = err.Err.Error()
+		rec.Answer = describeUnproved(err.Err)
+		if rec.Answer != nil && rec.Gateway == "" {
+			s.countRejection(rec.Answer)
+		}
 		k.mu.Unlock()
 	}
 	s.recordOutcome(k, a, "failed", err.Verdict, err.Reason)
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/subtle"
 	"encoding/hex"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,6 +31,9 @@
 	forwardTermsHeader = "Azurethread-Carry-Limit"
 	limitCounted       = "counted"
 	limitEnded         = "ended"
+	// forwardUnusedHeader asks a gateway to use a connection to the target that has carried
+	// nothing.
+	forwardUnusedHeader = "Azurethread-Carry-Unused"
 	// returnedLimitHeader is in the answer of a gateway that has not sent the request
 	// because of the target's rate limit: the requests per second, and the milliseconds
 	// since an answer stated the limit.
@@ -120,13 +122,17 @@
 	if terms := formatTerms(e.Terms); terms != "" {
 		h[forwardTermsHeader] = []string{terms}
 	}
+	if e.Unused {
+		h[forwardUnusedHeader] = []string{"1"}
+	}
 	sentAt := s.now()
 	h[forwardSentHeader] = []string{s.transitClock.stamp()}
 	// e is reused.
 	id, target, requestID := e.Attempt, e.Target, k.exchange.Header.Get(s.settings.Fields.RequestID)
 	return s.gatewayPool.Do(vm.GatewayAddr, &outbound.Request{
 		Method: k.exchange.Method, URI: k.exchange.URI, Host: k.exchange.Header.Get("Host"), Header: h, Body: k.exchange.Body,
-		OwnerOf:        func(status int, h http.Header) outbound.Ownership { return s.ownerOf(requestID, target, status, h) },
+		OwnerOf:        func(h outbound.Head) outbound.Ownership { return s.ownerOfForwarded(requestID, target, h) },
+		Unused:         requestID == "",
 		HeadReceived:   s.gatewayHeadReader(e),
 		Acknowledged:   func() { s.core.Post(&ingress.GatewayAccepted{Attempt: id}) },
 		ConnectTimeout: e.ConnectTimeout,
@@ -139,15 +145,25 @@
 			// That of this VM, not of the gateway.
 		case err != nil:
 			err = &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonGateway, Err: err}
-		case heads.ParseFailure(ans.Header) != nil:
+		default:
 			s.checkHeldUp(ans.Header, s.now().Sub(sentAt))
-			ans.Release()
-			ans, err = nil, heads.ParseFailure(ans.Header)
+			if err = s.gatewayFailure(ans); err != nil {
+				ans.Release()
+				ans = nil
+			}
 		}
 		done(ans, err)
 	})
 }
 
+// ownerOfForwarded is ownerOf for answers of a gateway. Its acknowledgement may lack the id.
+func (s *Server) ownerOfForwarded(id string, target fleet.TargetID, h outbound.Head) outbound.Ownership {
+	if h.Status < http.StatusOK && h.Header.Get(s.settings.Fields.RequestID) == "" {
+		return outbound.Unnamed
+	}
+	return s.ownerOf(id, target, h)
+}
+
 // handleSilentGateway handles a gateway that has not acknowledged a request.
 func (s *Server) handleSilentGateway(id fleet.VMID) {
 	s.metrics.silentGateways.Add(1)
@@ -183,6 +199,8 @@
 	delete(x.Header, forwardHeader)
 	ev.Terms = parseTerms(x.Header.Get(forwardTermsHeader))
 	delete(x.Header, forwardTermsHeader)
+	ev.Unused = x.Header.Get(forwardUnusedHeader) != ""
+	delete(x.Header, forwardUnusedHeader)
 	ev.Clock, ev.Distance = parseStamp(x.Header.Get(forwardSentHeader))
 	delete(x.Header, forwardSentHeader)
 	x.Acknowledge()
@@ -236,24 +254,6 @@
 	}
 }
 
-// encode returns the value of gatewayAnswerHeader.
-func (a *answerRecord) encode() string {
-	return fmt.Sprintf("%t %d %.3f %.3f", a.Named, a.Earlier, a.HeadMS, a.RTTMS)
-}
-
-// takeGatewayAnswer removes and returns what a gateway states about a target's answer; nil
-// if it states nothing that can be parsed.
-func takeGatewayAnswer(h http.Header) *answerRecord {
-	v := h.Get(gatewayAnswerHeader)
-	delete(h, gatewayAnswerHeader)
-	a := new(answerRecord)
-	n, _ := fmt.Sscanf(v, "%t %d %f %f", &a.Named, &a.Earlier, &a.HeadMS, &a.RTTMS)
-	if n < 3 { // earlier versions state no RTT
-		return nil
-	}
-	return a
-}
-
 // takeGatewayWait removes and returns the time in ms for which a request waited at its
 // gateway for a connection; 0 if the gateway, of another version, states none.
 func takeGatewayWait(h http.Header) int64 {
@@ -281,6 +281,9 @@
 		h[returnedHeldUpHeader] = []string{strconv.FormatInt(min(e.HeldUp, heads.MaxDuration).Milliseconds(), 10)}
 		s.logHeldUp(k, e.HeldUp)
 	}
+	if a := k.lastEvidence(); a != nil && e.Reason == verdict.ReasonUnproved {
+		h[gatewayAnswerHeader] = []string{a.encode()}
+	}
 	if e.Limit.Target != "" {
 		h[returnedLimitHeader] = []string{formatReturnedLimit(e.Limit)}
 	}
@@ -289,11 +292,11 @@
 
 // gatewayHeadReader returns a function that reads the head of a gateway's answer: the
 // notice of the target, and the limit because of which the gateway returns the request.
-func (s *Server) gatewayHeadReader(e *ingress.Send) func(status int, h http.Header) {
+func (s *Server) gatewayHeadReader(e *ingress.Send) func(outbound.Head) {
 	notices, target := s.noticeReader(e), e.Target
-	return func(status int, h http.Header) {
-		notices(status, h)
-		if l, ok := parseReturnedLimit(h.Get(returnedLimitHeader)); ok && heads.ParseFailure(h) != nil {
+	return func(h outbound.Head) {
+		notices(h)
+		if l, ok := parseReturnedLimit(h.Header.Get(returnedLimitHeader)); ok && heads.ParseFailure(h.Header) != nil {
 			l.Target = target
 			s.core.Post(&ingress.LimitReceived{Limit: l})
 		}
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -70,16 +70,6 @@
 	Answer          *answerRecord   `json:"answer,omitempty"` // nil: none, or it came from a gateway that does not describe it
 }
 
-// answerRecord describes an answer and the connection to the target on which it came.
-type answerRecord struct {
-	Named   bool    `json:"named"`   // it states the id of a request
-	Earlier int     `json:"earlier"` // answers that the connection had carried before
-	HeadMS  float64 `json:"head_ms"` // from the write of the request to the head
-	// RTTMS is the shortest round trip on the connection, for an answer that is not named; 0:
-	// not known. An answer that comes sooner was on its way before the request.
-	RTTMS float64 `json:"rtt_ms,omitempty"`
-}
-
 // sampler selects the requests that get a log line.
 type sampler struct {
 	mu        sync.Mutex
--- a/serve/ingress/notice.go
+++ b/serve/ingress/notice.go
@@ -11,6 +11,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/notice"
+	"github.com/azurethread/azurethread/serve/outbound"
 )
 
 // retryAfterHeader is how long a receiver wants no further request, as RFC 9110
@@ -19,10 +20,10 @@
 
 // noticeReader returns a function that reads the notice in the head of an answer to
 // a send. The head is enough: a target that is leaving may not complete the body.
-func (s *Server) noticeReader(e *ingress.Send) func(status int, h http.Header) {
+func (s *Server) noticeReader(e *ingress.Send) func(outbound.Head) {
 	target, startedAt := e.Target, e.StartedAt
-	return func(status int, h http.Header) {
-		if n := s.noticeOf(target, status, h); !n.Empty() {
+	return func(h outbound.Head) {
+		if n := s.noticeOf(target, h.Status, h.Header); !n.Empty() {
 			s.core.Post(&ingress.NoticeReceived{Target: target, StartedAt: startedAt, Notice: n})
 		}
 	}
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -19,9 +19,11 @@
 	Body   []byte
 	// Host is the value of the Host field; empty: the receiver's address.
 	Host string
-	// OwnerOf says whether an answer with this status and these fields belongs to this
-	// request; nil: every answer does.
-	OwnerOf func(status int, h http.Header) Ownership
+	// OwnerOf says whether an answer belongs to this request; nil: every answer does.
+	OwnerOf func(Head) Ownership
+	// Unused asks for a connection that has carried no answer: the first one is proof
+	// without a name.
+	Unused bool
 	// MayEndByClose accepts an answer without a length as complete when the
 	// receiver has closed the connection cleanly.
 	MayEndByClose bool
@@ -32,7 +34,7 @@
 	NewConnection bool
 	// HeadReceived is called with the head of the answer, before its body is
 	// received: the answer may still fail. It must not block; may be nil.
-	HeadReceived func(status int, h http.Header)
+	HeadReceived func(Head)
 	// Acknowledged is called when the receiver reports, before its answer, that
 	// it has received the request. It must not block; may be nil.
 	Acknowledged func()
@@ -60,8 +62,7 @@
 	// answer that names no request; 0: not known.
 	RTT time.Duration
 
-	hold     *holding // nil: no budget
-	doubtful bool     // it names no request, and is not the first one on its connection
+	hold *holding // nil: no budget
 }
 
 // Release ends the holding of a's bytes in the pool's budget. Whoever gets an answer
@@ -120,12 +121,12 @@
 	return true
 }
 
-// ownerOf says whether an answer belongs to the request.
-func (k *Call) ownerOf(a *Answer) Ownership {
-	if k.req.OwnerOf == nil {
+// ownerOf says whether the answer with this head belongs to the request.
+func (r *Request) ownerOf(h Head) Ownership {
+	if r.OwnerOf == nil {
 		return Own
 	}
-	return k.req.OwnerOf(a.Status, a.Header)
+	return r.OwnerOf(h)
 }
 
 // sinceWrite returns how long ago the write of the request began.
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -42,6 +42,7 @@
 	call      *Call       // the call that has claimed the connection
 	ended     bool        // no longer counted in peer.open
 	closedBy  CloseReason // why this side closes it, "" if it does not
+	used      bool        // it has carried an answer to a request
 	idleSince clock.Time
 	maxIdle   time.Duration // how long it may be idle before it is closed
 	// hold is that of the answer being received; nil: none yet, or no budget. It is
@@ -342,7 +343,7 @@
 	}
 	k := c.p.callOf(c)
 	if a.Status < http.StatusOK {
-		if a.Status == http.StatusProcessing && k != nil && k.req.Acknowledged != nil {
+		if a.Status == http.StatusProcessing && k != nil && k.req.Acknowledged != nil && k.req.ownerOf(Head{Status: a.Status, Header: a.Header}) != Foreign {
 			k.req.Acknowledged()
 		}
 		c.resetAnswer() // the final answer follows
@@ -356,26 +357,6 @@
 	c.beginBody(k)
 }
 
-// assign decides whether the answer whose head was received belongs to k, the call that c
-// carries.
-func (c *conn) assign(a *Answer, k *Call) {
-	owner := k.ownerOf(a)
-	c.noReuse = c.noReuse || owner != Own
-	if owner == Foreign {
-		c.foreignAnswer = true
-		c.reportUnsolicited(UnsolicitedForeign, k.req)
-		return
-	}
-	if owner == Unnamed {
-		a.RTT = c.minRTT()
-		a.doubtful = a.Earlier > 0
-	}
-	a.HeadAfter = k.sinceWrite(c.p.pool.opts.Now())
-	if k.req.HeadReceived != nil {
-		k.req.HeadReceived(a.Status, a.Header)
-	}
-}
-
 // complete delivers a complete answer and frees the connection.
 func (c *conn) complete() {
 	a := c.answer
@@ -394,12 +375,11 @@
 	c.resetAnswer()
 	c.headBytes, c.overhead = 0, 0
 	c.connected = 0 // the next request did not wait for it to open
-	k, kept := c.p.release(c, keepAliveTimeout(a.Header))
+	k, kept := c.p.releaseAnswered(c, keepAliveTimeout(a.Header))
 	switch {
 	case kept:
 	case a.Status < http.StatusBadRequest:
 		c.closeWhenSent()
-	case k != nil && a.doubtful && c.watch(k.req):
 	default:
 		c.close(ClosedNotReusable) // a receiver that has refused a request wants no more of it
 	}
--- a/serve/outbound/dial.go
+++ b/serve/outbound/dial.go
@@ -19,7 +19,7 @@
 	pe.mu.Lock()
 	pe.dialing--
 	pe.mu.Unlock()
-	if claimed == nil && err != nil && (k.req.NewConnection || pe.stopWaiting(k)) {
+	if claimed == nil && err != nil && (k.req.waitsForOwn() || pe.stopWaiting(k)) {
 		claimed = k
 	}
 	switch {
@@ -69,7 +69,7 @@
 
 // claimNew returns the request that gets a connection opened for k.
 func (pe *peer) claimNew(k *Call) *Call {
-	if k.req.NewConnection || pe.stopWaiting(k) {
+	if k.req.waitsForOwn() || pe.stopWaiting(k) {
 		return k
 	}
 	pe.mu.Lock()
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -32,14 +32,16 @@
 
 // claimOrQueue claims an idle connection for k. If there is none it counts a
 // dial and queues k for that connection or any other that becomes idle sooner.
-// If fresh is set, k waits only for the connection dialled for it.
-func (pe *peer) claimOrQueue(k *Call, fresh bool) *conn {
+// A request that asks for a new or unused connection waits only for the one dialled for it.
+func (pe *peer) claimOrQueue(k *Call) *conn {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	if !fresh {
+	if !k.req.NewConnection {
 		if c := pe.claimIdle(k); c != nil {
 			return c
 		}
+	}
+	if !k.req.waitsForOwn() {
 		pe.waiting = append(pe.waiting, k)
 	}
 	pe.dialing++
@@ -52,8 +54,8 @@
 func (pe *peer) claimIdle(k *Call) *conn {
 	now := pe.pool.opts.Now()
 	for i, c := range slices.Backward(pe.idle) {
-		if c.idleFor(now) >= c.maxIdle {
-			continue // sweep closes it
+		if c.idleFor(now) >= c.maxIdle || !c.fits(k.req) {
+			continue // sweep closes it if it is idle for too long
 		}
 		pe.idle = slices.Delete(pe.idle, i, i+1)
 		c.call = k
@@ -62,6 +64,14 @@
 	return nil
 }
 
+// fits reports whether r may be sent on the idle connection c. The peer's mu must be held.
+func (c *conn) fits(r *Request) bool {
+	return !c.used || !r.Unused
+}
+
+// waitsForOwn reports whether the request waits only for the connection dialled for it.
+func (r *Request) waitsForOwn() bool { return r.NewConnection || r.Unused }
+
 // assignIdle gives idle connections to waiting requests. Opening a connection
 // to another region takes two one-way delays; one that becomes idle meanwhile
 // is available at once, and the new one is kept for the next request.
@@ -79,16 +89,13 @@
 func (pe *peer) assignOne() (*conn, *Call) {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	if len(pe.waiting) == 0 {
-		return nil, nil
-	}
-	c := pe.claimIdle(pe.waiting[0])
-	if c == nil {
-		return nil, nil
+	for i, k := range pe.waiting {
+		if c := pe.claimIdle(k); c != nil {
+			pe.waiting = slices.Delete(pe.waiting, i, i+1)
+			return c, k
+		}
 	}
-	k := pe.waiting[0]
-	pe.waiting = slices.Delete(pe.waiting, 0, 1)
-	return c, k
+	return nil, nil
 }
 
 // stopWaiting removes k from the waiting requests and reports whether it was
@@ -127,6 +134,16 @@
 	return out
 }
 
+// releaseAnswered is release after an answer to the request that c carries.
+func (pe *peer) releaseAnswered(c *conn, keepAlive time.Duration) (k *Call, kept bool) {
+	pe.mu.Lock()
+	if c.call != nil {
+		c.used = true
+	}
+	pe.mu.Unlock()
+	return pe.release(c, keepAlive)
+}
+
 // release makes c available for the next request and returns the call that it
 // carried, and whether c is kept. One that is not kept must be closed. A connection
 // without a call has been detached meanwhile; released again, it would be reused
--- a/serve/outbound/pool.go
+++ b/serve/outbound/pool.go
@@ -87,7 +87,7 @@
 // Do returns. Do does not block.
 func (p *Pool) Do(addr string, r *Request, done Done) *Call {
 	k := &Call{req: r, done: done}
-	pe, c := p.claim(addr, k, r.NewConnection)
+	pe, c := p.claim(addr, k)
 	if c != nil {
 		c.start(k)
 		if r.KeepSpare && pe.reserveSpareDial() {
@@ -130,7 +130,7 @@
 // claim returns the peer at addr and an idle connection to it. If there is none
 // it returns a nil connection and counts a dial, so that the peer is not
 // forgotten.
-func (p *Pool) claim(addr string, k *Call, fresh bool) (*peer, *conn) {
+func (p *Pool) claim(addr string, k *Call) (*peer, *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pe, ok := p.peers[addr]
@@ -138,7 +138,7 @@
 		pe = &peer{pool: p, addr: addr}
 		p.peers[addr] = pe
 	}
-	return pe, pe.claimOrQueue(k, fresh)
+	return pe, pe.claimOrQueue(k)
 }
 
 // sweepInterval is the interval between checks for connections idle too long.
--- a/standin/unsolicited/unsolicited.go
+++ b/standin/unsolicited/unsolicited.go
@@ -76,11 +76,11 @@
 // RepeatAsNext sends the latest answer again where another one is due.
 func (c *Conn) RepeatAsNext() bool { return c.send(nil, true) }
 
-// SendNow sends b if no answer is due.
-func (c *Conn) SendNow(b []byte) bool { return c.send(b, false) }
+// SendNow sends b if no answer is due, and b is not empty.
+func (c *Conn) SendNow(b []byte) bool { return len(b) > 0 && c.send(b, false) }
 
-// SendAsNext sends b where an answer is due.
-func (c *Conn) SendAsNext(b []byte) bool { return c.send(b, true) }
+// SendAsNext sends b where an answer is due, if b is not empty.
+func (c *Conn) SendAsNext(b []byte) bool { return len(b) > 0 && c.send(b, true) }
 
 // SendBehind sends b behind the next answer, in the same write.
 func (c *Conn) SendBehind(b []byte) {
