outbound: a connection keeps to the process that has answered on it

Callers of submissions got 502 although their request ran and was answered.

Cause: a 421 was taken for the answer of whatever process has the address. The process behind a connection does not change, though: once it has answered a request that was meant for this target, it is this target, and a later 421 on the connection is not its answer.

Change: a connection remembers for whom it has answered, and is not used for requests to another target at the same address. A 421 on a connection that has answered for the target belongs to no request, which goes on waiting for its own answer.

Why it works: a target that is not meant answers 421, so an answer that names the request proves which process is behind the connection.

--- a/serve/ingress/call.go
+++ b/serve/ingress/call.go
@@ -183,6 +183,7 @@
 	return &outbound.Request{
 		Method: x.Method, URI: x.URI, Host: x.Header.Get("Host"), Header: h, Body: x.Body,
 		OwnerOf:        func(h outbound.Head) outbound.Ownership { return s.ownerOf(id, target, h) },
+		Receiver:       string(e.Target),
 		Unused:         e.Unused || id == "",
 		HeadReceived:   s.noticeReader(e),
 		MayEndByClose:  true,
@@ -215,8 +216,10 @@
 		return outbound.Own
 	case echo != "", h.Status < http.StatusMultipleChoices && id != "":
 		return outbound.Foreign
-	case h.Status == http.StatusMisdirectedRequest && h.Header.Get(f.Instance) == string(target):
-		return outbound.Foreign // the target runs requests that are meant for it
+	case h.Status == http.StatusMisdirectedRequest && (h.Reused || h.Header.Get(f.Instance) == string(target)):
+		// The process that has answered a request which was meant for the target is the
+		// target, and runs requests that are meant for it.
+		return outbound.Foreign
 	default:
 		return outbound.Unnamed
 	}
--- a/serve/ingress/unsolicited_test.go
+++ b/serve/ingress/unsolicited_test.go
@@ -35,8 +35,9 @@
 	ran    *executions
 	forms  []unsolicited.Form
 	place  place
-	oneIn  int // of the answers, the share after which something is sent, beside the first ones
-	reject int // of the requests, as one in so many, the share that is rejected; 0: none
+	oneIn  int  // of the answers, the share after which something is sent, beside the first ones
+	reject int  // of the requests, as one in so many, the share that is rejected; 0: none
+	whole  bool // forms are not cut
 	sent   *atomic.Int64
 
 	mu  sync.Mutex
@@ -49,7 +50,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.rng.IntN(u.oneIn) == 0 || u.sent.Load() == 0 {
-		b = unsolicited.Draw(u.rng, u.forms)
+		if b = unsolicited.Draw(u.rng, u.forms); u.whole {
+			b = []byte(u.forms[0].Bytes)
+		}
 	}
 	return b, u.reject > 0 && u.rng.IntN(u.reject) == 0
 }
@@ -229,3 +232,23 @@
 		}
 	}
 }
+
+// Guards against a target that is taken out of use, and requests that are given up, because a
+// target sends a 421 that no request caused.
+func TestUnsolicitedMisdirectionLeavesTargetInUse(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	p := &promises{ran: new(executions)}
+	var sent atomic.Int64
+	w.startUnsolicited("t1", &unsolicitedTarget{
+		ran: p.ran, forms: formsNamed("misdirection"), place: placeDue, oneIn: 3, whole: true, sent: &sent,
+		rng: rand.New(rand.NewPCG(1, 75)),
+	})
+	const requests = 60
+	s := w.startListed("vm-1")
+	unsolicitedCalls(t, s, p, 1, requests, false)
+	p.report(t)
+	is.Equal(p.served, requests)
+	is.True(sent.Load() > 0)
+	is.Equal(s.metrics.targetStateChanges.Get("address taken over"), nil)
+}
--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -21,6 +21,9 @@
 	Host string
 	// OwnerOf says whether an answer belongs to this request; nil: every answer does.
 	OwnerOf func(Head) Ownership
+	// Receiver identifies the process that is to answer. A connection on which another one
+	// has answered is not used. Empty: any may answer.
+	Receiver string
 	// Unused asks for a connection that has carried no answer: the first one is proof
 	// without a name.
 	Unused bool
--- a/serve/outbound/conn.go
+++ b/serve/outbound/conn.go
@@ -43,6 +43,7 @@
 	ended     bool        // no longer counted in peer.open
 	closedBy  CloseReason // why this side closes it, "" if it does not
 	used      bool        // it has carried an answer to a request
+	receiver  string      // of that request, see Request.Receiver
 	idleSince clock.Time
 	maxIdle   time.Duration // how long it may be idle before it is closed
 	// hold is that of the answer being received; nil: none yet, or no budget. It is
@@ -61,6 +62,7 @@
 	bodyLeft      int64       // rest of a body with Content-Length
 	chunks        body.Chunks // of a chunked body
 	foreignAnswer bool        // the answer belongs to another request or to none
+	reused        bool        // an answer has ended a request
 	answers       int         // complete heads of answers, those to other requests included
 	answer        *Answer
 	noReuse       bool
@@ -375,6 +377,7 @@
 	c.resetAnswer()
 	c.headBytes, c.overhead = 0, 0
 	c.connected = 0 // the next request did not wait for it to open
+	c.reused = true
 	k, kept := c.p.releaseAnswered(c, keepAliveTimeout(a.Header))
 	switch {
 	case kept:
--- a/serve/outbound/ownership.go
+++ b/serve/outbound/ownership.go
@@ -32,6 +32,9 @@
 type Head struct {
 	Status int
 	Header http.Header
+	// Reused means that the connection has carried an answer to an earlier request, for the
+	// same Request.Receiver.
+	Reused bool
 	// Proved means that the answer is the request's. It is not known yet to OwnerOf.
 	Proved bool
 }
@@ -53,7 +56,7 @@
 // assign decides whether the answer whose head was received belongs to k, the call that c
 // carries.
 func (c *conn) assign(a *Answer, k *Call) {
-	h := Head{Status: a.Status, Header: a.Header}
+	h := Head{Status: a.Status, Header: a.Header, Reused: c.reused}
 	owner := k.req.ownerOf(h)
 	c.noReuse = c.noReuse || owner != Own
 	if owner == Foreign {
--- a/serve/outbound/ownership_test.go
+++ b/serve/outbound/ownership_test.go
@@ -175,22 +175,24 @@
 }
 
 // Guards against a request whose rejection proves nothing although its sender has asked for
-// proof.
+// proof, and against one that is sent where another process answers.
 func TestConnectionOfARequest(t *testing.T) {
 	const named = "HTTP/1.1 200 OK\r\nOf: 1\r\nContent-Length: 0\r\n\r\n"
 	for name, tc := range map[string]struct {
 		second Request
 		want   int // the number of its connection
 	}{
-		"any":    {Request{}, 0},
-		"unused": {Request{Unused: true}, 1},
+		"any":              {Request{Receiver: "a"}, 0},
+		"unused":           {Request{Receiver: "a", Unused: true}, 1},
+		"another receiver": {Request{Receiver: "b"}, 1},
+		"any receiver":     {Request{}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			numbers := make(chan int, 2)
 			addr := serveInTurn(t, numbers, named, named)
 			p := newPool(t)
-			for _, r := range []Request{{}, tc.second} {
+			for _, r := range []Request{{Receiver: "a"}, tc.second} {
 				r.Method, r.URI, r.Header, r.OwnerOf = http.MethodGet, "/", http.Header{}, ownerByName("1")
 				done := make(chan *verdict.Error)
 				p.Do(addr, &r, func(_ *Answer, err *verdict.Error) { done <- err })
--- a/serve/outbound/peer.go
+++ b/serve/outbound/peer.go
@@ -66,7 +66,7 @@
 
 // fits reports whether r may be sent on the idle connection c. The peer's mu must be held.
 func (c *conn) fits(r *Request) bool {
-	return !c.used || !r.Unused
+	return !c.used || (!r.Unused && (c.receiver == r.Receiver || c.receiver == "" || r.Receiver == ""))
 }
 
 // waitsForOwn reports whether the request waits only for the connection dialled for it.
@@ -138,7 +138,7 @@
 func (pe *peer) releaseAnswered(c *conn, keepAlive time.Duration) (k *Call, kept bool) {
 	pe.mu.Lock()
 	if c.call != nil {
-		c.used = true
+		c.used, c.receiver = true, c.call.req.Receiver
 	}
 	pe.mu.Unlock()
 	return pe.release(c, keepAlive)
--- a/serve/outbound/unsolicited.go
+++ b/serve/outbound/unsolicited.go
@@ -71,7 +71,7 @@
 	code, err := strconv.Atoi(status)
 	if err == nil && code >= http.StatusOK {
 		kind := c.unexpectedKind()
-		if c.watched.ownerOf(Head{Status: code, Header: fields}) == Own {
+		if c.watched.ownerOf(Head{Status: code, Header: fields, Reused: true}) == Own {
 			kind = UnsolicitedTaken
 		}
 		c.reportUnsolicited(kind, c.watched)
