ingress: an answer that proves nothing may lower a rate limit, not raise it

Operators would see a target get more requests than the limit that it states.

Cause: rate limits and loads were read from any answer that ended a request, also from one that no request caused. Since such answers end their call as unproved, a limit that a target states only when it rejects a request without naming it would be dropped instead.

Change: the limit in the head of an unproved answer is read (LimitReceived, Doubtful). It sets a limit where none is known and lowers a known one. What a target states about leaving and backoffs can only keep requests from it, and is read as before.

Evidence: TestDoubtfulLimitIsNotRaised fails on the merge of limits as it was (1000 a second replaces 10), TestRateLimitIsReadFromUnprovedAnswer without the change; both pass now.

--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -129,9 +129,15 @@
 	Notice    notice.Notice
 }
 
-// LimitReceived reports that a gateway has returned a request because of the rate
-// limit of its target. It comes before the Failed of the attempt.
-type LimitReceived struct{ Limit TargetLimit }
+// LimitReceived reports the rate limit of a target because of which a gateway has returned a
+// request, or which an answer states that may belong to no request. It comes before the Failed
+// of the attempt.
+type LimitReceived struct {
+	Limit TargetLimit
+	// Doubtful means that the target may not have stated it: it may lower a limit that is
+	// known, but not raise it.
+	Doubtful bool
+}
 
 // Outcome classifies an answer.
 type Outcome uint8
--- a/decide/ingress/proof_test.go
+++ b/decide/ingress/proof_test.go
@@ -148,3 +148,18 @@
 		})
 	}
 }
+
+// Guards against requests beyond the rate limit of a target: a limit that the target may not
+// have stated replaces a lower one.
+func TestDoubtfulLimitIsNotRaised(t *testing.T) {
+	for _, tc := range []struct{ known, stated, want float64 }{{10, 1000, 10}, {10, 5, 5}, {0, 20, 20}} {
+		is := is.New(t)
+		s := proofHarness(t, true)
+		if tc.known > 0 {
+			s.step(&LimitReceived{Limit: TargetLimit{Target: "t1", PerSecond: tc.known}})
+		}
+		s.now = s.now.Add(time.Millisecond)
+		s.step(&LimitReceived{Limit: TargetLimit{Target: "t1", PerSecond: tc.stated}, Doubtful: true})
+		is.Equal(s.r.targets["t1"].limit.perSecond, tc.want)
+	}
+}
--- a/decide/ingress/ratelimit.go
+++ b/decide/ingress/ratelimit.go
@@ -160,6 +160,14 @@
 	}
 }
 
+// limitReceived applies the limit of a target that was received other than with a result.
+func (r *Reducer) limitReceived(now clock.Time, ev *LimitReceived) {
+	if t := r.stateOf(ev.Limit.Target); ev.Doubtful && t != nil && t.limit.active && ev.Limit.PerSecond >= t.limit.perSecond {
+		return
+	}
+	r.mergeLimit(now, ev.Limit)
+}
+
 func (r *Reducer) mergeLimit(now clock.Time, l TargetLimit) {
 	t := r.stateOf(l.Target)
 	at := now.Add(-max(l.Age, 0))
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -142,7 +142,7 @@
 	case *NoticeReceived:
 		r.noticeReceived(now, ev)
 	case *LimitReceived:
-		r.mergeLimit(now, ev.Limit)
+		r.limitReceived(now, ev)
 	case *Failed:
 		r.failed(now, ev)
 	case *Configured:
--- a/serve/ingress/notice.go
+++ b/serve/ingress/notice.go
@@ -19,13 +19,23 @@
 const retryAfterHeader = "Retry-After"
 
 // noticeReader returns a function that reads the notice in the head of an answer to
-// a send. The head is enough: a target that is leaving may not complete the body.
+// a send. The head is enough: a target that is leaving may not complete the body. A head that
+// may belong to no request is believed as far as it keeps requests from the target, so its
+// rate limit is read too; the answer itself is dropped.
 func (s *Server) noticeReader(e *ingress.Send) func(outbound.Head) {
 	target, startedAt := e.Target, e.StartedAt
 	return func(h outbound.Head) {
 		if n := s.noticeOf(target, h.Status, h.Header); !n.Empty() {
 			s.core.Post(&ingress.NoticeReceived{Target: target, StartedAt: startedAt, Notice: n})
 		}
+		if h.Proved {
+			return
+		}
+		if values := s.limitFields(h.Header); len(values) > 0 {
+			if rate, err := parseRate(values); err == nil {
+				s.core.Post(&ingress.LimitReceived{Limit: ingress.TargetLimit{Target: target, PerSecond: rate}, Doubtful: true})
+			}
+		}
 	}
 }
 
--- a/serve/ingress/ratelimit.go
+++ b/serve/ingress/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -14,12 +15,7 @@
 // rateLimitOf parses the rate limit stated in an answer. A limit that cannot be
 // parsed is counted, logged and otherwise ignored.
 func (s *Server) rateLimitOf(k *call, a *attempt, ans *outbound.Answer) ingress.RateLimit {
-	var values []string
-	for _, name := range s.settings.Fields.RateLimits {
-		if values = ans.Header[name]; len(values) > 0 {
-			break
-		}
-	}
+	values := s.limitFields(ans.Header)
 	if len(values) == 0 {
 		return ingress.RateLimit{Known: true}
 	}
@@ -31,6 +27,16 @@
 	return ingress.RateLimit{Known: true, Limited: true, PerSecond: rate}
 }
 
+// limitFields returns the values of the field that states a rate limit.
+func (s *Server) limitFields(h http.Header) []string {
+	for _, name := range s.settings.Fields.RateLimits {
+		if values := h[name]; len(values) > 0 {
+			return values
+		}
+	}
+	return nil
+}
+
 // logUnreadLimit logs a rate limit that cannot be parsed. It shares the limit of
 // log lines with failed requests, so a target with such a limit in each answer
 // does not fill the log.
--- a/serve/ingress/ratelimit_test.go
+++ b/serve/ingress/ratelimit_test.go
@@ -57,6 +57,28 @@
 	is.Equal(s.limitedTargets(), 1)
 }
 
+// Guards against requests beyond a limit that a target states only when it rejects one, without
+// naming it.
+func TestRateLimitIsReadFromUnprovedAnswer(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(false))
+	requests := 0
+	w.startTarget("t1", func(rw http.ResponseWriter, r *http.Request) {
+		if requests++; requests == 1 {
+			respondOK("hello")(rw, r)
+			return
+		}
+		rw.Header().Set(testFields.NotRun, "1")
+		rw.Header().Set(testFields.RateLimits[0], "4.8")
+		rw.WriteHeader(http.StatusTooManyRequests)
+	})
+	s := w.startListed("vm-1")
+	doRequest(t, s, http.MethodPost, "/x", "id-1")
+	res, _ := doRequest(t, s, http.MethodPost, "/x", "id-2")
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	is.Equal(s.limitedTargets(), 1)
+}
+
 func TestLimitTermsOfForwardedRequests(t *testing.T) {
 	is := is.New(t)
 	for _, terms := range []ingress.LimitTerms{{}, {Counted: true}, {Ended: true}, {Ended: true, EndedAge: 1500 * time.Millisecond}} {
