daemon: targets of the own interface are believed by the same rule

Callers of the own interface were told not-run of requests that had run, and got answers that no request had caused.

An answer without Azurethread-Attempt counted as the answer to the send that its connection carried, and a refusal without it as proof. Probes of targets had no id at all, on the same connections.

Change: an answer without the id of its send is believed only as the first one on its connection, and ends it. Probes have ids, and so have requests that are forwarded to other entry VMs, which return them. The stand-in of a target returns the id on all its pages, and sends bytes that no request caused on demand.

--- a/operate/e2e/answer_test.go
+++ b/operate/e2e/answer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +20,7 @@
 	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/standin/payload"
 	"github.com/azurethread/azurethread/standin/target"
+	"github.com/azurethread/azurethread/standin/unsolicited"
 )
 
 // callFee sends a non-idempotent request with a fresh token.
@@ -175,6 +177,65 @@
 	}
 }
 
+// Guards against requests that are answered as not run and have run, run twice, or get an
+// answer that is not theirs: targets send bytes that no request caused, of any form, where
+// the answer to a request or to a probe is due.
+func TestUnsolicitedAnswersBreakNoPromise(t *testing.T) {
+	is := is.New(t)
+	sys := newTestSystem(t, testServices())
+	forms := unsolicited.Fields{
+		RequestID: payload.AttemptHeader, NotRun: payload.RefusedHeader + ": " + payload.RefusedNotRun,
+		Instance: payload.TargetHeader, Stamp: payload.LoadHeader,
+	}.Forms()
+	var targets []*target.Server
+	for _, id := range []fleet.TargetID{"t1", "t2"} {
+		s := sys.startTarget("attiki-1", target.Options{Service: fee, ID: id, Slots: 4, Work: target.Work{Base: 3 * time.Millisecond}})
+		s.SendUnsolicited(func() []byte {
+			if rand.IntN(4) > 0 {
+				return nil
+			}
+			return unsolicited.Draw(rand.New(rand.NewPCG(rand.Uint64(), 75)), forms)
+		})
+		targets = append(targets, s)
+	}
+	vms := []*entryVM{sys.startEntryVM("a", "attiki-1"), sys.startEntryVM("b", "attiki-1")}
+	executions := func(id string) (n int) {
+		for _, s := range targets {
+			n += s.Executions()[id]
+		}
+		return n
+	}
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for c := range 8 {
+		wg.Go(func() {
+			for i := range 40 {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				a := callFee(t, vms[c%2], id)
+				switch n := executions(id); {
+				case n > 1:
+					t.Errorf("request %s ran %d times", id, n)
+				case a.verdict() == "not-run" && n > 0:
+					t.Errorf("request %s was answered as not run and has run", id)
+				case a.verdict() == "ran" && n == 0:
+					t.Errorf("request %s was answered as run and has not run", id)
+				case a.header.Get(unsolicited.Marker) != "":
+					t.Errorf("request %s got an answer that nobody asked for", id)
+				case a.status == http.StatusOK && a.header.Get(payload.IDHeader) != id:
+					t.Errorf("request %s got the answer to %s", id, a.header.Get(payload.IDHeader))
+				case a.status == http.StatusOK:
+					served.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.True(served.Load() > 8*40/2)
+	for _, s := range targets {
+		is.True(s.Stats().Unsolicited > 0) // the fault occurred
+	}
+}
+
 // When a service has no capacity, because all its targets are leaving or it has
 // none, a request with a short deadline must be refused with the verdict
 // "not-run" and a time after which to retry.
--- a/serve/daemon/attempt.go
+++ b/serve/daemon/attempt.go
@@ -40,13 +40,17 @@
 	delete(r.Header, headerWait)
 	delete(r.Header, headerClient)
 	r.NewConnection = s.NewConnection
-	id := strconv.FormatUint(uint64(s.Attempt), 10)
-	r.Header[headerAttempt] = []string{id}
-	r.OwnerOf = func(h outbound.Head) outbound.Ownership { return ownerOf(id, h.Header) }
+	nameAttempt(&r, strconv.FormatUint(uint64(s.Attempt), 10))
 	a.span.inject(r.Header)
 	d.startAttempt(c, a, &r)
 }
 
+// nameAttempt gives a request an id that tells its answer from others.
+func nameAttempt(r *outbound.Request, id string) {
+	r.Header[headerAttempt] = []string{id}
+	r.OwnerOf = func(h outbound.Head) outbound.Ownership { return ownerOf(id, h.Header) }
+}
+
 // forwardToVM forwards a call to another entry VM, with a new token that only
 // that process accepts, so that this hop is protected against repetition like a
 // request from a caller.
@@ -67,6 +71,7 @@
 	r.Header[headerWait] = []string{strconv.FormatInt(f.ExpectedWait.Milliseconds(), 10)}
 	r.Header[headerClient] = []string{c.client.encode()}
 	r.Header[headerToken] = []string{d.mintToken(vm, now)}
+	nameAttempt(&r, strconv.FormatUint(uint64(f.Attempt), 10))
 	a.span.inject(r.Header)
 	d.metrics.forwarded.Add(1)
 	d.startAttempt(c, a, &r)
@@ -88,19 +93,17 @@
 	c.mu.Unlock()
 }
 
-// ownerOf says whether an answer belongs to the send with this id. A target that does not
-// return the id must answer each request once, except that it may repeat a refusal: one
-// without an id is the last answer on its connection.
+// ownerOf says whether an answer belongs to the send with this id. A receiver that does not
+// return the id gets each request on a connection of its own, as an answer without it is the
+// last one on its connection.
 func ownerOf(id string, h http.Header) outbound.Ownership {
 	switch echo := h.Get(headerAttempt); {
 	case echo == id:
 		return outbound.Own
 	case echo != "":
 		return outbound.Foreign
-	case h.Get(headerRefused) != "":
-		return outbound.Unnamed
 	default:
-		return outbound.Own
+		return outbound.Unnamed
 	}
 }
 
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -215,9 +215,19 @@
 func (d *Daemon) writeError(x *inbound.Exchange, e errorBody) {
 	d.metrics.countAnswer(e.Verdict, e.Reason)
 	status, h, b := encodeError(e)
+	returnAttempt(h, x)
 	x.Respond(status, h, b)
 }
 
+// returnAttempt makes the header of an answer name the attempt of x, if that has an id: only
+// other entry VMs send one.
+func returnAttempt(h http.Header, x *inbound.Exchange) {
+	delete(h, headerAttempt)
+	if id, ok := x.Header[headerAttempt]; ok {
+		h[headerAttempt] = id
+	}
+}
+
 // execute implements executor.
 func (d *Daemon) execute(now clock.Time, r *engine.Ready) {
 	d.updateAddresses(r)
@@ -264,7 +274,7 @@
 	}
 	ans := a.answer
 	heads.RemoveHopByHop(ans.Header)
-	delete(ans.Header, headerAttempt)
+	returnAttempt(ans.Header, c.exchange)
 	ans.Header[verdict.Header] = []string{verdict.Ran.String()}
 	d.metrics.countAnswer(verdict.Ran, verdict.ReasonNone)
 	c.span.end(verdict.Ran, verdict.ReasonNone)
--- a/serve/daemon/calls_test.go
+++ b/serve/daemon/calls_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurethread/azurethread/decide/dispatch"
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/outbound"
 )
 
@@ -51,7 +52,7 @@
 }
 
 // Guards against an answer that is taken for another request's: a target sends it a second
-// time, and does not name the request in a refusal.
+// time, or sends an answer that nobody asked for, without the id of a send.
 func TestOwnerOf(t *testing.T) {
 	is := is.New(t)
 	for _, tc := range []struct {
@@ -63,8 +64,21 @@
 		{http.Header{headerAttempt: {"6"}}, outbound.Foreign},
 		{http.Header{headerAttempt: {"6"}, headerRefused: {"not-run"}}, outbound.Foreign},
 		{http.Header{headerRefused: {"not-run"}}, outbound.Unnamed},
-		{http.Header{}, outbound.Own},
+		{http.Header{}, outbound.Unnamed},
 	} {
 		is.Equal(ownerOf("7", tc.header), tc.want) // tc
 	}
 }
+
+// Guards against an entry VM whose answers to forwarded requests name none, and so end their
+// connections; and against callers who get the id of a send to a target.
+func TestAnswersReturnTheAttemptOfTheirRequest(t *testing.T) {
+	is := is.New(t)
+	x := &inbound.Exchange{Request: inbound.Request{Header: http.Header{headerAttempt: {"7"}}}}
+	h := http.Header{headerAttempt: {"of the target"}}
+	returnAttempt(h, x)
+	is.Equal(h.Get(headerAttempt), "7")
+	x.Header = http.Header{}
+	returnAttempt(h, x)
+	is.Equal(h.Get(headerAttempt), "")
+}
--- a/serve/daemon/control.go
+++ b/serve/daemon/control.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/azurethread/azurethread/decide/dispatch"
@@ -137,6 +138,7 @@
 		return
 	}
 	r := &outbound.Request{Method: http.MethodGet, URI: "/loadz", Header: http.Header{}}
+	nameAttempt(r, "probe-"+strconv.FormatUint(d.probes.Add(1), 10))
 	k := d.pool.Do(t.Addr, r, func(a *outbound.Answer, err *verdict.Error) {
 		d.probeDone(id, a, err)
 	})
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -46,6 +46,7 @@
 	metrics *metrics
 	tracer  *tracer
 	pool    *outbound.Pool
+	probes  atomic.Uint64 // of targets
 	callers *inbound.Server
 	peers   *peer.Transport
 	link    peer.Link // nil outside of tests
--- a/serve/daemon/request.go
+++ b/serve/daemon/request.go
@@ -29,7 +29,7 @@
 	headerClient   = "Azurethread-Client"      // the client's home region and block, from a look-up
 	headerWait     = "Azurethread-Wait-Ms"     // on forwarded requests: the queueing delay expected at the sender
 	headerReason   = verdict.HeaderReason
-	headerAttempt  = "Azurethread-Attempt" // identifies a send to a target, which returns it in its answer
+	headerAttempt  = "Azurethread-Attempt" // identifies a send to a target or entry VM, which returns it in its answer
 	headerRefused  = "Azurethread-Refused" // set by a target that has not executed a request
 	headerLoad     = "Azurethread-Load"    // "in flight/slots" of the answering target
 	headerRetry    = "Retry-After"         // seconds
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -22,7 +22,12 @@
 	m.HandleFunc("GET /healthz", s.healthz)
 	m.HandleFunc("GET /loadz", s.loadz)
 	m.HandleFunc("/", s.handleRequest)
-	return m
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(payload.AttemptHeader); id != "" {
+			w.Header().Set(payload.AttemptHeader, id)
+		}
+		m.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
@@ -60,10 +65,7 @@
 
 // handleRequest executes and answers one request.
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
-	s.repeatAnswer(r)
-	if id := r.Header.Get(payload.AttemptHeader); id != "" {
-		w.Header().Set(payload.AttemptHeader, id)
-	}
+	s.sendBefore(unsolicited.Received(r))
 	if !s.admit() {
 		s.refuse(w)
 		return
@@ -89,16 +91,21 @@
 	s.answer(w, r, hash.String())
 }
 
-// repeatAnswer sends the answer before that to r a second time if RepeatAnswers is on.
-func (s *Server) repeatAnswer(r *http.Request) {
-	c := unsolicited.Received(r)
+// sendBefore sends the bytes that no request caused where the next answer on c is due, if
+// RepeatAnswers or SendUnsolicited ask for it.
+func (s *Server) sendBefore(c *unsolicited.Conn) {
 	s.mu.Lock()
-	repeats := s.repeats
+	repeats, draw := s.repeats, s.unsolicited
 	s.mu.Unlock()
-	if repeats && c.RepeatAsNext() {
-		s.mu.Lock()
+	repeated := repeats && c.RepeatAsNext()
+	sent := draw != nil && c.SendAsNext(draw())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if repeated {
 		s.stats.RepeatedAnswers++
-		s.mu.Unlock()
+	}
+	if sent {
+		s.stats.Unsolicited++
 	}
 }
 
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -57,6 +57,7 @@
 	CutByShutdown   uint64 // accepted or being answered at Crash or Close
 	CutAnswers      uint64 // answers cut by CutAnswers
 	RepeatedAnswers uint64 // answers sent a second time because of RepeatAnswers
+	Unsolicited     uint64 // times that something was sent because of SendUnsolicited
 
 	Connections        int    // open now
 	PeakConnections    int    // most open at once
@@ -80,6 +81,7 @@
 	drained      chan struct{} // nil before Leave; closed when no request is left
 	answersToCut int
 	repeats      bool // see RepeatAnswers
+	unsolicited  func() []byte
 	addr         string
 	http         *http.Server
 	listener     *listener
@@ -267,6 +269,14 @@
 	s.repeats = on
 }
 
+// SendUnsolicited sets a function whose result is sent where the answer to a request is due,
+// before that answer; nil ends that. Several goroutines may call it.
+func (s *Server) SendUnsolicited(f func() []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsolicited = f
+}
+
 // SetReportLag delays the health and load reports by d.
 func (s *Server) SetReportLag(d time.Duration) {
 	s.mu.Lock()
