ingress: a test that what runs after its end gets no promise

Change: TestRequestThatRunsAfterItsEndGetsNoPromise holds a submission up on its way to the gateway until its entry VM has given it up, at its deadline and in a planned stop, and then lets it run. Its caller must not be told that it will not. No code is changed.

--- a/serve/ingress/transit_test.go
+++ b/serve/ingress/transit_test.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -80,3 +83,75 @@
 	is.Equal(gate.metrics.forwardedLate.Value(), int64(1))
 	is.Equal(near.transitClock.epoch.Load(), uint64(1))
 }
+
+// holdUp accepts connections at the returned address, and passes on what comes on them to addr
+// once release is closed, also what was sent before a close.
+func holdUp(t *testing.T, addr string, release <-chan struct{}) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			from, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				sent := make([]byte, maxForwardedHeadBytes)
+				n, _ := from.Read(sent)
+				<-release
+				to, err := net.Dial("tcp", addr)
+				if err != nil {
+					return
+				}
+				_, _ = to.Write(sent[:n])
+				_, _ = io.Copy(io.Discard, to)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a request that is answered as not run and runs later: it is held up on its
+// way to a gateway which does not know its sender's clock yet, and runs after its entry VM has
+// given it up.
+func TestRequestThatRunsAfterItsEndGetsNoPromise(t *testing.T) {
+	for name, stops := range map[string]bool{"deadline": false, "planned stop": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestEnv(t, catchAllRoute(false))
+			ran := new(executions)
+			w.startRemoteTarget("t1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				ran.add(r.Header.Get(testFields.RequestID))
+				respondOK("done")(rw, r)
+			}))
+			near, gate := w.startTwoRegions()
+			release := make(chan struct{})
+			held := holdUp(t, gate.settings.Self.GatewayAddr, release)
+			near.gatewayPool.Close()
+			pool, err := outbound.NewPool(outbound.Options{
+				DialTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: maxAnswerBytes, Now: near.now,
+				Dial: func(network, _ string, timeout time.Duration) (net.Conn, error) {
+					return net.DialTimeout(network, held, timeout)
+				},
+			})
+			is.NoErr(err)
+			near.gatewayPool = pool
+			c := dial(t, near)
+			_, err = fmt.Fprintf(c.conn, "POST /x HTTP/1.1\r\nHost: %s\r\nX-Id: held-up\r\nX-Patience: 500\r\nContent-Length: 0\r\n\r\n", testHost)
+			is.NoErr(err)
+			w.eventually("the request is on its way", func() bool { return pool.Connections(gate.settings.Self.GatewayAddr) == 1 })
+			if stops {
+				go near.Stop()
+			}
+			res, _ := c.readResponse(http.MethodPost)
+			is.True(!statusMeansNotRun(res.StatusCode))
+			is.Equal(ran.of("held-up"), 0)
+			close(release)
+			w.eventually("the request has run", func() bool { return ran.of("held-up") == 1 })
+		})
+	}
+}
