ingress: targets that become cold while the store is silent are spared

A cold target got more requests in a second than it bears, and crashes at a rate well above that: callers would see 502 and cold answers.

Cause: a target may become cold without a restart, for instance while its failure domain is evacuated. A VM learns of both from the store.

Change: a coordinator that has had no word of the store for 3.5 s reads the health pages of its targets each half second. One that states to be cold counts as cold, as if its registration said so, and the other VMs of the region and the other coordinators are told (TargetCold). What a page states is believed only as far as it keeps requests from the target, so no proof is asked of it. Three loops over services in a fixed order become one function.

Why it works: the pages come from the process itself, at most half a second late; the bound of a cold target holds from then on, and half of it is left for the requests before.

While the store answers, no page is read.

--- a/decide/ingress/coordinate.go
+++ b/decide/ingress/coordinate.go
@@ -215,6 +215,8 @@
 		}
 	case *TargetNotices:
 		r.mergeNotices(now, m)
+	case *TargetCold:
+		r.coldAnnounced(now, m)
 	case *TokenRequest:
 		r.grantTokens(now, ev.From, m)
 	case *TokenGrant:
--- a/decide/ingress/effect.go
+++ b/decide/ingress/effect.go
@@ -51,6 +51,15 @@
 	Timeout   time.Duration // for opening the connection
 }
 
+// HealthCheck requests that the health page of a target be read.
+type HealthCheck struct {
+	Target         fleet.TargetID
+	StartedAt      int64 // distinguishes restarts of a target
+	Addr           string
+	Path           string
+	ConnectTimeout time.Duration // for opening a connection
+}
+
 // Quarantine is a change of a quarantine, for the log and the store.
 type Quarantine struct {
 	Record quarantine.Record
@@ -153,6 +162,7 @@
 	// targets.
 	Probes        []Probe
 	LinkProbes    []Probe
+	HealthChecks  []HealthCheck
 	LinkChanges   []LinkChange
 	Quarantines   []Quarantine
 	QuotaRefusals []QuotaRefusal
@@ -174,6 +184,7 @@
 	r.SilentGateways = r.SilentGateways[:0]
 	r.Probes = r.Probes[:0]
 	r.LinkProbes = r.LinkProbes[:0]
+	r.HealthChecks = r.HealthChecks[:0]
 	r.LinkChanges = r.LinkChanges[:0]
 	r.Quarantines = r.Quarantines[:0]
 	r.QuotaRefusals = r.QuotaRefusals[:0]
--- a/decide/ingress/event.go
+++ b/decide/ingress/event.go
@@ -29,6 +29,17 @@
 	Since clock.Time // 0: there are none any more
 }
 
+// StoreSilent reports that this VM has had no word of the store for some time. It is repeated
+// each HealthCheckInterval until there is one.
+type StoreSilent struct{}
+
+// HealthRead reports what the health page of a target states.
+type HealthRead struct {
+	Target    fleet.TargetID
+	StartedAt int64         // of the target's instance that was asked
+	Cold      time.Duration // how much longer it is cold; 0: it is not, or does not say
+}
+
 // Target is a target as described by its latest registration.
 type Target struct {
 	ID       fleet.TargetID
--- a/decide/ingress/message.go
+++ b/decide/ingress/message.go
@@ -201,6 +201,13 @@
 	Cold bool
 }
 
+// TargetCold tells another entry VM that a target states on its health page that it is cold.
+type TargetCold struct {
+	Target    fleet.TargetID
+	StartedAt int64         // of the target's instance
+	Left      time.Duration // for which it is cold
+}
+
 // OutgoingMessage requests that a message be sent to another entry VM.
 type OutgoingMessage struct {
 	To      fleet.VMID
--- a/decide/ingress/place.go
+++ b/decide/ingress/place.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/azurethread/azurethread/decide/clock"
@@ -291,7 +290,3 @@
 func (r *Reducer) owns(t *targetState) bool {
 	return r.coordinator(t.region, t.Service) == r.opts.Self
 }
-
-func sortServices(list []*service) {
-	slices.SortFunc(list, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
-}
--- a/decide/ingress/placement_stats.go
+++ b/decide/ingress/placement_stats.go
@@ -117,13 +117,7 @@
 // TakePlacementStats returns the counts since its last call, one record for each
 // service with requests.
 func (r *Reducer) TakePlacementStats() []PlacementStats {
-	var list []*service
-	for _, s := range r.services {
-		if s.counts != nil {
-			list = append(list, s)
-		}
-	}
-	sortServices(list)
+	list := r.servicesWith(func(s *service) bool { return s.counts != nil })
 	out := make([]PlacementStats, 0, len(list))
 	for _, s := range list {
 		out = append(out, PlacementStats{
--- a/decide/ingress/reducer.go
+++ b/decide/ingress/reducer.go
@@ -159,6 +159,10 @@
 		r.handleMessage(now, ev)
 	case *Probed:
 		r.probed(now, ev)
+	case *StoreSilent:
+		r.checkHealth()
+	case *HealthRead:
+		r.healthRead(now, ev)
 	case *LinkProbed:
 		r.linkProbed(now, ev)
 	case *QuarantineRead:
@@ -262,20 +266,21 @@
 
 // dispatchAll places the waiting jobs of all services for which there is room.
 func (r *Reducer) dispatchAll(now clock.Time) {
-	for _, s := range r.waitingServices() {
+	for _, s := range r.servicesWith(func(s *service) bool { return s.waiting.Len() > 0 }) {
 		r.dispatchWaiting(now, s)
 	}
 }
 
-// waitingServices returns the services with waiting jobs, in a fixed order.
-func (r *Reducer) waitingServices() []*service {
+// servicesWith returns the services that match, in a fixed order: the same events must
+// always have the same effects.
+func (r *Reducer) servicesWith(match func(*service) bool) []*service {
 	var list []*service
 	for _, s := range r.services {
-		if s.waiting.Len() > 0 {
+		if match(s) {
 			list = append(list, s)
 		}
 	}
-	sortServices(list)
+	slices.SortFunc(list, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
 	return list
 }
 
--- a/serve/ingress/effects.go
+++ b/serve/ingress/effects.go
@@ -66,6 +66,9 @@
 			return &ingress.LinkProbed{Target: p.Target, Listening: found}
 		})
 	}
+	for _, c := range out.HealthChecks {
+		s.checkHealth(c)
+	}
 	for _, c := range out.LinkChanges {
 		s.logLinkChange(c)
 	}
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -30,7 +30,7 @@
 // testFields are the header fields used by the tests.
 var testFields = Fields{
 	RequestID: "X-Id", Timeout: "X-Patience", Object: "X-Object", Stamp: "X-Stamp",
-	Target: "X-Target", Instance: "X-Instance", Load: "X-Load", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
+	Target: "X-Target", Instance: "X-Instance", Load: "X-Load", Cold: "X-Cold", NotRun: "X-Not-Run", RateLimits: []string{"X-Limit"},
 	Account: "X-Account", Leaving: []string{"X-Leaving"},
 }
 
@@ -108,6 +108,8 @@
 	log       io.Writer // receives the log lines
 	translate Translator
 	hedge     hedge.Policy
+	// healthPath is the path of the targets' health pages; "": they have none.
+	healthPath string
 }
 
 func newTestEnv(t testing.TB, routes ...route.Route) *testEnv {
@@ -124,7 +126,7 @@
 		r.Attempts = max(r.Attempts, 1)
 		cfg.Routes = append(cfg.Routes, r)
 		for _, p := range r.Parts {
-			cfg.Services[p.Service] = route.Service{Name: p.Service}
+			cfg.Services[p.Service] = route.Service{Name: p.Service, HealthPath: w.healthPath}
 		}
 	}
 	b, err := json.Marshal(cfg)
@@ -192,6 +194,16 @@
 	w.store.Put("test/target/"+id, string(b))
 }
 
+// addrOf returns the address of a registered target.
+func (w *testEnv) addrOf(id string) string {
+	value, _ := w.store.Get("test/target/" + id)
+	var t ingress.Target
+	if err := json.Unmarshal([]byte(value), &t); err != nil {
+		w.t.Fatal(err)
+	}
+	return t.Addr
+}
+
 // respondOK answers as a target does.
 func respondOK(body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -55,8 +55,9 @@
 	rejections *expvar.Map
 	// unsolicited counts the times that bytes were received from targets and gateways which
 	// belong to no request, by outbound.UnsolicitedKind.
-	unsolicited *expvar.Map
-	probes      *expvar.Int // of targets that may have crashed
+	unsolicited  *expvar.Map
+	healthChecks *expvar.Int // reads of targets' health pages
+	probes       *expvar.Int // of targets that may have crashed
 	// unreadLimits counts rate limits in answers that could not be parsed.
 	unreadLimits  *expvar.Int
 	unreadNotices *expvar.Int // notices in answers that could not be parsed
@@ -131,6 +132,7 @@
 	m.sendsCut = m.newCounters("sends_cut")
 	m.rejections = m.newCounters("target_rejections")
 	m.unsolicited = m.newCounters("bytes_unsolicited")
+	m.healthChecks = m.newCounter("target_health_checks")
 	m.probes = m.newCounter("target_probes")
 	m.unreadLimits = m.newCounter("target_limits_unread")
 	m.unreadNotices = m.newCounter("target_notices_unread")
--- a/serve/ingress/peers.go
+++ b/serve/ingress/peers.go
@@ -30,6 +30,7 @@
 	kindTargetPace
 	kindHedgeRequest
 	kindGrantWork
+	kindTargetCold
 )
 
 const (
@@ -55,6 +56,7 @@
 	kindTargetPace:       func() ingress.Message { return new(ingress.TargetPace) },
 	kindHedgeRequest:     func() ingress.Message { return new(ingress.HedgeRequest) },
 	kindGrantWork:        func() ingress.Message { return new(ingress.GrantWork) },
+	kindTargetCold:       func() ingress.Message { return new(ingress.TargetCold) },
 }
 
 // kindsByMessage is the kind of each type of messagesByKind.
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -276,6 +276,7 @@
 	}
 	s.loop(s.followStore)
 	s.loop(s.keepRegistered)
+	s.loop(s.checkHealthWhileSilent)
 	s.loop(s.logPlacementPeriodically)
 	s.loop(s.writeQuarantines)
 }
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -62,6 +62,7 @@
 	Target    string // the target intended to run the request
 	Instance  string // the target that answers a request intended for another one
 	Load      string // a target's load: requests running, requests waiting, slots
+	Cold      string // on a target's health page: how much longer it is cold, in milliseconds
 	NotRun    string // present if the target has not run the request
 	Account   string // tells a target the client account of a request
 	// RateLimits state how many requests per second a target accepts from all entry
