--- a/operate/e2e/answer_test.go
+++ b/operate/e2e/answer_test.go
@@ -115,6 +115,28 @@
 	is.Equal(len(other.Executions()), 12)
 }
 
+// checkAnswer reports an answer to a request that is not idempotent, sent to targets, that
+// contradicts what they ran, or is not its own.
+func checkAnswer(t *testing.T, targets []*target.Server, id string, a answer) {
+	t.Helper()
+	n := 0
+	for _, s := range targets {
+		n += s.Executions()[id]
+	}
+	switch {
+	case n > 1:
+		t.Errorf("request %s ran %d times", id, n)
+	case a.verdict() == "not-run" && n > 0:
+		t.Errorf("request %s was answered as not run and has run", id)
+	case a.verdict() == "ran" && n == 0:
+		t.Errorf("request %s was answered as run and has not run", id)
+	case a.header.Get(unsolicited.Marker) != "":
+		t.Errorf("request %s got an answer that nobody asked for", id)
+	case a.status == http.StatusOK && (n != 1 || a.header.Get(payload.IDHeader) != id):
+		t.Errorf("request %s ran %d times and got the answer to %s", id, n, a.header.Get(payload.IDHeader))
+	}
+}
+
 // Guards against requests that are answered as not run and have run, run twice, or get
 // another's answer: a full target sends refusals and answers a second time, where the answer
 // to the next request on the connection is due.
@@ -142,26 +164,13 @@
 			}
 		})
 	}
-	executions := func(id string) (n int) {
-		for _, s := range targets {
-			n += s.Executions()[id]
-		}
-		return n
-	}
 	var wg sync.WaitGroup
 	for c := range 16 {
 		wg.Go(func() {
 			for i := range 25 {
 				id := fmt.Sprintf("c%d-%d", c, i)
 				a := callFee(t, vms[c%2], id)
-				switch n := executions(id); {
-				case n > 1:
-					t.Errorf("request %s ran %d times", id, n)
-				case a.verdict() == "not-run" && n > 0:
-					t.Errorf("request %s was answered as not run and has run", id)
-				case a.status == http.StatusOK && (n != 1 || a.header.Get(payload.IDHeader) != id):
-					t.Errorf("request %s ran %d times and got the answer to %s", id, n, a.header.Get(payload.IDHeader))
-				}
+				checkAnswer(t, targets, id, a)
 				if a.status == http.StatusOK && a.header.Get(payload.AttemptHeader) != "" {
 					t.Errorf("request %s: the caller got the id of the send", id)
 				}
@@ -199,12 +208,6 @@
 		targets = append(targets, s)
 	}
 	vms := []*entryVM{sys.startEntryVM("a", "attiki-1"), sys.startEntryVM("b", "attiki-1")}
-	executions := func(id string) (n int) {
-		for _, s := range targets {
-			n += s.Executions()[id]
-		}
-		return n
-	}
 	var wg sync.WaitGroup
 	var served atomic.Int64
 	for c := range 8 {
@@ -212,18 +215,8 @@
 			for i := range 40 {
 				id := fmt.Sprintf("c%d-%d", c, i)
 				a := callFee(t, vms[c%2], id)
-				switch n := executions(id); {
-				case n > 1:
-					t.Errorf("request %s ran %d times", id, n)
-				case a.verdict() == "not-run" && n > 0:
-					t.Errorf("request %s was answered as not run and has run", id)
-				case a.verdict() == "ran" && n == 0:
-					t.Errorf("request %s was answered as run and has not run", id)
-				case a.header.Get(unsolicited.Marker) != "":
-					t.Errorf("request %s got an answer that nobody asked for", id)
-				case a.status == http.StatusOK && a.header.Get(payload.IDHeader) != id:
-					t.Errorf("request %s got the answer to %s", id, a.header.Get(payload.IDHeader))
-				case a.status == http.StatusOK:
+				checkAnswer(t, targets, id, a)
+				if a.status == http.StatusOK {
 					served.Add(1)
 				}
 			}
