--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -299,6 +299,12 @@
 	return known == n
 }
 
+// serviceStatus returns what s knows of the targets of the service.
+func (s *Server) serviceStatus() (st ingress.ServiceStatus) {
+	s.core.Query(func(now clock.Time, r *ingress.Reducer) { st = r.Status(now).Services["svc"] })
+	return st
+}
+
 // eventually waits for a condition that other goroutines establish.
 func (w *testEnv) eventually(what string, is func() bool) {
 	w.t.Helper()
--- a/serve/ingress/health_test.go
+++ b/serve/ingress/health_test.go
@@ -8,17 +8,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
 )
 
-// coldTargets returns the number of targets of the service that are known to be cold.
-func (s *Server) coldTargets() int {
-	n := 0
-	s.core.Query(func(now clock.Time, r *ingress.Reducer) { n = r.Status(now).Services["svc"].Cold })
-	return n
-}
-
 // Guards against requests beyond what a cold target bears: it becomes cold while the store is
 // silent. While the store answers, no page is read.
 func TestHealthPagesAreReadWhileTheStoreIsSilent(t *testing.T) {
@@ -44,9 +36,9 @@
 	is.Equal(read.Load(), int64(0))
 	client.Refuse(true)
 	w.eventually("the page is read", func() bool { return read.Load() >= 3 })
-	is.Equal(s.coldTargets(), 0)
+	is.Equal(s.serviceStatus().Cold, 0)
 	cold.Store(true)
-	w.eventually("the target is known to be cold", func() bool { return s.coldTargets() == 1 })
+	w.eventually("the target is known to be cold", func() bool { return s.serviceStatus().Cold == 1 })
 	is.True(s.metrics.healthChecks.Value() >= 4)
 	is.Equal(s.targetPool.Connections(w.addrOf("t1")), 1) // the page is read on one connection
 	client.Refuse(false)
--- a/serve/ingress/notice_test.go
+++ b/serve/ingress/notice_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/decide/notice"
 )
@@ -86,11 +85,8 @@
 
 // noticeStatus returns how many targets of the service are leaving or in a backoff.
 func (s *Server) noticeStatus() (leaving, backOff int) {
-	s.core.Query(func(now clock.Time, r *ingress.Reducer) {
-		st := r.Status(now).Services["svc"]
-		leaving, backOff = st.Leaving, st.BackOff
-	})
-	return leaving, backOff
+	st := s.serviceStatus()
+	return st.Leaving, st.BackOff
 }
 
 // Guards against notices that are read from some kinds of answers only.
--- a/serve/ingress/ownership_test.go
+++ b/serve/ingress/ownership_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/serve/outbound"
 )
 
@@ -197,15 +196,14 @@
 		requestsEach = 150
 		accepted     = 20 // requests of each target, before it rejects any
 	)
-	quick := route.Route{Name: "read", Prefix: "/read/", Idempotent: true, Attempts: 2, Parts: []route.Part{{Service: "svc", Weight: 1}}}
-	w := newTestEnv(t, catchAllRoute(false), quick)
-	ran := new(executions)
+	w := newTestEnv(t, catchAllRoute(false), readRoute())
+	p := &promises{ran: new(executions)}
 	var copies atomic.Int64
 	for n := range targets {
 		var requests atomic.Int64
 		w.startRawTarget(fmt.Sprint("t", n), func(c net.Conn, r *bufio.Reader) {
 			rng := rand.New(rand.NewPCG(uint64(n), uint64(c.RemoteAddr().(*net.TCPAddr).Port)))
-			serveReplies(c, r, ran, func(req *http.Request, previous string) (first, rejection string) {
+			serveReplies(c, r, p.ran, func(req *http.Request, previous string) (first, rejection string) {
 				if previous != "" && rng.IntN(2) == 0 {
 					first = previous
 					copies.Add(1)
@@ -221,32 +219,8 @@
 			})
 		})
 	}
-	s := w.startListed("vm-1")
-	var wg sync.WaitGroup
-	for n := range callers {
-		wg.Go(func() {
-			c := dial(t, s)
-			for i := range requestsEach {
-				id := fmt.Sprint(n, "-", i)
-				path := "/x"
-				if i%3 == 0 {
-					path = "/read/x"
-				}
-				c.sendRequest(http.MethodPost, path, id)
-				res, body := c.readResponse(http.MethodPost)
-				runs := ran.of(id)
-				switch {
-				case res.StatusCode == http.StatusOK && body != id:
-					t.Errorf("request %s got the answer %q", id, body)
-				case res.StatusCode == http.StatusServiceUnavailable && runs > 0 && path == "/x":
-					t.Errorf("request %s was answered as not run and has run", id)
-				case runs > 1 && path == "/x":
-					t.Errorf("request %s ran %d times", id, runs)
-				}
-			}
-		})
-	}
-	wg.Wait()
+	unsolicitedCalls(t, w.startListed("vm-1"), p, callers, requestsEach, true)
+	p.report(t)
 	if copies.Load() == 0 {
 		t.Error("no answer came a second time")
 	}
--- a/serve/ingress/ratelimit_test.go
+++ b/serve/ingress/ratelimit_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/ingress"
 )
 
@@ -31,14 +30,6 @@
 	is.Equal(err, errRepeated)
 }
 
-// limitedTargets returns the number of targets of the service that are known to
-// have a rate limit.
-func (s *Server) limitedTargets() int {
-	n := 0
-	s.core.Query(func(now clock.Time, r *ingress.Reducer) { n = r.Status(now).Services["svc"].Limited })
-	return n
-}
-
 // Guards against rate limits in answers that are ignored.
 func TestRateLimitIsReadFromAnswer(t *testing.T) {
 	is := is.New(t)
@@ -50,11 +41,11 @@
 	s := w.startListed("vm-1")
 	res, _ := doRequest(t, s, http.MethodGet, "/x", "id-1")
 	is.Equal(res.StatusCode, http.StatusOK)
-	is.Equal(s.limitedTargets(), 0)
+	is.Equal(s.serviceStatus().Limited, 0)
 	is.Equal(s.metrics.unreadLimits.Value(), int64(1))
 	res, _ = doRequest(t, s, http.MethodGet, "/4.8", "id-2")
 	is.Equal(res.Header.Get(testFields.RateLimits[0]), "4.8")
-	is.Equal(s.limitedTargets(), 1)
+	is.Equal(s.serviceStatus().Limited, 1)
 }
 
 // Guards against requests beyond a limit that a target states only when it rejects one, without
@@ -76,7 +67,7 @@
 	doRequest(t, s, http.MethodPost, "/x", "id-1")
 	res, _ := doRequest(t, s, http.MethodPost, "/x", "id-2")
 	is.Equal(res.StatusCode, http.StatusBadGateway)
-	is.Equal(s.limitedTargets(), 1)
+	is.Equal(s.serviceStatus().Limited, 1)
 }
 
 func TestLimitTermsOfForwardedRequests(t *testing.T) {
@@ -114,7 +105,7 @@
 	near, gate := w.startTwoRegions()
 	res, _ := doRequest(t, near, http.MethodPost, "/x", "id-1")
 	is.Equal(res.StatusCode, http.StatusOK)
-	w.eventually("the gateway knows the limit", func() bool { return gate.limitedTargets() == 1 })
+	w.eventually("the gateway knows the limit", func() bool { return gate.serviceStatus().Limited == 1 })
 
 	other := w.startListed("vm-2")
 	near.shutdown()
@@ -125,5 +116,5 @@
 	res, _ = doRequest(t, other, http.MethodPost, "/x", "id-2")
 	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(got.Load(), int64(1))
-	is.Equal(other.limitedTargets(), 1)
+	is.Equal(other.serviceStatus().Limited, 1)
 }
