standin: one place decides where bytes are sent that no request caused

Cause: the tests of serve/ingress and the soak each had code of their own for the places, and the stand-in of a target sent such bytes only where an answer is due.

Change: unsolicited.Conn.SendAt sends them where an answer is due, in two parts there, behind the answer, or by themselves up to 20 ms after it; all three stand-ins use it.

--- a/operate/e2e/answer_test.go
+++ b/operate/e2e/answer_test.go
@@ -187,8 +187,8 @@
 }
 
 // Guards against requests that are answered as not run and have run, run twice, or get an
-// answer that is not theirs: targets send bytes that no request caused, of any form, where
-// the answer to a request or to a probe is due.
+// answer that is not theirs: targets send bytes that no request caused, of any form and at any
+// place around the answer to a request or a probe.
 func TestUnsolicitedAnswersBreakNoPromise(t *testing.T) {
 	is := is.New(t)
 	sys := newTestSystem(t, testServices())
@@ -199,11 +199,12 @@
 	var targets []*target.Server
 	for _, id := range []fleet.TargetID{"t1", "t2"} {
 		s := sys.startTarget("attiki-1", target.Options{Service: fee, ID: id, Slots: 4, Work: target.Work{Base: 3 * time.Millisecond}})
-		s.SendUnsolicited(func() []byte {
-			if rand.IntN(4) > 0 {
-				return nil
+		s.SendUnsolicited(func() (unsolicited.Place, []byte) {
+			rng := rand.New(rand.NewPCG(rand.Uint64(), 75))
+			if rng.IntN(4) > 0 {
+				return unsolicited.Due, nil
 			}
-			return unsolicited.Draw(rand.New(rand.NewPCG(rand.Uint64(), 75)), forms)
+			return unsolicited.DrawPlace(rng), unsolicited.Draw(rng, forms)
 		})
 		targets = append(targets, s)
 	}
--- a/serve/ingress/unsolicited_test.go
+++ b/serve/ingress/unsolicited_test.go
@@ -19,22 +19,12 @@
 	"github.com/azurethread/azurethread/standin/unsolicited"
 )
 
-// place is where a target sends bytes that no request caused.
-type place string
-
-const (
-	placeDue    place = "where the next answer is due"
-	placeAlone  place = "by themselves after an answer"
-	placeBehind place = "behind an answer"
-	placeSplit  place = "in two parts where the next answer is due"
-)
-
 // unsolicitedTarget is a target that runs or rejects requests, and sends bytes that no request
 // caused.
 type unsolicitedTarget struct {
 	ran    *executions
 	forms  []unsolicited.Form
-	place  place
+	place  unsolicited.Place
 	oneIn  int  // of the answers, the share after which something is sent, beside the first ones
 	reject int  // of the requests, as one in so many, the share that is rejected; 0: none
 	whole  bool // forms are not cut
@@ -61,7 +51,7 @@
 func (u *unsolicitedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := unsolicited.Received(r)
 	b, rejected := u.draw()
-	u.send(c, b)
+	c.SendAt(u.place, b, func() { u.sent.Add(1) })
 	if rejected {
 		w.Header().Set(testFields.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -72,38 +62,6 @@
 	respondOK(r.Header.Get(testFields.RequestID))(w, r)
 }
 
-// send sends b at u's place.
-func (u *unsolicitedTarget) send(c *unsolicited.Conn, b []byte) {
-	if len(b) == 0 {
-		return
-	}
-	later := func(b []byte, after time.Duration) {
-		time.AfterFunc(after, func() {
-			if c.SendNow(b) {
-				u.sent.Add(1)
-			}
-		})
-	}
-	switch u.place {
-	case placeDue:
-		if c.SendAsNext(b) {
-			u.sent.Add(1)
-		}
-	case placeAlone:
-		later(b, 5*time.Millisecond+rand.N(20*time.Millisecond))
-	case placeBehind:
-		c.SendBehind(b)
-		u.sent.Add(1)
-	case placeSplit:
-		half := len(b) / 2
-		c.SendAsNext(b[:half])
-		time.Sleep(time.Millisecond)
-		if c.SendAsNext(b[half:]) {
-			u.sent.Add(1)
-		}
-	}
-}
-
 // testForms are the forms of bytes that no request caused, in the tests' fields.
 var testForms = unsolicited.Fields{
 	RequestID: testFields.RequestID, NotRun: testFields.NotRun + ": 1", Instance: testFields.Instance, Stamp: testFields.Stamp,
@@ -210,7 +168,7 @@
 // answer that is not theirs, because a target sends bytes that no request caused: they have
 // any form, and come at any place behind an answer.
 func TestUnsolicitedBytesBreakNoPromise(t *testing.T) {
-	for _, at := range []place{placeDue, placeAlone, placeBehind, placeSplit} {
+	for _, at := range unsolicited.Places() {
 		for _, form := range []string{"rejection", "misdirection", "failure", "head", ""} {
 			t.Run(fmt.Sprintf("%s %s", form, at), func(t *testing.T) {
 				w := newTestEnv(t, catchAllRoute(false), readRoute())
@@ -241,7 +199,7 @@
 	p := &promises{ran: new(executions)}
 	var sent atomic.Int64
 	w.startUnsolicited("t1", &unsolicitedTarget{
-		ran: p.ran, forms: formsNamed("misdirection"), place: placeDue, oneIn: 3, whole: true, sent: &sent,
+		ran: p.ran, forms: formsNamed("misdirection"), place: unsolicited.Due, oneIn: 3, whole: true, sent: &sent,
 		rng: rand.New(rand.NewPCG(1, 75)),
 	})
 	const requests = 60
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -65,7 +65,7 @@
 
 // handleRequest executes and answers one request.
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
-	s.sendBefore(unsolicited.Received(r))
+	s.sendUnsolicited(unsolicited.Received(r))
 	if !s.admit() {
 		s.refuse(w)
 		return
@@ -91,24 +91,27 @@
 	s.answer(w, r, hash.String())
 }
 
-// sendBefore sends the bytes that no request caused where the next answer on c is due, if
+// sendUnsolicited sends bytes that no request caused around the next answer on c, if
 // RepeatAnswers or SendUnsolicited ask for it.
-func (s *Server) sendBefore(c *unsolicited.Conn) {
+func (s *Server) sendUnsolicited(c *unsolicited.Conn) {
 	s.mu.Lock()
 	repeats, draw := s.repeats, s.unsolicited
 	s.mu.Unlock()
-	repeated := repeats && c.RepeatAsNext()
-	sent := draw != nil && c.SendAsNext(draw())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if repeated {
-		s.stats.RepeatedAnswers++
+	if repeats && c.RepeatAsNext() {
+		s.count(func(st *Stats) { st.RepeatedAnswers++ })
 	}
-	if sent {
-		s.stats.Unsolicited++
+	if draw != nil {
+		at, b := draw()
+		c.SendAt(at, b, func() { s.count(func(st *Stats) { st.Unsolicited++ }) })
 	}
 }
 
+func (s *Server) count(f func(*Stats)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.stats)
+}
+
 // withDeadline applies the request's deadline header, if there is one.
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
 	ms, err := strconv.ParseInt(r.Header.Get(payload.DeadlineHeader), 10, 64)
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/standin/unsolicited"
 )
 
 const (
@@ -81,7 +82,7 @@
 	drained      chan struct{} // nil before Leave; closed when no request is left
 	answersToCut int
 	repeats      bool // see RepeatAnswers
-	unsolicited  func() []byte
+	unsolicited  func() (unsolicited.Place, []byte)
 	addr         string
 	http         *http.Server
 	listener     *listener
@@ -269,9 +270,9 @@
 	s.repeats = on
 }
 
-// SendUnsolicited sets a function whose result is sent where the answer to a request is due,
-// before that answer; nil ends that. Several goroutines may call it.
-func (s *Server) SendUnsolicited(f func() []byte) {
+// SendUnsolicited sets a function whose result is sent around the answer to each request; nil
+// ends that. Several goroutines may call it.
+func (s *Server) SendUnsolicited(f func() (unsolicited.Place, []byte)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unsolicited = f
--- a/standin/unsolicited/unsolicited.go
+++ b/standin/unsolicited/unsolicited.go
@@ -6,16 +6,44 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // maxAnswer is the size of the largest answer after which something is sent, in bytes.
 // net/http writes a larger one in several pieces.
 const maxAnswer = 4 << 10
 
+// maxPause is the longest time after an answer for Alone.
+const maxPause = 20 * time.Millisecond
+
+// Place is where bytes are sent that no request caused.
+type Place uint8
+
+// Places of bytes that no request caused.
+const (
+	Due      Place = iota // where the answer is due, before it
+	TwoParts              // the same, in two segments
+	Behind                // in one segment with the answer, behind it
+	Alone                 // by themselves, up to 20 ms after the answer
+	places
+)
+
+// String returns the name of the place.
+func (p Place) String() string {
+	return [...]string{"where an answer is due", "in two parts where an answer is due", "behind an answer", "alone"}[p]
+}
+
+// Places returns all places.
+func Places() []Place { return []Place{Due, TwoParts, Behind, Alone} }
+
+// DrawPlace returns a place at random.
+func DrawPlace(rng *rand.Rand) Place { return Place(rng.IntN(int(places))) }
+
 // Listener wraps the connections that it accepts in Conns.
 type Listener struct{ net.Listener }
 
@@ -54,6 +82,8 @@
 	last   []byte // the latest answer; nil: none, or it is too large
 	due    bool   // an answer to a received request is due
 	behind []byte // is sent together with the next answer, behind it
+	alone  []byte // is sent some time after the next answer
+	sent   func() // is called when behind or alone is sent
 }
 
 // Write implements net.Conn.
@@ -66,7 +96,18 @@
 	}
 	c.last = bytes.Clone(b)
 	n, err := c.Conn.Write(slices.Concat(b, c.behind))
-	c.behind = nil
+	switch sent := c.sent; {
+	case len(c.behind) > 0 && n > len(b):
+		sent()
+	case len(c.alone) > 0:
+		alone := c.alone
+		time.AfterFunc(rand.N(maxPause), func() {
+			if c.SendNow(alone) {
+				sent()
+			}
+		})
+	}
+	c.behind, c.alone = nil, nil
 	return min(n, len(b)), err
 }
 
@@ -82,11 +123,32 @@
 // SendAsNext sends b where an answer is due, if b is not empty.
 func (c *Conn) SendAsNext(b []byte) bool { return len(b) > 0 && c.send(b, true) }
 
-// SendBehind sends b behind the next answer, in the same write.
-func (c *Conn) SendBehind(b []byte) {
+// SendAt sends b at a place around the answer to the request that was received last. It
+// calls sent when it has.
+func (c *Conn) SendAt(at Place, b []byte, sent func()) {
+	switch at {
+	case Due:
+		if c.SendAsNext(b) {
+			sent()
+		}
+	case TwoParts:
+		half := len(b) / 2
+		c.SendAsNext(b[:half])
+		time.Sleep(time.Millisecond)
+		if c.SendAsNext(b[half:]) {
+			sent()
+		}
+	case Behind:
+		c.sendLater(b, nil, sent)
+	case Alone:
+		c.sendLater(nil, b, sent)
+	}
+}
+
+func (c *Conn) sendLater(behind, alone []byte, sent func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.behind = b
+	c.behind, c.alone, c.sent = behind, alone, sent
 }
 
 // send sends b, or the latest answer if b is nil.
