--- a/decide/ingress/health.go
+++ b/decide/ingress/health.go
@@ -43,10 +43,9 @@
 // healthRead applies what a target's health page states.
 func (r *Reducer) healthRead(now clock.Time, ev *HealthRead) {
 	t := r.instanceOf(ev.Target, ev.StartedAt)
-	if t == nil || ev.Cold <= 0 || t.cold(now) {
+	if t == nil || !r.becomeCold(now, t, ev.Cold) {
 		return
 	}
-	r.becomeCold(now, t, ev.Cold)
 	m := &TargetCold{Target: t.ID, StartedAt: t.StartedAt, Left: ev.Cold}
 	for i := range r.members {
 		vm := &r.members[i]
@@ -58,15 +57,21 @@
 
 // coldAnnounced applies what another VM has read of a target's health page.
 func (r *Reducer) coldAnnounced(now clock.Time, m *TargetCold) {
-	if t := r.instanceOf(m.Target, m.StartedAt); t != nil && m.Left > 0 && !t.cold(now) {
+	if t := r.instanceOf(m.Target, m.StartedAt); t != nil {
 		r.becomeCold(now, t, m.Left)
 	}
 }
 
-// becomeCold records that t is cold although its registration does not say so.
-func (r *Reducer) becomeCold(now clock.Time, t *targetState, left time.Duration) {
+// becomeCold records that t is cold although its registration does not say so, for as long as
+// targets of its service are cold at most. It reports false if that is known or not so.
+func (r *Reducer) becomeCold(now clock.Time, t *targetState, left time.Duration) bool {
+	left = min(left, r.coldTime(t.Service))
+	if left <= 0 || t.cold(now) {
+		return false
+	}
 	t.coldUntil = now.Add(left)
 	t.coldStarts++
 	r.out.StateChanges = append(r.out.StateChanges, TargetStateChange{Target: t.ID, Change: "states that it is cold", Until: t.coldUntil, Stated: left})
 	r.updateListing(now, t)
+	return true
 }
--- a/decide/ingress/health_test.go
+++ b/decide/ingress/health_test.go
@@ -89,6 +89,17 @@
 	is.Equal(len(s.step(read).Messages), 0)
 }
 
+// Guards against a target that is spared for ever: it states that it is cold for longer than
+// targets of its service are.
+func TestStatedColdTimeIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := healthHarness(t, selfVM)
+	s.step(&HealthRead{Target: "t1", StartedAt: 5, Cold: time.Hour})
+	is.True(s.r.targets["t1"].cold(s.now))
+	s.advance(3 * time.Second)
+	is.True(!s.r.targets["t1"].cold(s.now))
+}
+
 // Guards against a target that is spared for the answer of its earlier start.
 func TestHealthOfAnEarlierStartIsIgnored(t *testing.T) {
 	is := is.New(t)
--- a/serve/ingress/harness_test.go
+++ b/serve/ingress/harness_test.go
@@ -108,7 +108,8 @@
 	log       io.Writer // receives the log lines
 	translate Translator
 	hedge     hedge.Policy
-	// healthPath is the path of the targets' health pages; "": they have none.
+	// healthPath is the path of the targets' health pages; "": they have none, and are never
+	// cold.
 	healthPath string
 }
 
@@ -126,7 +127,11 @@
 		r.Attempts = max(r.Attempts, 1)
 		cfg.Routes = append(cfg.Routes, r)
 		for _, p := range r.Parts {
-			cfg.Services[p.Service] = route.Service{Name: p.Service, HealthPath: w.healthPath}
+			s := route.Service{Name: p.Service, HealthPath: w.healthPath}
+			if s.HealthPath != "" {
+				s.ColdTime = 3 * time.Second
+			}
+			cfg.Services[p.Service] = s
 		}
 	}
 	b, err := json.Marshal(cfg)
--- a/serve/ingress/unsolicited_test.go
+++ b/serve/ingress/unsolicited_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurethread/azurethread/decide/fleet"
 	"github.com/azurethread/azurethread/decide/route"
 	"github.com/azurethread/azurethread/standin/unsolicited"
 )
@@ -73,7 +74,7 @@
 }
 
 // startUnsolicited starts a target in a failure domain.
-func (w *testEnv) startUnsolicited(id string, u *unsolicitedTarget) {
+func (w *testEnv) startUnsolicited(d fleet.Domain, id string, u *unsolicitedTarget) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		w.t.Fatal(err)
@@ -83,7 +84,7 @@
 	}}
 	go func() { _ = srv.Serve(unsolicited.Listener{Listener: ln}) }() // ends with Close
 	w.t.Cleanup(func() { _ = srv.Close() })
-	w.registerTarget(id, ln.Addr().String())
+	w.registerTargetIn(d, id, ln.Addr().String())
 }
 
 // promises counts the promises that answers to requests break.
@@ -175,7 +176,7 @@
 				p := &promises{ran: new(executions)}
 				var sent atomic.Int64
 				for n := range 3 {
-					w.startUnsolicited(fmt.Sprint("t", n), &unsolicitedTarget{
+					w.startUnsolicited("d1", fmt.Sprint("t", n), &unsolicitedTarget{
 						ran: p.ran, forms: formsNamed(form), place: at, oneIn: 5, reject: 12, sent: &sent,
 						rng: rand.New(rand.NewPCG(uint64(n), 75)),
 					})
@@ -198,7 +199,7 @@
 	w := newTestEnv(t, catchAllRoute(false))
 	p := &promises{ran: new(executions)}
 	var sent atomic.Int64
-	w.startUnsolicited("t1", &unsolicitedTarget{
+	w.startUnsolicited("d1", "t1", &unsolicitedTarget{
 		ran: p.ran, forms: formsNamed("misdirection"), place: unsolicited.Due, oneIn: 3, whole: true, sent: &sent,
 		rng: rand.New(rand.NewPCG(1, 75)),
 	})
@@ -210,3 +211,27 @@
 	is.True(sent.Load() > 0)
 	is.Equal(s.metrics.targetStateChanges.Get("address taken over"), nil)
 }
+
+// Guards against a gateway that gives a request's name to a rejection which is nobody's.
+func TestUnsolicitedBytesBreakNoPromiseThroughAGateway(t *testing.T) {
+	for _, at := range unsolicited.Places() {
+		t.Run(at.String(), func(t *testing.T) {
+			w := newTestEnv(t, catchAllRoute(false), readRoute())
+			p := &promises{ran: new(executions)}
+			var sent atomic.Int64
+			for n := range 3 {
+				w.startUnsolicited("far", fmt.Sprint("t", n), &unsolicitedTarget{
+					ran: p.ran, forms: testForms, place: at, oneIn: 5, reject: 12, sent: &sent,
+					rng: rand.New(rand.NewPCG(uint64(n), 75)),
+				})
+			}
+			near, gate := w.startTwoRegions()
+			unsolicitedCalls(t, near, p, 12, 60, true)
+			p.report(t)
+			is := is.New(t)
+			is.True(sent.Load() > 0)
+			is.True(p.served > 12*60/2)
+			is.True(gate.metrics.forwarded.Value() > 12*60/2)
+		})
+	}
+}
