ingress: after an answer that proved nothing, the next one is to prove what it states

Callers of idempotent requests got 502 in place of their target's error, from targets that name requests in their successes only.

Cause: an error without a name behind other answers proves nothing; the request went to another target, on a connection that had carried answers too, and its error proved as little.

Change: a request that is sent again after an unproved answer goes on a connection that has carried nothing, whatever is known of the service.

--- a/decide/ingress/proof.go
+++ b/decide/ingress/proof.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurethread/azurethread/decide/clock"
+	"github.com/azurethread/azurethread/decide/verdict"
 )
 
 // A target that rejects a request proves that it has not run by naming it. A rejection without
@@ -33,11 +34,16 @@
 }
 
 // needsUnused reports whether q is to be sent to t on a connection that has carried nothing.
+// After an answer that proved nothing, the next one is to prove what it states.
 func (q *request) needsUnused(now clock.Time, t *targetState) bool {
-	if !within(now, q.svc.unnamedRejectionAt, unnamedRejectionMemory) {
+	switch {
+	case q.reason == verdict.ReasonUnproved:
+		return true
+	case !within(now, q.svc.unnamedRejectionAt, unnamedRejectionMemory):
 		return false
+	default:
+		return !q.route.Idempotent || within(now, t.rejectedAt, rejectionMemory)
 	}
-	return !q.route.Idempotent || within(now, t.rejectedAt, rejectionMemory)
 }
 
 // within reports whether at, 0 for never, is less than span ago.
--- a/decide/ingress/proof_test.go
+++ b/decide/ingress/proof_test.go
@@ -50,6 +50,7 @@
 	tried := map[fleet.TargetID]bool{}
 	for range 3 { // the attempts of the route
 		is.True(!tried[send.Target])
+		is.Equal(send.Unused, len(tried) > 0) // what is answered then is proof
 		tried[send.Target] = true
 		out := s.step(unproved(send))
 		if len(out.Sends) == 0 {
--- a/serve/ingress/ownership_test.go
+++ b/serve/ingress/ownership_test.go
@@ -271,3 +271,33 @@
 	is.Equal(gate.metrics.forwarded.Value(), int64(5))
 	is.Equal(near.metrics.sendConnsClosed.Get(string(outbound.ClosedNotReusable)), nil)
 }
+
+// Guards against an error of a target that never reaches its caller: the target names requests
+// in successes only, and each of its errors proves nothing.
+func TestUnnamedErrorReachesItsCaller(t *testing.T) {
+	is := is.New(t)
+	w := newTestEnv(t, catchAllRoute(true))
+	for _, id := range []string{"t1", "t2"} {
+		w.startTarget(id, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/missing" {
+				time.Sleep(5 * time.Millisecond)
+				respondOK("body")(rw, r)
+				return
+			}
+			rw.Header().Set(testFields.Stamp, "s")
+			rw.WriteHeader(http.StatusNotFound)
+		})
+	}
+	s := w.startListed("vm-1")
+	var before sync.WaitGroup // requests that earn a retry, and use connections to both targets
+	for n := range 6 {
+		before.Go(func() {
+			for i := range 10 {
+				doRequest(t, s, http.MethodGet, "/x", fmt.Sprint(n, "-", i))
+			}
+		})
+	}
+	before.Wait()
+	res, _ := doRequest(t, s, http.MethodGet, "/missing", "missing")
+	is.Equal(res.StatusCode, http.StatusNotFound)
+}
