standin: one reader that pauses, and one order of the fake store's keys

Change: link.PausingReader serves both tests; Range and Page read the same sorted keys. No code of the product is changed.

--- a/serve/kv/kvtest/store.go
+++ b/serve/kv/kvtest/store.go
@@ -2,7 +2,6 @@
 package kvtest
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -205,19 +204,26 @@
 	if err := s.checkUp(); err != nil {
 		return kv.Snapshot{}, err
 	}
-	out, items := kv.Snapshot{At: s.at()}, s.items
+	out, items, keys := kv.Snapshot{At: s.at()}, s.items, s.sortedKeys()
 	if from == kv.Any && s.staleItems != nil {
-		out.At, items = s.staleAt, s.staleItems
+		out.At, items, keys = s.staleAt, s.staleItems, slices.Sorted(maps.Keys(s.staleItems))
 	}
-	for key, e := range items {
+	for _, key := range keys {
 		if strings.HasPrefix(key, prefix) {
-			out.Items = append(out.Items, e.Item)
+			out.Items = append(out.Items, items[key].Item)
 		}
 	}
-	slices.SortFunc(out.Items, func(a, b mirror.Item) int { return cmp.Compare(a.Key, b.Key) })
 	return out, nil
 }
 
+// sortedKeys returns the keys of the items in order.
+func (s *state) sortedKeys() []string {
+	if s.keys == nil {
+		s.keys = slices.Sorted(maps.Keys(s.items))
+	}
+	return s.keys
+}
+
 // Page reads the first items below prefix whose keys are greater than after, at most limit.
 // more means that there are further ones.
 func (s *Store) Page(prefix, after string, limit int) (page kv.Snapshot, more bool, err error) {
@@ -226,12 +232,10 @@
 	if err := s.checkUp(); err != nil {
 		return kv.Snapshot{}, false, err
 	}
-	if s.keys == nil {
-		s.keys = slices.Sorted(maps.Keys(s.items))
-	}
+	keys := s.sortedKeys()
 	page.At = s.at()
-	i, _ := slices.BinarySearch(s.keys, max(prefix, after))
-	for _, key := range s.keys[i:] {
+	i, _ := slices.BinarySearch(keys, max(prefix, after))
+	for _, key := range keys[i:] {
 		switch {
 		case key == after:
 			continue
--- a/serve/outbound/path_test.go
+++ b/serve/outbound/path_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurethread/azurethread/decide/clock"
 	"github.com/azurethread/azurethread/decide/verdict"
+	"github.com/azurethread/azurethread/standin/link"
 )
 
 const testAckTimeout = 1500 * time.Millisecond
@@ -93,7 +94,7 @@
 			readAll(c, r)
 		}, 0},
 		"reads a part now and then": {func(c net.Conn, r *bufio.Reader) {
-			slow := bufio.NewReader(&pausingReader{r: r, every: bodySize / 4, pause: 2 * testAckTimeout})
+			slow := bufio.NewReader(&link.PausingReader{From: r, Every: bodySize / 4, Pause: 2 * testAckTimeout})
 			readAll(c, slow)
 		}, 0},
 		"path is dead": {func(c net.Conn, _ *bufio.Reader) {
@@ -139,25 +140,6 @@
 	}
 }
 
-// pausingReader pauses each time that so many bytes have been read.
-type pausingReader struct {
-	r     io.Reader
-	every int
-	pause time.Duration
-	read  int
-}
-
-// Read implements io.Reader.
-func (p *pausingReader) Read(b []byte) (int, error) {
-	if p.read >= p.every {
-		time.Sleep(p.pause)
-		p.read = 0
-	}
-	n, err := p.r.Read(b)
-	p.read += n
-	return n, err
-}
-
 // Guards against a request that is broken off because the receiver has paused in an earlier one
 // on the same connection.
 func TestStalledConnectionIsNotReused(t *testing.T) {
