--- a/serve/inbound/end.go
+++ b/serve/inbound/end.go
@@ -29,4 +29,5 @@
 	InFlight int  // of them, those without an answer
 	Waiting  int  // requests that were received and not passed on
 	Partial  bool // a request was partly received
+	Unread   int  // bytes that the kernel held when this side decided to close an idle connection
 }
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -140,6 +140,17 @@
 	return n
 }
 
+// kernelUnread returns how many received bytes this side has not read, 0 if that is unknown.
+// It must be called on the poller's goroutine.
+func (c *conn) kernelUnread() int {
+	n := 0
+	var err error
+	if c.s.engine.Control(c.nbc, func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) != nil || err != nil {
+		return 0
+	}
+	return n
+}
+
 // hangUp closes the connection. The phase must not be open.
 func (c *conn) hangUp() { c.s.engine.Close(c.nbc) }
 
@@ -235,11 +246,13 @@
 // goroutine: otherwise the poller could read a request between the decision and the close,
 // and its caller could not tell that from a request that was taken.
 func (c *conn) closeIfIdle(why CloseReason) bool {
+	unread := c.kernelUnread()
 	c.mu.Lock()
 	idle := c.phase == phaseOpen && !c.receiving && c.pipeline.empty() && !c.pending()
 	if idle {
 		c.phase = phaseLast
 		c.closeReason = why
+		c.unread = unread
 	}
 	c.mu.Unlock()
 	if idle {
@@ -289,6 +302,6 @@
 	}
 	return ConnectionEnd{
 		Reason: why, Remote: c.remote, Requests: c.requests,
-		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.receiving,
+		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.receiving, Unread: c.unread,
 	}
 }
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -160,13 +160,14 @@
 	s.metrics.connsClosed.Add(why, 1)
 	s.metrics.requestsCut.Add(why, int64(end.InFlight))
 	s.metrics.requestsUnread.Add(why, int64(end.Waiting))
-	if !end.Reason.Own() || end.InFlight+end.Waiting == 0 {
+	s.metrics.bytesUnread.Add(why, int64(end.Unread))
+	if !end.Reason.Own() || end.InFlight+end.Waiting+end.Unread == 0 {
 		return
 	}
 	if line, _ := s.sampler.sampleFailure(s.now()); line {
 		s.event(eventConn).WithFields(logrus.Fields{
 			"closed_by": end.Reason, "remote": end.Remote, "requests": end.Requests,
-			"in_flight": end.InFlight, "waiting": end.Waiting, "partial": end.Partial, "leaving": s.leaving.Load(),
+			"in_flight": end.InFlight, "waiting": end.Waiting, "partial": end.Partial, "unread_bytes": end.Unread, "leaving": s.leaving.Load(),
 		}).Warn("a connection was closed with requests that have no answer")
 	}
 }
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -47,6 +47,7 @@
 	connsClosed     *expvar.Map // connections of callers and entry VMs, by reason
 	requestsCut     *expvar.Map // requests in flight on them, by reason
 	requestsUnread  *expvar.Map // requests received on them and not passed on, by reason
+	bytesUnread     *expvar.Map // bytes on idle ones that had not been read, by reason
 	sendConnsClosed *expvar.Map // connections to targets and gateways, by reason
 	sendsCut        *expvar.Map // requests in flight on them, by reason
 	// rejections counts targets' answers which state that the request has not run, by
@@ -128,6 +129,7 @@
 	m.connsClosed = m.newCounters("connections_closed")
 	m.requestsCut = m.newCounters("requests_cut")
 	m.requestsUnread = m.newCounters("requests_unread")
+	m.bytesUnread = m.newCounters("bytes_unread")
 	m.sendConnsClosed = m.newCounters("send_connections_closed")
 	m.sendsCut = m.newCounters("sends_cut")
 	m.rejections = m.newCounters("target_rejections")
--- a/serve/ingress/stop.go
+++ b/serve/ingress/stop.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/azurethread/azurethread/decide/ingress"
 	"github.com/azurethread/azurethread/serve/inbound"
 	"github.com/azurethread/azurethread/serve/outbound"
@@ -41,6 +43,7 @@
 		l.AnnounceClose()
 	}
 	s.event(eventStop).WithField("in_flight", s.calls.len()).Info("entry VM is stopping")
+	began := time.Now()
 	for _, step := range []struct {
 		after time.Duration
 		event ingress.Event
@@ -53,22 +56,33 @@
 	case <-time.After(leaveDelay):
 	case <-ctx.Done():
 	}
+	s.logStopStep("callers have had time to leave", began)
 	s.callerServer.StopAccepting()
+	s.logStopStep("no connection is accepted", began)
 	err := s.callerServer.Stop(ctx)
+	s.logStopStep("callers' connections are closed", began)
 	if s.gatewayServer != nil {
 		// Other entry VMs learn later than callers that this VM is leaving.
 		s.gatewayServer.StopAccepting()
 		err = errors.Join(err, s.gatewayServer.Stop(ctx))
+		s.logStopStep("gateway's connections are closed", began)
 	}
 	err = errors.Join(err, s.stopPages(ctx))
 	s.shutdown()
 	if err != nil {
 		return fmt.Errorf("ingress: %w", err)
 	}
-	s.event(eventStop).Info("entry VM stopped")
+	s.event(eventStop).WithField("after_ms", time.Since(began).Milliseconds()).Info("entry VM stopped")
 	return nil
 }
 
+// logStopStep logs what is left after a step of a planned stop.
+func (s *Server) logStopStep(step string, began time.Time) {
+	s.event(eventStop).WithFields(logrus.Fields{
+		"step": step, "after_ms": time.Since(began).Milliseconds(), "in_flight": s.calls.len(), "connections": s.callerServer.Connections(),
+	}).Info("entry VM is stopping: a step is done")
+}
+
 // stopPages stops the servers of pages that are answered at once. Look-ups and the
 // platform's checks go on until requests have ended.
 func (s *Server) stopPages(ctx context.Context) error {
--- a/serve/ingress/transit.go
+++ b/serve/ingress/transit.go
@@ -8,9 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/azurethread/azurethread/decide/fleet"
+	"github.com/azurethread/azurethread/serve/boottime"
 	"github.com/azurethread/azurethread/serve/heads"
 )
 
@@ -27,7 +26,7 @@
 // stamp returns the value of forwardSentHeader for a request that is sent now.
 func (c *transitClock) stamp() string {
 	name := strings.Join([]string{string(c.vm), strconv.FormatUint(uint64(c.incarnation), 10), strconv.FormatUint(c.epoch.Load(), 10)}, "/")
-	return name + " " + strconv.FormatInt(sinceBoot().Milliseconds(), 10)
+	return name + " " + strconv.FormatInt(boottime.Now().Milliseconds(), 10)
 }
 
 // maxStampMS is the largest clock in a stamp, in ms: two of them have a distance that fits
@@ -42,20 +41,9 @@
 	if !ok || err != nil || ms < 0 || ms > maxStampMS {
 		return "", 0
 	}
-	return name, sinceBoot() - time.Duration(ms)*time.Millisecond
+	return name, boottime.Now() - time.Duration(ms)*time.Millisecond
 }
 
-// sinceBoot returns the time since the machine was started, suspensions included.
-func sinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Since(processStart) // another beginning, as of another machine
-	}
-	return time.Duration(ts.Nano())
-}
-
-var processStart = time.Now()
-
 // heldUpMargin is how much longer than a request was under way a gateway may believe it to
 // have been held up.
 const heldUpMargin = 100 * time.Millisecond
