stop: tests that a stop ends in time and answers what has come, failing

In one process: a stop of .3 s waits 3 s for its poller, 2 of 2; requests that the kernel holds as an idle connection is closed get no answer, 1 of 1.

--- /dev/null
+++ b/serve/inbound/heldup_test.go
@@ -0,0 +1,69 @@
+package inbound
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// holdUp keeps the server's poller busy for some time, as a process that is short of
+// processor time does, and returns once it is.
+func (c *crossing) holdUp(d time.Duration) {
+	held := make(chan struct{})
+	c.s.engine.Run(c.s.openConns()[0].nbc, func() {
+		close(held)
+		time.Sleep(d)
+	})
+	<-held
+}
+
+// Guards against a planned stop that takes longer than its time because it waits for a
+// poller: the process is killed before what follows has stopped.
+func TestStopEndsInTimeBesideABusyPoller(t *testing.T) {
+	const timeout, busy = 300 * time.Millisecond, 3 * time.Second
+	is := is.New(t)
+	c := newCrossing(t, time.Minute)
+	c.connect(1)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	c.holdUp(busy)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		c.s.StopAccepting()
+		_ = c.s.flush(ctx) // an error says what is left
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(busy / 2):
+		t.Error("the stop still waits for the poller, long after its time")
+		<-stopped
+	}
+	is.True(ctx.Err() != nil)
+}
+
+// Guards against a connection that is closed as idle although the kernel holds a request
+// that nobody has read: its caller can't tell whether the request has run.
+func TestStopReadsWhatTheKernelHolds(t *testing.T) {
+	const callers = 20
+	is := is.New(t)
+	c := newCrossing(t, time.Minute)
+	connections := c.connect(callers)
+	c.holdUp(300 * time.Millisecond)
+	c.s.AnnounceClose()
+	c.s.StopAccepting()
+	var answers sync.WaitGroup
+	for i, k := range connections {
+		answers.Go(func() {
+			if path := "/" + strconv.Itoa(i); !k.request(path) {
+				t.Errorf("request %s got no answer", path)
+			}
+		})
+	}
+	answers.Wait()
+	is.Equal(c.lost(), 0)
+}
