stop: the time of a stop begins with its signal, and no step exceeds it

Callers of a VM that was short of processor time when it was told to stop got no answer: it took their requests for longer than it had left, and was killed with them in flight.

The class is a deadline that is not carried from where it begins to all that happens under it.

Change: the times of a stop are planned once (planStop). The wait for pollers and for registrations ends with the stop, and the process ends soon after its end whatever is left. A stop that should be over already still gives its final answers.

--- a/serve/inbound/close_test.go
+++ b/serve/inbound/close_test.go
@@ -145,7 +145,7 @@
 		c := newCrossing(t, time.Minute)
 		c.sendAround(c.connect(crossingCallers), 0, func() {
 			c.s.AnnounceClose()
-			c.s.StopAccepting()
+			c.s.StopAccepting(context.Background())
 		})
 		passedOn += len(c.passedOn) - crossingCallers
 		lost += c.lost()
--- a/serve/inbound/end_test.go
+++ b/serve/inbound/end_test.go
@@ -25,7 +25,7 @@
 		"idle timeout":         {"", func(*Server, net.Conn) {}, ClosedIdleTimeout, 0},
 		"read timeout":         {"GET /", func(*Server, net.Conn) {}, ClosedReadTimeout, 0},
 		"refused":              {"G@T / HTTP/1.1\r\n\r\n", func(*Server, net.Conn) {}, ClosedRefused, 0},
-		"idle at a stop":       {"", func(s *Server, _ net.Conn) { s.StopAccepting() }, ClosedStopIdle, 0},
+		"idle at a stop":       {"", func(s *Server, _ net.Conn) { s.StopAccepting(t.Context()) }, ClosedStopIdle, 0},
 		"end of the server":    {get, func(s *Server, _ net.Conn) { s.Close() }, ClosedStopEnd, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/serve/inbound/heldup_test.go
+++ b/serve/inbound/heldup_test.go
@@ -34,7 +34,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		c.s.StopAccepting()
+		c.s.StopAccepting(ctx)
 		_ = c.s.flush(ctx) // an error says what is left
 	}()
 	select {
@@ -55,7 +55,7 @@
 	connections := c.connect(callers)
 	c.holdUp(300 * time.Millisecond)
 	c.s.AnnounceClose()
-	c.s.StopAccepting()
+	c.s.StopAccepting(context.Background())
 	var answers sync.WaitGroup
 	for i, k := range connections {
 		answers.Go(func() {
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -289,12 +289,12 @@
 	var err error
 	select { // both may be ready
 	case <-s.idle:
-		s.StopAccepting() // otherwise callers could delay the stop without end
+		s.StopAccepting(ctx) // otherwise callers could delay the stop without end
 		err = s.flush(ctx)
 	default:
 		err = fmt.Errorf("inbound: requests still in flight: %w", ctx.Err())
 	}
-	s.closeListener()
+	s.closeListener(context.Background()) // a connection must not be added while the engine stops
 	s.stopEngine.Do(s.engine.Stop)
 	return err
 }
@@ -310,9 +310,9 @@
 // StopAccepting closes the listener and all idle connections. Otherwise callers
 // that keep opening or reusing connections would keep a leaving VM busy until it
 // ends, which interrupts their requests. A connection in use closes as soon as it is
-// idle.
-func (s *Server) StopAccepting() {
-	s.closeListener()
+// idle. The end of ctx ends the wait for connections that are being added.
+func (s *Server) StopAccepting(ctx context.Context) {
+	s.closeListener(ctx)
 	s.closingIdle.Store(true)
 	for _, c := range s.openConns() {
 		c.closeInStop()
@@ -326,9 +326,19 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-func (s *Server) closeListener() {
+// closeListener closes the listener and waits until accepted connections have been added, at
+// most until ctx ends.
+func (s *Server) closeListener(ctx context.Context) {
 	_ = s.listener.Close()
-	s.acceptLoop.Wait()
+	added := make(chan struct{})
+	go func() {
+		s.acceptLoop.Wait()
+		close(added)
+	}()
+	select {
+	case <-added:
+	case <-ctx.Done():
+	}
 }
 
 // flushPollInterval is the interval between checks for unsent answers.
@@ -343,7 +353,7 @@
 	t := time.NewTicker(flushPollInterval)
 	defer t.Stop()
 	for {
-		if err := s.engine.Sync(); err != nil { // for connections that are about to close
+		if err := s.engine.Sync(ctx); err != nil { // for connections that are about to close
 			return fmt.Errorf("inbound: %w", err)
 		}
 		if !slices.ContainsFunc(s.openConns(), (*conn).isBusy) {
--- a/serve/ingress/gateway_test.go
+++ b/serve/ingress/gateway_test.go
@@ -209,7 +209,7 @@
 			}
 		}()
 	}
-	is.NoErr(gate.Stop())
+	is.NoErr(gate.Stop(0))
 	time.Sleep(200 * time.Millisecond)
 	close(stopped)
 	for range loadCallers {
@@ -364,7 +364,7 @@
 		}
 		time.Sleep(time.Until(decided))
 		gate.gatewayServer.AnnounceClose()
-		gate.gatewayServer.StopAccepting()
+		gate.gatewayServer.StopAccepting(t.Context())
 		ended.Wait()
 		near.shutdown()
 		gate.shutdown()
--- a/serve/ingress/return_test.go
+++ b/serve/ingress/return_test.go
@@ -416,7 +416,7 @@
 	is.NoErr(err)
 	is.Equal(after.Items, before.Items)
 	for i, s := range w.vms {
-		is.NoErr(s.Stop()) // revokes its lease
+		is.NoErr(s.Stop(0)) // revokes its lease
 		left, err := w.store.Range(t.Context(), prefixMembers, kv.Latest)
 		is.NoErr(err)
 		is.Equal(len(left.Items), len(w.vms)-i-1)
--- a/serve/ingress/stop.go
+++ b/serve/ingress/stop.go
@@ -32,38 +32,76 @@
 // their final answers, so that callers can take them and what is ready behind them.
 const finalAnswerTime = 250 * time.Millisecond
 
+// minStopTime is the time of a stop whose signal may have been pending for longer than the
+// stop timeout. That the process still runs shows that there is some time left.
+const minStopTime = 2 * finalAnswerTime
+
+// stopPlan says when the steps of a planned stop are due, counted from its beginning.
+type stopPlan struct {
+	close  time.Duration // no connection is accepted any more, and idle ones are closed
+	refuse time.Duration // requests are refused as not run
+	answer time.Duration // requests in flight get their final answers
+	end    time.Duration
+}
+
+// planStop plans a stop within timeout of a signal that may have been pending for some time.
+func planStop(timeout, pending time.Duration) stopPlan {
+	total := timeout - stopMargin
+	end := max(total-pending, minStopTime)
+	answer := end - finalAnswerTime
+	return stopPlan{
+		close:  min(leaveDelay, 2*answer/3),
+		refuse: max(total/acceptDivisor-pending, 0),
+		answer: answer,
+		end:    end,
+	}
+}
+
+// errStopTooLong means that a stop was not complete at its end.
+var errStopTooLong = errors.New("ingress: not everything was stopped in time")
+
 // Stop shuts the entry VM down. It first removes the VM from look-ups and tells
-// callers to use other connections, then waits for the requests in flight.
-func (s *Server) Stop() error {
-	timeout := s.reloadable.Load().stopTimeout - stopMargin
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+// callers to use other connections, then waits for the requests in flight. It returns
+// before the stop timeout is over, from which it takes off the time for which the signal to
+// stop may have been pending.
+func (s *Server) Stop(pending time.Duration) error {
+	plan := planStop(s.reloadable.Load().stopTimeout, pending)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.stop(plan) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-time.After(plan.end + stopMargin/2): // the end, also of what has no timeout
+		return errStopTooLong
+	}
+}
+
+func (s *Server) stop(plan stopPlan) error {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(plan.end))
 	defer cancel()
 	s.leaving.Store(true)
 	for _, l := range s.listeners() {
 		l.AnnounceClose()
 	}
-	s.event(eventStop).WithField("in_flight", s.calls.len()).Info("entry VM is stopping")
-	began := time.Now()
+	s.event(eventStop).WithField("in_flight", s.calls.len()).WithField("end_ms", plan.end.Milliseconds()).Info("entry VM is stopping")
 	for _, step := range []struct {
 		after time.Duration
 		event ingress.Event
-	}{{timeout / acceptDivisor, &ingress.StopAccepting{}}, {timeout - finalAnswerTime, &ingress.Ending{}}} {
+	}{{plan.refuse, &ingress.StopAccepting{}}, {plan.answer, &ingress.Ending{}}} {
 		t := time.AfterFunc(step.after, func() { s.core.Post(step.event) })
 		defer t.Stop()
 	}
 	s.cancel() // keepRegistered revokes the lease
-	select {
-	case <-time.After(leaveDelay):
-	case <-ctx.Done():
-	}
+	time.Sleep(plan.close)
 	s.logStopStep("callers have had time to leave", began)
-	s.callerServer.StopAccepting()
+	s.callerServer.StopAccepting(ctx)
 	s.logStopStep("no connection is accepted", began)
 	err := s.callerServer.Stop(ctx)
 	s.logStopStep("callers' connections are closed", began)
 	if s.gatewayServer != nil {
 		// Other entry VMs learn later than callers that this VM is leaving.
-		s.gatewayServer.StopAccepting()
+		s.gatewayServer.StopAccepting(ctx)
 		err = errors.Join(err, s.gatewayServer.Stop(ctx))
 		s.logStopStep("gateway's connections are closed", began)
 	}
--- a/serve/ingress/stop_test.go
+++ b/serve/ingress/stop_test.go
@@ -35,7 +35,7 @@
 	for range loadCallers {
 		go func() { cut <- sendUntilStopped(addr, &stop) }()
 	}
-	is.NoErr(s.Stop())
+	is.NoErr(s.Stop(0))
 	stop.Store(true)
 	for range loadCallers {
 		is.Equal(<-cut, 0)
@@ -107,7 +107,7 @@
 	<-working
 	_ = c.conn.Close()
 	<-cancelled
-	is.NoErr(s.Stop()) // fails if requests are in flight
+	is.NoErr(s.Stop(0)) // fails if requests are in flight
 }
 
 // Guards against answers that are lost in a planned stop: the answer to a pipelined
@@ -134,7 +134,7 @@
 			<-working
 			c.sendRequest(http.MethodGet, "/quick/", "quick")
 			stopped := make(chan error)
-			go func() { stopped <- s.Stop() }()
+			go func() { stopped <- s.Stop(0) }()
 			res, _ := c.readResponse(http.MethodGet)
 			is.Equal(res.StatusCode, http.StatusBadGateway) // it may have run
 			is.Equal(res.Header.Get("X-Id"), "long")
@@ -166,7 +166,7 @@
 	c.sendRequest(http.MethodGet, "/long", "long")
 	is.Equal(<-working, "/long")
 	stopped := make(chan error)
-	go func() { stopped <- s.Stop() }()
+	go func() { stopped <- s.Stop(0) }()
 	time.Sleep(2 * time.Second) // of 2.5 s
 	c.sendRequest(http.MethodGet, "/late", "late")
 	res, _ := c.readResponse(http.MethodGet)
@@ -177,3 +177,21 @@
 	_ = c.conn.Close()
 	is.NoErr(<-stopped)
 }
+
+// Guards against a stop that takes the time for which its signal was pending beyond the
+// platform's limit, or that has no time left for final answers.
+func TestStopTimeBeginsWithTheSignal(t *testing.T) {
+	const timeout = 6 * time.Second
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, c := range []struct {
+		pending time.Duration
+		want    stopPlan
+	}{
+		{0, stopPlan{close: ms(1500), refuse: ms(2750), answer: ms(5250), end: ms(5500)}},
+		{time.Second, stopPlan{close: ms(1500), refuse: ms(1750), answer: ms(4250), end: ms(4500)}},
+		{4 * time.Second, stopPlan{close: ms(1250) * 2 / 3, refuse: 0, answer: ms(1250), end: ms(1500)}},
+		{time.Minute, stopPlan{close: ms(250) * 2 / 3, refuse: 0, answer: ms(250), end: ms(500)}},
+	} {
+		is.New(t).Equal(planStop(timeout, c.pending), c.want)
+	}
+}
--- a/serve/ingress/store_test.go
+++ b/serve/ingress/store_test.go
@@ -154,7 +154,7 @@
 	w := newTestEnv(t, catchAllRoute(true))
 	a, b := w.startListed("vm-1"), w.startListed("vm-2")
 	w.eventually("the look-up returns both", func() bool { return len(b.lookup(Lookup{Domain: "d1"})) == 2 })
-	is.NoErr(a.Stop())
+	is.NoErr(a.Stop(0))
 	w.eventually("the look-up returns one", func() bool { return len(b.lookup(Lookup{Domain: "d1"})) == 1 })
 	is.Equal(b.lookup(Lookup{Domain: "d1"})[0], b.settings.Self.CallAddr)
 }
--- a/serve/ingress/transit_test.go
+++ b/serve/ingress/transit_test.go
@@ -145,7 +145,7 @@
 			is.NoErr(err)
 			w.eventually("the request is on its way", func() bool { return pool.Connections(gate.settings.Self.GatewayAddr) == 1 })
 			if stops {
-				go near.Stop()
+				go near.Stop(0)
 			}
 			res, _ := c.readResponse(http.MethodPost)
 			is.True(!statusMeansNotRun(res.StatusCode))
--- a/serve/pollers/pollers.go
+++ b/serve/pollers/pollers.go
@@ -15,6 +15,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -120,21 +121,20 @@
 // kernel knows that nobody has read it. f must not block. After Stop f does not run.
 func (e *Engine) Run(c *nbio.Conn, f func()) { e.barrier(c).run(f) }
 
-// Sync waits until what was given to Run before has run, or the engine has stopped. It must
-// not be called on a poller's goroutine.
-func (e *Engine) Sync() error {
+// Sync waits until what was given to Run before has run, the engine has stopped or ctx has
+// ended, which is an error. It must not be called on a poller's goroutine.
+func (e *Engine) Sync(ctx context.Context) error {
 	ran := make(chan struct{}, len(e.barriers))
 	for _, b := range e.barriers {
 		b.run(func() { ran <- struct{}{} })
 	}
-	timeout := time.After(pollerTimeout)
 	for range e.barriers {
 		select {
 		case <-ran:
 		case <-e.stopped:
 			return nil
-		case <-timeout:
-			return errSilent
+		case <-ctx.Done():
+			return fmt.Errorf("pollers: wait for nbio's pollers: %w", ctx.Err())
 		}
 	}
 	return nil
--- a/serve/pollers/pollers_test.go
+++ b/serve/pollers/pollers_test.go
@@ -154,7 +154,7 @@
 			}
 		})
 	}
-	is.NoErr(started.Sync())
+	is.NoErr(started.Sync(t.Context()))
 	started.Stop()
-	is.NoErr(started.Sync()) // returns
+	is.NoErr(started.Sync(t.Context())) // returns
 }
