inbound: a stop answers what the kernel holds before it closes anything

Callers whose requests had come as a VM closed its listener or an idle connection saw a reset. They can't tell whether the request has run, so a submission is not sent again.

Cause: the listener closed with connections in its queue, and a connection was closed as idle without a look at what the kernel holds for it. A process that runs all the time leaves a window of microseconds; one that does not run for .3 s leaves all requests of that time. The class: the end is decided on what has been read, not on what has come.

Change: connections in the listener's queue are accepted before it closes. A connection for which the kernel holds bytes is not idle, in a stop and at the idle timeout alike, for callers, gateways and pages: the poller reads them, and the request is served or refused as not run.

Left: what comes after the look and before the close is reset still.

--- a/serve/inbound/heldup_test.go
+++ b/serve/inbound/heldup_test.go
@@ -10,15 +10,24 @@
 	"github.com/matryer/is"
 )
 
-// holdUp keeps the server's poller busy for some time, as a process that is short of
-// processor time does, and returns once it is.
+// holdUp keeps the server's pollers busy for some time, as a process that is short of
+// processor time does, and returns once they are.
 func (c *crossing) holdUp(d time.Duration) {
-	held := make(chan struct{})
-	c.s.engine.Run(c.s.openConns()[0].nbc, func() {
-		close(held)
-		time.Sleep(d)
-	})
-	<-held
+	var held sync.WaitGroup
+	byPoller := make(map[int]bool)
+	for _, k := range c.s.openConns() {
+		poller := k.nbc.Hash() % c.s.engine.NPoller
+		if byPoller[poller] {
+			continue
+		}
+		byPoller[poller] = true
+		held.Add(1)
+		c.s.engine.Run(k.nbc, func() {
+			held.Done()
+			time.Sleep(d)
+		})
+	}
+	held.Wait()
 }
 
 // Guards against a planned stop that takes longer than its time because it waits for a
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -241,14 +241,14 @@
 	return last || c.isUnfinished()
 }
 
-// closeIfIdle closes the connection if it has no request in flight or partly received and
-// no answer left to send. It reports whether it has. It must be called on the poller's
+// closeIfIdle closes the connection if it has no request in flight or partly received,
+// nothing that the kernel holds and no answer left to send. It reports whether it has. It must be called on the poller's
 // goroutine: otherwise the poller could read a request between the decision and the close,
 // and its caller could not tell that from a request that was taken.
 func (c *conn) closeIfIdle(why CloseReason) bool {
 	unread := c.kernelUnread()
 	c.mu.Lock()
-	idle := c.phase == phaseOpen && !c.receiving && c.pipeline.empty() && !c.pending()
+	idle := c.phase == phaseOpen && unread == 0 && !c.receiving && c.pipeline.empty() && !c.pending()
 	if idle {
 		c.phase = phaseLast
 		c.closeReason = why
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/azurethread/azurethread/serve/pollers"
 )
@@ -326,9 +328,10 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-// closeListener closes the listener and waits until accepted connections have been added, at
-// most until ctx ends.
+// closeListener accepts what the kernel has accepted, closes the listener, and waits until
+// the connections have been added, at most until ctx ends.
 func (s *Server) closeListener(ctx context.Context) {
+	s.acceptWaiting()
 	_ = s.listener.Close()
 	added := make(chan struct{})
 	go func() {
@@ -341,6 +344,45 @@
 	}
 }
 
+// maxWaiting bounds the connections that acceptWaiting accepts, so that callers that keep
+// opening connections do not delay a stop. It is the usual bound of the kernel.
+const maxWaiting = 4096
+
+// acceptWaiting accepts the connections that the kernel has accepted. It would reset them
+// when the listener closes, and their callers could not tell whether their requests have run.
+func (s *Server) acceptWaiting() {
+	if s.handler == nil {
+		return // nothing was to be accepted yet
+	}
+	raw, err := s.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return // the listener is closed
+	}
+	var sockets []int
+	_ = raw.Control(func(fd uintptr) { // an error means that the listener is closed
+		for len(sockets) < maxWaiting {
+			socket, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil && !errors.Is(err, unix.ECONNABORTED) && !errors.Is(err, unix.EINTR) {
+				return // EAGAIN: there are no more
+			}
+			if err == nil {
+				sockets = append(sockets, socket)
+			}
+		}
+	})
+	for _, socket := range sockets {
+		f := os.NewFile(uintptr(socket), "accepted")
+		nc, err := net.FileConn(f)
+		_ = f.Close() // nc has a duplicate
+		if err == nil {
+			err = s.add(nc)
+		}
+		if err != nil && nc != nil {
+			_ = nc.Close()
+		}
+	}
+}
+
 // flushPollInterval is the interval between checks for unsent answers.
 const flushPollInterval = 50 * time.Millisecond
 
@@ -354,7 +396,7 @@
 	defer t.Stop()
 	for {
 		if err := s.engine.Sync(ctx); err != nil { // for connections that are about to close
-			return fmt.Errorf("inbound: %w", err)
+			return s.unfinished(ctx)
 		}
 		if !slices.ContainsFunc(s.openConns(), (*conn).isBusy) {
 			return nil
