stop: what a review of the fixes found

A reader who had not seen the work found that the fixes of stops left ways to lose requests, or opened them.

- A connection that was not closed, as the kernel held bytes for it, did not count as busy: a stop that found nothing else in progress ended and cut the request that it had declined to lose.
It counts until it closes.
- What a signal may have been pending was overestimated by up to 1.4 s, which broke off requests at which a target was at work.
The process is noted to run twice as often, a gap counts only just after it has ended, and the answer comes as late as the least margin (.25 s) allows.
- The time between the receipt of the signal and the beginning of the stop counts too: a start that is not complete may lie between.
- Final answers and the end follow each other: a process that does not run when both are due gave no answer at all.
- The gateway of a leaving VM stops by the plan, not after the last caller: what other VMs had sent was cut at the end.
- Connections from the listener's queue are added beside the stop and only until its end; one that is not registered with its poller yet is not closed.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -49,6 +49,7 @@
 	awaited     awaited
 	awaitedBy   deadline // of what is awaited
 	takenBy     deadline // for the caller to take what was written
+	registered  bool     // with a poller
 	unread      int      // bytes that the kernel held when the connection was closed as idle
 	untaken     int      // of the last answer, bytes that its caller had not taken when linger last looked
 
--- a/serve/inbound/heldup_test.go
+++ b/serve/inbound/heldup_test.go
@@ -76,3 +76,25 @@
 	answers.Wait()
 	is.Equal(c.lost(), 0)
 }
+
+// Guards against a stop that ends while the kernel holds a request for a connection that was
+// not closed for that: the request is passed on and cut off, or reset.
+func TestStopWaitsForWhatTheKernelHolds(t *testing.T) {
+	const rounds = 20
+	is := is.New(t)
+	lost := 0
+	for range rounds {
+		c := newCrossing(t, time.Minute)
+		k := c.connect(1)[0]
+		c.holdUp(60 * time.Millisecond)
+		stopped := make(chan error, 1)
+		go func() { stopped <- c.s.Stop(t.Context()) }()
+		time.Sleep(20 * time.Millisecond) // the stop waits for the poller
+		if !k.request("/last") {
+			lost++
+		}
+		_ = k.conn.Close()
+		is.NoErr(<-stopped)
+	}
+	is.Equal(lost, 0) // requests without an answer
+}
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -164,10 +164,12 @@
 // processed data already; the deadline that was set for it stays.
 func (c *conn) awaitFirstRequest() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.registered = true
 	if c.phase == phaseOpen && c.awaited == awaitNone && c.pipeline.empty() && !c.receiving {
 		c.awaitNextRequest()
 	}
+	c.mu.Unlock()
+	c.closeInStop()
 }
 
 // beginReceiving records that data has come. It reports false if the connection is
@@ -232,11 +234,11 @@
 	return c.receiving || !c.pipeline.empty() || c.pending()
 }
 
-// isBusy reports whether the connection is unfinished, or its caller may still be
-// reading its last answer.
+// isBusy reports whether the connection is unfinished, its caller may still be reading its
+// last answer, or it was to be closed as idle and was not: something has come for it.
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
-	last := c.phase == phaseLast
+	last := c.phase == phaseLast || c.phase == phaseOpen && c.s.closingIdle.Load()
 	c.mu.Unlock()
 	return last || c.isUnfinished()
 }
@@ -248,7 +250,7 @@
 func (c *conn) closeIfIdle(why CloseReason) bool {
 	unread := c.kernelUnread()
 	c.mu.Lock()
-	idle := c.phase == phaseOpen && unread == 0 && !c.receiving && c.pipeline.empty() && !c.pending()
+	idle := c.phase == phaseOpen && c.registered && unread == 0 && !c.receiving && c.pipeline.empty() && !c.pending()
 	if idle {
 		c.phase = phaseLast
 		c.closeReason = why
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -81,6 +81,8 @@
 	stopping      atomic.Bool // each answer that leaves its connection idle announces the close
 	closingIdle   atomic.Bool // a connection closes as soon as it is idle
 	acceptLoop    sync.WaitGroup
+	closing       sync.Once     // the listener
+	allAdded      chan struct{} // closed when no connection is added any more
 
 	stopEngine sync.Once // nbio panics if it is stopped twice
 
@@ -103,6 +105,7 @@
 		listener: ln,
 		conns:    make(map[*conn]struct{}),
 		idle:     make(chan struct{}),
+		allAdded: make(chan struct{}),
 	}
 	s.currentLimits.Store(&opts.Limits)
 	engine := nbhttp.NewEngine(nbhttp.Config{
@@ -328,37 +331,41 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-// closeListener accepts what the kernel has accepted, closes the listener, and waits until
-// the connections have been added, at most until ctx ends.
+// closeListener closes the listener, and adds the connections that the kernel has accepted:
+// it would reset them, and their callers could not tell whether their requests have run. It
+// waits until all have been added, at most until ctx ends.
 func (s *Server) closeListener(ctx context.Context) {
-	s.acceptWaiting()
-	_ = s.listener.Close()
-	added := make(chan struct{})
-	go func() {
-		s.acceptLoop.Wait()
-		close(added)
-	}()
+	s.closing.Do(func() {
+		waiting := s.takeWaiting()
+		_ = s.listener.Close()
+		go func() {
+			for _, socket := range waiting {
+				s.addSocket(ctx, socket)
+			}
+			s.acceptLoop.Wait()
+			close(s.allAdded)
+		}()
+	})
 	select {
-	case <-added:
+	case <-s.allAdded:
 	case <-ctx.Done():
 	}
 }
 
-// maxWaiting bounds the connections that acceptWaiting accepts, so that callers that keep
+// maxWaiting bounds the connections that takeWaiting accepts, so that callers that keep
 // opening connections do not delay a stop. It is the usual bound of the kernel.
 const maxWaiting = 4096
 
-// acceptWaiting accepts the connections that the kernel has accepted. It would reset them
-// when the listener closes, and their callers could not tell whether their requests have run.
-func (s *Server) acceptWaiting() {
-	if s.handler == nil {
-		return // nothing was to be accepted yet
+// takeWaiting returns the sockets of connections that the kernel has accepted.
+func (s *Server) takeWaiting() (sockets []int) {
+	listener, ok := s.listener.(*net.TCPListener)
+	if !ok || s.handler == nil {
+		return nil // nothing is accepted yet
 	}
-	raw, err := s.listener.(*net.TCPListener).SyscallConn()
+	raw, err := listener.SyscallConn()
 	if err != nil {
-		return // the listener is closed
+		return nil // the listener is closed
 	}
-	var sockets []int
 	_ = raw.Control(func(fd uintptr) { // an error means that the listener is closed
 		for len(sockets) < maxWaiting {
 			socket, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
@@ -370,16 +377,19 @@
 			}
 		}
 	})
-	for _, socket := range sockets {
-		f := os.NewFile(uintptr(socket), "accepted")
-		nc, err := net.FileConn(f)
-		_ = f.Close() // nc has a duplicate
-		if err == nil {
-			err = s.add(nc)
-		}
-		if err != nil && nc != nil {
-			_ = nc.Close()
-		}
+	return sockets
+}
+
+// addSocket adds the connection of a socket, unless ctx has ended.
+func (s *Server) addSocket(ctx context.Context, socket int) {
+	f := os.NewFile(uintptr(socket), "accepted")
+	nc, err := net.FileConn(f)
+	_ = f.Close() // nc has a duplicate
+	if err == nil && ctx.Err() == nil && s.add(nc) == nil {
+		return
+	}
+	if nc != nil {
+		_ = nc.Close()
 	}
 }
 
--- a/serve/ingress/stop.go
+++ b/serve/ingress/stop.go
@@ -32,6 +32,13 @@
 // their final answers, so that callers can take them and what is ready behind them.
 const finalAnswerTime = 250 * time.Millisecond
 
+// killMargin is the part of the stop timeout that is reserved at the least, if the signal may
+// have been pending for a while.
+const killMargin = 250 * time.Millisecond
+
+// exitTime is how long after its end a stop may take to release what is left.
+const exitTime = 150 * time.Millisecond
+
 // minStopTime is the time of a stop whose signal may have been pending for longer than the
 // stop timeout. That the process still runs shows that there is some time left.
 const minStopTime = 2 * finalAnswerTime
@@ -41,19 +48,17 @@
 	close  time.Duration // no connection is accepted any more, and idle ones are closed
 	refuse time.Duration // requests are refused as not run
 	answer time.Duration // requests in flight get their final answers
-	end    time.Duration
 }
 
 // planStop plans a stop within timeout of a signal that may have been pending for some time.
 func planStop(timeout, pending time.Duration) stopPlan {
 	total := timeout - stopMargin
-	end := max(total-pending, minStopTime)
+	end := max(min(total, timeout-killMargin-pending), minStopTime)
 	answer := end - finalAnswerTime
 	return stopPlan{
 		close:  min(leaveDelay, 2*answer/3),
 		refuse: max(total/acceptDivisor-pending, 0),
 		answer: answer,
-		end:    end,
 	}
 }
 
@@ -66,45 +71,50 @@
 // stop may have been pending.
 func (s *Server) Stop(pending time.Duration) error {
 	plan := planStop(s.reloadable.Load().stopTimeout, pending)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tooLong := make(chan struct{})
+	// One after the other, so that there is time for the final answers also if the process
+	// does not run when they are due.
+	answer := time.AfterFunc(plan.answer, func() {
+		s.core.Post(&ingress.Ending{})
+		time.Sleep(finalAnswerTime)
+		cancel()
+		time.Sleep(exitTime)
+		close(tooLong)
+	})
+	defer answer.Stop()
 	stopped := make(chan error, 1)
-	go func() { stopped <- s.stop(plan) }()
+	go func() { stopped <- s.stop(ctx, plan) }()
 	select {
 	case err := <-stopped:
 		return err
-	case <-time.After(plan.end + stopMargin/2): // the end, also of what has no timeout
+	case <-tooLong: // also what has no timeout ends
 		return errStopTooLong
 	}
 }
 
-func (s *Server) stop(plan stopPlan) error {
+func (s *Server) stop(ctx context.Context, plan stopPlan) error {
 	began := time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(plan.end))
-	defer cancel()
 	s.leaving.Store(true)
 	for _, l := range s.listeners() {
 		l.AnnounceClose()
 	}
-	s.event(eventStop).WithField("in_flight", s.calls.len()).WithField("end_ms", plan.end.Milliseconds()).Info("entry VM is stopping")
-	for _, step := range []struct {
-		after time.Duration
-		event ingress.Event
-	}{{plan.refuse, &ingress.StopAccepting{}}, {plan.answer, &ingress.Ending{}}} {
-		t := time.AfterFunc(step.after, func() { s.core.Post(step.event) })
-		defer t.Stop()
-	}
+	s.event(eventStop).WithField("in_flight", s.calls.len()).WithField("answer_ms", plan.answer.Milliseconds()).Info("entry VM is stopping")
+	refuse := time.AfterFunc(plan.refuse, func() { s.core.Post(&ingress.StopAccepting{}) })
+	defer refuse.Stop()
 	s.cancel() // keepRegistered revokes the lease
 	time.Sleep(plan.close)
 	s.logStopStep("callers have had time to leave", began)
 	s.callerServer.StopAccepting(ctx)
 	s.logStopStep("no connection is accepted", began)
+	callersStopped, gatewayStopped := make(chan struct{}), make(chan error, 1)
+	go func() { gatewayStopped <- s.stopGateway(ctx, callersStopped, plan.refuse-plan.close) }()
 	err := s.callerServer.Stop(ctx)
+	close(callersStopped)
 	s.logStopStep("callers' connections are closed", began)
-	if s.gatewayServer != nil {
-		// Other entry VMs learn later than callers that this VM is leaving.
-		s.gatewayServer.StopAccepting(ctx)
-		err = errors.Join(err, s.gatewayServer.Stop(ctx))
-		s.logStopStep("gateway's connections are closed", began)
-	}
+	err = errors.Join(err, <-gatewayStopped)
+	s.logStopStep("gateway's connections are closed", began)
 	err = errors.Join(err, s.stopPages(ctx))
 	s.shutdown()
 	if err != nil {
@@ -114,6 +124,21 @@
 	return nil
 }
 
+// stopGateway stops the server of requests that other entry VMs forward through this one.
+// They learn later than callers that this VM is leaving: it stops once callers' requests have
+// ended, or requests are refused.
+func (s *Server) stopGateway(ctx context.Context, callersStopped <-chan struct{}, refused time.Duration) error {
+	if s.gatewayServer == nil {
+		return nil
+	}
+	select {
+	case <-callersStopped:
+	case <-time.After(refused):
+	}
+	s.gatewayServer.StopAccepting(ctx)
+	return s.gatewayServer.Stop(ctx)
+}
+
 // logStopStep logs what is left after a step of a planned stop.
 func (s *Server) logStopStep(step string, began time.Time) {
 	s.event(eventStop).WithFields(logrus.Fields{
--- a/serve/stopsignal/stopsignal.go
+++ b/serve/stopsignal/stopsignal.go
@@ -16,20 +16,23 @@
 
 const (
 	// interval is the time between two notes that the process runs.
-	interval = 200 * time.Millisecond
+	interval = 100 * time.Millisecond
 	// maxGap is the longest time between two notes that counts as no gap.
-	maxGap = 2 * interval
+	maxGap = 5 * interval / 2
 	// settleTime is how long after a gap a signal may take to be received that was sent in it.
-	settleTime = time.Second
+	settleTime = 3 * interval / 2
 )
 
 // Stop is a signal that asks the process to stop.
 type Stop struct {
 	Signal os.Signal
-	// Pending is for how long the signal may have been pending.
-	Pending time.Duration
+	// Since is when the signal was sent at the earliest, on the clock of package boottime.
+	Since time.Duration
 }
 
+// Pending returns for how long the signal may have been pending by now.
+func (s Stop) Pending() time.Duration { return boottime.Now() - s.Since }
+
 // Notify returns a channel for the first of some signals. They are received from now on.
 func Notify(signals ...os.Signal) <-chan Stop {
 	received := make(chan os.Signal, 1)
@@ -45,7 +48,8 @@
 	for {
 		select {
 		case sig := <-received:
-			out <- Stop{sig, g.pending(boottime.Now())}
+			now := boottime.Now()
+			out <- Stop{sig, now - g.pending(now)}
 			return
 		case <-t.C:
 			g.note(boottime.Now())
@@ -69,9 +73,10 @@
 
 // pending returns for how long a signal that is received now may have been pending.
 func (g *gaps) pending(now time.Duration) time.Duration {
+	since := g.ran
 	g.note(now)
 	if g.end > 0 && now-g.end < settleTime {
-		return now - g.began
+		since = g.began
 	}
-	return 0
+	return now - since
 }
