outbound: a call that has ended keeps no connection

An entry VM took several times its memory, and would have ended, where clients asked for large answers and did not take them.

Cause: an answer that exceeds the budget of answers is cut and its connection closed, but the ended call still pointed to the connection, and so to all that it had received. The request keeps its calls until it is answered, which for pipelined requests whose caller takes nothing is long. The class: what is bounded is released in the account, not in memory.

Change: a call drops its connection when it ends.

--- a/serve/outbound/call.go
+++ b/serve/outbound/call.go
@@ -83,7 +83,8 @@
 	queuedAt clock.Time // start of its wait for a connection; 0: it did not wait
 
 	mu        sync.Mutex
-	c         *conn          // connection the request is written to
+	c         *conn          // connection the request is written to, until the call has finished
+	given     bool           // to a connection
 	waited    time.Duration  // for that connection
 	writtenAt clock.Time     // start of the write
 	writing   bool           // the request is being written
@@ -98,7 +99,7 @@
 		k.mu.Unlock()
 		return false
 	}
-	k.finished = true
+	k.end()
 	if a != nil {
 		a.ConnectionWait = k.waited
 	}
@@ -107,6 +108,11 @@
 	return true
 }
 
+// end records that the call has finished. The connection is dropped with what it has received
+// of an answer: whoever sent the request may keep the call for long. It must be called with
+// mu held.
+func (k *Call) end() { k.finished, k.c = true, nil }
+
 // attach records the connection that the request is about to be written to. It
 // returns false if the call has finished meanwhile.
 func (k *Call) attach(c *conn) bool {
@@ -115,7 +121,7 @@
 	if k.finished {
 		return false
 	}
-	k.c = c
+	k.c, k.given = c, true
 	k.writing = true
 	k.writtenAt = c.p.pool.opts.Now()
 	if k.queuedAt > 0 {
@@ -143,7 +149,7 @@
 func (k *Call) attached() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.c != nil
+	return k.given
 }
 
 // writeDone handles the outcome of writing the request.
@@ -180,10 +186,10 @@
 		k.mu.Unlock()
 		return
 	}
-	if k.c == nil {
+	if !k.given {
 		e.Verdict = verdict.NotRun
 	}
-	k.finished = true
+	k.end()
 	k.mu.Unlock()
 	k.done(nil, e)
 }
@@ -197,8 +203,8 @@
 		k.mu.Unlock()
 		return
 	}
-	k.finished = true
 	c := k.c
+	k.end()
 	k.mu.Unlock()
 	if c == nil {
 		k.done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason})
@@ -214,11 +220,11 @@
 // the outcome is not-run. Otherwise the call continues.
 func (k *Call) CancelUnsent(reason verdict.Reason) {
 	k.mu.Lock()
-	if k.finished || k.c != nil {
+	if k.finished || k.given {
 		k.mu.Unlock()
 		return
 	}
-	k.finished = true
+	k.end()
 	k.mu.Unlock()
 	k.done(nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason})
 }
