inbound: requests that are not read any more release their bodies

A caller that pipelined more than 16 requests with bodies, or sent one as its connection closed, took a part of the memory for bodies for good. After enough of that every request with a body was refused with 503.

Cause: the bytes of a complete body belong to its request, and a request that came too late was dropped without releasing them.

Evidence: TestUnreadRequestsReleaseTheirBodies fails without the change, and passes with it.

--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -240,11 +240,13 @@
 	c.mu.Lock()
 	if c.phase != phaseOpen {
 		c.mu.Unlock()
+		x.releaseBody()
 		return
 	}
 	if len(c.pipeline.waiting) >= maxPipelined {
 		c.phase = phaseLast // its caller sees the request as unread
 		c.mu.Unlock()
+		x.releaseBody()
 		return
 	}
 	if x.close {
