inbound: one account bounds what all clients hold

Clients that the users don't control took an entry VM of 284 MB to 2.2 GB: its process ends, and ordinary callers get nothing.

Cause: each client is bounded, all together are not. A header field of three bytes takes a map entry, a slice and a name. Heads over the limit were parsed to see whether they may be a repeat, also where no request can be one, and kept for the second in which a refused connection lingers. Answered requests stayed in the arrays of their connection's queue. Whole heads that wait, and connections, were bounded by nothing.

Change: an Account holds what the clients of all listeners hold together: heads at what they take when parsed (256 bytes a field), from the first byte to the answer, an eighth of the memory; connections, three quarters of the descriptors that are left for connections (max_fds of the settings is read now). Beyond it, incomplete heads make room, the largest first, and connections that linger or have carried no request, the oldest first. What was passed on is never cut off; a quarter of the memory is kept for requests of up to 16 KiB. A head is charged before it is parsed, at most one byte beyond the limit is kept, and what a refused message holds is dropped at the refusal. Of a head that is not parsed only the fields are read that show a repeat. A caller that takes no answers gets at most 16, of pages 4. Forwarded requests (a sixteenth of the memory) and the daemon's own interface have accounts too.

Why it works: whatever a client sends is charged before it is kept, and released where it is dropped. All refusals are of requests that have not run: incomplete, or not passed on.

--- a/serve/daemon/admin.go
+++ b/serve/daemon/admin.go
@@ -42,6 +42,7 @@
 			ReadTimeout: d.settings.ReadTimeout,
 			IdleTimeout: d.settings.IdleTimeout,
 		},
+		Account:      d.clients,
 		WriteTimeout: d.settings.WriteTimeout,
 		Pollers:      1,
 		Refusal:      refusalByStatus,
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -48,6 +48,7 @@
 	pool    *outbound.Pool
 	probes  atomic.Uint64 // of targets
 	callers *inbound.Server
+	clients *inbound.Account // what callers and operators hold
 	peers   *peer.Transport
 	link    peer.Link // nil outside of tests
 	started atomic.Bool
@@ -176,8 +177,16 @@
 	return err
 }
 
+// headMemory is the memory that the heads of callers' and operators' requests may use, in
+// bytes, from their first byte until their requests are answered.
+const headMemory = 64 << 20
+
 func (d *Daemon) provisionCallers() error {
-	var err error
+	conns, err := inbound.ConnectionLimit(0)
+	if err != nil {
+		return err
+	}
+	d.clients = inbound.NewAccount(headMemory, conns, nil)
 	d.callers, err = inbound.Listen(d.settings.CallAddr, inbound.Options{
 		Limits: inbound.Limits{
 			HeadBytes:   d.settings.MaxHeadBytes,
@@ -185,10 +194,12 @@
 			ReadTimeout: d.settings.ReadTimeout,
 			IdleTimeout: d.settings.IdleTimeout,
 		},
+		Account:      d.clients,
 		WriteTimeout: d.settings.WriteTimeout,
 		Pollers:      d.settings.Pollers,
 		Refusal:      refusalByStatus,
 		MayBeRepeat:  hasToken,
+		RepeatFields: []string{headerToken, "Traceparent"},
 	})
 	return err
 }
--- a/serve/heads/heads.go
+++ b/serve/heads/heads.go
@@ -112,8 +112,8 @@
 
 // ParsePartial returns what can be read of a head that is incomplete or
 // malformed: the first two words of the request line, and every well-formed
-// field line.
-func ParsePartial(head []byte) (method, target string, fields http.Header) {
+// field line; if names are given, in canonical form, only the first of each of those fields.
+func ParsePartial(head []byte, names ...string) (method, target string, fields http.Header) {
 	fields = make(http.Header)
 	line, rest, _ := bytes.Cut(head, crlf)
 	words := bytes.SplitN(line, []byte(" "), 3)
@@ -125,13 +125,27 @@
 		var l []byte
 		l, rest, _ = bytes.Cut(rest, crlf)
 		name, value, err := parseField(l)
-		if err == nil {
+		if err == nil && isWanted(name, names, fields) {
 			fields.Add(string(name), string(value))
 		}
 	}
 	return method, target, fields
 }
 
+// isWanted reports whether a field is one of those with the names, or there are no names, and
+// was not found before.
+func isWanted(name []byte, names []string, found http.Header) bool {
+	if len(names) == 0 {
+		return true
+	}
+	for _, n := range names {
+		if equalFold(name, n) {
+			return len(found[n]) == 0
+		}
+	}
+	return false
+}
+
 // splitHead separates the first line from the field lines.
 func splitHead(head []byte) (line, fields []byte, err error) {
 	i := bytes.Index(head, crlf)
--- a/serve/inbound/body.go
+++ b/serve/inbound/body.go
@@ -81,5 +81,6 @@
 	c.content = body.Pieces{}
 	x.close = wantsClose(&x.Request)
 	x.bodyBytes.Store(c.partialBody.Swap(0))
+	x.headBytes.Store(c.partialHead.Swap(0))
 	c.dispatch(x)
 }
--- a/serve/inbound/conn.go
+++ b/serve/inbound/conn.go
@@ -47,15 +47,19 @@
 	requests    int         // passed to the handler
 	continueDue bool        // interimContinue is sent after the requests in flight
 	awaited     awaited
-	awaitedBy   deadline // of what is awaited
-	takenBy     deadline // for the caller to take what was written
-	registered  bool     // with a poller
-	unread      int      // bytes that the kernel held when the connection was closed as idle
-	untaken     int      // of the last answer, bytes that its caller had not taken when linger last looked
+	awaitedBy   deadline  // of what is awaited
+	takenBy     deadline  // for the caller to take what was written
+	registered  bool      // with a poller
+	changedAt   time.Time // when the connection was opened, became idle, or had its last answer
+	unread      int       // bytes that the kernel held when the connection was closed as idle
+	untaken     int       // of the last answer, bytes that its caller had not taken when linger last looked
 
 	// partialBody counts the bytes reserved for a body that is not yet
 	// complete.
 	partialBody atomic.Int64
+	// partialHead counts the bytes reserved for the head of a message that is not yet
+	// complete.
+	partialHead atomic.Int64
 
 	unsent   unsentAnswers
 	queued   atomic.Int64 // bytes handed to nbio
@@ -108,9 +112,14 @@
 		c.armHeadTimeout()
 	}
 	seen := len(c.head)
-	c.head = append(c.head, data...)
+	limit := c.s.limits().HeadBytes
+	part := data[:max(0, min(len(data), limit+1-seen))] // one byte more shows that it is too long
+	if !c.reserveHead(int64(len(part))) {
+		return 0, http.StatusServiceUnavailable
+	}
+	c.head = append(c.head, part...)
 	end := heads.End(c.head, seen)
-	status = c.checkHead(end)
+	status = c.checkHead(end, limit)
 	if status != 0 {
 		c.req = c.unparsedExchange(c.head)
 		return 0, status
@@ -126,9 +135,8 @@
 }
 
 // checkHead returns the status to refuse the collected head with, or 0. end is
-// the length of the head, 0 when it is not complete.
-func (c *conn) checkHead(end int) (status int) {
-	limit := c.s.limits().HeadBytes
+// the length of the head, 0 when it is not complete. What the parsed head takes is reserved.
+func (c *conn) checkHead(end, limit int) (status int) {
 	if end > limit || (end == 0 && len(c.head) > limit) {
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
@@ -140,6 +148,9 @@
 		return http.StatusBadRequest
 	}
 	c.framing = f
+	if !c.reserveHead(headCost(0, bytes.Count(c.head[:end], []byte("\n")))) {
+		return http.StatusServiceUnavailable
+	}
 	if timeout := c.s.limits().BodyTimeout; timeout > 0 && (f.Chunked || f.Length > 0) {
 		c.armReadTimer(timeout)
 	}
@@ -147,10 +158,14 @@
 }
 
 // unparsedExchange returns an exchange for a head that is not passed to the
-// parser. Its header fields show whether the message may be a repeat.
+// parser, nil if its message can be no repeat. Of its header fields it has those that show
+// whether it is one: any number of others may come.
 func (c *conn) unparsedExchange(head []byte) *Exchange {
+	if c.s.opts.MayBeRepeat == nil {
+		return nil
+	}
 	x := &Exchange{c: c}
-	x.Method, x.URI, x.Header = heads.ParsePartial(head)
+	x.Method, x.URI, x.Header = heads.ParsePartial(head, c.s.opts.RepeatFields...)
 	x.Remote = c.remote.Addr()
 	return x
 }
@@ -188,6 +203,7 @@
 // only marks the connection as closing.
 func (c *conn) refuse(status int) {
 	x := c.refusedExchange(status)
+	c.dropPartial()
 	c.mu.Lock()
 	if c.phase != phaseOpen {
 		c.mu.Unlock()
@@ -237,16 +253,21 @@
 // dispatch accepts a parsed request: it is served at once, or queued behind
 // those in flight.
 func (c *conn) dispatch(x *Exchange) {
+	untaken := c.unsent.len()
 	c.mu.Lock()
 	if c.phase != phaseOpen {
 		c.mu.Unlock()
-		x.releaseBody()
+		x.release()
 		return
 	}
-	if len(c.pipeline.waiting) >= maxPipelined {
+	if len(c.pipeline.waiting)+untaken >= c.s.maxPipelined() {
 		c.phase = phaseLast // its caller sees the request as unread
+		last := c.pipeline.empty()
 		c.mu.Unlock()
-		x.releaseBody()
+		x.release()
+		if last {
+			c.close(ClosedRefused)
+		}
 		return
 	}
 	if x.close {
@@ -259,9 +280,17 @@
 	c.serveAll(started)
 }
 
-// maxPipelined bounds the requests queued behind those in flight.
+// maxPipelined bounds the requests of a connection that wait behind those in flight, and the
+// answers that its caller has not taken.
 const maxPipelined = 16
 
+func (s *Server) maxPipelined() int {
+	if s.opts.MaxPipelined > 0 {
+		return s.opts.MaxPipelined
+	}
+	return maxPipelined
+}
+
 // startExchange adds x to the exchanges in flight and removes the deadline for its
 // receipt. It must be called with mu held.
 func (c *conn) startExchange(x *Exchange) {
@@ -329,6 +358,32 @@
 	}
 }
 
+// reserveHead charges n bytes of the head that is being received to the clients' account.
+func (c *conn) reserveHead(n int64) bool {
+	if !c.s.opts.Account.reserve(n, c.partialHead.Load()) {
+		return false
+	}
+	c.partialHead.Add(n)
+	return true
+}
+
+// releasePartialHead releases the bytes reserved for a head whose message is not complete,
+// and returns how many they were.
+func (c *conn) releasePartialHead() int64 {
+	n := c.partialHead.Swap(0)
+	c.s.opts.Account.release(n)
+	return n
+}
+
+// dropPartial drops what was received of an incomplete message. It must be called on the
+// poller's goroutine, when nothing is received any more.
+func (c *conn) dropPartial() {
+	c.head, c.req, c.body = nil, nil, bodyNone
+	c.content, c.chunks = body.Pieces{}, body.Chunks{}
+	c.releasePartialHead()
+	c.releasePartialBody()
+}
+
 // releasePartialBody releases the bytes reserved for an incomplete body.
 func (c *conn) releasePartialBody() {
 	if n := c.partialBody.Swap(0); n > 0 {
--- a/serve/inbound/end.go
+++ b/serve/inbound/end.go
@@ -15,6 +15,7 @@
 	ClosedRefused      CloseReason = "refused"       // a message could not be processed
 	ClosedAnswered     CloseReason = "answered"      // the last answer was sent, and the caller did not close
 	ClosedStopIdle     CloseReason = "stop-idle"     // it was idle in a planned stop
+	ClosedNoRoom       CloseReason = "no-room"       // it carried no request, and others needed the connection
 	ClosedStopEnd      CloseReason = "stop-end"      // the server has ended
 )
 
--- a/serve/inbound/exchange.go
+++ b/serve/inbound/exchange.go
@@ -40,6 +40,7 @@
 	counted    bool // included in the server's count of exchanges in flight
 
 	bodyBytes atomic.Int64 // bytes of the body counted by Server.reserveBody
+	headBytes atomic.Int64 // bytes of the head reserved in the clients' account
 	answer    *answer      // guarded by the connection's mu; nil: none yet
 	onSent    func()       // set before the answer is given; may be nil
 }
@@ -80,7 +81,7 @@
 	x.answered = true
 	gone := x.callerGone
 	x.mu.Unlock()
-	x.releaseBody()
+	x.release()
 	x.c.queueAnswer(x, answer{status, h, body})
 	return !gone
 }
@@ -107,9 +108,12 @@
 	return x.callerGone
 }
 
-// releaseBody releases the bytes reserved for the body. The answer and the end of the
+// release releases the bytes reserved for the request. The answer and the end of the
 // connection may both call it, at the same time.
-func (x *Exchange) releaseBody() { x.c.s.bodyBytes.Add(-x.bodyBytes.Swap(0)) }
+func (x *Exchange) release() {
+	x.c.s.bodyBytes.Add(-x.bodyBytes.Swap(0))
+	x.c.s.opts.Account.release(x.headBytes.Swap(0))
+}
 
 // CloseReason returns why the connection was closed before the answer, "" if it
 // was not.
@@ -131,7 +135,7 @@
 	x.closed = why
 	f := x.onGone
 	x.mu.Unlock()
-	x.releaseBody()
+	x.release()
 	if f != nil {
 		f()
 	}
--- a/serve/inbound/inbound_test.go
+++ b/serve/inbound/inbound_test.go
@@ -387,8 +387,8 @@
 		c.s.bodyBytes.Store(1)
 		x.bodyBytes.Store(1)
 		var both sync.WaitGroup
-		both.Go(x.releaseBody)
-		both.Go(x.releaseBody)
+		both.Go(x.release)
+		both.Go(x.release)
 		both.Wait()
 		is.Equal(c.s.bodyBytes.Load(), int64(0))
 	}
--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -65,7 +65,10 @@
 	case awaitMessage:
 		if c.phase == phaseOpen && c.pipeline.empty() {
 			c.phase = phaseLast
-			return func() { c.refuseAndClose(http.StatusRequestTimeout, ClosedReadTimeout) }
+			return func() {
+				c.s.engine.Run(c.nbc, c.dropPartial)
+				c.refuseAndClose(http.StatusRequestTimeout, ClosedReadTimeout)
+			}
 		}
 	case awaitClose:
 		before := c.untaken
@@ -122,6 +125,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.untaken = c.kernelUntaken()
+	c.changedAt = time.Now()
 	c.await(awaitClose, lingerTimeout)
 }
 
@@ -274,6 +278,7 @@
 
 // onClose is called once when the connection is closed.
 func (c *conn) onClose(err error) {
+	c.releasePartialHead()
 	c.releasePartialBody()
 	c.unsent.drop()
 	c.mu.Lock()
--- a/serve/inbound/pipeline.go
+++ b/serve/inbound/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 )
 
 // pipeline holds the unanswered requests of one connection in the order of
@@ -37,6 +38,7 @@
 	p := &c.pipeline
 	for c.phase != phaseClosed && len(p.waiting) > 0 && c.canStart(p.waiting[0]) {
 		x := p.waiting[0]
+		p.waiting[0] = nil // the array outlives the request
 		p.waiting = p.waiting[1:]
 		c.startExchange(x)
 		started = append(started, x)
@@ -127,7 +129,9 @@
 	}
 	c.mu.Lock()
 	p := &c.pipeline
+	p.inFlight[0] = nil // the array outlives the request
 	p.inFlight = p.inFlight[1:]
+	c.changedAt = time.Now()
 	started := c.admit()
 	// The phase may have changed since the answer was written as one that is not the
 	// last.
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -38,7 +38,7 @@
 	IdleTimeout time.Duration // between requests on one connection
 }
 
-// Options configures a Server. MaxBodyBytes, MaxBufferedBodies, Pollers,
+// Options configures a Server. MaxBodyBytes, MaxBufferedBodies, Account, MaxPipelined, Pollers,
 // MayBeRepeat, Overlaps, RefuseAtClose and Closed are optional.
 type Options struct {
 	Limits
@@ -48,15 +48,24 @@
 	// MaxBufferedBodies bounds the total size of the bodies of all requests in memory;
 	// 0: unlimited. A request that exceeds it is refused with 503.
 	MaxBufferedBodies int64
-	WriteTimeout      time.Duration // for a caller to take an answer
-	Pollers           int           // 0: nbio's default
+	// Account bounds the connections and heads of this server's clients, with those of the
+	// other servers that have the same; nil: unlimited. A request that exceeds it is refused
+	// with 503.
+	Account *Account
+	// MaxPipelined bounds the requests of a connection that wait behind those in flight, and
+	// the answers that its caller has not taken; 0: 16. What comes behind them is not read.
+	MaxPipelined int
+	WriteTimeout time.Duration // for a caller to take an answer
+	Pollers      int           // 0: nbio's default
 	// Refusal returns the header and body of the answers that this package
 	// sends itself: 400, 408, 413, 431 or 503.
 	Refusal func(status int) (http.Header, []byte)
 	// MayBeRepeat reports whether a request with these header fields may be a repeat
 	// of an earlier one. If so, its refusal is left to the handler, which knows
-	// the outcome of the earlier send. May be nil.
-	MayBeRepeat func(h http.Header) bool
+	// the outcome of the earlier send. Of a head that was not parsed, h has only
+	// RepeatFields. May be nil.
+	MayBeRepeat  func(h http.Header) bool
+	RepeatFields []string // in canonical form
 	// Overlaps reports whether a request may be served concurrently with others
 	// that its caller has pipelined on the same connection. Nil: each request
 	// waits for the answer to the one before.
@@ -182,6 +191,10 @@
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
 	c.initialized.Store(true)
+	c.changedAt = time.Now()
+	if !s.opts.Account.admit(c) {
+		return errNoRoom
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -193,6 +206,9 @@
 	return nil
 }
 
+// errNoRoom means that a connection was not registered as there are too many others.
+var errNoRoom = errors.New("inbound: too many connections")
+
 // runInline runs the parser's completion callback on the poller's goroutine:
 // handlers do not block, so a goroutine pool would only add a wake-up.
 func runInline(f func()) bool {
@@ -237,6 +253,7 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	s.opts.Account.remove(c)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
--- a/serve/inbound/unsent.go
+++ b/serve/inbound/unsent.go
@@ -19,11 +19,15 @@
 	end      int64
 }
 
+// len returns the number of answers.
+func (u *unsentAnswers) len() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.list)
+}
+
 // add records the answer of x, which ends at end. written bytes were sent already.
 func (u *unsentAnswers) add(x *Exchange, end, written int64) {
-	if x.onSent == nil {
-		return
-	}
 	u.mu.Lock()
 	u.list = append(u.list, unsentAnswer{x, end})
 	dropped := u.dropped
--- a/serve/ingress/gateway.go
+++ b/serve/ingress/gateway.go
@@ -62,6 +62,8 @@
 	// 1/gatewayBodyMemoryDivisor of the memory, in addition to the bodies of callers'
 	// requests.
 	gatewayBodyMemoryDivisor = 16
+	// gatewayHeadMemoryDivisor: the same for their heads.
+	gatewayHeadMemoryDivisor = 16
 )
 
 // startGateway opens the connection pool to gateways and the listener for
@@ -85,6 +87,7 @@
 			IdleTimeout: gatewayIdleTimeout + gatewayIdleMargin,
 		},
 		MaxBufferedBodies: s.settings.MemoryBytes / gatewayBodyMemoryDivisor,
+		Account:           inbound.NewAccount(s.settings.MemoryBytes/gatewayHeadMemoryDivisor, 0, s.callerRefused),
 		WriteTimeout:      writeTimeout,
 		Pollers:           1,
 		Refusal:           func(int) (http.Header, []byte) { return gatewayNotRun(), nil },
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// callerRefused records that a caller or another entry VM was refused, or its connection
+// closed, because all of them together hold as much as they may. The lines share the limit of
+// those for failed requests.
+func (s *Server) callerRefused(what inbound.Refusal) {
+	s.metrics.callersRefused.Add(string(what), 1)
+	if line, _ := s.sampler.sampleFailure(s.now()); line {
+		s.event(eventConn).WithField("refused", what).Warn("callers hold too much: one was refused")
+	}
+}
+
 // unsolicited records bytes of a target that belong to no request. The lines share the limit
 // of those for failed requests.
 func (s *Server) unsolicited(u outbound.Unsolicited) {
--- a/serve/ingress/metrics.go
+++ b/serve/ingress/metrics.go
@@ -47,6 +47,7 @@
 	connsClosed     *expvar.Map // connections of callers and entry VMs, by reason
 	requestsCut     *expvar.Map // requests in flight on them, by reason
 	requestsUnread  *expvar.Map // requests received on them and not passed on, by reason
+	callersRefused  *expvar.Map // because callers hold too much together, by what
 	bytesUnread     *expvar.Map // bytes on idle ones that had not been read, by reason
 	sendConnsClosed *expvar.Map // connections to targets and gateways, by reason
 	sendsCut        *expvar.Map // requests in flight on them, by reason
@@ -129,6 +130,7 @@
 	m.connsClosed = m.newCounters("connections_closed")
 	m.requestsCut = m.newCounters("requests_cut")
 	m.requestsUnread = m.newCounters("requests_unread")
+	m.callersRefused = m.newCounters("callers_refused")
 	m.bytesUnread = m.newCounters("bytes_unread")
 	m.sendConnsClosed = m.newCounters("send_connections_closed")
 	m.sendsCut = m.newCounters("sends_cut")
--- a/serve/ingress/reload.go
+++ b/serve/ingress/reload.go
@@ -52,6 +52,7 @@
 		{"metrics-addr", s.MetricsAddr != old.MetricsAddr},
 		{"regions", !maps.Equal(s.Regions, old.Regions)},
 		{"memory", s.MemoryBytes != old.MemoryBytes},
+		{"descriptors", s.Descriptors != old.Descriptors},
 		{"lease-ttl", s.LeaseTTL != old.LeaseTTL},
 	})
 }
--- a/serve/ingress/server.go
+++ b/serve/ingress/server.go
@@ -46,6 +46,7 @@
 	gatewayServer *inbound.Server // for requests that this VM forwards; nil: it is no gateway
 	deploymentTag string          // see forwardHeader
 
+	callers       *inbound.Account // what the clients of the servers below hold
 	callerServer  *inbound.Server
 	readyServer   *inbound.Server
 	lookupServer  *inbound.Server
@@ -123,10 +124,15 @@
 	// memory. A body is in memory twice while it is read, and once more while it is
 	// sent.
 	bodyMemoryDivisor = 8
+	// headMemoryDivisor: the heads of callers' requests may use 1/headMemoryDivisor of the
+	// memory, from their first byte until their requests are answered.
+	headMemoryDivisor = 8
 	// answerMemoryDivisor: answers may use 1/answerMemoryDivisor of the memory until
 	// their callers have taken them. A body is in memory twice while it grows, and while
 	// it is sent, and garbage may be as much again.
 	answerMemoryDivisor = 8
+	// maxPipelinedPages bounds the look-ups, checks and pages that wait on one connection.
+	maxPipelinedPages = 4
 	// targetIdleTimeout is how long an idle connection to a target is kept.
 	targetIdleTimeout = 8 * time.Second
 	// targetConnectTimeout limits opening a connection if the Send sets no limit.
@@ -191,11 +197,21 @@
 	if err := s.startGateway(); err != nil {
 		return err
 	}
+	conns, err := inbound.ConnectionLimit(s.settings.Descriptors)
+	if err != nil {
+		return err
+	}
+	s.callers = inbound.NewAccount(s.settings.MemoryBytes/headMemoryDivisor, conns, s.callerRefused)
 	for _, l := range []struct {
-		server **inbound.Server
-		addr   string
-	}{{&s.callerServer, s.settings.Self.CallAddr}, {&s.readyServer, s.settings.ReadyAddr}, {&s.lookupServer, s.settings.LookupAddr}} {
-		if *l.server, err = s.listen(l.addr); err != nil {
+		server    **inbound.Server
+		addr      string
+		pipelined int
+	}{
+		{&s.callerServer, s.settings.Self.CallAddr, 0},
+		{&s.readyServer, s.settings.ReadyAddr, maxPipelinedPages},
+		{&s.lookupServer, s.settings.LookupAddr, maxPipelinedPages},
+	} {
+		if *l.server, err = s.listen(l.addr, l.pipelined); err != nil {
 			return err
 		}
 	}
@@ -203,7 +219,7 @@
 	if s.settings.MetricsAddr == "" {
 		return nil
 	}
-	if s.metricsServer, err = s.listen(s.settings.MetricsAddr); err != nil {
+	if s.metricsServer, err = s.listen(s.settings.MetricsAddr, maxPipelinedPages); err != nil {
 		// Serving requests matters more than serving metrics.
 		s.event(eventStart).WithError(err).Error("metrics are not served")
 		s.metricsServer = nil
@@ -228,7 +244,7 @@
 	})
 }
 
-func (s *Server) listen(addr string) (*inbound.Server, error) {
+func (s *Server) listen(addr string, pipelined int) (*inbound.Server, error) {
 	return inbound.Listen(addr, inbound.Options{
 		Limits: inbound.Limits{
 			HeadBytes:   defaultHeadBytes,
@@ -239,6 +255,8 @@
 		},
 		MaxBodyBytes:      maxBodyBytes,
 		MaxBufferedBodies: s.settings.MemoryBytes / bodyMemoryDivisor,
+		Account:           s.callers,
+		MaxPipelined:      pipelined,
 		WriteTimeout:      writeTimeout,
 		Pollers:           1,
 		Refusal:           func(int) (http.Header, []byte) { return nil, nil },
--- a/serve/ingress/settings.go
+++ b/serve/ingress/settings.go
@@ -29,6 +29,9 @@
 	Regions map[fleet.Domain]fleet.Region
 	// MemoryBytes is the memory that this process may use.
 	MemoryBytes int64
+	// Descriptors is how many descriptors this process may open; 0: the limit of the
+	// operating system.
+	Descriptors int
 	// StopTimeout limits the duration of a planned stop.
 	StopTimeout time.Duration
 	// LookupTTL is how long callers may use the answer to a look-up.
