--- a/serve/inbound/lifecycle.go
+++ b/serve/inbound/lifecycle.go
@@ -65,7 +65,10 @@
 	case awaitMessage:
 		if c.phase == phaseOpen && c.pipeline.empty() {
 			c.phase = phaseLast
-			return func() { c.refuseAndClose(http.StatusRequestTimeout, ClosedReadTimeout) }
+			return func() {
+				c.s.engine.Run(c.nbc, c.dropPartial)
+				c.refuseAndClose(http.StatusRequestTimeout, ClosedReadTimeout)
+			}
 		}
 	case awaitClose:
 		before := c.untaken
@@ -122,6 +125,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.untaken = c.kernelUntaken()
+	c.changedAt = time.Now()
 	c.await(awaitClose, lingerTimeout)
 }
 
@@ -140,6 +144,17 @@
 	return n
 }
 
+// kernelUnread returns how many received bytes this side has not read, 0 if that is unknown.
+// It must be called on the poller's goroutine.
+func (c *conn) kernelUnread() int {
+	n := 0
+	var err error
+	if c.s.engine.Control(c.nbc, func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) != nil || err != nil {
+		return 0
+	}
+	return n
+}
+
 // hangUp closes the connection. The phase must not be open.
 func (c *conn) hangUp() { c.s.engine.Close(c.nbc) }
 
@@ -153,10 +168,12 @@
 // processed data already; the deadline that was set for it stays.
 func (c *conn) awaitFirstRequest() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.registered = true
 	if c.phase == phaseOpen && c.awaited == awaitNone && c.pipeline.empty() && !c.receiving {
 		c.awaitNextRequest()
 	}
+	c.mu.Unlock()
+	c.closeInStop()
 }
 
 // beginReceiving records that data has come. It reports false if the connection is
@@ -221,25 +238,27 @@
 	return c.receiving || !c.pipeline.empty() || c.pending()
 }
 
-// isBusy reports whether the connection is unfinished, or its caller may still be
-// reading its last answer.
+// isBusy reports whether the connection is unfinished, its caller may still be reading its
+// last answer, or it was to be closed as idle and was not: something has come for it.
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
-	last := c.phase == phaseLast
+	last := c.phase == phaseLast || c.phase == phaseOpen && c.s.closingIdle.Load()
 	c.mu.Unlock()
 	return last || c.isUnfinished()
 }
 
-// closeIfIdle closes the connection if it has no request in flight or partly received and
-// no answer left to send. It reports whether it has. It must be called on the poller's
+// closeIfIdle closes the connection if it has no request in flight or partly received,
+// nothing that the kernel holds and no answer left to send. It reports whether it has. It must be called on the poller's
 // goroutine: otherwise the poller could read a request between the decision and the close,
 // and its caller could not tell that from a request that was taken.
 func (c *conn) closeIfIdle(why CloseReason) bool {
+	unread := c.kernelUnread()
 	c.mu.Lock()
-	idle := c.phase == phaseOpen && !c.receiving && c.pipeline.empty() && !c.pending()
+	idle := c.phase == phaseOpen && c.registered && unread == 0 && !c.receiving && c.pipeline.empty() && !c.pending()
 	if idle {
 		c.phase = phaseLast
 		c.closeReason = why
+		c.unread = unread
 	}
 	c.mu.Unlock()
 	if idle {
@@ -259,6 +278,7 @@
 
 // onClose is called once when the connection is closed.
 func (c *conn) onClose(err error) {
+	c.releasePartialHead()
 	c.releasePartialBody()
 	c.unsent.drop()
 	c.mu.Lock()
@@ -289,6 +309,6 @@
 	}
 	return ConnectionEnd{
 		Reason: why, Remote: c.remote, Requests: c.requests,
-		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.receiving,
+		InFlight: len(c.pipeline.inFlight), Waiting: len(c.pipeline.waiting), Partial: c.receiving, Unread: c.unread,
 	}
 }
--- a/serve/inbound/server.go
+++ b/serve/inbound/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/azurethread/azurethread/serve/pollers"
 )
@@ -36,7 +38,7 @@
 	IdleTimeout time.Duration // between requests on one connection
 }
 
-// Options configures a Server. MaxBodyBytes, MaxBufferedBodies, Pollers,
+// Options configures a Server. MaxBodyBytes, MaxBufferedBodies, Account, MaxPipelined, Pollers,
 // MayBeRepeat, Overlaps, RefuseAtClose and Closed are optional.
 type Options struct {
 	Limits
@@ -46,15 +48,24 @@
 	// MaxBufferedBodies bounds the total size of the bodies of all requests in memory;
 	// 0: unlimited. A request that exceeds it is refused with 503.
 	MaxBufferedBodies int64
-	WriteTimeout      time.Duration // for a caller to take an answer
-	Pollers           int           // 0: nbio's default
+	// Account bounds the connections and heads of this server's clients, with those of the
+	// other servers that have the same; nil: unlimited. A request that exceeds it is refused
+	// with 503.
+	Account *Account
+	// MaxPipelined bounds the requests of a connection that wait behind those in flight, and
+	// the answers that its caller has not taken; 0: 16. What comes behind them is not read.
+	MaxPipelined int
+	WriteTimeout time.Duration // for a caller to take an answer
+	Pollers      int           // 0: nbio's default
 	// Refusal returns the header and body of the answers that this package
 	// sends itself: 400, 408, 413, 431 or 503.
 	Refusal func(status int) (http.Header, []byte)
 	// MayBeRepeat reports whether a request with these header fields may be a repeat
 	// of an earlier one. If so, its refusal is left to the handler, which knows
-	// the outcome of the earlier send. May be nil.
-	MayBeRepeat func(h http.Header) bool
+	// the outcome of the earlier send. Of a head that was not parsed, h has only
+	// RepeatFields. May be nil.
+	MayBeRepeat  func(h http.Header) bool
+	RepeatFields []string // in canonical form
 	// Overlaps reports whether a request may be served concurrently with others
 	// that its caller has pipelined on the same connection. Nil: each request
 	// waits for the answer to the one before.
@@ -79,6 +90,8 @@
 	stopping      atomic.Bool // each answer that leaves its connection idle announces the close
 	closingIdle   atomic.Bool // a connection closes as soon as it is idle
 	acceptLoop    sync.WaitGroup
+	closing       sync.Once     // the listener
+	allAdded      chan struct{} // closed when no connection is added any more
 
 	stopEngine sync.Once // nbio panics if it is stopped twice
 
@@ -101,6 +114,7 @@
 		listener: ln,
 		conns:    make(map[*conn]struct{}),
 		idle:     make(chan struct{}),
+		allAdded: make(chan struct{}),
 	}
 	s.currentLimits.Store(&opts.Limits)
 	engine := nbhttp.NewEngine(nbhttp.Config{
@@ -177,6 +191,10 @@
 	nbc.SetSession(c.parser)
 	nbc.OnData(c.onData)
 	c.initialized.Store(true)
+	c.changedAt = time.Now()
+	if !s.opts.Account.admit(c) {
+		return errNoRoom
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -188,6 +206,9 @@
 	return nil
 }
 
+// errNoRoom means that a connection was not registered as there are too many others.
+var errNoRoom = errors.New("inbound: too many connections")
+
 // runInline runs the parser's completion callback on the poller's goroutine:
 // handlers do not block, so a goroutine pool would only add a wake-up.
 func runInline(f func()) bool {
@@ -232,6 +253,7 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	s.opts.Account.remove(c)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -289,12 +311,12 @@
 	var err error
 	select { // both may be ready
 	case <-s.idle:
-		s.StopAccepting() // otherwise callers could delay the stop without end
+		s.StopAccepting(ctx) // otherwise callers could delay the stop without end
 		err = s.flush(ctx)
 	default:
 		err = fmt.Errorf("inbound: requests still in flight: %w", ctx.Err())
 	}
-	s.closeListener()
+	s.closeListener(context.Background()) // a connection must not be added while the engine stops
 	s.stopEngine.Do(s.engine.Stop)
 	return err
 }
@@ -310,9 +332,9 @@
 // StopAccepting closes the listener and all idle connections. Otherwise callers
 // that keep opening or reusing connections would keep a leaving VM busy until it
 // ends, which interrupts their requests. A connection in use closes as soon as it is
-// idle.
-func (s *Server) StopAccepting() {
-	s.closeListener()
+// idle. The end of ctx ends the wait for connections that are being added.
+func (s *Server) StopAccepting(ctx context.Context) {
+	s.closeListener(ctx)
 	s.closingIdle.Store(true)
 	for _, c := range s.openConns() {
 		c.closeInStop()
@@ -326,9 +348,66 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-func (s *Server) closeListener() {
-	_ = s.listener.Close()
-	s.acceptLoop.Wait()
+// closeListener closes the listener, and adds the connections that the kernel has accepted:
+// it would reset them, and their callers could not tell whether their requests have run. It
+// waits until all have been added, at most until ctx ends.
+func (s *Server) closeListener(ctx context.Context) {
+	s.closing.Do(func() {
+		waiting := s.takeWaiting()
+		_ = s.listener.Close()
+		go func() {
+			for _, socket := range waiting {
+				s.addSocket(ctx, socket)
+			}
+			s.acceptLoop.Wait()
+			close(s.allAdded)
+		}()
+	})
+	select {
+	case <-s.allAdded:
+	case <-ctx.Done():
+	}
+}
+
+// maxWaiting bounds the connections that takeWaiting accepts, so that callers that keep
+// opening connections do not delay a stop. It is the usual bound of the kernel.
+const maxWaiting = 4096
+
+// takeWaiting returns the sockets of connections that the kernel has accepted.
+func (s *Server) takeWaiting() (sockets []int) {
+	listener, ok := s.listener.(*net.TCPListener)
+	if !ok || s.handler == nil {
+		return nil // nothing is accepted yet
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return nil // the listener is closed
+	}
+	_ = raw.Control(func(fd uintptr) { // an error means that the listener is closed
+		for len(sockets) < maxWaiting {
+			socket, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil && !errors.Is(err, unix.ECONNABORTED) && !errors.Is(err, unix.EINTR) {
+				return // EAGAIN: there are no more
+			}
+			if err == nil {
+				sockets = append(sockets, socket)
+			}
+		}
+	})
+	return sockets
+}
+
+// addSocket adds the connection of a socket, unless ctx has ended.
+func (s *Server) addSocket(ctx context.Context, socket int) {
+	f := os.NewFile(uintptr(socket), "accepted")
+	nc, err := net.FileConn(f)
+	_ = f.Close() // nc has a duplicate
+	if err == nil && ctx.Err() == nil && s.add(nc) == nil {
+		return
+	}
+	if nc != nil {
+		_ = nc.Close()
+	}
 }
 
 // flushPollInterval is the interval between checks for unsent answers.
@@ -343,8 +422,8 @@
 	t := time.NewTicker(flushPollInterval)
 	defer t.Stop()
 	for {
-		if err := s.engine.Sync(); err != nil { // for connections that are about to close
-			return fmt.Errorf("inbound: %w", err)
+		if err := s.engine.Sync(ctx); err != nil { // for connections that are about to close
+			return s.unfinished(ctx)
 		}
 		if !slices.ContainsFunc(s.openConns(), (*conn).isBusy) {
 			return nil
--- a/serve/ingress/log.go
+++ b/serve/ingress/log.go
@@ -160,17 +160,28 @@
 	s.metrics.connsClosed.Add(why, 1)
 	s.metrics.requestsCut.Add(why, int64(end.InFlight))
 	s.metrics.requestsUnread.Add(why, int64(end.Waiting))
-	if !end.Reason.Own() || end.InFlight+end.Waiting == 0 {
+	s.metrics.bytesUnread.Add(why, int64(end.Unread))
+	if !end.Reason.Own() || end.InFlight+end.Waiting+end.Unread == 0 {
 		return
 	}
 	if line, _ := s.sampler.sampleFailure(s.now()); line {
 		s.event(eventConn).WithFields(logrus.Fields{
 			"closed_by": end.Reason, "remote": end.Remote, "requests": end.Requests,
-			"in_flight": end.InFlight, "waiting": end.Waiting, "partial": end.Partial, "leaving": s.leaving.Load(),
+			"in_flight": end.InFlight, "waiting": end.Waiting, "partial": end.Partial, "unread_bytes": end.Unread, "leaving": s.leaving.Load(),
 		}).Warn("a connection was closed with requests that have no answer")
 	}
 }
 
+// callerRefused records that a caller or another entry VM was refused, or its connection
+// closed, because all of them together hold as much as they may. The lines share the limit of
+// those for failed requests.
+func (s *Server) callerRefused(what inbound.Refusal) {
+	s.metrics.callersRefused.Add(string(what), 1)
+	if line, _ := s.sampler.sampleFailure(s.now()); line {
+		s.event(eventConn).WithField("refused", what).Warn("callers hold too much: one was refused")
+	}
+}
+
 // unsolicited records bytes of a target that belong to no request. The lines share the limit
 // of those for failed requests.
 func (s *Server) unsolicited(u outbound.Unsolicited) {
