logs: the end of a process does not wait for a stalled reader of its log

A process whose log nobody took any more did not end after its stop, until the platform killed it.

Cause: the last lines were written without a time of their own, behind the stop's. Change: the process waits for .1 s at most.

Evidence: TestCloseDoesNotWaitForAStalledWriter hangs without the change.

--- a/serve/logs/async.go
+++ b/serve/logs/async.go
@@ -14,6 +14,7 @@
 	// flushInterval is the interval between writes: few writes of many lines
 	// cost less than one write per line.
 	flushInterval = 100 * time.Millisecond
+	closeTimeout  = 100 * time.Millisecond
 )
 
 // Async is an io.Writer that never blocks. Lines wait in a bounded buffer and
@@ -57,10 +58,14 @@
 	return a.dropped
 }
 
-// Close writes the remaining lines and stops the writer.
+// Close writes the remaining lines and stops the writer. It does not wait for longer than
+// closeTimeout for a reader that has stalled.
 func (a *Async) Close() {
 	close(a.stop)
-	<-a.stopped
+	select {
+	case <-a.stopped:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (a *Async) run() {
--- a/serve/logs/async_test.go
+++ b/serve/logs/async_test.go
@@ -45,3 +45,13 @@
 	is.True(strings.Contains(w.got.String(), `"event":"lines-dropped"`))
 	is.True(w.got.Len() < 2*maxBufferBytes)
 }
+
+// Guards against a process that does not end because the reader of its log has stalled.
+func TestCloseDoesNotWaitForAStalledWriter(t *testing.T) {
+	w := &stalledWriter{entered: make(chan struct{}, 1), unblock: make(chan struct{})}
+	a := NewAsync(w)
+	_, _ = a.Write([]byte("line\n"))
+	<-w.entered // the flush is blocked
+	a.Close()
+	close(w.unblock)
+}
