logs: a process outlives the reader of its log

Callers of an entry VM lost all requests in flight when whatever read its log went away: the process ended at its next line.

Cause: SIGPIPE ends a Go process that writes to a standard output or error which nobody reads.

--- a/serve/command/command.go
+++ b/serve/command/command.go
@@ -77,6 +77,7 @@
 func serve(set *settings.Settings, stderr io.Writer) int {
 	log := logs.New(set.LogLevel, stderr)
 	logs.RedirectNbio(log)
+	logs.OutliveReader()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	client, err := platform.NewClient(platform.Options{Addr: set.PlatformURL})
--- a/serve/logs/logs.go
+++ b/serve/logs/logs.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio/logging"
@@ -23,6 +25,10 @@
 	return l
 }
 
+// OutliveReader keeps the process alive when nobody reads its standard output or standard
+// error any more: a write to them then fails instead of ending it.
+func OutliveReader() { signal.Ignore(syscall.SIGPIPE) }
+
 // RedirectNbio sends nbio's log messages to l. nbio's logger is global to the
 // process. Its info messages are logged at debug level, because nbio reports
 // every start and stop of a poller as info.
