ingress: a test of repeated rejections allows that both targets reject

Traced: both targets reject the 20th request of their connection, and request 38 is the 20th of both in three of three traced failures (target t1 and t2 refused it, 19 answers earlier each); there is no third target, so 503 is right, and it has not run.

The check is as strict: each rejection is counted by request. A request that both have rejected must get 503 and must not run, each other one must get 200 and run once.

--- a/serve/ingress/ownership_test.go
+++ b/serve/ingress/ownership_test.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// countRejections counts the rejections that a reply gives, by request.
+func countRejections(rejected *executions, of reply) reply {
+	return func(req *http.Request, previous string) (first, rejection string) {
+		if first, rejection = of(req, previous); rejection != "" {
+			rejected.add(req.Header.Get(testFields.RequestID))
+		}
+		return first, rejection
+	}
+}
+
 // Guards against a request that is answered as not run and has run: a target's rejection
 // comes a second time, where the answer to the connection's next request is due.
 func TestRepeatedRejectionRefusesNoOtherRequest(t *testing.T) {
@@ -120,10 +130,10 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newTestEnv(t, catchAllRoute(false))
-			ran := new(executions)
+			ran, rejected := new(executions), new(executions)
 			for _, id := range []string{"t1", "t2"} {
 				w.startRawTarget(id, func(c net.Conn, r *bufio.Reader) {
-					serveReplies(c, r, ran, rejectOne(20, named))
+					serveReplies(c, r, ran, countRejections(rejected, rejectOne(20, named)))
 				})
 			}
 			s := w.startListed("vm-1")
@@ -139,6 +149,11 @@
 					is.Equal(ran.of(id), 0)
 					continue
 				}
+				if rejected.of(id) == 2 { // by both targets: there is no other
+					is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+					is.Equal(ran.of(id), 0)
+					continue
+				}
 				is.Equal(res.StatusCode, http.StatusOK)
 				is.Equal(ran.of(id), 1)
 			}
